--- /dev/null
+++ b/caller/request.go
@@ -0,0 +1,256 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/generation"
+	"github.com/walnutramp/walnutramp/target"
+)
+
+const (
+	defaultMaxTokens = 1024
+	prefixBytes      = 512 // of a prompt that decide which cache it may hit
+	maxKey           = 256 // bytes of an Idempotency-Key
+	headerKey        = "Idempotency-Key"
+	headerLast       = "Last-Event-ID"
+)
+
+// ask is what a caller's body asks for.
+type ask struct {
+	spec         generation.Spec
+	stream       bool
+	includeUsage bool
+}
+
+// fields are those this system reads or rules on; all others go to the
+// engine unchanged.
+type fields struct {
+	Model         walnutramp.ModelName `json:"model"`
+	Prompt        json.RawMessage      `json:"prompt"`
+	Messages      json.RawMessage      `json:"messages"`
+	MaxTokens     *int                 `json:"max_tokens"`
+	MaxCompletion *int                 `json:"max_completion_tokens"`
+	Stream        bool                 `json:"stream"`
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+// ownFields never reach an engine as the caller wrote them.
+var ownFields = []string{
+	"model", "prompt", "messages", "max_tokens", "max_completion_tokens", "stream", "stream_options",
+	"priority", "return_token_ids", "kv_transfer_params", "n", "best_of", "echo", "logprobs",
+}
+
+// neutral gives, for options this system can't serve or can't carry over to
+// another engine, the values at which they change nothing.
+type neutral struct {
+	name   string
+	values []string
+}
+
+var unsupported = []neutral{
+	{"n", []string{"1"}},
+	{"best_of", []string{"1"}},
+	{"echo", []string{"false"}},
+	{"logprobs", []string{"false"}},
+	{"top_logprobs", []string{"0"}},
+	{"suffix", []string{`""`}},
+	{"tools", []string{"[]"}},
+	{"functions", []string{"[]"}},
+	{"modalities", []string{`["text"]`}},
+	{"audio", nil},
+}
+
+// bound options tie a generation to its engine: what they depend on is lost
+// with it.
+var bound = []neutral{
+	{"presence_penalty", []string{"0", "0.0"}},
+	{"frequency_penalty", []string{"0", "0.0"}},
+	{"repetition_penalty", []string{"1", "1.0"}},
+	{"seed", nil},
+	{"min_tokens", []string{"0"}},
+	{"response_format", []string{`{"type":"text"}`}},
+	{"guided_json", nil},
+	{"guided_regex", nil},
+	{"guided_choice", nil},
+	{"guided_grammar", nil},
+	{"structured_outputs", nil},
+}
+
+func (n neutral) set(all map[string]json.RawMessage) bool {
+	v, ok := all[n.name]
+	if !ok || string(v) == "null" {
+		return false
+	}
+	var compact bytes.Buffer
+	if json.Compact(&compact, v) != nil {
+		return true
+	}
+	return !slices.Contains(n.values, compact.String())
+}
+
+// readBody reads a request's body within the bounds on size and time.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *walnutramp.Error) {
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(h.cfg.BodyTime))
+	defer control.SetReadDeadline(time.Time{})
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.cfg.MaxBody))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, walnutramp.NewError(walnutramp.CodeBodyTooLarge, walnutramp.NotRun, "the body is larger than %d bytes", h.cfg.MaxBody)
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
+		return nil, walnutramp.NewError(walnutramp.CodeBodyTimeout, walnutramp.NotRun, "the body did not arrive within %v", h.cfg.BodyTime)
+	case err != nil:
+		return nil, walnutramp.NewError(walnutramp.CodeBadRequest, walnutramp.NotRun, "the body broke off")
+	}
+	return body, nil
+}
+
+// parse turns a body into what it asks for.
+func (h *Handler) parse(body []byte, key string, account bundle.Account, chat bool) (*ask, *walnutramp.Error) {
+	var f fields
+	var all map[string]json.RawMessage
+	if err := json.Unmarshal(body, &all); err != nil || all == nil {
+		return nil, walnutramp.NewError(walnutramp.CodeBadJSON, walnutramp.NotRun, "the body is not a JSON object")
+	}
+	if err := json.Unmarshal(body, &f); err != nil {
+		return nil, walnutramp.NewError(walnutramp.CodeBadJSON, walnutramp.NotRun, "%v", err)
+	}
+	model, ok := h.cfg.Bundle().Model(f.Model)
+	if !ok {
+		return nil, walnutramp.NewError(walnutramp.CodeUnknownModel, walnutramp.NotRun, "no model %q is in the bundle in force", f.Model)
+	}
+	for _, n := range unsupported {
+		if n.set(all) {
+			return nil, walnutramp.NewError(walnutramp.CodeUnsupportedOption, walnutramp.NotRun, "%s is not served", n.name)
+		}
+	}
+	prompt, err := f.prompt(chat)
+	if err != nil {
+		return nil, err
+	}
+	if len(key) > maxKey {
+		return nil, walnutramp.NewError(walnutramp.CodeBadRequest, walnutramp.NotRun, "%s is longer than %d bytes", headerKey, maxKey)
+	}
+	a := &ask{stream: f.Stream, includeUsage: f.StreamOptions.IncludeUsage}
+	a.spec = generation.Spec{
+		ID: walnutramp.NewGenerationID(), Account: account.Name, Key: key, BodyDigest: bundle.Digest(body),
+		Chat: chat, Model: f.Model, Prompt: prompt, PromptKey: promptKey(prompt),
+		Priority: account.Priority, Weight: account.Weight, Options: passOn(all),
+	}
+	for _, n := range bound {
+		if n.set(all) {
+			a.spec.Bound = append(a.spec.Bound, n.name)
+		}
+	}
+	return a, f.limitTokens(&a.spec, model)
+}
+
+func (f *fields) prompt(chat bool) (target.Prompt, *walnutramp.Error) {
+	if chat {
+		return f.chatPrompt()
+	}
+	var text string
+	if json.Unmarshal(f.Prompt, &text) == nil {
+		return target.Prompt{Text: text}, nil
+	}
+	var texts []string
+	if json.Unmarshal(f.Prompt, &texts) == nil && len(texts) == 1 {
+		return target.Prompt{Text: texts[0]}, nil
+	}
+	var tokens []walnutramp.TokenID
+	if json.Unmarshal(f.Prompt, &tokens) == nil && len(tokens) > 0 {
+		return target.Prompt{Tokens: tokens}, nil
+	}
+	return target.Prompt{}, walnutramp.NewError(walnutramp.CodeBadRequest, walnutramp.NotRun,
+		"prompt must be one text or one list of token numbers")
+}
+
+func (f *fields) chatPrompt() (target.Prompt, *walnutramp.Error) {
+	var messages []struct {
+		Role string `json:"role"`
+	}
+	if json.Unmarshal(f.Messages, &messages) != nil || len(messages) == 0 {
+		return target.Prompt{}, walnutramp.NewError(walnutramp.CodeBadRequest, walnutramp.NotRun, "messages must be a list of messages")
+	}
+	for i, m := range messages {
+		if m.Role == "" {
+			return target.Prompt{}, walnutramp.NewError(walnutramp.CodeBadRequest, walnutramp.NotRun, "messages[%d].role is missing", i)
+		}
+	}
+	return target.Prompt{Messages: f.Messages}, nil
+}
+
+func (f *fields) limitTokens(spec *generation.Spec, model bundle.Model) *walnutramp.Error {
+	room := model.Context - spec.PromptSize()
+	if room <= 0 {
+		return walnutramp.NewError(walnutramp.CodeBadRequest, walnutramp.NotRun,
+			"the prompt has about %d tokens and model %s holds %d", spec.PromptSize(), model.Name, model.Context)
+	}
+	spec.MaxTokens = min(defaultMaxTokens, room)
+	want := f.MaxTokens
+	if f.MaxCompletion != nil {
+		want = f.MaxCompletion
+	}
+	if want == nil {
+		return nil
+	}
+	if *want < 1 {
+		return walnutramp.NewError(walnutramp.CodeBadRequest, walnutramp.NotRun, "max_tokens must be 1 or more")
+	}
+	spec.MaxTokens = min(*want, room)
+	return nil
+}
+
+// passOn returns the options that go to the engine as they are.
+func passOn(all map[string]json.RawMessage) json.RawMessage {
+	for _, name := range ownFields {
+		delete(all, name)
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	options, err := json.Marshal(all)
+	if err != nil {
+		return nil
+	}
+	return options
+}
+
+func promptKey(p target.Prompt) uint64 {
+	text := p.Text
+	if p.Messages != nil {
+		text = string(p.Messages)
+	}
+	if text == "" {
+		return 0
+	}
+	return xxhash.Sum64String(text[:min(len(text), prefixBytes)])
+}
+
+// lastPosition reads Last-Event-ID, if the request has one.
+func lastPosition(r *http.Request) (walnutramp.Position, bool, *walnutramp.Error) {
+	value := strings.TrimSpace(r.Header.Get(headerLast))
+	if value == "" {
+		return walnutramp.Position{}, false, nil
+	}
+	p, err := walnutramp.ParsePosition(value)
+	if err != nil {
+		return p, true, walnutramp.NewError(walnutramp.CodeBadPosition, walnutramp.NotRun, "%v", err)
+	}
+	return p, true, nil
+}
--- /dev/null
+++ b/cmd/walnutramp/main.go
@@ -0,0 +1,136 @@
+// Command walnutramp is the whole system in one binary: entry node, stand-ins
+// of the systems around it, the demo, the load tool and the operators' tools.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+	"k8s.io/klog/v2"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitSetting = 2
+)
+
+// settingError is a setting with a value that is not allowed.
+type settingError struct {
+	setting string
+	value   string
+	allowed string
+}
+
+// Error implements the error interface.
+func (e *settingError) Error() string {
+	return fmt.Sprintf("setting %s: value %q is not allowed; allowed is %s", e.setting, e.value, e.allowed)
+}
+
+// program is what commands write to.
+type program struct {
+	out io.Writer
+	err io.Writer
+}
+
+// globalOptions apply to every command.
+type globalOptions struct {
+	Verbosity int `long:"verbosity" env:"WALNUTRAMP_VERBOSITY" default:"0" description:"log verbosity: 0 says what operators need, 1 adds each decision, 2 everything"`
+}
+
+func main() {
+	p := &program{out: os.Stdout, err: os.Stderr}
+	code := p.run(os.Args[1:])
+	klog.Flush()
+	os.Exit(code)
+}
+
+// run parses the command line, runs the command and returns the exit code.
+func (p *program) run(args []string) int {
+	var global globalOptions
+	parser := flags.NewNamedParser("walnutramp", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Global options", "", &global); err != nil {
+		return p.fail(err)
+	}
+	if err := p.addCommands(parser); err != nil {
+		return p.fail(err)
+	}
+	parser.CommandHandler = func(command flags.Commander, args []string) error {
+		if err := setVerbosity(global.Verbosity); err != nil {
+			return err
+		}
+		if command == nil {
+			return nil
+		}
+		return command.Execute(args)
+	}
+	_, err := parser.ParseArgs(args)
+	return p.fail(err)
+}
+
+func setVerbosity(v int) error {
+	if v < 0 || v > 9 {
+		return &settingError{"--verbosity", fmt.Sprint(v), "a whole number from 0 to 9"}
+	}
+	var level klog.Level
+	return level.Set(fmt.Sprint(v))
+}
+
+// fail prints err, if there is one, and returns the exit code it stands for.
+func (p *program) fail(err error) int {
+	if err == nil {
+		return exitOK
+	}
+	var setting *settingError
+	var parse *flags.Error
+	switch {
+	case errors.As(err, &parse) && parse.Type == flags.ErrHelp:
+		fmt.Fprintln(p.out, parse.Message)
+		return exitOK
+	case errors.As(err, &parse), errors.As(err, &setting):
+		fmt.Fprintln(p.err, "walnutramp:", err)
+		return exitSetting
+	}
+	fmt.Fprintln(p.err, "walnutramp:", err)
+	return exitFailed
+}
+
+func (p *program) addCommands(parser *flags.Parser) error {
+	commands := []struct {
+		name, short string
+		data        any
+	}{
+		{"node", "Run an entry node", &nodeCommand{program: p}},
+		{"demo", "Show a draft that survives its engine and its entry node", &demoCommand{program: p}},
+		{"standin", "Run a stand-in of a system around the node", newStandinCommand(p)},
+		{"version", "Print the version", &versionCommand{program: p}},
+	}
+	for _, c := range commands {
+		if _, err := parser.AddCommand(c.name, c.short, "", c.data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// version is set by the linker for releases.
+var version = "development"
+
+type versionCommand struct {
+	*program
+}
+
+// Execute implements flags.Commander.
+func (c *versionCommand) Execute([]string) error {
+	goVersion := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		goVersion = info.GoVersion
+	}
+	fmt.Fprintf(c.out, "walnutramp %s (%s)\n", version, goVersion)
+	return nil
+}
--- /dev/null
+++ b/generation.go
@@ -0,0 +1,82 @@
+package walnutramp
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// GenerationID identifies one generation; it is random and never reused.
+type GenerationID string
+
+// generationIDBytes is the number of random bytes in a GenerationID.
+const generationIDBytes = 12
+
+// NewGenerationID returns a fresh random identity.
+func NewGenerationID() GenerationID {
+	var b [generationIDBytes]byte
+	rand.Read(b[:])
+	return GenerationID(hex.EncodeToString(b[:]))
+}
+
+// TokenID is a token as its engine numbers it.
+type TokenID int64
+
+// NoTokenID marks a token whose engine gave text but no number.
+const NoTokenID TokenID = -1
+
+// Token is one generated token. Text is empty while the engine holds back
+// half a character or a possible stop sequence.
+type Token struct {
+	ID   TokenID
+	Text string
+}
+
+// Offset counts tokens from the start of a generation.
+type Offset int
+
+// Position is a place in a generation's output: everything before Offset has
+// been delivered. It is what callers see as the id of a server-sent event.
+type Position struct {
+	Generation GenerationID
+	Offset     Offset
+}
+
+// String formats p as "generation:offset".
+func (p Position) String() string {
+	return string(p.Generation) + ":" + strconv.Itoa(int(p.Offset))
+}
+
+// ParsePosition reads what Position.String writes; it accepts nothing else.
+func ParsePosition(s string) (Position, error) {
+	id, num, ok := strings.Cut(s, ":")
+	if !ok {
+		return Position{}, fmt.Errorf("position %q: want generation:offset", s)
+	}
+	if !validGenerationID(id) {
+		return Position{}, fmt.Errorf("position %q: generation must be %d hex digits", s, 2*generationIDBytes)
+	}
+	n, err := strconv.ParseUint(num, 10, 31)
+	if err != nil {
+		return Position{}, fmt.Errorf("position %q: offset must be a whole number", s)
+	}
+	p := Position{Generation: GenerationID(id), Offset: Offset(n)}
+	if p.String() != s {
+		return Position{}, fmt.Errorf("position %q: offset must be written without leading zeros or signs", s)
+	}
+	return p, nil
+}
+
+func validGenerationID(s string) bool {
+	if len(s) != 2*generationIDBytes {
+		return false
+	}
+	for _, c := range s {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/generation/store.go
@@ -0,0 +1,244 @@
+package generation
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/walnutramp/walnutramp"
+)
+
+// record is one generation at one node, replica or owner.
+type record struct {
+	mu       sync.Mutex
+	state    State
+	promised Epoch
+	touched  time.Time
+	owner    *Generation // set while this node owns it
+}
+
+type accountKey struct {
+	account walnutramp.ClientAccount
+	key     string
+}
+
+// Store holds the replicas of one node and answers for them.
+type Store struct {
+	self   Member
+	retain time.Duration
+
+	mu      sync.Mutex
+	records map[walnutramp.GenerationID]*record
+	byKey   map[accountKey]walnutramp.GenerationID
+}
+
+// NewStore returns an empty store for one run of a node. Records that nobody
+// touched for the time retain are dropped.
+func NewStore(self Member, retain time.Duration) *Store {
+	return &Store{
+		self:    self,
+		retain:  retain,
+		records: map[walnutramp.GenerationID]*record{},
+		byKey:   map[accountKey]walnutramp.GenerationID{},
+	}
+}
+
+func (s *Store) get(id walnutramp.GenerationID) *record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.records[id]
+}
+
+// getOrAdd returns the record of spec.ID, a fresh one if there is none.
+func (s *Store) getOrAdd(spec Spec) *record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.records[spec.ID]
+	if r == nil {
+		r = &record{touched: time.Now()}
+		s.records[spec.ID] = r
+	}
+	if spec.Key != "" {
+		s.byKey[accountKey{spec.Account, spec.Key}] = spec.ID
+	}
+	return r
+}
+
+// Len returns how many generations the node holds.
+func (s *Store) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.records)
+}
+
+// Sweep drops records that nobody touched for the retention time.
+func (s *Store) Sweep(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, r := range s.records {
+		if !r.expired(now, s.retain) {
+			continue
+		}
+		delete(s.records, id)
+		k := accountKey{r.state.Spec.Account, r.state.Spec.Key}
+		if s.byKey[k] == id {
+			delete(s.byKey, k)
+		}
+	}
+}
+
+func (r *record) expired(now time.Time, retain time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.owner != nil && r.owner.busy() {
+		return false
+	}
+	return now.Sub(r.touched) > retain
+}
+
+// Replicate implements the RPC that owners append with.
+func (s *Store) Replicate(args ReplicateArgs, reply *ReplicateReply) error {
+	reply.Acks = make([]Ack, len(args.Appends))
+	for i := range args.Appends {
+		reply.Acks[i] = s.apply(&args.Appends[i])
+	}
+	return nil
+}
+
+func (s *Store) apply(a *Append) Ack {
+	if a.To != s.self.Incarnation {
+		return Ack{ID: a.ID, Code: walnutramp.CodeWrongIncarnation}
+	}
+	var r *record
+	if a.Open != nil {
+		r = s.getOrAdd(a.Open.Spec)
+	} else {
+		r = s.get(a.ID)
+	}
+	if r == nil {
+		return Ack{ID: a.ID, Code: walnutramp.CodeNotHeld}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.apply(a)
+}
+
+func (r *record) apply(a *Append) Ack {
+	if a.Epoch.Less(r.promised) {
+		return Ack{ID: a.ID, Code: walnutramp.CodeStaleEpoch}
+	}
+	if a.Epoch != r.state.Epoch {
+		if a.Open == nil {
+			return Ack{ID: a.ID, Code: walnutramp.CodeNotHeld}
+		}
+		r.open(a)
+	}
+	r.touched = time.Now()
+	r.extend(a)
+	return Ack{
+		ID:        a.ID,
+		Code:      walnutramp.CodeOK,
+		Held:      walnutramp.Offset(len(r.state.Tokens)),
+		Prompt:    r.state.PromptTokens != nil,
+		SourceSeq: r.state.Source.Seq,
+		Final:     r.state.Final != nil,
+	}
+}
+
+// open starts an epoch; what the record held before is replaced whole.
+func (r *record) open(a *Append) {
+	r.promised = a.Epoch
+	if r.owner != nil && r.owner.epoch != a.Epoch {
+		r.owner.deposed()
+	}
+	r.state = State{Spec: a.Open.Spec, Epoch: a.Epoch, Members: slices.Clone(a.Open.Members)}
+}
+
+func (r *record) extend(a *Append) {
+	have := walnutramp.Offset(len(r.state.Tokens))
+	if a.From <= have && a.From+walnutramp.Offset(len(a.Tokens)) > have {
+		r.state.Tokens = append(r.state.Tokens, a.Tokens[have-a.From:]...)
+	}
+	if a.PromptTokens != nil {
+		r.state.PromptTokens = a.PromptTokens
+	}
+	if a.Source != nil && a.Source.Seq > r.state.Source.Seq {
+		r.state.Source = *a.Source
+	}
+	whole := walnutramp.Offset(len(r.state.Tokens)) >= a.From+walnutramp.Offset(len(a.Tokens))
+	if a.Final != nil && whole {
+		r.state.Final = a.Final
+	}
+}
+
+// Prepare implements the RPC that candidates ask promises with.
+func (s *Store) Prepare(args PrepareArgs, reply *PrepareReply) error {
+	if args.To != s.self.Incarnation {
+		reply.Code = walnutramp.CodeWrongIncarnation
+		return nil
+	}
+	r := s.get(args.ID)
+	if r == nil {
+		reply.Code = walnutramp.CodeNotHeld
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.prepare(args.Epoch, reply)
+	return nil
+}
+
+func (r *record) prepare(epoch Epoch, reply *PrepareReply) {
+	reply.Promised = r.promised
+	if !r.opened() {
+		reply.Code = walnutramp.CodeNotHeld
+		return
+	}
+	if epoch.Less(r.promised) {
+		reply.Code = walnutramp.CodeStaleEpoch
+		return
+	}
+	r.promised = epoch
+	r.touched = time.Now()
+	if r.owner != nil && r.owner.epoch.Less(epoch) && epoch.Node != r.owner.epoch.Node {
+		r.owner.deposed()
+	}
+	reply.Code = walnutramp.CodeOK
+	reply.Promised = epoch
+	reply.State = r.copyState()
+}
+
+// opened reports whether the record has been given a state yet.
+func (r *record) opened() bool { return r.state.Epoch != Epoch{} }
+
+// copyState returns the state so that later appends don't show in it.
+func (r *record) copyState() State {
+	st := r.state
+	st.Tokens = slices.Clone(st.Tokens)
+	return st
+}
+
+// Find implements the RPC that looks for a generation.
+func (s *Store) Find(args FindArgs, reply *FindReply) error {
+	id := args.ID
+	if args.Key != "" {
+		s.mu.Lock()
+		id = s.byKey[accountKey{args.Account, args.Key}]
+		s.mu.Unlock()
+	}
+	r := s.get(id)
+	if r == nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.opened() {
+		return nil
+	}
+	reply.Held = true
+	reply.ID = id
+	reply.Epoch = r.state.Epoch
+	reply.Members = slices.Clone(r.state.Members)
+	reply.BodyDigest = r.state.Spec.BodyDigest
+	return nil
+}
--- /dev/null
+++ b/member/detector.go
@@ -0,0 +1,264 @@
+package member
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/walnutramp/walnutramp"
+	"k8s.io/klog/v2"
+)
+
+// Peers calls other nodes.
+type Peers interface {
+	// Call runs a method of a node's service and fills reply.
+	Call(ctx context.Context, node walnutramp.NodeName, method string, args, reply any) error
+}
+
+// Config sets how a Detector probes.
+type Config struct {
+	Period   time.Duration // between probes
+	Timeout  time.Duration // of a direct probe
+	Indirect int           // nodes asked to probe a silent one
+	Patience time.Duration // from suspicion to death
+	Forget   time.Duration // how long the dead are remembered
+	Seed     uint64
+	OnChange func(Node) // told of every change of a node's status
+}
+
+// Option sets a field of Config.
+type Option func(*Config)
+
+// WithPeriod sets the time between probes; the other times follow it.
+func WithPeriod(d time.Duration) Option {
+	return func(c *Config) {
+		c.Period = d
+		c.Timeout = d / 2
+		c.Patience = 4 * d
+	}
+}
+
+// WithSeed makes the probe order repeatable.
+func WithSeed(seed uint64) Option { return func(c *Config) { c.Seed = seed } }
+
+// WithOnChange gives who is told of changes.
+func WithOnChange(f func(Node)) Option { return func(c *Config) { c.OnChange = f } }
+
+func defaultConfig() Config {
+	c := Config{Indirect: 3, Forget: 10 * time.Minute, OnChange: func(Node) {}}
+	WithPeriod(500 * time.Millisecond)(&c)
+	return c
+}
+
+// Detector probes other nodes and keeps the list of them.
+type Detector struct {
+	cfg   Config
+	list  *list
+	peers Peers
+
+	mu  sync.Mutex
+	rng *rand.Rand
+
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+}
+
+// NewDetector returns a detector for one run of a node; seeds are nodes known
+// from the settings.
+func NewDetector(self Node, seeds []Node, peers Peers, opts ...Option) *Detector {
+	cfg := defaultConfig()
+	for _, opt := range opts {
+		opt(&cfg)
+	}
+	d := &Detector{cfg: cfg, peers: peers, rng: rand.New(rand.NewPCG(cfg.Seed, 2))}
+	d.list = newList(self, d.changed)
+	for _, s := range seeds {
+		if s.Name != self.Name {
+			d.list.seed(s)
+		}
+	}
+	return d
+}
+
+func (d *Detector) changed(n Node) {
+	klog.V(1).InfoS("Node changed", "node", n.Name, "status", n.Status, "incarnation", n.Incarnation)
+	d.cfg.OnChange(n)
+}
+
+// Start begins probing; Close ends it.
+func (d *Detector) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	d.tasks.Add(1)
+	go func() {
+		defer d.tasks.Done()
+		d.run(ctx)
+	}()
+}
+
+// Close ends probing.
+func (d *Detector) Close() {
+	if d.cancel != nil {
+		d.cancel()
+	}
+	d.tasks.Wait()
+}
+
+// Leave tells a few nodes that this one stops.
+func (d *Detector) Leave(ctx context.Context) {
+	d.list.set(Left)
+	nodes := d.Live()
+	d.mu.Lock()
+	d.rng.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	d.mu.Unlock()
+	for _, n := range nodes[:min(len(nodes), d.cfg.Indirect)] {
+		d.ping(ctx, n.Name)
+	}
+}
+
+// Self returns this node.
+func (d *Detector) Self() Node { return d.list.me() }
+
+// Live returns the other nodes believed alive, suspects included, by name.
+func (d *Detector) Live() []Node {
+	return d.list.others(func(n Node) bool { return n.Status <= Suspect && n.Incarnation != 0 })
+}
+
+// All returns every other node known, by name.
+func (d *Detector) All() []Node { return d.list.others(func(Node) bool { return true }) }
+
+// Address implements peer.Addresses.
+func (d *Detector) Address(name walnutramp.NodeName) (string, bool) {
+	n, ok := d.list.get(name)
+	return n.Address, ok && n.Address != ""
+}
+
+// Hint takes nodes from the platform's list; it never overrides what the
+// nodes say themselves.
+func (d *Detector) Hint(nodes []Node) {
+	for _, n := range nodes {
+		if n.Name != d.list.self {
+			d.list.seed(n)
+		}
+	}
+}
+
+func (d *Detector) run(ctx context.Context) {
+	for {
+		d.probe(ctx)
+		now := time.Now()
+		for _, n := range d.list.overdue(now, d.cfg.Patience) {
+			n.Status = Dead
+			d.list.merge([]Node{n}, now)
+		}
+		d.list.prune(now, d.cfg.Forget)
+		t := time.NewTimer(d.jittered())
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
+	}
+}
+
+func (d *Detector) jittered() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Duration(float64(d.cfg.Period) * (0.9 + 0.2*d.rng.Float64()))
+}
+
+func (d *Detector) shuffle(names []walnutramp.NodeName) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+}
+
+// probe asks one node, then others about it, and suspects it if none heard
+// from it.
+func (d *Detector) probe(ctx context.Context) {
+	n, ok := d.list.probeNext(d.shuffle)
+	if !ok {
+		return
+	}
+	if d.ping(ctx, n.Name) || ctx.Err() != nil {
+		return
+	}
+	if n.Status != Alive || n.Incarnation == 0 || d.pingThrough(ctx, n) || ctx.Err() != nil {
+		return
+	}
+	n.Status = Suspect
+	d.list.merge([]Node{n}, time.Now())
+}
+
+func (d *Detector) ping(ctx context.Context, name walnutramp.NodeName) bool {
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.Timeout)
+	defer cancel()
+	args := PingArgs{From: d.list.me(), To: name, Updates: d.list.updatesFor(name)}
+	var reply PingReply
+	if d.peers.Call(ctx, name, Service+".Ping", args, &reply) != nil {
+		return false
+	}
+	d.list.merge(append(reply.Updates, reply.From), time.Now())
+	return true
+}
+
+func (d *Detector) pingThrough(ctx context.Context, n Node) bool {
+	helpers := d.list.others(func(o Node) bool { return o.Status == Alive && o.Name != n.Name && o.Incarnation != 0 })
+	d.mu.Lock()
+	d.rng.Shuffle(len(helpers), func(i, j int) { helpers[i], helpers[j] = helpers[j], helpers[i] })
+	d.mu.Unlock()
+	helpers = helpers[:min(len(helpers), d.cfg.Indirect)]
+	ctx, cancel := context.WithTimeout(ctx, 2*d.cfg.Timeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	answers := make([]IndirectReply, len(helpers))
+	for i, h := range helpers {
+		wg.Go(func() {
+			args := IndirectArgs{Target: n.Name, Updates: d.list.updates()}
+			var reply IndirectReply
+			if d.peers.Call(ctx, h.Name, Service+".Indirect", args, &reply) == nil {
+				answers[i] = reply
+			}
+		})
+	}
+	wg.Wait()
+	for _, a := range answers {
+		if a.Answered {
+			d.list.merge([]Node{a.From}, time.Now())
+			return true
+		}
+	}
+	return false
+}
+
+// Handler answers probes; it is registered under Service.
+type Handler struct {
+	d *Detector
+}
+
+// Handler returns what answers this detector's probes.
+func (d *Detector) Handler() *Handler { return &Handler{d: d} }
+
+// Ping answers a probe.
+func (h *Handler) Ping(args PingArgs, reply *PingReply) error {
+	h.d.list.merge(append(args.Updates, args.From), time.Now())
+	reply.From = h.d.list.me()
+	reply.Updates = h.d.list.updatesFor(args.From.Name)
+	return nil
+}
+
+// Indirect probes another node for the one that asks.
+func (h *Handler) Indirect(args IndirectArgs, reply *IndirectReply) error {
+	h.d.list.merge(args.Updates, time.Now())
+	ctx, cancel := context.WithTimeout(context.Background(), h.d.cfg.Timeout)
+	defer cancel()
+	if !h.d.ping(ctx, args.Target) {
+		return nil
+	}
+	n, ok := h.d.list.get(args.Target)
+	reply.Answered = ok
+	reply.From = n
+	return nil
+}
--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/walnutramp/walnutramp"
+)
+
+// metricSet is one node's metrics; several nodes may run in one process.
+type metricSet struct {
+	set      *metrics.Set
+	takeover *metrics.Counter
+	refused  *metrics.Counter
+}
+
+func newMetricSet(n *Node) *metricSet {
+	m := &metricSet{set: metrics.NewSet()}
+	m.takeover = m.set.NewCounter("walnutramp_takeovers_total")
+	m.refused = m.set.NewCounter("walnutramp_takeovers_refused_total")
+	m.set.NewGauge("walnutramp_generations_held", func() float64 { return float64(n.generations.Store().Len()) })
+	m.set.NewGauge("walnutramp_nodes_live", func() float64 { return float64(len(n.members.Live()) + 1) })
+	m.set.NewGauge("walnutramp_bundle_version", func() float64 { return float64(n.bundle.Load().Version) })
+	m.set.NewGauge("walnutramp_peer_sent_bytes", func() float64 { return float64(n.traffic.Sent.Load()) })
+	m.set.NewGauge("walnutramp_peer_received_bytes", func() float64 { return float64(n.traffic.Received.Load()) })
+	m.set.NewGauge("walnutramp_peer_strangers", func() float64 { return float64(n.traffic.Strangers.Load()) })
+	return m
+}
+
+func (m *metricSet) serve(w http.ResponseWriter, _ *http.Request) {
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+// Answered implements caller.Observer.
+func (m *metricSet) Answered(code walnutramp.Code) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`walnutramp_answers_total{code="%d"}`, int(code))).Inc()
+}
+
+// FirstToken implements caller.Observer.
+func (m *metricSet) FirstToken(a walnutramp.ClientAccount, model walnutramp.ModelName, d time.Duration) {
+	m.histogram("walnutramp_first_token_seconds", a, model).UpdateDuration(time.Now().Add(-d))
+}
+
+// Silence implements caller.Observer.
+func (m *metricSet) Silence(a walnutramp.ClientAccount, model walnutramp.ModelName, d time.Duration, tokens int) {
+	m.histogram("walnutramp_between_tokens_seconds", a, model).Update(d.Seconds() / float64(tokens))
+	m.set.GetOrCreateCounter("walnutramp_released_tokens_total").Add(tokens)
+}
+
+// Failed implements caller.Observer.
+func (m *metricSet) Failed(a walnutramp.ClientAccount, model walnutramp.ModelName) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`walnutramp_broken_generations_total{account=%q,model=%q}`, a, model)).Inc()
+}
+
+// Resumed implements generation.Observer.
+func (m *metricSet) Resumed(how string, gap time.Duration, recomputed int) {
+	m.set.GetOrCreateHistogram(fmt.Sprintf(`walnutramp_resume_seconds{how=%q}`, how)).Update(gap.Seconds())
+	m.set.GetOrCreateCounter("walnutramp_recomputed_tokens_total").Add(recomputed)
+}
+
+// TookOver implements generation.Observer.
+func (m *metricSet) TookOver(err error) {
+	if err != nil {
+		m.refused.Inc()
+		return
+	}
+	m.takeover.Inc()
+}
+
+func (m *metricSet) histogram(name string, a walnutramp.ClientAccount, model walnutramp.ModelName) *metrics.Histogram {
+	return m.set.GetOrCreateHistogram(fmt.Sprintf(`%s{account=%q,model=%q}`, name, a, model))
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,308 @@
+// Package node wires the parts into one entry node: the HTTP front for
+// callers, the peer server, membership, generations, routing and the bundle
+// in force.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/caller"
+	"github.com/walnutramp/walnutramp/generation"
+	"github.com/walnutramp/walnutramp/member"
+	"github.com/walnutramp/walnutramp/peer"
+	"github.com/walnutramp/walnutramp/route"
+	"github.com/walnutramp/walnutramp/target"
+	"k8s.io/klog/v2"
+)
+
+// DialFunc opens a connection; net.Dialer.DialContext is one.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Config sets up a Node.
+type Config struct {
+	Name          walnutramp.NodeName
+	DataHall      walnutramp.DataHall
+	Site          string
+	PeerAddress   string // as other nodes reach this one
+	Incarnation   walnutramp.Incarnation
+	Peers         []member.Node // known from the settings
+	Bundle        *bundle.Bundle
+	Dial          DialFunc
+	LoadInterval  time.Duration
+	ProbePeriod   time.Duration
+	StopDeadline  time.Duration // for running work after a stop was asked for
+	HeaderTime    time.Duration // for a request's headers
+	Seed          uint64
+	GenerationOpt []generation.Option
+	RouteOpt      []route.Option
+	Ledger        caller.Ledger
+}
+
+// Option sets a field of Config.
+type Option func(*Config)
+
+// WithName names the node and its data hall.
+func WithName(name walnutramp.NodeName, hall walnutramp.DataHall) Option {
+	return func(c *Config) { c.Name, c.DataHall = name, hall }
+}
+
+// WithSite names the site; nodes of different sites refuse each other.
+func WithSite(site string) Option { return func(c *Config) { c.Site = site } }
+
+// WithPeers gives this node's peer address and the nodes known at start.
+func WithPeers(address string, peers []member.Node) Option {
+	return func(c *Config) { c.PeerAddress, c.Peers = address, peers }
+}
+
+// WithBundle gives the bundle the node starts with.
+func WithBundle(b *bundle.Bundle) Option { return func(c *Config) { c.Bundle = b } }
+
+// WithDial replaces how connections are opened.
+func WithDial(d DialFunc) Option { return func(c *Config) { c.Dial = d } }
+
+// WithSeed makes the node's random choices repeatable.
+func WithSeed(seed uint64) Option { return func(c *Config) { c.Seed = seed } }
+
+// WithIncarnation sets the number of this run; by default it is the time.
+func WithIncarnation(i walnutramp.Incarnation) Option { return func(c *Config) { c.Incarnation = i } }
+
+// WithProbePeriod sets the time between membership probes.
+func WithProbePeriod(d time.Duration) Option { return func(c *Config) { c.ProbePeriod = d } }
+
+// WithLoadInterval sets the time between load reports of one target.
+func WithLoadInterval(d time.Duration) Option { return func(c *Config) { c.LoadInterval = d } }
+
+// WithStopDeadline sets how long running work may go on after Stop.
+func WithStopDeadline(d time.Duration) Option { return func(c *Config) { c.StopDeadline = d } }
+
+// WithGenerationOptions passes options on to the generation manager.
+func WithGenerationOptions(opts ...generation.Option) Option {
+	return func(c *Config) { c.GenerationOpt = append(c.GenerationOpt, opts...) }
+}
+
+// WithRouteOptions passes options on to the router.
+func WithRouteOptions(opts ...route.Option) Option {
+	return func(c *Config) { c.RouteOpt = append(c.RouteOpt, opts...) }
+}
+
+func defaultConfig() Config {
+	var d net.Dialer
+	return Config{
+		Site:         "default",
+		Bundle:       &bundle.Bundle{},
+		Dial:         d.DialContext,
+		LoadInterval: 250 * time.Millisecond,
+		ProbePeriod:  500 * time.Millisecond,
+		StopDeadline: 10 * time.Minute,
+		HeaderTime:   5 * time.Second,
+		Incarnation:  walnutramp.Incarnation(time.Now().UnixNano()),
+	}
+}
+
+// Node is one entry node.
+type Node struct {
+	cfg     Config
+	bundle  atomic.Pointer[bundle.Bundle]
+	traffic peer.Traffic
+	metrics *metricSet
+
+	members     *member.Detector
+	peers       *peer.Client
+	peerServer  *peer.Server
+	router      *route.Router
+	generations *generation.Manager
+	pool        *target.Pool
+	watch       *target.Watch
+	http        *http.Server
+
+	stopping atomic.Bool
+	callers  sync.WaitGroup // requests being answered
+	tasks    sync.WaitGroup
+}
+
+// New returns a node that is not serving yet.
+func New(opts ...Option) (*Node, error) {
+	cfg := defaultConfig()
+	for _, opt := range opts {
+		opt(&cfg)
+	}
+	if cfg.Name == "" || cfg.DataHall == "" {
+		return nil, errors.New("a node needs a name and a data hall")
+	}
+	n := &Node{cfg: cfg}
+	n.bundle.Store(cfg.Bundle)
+	n.metrics = newMetricSet(n)
+	n.wirePeers()
+	n.wireTargets()
+	n.wireGenerations()
+	n.wireCallers()
+	return n, nil
+}
+
+func (n *Node) wirePeers() {
+	self := peer.Identity{Site: n.cfg.Site, Node: n.cfg.Name, Incarnation: n.cfg.Incarnation}
+	n.peers = peer.NewClient(self, n.cfg.Dial, addresses{n}, &n.traffic)
+	n.peerServer = peer.NewServer(self, &n.traffic)
+	me := member.Node{Name: n.cfg.Name, DataHall: n.cfg.DataHall, Address: n.cfg.PeerAddress, Incarnation: n.cfg.Incarnation}
+	n.members = member.NewDetector(me, n.cfg.Peers, n.peers, member.WithPeriod(n.cfg.ProbePeriod), member.WithSeed(n.cfg.Seed))
+}
+
+// addresses delays the look-up until the member list exists.
+type addresses struct{ n *Node }
+
+// Address implements peer.Addresses.
+func (a addresses) Address(name walnutramp.NodeName) (string, bool) { return a.n.members.Address(name) }
+
+func (n *Node) wireTargets() {
+	opts := append([]route.Option{route.WithDataHall(n.cfg.DataHall), route.WithSeed(n.cfg.Seed)}, n.cfg.RouteOpt...)
+	n.router = route.New(opts...)
+	n.pool = target.NewPool(n.cfg.Dial)
+	n.watch = target.NewWatch(n.pool, n.router, n.cfg.LoadInterval)
+}
+
+func (n *Node) wireGenerations() {
+	opts := append([]generation.Option{
+		generation.WithPeers(n.peers, directory{n}),
+		generation.WithTargets(n.router, n.pool),
+		generation.WithLeanings(
+			func() bundle.Guard { return n.bundle.Load().Guard },
+			func() bundle.Leaning { return n.bundle.Load().Resume.Leaning },
+		),
+		generation.WithObserver(n.metrics),
+	}, n.cfg.GenerationOpt...)
+	n.generations = generation.NewManager(opts...)
+}
+
+func (n *Node) wireCallers() {
+	h := caller.New(
+		caller.WithBundle(n.bundle.Load),
+		caller.WithGenerations(n.generations),
+		caller.WithServices(n.router, n.pool),
+		caller.WithLedger(n.cfg.Ledger),
+		caller.WithObserver(n.metrics),
+		caller.WithStopping(n.stopping.Load),
+	)
+	mux := http.NewServeMux()
+	mux.Handle("/", n.counted(h))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", n.serveReady)
+	mux.HandleFunc("GET /metrics", n.metrics.serve)
+	n.http = &http.Server{Handler: mux, ReadHeaderTimeout: n.cfg.HeaderTime, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10}
+}
+
+// counted lets a planned stop wait for requests being answered.
+func (n *Node) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.callers.Add(1)
+		defer n.callers.Done()
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if n.stopping.Load() {
+		http.Error(w, "stopping", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// directory shows the member list to generations.
+type directory struct{ n *Node }
+
+// Self implements generation.Directory.
+func (d directory) Self() generation.Node { return asReplica(d.n.members.Self()) }
+
+// Live implements generation.Directory.
+func (d directory) Live() []generation.Node {
+	live := d.n.members.Live()
+	nodes := make([]generation.Node, len(live))
+	for i, m := range live {
+		nodes[i] = asReplica(m)
+	}
+	return nodes
+}
+
+func asReplica(m member.Node) generation.Node {
+	return generation.Node{
+		Member:   generation.Member{Node: m.Name, Incarnation: m.Incarnation},
+		DataHall: m.DataHall,
+	}
+}
+
+// Start serves callers and peers on the listeners until Stop or Close.
+func (n *Node) Start(callers, peers net.Listener) error {
+	if err := n.peerServer.Register(generation.Service, n.generations.Store()); err != nil {
+		return err
+	}
+	if err := n.peerServer.Register(member.Service, n.members.Handler()); err != nil {
+		return err
+	}
+	n.apply(n.cfg.Bundle)
+	n.task(func() { n.peerServer.Serve(peers) })
+	n.task(func() { n.http.Serve(callers) })
+	n.members.Start()
+	klog.InfoS("Node started", "node", n.cfg.Name, "hall", n.cfg.DataHall, "bundle", n.cfg.Bundle.Version)
+	return nil
+}
+
+func (n *Node) task(f func()) {
+	n.tasks.Add(1)
+	go func() {
+		defer n.tasks.Done()
+		f()
+	}()
+}
+
+func (n *Node) apply(b *bundle.Bundle) {
+	n.bundle.Store(b)
+	n.router.Apply(b)
+	n.watch.Apply(b.Targets)
+}
+
+// Members returns the node's view of the others.
+func (n *Node) Members() *member.Detector { return n.members }
+
+// Traffic returns the bytes exchanged with peers so far.
+func (n *Node) Traffic() *peer.Traffic { return &n.traffic }
+
+// Stop is a planned stop: the node says that it isn't ready, takes no new
+// work, lets running work end, and leaves. It returns early if ctx ends.
+func (n *Node) Stop(ctx context.Context) {
+	n.stopping.Store(true)
+	klog.InfoS("Node stopping", "node", n.cfg.Name)
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.StopDeadline)
+	defer cancel()
+	idle := make(chan struct{})
+	go func() {
+		n.callers.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+	case <-ctx.Done():
+		klog.InfoS("Node stops with work under way", "node", n.cfg.Name)
+	}
+	n.members.Leave(ctx)
+	n.Close()
+}
+
+// Close ends the node at once, as a crash would.
+func (n *Node) Close() {
+	n.stopping.Store(true)
+	n.http.Close()
+	n.members.Close()
+	n.watch.Close()
+	n.generations.Close()
+	n.peers.Close()
+	n.peerServer.Close()
+	n.pool.Close()
+}
--- /dev/null
+++ b/node/session_test.go
@@ -0,0 +1,304 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/internal/site"
+	"github.com/walnutramp/walnutramp/load"
+	"github.com/walnutramp/walnutramp/standin"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden part of session files")
+
+// divider separates a session's script from its golden transcript.
+const divider = "----\n"
+
+// TestSessions runs each script under testdata/sessions against a whole site
+// in virtual time and compares what callers saw with the file.
+func TestSessions(t *testing.T) {
+	files, err := filepath.Glob("testdata/sessions/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			doc, err := os.ReadFile(file)
+			require.NoError(t, err)
+			script, want, _ := strings.Cut(string(doc), divider)
+			var got string
+			synctest.Test(t, func(t *testing.T) { got = runSession(t, script) })
+			if *update {
+				require.NoError(t, os.WriteFile(file, []byte(script+divider+got), 0o644))
+				return
+			}
+			require.Equal(t, want, got)
+		})
+	}
+}
+
+// session is a script's run.
+type session struct {
+	t      *testing.T
+	site   *site.Site
+	net    *site.Memory
+	client *load.Client
+	http   *http.Client
+	out    strings.Builder
+	drafts map[string]*runningDraft
+	wait   sync.WaitGroup
+	ctx    context.Context
+}
+
+type runningDraft struct {
+	done   chan struct{}
+	result load.Drafted
+}
+
+func runSession(t *testing.T, script string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+	s := &session{t: t, drafts: map[string]*runningDraft{}, ctx: ctx}
+	lines := strings.Split(script, "\n")
+	for i := 0; i < len(lines); i++ {
+		line := lines[i]
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		var body []string
+		for i+1 < len(lines) && strings.HasPrefix(lines[i+1], "\t") {
+			i++
+			body = append(body, lines[i][1:])
+		}
+		s.run(strings.Fields(line), strings.Join(body, "\n"))
+	}
+	s.wait.Wait()
+	s.http.CloseIdleConnections()
+	s.site.Close()
+	cancel()
+	return s.out.String()
+}
+
+func (s *session) printf(format string, args ...any) { fmt.Fprintf(&s.out, format, args...) }
+
+func (s *session) run(words []string, body string) {
+	args := words[1:]
+	switch words[0] {
+	case "site":
+		s.start(options(args))
+	case "send":
+		s.send(args, body)
+	case "draft":
+		s.draft(args[0], options(args[1:]))
+	case "sleep":
+		d, err := time.ParseDuration(args[0])
+		require.NoError(s.t, err)
+		time.Sleep(d)
+	case "kill":
+		s.kill(args[0])
+	case "restart":
+		s.restart(args[0])
+	case "cut", "heal":
+		s.cut(words[0], args[0], args[1])
+	case "fault":
+		s.fault(args[0], options(args[1:]))
+	case "await":
+		s.await(args[0], options(args[1:]))
+	case "runs":
+		s.printf("runs %v\n", s.site.Services[0].Runs())
+	default:
+		s.t.Fatalf("unknown command %q", words[0])
+	}
+}
+
+// options reads key=value words.
+func options(words []string) map[string]string {
+	m := map[string]string{}
+	for _, w := range words {
+		k, v, _ := strings.Cut(w, "=")
+		m[k] = v
+	}
+	return m
+}
+
+func number(m map[string]string, key string, fallback int) int {
+	n, err := strconv.Atoi(m[key])
+	if err != nil {
+		return fallback
+	}
+	return n
+}
+
+func (s *session) start(opts map[string]string) {
+	cfg := site.Default()
+	s.net = site.NewMemory()
+	cfg.Network = s.net
+	cfg.Nodes = number(opts, "nodes", 3)
+	cfg.Engines = number(opts, "engines", 2)
+	cfg.Services = number(opts, "services", 1)
+	cfg.Engine.HoldEvery = number(opts, "hold", 0)
+	cfg.Engine.Slots = number(opts, "slots", 16)
+	cfg.Engine.WithoutTokenID = opts["plain"] == "true"
+	cfg.Guard.Replicas = number(opts, "replicas", 3)
+	if opts["leaning"] != "" {
+		cfg.Leaning = bundle.Leaning(opts["leaning"])
+	}
+	cfg.Accounts = []bundle.Account{
+		{Name: "clerks", Weight: 1, Limits: bundle.Limits{Concurrent: number(opts, "concurrent", 0)}},
+		{Name: "brokers", Weight: 1},
+	}
+	var err error
+	s.site, err = site.Start(cfg)
+	require.NoError(s.t, err)
+	require.NoError(s.t, s.site.AwaitMembers(s.ctx))
+	time.Sleep(time.Second) // first load reports
+	rt := s.site.Transport()
+	s.http = &http.Client{Transport: rt}
+	var addresses []string
+	for _, n := range s.site.Nodes {
+		addresses = append(addresses, n.Callers)
+	}
+	s.client = load.NewClient(rt, addresses)
+}
+
+var generationPattern = regexp.MustCompile(`[0-9a-f]{24}`)
+
+// normal replaces what is random: identities. Everything else, times
+// included, is the same in every run.
+func normal(text string) string { return generationPattern.ReplaceAllString(text, "GENERATION") }
+
+// send makes one HTTP request and prints the whole answer:
+// send METHOD PATH [node=1] [Header=value ...]
+func (s *session) send(args []string, body string) {
+	opts := options(args[2:])
+	n := s.site.Nodes[number(opts, "node", 1)-1]
+	delete(opts, "node")
+	req, err := http.NewRequestWithContext(s.ctx, args[0], "http://"+n.Callers+args[1], bytes.NewReader([]byte(body)))
+	require.NoError(s.t, err)
+	req.Header.Set("Authorization", "Bearer "+site.KeyOf("clerks"))
+	for k, v := range opts {
+		req.Header.Set(k, v)
+	}
+	s.printf("%s %s\n", args[0], args[1])
+	resp, err := s.http.Do(req)
+	if err != nil {
+		s.printf("  broken connection\n")
+		return
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	s.printf("  %d %s", resp.StatusCode, resp.Header.Get("Content-Type"))
+	if after := resp.Header.Get("Retry-After"); after != "" {
+		s.printf(" Retry-After=%s", after)
+	}
+	s.printf("\n")
+	for line := range strings.Lines(normal(string(answer))) {
+		s.printf("  %s\n", strings.TrimSuffix(line, "\n"))
+	}
+	if err != nil {
+		s.printf("  (cut off)\n")
+	}
+}
+
+func (s *session) draft(name string, opts map[string]string) {
+	r := &runningDraft{done: make(chan struct{})}
+	s.drafts[name] = r
+	d := load.Draft{
+		APIKey: site.KeyOf("clerks"), Key: opts["key"], Model: standin.DefaultEngineConfig().Model,
+		Prompt: "Harbour log " + name, MaxTokens: number(opts, "tokens", 50), First: number(opts, "node", 1) - 1,
+	}
+	s.wait.Go(func() {
+		defer close(r.done)
+		r.result = s.client.Draft(s.ctx, d)
+	})
+}
+
+func (s *session) kill(what string) {
+	if n := s.node(what); n != nil {
+		n.Kill()
+		return
+	}
+	s.engine(what).Kill()
+}
+
+func (s *session) restart(what string) {
+	if n := s.node(what); n != nil {
+		require.NoError(s.t, n.Start())
+		return
+	}
+	require.NoError(s.t, s.engine(what).Start())
+}
+
+func (s *session) cut(verb, a, b string) {
+	if verb == "cut" {
+		s.net.Cut(a, b)
+		return
+	}
+	s.net.Heal(a, b)
+}
+
+func (s *session) node(name string) *site.Node {
+	for _, n := range s.site.Nodes {
+		if n.Name == walnutramp.NodeName(name) {
+			return n
+		}
+	}
+	return nil
+}
+
+// engine finds an engine by name, or with "busy" the one that runs the most.
+func (s *session) engine(name string) *site.Engine {
+	if name == "busy" {
+		return slices.MaxFunc(s.site.Engines, func(a, b *site.Engine) int { return len(a.Running()) - len(b.Running()) })
+	}
+	for _, e := range s.site.Engines {
+		if e.Target.Name == walnutramp.TargetName(name) {
+			return e
+		}
+	}
+	s.t.Fatalf("no engine %q", name)
+	return nil
+}
+
+func (s *session) fault(what string, opts map[string]string) {
+	length, _ := time.ParseDuration(opts["for"])
+	f := standin.Fault{Kind: standin.FaultKind(opts["kind"]), AtToken: number(opts, "at", 0), For: length}
+	if what == "all" {
+		for _, e := range s.site.Engines {
+			e.SetFault(f)
+		}
+		return
+	}
+	s.engine(what).SetFault(f)
+}
+
+// await prints what a draft's caller saw; gap=500ms bounds its longest pause.
+func (s *session) await(name string, opts map[string]string) {
+	r := s.drafts[name]
+	<-r.done
+	v := r.result.Verdict
+	s.printf("draft %s: complete=%t tokens=%d missing=%d repeated=%d mixed=%d reconnects=%d",
+		name, r.result.Complete, v.Tokens, v.Missing, v.Repeated, v.Mixed, r.result.Reconnects)
+	if bound, err := time.ParseDuration(opts["gap"]); err == nil {
+		s.printf(" gap<%v=%t", bound, slices.Max(append(r.result.Gaps, 0)) < bound)
+	}
+	if !r.result.Complete && r.result.Refused != nil {
+		s.printf(" refused=%d outcome=%s", r.result.Refused.Code, r.result.Refused.Outcome)
+	}
+	s.printf("\n")
+}
--- /dev/null
+++ b/route/limit.go
@@ -0,0 +1,100 @@
+package route
+
+import (
+	"sync"
+	"time"
+
+	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/bundle"
+	"golang.org/x/time/rate"
+)
+
+// usage is what an account uses of this node.
+type usage struct {
+	running int
+	rate    *rate.Limiter
+	perSec  int
+}
+
+// admit checks the account's limits and counts the request in.
+func (r *Router) admit(req Request) error {
+	u := r.usage[req.Account]
+	if u == nil {
+		u = &usage{}
+		r.usage[req.Account] = u
+	}
+	if req.Resume {
+		u.running++
+		return nil
+	}
+	limits := r.limits(req.Account)
+	if limits.Concurrent > 0 && u.running >= limits.Concurrent {
+		return walnutramp.NewError(walnutramp.CodeAccountLimit, walnutramp.NotRun,
+			"account %s runs %d requests, its limit", req.Account, u.running).WithRetryAfter(retryAfterLimit)
+	}
+	if !u.allow(limits.RequestsPerSecond) {
+		return walnutramp.NewError(walnutramp.CodeAccountLimit, walnutramp.NotRun,
+			"account %s is at %d requests a second", req.Account, limits.RequestsPerSecond).WithRetryAfter(retryAfterLimit)
+	}
+	u.running++
+	return nil
+}
+
+func (u *usage) allow(perSecond int) bool {
+	if perSecond <= 0 {
+		return true
+	}
+	if u.rate == nil || u.perSec != perSecond {
+		u.rate = rate.NewLimiter(rate.Limit(perSecond), perSecond)
+		u.perSec = perSecond
+	}
+	return u.rate.Allow()
+}
+
+// release counts a request of the account out.
+func (r *Router) release(a walnutramp.ClientAccount) {
+	if u := r.usage[a]; u != nil {
+		u.running--
+	}
+}
+
+func (r *Router) limits(name walnutramp.ClientAccount) bundle.Limits {
+	for _, a := range r.bundle.Accounts {
+		if a.Name == name {
+			return a.Limits
+		}
+	}
+	return bundle.Limits{}
+}
+
+// retryBudget bounds how much is sent again: a ratio of first sends and a
+// floor a second.
+type retryBudget struct {
+	mu      sync.Mutex
+	ratio   float64
+	earned  float64
+	floor   *rate.Limiter
+	maximum float64
+}
+
+const retryBurst = 100 // sends again that may be saved up
+
+func newRetryBudget(ratio, floor float64) *retryBudget {
+	return &retryBudget{ratio: ratio, floor: rate.NewLimiter(rate.Limit(floor), int(max(floor, 1))), maximum: retryBurst}
+}
+
+func (b *retryBudget) earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.earned = min(b.earned+b.ratio, b.maximum)
+}
+
+func (b *retryBudget) spend(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.earned >= 1 {
+		b.earned--
+		return true
+	}
+	return b.floor.AllowN(now, 1)
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,303 @@
+// Package route decides where each request runs and whether it runs at all:
+// admission, fair queues, limits, prediction of the time to first token,
+// choice among targets and their health. It is fed with lagged load reports
+// and corrects them by what this node has sent since.
+package route
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/target"
+)
+
+// Config sets how a Router decides.
+type Config struct {
+	DataHall     walnutramp.DataHall
+	QueueLimit   int           // requests waiting per model before shedding
+	QueueTime    time.Duration // longest wait before a request is given up
+	HallPenalty  time.Duration // added to the predicted wait in another data hall
+	RetryRatio   float64       // sends again allowed per first send
+	RetryFloor   float64       // sends again always allowed, a second
+	ResumeRoom   int           // resumed prefills under way per target from this node
+	Choices      int           // random candidates compared
+	Seed         uint64
+	InForce      func() bool // whether the node may take new work; nil means always
+	SilenceFloor time.Duration
+	SilenceCap   time.Duration
+}
+
+// Option sets a field of Config.
+type Option func(*Config)
+
+// WithDataHall says which data hall the node stands in.
+func WithDataHall(h walnutramp.DataHall) Option { return func(c *Config) { c.DataHall = h } }
+
+// WithQueue bounds the wait: requests per model, and time per request.
+func WithQueue(limit int, wait time.Duration) Option {
+	return func(c *Config) { c.QueueLimit, c.QueueTime = limit, wait }
+}
+
+// WithSeed makes the random choices repeatable.
+func WithSeed(seed uint64) Option { return func(c *Config) { c.Seed = seed } }
+
+// WithInForce gives the test for whether new work may be taken.
+func WithInForce(f func() bool) Option { return func(c *Config) { c.InForce = f } }
+
+// WithChoices sets how many random candidates are compared.
+func WithChoices(n int) Option { return func(c *Config) { c.Choices = n } }
+
+func defaultConfig() Config {
+	return Config{
+		QueueLimit:   256,
+		QueueTime:    20 * time.Second,
+		HallPenalty:  2 * time.Millisecond,
+		RetryRatio:   0.1,
+		RetryFloor:   10,
+		ResumeRoom:   4,
+		Choices:      3,
+		SilenceFloor: 300 * time.Millisecond,
+		SilenceCap:   1500 * time.Millisecond,
+	}
+}
+
+// Request is what a place at a target is asked for.
+type Request struct {
+	Account      walnutramp.ClientAccount
+	Priority     int
+	Weight       int
+	Model        walnutramp.ModelName
+	PromptTokens int
+	PromptKey    uint64 // hash of the prompt's beginning; equal keys share a cached prefix
+	Resume       bool
+	Avoid        []walnutramp.TargetName
+}
+
+// Router chooses targets for one node.
+type Router struct {
+	cfg    Config
+	budget *retryBudget
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	targets map[walnutramp.TargetName]*state
+	byModel map[walnutramp.ModelName][]*state
+	lanes   map[walnutramp.ModelName]*lane
+	usage   map[walnutramp.ClientAccount]*usage
+	leaving map[walnutramp.TargetName]bool // the platform's word
+	bundle  *bundle.Bundle
+}
+
+// New returns a Router that knows no targets yet.
+func New(opts ...Option) *Router {
+	cfg := defaultConfig()
+	for _, opt := range opts {
+		opt(&cfg)
+	}
+	return &Router{
+		cfg:     cfg,
+		budget:  newRetryBudget(cfg.RetryRatio, cfg.RetryFloor),
+		rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
+		targets: map[walnutramp.TargetName]*state{},
+		byModel: map[walnutramp.ModelName][]*state{},
+		lanes:   map[walnutramp.ModelName]*lane{},
+		usage:   map[walnutramp.ClientAccount]*usage{},
+		leaving: map[walnutramp.TargetName]bool{},
+		bundle:  &bundle.Bundle{},
+	}
+}
+
+// Apply puts a bundle in force; what is known of targets that stay is kept.
+func (r *Router) Apply(b *bundle.Bundle) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bundle = b
+	next := make(map[walnutramp.TargetName]*state, len(b.Targets))
+	r.byModel = map[walnutramp.ModelName][]*state{}
+	for _, t := range b.Targets {
+		s := r.targets[t.Name]
+		if s == nil || s.spec.Address != t.Address {
+			s = newState(t)
+		}
+		s.spec = t
+		s.leaving = b.IsLeaving(t.Name)
+		next[t.Name] = s
+		for _, m := range t.Models {
+			r.byModel[m] = append(r.byModel[m], s)
+		}
+	}
+	for _, svc := range b.Services {
+		for _, name := range svc.Targets {
+			m := bundle.ServiceModel(svc.Name)
+			r.byModel[m] = append(r.byModel[m], next[name])
+		}
+	}
+	r.targets = next
+	r.dispatchAll()
+}
+
+// SetLeaving takes the platform's list of leaving targets.
+func (r *Router) SetLeaving(names []walnutramp.TargetName) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = make(map[walnutramp.TargetName]bool, len(names))
+	for _, n := range names {
+		r.leaving[n] = true
+	}
+}
+
+// Report takes a target's load report.
+func (r *Router) Report(name walnutramp.TargetName, report target.LoadReport) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.targets[name]
+	if s == nil {
+		return
+	}
+	s.take(report)
+	r.dispatchAll()
+}
+
+// Unreachable notes that a target did not answer for its load.
+func (r *Router) Unreachable(name walnutramp.TargetName) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.targets[name]; s != nil {
+		s.fail(time.Now())
+	}
+}
+
+// Pick waits for a place at a target. The error is a *walnutramp.Error whose
+// outcome is not-run.
+func (r *Router) Pick(ctx context.Context, req Request) (*Grant, error) {
+	w, grant, err := r.enter(req)
+	if err != nil || grant != nil {
+		return grant, err
+	}
+	timer := time.NewTimer(r.cfg.QueueTime)
+	defer timer.Stop()
+	select {
+	case res := <-w.result:
+		return res.grant, res.err
+	case <-timer.C:
+		return r.leave(w, walnutramp.NewError(walnutramp.CodeQueueDeadline, walnutramp.NotRun,
+			"no place became free in %v", r.cfg.QueueTime).WithRetryAfter(retryAfterQueue))
+	case <-ctx.Done():
+		return r.leave(w, walnutramp.NewError(walnutramp.CodeQueueDeadline, walnutramp.NotRun, "the caller left"))
+	}
+}
+
+// How long callers are told to stay away.
+const (
+	retryAfterQueue    = 2 * time.Second
+	retryAfterNoTarget = 2 * time.Second
+	retryAfterLimit    = 1 * time.Second
+)
+
+func (r *Router) enter(req Request) (*waiter, *Grant, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !req.Resume && r.cfg.InForce != nil && !r.cfg.InForce() {
+		return nil, nil, walnutramp.NewError(walnutramp.CodeNotInForce, walnutramp.NotRun,
+			"this node can't confirm its bundle now").WithRetryAfter(retryAfterNoTarget)
+	}
+	if len(r.live(req.Model, time.Now())) == 0 {
+		return nil, nil, walnutramp.NewError(walnutramp.CodeNoTarget, walnutramp.NotRun,
+			"no live target serves model %s", req.Model).WithRetryAfter(retryAfterNoTarget)
+	}
+	if err := r.admit(req); err != nil {
+		return nil, nil, err
+	}
+	l := r.lane(req.Model)
+	if l.empty() {
+		if grant := r.grant(req); grant != nil {
+			return nil, grant, nil
+		}
+	}
+	if shed := l.shedFor(req, r.cfg.QueueLimit); shed != nil {
+		overload := walnutramp.NewError(walnutramp.CodeOverloaded, walnutramp.NotRun,
+			"%d requests wait for model %s", l.size, req.Model).WithRetryAfter(l.drainTime())
+		if shed == errShedSelf {
+			r.release(req.Account)
+			return nil, nil, overload
+		}
+		r.release(shed.req.Account)
+		shed.result <- pickResult{err: overload}
+	}
+	w := &waiter{req: req, result: make(chan pickResult, 1)}
+	l.push(w)
+	r.dispatch(l, req.Model)
+	return w, nil, nil
+}
+
+// leave takes w out of its queue, unless a result came in meanwhile.
+func (r *Router) leave(w *waiter, err *walnutramp.Error) (*Grant, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case res := <-w.result:
+		if res.grant != nil {
+			r.finish(res.grant, Unused)
+		}
+		if res.err != nil {
+			return nil, res.err
+		}
+		return nil, err
+	default:
+	}
+	r.lane(w.req.Model).remove(w)
+	r.release(w.req.Account)
+	return nil, err
+}
+
+func (r *Router) lane(m walnutramp.ModelName) *lane {
+	l := r.lanes[m]
+	if l == nil {
+		l = newLane()
+		r.lanes[m] = l
+	}
+	return l
+}
+
+func (r *Router) dispatchAll() {
+	for m, l := range r.lanes {
+		r.dispatch(l, m)
+	}
+}
+
+// dispatch grants places to waiters, best first, while there is room. When
+// the last target is gone every waiter is told at once.
+func (r *Router) dispatch(l *lane, m walnutramp.ModelName) {
+	for !l.empty() {
+		if len(r.live(m, time.Now())) == 0 {
+			r.failLane(l, m)
+			return
+		}
+		w := l.peek()
+		grant := r.grant(w.req)
+		if grant == nil {
+			return
+		}
+		l.remove(w)
+		l.served(time.Now())
+		w.result <- pickResult{grant: grant}
+	}
+}
+
+func (r *Router) failLane(l *lane, m walnutramp.ModelName) {
+	err := walnutramp.NewError(walnutramp.CodeNoTarget, walnutramp.NotRun,
+		"no live target serves model %s", m).WithRetryAfter(retryAfterNoTarget)
+	for !l.empty() {
+		w := l.peek()
+		l.remove(w)
+		r.release(w.req.Account)
+		w.result <- pickResult{err: err}
+	}
+}
+
+// SpendRetry reports whether something may be sent again now.
+func (r *Router) SpendRetry() bool { return r.budget.spend(time.Now()) }
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,296 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/target"
+)
+
+// EngineConfig sets how the stand-in engine behaves.
+type EngineConfig struct {
+	Model          walnutramp.ModelName
+	Slots          int           // requests decoded at once
+	TokenInterval  time.Duration // between tokens of one stream when alone
+	BatchSlowdown  float64       // growth of the interval from empty to full
+	PrefillRate    float64       // prompt tokens a second
+	CacheTokens    int           // prefix cache size in tokens
+	KeepStream     time.Duration // how long a stream runs on with no reader
+	HoldEvery      int           // hold back the text of every n-th token until the next; 0 never
+	ReportLag      time.Duration // how old a load report is when it is given
+	Seed           uint64
+	WithoutTokenID bool // speak the plain dialect, without token IDs
+}
+
+// EngineOption sets a field of EngineConfig.
+type EngineOption func(*EngineConfig)
+
+// WithEngineConfig replaces the whole configuration.
+func WithEngineConfig(c EngineConfig) EngineOption {
+	return func(dst *EngineConfig) { *dst = c }
+}
+
+// DefaultEngineConfig is a quick small engine.
+func DefaultEngineConfig() EngineConfig {
+	return EngineConfig{
+		Model:         "draft-large",
+		Slots:         16,
+		TokenInterval: 20 * time.Millisecond,
+		BatchSlowdown: 1,
+		PrefillRate:   8000,
+		CacheTokens:   200_000,
+		KeepStream:    5 * time.Second,
+		ReportLag:     200 * time.Millisecond,
+	}
+}
+
+// Engine is a fake model engine: continuous batching with a number of slots,
+// a prefix cache, priorities, streams that can be taken up again, and KV
+// export. Its tokens let Check find any that is missing, repeated or mixed.
+type Engine struct {
+	cfg EngineConfig
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	streams  map[string]*stream
+	kv       map[string][]walnutramp.TokenID // exported caches by handle
+	queue    []*stream                       // waiting for a slot
+	running  int
+	draining bool
+	cache    *prefixCache
+	prefill  chan struct{} // one prefill at a time
+	faults   faults
+	reports  []timedReport
+	counts   EngineCounts
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+	server *http.Server
+}
+
+// EngineCounts is what an engine has done so far.
+type EngineCounts struct {
+	Streams       int `json:"streams"`
+	Decoded       int `json:"decoded_tokens"`
+	Prefilled     int `json:"prefilled_tokens"` // computed, not found in the cache
+	CacheHits     int `json:"cache_hit_tokens"`
+	Cancelled     int `json:"cancelled_streams"`
+	ImportedCache int `json:"imported_caches"`
+}
+
+type timedReport struct {
+	at     time.Time
+	report target.LoadReport
+}
+
+// NewEngine returns an engine that is not serving yet.
+func NewEngine(opts ...EngineOption) *Engine {
+	cfg := DefaultEngineConfig()
+	for _, opt := range opts {
+		opt(&cfg)
+	}
+	e := &Engine{
+		cfg:     cfg,
+		rng:     rand.New(rand.NewPCG(cfg.Seed, 0)),
+		streams: map[string]*stream{},
+		kv:      map[string][]walnutramp.TokenID{},
+		cache:   newPrefixCache(cfg.CacheTokens),
+		prefill: make(chan struct{}, 1),
+	}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.server = &http.Server{Handler: e.handler(), ReadHeaderTimeout: 5 * time.Second}
+	return e
+}
+
+// Serve answers on l until Close.
+func (e *Engine) Serve(l net.Listener) error { return e.server.Serve(l) }
+
+// Close kills the engine: connections break and every stream is gone.
+func (e *Engine) Close() {
+	e.cancel()
+	e.server.Close()
+	e.faults.set(Fault{})
+	e.tasks.Wait()
+}
+
+// Counts returns what the engine has done so far.
+func (e *Engine) Counts() EngineCounts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.counts
+}
+
+// Drain sets whether the engine reports that it is draining.
+func (e *Engine) Drain(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining = on
+}
+
+func (e *Engine) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.serveCompletion)
+	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
+	mux.HandleFunc("GET /v1/streams/{id}", e.serveAttach)
+	mux.HandleFunc("DELETE /v1/streams/{id}", e.serveCancel)
+	mux.HandleFunc("POST /v1/streams/{id}/kv", e.serveExport)
+	mux.HandleFunc("GET /load", e.serveLoad)
+	mux.HandleFunc("GET /counts", e.serveCounts)
+	mux.HandleFunc("POST /fault", e.serveFault)
+	return e.faults.gate(mux)
+}
+
+type engineRequest struct {
+	Model      walnutramp.ModelName `json:"model"`
+	Prompt     json.RawMessage      `json:"prompt"`
+	Messages   []ChatMessage        `json:"messages"`
+	MaxTokens  int                  `json:"max_tokens"`
+	Priority   int                  `json:"priority"`
+	Stop       json.RawMessage      `json:"stop"`
+	KVTransfer *target.KVHandle     `json:"kv_transfer_params"`
+}
+
+func (r *engineRequest) promptTokens() ([]walnutramp.TokenID, error) {
+	if r.Messages != nil {
+		return Tokenize(RenderChat(r.Messages)), nil
+	}
+	var text string
+	if json.Unmarshal(r.Prompt, &text) == nil {
+		return Tokenize(text), nil
+	}
+	var ids []walnutramp.TokenID
+	err := json.Unmarshal(r.Prompt, &ids)
+	return ids, err
+}
+
+func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) { e.serveNew(w, r, false) }
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) { e.serveNew(w, r, true) }
+
+func (e *Engine) serveNew(w http.ResponseWriter, r *http.Request, chat bool) {
+	var req engineRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if req.Model != e.cfg.Model {
+		http.Error(w, "unknown model", http.StatusNotFound)
+		return
+	}
+	prompt, err := req.promptTokens()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s := e.open(r.Header.Get("X-Request-Id"), prompt, req, chat)
+	e.follow(w, r, s, 0)
+}
+
+func (e *Engine) serveAttach(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	s := e.streams[r.PathValue("id")]
+	e.mu.Unlock()
+	if s == nil {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	var from int
+	if err := json.Unmarshal([]byte(r.Header.Get("Last-Event-ID")), &from); err != nil || from < 0 {
+		http.Error(w, "bad Last-Event-ID", http.StatusBadRequest)
+		return
+	}
+	e.follow(w, r, s, from)
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	s := e.streams[r.PathValue("id")]
+	if s != nil {
+		e.counts.Cancelled++
+	}
+	e.mu.Unlock()
+	if s == nil {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	s.cancel()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.streams[r.PathValue("id")]
+	if s == nil {
+		http.Error(w, "no such stream", http.StatusNotFound)
+		return
+	}
+	held := s.sequence()
+	e.kv[s.id] = held
+	host := ""
+	if a, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr); ok {
+		host = a.String()
+	}
+	json.NewEncoder(w).Encode(target.KVHandle{Address: host, Handle: s.id, Tokens: len(held)})
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	report := e.laggedReport(time.Now())
+	e.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(report)
+}
+
+func (e *Engine) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(e.Counts())
+}
+
+func (e *Engine) serveFault(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.SetFault(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// noteLoad records the load as it is now; the caller holds mu.
+func (e *Engine) noteLoad(now time.Time) {
+	waitingTokens := 0
+	for _, s := range e.queue {
+		waitingTokens += len(s.prompt)
+	}
+	r := target.LoadReport{
+		Running: e.running, Waiting: len(e.queue), WaitingTokens: waitingTokens,
+		Slots: e.cfg.Slots, PrefillRate: e.cfg.PrefillRate, Draining: e.draining,
+	}
+	e.reports = append(e.reports, timedReport{at: now, report: r})
+	e.dropOldReports(now)
+}
+
+// dropOldReports keeps the newest report that is at least ReportLag old.
+func (e *Engine) dropOldReports(now time.Time) {
+	for len(e.reports) > 1 && now.Sub(e.reports[1].at) >= e.cfg.ReportLag {
+		e.reports = e.reports[1:]
+	}
+}
+
+func (e *Engine) laggedReport(now time.Time) target.LoadReport {
+	if len(e.reports) == 0 {
+		e.noteLoad(now)
+	}
+	e.dropOldReports(now)
+	r := e.reports[0].report
+	r.Draining = e.draining
+	return r
+}
--- /dev/null
+++ b/target/pool.go
@@ -0,0 +1,75 @@
+package target
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/walnutramp/walnutramp/bundle"
+)
+
+// Connection settings towards targets.
+const (
+	targetDialTimeout = 500 * time.Millisecond
+	idlePerTarget     = 32
+	idleTime          = 60 * time.Second
+)
+
+// DialFunc opens a connection; net.Dialer.DialContext is one.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Pool opens and keeps the clients of targets by address.
+type Pool struct {
+	shared *http.Transport // for engines and calls that may be repeated
+	single *http.Transport // a connection for each call
+	client *Client
+
+	mu      sync.Mutex
+	engines map[string]Engine
+}
+
+// NewPool returns a pool that connects with dial.
+func NewPool(dial DialFunc) *Pool {
+	bounded := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, targetDialTimeout)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
+	shared := &http.Transport{
+		DialContext:         bounded,
+		MaxIdleConnsPerHost: idlePerTarget,
+		IdleConnTimeout:     idleTime,
+		DisableCompression:  true,
+	}
+	single := &http.Transport{DialContext: bounded, DisableKeepAlives: true, DisableCompression: true}
+	return &Pool{shared: shared, single: single, client: NewClient(shared), engines: map[string]Engine{}}
+}
+
+// Engine returns the adapter of an engine target.
+func (p *Pool) Engine(t bundle.Target) Engine {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.engines[t.Address]
+	if e == nil {
+		e = NewOpenAI(p.client, t.Address)
+		p.engines[t.Address] = e
+	}
+	return e
+}
+
+// Service returns the client of a service target; once says that its calls
+// may not be repeated.
+func (p *Pool) Service(t bundle.Target, once bool) *Service {
+	if once {
+		return NewService(p.single, t.Address)
+	}
+	return NewService(p.shared, t.Address)
+}
+
+// Close drops idle connections.
+func (p *Pool) Close() {
+	p.shared.CloseIdleConnections()
+	p.single.CloseIdleConnections()
+}
