--- a/caller/request.go
+++ b/caller/request.go
@@ -148,7 +148,7 @@
 	}
 	a := &ask{stream: f.Stream, includeUsage: f.StreamOptions.IncludeUsage}
 	a.spec = generation.Spec{
-		ID: walnutramp.NewGenerationID(), Account: account.Name, Key: key, BodyDigest: bundle.Digest(body),
+		Account: account.Name, Key: key, BodyDigest: bundle.Digest(body),
 		Chat: chat, Model: f.Model, Prompt: prompt, PromptKey: promptKey(prompt),
 		Priority: account.Priority, Weight: account.Weight, Options: passOn(all),
 	}
--- a/cmd/walnutramp/demo.go
+++ b/cmd/walnutramp/demo.go
@@ -132,7 +132,7 @@
 	longest := time.Duration(0)
 	for _, r := range results {
 		d.count(r)
-		longest = max(longest, slices.Max(append(r.Gaps, 0)))
+		longest = max(longest, r.LongestGap())
 	}
 	return float64(longest.Microseconds()) / 1000
 }
--- /dev/null
+++ b/cmd/walnutramp/load.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/walnutramp/walnutramp/load"
+)
+
+// settleTime is how long requests may go on after the last has arrived.
+const settleTime = 30 * time.Second
+
+type loadCommand struct {
+	*program
+	Shape    string        `long:"shape" env:"WALNUTRAMP_LOAD_SHAPE" default:"small" choice:"small" choice:"tortuguero" choice:"po-valley" description:"the site that is run and driven"`
+	Seed     uint64        `long:"seed" env:"WALNUTRAMP_LOAD_SEED" default:"1" description:"of the mix and the failures"`
+	Duration time.Duration `long:"duration" env:"WALNUTRAMP_LOAD_DURATION" default:"20s" description:"for which new requests arrive"`
+	Drafts   float64       `long:"drafts" env:"WALNUTRAMP_LOAD_DRAFTS" default:"10" description:"long generations that arrive a second"`
+	Lookups  float64       `long:"lookups" env:"WALNUTRAMP_LOAD_LOOKUPS" default:"20" description:"service calls that arrive a second"`
+	Output   int           `long:"output" env:"WALNUTRAMP_LOAD_OUTPUT" default:"150" description:"mean length of a draft in tokens"`
+	Prompt   int           `long:"prompt" env:"WALNUTRAMP_LOAD_PROMPT" default:"300" description:"mean length of a prompt in tokens"`
+	Failures string        `long:"failures" env:"WALNUTRAMP_LOAD_FAILURES" default:"kill-engine*3,stall-engine*2" description:"plan: kind@time[+outage] or kind*n, by commas; kinds are kill-engine, stall-engine, reset-engine, kill-node, stop-node, kill-hall"`
+	Variants string        `long:"variants" env:"WALNUTRAMP_LOAD_VARIANTS" default:"guarded,unguarded,from-zero" description:"what to run side by side"`
+	JSON     bool          `long:"json" description:"end with one JSON object on the last line"`
+	Plot     string        `long:"plot" description:"write a self-contained HTML page with plots to this file"`
+}
+
+// Execute implements flags.Commander.
+func (c *loadCommand) Execute([]string) error {
+	runner, variants, err := c.settings()
+	if err != nil {
+		return err
+	}
+	limit := time.Duration(len(variants)) * (2*c.Duration + settleTime)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	results, err := runner.RunAll(ctx, variants)
+	if runner.Progress != nil {
+		fmt.Fprintln(runner.Progress)
+	}
+	if err != nil {
+		return err
+	}
+	load.WriteText(c.out, results)
+	report := load.Report{Shape: runner.Shape, Mix: runner.Mix, Results: results}
+	if err := c.writeFiles(report); err != nil {
+		return err
+	}
+	for _, r := range results {
+		if r.Broken() {
+			return errors.Newf("a promise broke in variant %s: %+v", r.Variant, r.Verdict)
+		}
+	}
+	return nil
+}
+
+func (c *loadCommand) writeFiles(report load.Report) error {
+	if c.Plot != "" {
+		f, err := os.Create(c.Plot)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		if err := load.WriteHTML(f, report); err != nil {
+			return err
+		}
+	}
+	if c.JSON {
+		return load.WriteJSON(c.out, report)
+	}
+	return nil
+}
+
+func (c *loadCommand) settings() (*load.Runner, []load.Variant, error) {
+	shape, err := load.ShapeNamed(c.Shape)
+	if err != nil {
+		return nil, nil, err
+	}
+	mix := load.DefaultMix()
+	mix.Seed, mix.Duration, mix.Drafts, mix.Lookups = c.Seed, c.Duration, c.Drafts, c.Lookups
+	mix.OutputMean, mix.PromptMean = c.Output, c.Prompt
+	if mix.Failures, err = load.ParsePlan(c.Failures, c.Duration); err != nil {
+		return nil, nil, &settingError{"--failures", c.Failures, err.Error()}
+	}
+	variants, err := chooseVariants(c.Variants)
+	if err != nil {
+		return nil, nil, err
+	}
+	runner := &load.Runner{Shape: shape, Mix: mix}
+	if info, err := os.Stderr.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 {
+		runner.Progress = os.Stderr
+	}
+	return runner, variants, nil
+}
+
+func chooseVariants(names string) ([]load.Variant, error) {
+	all := load.Baselines()
+	var chosen []load.Variant
+	for name := range strings.SplitSeq(names, ",") {
+		found := false
+		for _, v := range all {
+			if v.Name == name {
+				chosen = append(chosen, v)
+				found = true
+			}
+		}
+		if !found {
+			return nil, &settingError{"--variants", name, "a list of guarded, unguarded, from-zero"}
+		}
+	}
+	return chosen, nil
+}
--- a/cmd/walnutramp/main.go
+++ b/cmd/walnutramp/main.go
@@ -107,6 +107,7 @@
 	}{
 		{"node", "Run an entry node", &nodeCommand{program: p}},
 		{"demo", "Show a draft that survives its engine and its entry node", &demoCommand{program: p}},
+		{"load", "Drive a site, check every answer and report what callers saw", &loadCommand{program: p}},
 		{"standin", "Run a stand-in of a system around the node", newStandinCommand(p)},
 		{"version", "Print the version", &versionCommand{program: p}},
 	}
--- a/code_test.go
+++ b/code_test.go
@@ -28,19 +28,19 @@
 }
 
 func TestPositionRoundTrip(t *testing.T) {
-	p := walnutramp.Position{Generation: walnutramp.NewGenerationID(), Offset: 42}
+	p := walnutramp.Position{Generation: walnutramp.NewGenerationID(7), Offset: 42}
 	got, err := walnutramp.ParsePosition(p.String())
 	require.NoError(t, err)
 	require.Equal(t, p, got)
 	id := string(p.Generation)
-	for _, bad := range []string{"", ":", id, id + ":", id + ":-1", id + ":+1", id + ":01", id + ":x", id[1:] + ":1", strings.ToUpper(id[:23]) + "G:1", id + ":99999999999"} {
+	for _, bad := range []string{"", ":", id, id + ":", id + ":-1", id + ":+1", id + ":01", id + ":x", id[1:] + ":1", id[:31] + "G:1", id + ":99999999999"} {
 		_, err := walnutramp.ParsePosition(bad)
 		require.Error(t, err, "%q", bad)
 	}
 }
 
 func FuzzParsePosition(f *testing.F) {
-	f.Add("0123456789abcdef01234567:7")
+	f.Add("0123456789abcdef0123456789abcdef:7")
 	f.Add(":")
 	f.Fuzz(func(t *testing.T, s string) {
 		p, err := walnutramp.ParsePosition(s)
--- a/generation.go
+++ b/generation.go
@@ -2,25 +2,45 @@
 
 import (
 	"crypto/rand"
+	"encoding/binary"
 	"encoding/hex"
 	"fmt"
 	"strconv"
 	"strings"
 )
 
-// GenerationID identifies one generation; it is random and never reused.
+// GenerationID identifies one generation; it is never reused. It begins with
+// the place of the node that opened the generation, so that its replicas can
+// be found; the rest is random.
 type GenerationID string
 
-// generationIDBytes is the number of random bytes in a GenerationID.
-const generationIDBytes = 12
+// Lengths of a GenerationID, in bytes before they are written as hex.
+const (
+	placeBytes        = 4
+	generationIDBytes = 16
+)
 
-// NewGenerationID returns a fresh random identity.
-func NewGenerationID() GenerationID {
+// NewGenerationID returns a fresh identity for a generation that a node with
+// the given place opens.
+func NewGenerationID(place uint32) GenerationID {
 	var b [generationIDBytes]byte
-	rand.Read(b[:])
+	rand.Read(b[placeBytes:])
+	binary.BigEndian.PutUint32(b[:placeBytes], place)
 	return GenerationID(hex.EncodeToString(b[:]))
 }
 
+// Place returns the place the identity begins with, or 0 if it is malformed.
+func (id GenerationID) Place() uint32 {
+	if len(id) < 2*placeBytes {
+		return 0
+	}
+	b, err := hex.DecodeString(string(id[:2*placeBytes]))
+	if err != nil {
+		return 0
+	}
+	return binary.BigEndian.Uint32(b)
+}
+
 // TokenID is a token as its engine numbers it.
 type TokenID int64
 
--- a/generation/link.go
+++ b/generation/link.go
@@ -54,7 +54,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if wait := l.m.cfg.Guard().Coalesce; wait > 0 && !pause(ctx, wait) {
+		if !l.coalesce(ctx) {
 			return
 		}
 		if l.send(ctx) {
@@ -68,42 +68,65 @@
 	}
 }
 
+// coalesce lets more come up before a call, as long as the bundle allows;
+// false means ctx ended.
+func (l *link) coalesce(ctx context.Context) bool {
+	wait := l.m.cfg.Guard().Coalesce
+	return wait <= 0 || pause(ctx, wait)
+}
+
 // send replicates all that is marked; false means the node didn't answer.
 func (l *link) send(ctx context.Context) bool {
 	for {
-		gens, appends := l.collect()
-		if len(appends) == 0 {
+		batch := l.collect()
+		if len(batch.appends) == 0 {
 			return true
 		}
-		if !l.call(ctx, gens, appends) {
+		if !l.call(ctx, batch) {
+			return false
+		}
+		if !l.coalesce(ctx) {
 			return false
 		}
 	}
 }
 
-func (l *link) collect() ([]*Generation, []Append) {
+// batch is what one call carries to one run of the node.
+type batch struct {
+	to      walnutramp.Incarnation
+	gens    []*Generation
+	appends []Append
+	tokens  int
+}
+
+// collect takes what is marked, as far as one call carries it; the rest stays
+// marked.
+func (l *link) collect() batch {
 	l.mu.Lock()
 	marked := l.order
 	l.order = nil
 	clear(l.dirty)
 	l.mu.Unlock()
-	var gens []*Generation
-	var appends []Append
-	tokens := 0
+	var b batch
 	for i, g := range marked {
-		if tokens > maxBatchTokens {
+		if b.tokens > maxBatchTokens {
 			l.markAgain(marked[i:])
 			break
 		}
-		a, ok := g.appendFor(l.node)
+		a, replica, ok := g.appendFor(l.node)
 		if !ok {
 			continue
 		}
-		tokens += len(a.Tokens) + len(a.PromptTokens)
-		gens = append(gens, g)
-		appends = append(appends, a)
+		if len(b.appends) > 0 && replica.Incarnation != b.to {
+			l.mark(g)
+			continue
+		}
+		b.to = replica.Incarnation
+		b.gens = append(b.gens, g)
+		b.appends = append(b.appends, a)
+		b.tokens += len(a.Tokens) + len(a.PromptTokens)
 	}
-	return gens, appends
+	return b
 }
 
 func (l *link) markAgain(gens []*Generation) {
@@ -112,21 +135,22 @@
 	}
 }
 
-func (l *link) call(ctx context.Context, gens []*Generation, appends []Append) bool {
+func (l *link) call(ctx context.Context, b batch) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	args := ReplicateArgs{From: l.m.store.self, To: b.to, Appends: b.appends}
 	var reply ReplicateReply
-	err := l.m.cfg.Peers.Call(ctx, l.node, Service+".Replicate", ReplicateArgs{Appends: appends}, &reply)
-	if err != nil || len(reply.Acks) != len(appends) {
+	err := l.m.cfg.Peers.Call(ctx, l.node, Service+".Replicate", args, &reply)
+	if err != nil || len(reply.Acks) != len(b.appends) {
 		now := time.Now()
-		for _, g := range gens {
+		for _, g := range b.gens {
 			g.unreachable(l.node, now)
 		}
-		l.markAgain(gens)
+		l.markAgain(b.gens)
 		return false
 	}
 	for i, ack := range reply.Acks {
-		gens[i].acked(l.node, appends[i].Epoch, ack)
+		b.gens[i].acked(l.node, b.appends[i].Handle, ack)
 	}
 	return true
 }
--- a/generation/manager.go
+++ b/generation/manager.go
@@ -1,15 +1,18 @@
 package generation
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/alitto/pond/v2"
 	"github.com/cespare/xxhash/v2"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/internal/part"
 	"github.com/walnutramp/walnutramp/route"
 	"github.com/walnutramp/walnutramp/target"
 )
@@ -65,9 +68,9 @@
 
 // Observer takes counts of what happens to generations.
 type Observer interface {
-	// Resumed notes how a broken generation was taken up again, and how long
-	// its output stood still.
-	Resumed(how string, gap time.Duration, recomputed int)
+	// Resumed notes how a broken generation was taken up again, how long the
+	// search for a stream took, and how many tokens are computed again.
+	Resumed(id walnutramp.GenerationID, how string, took time.Duration, recomputed int)
 	// TookOver notes a takeover from another node.
 	TookOver(err error)
 }
@@ -99,6 +102,9 @@
 	return func(c *Config) { c.Resumers = append(c.Resumers, Prioritized{r, priority}) }
 }
 
+// WithoutResumers leaves broken generations broken, as a baseline.
+func WithoutResumers() Option { return func(c *Config) { c.Resumers = nil } }
+
 // WithOrphanGrace sets how long a generation without key runs unfollowed.
 func WithOrphanGrace(d time.Duration) Option { return func(c *Config) { c.OrphanGrace = d } }
 
@@ -121,8 +127,8 @@
 
 type ignore struct{}
 
-func (ignore) Resumed(string, time.Duration, int) {}
-func (ignore) TookOver(error)                     {}
+func (ignore) Resumed(walnutramp.GenerationID, string, time.Duration, int) {}
+func (ignore) TookOver(error)                                              {}
 
 // poolSize bounds side jobs: cancels, exports, searches.
 const poolSize = 64
@@ -138,6 +144,9 @@
 	stopPool context.CancelFunc
 	tasks    sync.WaitGroup
 
+	handles atomic.Uint64
+	kick    chan struct{} // the directory has changed
+
 	mu        sync.Mutex
 	closed    bool
 	links     map[walnutramp.NodeName]*link
@@ -154,6 +163,7 @@
 	m := &Manager{
 		cfg:       cfg,
 		store:     NewStore(cfg.Directory.Self().Member, cfg.Retain),
+		kick:      make(chan struct{}, 1),
 		links:     map[walnutramp.NodeName]*link{},
 		takeovers: map[walnutramp.GenerationID]*takeover{},
 	}
@@ -209,14 +219,86 @@
 	return true
 }
 
-const sweepInterval = 5 * time.Second
+// Times of upkeep.
+const (
+	upkeepInterval = 1 * time.Second
+	sweepEvery     = 5 // upkeeps
+)
 
+// sweep drops old records and looks after the replica sets of what this node
+// owns.
 func (m *Manager) sweep() {
-	for pause(m.ctx, sweepInterval) {
-		m.store.Sweep(time.Now())
+	upkeep := time.NewTicker(upkeepInterval)
+	defer upkeep.Stop()
+	for n := 1; ; n++ {
+		select {
+		case <-upkeep.C:
+		case <-m.kick:
+		case <-m.ctx.Done():
+			return
+		}
+		for _, g := range m.store.owned() {
+			g.checkSet(time.Now())
+		}
+		if n%sweepEvery == 0 {
+			m.store.Sweep(time.Now())
+		}
 	}
 }
 
+// MembersChanged says that the directory has changed.
+func (m *Manager) MembersChanged() {
+	select {
+	case m.kick <- struct{}{}:
+	default:
+	}
+}
+
+// checkSet replaces members that are gone, fills a set that was opened while
+// too few nodes lived, and ends a generation whose majority is lost.
+func (g *Generation) checkSet(now time.Time) {
+	live := g.m.cfg.Directory.Live()
+	g.rec.mu.Lock()
+	defer g.rec.mu.Unlock()
+	if g.rec.owner != g || !g.busy() || g.err != nil {
+		return
+	}
+	if !g.majorityPossible(now) {
+		g.end(walnutramp.NewError(walnutramp.CodeNotProvable, walnutramp.Unknown,
+			"too few of the %d replicas are left", len(g.rec.state.Members)))
+		return
+	}
+	if len(g.rec.state.Members) < g.m.cfg.Guard().Replicas || len(g.failing()) > 0 || g.someoneGone(live) {
+		g.wantReplacement()
+	}
+}
+
+// majorityPossible reports whether enough members may still answer. The
+// caller holds the mutex.
+func (g *Generation) majorityPossible(now time.Time) bool {
+	left := 0
+	for _, mem := range g.rec.state.Members {
+		c := g.cursors[mem.Node]
+		gone := c != nil && (c.lost || !c.failing.IsZero() && now.Sub(c.failing) > g.m.cfg.Patience)
+		if !gone {
+			left++
+		}
+	}
+	return left >= majority(len(g.rec.state.Members))
+}
+
+// someoneGone reports whether a member is not among the live nodes. The
+// caller holds the mutex.
+func (g *Generation) someoneGone(live []Node) bool {
+	for _, mem := range g.rec.state.Members {
+		alive := slices.ContainsFunc(live, func(n Node) bool { return n.Member == mem })
+		if mem != g.m.store.self && !alive {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *Manager) link(node walnutramp.NodeName) *link {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -230,14 +312,15 @@
 		m.tasks.Add(1)
 		go func() {
 			defer m.tasks.Done()
-			l.run(m.ctx)
+			part.Do(part.Guard, func() { l.run(m.ctx) })
 		}()
 	}
 	return l
 }
 
-// Open starts a generation. The error is a *walnutramp.Error; then nothing ran.
+// Open starts a generation and gives it its identity. The error is a *walnutramp.Error; then nothing ran.
 func (m *Manager) Open(ctx context.Context, spec Spec) (*Generation, error) {
+	spec.ID = walnutramp.NewGenerationID(Place(m.store.self.Node))
 	grant, err := m.cfg.Router.Pick(ctx, request(&spec, spec.PromptSize()))
 	if err != nil {
 		return nil, err
@@ -253,10 +336,12 @@
 	return g, nil
 }
 
+func (m *Manager) newHandle() Handle { return Handle(m.handles.Add(1)) }
+
 // own makes this node the owner in its own record.
 func (m *Manager) own(spec Spec, epoch Epoch, members []Member) *Generation {
 	rec := m.store.getOrAdd(spec)
-	g := &Generation{m: m, rec: rec, id: spec.ID, epoch: epoch, changed: make(chan struct{})}
+	g := &Generation{m: m, rec: rec, id: spec.ID, epoch: epoch, handle: m.newHandle(), changed: make(chan struct{})}
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	rec.promised = epoch
@@ -278,8 +363,8 @@
 }
 
 // chooseMembers makes a replica set: this node first, then those of keep that
-// live, then others by rendezvous hash of the identity, preferring data halls
-// not yet used. Members in avoid are left out.
+// live, then others by rank for the identity, preferring data halls not yet
+// used. Members in avoid are left out.
 func (m *Manager) chooseMembers(id walnutramp.GenerationID, keep, avoid []Member) []Member {
 	size := m.cfg.Guard().Replicas
 	self := m.cfg.Directory.Self()
@@ -304,22 +389,22 @@
 	return set
 }
 
-// Rank orders nodes by rendezvous hash of a generation's identity.
+// Rank orders nodes by their distance on a hash ring behind the place where
+// the identity begins: the place of the node that opened the generation. All
+// generations of a node so share their replicas, and messages to them; and
+// each node is a replica for about as many others as they are for it.
 func Rank(id walnutramp.GenerationID, nodes []Node) []Node {
+	origin := id.Place()
 	ranked := slices.Clone(nodes)
-	score := make(map[walnutramp.NodeName]uint64, len(nodes))
-	for _, n := range nodes {
-		score[n.Node] = xxhash.Sum64String(string(id) + "/" + string(n.Node))
-	}
 	slices.SortFunc(ranked, func(a, b Node) int {
-		if score[a.Node] > score[b.Node] {
-			return -1
-		}
-		return 1
+		return cmp.Compare(Place(a.Node)-origin-1, Place(b.Node)-origin-1)
 	})
 	return ranked
 }
 
+// Place is where a node stands on the ring.
+func Place(n walnutramp.NodeName) uint32 { return uint32(xxhash.Sum64String(string(n))) }
+
 func request(spec *Spec, promptTokens int) route.Request {
 	return route.Request{
 		Account:      spec.Account,
--- a/generation/owner.go
+++ b/generation/owner.go
@@ -17,6 +17,7 @@
 	id  walnutramp.GenerationID
 
 	epoch    Epoch
+	handle   Handle // of the epoch, between this run and its replicas
 	cursors  map[walnutramp.NodeName]*cursor
 	previous []Member // set whose majority must still accept the epoch; nil once in force
 	changing bool     // a change of the replica set is under way
@@ -334,19 +335,20 @@
 	return n >= majority(len(members))
 }
 
-// appendFor returns what a replica still needs, if anything.
-func (g *Generation) appendFor(node walnutramp.NodeName) (Append, bool) {
+// appendFor returns what a replica still needs, if anything, and which run of
+// the replica is meant.
+func (g *Generation) appendFor(node walnutramp.NodeName) (Append, Member, bool) {
 	g.rec.mu.Lock()
 	defer g.rec.mu.Unlock()
 	c := g.cursors[node]
 	if c == nil || c.lost || g.rec.owner != g {
-		return Append{}, false
+		return Append{}, Member{}, false
 	}
 	st := &g.rec.state
-	a := Append{ID: g.id, Epoch: g.epoch, To: c.member.Incarnation, From: c.held}
+	a := Append{Handle: g.handle, From: c.held}
 	some := false
 	if !c.opened {
-		a.Open = &Opening{Spec: st.Spec, Members: slices.Clone(st.Members)}
+		a.Open = &Opening{Spec: st.Spec, Epoch: g.epoch, Members: slices.Clone(st.Members)}
 		a.From = 0
 		some = true
 	}
@@ -367,15 +369,15 @@
 		a.Final = st.Final
 		some = true
 	}
-	return a, some
+	return a, c.member, some
 }
 
-// acked takes a replica's answer to an append of the given epoch.
-func (g *Generation) acked(node walnutramp.NodeName, epoch Epoch, ack Ack) {
+// acked takes a replica's answer to an append with the given handle.
+func (g *Generation) acked(node walnutramp.NodeName, handle Handle, ack Ack) {
 	g.rec.mu.Lock()
 	defer g.rec.mu.Unlock()
 	c := g.cursors[node]
-	if c == nil || epoch != g.epoch || g.rec.owner != g {
+	if c == nil || handle != g.handle || g.rec.owner != g {
 		return
 	}
 	c.failing = time.Time{}
--- a/generation/resume.go
+++ b/generation/resume.go
@@ -65,7 +65,7 @@
 		for _, w := range g.m.ways(b) {
 			a, err := w.resumer.Resume(ctx, b)
 			if err == nil {
-				g.m.cfg.Observe.Resumed(w.resumer.Name(), time.Since(began), w.forecast.Tokens)
+				g.m.cfg.Observe.Resumed(g.id, w.resumer.Name(), time.Since(began), w.forecast.Tokens)
 				return a, nil
 			}
 			last = err
--- a/generation/store.go
+++ b/generation/store.go
@@ -10,6 +10,8 @@
 
 // record is one generation at one node, replica or owner.
 type record struct {
+	id walnutramp.GenerationID
+
 	mu       sync.Mutex
 	state    State
 	promised Epoch
@@ -30,6 +32,19 @@
 	mu      sync.Mutex
 	records map[walnutramp.GenerationID]*record
 	byKey   map[accountKey]walnutramp.GenerationID
+	handles map[handleKey]handled
+}
+
+// handleKey is a handle and the owner's run that gave it.
+type handleKey struct {
+	owner  Member
+	handle Handle
+}
+
+// handled is what a handle stands for.
+type handled struct {
+	rec   *record
+	epoch Epoch
 }
 
 // NewStore returns an empty store for one run of a node. Records that nobody
@@ -40,6 +55,7 @@
 		retain:  retain,
 		records: map[walnutramp.GenerationID]*record{},
 		byKey:   map[accountKey]walnutramp.GenerationID{},
+		handles: map[handleKey]handled{},
 	}
 }
 
@@ -55,7 +71,7 @@
 	defer s.mu.Unlock()
 	r := s.records[spec.ID]
 	if r == nil {
-		r = &record{touched: time.Now()}
+		r = &record{id: spec.ID, touched: time.Now()}
 		s.records[spec.ID] = r
 	}
 	if spec.Key != "" {
@@ -64,6 +80,25 @@
 	return r
 }
 
+// owned returns the generations that this node owns.
+func (s *Store) owned() []*Generation {
+	s.mu.Lock()
+	records := make([]*record, 0, len(s.records))
+	for _, r := range s.records {
+		records = append(records, r)
+	}
+	s.mu.Unlock()
+	var gens []*Generation
+	for _, r := range records {
+		r.mu.Lock()
+		if r.owner != nil {
+			gens = append(gens, r.owner)
+		}
+		r.mu.Unlock()
+	}
+	return gens
+}
+
 // Len returns how many generations the node holds.
 func (s *Store) Len() int {
 	s.mu.Lock()
@@ -85,6 +120,18 @@
 			delete(s.byKey, k)
 		}
 	}
+	for k, h := range s.handles {
+		if s.records[h.rec.id] != h.rec || h.rec.passed(h.epoch) {
+			delete(s.handles, k)
+		}
+	}
+}
+
+// passed reports whether the record has gone beyond an epoch.
+func (r *record) passed(e Epoch) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Epoch != e
 }
 
 func (r *record) expired(now time.Time, retain time.Duration) bool {
@@ -100,43 +147,54 @@
 func (s *Store) Replicate(args ReplicateArgs, reply *ReplicateReply) error {
 	reply.Acks = make([]Ack, len(args.Appends))
 	for i := range args.Appends {
-		reply.Acks[i] = s.apply(&args.Appends[i])
+		if args.To != s.self.Incarnation {
+			reply.Acks[i].Code = walnutramp.CodeWrongIncarnation
+			continue
+		}
+		reply.Acks[i] = s.apply(args.From, &args.Appends[i])
 	}
 	return nil
 }
 
-func (s *Store) apply(a *Append) Ack {
-	if a.To != s.self.Incarnation {
-		return Ack{ID: a.ID, Code: walnutramp.CodeWrongIncarnation}
-	}
-	var r *record
-	if a.Open != nil {
-		r = s.getOrAdd(a.Open.Spec)
-	} else {
-		r = s.get(a.ID)
+func (s *Store) apply(owner Member, a *Append) Ack {
+	h, ok := s.resolve(owner, a)
+	if !ok {
+		return Ack{Code: walnutramp.CodeNotHeld}
 	}
-	if r == nil {
-		return Ack{ID: a.ID, Code: walnutramp.CodeNotHeld}
+	h.rec.mu.Lock()
+	defer h.rec.mu.Unlock()
+	return h.rec.apply(h.epoch, a)
+}
+
+// resolve finds what an append's handle stands for; an opening defines it.
+func (s *Store) resolve(owner Member, a *Append) (handled, bool) {
+	k := handleKey{owner, a.Handle}
+	if a.Open == nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		h, ok := s.handles[k]
+		return h, ok
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.apply(a)
+	h := handled{rec: s.getOrAdd(a.Open.Spec), epoch: a.Open.Epoch}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handles[k] = h
+	return h, true
 }
 
-func (r *record) apply(a *Append) Ack {
-	if a.Epoch.Less(r.promised) {
-		return Ack{ID: a.ID, Code: walnutramp.CodeStaleEpoch}
+func (r *record) apply(epoch Epoch, a *Append) Ack {
+	if epoch.Less(r.promised) {
+		return Ack{Code: walnutramp.CodeStaleEpoch}
 	}
-	if a.Epoch != r.state.Epoch {
+	if epoch != r.state.Epoch {
 		if a.Open == nil {
-			return Ack{ID: a.ID, Code: walnutramp.CodeNotHeld}
+			return Ack{Code: walnutramp.CodeNotHeld}
 		}
-		r.open(a)
+		r.open(a.Open)
 	}
 	r.touched = time.Now()
 	r.extend(a)
 	return Ack{
-		ID:        a.ID,
 		Code:      walnutramp.CodeOK,
 		Held:      walnutramp.Offset(len(r.state.Tokens)),
 		Prompt:    r.state.PromptTokens != nil,
@@ -146,12 +204,12 @@
 }
 
 // open starts an epoch; what the record held before is replaced whole.
-func (r *record) open(a *Append) {
-	r.promised = a.Epoch
-	if r.owner != nil && r.owner.epoch != a.Epoch {
+func (r *record) open(o *Opening) {
+	r.promised = o.Epoch
+	if r.owner != nil && r.owner.epoch != o.Epoch {
 		r.owner.deposed()
 	}
-	r.state = State{Spec: a.Open.Spec, Epoch: a.Epoch, Members: slices.Clone(a.Open.Members)}
+	r.state = State{Spec: o.Spec, Epoch: o.Epoch, Members: slices.Clone(o.Members)}
 }
 
 func (r *record) extend(a *Append) {
@@ -205,7 +263,31 @@
 	}
 	reply.Code = walnutramp.CodeOK
 	reply.Promised = epoch
+	reply.Epoch = r.state.Epoch
+	reply.Members = slices.Clone(r.state.Members)
+	reply.Tokens = len(r.state.Tokens)
+	reply.Source = r.state.Source.Seq
+	reply.Prompt = r.state.PromptTokens != nil
+	reply.Final = r.state.Final != nil
+}
+
+// Fetch implements the RPC that a candidate reads a promised state with. As
+// long as the promise is the newest, the state can't have changed since.
+func (s *Store) Fetch(args FetchArgs, reply *FetchReply) error {
+	r := s.get(args.ID)
+	if r == nil || args.To != s.self.Incarnation {
+		reply.Code = walnutramp.CodeNotHeld
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.promised != args.Epoch {
+		reply.Code = walnutramp.CodeStaleEpoch
+		return nil
+	}
+	reply.Code = walnutramp.CodeOK
 	reply.State = r.copyState()
+	return nil
 }
 
 // opened reports whether the record has been given a state yet.
--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -92,9 +92,6 @@
 		return best, nil
 	}
 	nodes := Rank(args.ID, m.cfg.Directory.Live())
-	if args.Key != "" {
-		nodes = Rank(walnutramp.GenerationID(args.Key), m.cfg.Directory.Live())
-	}
 	for len(nodes) > 0 && !best.Held {
 		n := min(findWidth, len(nodes))
 		best = m.ask(ctx, nodes[:n], args)
@@ -161,11 +158,15 @@
 func (m *Manager) runTakeover(found FindReply) (*Generation, error) {
 	ctx, cancel := context.WithTimeout(m.ctx, takeoverLimit)
 	defer cancel()
-	st, epoch, err := m.prepare(ctx, found.ID, found.Epoch, found.Members)
+	p, err := m.prepare(ctx, found.ID, found.Epoch, found.Members)
+	if err != nil {
+		return nil, err
+	}
+	st, err := m.fetch(ctx, found.ID, p)
 	if err != nil {
 		return nil, err
 	}
-	g := m.adopt(st, epoch)
+	g := m.adopt(st, p.epoch)
 	if g == nil {
 		return nil, walnutramp.NewError(walnutramp.CodeMoved, walnutramp.Unknown, "another node took it over meanwhile")
 	}
@@ -175,13 +176,20 @@
 	if !g.launch(nil) {
 		return nil, walnutramp.NewError(walnutramp.CodeStopping, walnutramp.Unknown, "the node is stopping")
 	}
-	klog.V(1).InfoS("Took over", "generation", g.id, "epoch", epoch.Number, "tokens", len(st.Tokens))
+	klog.V(1).InfoS("Took over", "generation", g.id, "epoch", p.epoch.Number, "tokens", len(st.Tokens))
 	return g, nil
 }
 
+// promise is a majority's promise of an epoch.
+type promise struct {
+	epoch   Epoch
+	members []Member // the replica set that promised
+	best    Member   // the one that is furthest
+}
+
 // prepare makes a majority of the newest replica set promise an epoch to this
-// node, and returns the newest state among them.
-func (m *Manager) prepare(ctx context.Context, id walnutramp.GenerationID, newest Epoch, members []Member) (State, Epoch, error) {
+// node.
+func (m *Manager) prepare(ctx context.Context, id walnutramp.GenerationID, newest Epoch, members []Member) (promise, error) {
 	epoch := Epoch{Number: newest.Number + 1, Node: m.store.self.Node}
 	for range prepareRounds {
 		round := m.promises(ctx, id, epoch, members)
@@ -191,32 +199,39 @@
 			continue
 		}
 		if round.granted >= majority(len(members)) && round.best.Epoch == newest {
-			return round.best, epoch, nil
+			return promise{epoch: epoch, members: members, best: round.bestMember}, nil
 		}
 		epoch.Number = max(epoch.Number, round.refusedBy.Number) + 1
 		if !pause(ctx, roundPause) {
 			break
 		}
 	}
-	return State{}, Epoch{}, walnutramp.NewError(walnutramp.CodeNotProvable, walnutramp.Unknown,
+	return promise{}, walnutramp.NewError(walnutramp.CodeNotProvable, walnutramp.Unknown,
 		"too few of the %d replicas answer", len(members)).WithRetryAfter(time.Second)
 }
 
 // promiseRound is what one round of prepare calls brought.
 type promiseRound struct {
-	granted   int
-	best      State // of the newest epoch, and there the longest
-	refusedBy Epoch // newest epoch named by a refusal
+	granted    int
+	best       PrepareReply // of the newest epoch, and there the furthest
+	bestMember Member
+	refusedBy  Epoch // newest epoch named by a refusal
+}
+
+type memberReply struct {
+	member Member
+	reply  PrepareReply
 }
 
 // promises asks every member and returns as soon as a majority has promised.
 func (m *Manager) promises(ctx context.Context, id walnutramp.GenerationID, epoch Epoch, members []Member) promiseRound {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	replies := make(chan PrepareReply, len(members))
+	replies := make(chan memberReply, len(members))
 	for _, mem := range members {
 		m.spawn(func() {
-			replies <- m.askPromise(ctx, mem, PrepareArgs{ID: id, Epoch: epoch, To: mem.Incarnation})
+			args := PrepareArgs{ID: id, Epoch: epoch, To: mem.Incarnation}
+			replies <- memberReply{mem, m.askPromise(ctx, mem, args)}
 		})
 	}
 	var round promiseRound
@@ -246,32 +261,50 @@
 	return r
 }
 
-func (round *promiseRound) add(r PrepareReply) {
-	switch r.Code {
+func (round *promiseRound) add(r memberReply) {
+	switch r.reply.Code {
 	case walnutramp.CodeOK:
 		round.granted++
-		if newer(r.State, round.best) {
-			round.best = r.State
+		if round.bestMember.Node == "" || r.reply.newer(round.best) {
+			round.best = r.reply
+			round.bestMember = r.member
 		}
 	case walnutramp.CodeStaleEpoch:
-		if round.refusedBy.Less(r.Promised) {
-			round.refusedBy = r.Promised
+		if round.refusedBy.Less(r.reply.Promised) {
+			round.refusedBy = r.reply.Promised
 		}
 	}
 }
 
 // newer reports whether a comes after b: a newer epoch, or more of the same.
-func newer(a, b State) bool {
+func (a PrepareReply) newer(b PrepareReply) bool {
 	if a.Epoch != b.Epoch {
 		return b.Epoch.Less(a.Epoch)
 	}
-	if len(a.Tokens) != len(b.Tokens) {
-		return len(a.Tokens) > len(b.Tokens)
+	if a.Tokens != b.Tokens {
+		return a.Tokens > b.Tokens
 	}
-	if a.Source.Seq != b.Source.Seq {
-		return a.Source.Seq > b.Source.Seq
+	if a.Source != b.Source {
+		return a.Source > b.Source
 	}
-	return a.Final != nil && b.Final == nil || a.PromptTokens != nil && b.PromptTokens == nil
+	return a.Final && !b.Final || a.Prompt && !b.Prompt
+}
+
+// fetch reads the state of the replica that is furthest.
+func (m *Manager) fetch(ctx context.Context, id walnutramp.GenerationID, p promise) (State, error) {
+	args := FetchArgs{ID: id, Epoch: p.epoch, To: p.best.Incarnation}
+	var r FetchReply
+	var err error
+	if p.best == m.store.self {
+		err = m.store.Fetch(args, &r)
+	} else {
+		err = m.cfg.Peers.Call(ctx, p.best.Node, Service+".Fetch", args, &r)
+	}
+	if err != nil || r.Code != walnutramp.CodeOK {
+		return State{}, walnutramp.NewError(walnutramp.CodeNotProvable, walnutramp.Unknown,
+			"the furthest replica went away").WithRetryAfter(time.Second)
+	}
+	return r.State, nil
 }
 
 // adopt installs the state here under the epoch and offers it to the old and
@@ -279,7 +312,7 @@
 func (m *Manager) adopt(st State, epoch Epoch) *Generation {
 	members := m.chooseMembers(st.Spec.ID, st.Members, nil)
 	rec := m.store.getOrAdd(st.Spec)
-	g := &Generation{m: m, rec: rec, id: st.Spec.ID, epoch: epoch, sent: true, changed: make(chan struct{})}
+	g := &Generation{m: m, rec: rec, id: st.Spec.ID, epoch: epoch, handle: m.newHandle(), sent: true, changed: make(chan struct{})}
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	if epoch.Less(rec.promised) {
@@ -331,9 +364,15 @@
 	}
 }
 
-// wantReplacement starts replacing lost replicas. The caller holds the mutex.
+// wantReplacement starts a change of the replica set if that gives a better
+// one: as many members as the bundle asks for, none of them failing. The
+// caller holds the mutex.
 func (g *Generation) wantReplacement() {
-	if g.changing || g.previous != nil || !g.busy() {
+	if g.changing || g.previous != nil || !g.busy() || g.rec.owner != g {
+		return
+	}
+	better := g.m.chooseMembers(g.id, g.rec.state.Members, g.failing())
+	if len(better) < max(len(g.rec.state.Members), g.m.cfg.Guard().Replicas) {
 		return
 	}
 	g.changing = true
@@ -362,9 +401,9 @@
 	id, epoch, members := g.id, g.epoch, slices.Clone(g.rec.state.Members)
 	g.rec.mu.Unlock()
 	for {
-		st, next, err := g.m.prepare(ctx, id, epoch, members)
+		p, err := g.m.prepare(ctx, id, epoch, members)
 		if err == nil {
-			return g.reopen(ctx, next, st.Members)
+			return g.reopen(ctx, p.epoch, p.members)
 		}
 		if !pause(ctx, roundPause) {
 			return err
@@ -375,13 +414,14 @@
 // reopen starts the promised epoch with this node's own log, which as the
 // sole owner's is the longest, on a replica set of live nodes.
 func (g *Generation) reopen(ctx context.Context, epoch Epoch, former []Member) error {
-	members := g.m.chooseMembers(g.id, former, g.failing(former))
 	g.rec.mu.Lock()
 	if g.rec.owner != g || epoch.Less(g.rec.promised) || g.err != nil {
 		g.rec.mu.Unlock()
 		return nil
 	}
+	members := g.m.chooseMembers(g.id, former, g.failing())
 	g.epoch = epoch
+	g.handle = g.m.newHandle()
 	g.previous = former
 	g.rec.promised = epoch
 	g.rec.state.Epoch = epoch
@@ -395,11 +435,13 @@
 }
 
 // failing returns the members that do not answer or will never count again.
-func (g *Generation) failing(members []Member) []Member {
-	g.rec.mu.Lock()
-	defer g.rec.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool {
-		c := g.cursors[m.Node]
-		return c == nil || !c.lost && c.failing.IsZero()
-	})
+// The caller holds the mutex.
+func (g *Generation) failing() []Member {
+	var members []Member
+	for _, c := range g.cursors {
+		if c.lost || !c.failing.IsZero() {
+			members = append(members, c.member)
+		}
+	}
+	return members
 }
--- a/generation/wire.go
+++ b/generation/wire.go
@@ -17,9 +17,15 @@
 
 // ReplicateArgs carries appends of many generations to one replica.
 type ReplicateArgs struct {
+	From    Member
+	To      walnutramp.Incarnation // the run of the replica that is meant
 	Appends []Append
 }
 
+// Handle names one epoch of one generation between an owner's run and its
+// replicas, so that appends need not repeat longer names.
+type Handle uint64
+
 // ReplicateReply answers each append in order.
 type ReplicateReply struct {
 	Acks []Ack
@@ -27,11 +33,9 @@
 
 // Append extends one generation at a replica.
 type Append struct {
-	ID           walnutramp.GenerationID
-	Epoch        Epoch
-	To           walnutramp.Incarnation // the run of the replica that is meant
-	Open         *Opening               // starts an epoch; then Tokens is the whole log
-	From         walnutramp.Offset      // place of Tokens[0]
+	Handle       Handle
+	Open         *Opening          // starts an epoch; then Tokens is the whole log
+	From         walnutramp.Offset // place of Tokens[0]
 	Tokens       []walnutramp.Token
 	PromptTokens []walnutramp.TokenID
 	Source       *Source
@@ -41,12 +45,12 @@
 // Opening starts an epoch with its replica set; Members[0] is the owner.
 type Opening struct {
 	Spec    Spec
+	Epoch   Epoch
 	Members []Member
 }
 
 // Ack says what a replica holds after an append.
 type Ack struct {
-	ID        walnutramp.GenerationID
 	Code      walnutramp.Code // CodeOK, or why nothing was taken
 	Held      walnutramp.Offset
 	Prompt    bool
@@ -61,11 +65,30 @@
 	To    walnutramp.Incarnation
 }
 
-// PrepareReply holds the promise, or why there is none.
+// PrepareReply holds the promise, or why there is none, and how far the
+// replica is.
 type PrepareReply struct {
 	Code     walnutramp.Code
 	Promised Epoch // the newest epoch the replica has promised
-	State    State
+	Epoch    Epoch // of the replica set below
+	Members  []Member
+	Tokens   int
+	Source   int  // attempts known
+	Prompt   bool // the prompt's tokens are known
+	Final    bool
+}
+
+// FetchArgs asks for a replica's whole state under an epoch it has promised.
+type FetchArgs struct {
+	ID    walnutramp.GenerationID
+	Epoch Epoch // the promised one
+	To    walnutramp.Incarnation
+}
+
+// FetchReply holds the state.
+type FetchReply struct {
+	Code  walnutramp.Code
+	State State
 }
 
 // State is everything a replica holds of a generation.
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -74,6 +74,8 @@
 	Peers   string // address for peers
 	site    *Site
 	runs    int
+
+	SentBefore int64 // bytes that earlier runs sent to peers
 }
 
 // Engine is one stand-in engine and how to start it again.
@@ -82,6 +84,8 @@
 	Target bundle.Target
 	site   *Site
 	runs   int
+
+	DecodedBefore int // tokens that earlier runs decoded
 }
 
 // Service is one stand-in service.
@@ -194,6 +198,9 @@
 func (e *Engine) Start() error {
 	cfg := e.site.cfg.Engine
 	cfg.Seed = e.site.cfg.Seed<<16 + uint64(len(e.Target.Name))<<8 + hashName(string(e.Target.Name)) + uint64(e.runs)
+	if e.Engine != nil {
+		e.DecodedBefore += e.Counts().Decoded
+	}
 	e.runs++
 	e.Engine = standin.NewEngine(standin.WithEngineConfig(cfg))
 	l, err := e.site.cfg.Network.Listen(string(e.Target.Name), e.Target.Address)
@@ -217,6 +224,9 @@
 
 // Start runs the node, as a new incarnation after Kill or Stop.
 func (n *Node) Start() error {
+	if n.Node != nil {
+		n.SentBefore += n.Traffic().Sent.Load()
+	}
 	n.runs++
 	var peers []member.Node
 	for _, o := range n.site.Nodes {
--- a/load/client.go
+++ b/load/client.go
@@ -23,7 +23,8 @@
 	HTTP      *http.Client
 	Addresses []string // of entry nodes, tried in turn as a balancer would
 	Reconnect time.Duration
-	Attempts  int // connections tried for one draft
+	Attempts  int  // connections tried for one draft
+	FromZero  bool // start a broken draft again from zero, as clients without resume do
 }
 
 // NewClient returns a client of the nodes at addresses.
@@ -53,8 +54,11 @@
 	Verdict    standin.Verdict
 	Complete   bool
 	FirstToken time.Duration
-	Gaps       []time.Duration // between arrivals of text
+	Arrivals   []time.Time // of new text
+	Moves      []time.Time // when the caller had to connect again
 	Reconnects int
+	Restarts   int      // times the draft began again from zero
+	Discarded  int      // tokens received and thrown away
 	Refused    *Refusal // the last refusal, where the draft did not complete
 }
 
@@ -74,11 +78,12 @@
 
 // Draft asks for a draft and follows it to its end across reconnects.
 func (c *Client) Draft(ctx context.Context, d Draft) Drafted {
-	f := &follower{client: c, draft: d, last: time.Now()}
+	f := &follower{client: c, draft: d, asked: time.Now()}
 	for try := range c.Attempts {
 		if f.once(ctx, c.Addresses[(d.First+try)%len(c.Addresses)]) || ctx.Err() != nil {
 			break
 		}
+		f.broke()
 		if !sleep(ctx, f.wait()) {
 			break
 		}
@@ -107,8 +112,10 @@
 	result   Drafted
 	text     strings.Builder
 	position string // last event id
-	last     time.Time
+	asked    time.Time
 	pause    time.Duration
+	furthest int  // length of the longest text seen
+	lost     bool // the site can't go on with the draft
 }
 
 type draftBody struct {
@@ -118,6 +125,20 @@
 	Stream    bool                 `json:"stream"`
 }
 
+// broke notes that the connection is gone before the draft is complete.
+func (f *follower) broke() {
+	if f.text.Len() > 0 {
+		f.result.Moves = append(f.result.Moves, time.Now())
+	}
+	if f.text.Len() > 0 && (f.client.FromZero || f.lost) {
+		f.result.Discarded += standin.Tokens(f.text.String())
+		f.result.Restarts++
+		f.position = ""
+		f.text.Reset()
+		f.lost = false
+	}
+}
+
 // wait is how long to stay away before the next connection.
 func (f *follower) wait() time.Duration { return max(f.pause, f.client.Reconnect) }
 
@@ -133,7 +154,8 @@
 		refusal := readRefusal(resp)
 		f.result.Refused = refusal
 		f.pause = refusal.RetryAfter
-		return refusal.RetryAfter == 0 && refusal.Code != walnutramp.CodeMoved
+		f.lost = f.position != "" && refusal.Code == walnutramp.CodeGenerationUnknown
+		return refusal.RetryAfter == 0 && refusal.Code != walnutramp.CodeMoved && !f.lost && !f.client.FromZero
 	}
 	return f.read(target.NewEventReader(resp.Body))
 }
@@ -203,22 +225,43 @@
 	}
 	choice := c.Choices[0]
 	if choice.Text != "" {
-		now := time.Now()
-		f.arrived(now.Sub(f.last))
-		f.last = now
 		f.text.WriteString(choice.Text)
+		f.arrived(time.Now())
 	}
 	if choice.FinishReason != nil {
 		f.result.Complete = true
 	}
 }
 
-func (f *follower) arrived(wait time.Duration) {
-	if f.text.Len() == 0 {
-		f.result.FirstToken = wait
+// arrived notes text that the caller had not seen before.
+func (f *follower) arrived(now time.Time) {
+	if f.text.Len() <= f.furthest {
 		return
 	}
-	f.result.Gaps = append(f.result.Gaps, wait)
+	if f.furthest == 0 {
+		f.result.FirstToken = now.Sub(f.asked)
+	}
+	f.furthest = f.text.Len()
+	f.result.Arrivals = append(f.result.Arrivals, now)
+}
+
+// LongestGap returns the longest time between two arrivals of new text.
+func (d *Drafted) LongestGap() time.Duration {
+	var longest time.Duration
+	for i := 1; i < len(d.Arrivals); i++ {
+		longest = max(longest, d.Arrivals[i].Sub(d.Arrivals[i-1]))
+	}
+	return longest
+}
+
+// GapAt returns the pause in which t lies, if t lies between two arrivals.
+func (d *Drafted) GapAt(t time.Time) (time.Duration, bool) {
+	for i := 1; i < len(d.Arrivals); i++ {
+		if !d.Arrivals[i].Before(t) && !d.Arrivals[i-1].After(t) {
+			return d.Arrivals[i].Sub(d.Arrivals[i-1]), true
+		}
+	}
+	return 0, false
 }
 
 const maxRefusal = 16 << 10 // bytes
--- /dev/null
+++ b/load/run.go
@@ -0,0 +1,342 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/generation"
+	"github.com/walnutramp/walnutramp/internal/site"
+	"github.com/walnutramp/walnutramp/node"
+	"github.com/walnutramp/walnutramp/standin"
+)
+
+// Variant is one way to run the same mix.
+type Variant struct {
+	Name     string
+	Guard    *bundle.Guard // nil keeps the shape's
+	FromZero bool          // no resume: the caller starts again
+	NodeOpt  []node.Option
+}
+
+// Baselines are this system and the two it is measured against: generations
+// that no other node holds, and callers that start again from zero.
+func Baselines() []Variant {
+	return []Variant{
+		{Name: "guarded"},
+		{Name: "unguarded", Guard: &bundle.Guard{Replicas: 1}},
+		{Name: "from-zero", Guard: &bundle.Guard{Replicas: 1}, FromZero: true,
+			NodeOpt: []node.Option{node.WithGenerationOptions(generation.WithoutResumers())}},
+	}
+}
+
+// Runner drives variants of a shape.
+type Runner struct {
+	Shape    Shape
+	Mix      Mix
+	Progress io.Writer // nil for none
+}
+
+// run is one variant under way.
+type run struct {
+	runner  *Runner
+	variant Variant
+	site    *site.Site
+	client  *Client
+	rng     *rand.Rand
+
+	mu      sync.Mutex
+	resumes map[walnutramp.GenerationID][]node.Resume
+	result  Result
+	drafts  []Drafted
+
+	lookup  *histogram
+	started time.Time
+	open    atomic.Int64
+	done    atomic.Int64
+}
+
+// Run runs one variant and returns its figures.
+func (r *Runner) Run(ctx context.Context, v Variant) (*Result, error) {
+	u := &run{runner: r, variant: v, rng: rand.New(rand.NewPCG(r.Mix.Seed, 4)),
+		resumes: map[walnutramp.GenerationID][]node.Resume{}, lookup: newHistogram()}
+	u.result = Result{Variant: v.Name, Refused: map[string]int{}}
+	if err := u.start(ctx); err != nil {
+		return nil, err
+	}
+	defer u.site.Close()
+	profile, err := startProfile()
+	if err != nil {
+		return nil, err
+	}
+	traffic := u.peerBytes()
+	u.started = time.Now()
+	u.drive(ctx)
+	u.result.Seconds = time.Since(u.started).Seconds()
+	cpu, err := profile.stop()
+	if err != nil {
+		return nil, err
+	}
+	u.result.PeerBytes = u.peerBytes() - traffic
+	u.summarise(cpu)
+	return &u.result, nil
+}
+
+func (u *run) start(ctx context.Context) error {
+	cfg := u.runner.Shape.siteConfig(u.runner.Mix.Seed)
+	if u.variant.Guard != nil {
+		cfg.Guard = *u.variant.Guard
+	}
+	cfg.NodeOpt = append(cfg.NodeOpt, u.variant.NodeOpt...)
+	cfg.NodeOpt = append(cfg.NodeOpt, node.WithOnResume(u.noteResume))
+	var err error
+	if u.site, err = site.Start(cfg); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, 30*time.Second)
+	defer cancel()
+	if err := u.site.AwaitMembers(ctx); err != nil {
+		u.site.Close()
+		return err
+	}
+	var addresses []string
+	for _, n := range u.site.Nodes {
+		addresses = append(addresses, n.Callers)
+	}
+	var rt http.RoundTripper = u.site.Transport()
+	u.client = NewClient(rt, addresses)
+	u.client.FromZero = u.variant.FromZero
+	return nil
+}
+
+func (u *run) noteResume(r node.Resume) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.resumes[r.Generation] = append(u.resumes[r.Generation], r)
+}
+
+func (u *run) peerBytes() int64 {
+	var sum int64
+	for _, n := range u.site.Nodes {
+		sum += n.SentBefore + n.Traffic().Sent.Load()
+	}
+	return sum
+}
+
+// drive sends the whole plan and waits for every answer.
+func (u *run) drive(ctx context.Context) {
+	progress, stop := context.WithCancel(ctx)
+	go u.show(progress)
+	defer stop()
+	var wg sync.WaitGroup
+	wg.Go(func() { u.breakThings(ctx) })
+	for i, a := range u.runner.Mix.arrivals(u.runner.Shape) {
+		if !sleep(ctx, time.Until(u.started.Add(a.at))) {
+			break
+		}
+		wg.Go(func() { u.serve(ctx, i, a) })
+	}
+	wg.Wait()
+}
+
+func (u *run) serve(ctx context.Context, n int, a arrival) {
+	u.open.Add(1)
+	defer u.open.Add(-1)
+	defer u.done.Add(1)
+	key := site.KeyOf(u.runner.Shape.account(a.account))
+	if a.lookup {
+		u.serveLookup(ctx, key, n, a)
+		return
+	}
+	d := u.client.Draft(ctx, Draft{
+		APIKey: key, Model: standin.DefaultEngineConfig().Model, Prompt: a.prompt, MaxTokens: a.output, First: a.node,
+	})
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.drafts = append(u.drafts, d)
+}
+
+// serveLookup calls the plain service, once more at another node where the
+// first refuses or is gone.
+func (u *run) serveLookup(ctx context.Context, key string, n int, a arrival) {
+	began := time.Now()
+	var err error
+	for try := range 3 {
+		path := fmt.Sprintf("%s/lookup/%d", site.ServiceName, n)
+		if _, err = u.client.Call(ctx, Call{APIKey: key, Method: http.MethodGet, Path: path, First: a.node + try}); err == nil {
+			break
+		}
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if err != nil {
+		u.result.LookupsFailed++
+		return
+	}
+	u.lookup.add(time.Since(began))
+}
+
+// show prints a line of progress a second.
+func (u *run) show(ctx context.Context) {
+	for u.runner.Progress != nil && sleep(ctx, time.Second) {
+		fmt.Fprintf(u.runner.Progress, "\r%-10s %4.0fs  open %4d  done %6d ", u.variant.Name, time.Since(u.started).Seconds(), u.open.Load(), u.done.Load())
+	}
+}
+
+// breakThings carries out the failure plan.
+func (u *run) breakThings(ctx context.Context) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, f := range u.runner.Mix.Failures {
+		if !sleep(ctx, time.Until(u.started.Add(f.At))) {
+			return
+		}
+		strike := u.rng.Uint64()
+		wg.Go(func() { u.strike(ctx, f, strike) })
+	}
+}
+
+func (u *run) strike(ctx context.Context, f Failure, draw uint64) {
+	engine := u.site.Engines[draw%uint64(len(u.site.Engines))]
+	n := u.site.Nodes[draw%uint64(len(u.site.Nodes))]
+	switch f.Kind {
+	case KillEngine:
+		u.outage(ctx, f.For, engine.Kill, engine.Start)
+	case StallEngine:
+		engine.SetFault(standin.Fault{Kind: standin.FaultStall, For: f.For})
+	case ResetEngine:
+		engine.SetFault(standin.Fault{Kind: standin.FaultReset, AtToken: 50})
+	case KillNode:
+		u.outage(ctx, f.For, n.Kill, n.Start)
+	case StopNode:
+		u.outage(ctx, f.For, func() { n.Stop(ctx) }, n.Start)
+	case KillHall:
+		u.strikeHall(ctx, f, u.site.Engines[draw%uint64(len(u.site.Engines))].Target.DataHall)
+	}
+}
+
+func (u *run) strikeHall(ctx context.Context, f Failure, hall walnutramp.DataHall) {
+	var wg sync.WaitGroup
+	for _, e := range u.site.Engines {
+		if e.Target.DataHall == hall {
+			wg.Go(func() { u.outage(ctx, f.For, e.Kill, e.Start) })
+		}
+	}
+	wg.Wait()
+}
+
+// outage ends something and starts it again after a while.
+func (u *run) outage(ctx context.Context, d time.Duration, end func(), start func() error) {
+	end()
+	sleep(ctx, d)
+	if err := start(); err != nil {
+		fmt.Fprintln(u.progress(), "could not start again:", err)
+	}
+}
+
+func (u *run) progress() io.Writer {
+	if u.runner.Progress == nil {
+		return io.Discard
+	}
+	return u.runner.Progress
+}
+
+// summarise turns drafts into figures.
+func (u *run) summarise(cpu map[string]time.Duration) {
+	res := &u.result
+	all, engine, nodes := newHistogram(), newHistogram(), newHistogram()
+	first, between := newHistogram(), newHistogram()
+	for i := range u.drafts {
+		d := &u.drafts[i]
+		res.addDraft(d)
+		if d.FirstToken > 0 {
+			first.add(d.FirstToken)
+		}
+		u.addGaps(d, all, engine, nodes)
+		for j := 1; j < len(d.Arrivals); j++ {
+			between.add(d.Arrivals[j].Sub(d.Arrivals[j-1]))
+		}
+	}
+	res.ResumeGap, res.EngineGap, res.NodeGap = all.figures(), engine.figures(), nodes.figures()
+	res.FirstToken, res.BetweenTokens, res.Lookup = first.figures(), between.figures(), u.lookup.figures()
+	for _, e := range u.site.Engines {
+		res.Decoded += e.DecodedBefore + e.Counts().Decoded
+	}
+	res.TwiceDecoded = max(res.Decoded-res.Verdict.Tokens, 0)
+	for _, rs := range u.resumes {
+		for _, r := range rs {
+			res.Recomputed += r.Recomputed
+		}
+	}
+	res.addCosts(cpu)
+}
+
+func (r *Result) addDraft(d *Drafted) {
+	r.Drafts++
+	r.Verdict.Add(d.Verdict)
+	r.Reconnects += d.Reconnects
+	r.Restarts += d.Restarts
+	if d.Complete {
+		r.Complete++
+	} else if d.Refused != nil {
+		r.Refused[fmt.Sprintf("%d %s", d.Refused.Code, d.Refused.Outcome)]++
+	} else {
+		r.Refused["no answer"]++
+	}
+}
+
+// addGaps notes each pause in which the draft was moved: seen by the node as
+// a resume, or by the caller as a lost connection.
+func (u *run) addGaps(d *Drafted, all, engine, nodes *histogram) {
+	seen := map[time.Duration]bool{}
+	for _, t := range d.Moves {
+		if gap, ok := d.GapAt(t); ok && !seen[gap] {
+			seen[gap] = true
+			all.add(gap)
+			nodes.add(gap)
+		}
+	}
+	for _, r := range u.resumes[d.ID] {
+		if gap, ok := d.GapAt(r.At); ok && !seen[gap] {
+			seen[gap] = true
+			all.add(gap)
+			engine.add(gap)
+		}
+	}
+}
+
+func (r *Result) addCosts(cpu map[string]time.Duration) {
+	thousands := float64(r.Verdict.Tokens) / 1000
+	if thousands == 0 {
+		return
+	}
+	ms := func(part string) float64 { return float64(cpu[part].Microseconds()) / 1000 }
+	r.BytesPer1k = float64(r.PeerBytes) / thousands
+	r.GuardCPU = ms("guard") / thousands
+	r.CallersCPU = ms("callers") / thousands
+	r.ControlCPU = ms("control") / r.Seconds
+	if sum := ms("guard") + ms("callers") + ms("control"); sum > 0 {
+		r.GuardShare = ms("guard") / sum
+	}
+}
+
+// RunAll runs every variant in turn.
+func (r *Runner) RunAll(ctx context.Context, variants []Variant) ([]*Result, error) {
+	var results []*Result
+	for _, v := range variants {
+		res, err := r.Run(ctx, v)
+		if err != nil {
+			return results, errors.Wrapf(err, "variant %s", v.Name)
+		}
+		results = append(results, res)
+	}
+	return results, nil
+}
--- a/member/detector.go
+++ b/member/detector.go
@@ -144,7 +144,25 @@
 	}
 }
 
+// join makes the node known to a few others at once; the rest hear of it
+// from them.
+func (d *Detector) join(ctx context.Context) {
+	nodes := d.All()
+	d.mu.Lock()
+	d.rng.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	d.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, n := range nodes[:min(len(nodes), joinWidth)] {
+		wg.Go(func() { d.ping(ctx, n.Name) })
+	}
+	wg.Wait()
+}
+
+// joinWidth is how many nodes are told at once of a new one.
+const joinWidth = 8
+
 func (d *Detector) run(ctx context.Context) {
+	d.join(ctx)
 	for {
 		d.probe(ctx)
 		now := time.Now()
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -9,15 +9,24 @@
 	"github.com/walnutramp/walnutramp"
 )
 
+// Resume is a generation that was taken up again.
+type Resume struct {
+	Generation walnutramp.GenerationID
+	How        string
+	At         time.Time
+	Recomputed int // tokens
+}
+
 // metricSet is one node's metrics; several nodes may run in one process.
 type metricSet struct {
 	set      *metrics.Set
+	onResume func(Resume)
 	takeover *metrics.Counter
 	refused  *metrics.Counter
 }
 
 func newMetricSet(n *Node) *metricSet {
-	m := &metricSet{set: metrics.NewSet()}
+	m := &metricSet{set: metrics.NewSet(), onResume: n.cfg.OnResume}
 	m.takeover = m.set.NewCounter("walnutramp_takeovers_total")
 	m.refused = m.set.NewCounter("walnutramp_takeovers_refused_total")
 	m.set.NewGauge("walnutramp_generations_held", func() float64 { return float64(n.generations.Store().Len()) })
@@ -56,9 +65,12 @@
 }
 
 // Resumed implements generation.Observer.
-func (m *metricSet) Resumed(how string, gap time.Duration, recomputed int) {
+func (m *metricSet) Resumed(id walnutramp.GenerationID, how string, gap time.Duration, recomputed int) {
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`walnutramp_resume_seconds{how=%q}`, how)).Update(gap.Seconds())
 	m.set.GetOrCreateCounter("walnutramp_recomputed_tokens_total").Add(recomputed)
+	if m.onResume != nil {
+		m.onResume(Resume{Generation: id, How: how, At: time.Now(), Recomputed: recomputed})
+	}
 }
 
 // TookOver implements generation.Observer.
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/caller"
 	"github.com/walnutramp/walnutramp/generation"
+	"github.com/walnutramp/walnutramp/internal/part"
 	"github.com/walnutramp/walnutramp/member"
 	"github.com/walnutramp/walnutramp/peer"
 	"github.com/walnutramp/walnutramp/route"
@@ -44,6 +45,7 @@
 	GenerationOpt []generation.Option
 	RouteOpt      []route.Option
 	Ledger        caller.Ledger
+	OnResume      func(Resume) // told of every resume
 }
 
 // Option sets a field of Config.
@@ -83,6 +85,9 @@
 // WithStopDeadline sets how long running work may go on after Stop.
 func WithStopDeadline(d time.Duration) Option { return func(c *Config) { c.StopDeadline = d } }
 
+// WithOnResume gives who is told of every resume.
+func WithOnResume(f func(Resume)) Option { return func(c *Config) { c.OnResume = f } }
+
 // WithGenerationOptions passes options on to the generation manager.
 func WithGenerationOptions(opts ...generation.Option) Option {
 	return func(c *Config) { c.GenerationOpt = append(c.GenerationOpt, opts...) }
@@ -152,7 +157,8 @@
 	n.peers = peer.NewClient(self, n.cfg.Dial, addresses{n}, &n.traffic)
 	n.peerServer = peer.NewServer(self, &n.traffic)
 	me := member.Node{Name: n.cfg.Name, DataHall: n.cfg.DataHall, Address: n.cfg.PeerAddress, Incarnation: n.cfg.Incarnation}
-	n.members = member.NewDetector(me, n.cfg.Peers, n.peers, member.WithPeriod(n.cfg.ProbePeriod), member.WithSeed(n.cfg.Seed))
+	n.members = member.NewDetector(me, n.cfg.Peers, n.peers, member.WithPeriod(n.cfg.ProbePeriod), member.WithSeed(n.cfg.Seed),
+		member.WithOnChange(func(member.Node) { n.generations.MembersChanged() }))
 }
 
 // addresses delays the look-up until the member list exists.
@@ -223,10 +229,11 @@
 
 // Live implements generation.Directory.
 func (d directory) Live() []generation.Node {
-	live := d.n.members.Live()
-	nodes := make([]generation.Node, len(live))
-	for i, m := range live {
-		nodes[i] = asReplica(m)
+	var nodes []generation.Node
+	for _, m := range d.n.members.Live() {
+		if m.Status == member.Alive {
+			nodes = append(nodes, asReplica(m))
+		}
 	}
 	return nodes
 }
@@ -246,19 +253,21 @@
 	if err := n.peerServer.Register(member.Service, n.members.Handler()); err != nil {
 		return err
 	}
-	n.apply(n.cfg.Bundle)
-	n.task(func() { n.peerServer.Serve(peers) })
-	n.task(func() { n.http.Serve(callers) })
-	n.members.Start()
+	n.task(part.Guard, func() { n.peerServer.Serve(peers) })
+	n.task(part.Callers, func() { n.http.Serve(callers) })
+	part.Do(part.Control, func() {
+		n.members.Start()
+		n.apply(n.cfg.Bundle)
+	})
 	klog.InfoS("Node started", "node", n.cfg.Name, "hall", n.cfg.DataHall, "bundle", n.cfg.Bundle.Version)
 	return nil
 }
 
-func (n *Node) task(f func()) {
+func (n *Node) task(name string, f func()) {
 	n.tasks.Add(1)
 	go func() {
 		defer n.tasks.Done()
-		f()
+		part.Do(name, f)
 	}()
 }
 
--- a/node/session_test.go
+++ b/node/session_test.go
@@ -176,7 +176,7 @@
 	s.client = load.NewClient(rt, addresses)
 }
 
-var generationPattern = regexp.MustCompile(`[0-9a-f]{24}`)
+var generationPattern = regexp.MustCompile(`[0-9a-f]{32}`)
 
 // normal replaces what is random: identities. Everything else, times
 // included, is the same in every run.
@@ -295,7 +295,7 @@
 	s.printf("draft %s: complete=%t tokens=%d missing=%d repeated=%d mixed=%d reconnects=%d",
 		name, r.result.Complete, v.Tokens, v.Missing, v.Repeated, v.Mixed, r.result.Reconnects)
 	if bound, err := time.ParseDuration(opts["gap"]); err == nil {
-		s.printf(" gap<%v=%t", bound, slices.Max(append(r.result.Gaps, 0)) < bound)
+		s.printf(" gap<%v=%t", bound, r.result.LongestGap() < bound)
 	}
 	if !r.result.Complete && r.result.Refused != nil {
 		s.printf(" refused=%d outcome=%s", r.result.Refused.Code, r.result.Refused.Outcome)
--- a/standin/token.go
+++ b/standin/token.go
@@ -137,6 +137,9 @@
 	v.Mixed += w.Mixed
 }
 
+// Tokens returns how many tokens an output of the stand-in engine has.
+func Tokens(output string) int { return len(output) / outputTextSize }
+
 // Check reads an output of the stand-in engine for a prompt from its text
 // alone.
 func Check(prompt, output string) Verdict {
