Add the operators' commands, keys, and mutual TLS between nodes

Cause: bundles could only be submitted from tests, and any process could call a node's peers' port.

Change: bundle check|diff|sign|submit|status|history, control found, keys; both ends of a peer connection prove their node by certificates of the site's authority, and the name in the hello must be the certificate's.

--- a/cmd/walnutramp/main.go
+++ b/cmd/walnutramp/main.go
@@ -109,6 +109,9 @@
 		{"demo", "Show a draft that survives its engine and its entry node", &demoCommand{program: p}},
 		{"load", "Drive a site, check every answer and report what callers saw", &loadCommand{program: p}},
 		{"standin", "Run a stand-in of a system around the node", newStandinCommand(p)},
+		{"bundle", "Check, compare, sign, submit and show bundles", newBundleCommand(p)},
+		{"control", "Set up the control group's disks", newControlCommand(p)},
+		{"keys", "Make a site's keys", &keysCommand{program: p}},
 		{"version", "Print the version", &versionCommand{program: p}},
 	}
 	for _, c := range commands {
--- a/cmd/walnutramp/node.go
+++ b/cmd/walnutramp/node.go
@@ -14,8 +14,11 @@
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/consensus"
+	"github.com/walnutramp/walnutramp/keys"
 	"github.com/walnutramp/walnutramp/member"
 	"github.com/walnutramp/walnutramp/node"
+	"github.com/walnutramp/walnutramp/wal"
 	"k8s.io/klog/v2"
 )
 
@@ -28,7 +31,11 @@
 	PeerListen   string        `long:"peer-listen" env:"WALNUTRAMP_PEER_LISTEN" default:"127.0.0.1:7080" description:"numeric IP:port to answer other nodes on"`
 	PeerAddress  string        `long:"peer-address" env:"WALNUTRAMP_PEER_ADDRESS" description:"numeric IP:port at which other nodes reach this one; default as --peer-listen"`
 	Peers        []string      `long:"peer" env:"WALNUTRAMP_PEERS" env-delim:"," description:"another node, as name=hall@IP:port; may be given again"`
-	Bundle       string        `long:"bundle" env:"WALNUTRAMP_BUNDLE" required:"true" description:"file with the bundle"`
+	Bundle       string        `long:"bundle" env:"WALNUTRAMP_BUNDLE" description:"file with the bundle, on sites without a control group"`
+	Control      []string      `long:"control" env:"WALNUTRAMP_CONTROL" env-delim:"," description:"name of a node of the control group; give each of its 3 or 5"`
+	Data         string        `long:"data" env:"WALNUTRAMP_DATA" description:"data folder, on nodes with a disk; made ready with 'control found' on the founders"`
+	Operators    string        `long:"operators" env:"WALNUTRAMP_OPERATORS" description:"file with the operators' public keys, a name and a key on each line"`
+	Keys         string        `long:"keys" env:"WALNUTRAMP_KEYS" description:"folder with the site's keys; without it nodes trust whoever reaches their peer port"`
 	LoadInterval time.Duration `long:"load-interval" env:"WALNUTRAMP_LOAD_INTERVAL" default:"250ms" description:"time between load reports of one target"`
 	ProbePeriod  time.Duration `long:"probe-period" env:"WALNUTRAMP_PROBE_PERIOD" default:"500ms" description:"time between membership probes"`
 	StopDeadline time.Duration `long:"stop-deadline" env:"WALNUTRAMP_STOP_DEADLINE" default:"10m" description:"how long running work may go on after a planned stop was asked for"`
@@ -71,20 +78,82 @@
 	if err != nil {
 		return nil, err
 	}
-	b, err := readBundle("--bundle", c.Bundle)
+	source, err := c.bundleOptions()
 	if err != nil {
 		return nil, err
 	}
-	return []node.Option{
+	secured, err := c.keyOptions()
+	if err != nil {
+		return nil, err
+	}
+	opts := append(source, secured...)
+	return append(opts,
 		node.WithName(walnutramp.NodeName(c.Name), walnutramp.DataHall(c.Hall)),
 		node.WithSite(c.Site),
 		node.WithPeers(c.PeerAddress, peers),
-		node.WithBundle(b),
 		node.WithLoadInterval(c.LoadInterval),
 		node.WithProbePeriod(c.ProbePeriod),
 		node.WithStopDeadline(c.StopDeadline),
 		node.WithSeed(uint64(time.Now().UnixNano())),
-	}, nil
+	), nil
+}
+
+// bundleOptions says where the bundle comes from: a file, or the control
+// group.
+func (c *nodeCommand) bundleOptions() ([]node.Option, error) {
+	if len(c.Control) == 0 {
+		if c.Bundle == "" {
+			return nil, &settingError{"--bundle", "", "a file with a bundle, unless --control names a control group"}
+		}
+		b, err := readBundle("--bundle", c.Bundle)
+		return []node.Option{node.WithBundle(b)}, err
+	}
+	if c.Bundle != "" {
+		return nil, &settingError{"--bundle", c.Bundle, "nothing where --control is given: bundles are submitted"}
+	}
+	if n := len(c.Control); n != 1 && n != 3 && n != 5 {
+		return nil, &settingError{"--control", strings.Join(c.Control, ","), "the names of 1, 3 or 5 nodes"}
+	}
+	file, err := os.ReadFile(c.Operators)
+	if err != nil {
+		return nil, &settingError{"--operators", c.Operators, "a file that can be read"}
+	}
+	operators, err := bundle.ParseOperators(file)
+	if err != nil {
+		return nil, &settingError{"--operators", c.Operators, "a file of names and public keys: " + err.Error()}
+	}
+	opts := []node.Option{node.WithControl(names(c.Control), operators)}
+	if c.Data == "" {
+		return opts, nil
+	}
+	if info, err := os.Stat(c.Data); err != nil || !info.IsDir() {
+		return nil, &settingError{"--data", c.Data, "a folder that exists"}
+	}
+	fatal := consensus.WithOnFatal(func(err error) {
+		klog.ErrorS(err, "The disk failed; the process ends")
+		klog.Flush()
+		os.Exit(exitFailed)
+	})
+	return append(opts, node.WithDisk(wal.Dir(c.Data)), node.WithControlOptions(fatal)), nil
+}
+
+func names(values []string) []walnutramp.NodeName {
+	var ns []walnutramp.NodeName
+	for _, v := range values {
+		ns = append(ns, walnutramp.NodeName(v))
+	}
+	return ns
+}
+
+func (c *nodeCommand) keyOptions() ([]node.Option, error) {
+	if c.Keys == "" {
+		return nil, nil
+	}
+	cfg, err := keys.Load(c.Keys, walnutramp.NodeName(c.Name))
+	if err != nil {
+		return nil, &settingError{"--keys", c.Keys, "a folder made by 'walnutramp keys' with this node's keys (" + err.Error() + ")"}
+	}
+	return []node.Option{node.WithTLS(cfg)}, nil
 }
 
 func checkAddress(setting, value string) error {
--- /dev/null
+++ b/cmd/walnutramp/signature.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"encoding/base64"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/walnutramp/walnutramp/bundle"
+)
+
+func encodeSignature(s bundle.Signature) string { return base64.StdEncoding.EncodeToString(s.Bytes) }
+
+// readSignature reads a signature file: the operator's name, and the
+// signature on the next line.
+func readSignature(file string) (bundle.Signature, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return bundle.Signature{}, errors.Wrap(err, "sign the bundle first")
+	}
+	words := strings.Fields(string(content))
+	if len(words) != 2 {
+		return bundle.Signature{}, errors.Newf("%s is not a signature", file)
+	}
+	raw, err := base64.StdEncoding.DecodeString(words[1])
+	return bundle.Signature{Operator: words[0], Bytes: raw}, errors.Wrapf(err, "%s is not a signature", file)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -51,6 +52,7 @@
 	Control       []walnutramp.NodeName // the control group's founders; empty for none
 	Disk          wal.FS                // the data folder, on nodes that have one
 	Operators     bundle.Operators
+	TLS           *tls.Config // between nodes; nil for none
 	ControlOpt    []consensus.Option
 	OnResume      func(Resume) // told of every resume
 }
@@ -102,6 +104,9 @@
 // control group.
 func WithDisk(fs wal.FS) Option { return func(c *Config) { c.Disk = fs } }
 
+// WithTLS secures the connections between nodes.
+func WithTLS(t *tls.Config) Option { return func(c *Config) { c.TLS = t } }
+
 // WithControlOptions passes options on to the control group's member.
 func WithControlOptions(opts ...consensus.Option) Option {
 	return func(c *Config) { c.ControlOpt = append(c.ControlOpt, opts...) }
@@ -181,7 +186,7 @@
 }
 
 func (n *Node) wirePeers() {
-	self := peer.Identity{Site: n.cfg.Site, Node: n.cfg.Name, Incarnation: n.cfg.Incarnation}
+	self := peer.Identity{Site: n.cfg.Site, Node: n.cfg.Name, Incarnation: n.cfg.Incarnation, TLS: n.cfg.TLS}
 	n.peers = peer.NewClient(self, n.cfg.Dial, addresses{n}, &n.traffic)
 	n.peerServer = peer.NewServer(self, &n.traffic)
 	me := member.Node{Name: n.cfg.Name, DataHall: n.cfg.DataHall, Address: n.cfg.PeerAddress, Incarnation: n.cfg.Incarnation}
--- a/peer/client.go
+++ b/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/rpc"
 	"reflect"
 	"sync"
@@ -156,7 +157,12 @@
 		r.noteFailed()
 		return nil, err
 	}
-	ready, err := exchangeHello(ctx, &countingConn{Conn: conn, traffic: c.traffic, writeLimit: writeTimeout}, c.self, r.node)
+	counted := &countingConn{Conn: conn, traffic: c.traffic, writeLimit: writeTimeout}
+	secured, err := c.self.connect(ctx, counted, r.node)
+	var ready io.ReadWriteCloser
+	if err == nil {
+		ready, err = exchangeHello(ctx, secured, c.self, r.node)
+	}
 	if err != nil {
 		conn.Close()
 		r.noteFailed()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net"
@@ -42,11 +43,13 @@
 // DialFunc opens a connection; net.Dialer.DialContext is one.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Identity is who a node says it is.
+// Identity is who a node says it is. With TLS set, both ends prove it by
+// certificates of the site's authority.
 type Identity struct {
 	Site        string
 	Node        walnutramp.NodeName
 	Incarnation walnutramp.Incarnation
+	TLS         *tls.Config
 }
 
 func (id Identity) hello() hello {
@@ -116,7 +119,11 @@
 	defer s.tasks.Done()
 	defer s.forget(c)
 	counted := &countingConn{Conn: c, traffic: s.traffic}
-	conn, err := exchangeHello(context.Background(), counted, s.self, "")
+	secured, proven, err := s.self.accept(counted)
+	var conn io.ReadWriteCloser
+	if err == nil {
+		conn, err = exchangeHello(context.Background(), secured, s.self, proven)
+	}
 	if err != nil {
 		s.traffic.Strangers.Add(1)
 		klog.V(1).InfoS("Peer refused", "remote", c.RemoteAddr(), "err", err)
@@ -146,6 +153,33 @@
 	s.tasks.Wait()
 }
 
+// accept takes the server's end of a secured connection and returns the node
+// that the far end's certificate names; without TLS that is empty.
+func (id Identity) accept(c net.Conn) (net.Conn, walnutramp.NodeName, error) {
+	if id.TLS == nil {
+		return c, "", nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), helloTimeout)
+	defer cancel()
+	secured := tls.Server(c, id.TLS)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		return nil, "", err
+	}
+	names := secured.ConnectionState().PeerCertificates
+	return secured, walnutramp.NodeName(names[0].Subject.CommonName), nil
+}
+
+// connect takes the client's end of a secured connection to a node.
+func (id Identity) connect(ctx context.Context, c net.Conn, node walnutramp.NodeName) (net.Conn, error) {
+	if id.TLS == nil {
+		return c, nil
+	}
+	cfg := id.TLS.Clone()
+	cfg.ServerName = string(node)
+	secured := tls.Client(c, cfg)
+	return secured, secured.HandshakeContext(ctx)
+}
+
 // exchangeHello says who this side is and checks the other. want is the node
 // expected at the far end, empty for any.
 func exchangeHello(ctx context.Context, c net.Conn, self Identity, want walnutramp.NodeName) (io.ReadWriteCloser, error) {
