Report service-level burn, read the platform's list, bound what a node knows

Change: slo (windows of 5 min, 1 h, 6 h per objective, account and model; kept on nodes with a disk; text, JSON, one HTML page); platform and its stand-in; a node works with at most 48 targets of a model and asks for at most 60 load reports a second; nodes decode accepted bundles without checking them again; news of members is sent on half as often in larger messages.

--- a/bundle/parse.go
+++ b/bundle/parse.go
@@ -77,6 +77,17 @@
 	return &b, nil
 }
 
+// Decode reads a document that the control group has checked and accepted; it
+// is several times cheaper than Parse and finds fewer mistakes.
+func Decode(doc []byte) (*Bundle, error) {
+	var b Bundle
+	if err := yaml.Unmarshal(doc, &b); err != nil {
+		return nil, errors.Wrap(err, "accepted bundle")
+	}
+	b.fillDefaults()
+	return &b, nil
+}
+
 // Digest returns the SHA-256 of the document's bytes as hex.
 func Digest(doc []byte) string {
 	sum := sha256.Sum256(doc)
--- a/cmd/walnutramp/load.go
+++ b/cmd/walnutramp/load.go
@@ -14,20 +14,26 @@
 // settleTime is how long requests may go on after the last has arrived.
 const settleTime = 30 * time.Second
 
+// loadCommand drives a site, or measures what one costs.
 type loadCommand struct {
 	*program
-	Shape    string        `long:"shape" env:"WALNUTRAMP_LOAD_SHAPE" default:"small" choice:"small" choice:"tortuguero" choice:"po-valley" description:"the site that is run and driven"`
-	Seed     uint64        `long:"seed" env:"WALNUTRAMP_LOAD_SEED" default:"1" description:"of the mix and the failures"`
-	Duration time.Duration `long:"duration" env:"WALNUTRAMP_LOAD_DURATION" default:"20s" description:"for which new requests arrive"`
-	Drafts   float64       `long:"drafts" env:"WALNUTRAMP_LOAD_DRAFTS" default:"10" description:"long generations that arrive a second"`
-	Lookups  float64       `long:"lookups" env:"WALNUTRAMP_LOAD_LOOKUPS" default:"20" description:"service calls that arrive a second"`
-	Output   int           `long:"output" env:"WALNUTRAMP_LOAD_OUTPUT" default:"150" description:"mean length of a draft in tokens"`
-	Prompt   int           `long:"prompt" env:"WALNUTRAMP_LOAD_PROMPT" default:"300" description:"mean length of a prompt in tokens"`
-	Failures string        `long:"failures" env:"WALNUTRAMP_LOAD_FAILURES" default:"kill-engine*3,stall-engine*2" description:"plan: kind@time[+outage] or kind*n, by commas; kinds are kill-engine, stall-engine, reset-engine, kill-node, stop-node, kill-hall"`
-	Variants string        `long:"variants" env:"WALNUTRAMP_LOAD_VARIANTS" default:"guarded,unguarded,from-zero" description:"what to run side by side"`
-	JSON     bool          `long:"json" description:"end with one JSON object on the last line"`
-	Profile  string        `long:"cpu-profile" description:"write the processor profile of the last variant to this file"`
-	Plot     string        `long:"plot" description:"write a self-contained HTML page with plots to this file"`
+	Capacity capacityCommand `command:"capacity" description:"measure how costs grow with a site's size"`
+	Shape    string          `long:"shape" env:"WALNUTRAMP_LOAD_SHAPE" default:"small" choice:"small" choice:"tortuguero" choice:"po-valley" description:"the site that is run and driven"`
+	Seed     uint64          `long:"seed" env:"WALNUTRAMP_LOAD_SEED" default:"1" description:"of the mix and the failures"`
+	Duration time.Duration   `long:"duration" env:"WALNUTRAMP_LOAD_DURATION" default:"20s" description:"for which new requests arrive"`
+	Drafts   float64         `long:"drafts" env:"WALNUTRAMP_LOAD_DRAFTS" default:"10" description:"long generations that arrive a second"`
+	Lookups  float64         `long:"lookups" env:"WALNUTRAMP_LOAD_LOOKUPS" default:"20" description:"service calls that arrive a second"`
+	Output   int             `long:"output" env:"WALNUTRAMP_LOAD_OUTPUT" default:"150" description:"mean length of a draft in tokens"`
+	Prompt   int             `long:"prompt" env:"WALNUTRAMP_LOAD_PROMPT" default:"300" description:"mean length of a prompt in tokens"`
+	Failures string          `long:"failures" env:"WALNUTRAMP_LOAD_FAILURES" default:"kill-engine*3,stall-engine*2" description:"plan: kind@time[+outage] or kind*n, by commas; kinds are kill-engine, stall-engine, reset-engine, kill-node, stop-node, kill-hall"`
+	Variants string          `long:"variants" env:"WALNUTRAMP_LOAD_VARIANTS" default:"guarded,unguarded,from-zero" description:"what to run side by side"`
+	JSON     bool            `long:"json" description:"end with one JSON object on the last line"`
+	Profile  string          `long:"cpu-profile" description:"write the processor profile of the last variant to this file"`
+	Plot     string          `long:"plot" description:"write a self-contained HTML page with plots to this file"`
+}
+
+func newLoadCommand(p *program) *loadCommand {
+	return &loadCommand{program: p, Capacity: capacityCommand{program: p}}
 }
 
 // Execute implements flags.Commander.
--- a/cmd/walnutramp/main.go
+++ b/cmd/walnutramp/main.go
@@ -107,17 +107,20 @@
 	}{
 		{"node", "Run an entry node", &nodeCommand{program: p}},
 		{"demo", "Show a draft that survives its engine and its entry node", &demoCommand{program: p}},
-		{"load", "Drive a site, check every answer and report what callers saw", &loadCommand{program: p}},
+		{"load", "Drive a site, check every answer and report what callers saw", newLoadCommand(p)},
 		{"standin", "Run a stand-in of a system around the node", newStandinCommand(p)},
 		{"bundle", "Check, compare, sign, submit and show bundles", newBundleCommand(p)},
 		{"control", "Set up the control group's disks", newControlCommand(p)},
 		{"keys", "Make a site's keys", &keysCommand{program: p}},
+		{"report", "Show how fast objectives burn what they may fail", &reportCommand{program: p}},
 		{"version", "Print the version", &versionCommand{program: p}},
 	}
 	for _, c := range commands {
-		if _, err := parser.AddCommand(c.name, c.short, "", c.data); err != nil {
+		added, err := parser.AddCommand(c.name, c.short, "", c.data)
+		if err != nil {
 			return err
 		}
+		_, added.SubcommandsOptional = c.data.(flags.Commander)
 	}
 	return nil
 }
--- a/cmd/walnutramp/node.go
+++ b/cmd/walnutramp/node.go
@@ -36,7 +36,8 @@
 	Data         string        `long:"data" env:"WALNUTRAMP_DATA" description:"data folder, on nodes with a disk; made ready with 'control found' on the founders"`
 	Operators    string        `long:"operators" env:"WALNUTRAMP_OPERATORS" description:"file with the operators' public keys, a name and a key on each line"`
 	Keys         string        `long:"keys" env:"WALNUTRAMP_KEYS" description:"folder with the site's keys; without it nodes trust whoever reaches their peer port"`
-	LoadInterval time.Duration `long:"load-interval" env:"WALNUTRAMP_LOAD_INTERVAL" default:"250ms" description:"time between load reports of one target"`
+	Platform     string        `long:"platform" env:"WALNUTRAMP_PLATFORM" description:"URL of the platform's list of instances, with a numeric address"`
+	LoadInterval time.Duration `long:"load-interval" env:"WALNUTRAMP_LOAD_INTERVAL" default:"500ms" description:"shortest time between load reports of one target"`
 	ProbePeriod  time.Duration `long:"probe-period" env:"WALNUTRAMP_PROBE_PERIOD" default:"500ms" description:"time between membership probes"`
 	StopDeadline time.Duration `long:"stop-deadline" env:"WALNUTRAMP_STOP_DEADLINE" default:"10m" description:"how long running work may go on after a planned stop was asked for"`
 	Check        bool          `long:"check" description:"check the settings and the bundle, and end"`
@@ -90,6 +91,7 @@
 	return append(opts,
 		node.WithName(walnutramp.NodeName(c.Name), walnutramp.DataHall(c.Hall)),
 		node.WithSite(c.Site),
+		node.WithPlatform(c.Platform),
 		node.WithPeers(c.PeerAddress, peers),
 		node.WithLoadInterval(c.LoadInterval),
 		node.WithProbePeriod(c.ProbePeriod),
--- a/cmd/walnutramp/standin.go
+++ b/cmd/walnutramp/standin.go
@@ -14,12 +14,13 @@
 
 // standinCommand groups the stand-ins.
 type standinCommand struct {
-	Engine  engineCommand  `command:"engine" description:"a model engine"`
-	Service serviceCommand `command:"service" description:"a plain service"`
+	Engine   engineCommand   `command:"engine" description:"a model engine"`
+	Service  serviceCommand  `command:"service" description:"a plain service"`
+	Platform platformCommand `command:"platform" description:"the platform's list of instances"`
 }
 
 func newStandinCommand(p *program) *standinCommand {
-	return &standinCommand{Engine: engineCommand{program: p}, Service: serviceCommand{program: p}}
+	return &standinCommand{Engine: engineCommand{program: p}, Service: serviceCommand{program: p}, Platform: platformCommand{program: p}}
 }
 
 // server is a stand-in that can be served and ended.
@@ -83,3 +84,14 @@
 func (c *serviceCommand) Execute([]string) error {
 	return serveUntilSignal(c.Listen, standin.NewService(standin.ServiceConfig{Delay: c.Delay}))
 }
+
+type platformCommand struct {
+	*program
+	Listen string        `long:"listen" env:"WALNUTRAMP_STANDIN_LISTEN" default:"127.0.0.1:9201" description:"numeric IP:port"`
+	Lag    time.Duration `long:"lag" env:"WALNUTRAMP_STANDIN_LAG" default:"2s" description:"how old its answers are"`
+}
+
+// Execute implements flags.Commander.
+func (c *platformCommand) Execute([]string) error {
+	return serveUntilSignal(c.Listen, standin.NewPlatform(c.Lag))
+}
--- a/control/client.go
+++ b/control/client.go
@@ -157,7 +157,7 @@
 			c.mu.Unlock()
 			return c.takeWhole()
 		}
-		b, err := bundle.Parse(next)
+		b, err := bundle.Decode(next)
 		if err != nil || bundle.Digest(next) != r.Digest {
 			klog.ErrorS(err, "Bundle not taken", "version", r.Version)
 			return false
--- a/generation/manager.go
+++ b/generation/manager.go
@@ -71,6 +71,8 @@
 	// Resumed notes how a broken generation was taken up again, how long the
 	// search for a stream took, and how many tokens are computed again.
 	Resumed(id walnutramp.GenerationID, how string, took time.Duration, recomputed int)
+	// ResumeGap notes how long a generation's output stood still in a resume.
+	ResumeGap(account walnutramp.ClientAccount, model walnutramp.ModelName, gap time.Duration)
 	// TookOver notes a takeover from another node.
 	TookOver(err error)
 }
@@ -141,8 +143,9 @@
 
 type ignore struct{}
 
-func (ignore) Resumed(walnutramp.GenerationID, string, time.Duration, int) {}
-func (ignore) TookOver(error)                                              {}
+func (ignore) Resumed(walnutramp.GenerationID, string, time.Duration, int)             {}
+func (ignore) ResumeGap(walnutramp.ClientAccount, walnutramp.ModelName, time.Duration) {}
+func (ignore) TookOver(error)                                                          {}
 
 // poolSize bounds side jobs: cancels, exports, searches.
 const poolSize = 64
--- a/generation/run.go
+++ b/generation/run.go
@@ -170,6 +170,13 @@
 	return a, nil
 }
 
+func (g *Generation) noteGap(gap time.Duration) {
+	g.rec.mu.Lock()
+	account, model := g.rec.state.Spec.Account, g.rec.state.Spec.Model
+	g.rec.mu.Unlock()
+	g.m.cfg.Observe.ResumeGap(account, model, gap)
+}
+
 type received struct {
 	chunk target.Chunk
 	err   error
@@ -200,6 +207,9 @@
 			}
 			if took > 0 {
 				now := time.Now()
+				if last.Equal(began) && a.source.Base > 0 {
+					g.noteGap(now.Sub(began))
+				}
 				a.grant.Tokens(now.Sub(last))
 				last = now
 				limit.Reset(a.grant.SilenceLimit())
--- a/internal/site/network.go
+++ b/internal/site/network.go
@@ -49,7 +49,8 @@
 	Client  time.Duration // one way, between callers and the site
 
 	mu   sync.Mutex
-	hall map[string]string // by host, and by address
+	hall map[string]string       // by host, and by address
+	held map[string]net.Listener // reserved and not yet asked for
 }
 
 // ClientHost is the host name that callers dial from.
@@ -57,25 +58,41 @@
 
 // Reserve implements Network.
 func (l *Loopback) Reserve(host, hall string) (string, error) {
-	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	held, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
-	address := probe.Addr().String()
-	probe.Close()
+	address := held.Addr().String()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.hall == nil {
 		l.hall = map[string]string{}
+		l.held = map[string]net.Listener{}
 	}
+	l.held[address] = held
 	l.hall[host] = hall
 	l.hall[address] = hall
 	return address, nil
 }
 
+// listenPatience is how long a port that was closed may stay taken.
+const listenPatience = 5 * time.Second
+
 // Listen implements Network.
 func (l *Loopback) Listen(_, address string) (net.Listener, error) {
-	return net.Listen("tcp", address)
+	l.mu.Lock()
+	held := l.held[address]
+	delete(l.held, address)
+	l.mu.Unlock()
+	if held != nil {
+		return held, nil
+	}
+	for began := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+		again, err := net.Listen("tcp", address)
+		if err == nil || time.Since(began) > listenPatience {
+			return again, err
+		}
+	}
 }
 
 // Dialer implements Network.
--- /dev/null
+++ b/load/capacity.go
@@ -0,0 +1,371 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/internal/part"
+	"github.com/walnutramp/walnutramp/internal/site"
+	"go.yaml.in/yaml/v3"
+	"gonum.org/v1/gonum/stat"
+)
+
+// Point is one measurement of a slope.
+type Point struct {
+	X float64 `json:"x"`
+	Y float64 `json:"y"`
+}
+
+// Slope is how a cost grows with a size, from measured points and their
+// straight-line fit.
+type Slope struct {
+	Name   string  `json:"name"`
+	X      string  `json:"x_unit"`
+	Y      string  `json:"y_unit"`
+	Points []Point `json:"points"`
+	Base   float64 `json:"base"`
+	PerX   float64 `json:"per_x"`
+	R2     float64 `json:"r2"`
+	Spread float64 `json:"spread"` // largest distance of a point from the fit
+}
+
+// At is the fit's value for a size.
+func (s *Slope) At(x float64) float64 { return s.Base + s.PerX*x }
+
+func (s *Slope) fit() {
+	xs, ys := make([]float64, len(s.Points)), make([]float64, len(s.Points))
+	for i, p := range s.Points {
+		xs[i], ys[i] = p.X, p.Y
+	}
+	s.Base, s.PerX = stat.LinearRegression(xs, ys, nil, false)
+	s.R2 = stat.RSquared(xs, ys, nil, s.Base, s.PerX)
+	for _, p := range s.Points {
+		s.Spread = max(s.Spread, max(p.Y-s.At(p.X), s.At(p.X)-p.Y))
+	}
+}
+
+// Capacity is everything a capacity run measured.
+type Capacity struct {
+	Machine string  `json:"machine"`
+	Seconds float64 `json:"seconds"` // of each measurement
+	Slopes  []Slope `json:"slopes"`
+}
+
+// Names of the slopes.
+const (
+	SlopeMembersCPU    = "control processor time per node, by members"
+	SlopeMembersBytes  = "control bytes per node, by members"
+	SlopeMembersMemory = "memory per node, by members"
+	SlopeTargetsCPU    = "control processor time per node, by targets"
+	SlopeChangesCPU    = "control processor time per node, by changes"
+	SlopeChangesBytes  = "control bytes per node, by changes"
+	SlopeInForce       = "time from accepted to in force on the last node, by members"
+	SlopeParse         = "processor time to take a change, by targets in the bundle"
+	SlopeDelta         = "bytes of a change of one target, by targets in the bundle"
+	SlopeBundleMemory  = "memory of a bundle, by its targets"
+)
+
+// Meter measures slopes.
+type Meter struct {
+	Duration time.Duration // of each measurement
+	Members  []int
+	Targets  []int
+	Changes  []int // a second
+	Progress io.Writer
+}
+
+// idle is what a site without callers spends, per node.
+type idle struct {
+	cpu     float64 // ms a second, of the parts control and guard
+	bytes   float64 // a second, sent and received
+	memory  float64 // MB of heap
+	inForce time.Duration
+}
+
+// Run measures every slope.
+func (m *Meter) Run(ctx context.Context) (*Capacity, error) {
+	c := &Capacity{Machine: fmt.Sprintf("%d processors, %s", runtime.NumCPU(), runtime.Version()), Seconds: m.Duration.Seconds()}
+	for _, measure := range []func(context.Context) ([]Slope, error){m.byMembers, m.byTargets, m.byChanges, m.byBundle} {
+		slopes, err := measure(ctx)
+		if err != nil {
+			return nil, err
+		}
+		c.Slopes = append(c.Slopes, slopes...)
+	}
+	for i := range c.Slopes {
+		c.Slopes[i].fit()
+	}
+	return c, nil
+}
+
+// How long a new site takes until its nodes have no news of each other left.
+const (
+	settleBase    = 2 * time.Second
+	settlePerNode = 150 * time.Millisecond
+)
+
+const (
+	capacityControl = 5 // members of the control group
+	capacityTargets = 4
+	capacityNodes   = 12
+)
+
+func (m *Meter) byMembers(ctx context.Context) ([]Slope, error) {
+	cpu := Slope{Name: SlopeMembersCPU, X: "members", Y: "ms/s"}
+	bytes := Slope{Name: SlopeMembersBytes, X: "members", Y: "bytes/s"}
+	memory := Slope{Name: SlopeMembersMemory, X: "members", Y: "MB"}
+	inForce := Slope{Name: SlopeInForce, X: "members", Y: "ms"}
+	for _, n := range m.Members {
+		i, err := m.idle(ctx, n, capacityTargets, 0)
+		if err != nil {
+			return nil, err
+		}
+		x := float64(n)
+		cpu.Points = append(cpu.Points, Point{x, i.cpu})
+		bytes.Points = append(bytes.Points, Point{x, i.bytes})
+		memory.Points = append(memory.Points, Point{x, i.memory})
+		inForce.Points = append(inForce.Points, Point{x, float64(i.inForce.Microseconds()) / 1000})
+	}
+	return []Slope{cpu, bytes, memory, inForce}, nil
+}
+
+func (m *Meter) byTargets(ctx context.Context) ([]Slope, error) {
+	cpu := Slope{Name: SlopeTargetsCPU, X: "targets", Y: "ms/s"}
+	for _, n := range m.Targets {
+		i, err := m.idle(ctx, capacityNodes, n, 0)
+		if err != nil {
+			return nil, err
+		}
+		cpu.Points = append(cpu.Points, Point{float64(n), i.cpu})
+	}
+	return []Slope{cpu}, nil
+}
+
+func (m *Meter) byChanges(ctx context.Context) ([]Slope, error) {
+	cpu := Slope{Name: SlopeChangesCPU, X: "changes/s", Y: "ms/s"}
+	bytes := Slope{Name: SlopeChangesBytes, X: "changes/s", Y: "bytes/s"}
+	for _, n := range m.Changes {
+		i, err := m.idle(ctx, capacityNodes, capacityTargets, n)
+		if err != nil {
+			return nil, err
+		}
+		cpu.Points = append(cpu.Points, Point{float64(n), i.cpu})
+		bytes.Points = append(bytes.Points, Point{float64(n), i.bytes})
+	}
+	return []Slope{cpu, bytes}, nil
+}
+
+// idle runs a site without callers and measures what each node spends.
+func (m *Meter) idle(ctx context.Context, nodes, targets, changes int) (idle, error) {
+	if m.Progress != nil {
+		fmt.Fprintf(m.Progress, "%d nodes, %d targets, %d changes a second\n", nodes, targets, changes)
+	}
+	before := heapInUse()
+	cfg := site.Default()
+	cfg.Nodes, cfg.Engines, cfg.Control = nodes, targets, capacityControl
+	s, err := site.Start(cfg)
+	if err != nil {
+		return idle{}, err
+	}
+	defer s.Close()
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Minute)
+	defer cancel()
+	if err := s.AwaitMembers(ctx); err != nil {
+		return idle{}, err
+	}
+	sleep(ctx, settleBase+time.Duration(nodes)*settlePerNode)
+	took, err := m.changeAll(ctx, s)
+	if err != nil {
+		return idle{}, err
+	}
+	return m.measure(ctx, s, changes, before, took)
+}
+
+func (m *Meter) measure(ctx context.Context, s *site.Site, changes int, heapBefore uint64, took time.Duration) (idle, error) {
+	sent, received := traffic(s)
+	p, err := startProfile("")
+	if err != nil {
+		return idle{}, err
+	}
+	began := time.Now()
+	if err := m.keepChanging(ctx, s, changes); err != nil {
+		return idle{}, err
+	}
+	seconds := time.Since(began).Seconds()
+	cpu, err := p.stop()
+	if err != nil {
+		return idle{}, err
+	}
+	sentNow, receivedNow := traffic(s)
+	n := float64(len(s.Nodes))
+	return idle{
+		cpu:     float64((cpu[part.Control] + cpu[part.Guard]).Microseconds()) / 1000 / seconds / n,
+		bytes:   float64(sentNow-sent+receivedNow-received) / seconds / n,
+		memory:  float64(heapInUse()-min(heapBefore, heapInUse())) / (1 << 20) / n,
+		inForce: took,
+	}, nil
+}
+
+func traffic(s *site.Site) (sent, received int64) {
+	for _, n := range s.Nodes {
+		sent += n.Traffic().Sent.Load()
+		received += n.Traffic().Received.Load()
+	}
+	return sent, received
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapInuse + stats.StackInuse
+}
+
+// changeAll submits one bundle and returns how long after its acceptance the
+// last node has it in force.
+func (m *Meter) changeAll(ctx context.Context, s *site.Site) (time.Duration, error) {
+	b := *s.Bundle
+	b.Version++
+	if err := s.Submit(ctx, 0, &b); err != nil {
+		return 0, err
+	}
+	s.Bundle = &b
+	accepted := time.Now()
+	for _, n := range s.Nodes {
+		for n.BundleVersion() < b.Version {
+			if !sleep(ctx, 200*time.Microsecond) {
+				return 0, errors.New("a bundle did not come into force everywhere")
+			}
+		}
+	}
+	return time.Since(accepted), nil
+}
+
+// keepChanging submits bundles at a rate for the meter's duration.
+func (m *Meter) keepChanging(ctx context.Context, s *site.Site, perSecond int) error {
+	if perSecond == 0 {
+		sleep(ctx, m.Duration)
+		return nil
+	}
+	end := time.Now().Add(m.Duration)
+	for time.Now().Before(end) {
+		next := time.Now().Add(time.Second / time.Duration(perSecond))
+		if _, err := m.changeAll(ctx, s); err != nil {
+			return err
+		}
+		sleep(ctx, time.Until(next))
+	}
+	return nil
+}
+
+// byBundle measures what one changed target costs each node, by how many the
+// bundle has.
+func (m *Meter) byBundle(context.Context) ([]Slope, error) {
+	parse := Slope{Name: SlopeParse, X: "targets", Y: "ms"}
+	delta := Slope{Name: SlopeDelta, X: "targets", Y: "bytes"}
+	memory := Slope{Name: SlopeBundleMemory, X: "targets", Y: "MB"}
+	for _, n := range []int{100, 400, 1600, 3200} {
+		b := largeBundle(n)
+		doc, err := yaml.Marshal(b)
+		if err != nil {
+			return nil, err
+		}
+		b.Version, b.Targets[n/2].Slots = 2, 17
+		next, err := yaml.Marshal(b)
+		if err != nil {
+			return nil, err
+		}
+		d := bundle.NewDelta(1, doc, 2, next)
+		took, parsed, err := takeChange(d, doc)
+		if err != nil {
+			return nil, err
+		}
+		x := float64(n)
+		parse.Points = append(parse.Points, Point{x, float64(took.Microseconds()) / 1000})
+		delta.Points = append(delta.Points, Point{x, deltaBytes(d)})
+		memory.Points = append(memory.Points, Point{x, (float64(len(doc)) + parsed) / (1 << 20)})
+	}
+	return []Slope{parse, delta, memory}, nil
+}
+
+const parseRounds = 5
+
+// takeChange does what a node does for a change, and returns the processor
+// time and the memory of the parsed bundle in bytes.
+func takeChange(d bundle.Delta, doc []byte) (time.Duration, float64, error) {
+	before := heapInUse()
+	began := time.Now()
+	var parsed *bundle.Bundle
+	for range parseRounds {
+		next, err := d.Apply(doc)
+		if err != nil {
+			return 0, 0, err
+		}
+		if parsed, err = bundle.Decode(next); err != nil {
+			return 0, 0, err
+		}
+	}
+	took := time.Since(began) / parseRounds
+	grown := float64(heapInUse()) - float64(before)
+	runtime.KeepAlive(parsed)
+	return took, max(grown, 0), nil
+}
+
+func deltaBytes(d bundle.Delta) float64 {
+	encoded, err := json.Marshal(d)
+	if err != nil {
+		return 0
+	}
+	return float64(len(encoded))
+}
+
+// largeBundle is a bundle with n engines.
+func largeBundle(n int) *bundle.Bundle {
+	b := &bundle.Bundle{
+		Version: 1, Site: "capacity",
+		Models: []bundle.Model{{Name: "draft-large", Context: 1 << 17}},
+		Guard:  bundle.Guard{Replicas: 3},
+		Resume: bundle.Resume{Leaning: bundle.LeanLatency},
+	}
+	for i := range n {
+		b.Targets = append(b.Targets, bundle.Target{
+			Name: walnutramp.TargetName(fmt.Sprintf("engine-%d", i)), DataHall: walnutramp.DataHall(fmt.Sprintf("hall-%02d", i%14)),
+			Kind: bundle.KindEngine, Address: fmt.Sprintf("10.%d.%d.%d:80", i>>16, i>>8&255, i&255),
+			Models: []walnutramp.ModelName{"draft-large"}, Slots: 16, ChecksOrders: true,
+		})
+	}
+	return b
+}
+
+// Slope returns the slope of that name.
+func (c *Capacity) Slope(name string) (*Slope, bool) {
+	for i := range c.Slopes {
+		if c.Slopes[i].Name == name {
+			return &c.Slopes[i], true
+		}
+	}
+	return nil, false
+}
+
+// WriteTable prints the slopes as a Markdown table.
+func (c *Capacity) WriteTable(w io.Writer) {
+	fmt.Fprintf(w, "Measured on %s, %.0f s each.\n\n", c.Machine, c.Seconds)
+	fmt.Fprintln(w, "| cost | measured | fit | R² | spread |")
+	fmt.Fprintln(w, "|---|---|---|---|---|")
+	for _, s := range c.Slopes {
+		var points []string
+		for _, p := range s.Points {
+			points = append(points, fmt.Sprintf("%g: %.4g", p.X, p.Y))
+		}
+		fmt.Fprintf(w, "| %s (%s) | %s | %.4g + %.4g per %s | %.2f | %.3g |\n",
+			s.Name, s.Y, strings.Join(points, ", "), s.Base, s.PerX, strings.TrimSuffix(s.X, "s"), s.R2, s.Spread)
+	}
+}
--- a/member/list.go
+++ b/member/list.go
@@ -114,14 +114,17 @@
 }
 
 // maxUpdates bounds the news on one probe.
-const maxUpdates = 12
+const maxUpdates = 32
+
+// spreadFactor times the logarithm of the number of nodes is how often news
+// is sent on before it is old.
+const spreadFactor = 2
 
 // updates returns the least spread news, and counts it as spread once more.
-// News that went out a few times the logarithm of the number of nodes is old.
 func (l *list) updates() []Node {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	limit := 4 * int(math.Ceil(math.Log2(float64(len(l.entries)+2))))
+	limit := spreadFactor * int(math.Ceil(math.Log2(float64(len(l.entries)+2))))
 	fresh := make([]*entry, 0, len(l.entries))
 	for _, e := range l.entries {
 		if e.spreads < limit {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -1,12 +1,15 @@
 package node
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/slo"
 )
 
 // Resume is a generation that was taken up again.
@@ -21,12 +24,14 @@
 type metricSet struct {
 	set      *metrics.Set
 	onResume func(Resume)
+	tracker  *slo.Tracker
 	takeover *metrics.Counter
 	refused  *metrics.Counter
 }
 
 func newMetricSet(n *Node) *metricSet {
 	m := &metricSet{set: metrics.NewSet(), onResume: n.cfg.OnResume}
+	m.tracker = slo.NewTracker(func() []bundle.Objective { return n.bundle.Load().Objectives })
 	m.takeover = m.set.NewCounter("walnutramp_takeovers_total")
 	m.refused = m.set.NewCounter("walnutramp_takeovers_refused_total")
 	m.set.NewGauge("walnutramp_generations_held", func() float64 { return float64(n.generations.Store().Len()) })
@@ -38,6 +43,12 @@
 	return m
 }
 
+// serveReport answers with the node's own counts against the objectives.
+func (m *metricSet) serveReport(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(m.tracker.Report())
+}
+
 func (m *metricSet) serve(w http.ResponseWriter, _ *http.Request) {
 	m.set.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
@@ -50,13 +61,15 @@
 
 // FirstToken implements caller.Observer.
 func (m *metricSet) FirstToken(a walnutramp.ClientAccount, model walnutramp.ModelName, d time.Duration) {
-	m.histogram("walnutramp_first_token_seconds", a, model).UpdateDuration(time.Now().Add(-d))
+	m.histogram("walnutramp_first_token_seconds", a, model).Update(d.Seconds())
+	m.tracker.Observe(slo.FirstToken, a, model, d, 1)
 }
 
 // Silence implements caller.Observer.
 func (m *metricSet) Silence(a walnutramp.ClientAccount, model walnutramp.ModelName, d time.Duration, tokens int) {
 	m.histogram("walnutramp_between_tokens_seconds", a, model).Update(d.Seconds() / float64(tokens))
 	m.set.GetOrCreateCounter("walnutramp_released_tokens_total").Add(tokens)
+	m.tracker.Observe(slo.BetweenTokens, a, model, d/time.Duration(tokens), tokens)
 }
 
 // Failed implements caller.Observer.
@@ -73,6 +86,12 @@
 	}
 }
 
+// ResumeGap implements generation.Observer.
+func (m *metricSet) ResumeGap(a walnutramp.ClientAccount, model walnutramp.ModelName, gap time.Duration) {
+	m.histogram("walnutramp_resume_gap_seconds", a, model).Update(gap.Seconds())
+	m.tracker.Observe(slo.ResumeGap, a, model, gap, 1)
+}
+
 // TookOver implements generation.Observer.
 func (m *metricSet) TookOver(err error) {
 	if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/walnutramp/walnutramp/member"
 	"github.com/walnutramp/walnutramp/operator"
 	"github.com/walnutramp/walnutramp/peer"
+	"github.com/walnutramp/walnutramp/platform"
 	"github.com/walnutramp/walnutramp/route"
 	"github.com/walnutramp/walnutramp/target"
 	"github.com/walnutramp/walnutramp/wal"
@@ -51,6 +52,7 @@
 	RouteOpt      []route.Option
 	Control       []walnutramp.NodeName // the control group's founders; empty for none
 	Disk          wal.FS                // the data folder, on nodes that have one
+	Platform      string                // URL of the platform's list; empty for none
 	Operators     bundle.Operators
 	TLS           *tls.Config // between nodes; nil for none
 	ControlOpt    []consensus.Option
@@ -104,6 +106,9 @@
 // control group.
 func WithDisk(fs wal.FS) Option { return func(c *Config) { c.Disk = fs } }
 
+// WithPlatform gives the URL of the platform's list of instances.
+func WithPlatform(url string) Option { return func(c *Config) { c.Platform = url } }
+
 // WithTLS secures the connections between nodes.
 func WithTLS(t *tls.Config) Option { return func(c *Config) { c.TLS = t } }
 
@@ -131,7 +136,7 @@
 		Site:         "default",
 		Bundle:       &bundle.Bundle{},
 		Dial:         d.DialContext,
-		LoadInterval: 250 * time.Millisecond,
+		LoadInterval: 500 * time.Millisecond,
 		ProbePeriod:  500 * time.Millisecond,
 		StopDeadline: 10 * time.Minute,
 		HeaderTime:   5 * time.Second,
@@ -157,6 +162,8 @@
 	control     *control.Client   // nil where the bundle comes from a file
 	voter       *consensus.Member // nil on nodes without a disk
 	voterState  *control.State
+	platform    *platform.Watch // nil for none
+	report      *reportKeeper   // nil on nodes without a disk
 
 	stopping atomic.Bool
 	callers  sync.WaitGroup // requests being answered
@@ -179,6 +186,9 @@
 	if err := n.wireControl(); err != nil {
 		return nil, err
 	}
+	if err := n.wireReport(); err != nil {
+		return nil, err
+	}
 	n.wireTargets()
 	n.wireGenerations()
 	n.wireCallers()
@@ -202,7 +212,7 @@
 
 func (n *Node) wireTargets() {
 	opts := append([]route.Option{
-		route.WithDataHall(n.cfg.DataHall),
+		route.WithNode(n.cfg.Name, n.cfg.DataHall),
 		route.WithSeed(n.cfg.Seed),
 		route.WithInForce(n.inForce),
 	}, n.cfg.RouteOpt...)
@@ -242,6 +252,7 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", n.serveReady)
 	mux.HandleFunc("GET /metrics", n.metrics.serve)
+	mux.HandleFunc("GET /report", n.metrics.serveReport)
 	n.http = &http.Server{Handler: mux, ReadHeaderTimeout: n.cfg.HeaderTime, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10}
 }
 
@@ -307,6 +318,7 @@
 		n.members.Start()
 		n.apply(n.cfg.Bundle)
 		n.startControl()
+		n.startPlatform()
 	})
 	klog.InfoS("Node started", "node", n.cfg.Name, "hall", n.cfg.DataHall, "bundle", n.cfg.Bundle.Version)
 	return nil
@@ -323,7 +335,7 @@
 func (n *Node) apply(b *bundle.Bundle) {
 	n.bundle.Store(b)
 	n.router.Apply(b)
-	n.watch.Apply(b.Targets)
+	n.watch.Apply(route.Subset(n.cfg.Name, n.cfg.DataHall, b.Targets, route.PerModel))
 }
 
 // Members returns the node's view of the others.
@@ -358,6 +370,8 @@
 	n.stopping.Store(true)
 	n.http.Close()
 	n.closeControl()
+	n.closePlatform()
+	n.closeReport()
 	n.members.Close()
 	n.watch.Close()
 	n.generations.Close()
--- a/route/route.go
+++ b/route/route.go
@@ -17,7 +17,9 @@
 
 // Config sets how a Router decides.
 type Config struct {
+	Node         walnutramp.NodeName
 	DataHall     walnutramp.DataHall
+	PerModel     int           // targets of one model that the node works with
 	QueueLimit   int           // requests waiting per model before shedding
 	QueueTime    time.Duration // longest wait before a request is given up
 	HallPenalty  time.Duration // added to the predicted wait in another data hall
@@ -34,8 +36,13 @@
 // Option sets a field of Config.
 type Option func(*Config)
 
-// WithDataHall says which data hall the node stands in.
-func WithDataHall(h walnutramp.DataHall) Option { return func(c *Config) { c.DataHall = h } }
+// WithNode names the node and the data hall it stands in.
+func WithNode(n walnutramp.NodeName, h walnutramp.DataHall) Option {
+	return func(c *Config) { c.Node, c.DataHall = n, h }
+}
+
+// PerModel is how many targets of one model a node works with.
+const PerModel = 48
 
 // WithQueue bounds the wait: requests per model, and time per request.
 func WithQueue(limit int, wait time.Duration) Option {
@@ -53,6 +60,7 @@
 
 func defaultConfig() Config {
 	return Config{
+		PerModel:     PerModel,
 		QueueLimit:   256,
 		QueueTime:    20 * time.Second,
 		HallPenalty:  2 * time.Millisecond,
@@ -118,6 +126,10 @@
 	r.bundle = b
 	next := make(map[walnutramp.TargetName]*state, len(b.Targets))
 	r.byModel = map[walnutramp.ModelName][]*state{}
+	used := map[walnutramp.TargetName]bool{}
+	for _, t := range Subset(r.cfg.Node, r.cfg.DataHall, b.Targets, r.cfg.PerModel) {
+		used[t.Name] = true
+	}
 	for _, t := range b.Targets {
 		s := r.targets[t.Name]
 		if s == nil || s.spec.Address != t.Address {
@@ -126,6 +138,9 @@
 		s.spec = t
 		s.leaving = b.IsLeaving(t.Name)
 		next[t.Name] = s
+		if !used[t.Name] {
+			continue
+		}
 		for _, m := range t.Models {
 			r.byModel[m] = append(r.byModel[m], s)
 		}
--- a/target/watch.go
+++ b/target/watch.go
@@ -100,8 +100,16 @@
 	}
 }
 
+// asksPerSecond bounds how many load reports a node asks for, all targets
+// together.
+const asksPerSecond = 60
+
 func (w *Watch) jittered() time.Duration {
-	return time.Duration(float64(w.interval) * (0.8 + 0.4*rand.Float64()))
+	w.mu.Lock()
+	n := len(w.tasks)
+	w.mu.Unlock()
+	interval := max(w.interval, time.Duration(n)*time.Second/asksPerSecond)
+	return time.Duration(float64(interval) * (0.8 + 0.4*rand.Float64()))
 }
 
 func (w *Watch) check(ctx context.Context, t bundle.Target) {
