Give engines fenced orders to load and unload weights

Cause: the bundle said what runs where and nobody brought engines to it.

The stand-in engine keeps an order book.

--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -39,14 +39,32 @@
 	Leaving    []walnutramp.TargetName `yaml:"leaving"`
 	Guard      Guard                   `yaml:"guard"`
 	Resume     Resume                  `yaml:"resume"`
+	Placement  Placement               `yaml:"placement"`
 	Objectives []Objective             `yaml:"objectives"`
 }
 
+// Placement says whether and how fast this system loads models on engines.
+type Placement struct {
+	Orders bool `yaml:"orders"` // give orders at all
+	Loads  int  `yaml:"loads"`  // loads under way at once, what the weight store bears
+}
+
 // Model is a model callers may name.
 type Model struct {
 	Name     walnutramp.ModelName `yaml:"name"`
 	Context  int                  `yaml:"context"` // tokens, prompt and output together
 	Adapters []string             `yaml:"adapters"`
+	Version  string               `yaml:"version"` // of the weights; empty where there is one only
+	Canary   int                  `yaml:"canary"`  // percent of its targets that load a new version before the rest
+}
+
+// Artifact names what an engine loads for a model: the model, and its version
+// where it has one.
+func (m Model) Artifact() string {
+	if m.Version == "" {
+		return string(m.Name)
+	}
+	return string(m.Name) + "@" + m.Version
 }
 
 // Target is one engine or service process.
--- a/bundle/check.go
+++ b/bundle/check.go
@@ -39,6 +39,9 @@
 	seen := map[string]bool{}
 	for i, m := range c.bundle.Models {
 		c.name(string(m.Name), seen, "models", i, "name")
+		if m.Canary < 0 || m.Canary > 100 {
+			c.add("must lie between 0 and 100", "give a percentage", "models", i, "canary")
+		}
 		if m.Context <= 0 {
 			c.add("must be above 0", "give the model's context in tokens", "models", i, "context")
 		}
@@ -145,6 +148,9 @@
 	if g.Coalesce < 0 {
 		c.add("must not be negative", "give a duration such as 5ms", "guard", "coalesce")
 	}
+	if c.bundle.Placement.Orders && c.bundle.Placement.Loads < 1 {
+		c.add("must be 1 or more", "say how many loads the weight store bears at once", "placement", "loads")
+	}
 	l := c.bundle.Resume.Leaning
 	if l != LeanLatency && l != LeanCost {
 		c.add(fmt.Sprintf("%q is no leaning", l), "use latency or cost", "resume", "leaning")
--- a/node/control.go
+++ b/node/control.go
@@ -9,6 +9,7 @@
 	"github.com/walnutramp/walnutramp/consensus"
 	"github.com/walnutramp/walnutramp/control"
 	"github.com/walnutramp/walnutramp/operator"
+	"github.com/walnutramp/walnutramp/placement"
 )
 
 // wireControl connects the node to the control group, and makes it a member
@@ -55,9 +56,27 @@
 	if n.control != nil {
 		n.control.Start()
 	}
+	if n.voter != nil {
+		n.placer = placement.NewController(leadership{n.voter}, n.pool, n.bundle.Load)
+		n.placer.Start()
+	}
+}
+
+// leadership shows the control group's leadership to placement.
+type leadership struct{ *consensus.Member }
+
+// Term implements placement.Leader.
+func (l leadership) Term() uint64 {
+	if !l.Leads() {
+		return 0
+	}
+	return l.Status().Term
 }
 
 func (n *Node) closeControl() {
+	if n.placer != nil {
+		n.placer.Close()
+	}
 	if n.control != nil {
 		n.control.Close()
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/walnutramp/walnutramp/member"
 	"github.com/walnutramp/walnutramp/operator"
 	"github.com/walnutramp/walnutramp/peer"
+	"github.com/walnutramp/walnutramp/placement"
 	"github.com/walnutramp/walnutramp/platform"
 	"github.com/walnutramp/walnutramp/route"
 	"github.com/walnutramp/walnutramp/target"
@@ -162,8 +163,9 @@
 	control     *control.Client   // nil where the bundle comes from a file
 	voter       *consensus.Member // nil on nodes without a disk
 	voterState  *control.State
-	platform    *platform.Watch // nil for none
-	report      *reportKeeper   // nil on nodes without a disk
+	placer      *placement.Controller // gives orders while the voter leads
+	platform    *platform.Watch       // nil for none
+	report      *reportKeeper         // nil on nodes without a disk
 
 	stopping atomic.Bool
 	callers  sync.WaitGroup // requests being answered
--- a/node/session_test.go
+++ b/node/session_test.go
@@ -123,6 +123,8 @@
 		s.await(args[0], options(args[1:]))
 	case "submit":
 		s.submit(options(args))
+	case "placed":
+		s.placed()
 	case "versions":
 		s.versions()
 	case "cutanswers":
@@ -304,6 +306,11 @@
 	if name := opts["leaving"]; name != "" {
 		b.Leaving = []walnutramp.TargetName{walnutramp.TargetName(name)}
 	}
+	if version := opts["weights"]; version != "" {
+		b.Models = append([]bundle.Model(nil), b.Models...)
+		b.Models[0].Version = version
+		b.Placement = bundle.Placement{Orders: true, Loads: 1}
+	}
 	err := s.site.Submit(s.ctx, number(opts, "node", 1)-1, &b)
 	s.printf("submit version %d: accepted=%t\n", b.Version, err == nil)
 	if err == nil {
@@ -311,6 +318,13 @@
 	}
 }
 
+// placed prints what each engine holds.
+func (s *session) placed() {
+	for _, e := range s.site.Engines {
+		s.printf("%s holds %v\n", e.Target.Name, e.Book.Placed().Copies)
+	}
+}
+
 // versions prints what is in force on each node.
 func (s *session) versions() {
 	for _, n := range s.site.Nodes {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -66,6 +66,7 @@
 	cache    *prefixCache
 	prefill  chan struct{} // one prefill at a time
 	faults   faults
+	Book     *OrderBook // what the engine has loaded
 	reports  []timedReport
 	counts   EngineCounts
 
@@ -103,6 +104,7 @@
 		kv:      map[string][]walnutramp.TokenID{},
 		cache:   newPrefixCache(cfg.CacheTokens),
 		prefill: make(chan struct{}, 1),
+		Book:    NewOrderBook(true, 2*time.Second, string(cfg.Model)),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.server = &http.Server{Handler: e.handler(), ReadHeaderTimeout: 5 * time.Second}
@@ -141,6 +143,7 @@
 	mux.HandleFunc("GET /v1/streams/{id}", e.serveAttach)
 	mux.HandleFunc("DELETE /v1/streams/{id}", e.serveCancel)
 	mux.HandleFunc("POST /v1/streams/{id}/kv", e.serveExport)
+	e.Book.routes(mux)
 	mux.HandleFunc("GET /load", e.serveLoad)
 	mux.HandleFunc("GET /counts", e.serveCounts)
 	mux.HandleFunc("POST /fault", e.serveFault)
@@ -180,8 +183,8 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if req.Model != e.cfg.Model {
-		http.Error(w, "unknown model", http.StatusNotFound)
+	if !e.Book.Has(string(req.Model)) {
+		http.Error(w, "the model is not loaded", http.StatusNotFound)
 		return
 	}
 	prompt, err := req.promptTokens()
--- a/target/engine.go
+++ b/target/engine.go
@@ -24,6 +24,60 @@
 	Load(ctx context.Context) (LoadReport, error)
 }
 
+// Order tells a target to load or unload an artifact. Targets that check
+// orders refuse one whose fence is older than the newest they have seen.
+type Order struct {
+	Action   OrderAction `json:"action"`
+	Artifact string      `json:"artifact"`
+	Fence    Fence       `json:"fence"`
+}
+
+// OrderAction is what an order does.
+type OrderAction string
+
+// The actions.
+const (
+	LoadArtifact   OrderAction = "load"
+	UnloadArtifact OrderAction = "unload"
+)
+
+// Fence orders the orders of one leader after those of older ones.
+type Fence struct {
+	Epoch    uint64 `json:"epoch"` // the leader's term
+	Sequence uint64 `json:"sequence"`
+}
+
+// Less reports whether f is older than g.
+func (f Fence) Less(g Fence) bool {
+	if f.Epoch != g.Epoch {
+		return f.Epoch < g.Epoch
+	}
+	return f.Sequence < g.Sequence
+}
+
+// CopyState is where a copy of an artifact stands on a target.
+type CopyState string
+
+// The states of a copy.
+const (
+	CopyLoading CopyState = "loading"
+	CopyReady   CopyState = "ready"
+)
+
+// Placed is what a target holds.
+type Placed struct {
+	Copies map[string]CopyState `json:"copies"` // by artifact
+	Fence  Fence                `json:"fence"`  // of the newest order it took
+}
+
+// Orders is a target that takes orders.
+type Orders interface {
+	// Placed reads what the target holds.
+	Placed(ctx context.Context) (Placed, error)
+	// Order gives an order; an error leaves open whether it was taken.
+	Order(ctx context.Context, o Order) error
+}
+
 // Stream is one attempt's tokens in order.
 type Stream interface {
 	// Recv returns the next chunk. io.EOF without a Finish before it means
--- a/target/openai.go
+++ b/target/openai.go
@@ -124,6 +124,29 @@
 	return report, nil
 }
 
+// Placed implements Orders.
+func (e *OpenAI) Placed(ctx context.Context) (Placed, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	var p Placed
+	resp, err := e.client.rest.R().SetContext(ctx).SetResult(&p).Get(e.base + "/v1/placed")
+	if err == nil && resp.IsError() {
+		err = errors.Newf("placed: status %d", resp.StatusCode())
+	}
+	return p, err
+}
+
+// Order implements Orders.
+func (e *OpenAI) Order(ctx context.Context, o Order) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	resp, err := e.client.rest.R().SetContext(ctx).SetBody(o).Post(e.base + "/v1/orders")
+	if err == nil && resp.IsError() {
+		err = errors.Newf("order: status %d", resp.StatusCode())
+	}
+	return err
+}
+
 // attemptBody holds the fields this system sets in an engine's request.
 type attemptBody struct {
 	Model          walnutramp.ModelName `json:"model"`
--- a/target/pool.go
+++ b/target/pool.go
@@ -63,6 +63,9 @@
 	return e
 }
 
+// Orders returns the way to give a target orders.
+func (p *Pool) Orders(t bundle.Target) Orders { return NewOpenAI(p.client, t.Address) }
+
 // Service returns the client of a service target; once says that its calls
 // may not be repeated.
 func (p *Pool) Service(t bundle.Target, once bool) *Service {
