Restart every node without a failed request; let new requests past resumes

Cause: a planned stop broke idle connections and kept its replica roles; and with a hundred generations lost at once a new caller waited 4.95 s for its first token behind resumes that had no room (test ManyGenerations, seen to fail).

Change: a stopping node shuts its front down in order and gives others time to replace it; resumes and new requests queue apart, each for its own room; resumed streams go first in an engine's queue. A router can be run under baseline policies, and load routing compares them.

--- a/cmd/walnutramp/load.go
+++ b/cmd/walnutramp/load.go
@@ -17,6 +17,7 @@
 // loadCommand drives a site, or measures what one costs.
 type loadCommand struct {
 	*program
+	Routing  routingCommand  `command:"routing" description:"compare this router with baselines at several shares of capacity"`
 	Capacity capacityCommand `command:"capacity" description:"measure how costs grow with a site's size"`
 	Shape    string          `long:"shape" env:"WALNUTRAMP_LOAD_SHAPE" default:"small" choice:"small" choice:"tortuguero" choice:"po-valley" description:"the site that is run and driven"`
 	Seed     uint64          `long:"seed" env:"WALNUTRAMP_LOAD_SEED" default:"1" description:"of the mix and the failures"`
@@ -33,7 +34,7 @@
 }
 
 func newLoadCommand(p *program) *loadCommand {
-	return &loadCommand{program: p, Capacity: capacityCommand{program: p}}
+	return &loadCommand{program: p, Capacity: capacityCommand{program: p}, Routing: routingCommand{program: p}}
 }
 
 // Execute implements flags.Commander.
--- /dev/null
+++ b/cmd/walnutramp/routing.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/walnutramp/walnutramp/load"
+)
+
+type routingCommand struct {
+	*program
+	Shape    string        `long:"shape" default:"tortuguero" choice:"small" choice:"tortuguero" choice:"po-valley" description:"the site that is run and driven"`
+	Seed     uint64        `long:"seed" default:"1" description:"of the mix and the failures"`
+	Duration time.Duration `long:"duration" default:"12s" description:"for which new requests arrive"`
+	Shares   []float64     `long:"share" default:"0.5" default:"0.9" default:"1.3" description:"shares of the engines' capacity"`
+	Failures string        `long:"failures" default:"" description:"failure plan, as for load"`
+	JSON     bool          `long:"json" description:"end with one JSON object on the last line"`
+}
+
+// routingAttempts bounds how often a refused draft is asked for again.
+const routingAttempts = 2
+
+// Execute implements flags.Commander.
+func (c *routingCommand) Execute([]string) error {
+	shape, err := load.ShapeNamed(c.Shape)
+	if err != nil {
+		return err
+	}
+	mix := load.DefaultMix()
+	mix.Seed, mix.Duration = c.Seed, c.Duration
+	if mix.Failures, err = load.ParsePlan(c.Failures, c.Duration); err != nil {
+		return &settingError{"--failures", c.Failures, err.Error()}
+	}
+	runner := &load.Runner{Shape: shape, Mix: mix, Attempts: routingAttempts}
+	results, err := runner.RunRouting(context.Background(), c.Shares)
+	if err != nil {
+		return err
+	}
+	load.WriteText(c.out, results)
+	if c.JSON {
+		return load.WriteJSON(c.out, load.Report{Shape: shape, Mix: mix, Results: results})
+	}
+	return nil
+}
--- a/generation/run.go
+++ b/generation/run.go
@@ -136,6 +136,9 @@
 		Options:   st.Spec.Options,
 		KV:        kv,
 	}
+	if src.Base > 0 {
+		req.Priority += resumePriority
+	}
 	g.rec.mu.Unlock()
 	g.setSource(src)
 	a := &attempt{grant: grant, engine: g.m.cfg.Engines.Engine(grant.Target), source: src}
@@ -144,6 +147,9 @@
 	})
 }
 
+// resumePriority puts resumed streams before new ones in an engine's queue.
+const resumePriority = 1000
+
 // streamID names an attempt at its engine; no two attempts share one.
 func streamID(id walnutramp.GenerationID, e Epoch, seq int) string {
 	return string(id) + "-" + strconv.FormatUint(e.Number, 10) + "-" + string(e.Node) + "-" + strconv.Itoa(seq)
--- a/load/result.go
+++ b/load/result.go
@@ -61,6 +61,10 @@
 	Lookup        Figures `json:"lookup"`
 	LookupsFailed int     `json:"lookups_failed"`
 
+	Good         int     `json:"drafts_within_objectives"`
+	GoodTokens   float64 `json:"tokens_per_second_within_objectives"`
+	WorstAccount float64 `json:"worst_account_share_within_objectives"`
+	CacheHits    float64 `json:"prompt_tokens_found_cached_share"`
 	Decoded      int     `json:"decoded_tokens"`         // by engines
 	TwiceDecoded int     `json:"tokens_decoded_twice"`   // beyond what callers got
 	Recomputed   int     `json:"tokens_prefilled_again"` // for resumes
--- a/load/run.go
+++ b/load/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,6 +43,7 @@
 type Runner struct {
 	Shape    Shape
 	Mix      Mix
+	Attempts int       // connections tried for one draft; 0 for the client's default
 	Progress io.Writer // nil for none
 	Profile  string    // file for the processor profile of the last variant, or empty
 }
@@ -54,10 +56,11 @@
 	client  *Client
 	rng     *rand.Rand
 
-	mu      sync.Mutex
-	resumes map[walnutramp.GenerationID][]node.Resume
-	result  Result
-	drafts  []Drafted
+	mu       sync.Mutex
+	resumes  map[walnutramp.GenerationID][]node.Resume
+	result   Result
+	drafts   []Drafted
+	accounts []served // by account
 
 	lookup  *histogram
 	started time.Time
@@ -70,6 +73,7 @@
 	u := &run{runner: r, variant: v, rng: rand.New(rand.NewPCG(r.Mix.Seed, 4)),
 		resumes: map[walnutramp.GenerationID][]node.Resume{}, lookup: newHistogram()}
 	u.result = Result{Variant: v.Name, Refused: map[string]int{}}
+	u.accounts = make([]served, r.Shape.Accounts)
 	if err := u.start(ctx); err != nil {
 		return nil, err
 	}
@@ -115,6 +119,9 @@
 	var rt http.RoundTripper = u.site.Transport()
 	u.client = NewClient(rt, addresses)
 	u.client.FromZero = u.variant.FromZero
+	if u.runner.Attempts > 0 {
+		u.client.Attempts = u.runner.Attempts
+	}
 	return nil
 }
 
@@ -163,6 +170,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.drafts = append(u.drafts, d)
+	u.accounts[a.account].add(&d)
 }
 
 // serveLookup calls the plain service, once more at another node where the
@@ -277,9 +285,66 @@
 			res.Recomputed += r.Recomputed
 		}
 	}
+	u.addGoodput()
 	res.addCosts(cpu)
 }
 
+// served is what one account got.
+type served struct {
+	drafts int
+	good   int // within objectives
+	tokens int // of good drafts
+}
+
+// The users' objectives for a draft.
+const (
+	goodFirstToken = 410 * time.Millisecond
+	goodBetween    = 78 * time.Millisecond
+)
+
+func (s *served) add(d *Drafted) {
+	s.drafts++
+	if d.Complete && d.FirstToken <= goodFirstToken && d.between95() <= goodBetween {
+		s.good++
+		s.tokens += d.Verdict.Tokens
+	}
+}
+
+// between95 is the time between arrivals that 95 in 100 keep.
+func (d *Drafted) between95() time.Duration {
+	var gaps []time.Duration
+	for i := 1; i < len(d.Arrivals); i++ {
+		gaps = append(gaps, d.Arrivals[i].Sub(d.Arrivals[i-1]))
+	}
+	if len(gaps) == 0 {
+		return 0
+	}
+	slices.Sort(gaps)
+	return gaps[len(gaps)*95/100]
+}
+
+func (u *run) addGoodput() {
+	res := &u.result
+	res.WorstAccount = 1
+	tokens := 0
+	for _, a := range u.accounts {
+		res.Good += a.good
+		tokens += a.tokens
+		if a.drafts > 0 {
+			res.WorstAccount = min(res.WorstAccount, float64(a.good)/float64(a.drafts))
+		}
+	}
+	res.GoodTokens = float64(tokens) / u.runner.Mix.Duration.Seconds()
+	hits, computed := 0, 0
+	for _, e := range u.site.Engines {
+		hits += e.Counts().CacheHits
+		computed += e.Counts().Prefilled
+	}
+	if hits+computed > 0 {
+		res.CacheHits = float64(hits) / float64(hits+computed)
+	}
+}
+
 func (r *Result) addDraft(d *Drafted) {
 	r.Drafts++
 	r.Verdict.Add(d.Verdict)
--- a/node/node.go
+++ b/node/node.go
@@ -168,7 +168,6 @@
 	report      *reportKeeper         // nil on nodes without a disk
 
 	stopping atomic.Bool
-	callers  sync.WaitGroup // requests being answered
 	tasks    sync.WaitGroup
 }
 
@@ -250,7 +249,7 @@
 		mux.Handle("/operator/", operator.NewHandler(n.control, n.statusOfAll))
 	}
 	h := caller.New(opts...)
-	mux.Handle("/", n.counted(h))
+	mux.Handle("/", h)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", n.serveReady)
 	mux.HandleFunc("GET /metrics", n.metrics.serve)
@@ -258,15 +257,6 @@
 	n.http = &http.Server{Handler: mux, ReadHeaderTimeout: n.cfg.HeaderTime, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10}
 }
 
-// counted lets a planned stop wait for requests being answered.
-func (n *Node) counted(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.callers.Add(1)
-		defer n.callers.Done()
-		next.ServeHTTP(w, r)
-	})
-}
-
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if n.stopping.Load() {
 		http.Error(w, "stopping", http.StatusServiceUnavailable)
@@ -347,26 +337,41 @@
 func (n *Node) Traffic() *peer.Traffic { return &n.traffic }
 
 // Stop is a planned stop: the node says that it isn't ready, takes no new
-// work, lets running work end, and leaves. It returns early if ctx ends.
+// work, lets running work end, hands its replicas over, and leaves. It
+// returns early if ctx ends.
 func (n *Node) Stop(ctx context.Context) {
 	n.stopping.Store(true)
+	n.http.SetKeepAlivesEnabled(false)
 	klog.InfoS("Node stopping", "node", n.cfg.Name)
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.StopDeadline)
 	defer cancel()
-	idle := make(chan struct{})
-	go func() {
-		n.callers.Wait()
-		close(idle)
-	}()
-	select {
-	case <-idle:
-	case <-ctx.Done():
-		klog.InfoS("Node stops with work under way", "node", n.cfg.Name)
+	n.pauseFor(ctx, noticeTime)
+	if err := n.http.Shutdown(ctx); err != nil {
+		klog.InfoS("Node stops with work under way", "node", n.cfg.Name, "err", err)
 	}
 	n.members.Leave(ctx)
+	n.pauseFor(ctx, handOverTime)
 	n.Close()
 }
 
+// Times of a planned stop.
+const (
+	// noticeTime lets the balancer see that the node isn't ready, while the
+	// node still answers those who come.
+	noticeTime = 2 * time.Second
+	// handOverTime lets other owners replace this node in their replica sets.
+	handOverTime = 2 * time.Second
+)
+
+func (n *Node) pauseFor(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // Close ends the node at once, as a crash would.
 func (n *Node) Close() {
 	n.stopping.Store(true)
--- a/route/queue.go
+++ b/route/queue.go
@@ -22,8 +22,8 @@
 // errShedSelf stands for the newcomer itself in shedFor's answer.
 var errShedSelf = &waiter{}
 
-// lane is the queue of one model: resumes first, then by priority, and among
-// equals by weighted fair queueing over accounts.
+// lane is the queue of one model: resumes on their own, others by priority,
+// and among equals by weighted fair queueing over accounts.
 type lane struct {
 	size    int
 	resumes []*waiter
@@ -75,9 +75,12 @@
 	c.waiters = slices.Insert(c.waiters, i, w)
 }
 
-// peek returns who is next; the lane is not empty.
-func (l *lane) peek() *waiter {
-	if len(l.resumes) > 0 {
+// peek returns the resume or the new request that is next, or nil.
+func (l *lane) peek(resumes bool) *waiter {
+	if resumes {
+		if len(l.resumes) == 0 {
+			return nil
+		}
 		return l.resumes[0]
 	}
 	for _, c := range l.classes {
--- a/route/route.go
+++ b/route/route.go
@@ -29,6 +29,7 @@
 	Choices      int           // random candidates compared
 	Seed         uint64
 	InForce      func() bool // whether the node may take new work; nil means always
+	Policy       Policy
 	SilenceFloor time.Duration
 	SilenceCap   time.Duration
 }
@@ -61,6 +62,7 @@
 func defaultConfig() Config {
 	return Config{
 		PerModel:     PerModel,
+		Policy:       Predicted,
 		QueueLimit:   256,
 		QueueTime:    20 * time.Second,
 		HallPenalty:  2 * time.Millisecond,
@@ -92,6 +94,7 @@
 
 	mu      sync.Mutex
 	rng     *rand.Rand
+	turn    int // of round robin
 	targets map[walnutramp.TargetName]*state
 	byModel map[walnutramp.ModelName][]*state
 	lanes   map[walnutramp.ModelName]*lane
@@ -228,7 +231,7 @@
 		return nil, nil, err
 	}
 	l := r.lane(req.Model)
-	if l.empty() {
+	if l.peek(req.Resume) == nil {
 		if grant := r.grant(req); grant != nil {
 			return nil, grant, nil
 		}
@@ -284,33 +287,39 @@
 	}
 }
 
-// dispatch grants places to waiters, best first, while there is room. When
-// the last target is gone every waiter is told at once.
+// dispatch grants places to waiters, best first, while there is room: to
+// resumes in theirs, and whether or not any of them waits, to new requests in
+// theirs. When the last target is gone every waiter is told at once.
 func (r *Router) dispatch(l *lane, m walnutramp.ModelName) {
-	for !l.empty() {
-		if len(r.live(m, time.Now())) == 0 {
-			r.failLane(l, m)
-			return
-		}
-		w := l.peek()
-		grant := r.grant(w.req)
-		if grant == nil {
-			return
+	if l.empty() {
+		return
+	}
+	if len(r.live(m, time.Now())) == 0 {
+		r.failLane(l, m)
+		return
+	}
+	for _, resumes := range []bool{true, false} {
+		for w := l.peek(resumes); w != nil; w = l.peek(resumes) {
+			grant := r.grant(w.req)
+			if grant == nil {
+				break
+			}
+			l.remove(w)
+			l.served(time.Now())
+			w.result <- pickResult{grant: grant}
 		}
-		l.remove(w)
-		l.served(time.Now())
-		w.result <- pickResult{grant: grant}
 	}
 }
 
 func (r *Router) failLane(l *lane, m walnutramp.ModelName) {
 	err := walnutramp.NewError(walnutramp.CodeNoTarget, walnutramp.NotRun,
 		"no live target serves model %s", m).WithRetryAfter(retryAfterNoTarget)
-	for !l.empty() {
-		w := l.peek()
-		l.remove(w)
-		r.release(w.req.Account)
-		w.result <- pickResult{err: err}
+	for _, resumes := range []bool{true, false} {
+		for w := l.peek(resumes); w != nil; w = l.peek(resumes) {
+			l.remove(w)
+			r.release(w.req.Account)
+			w.result <- pickResult{err: err}
+		}
 	}
 }
 
--- a/route/target.go
+++ b/route/target.go
@@ -121,24 +121,37 @@
 
 // grant finds a place for req now, or returns nil.
 func (r *Router) grant(req Request) *Grant {
-	var room []*state
-	for _, s := range r.live(req.Model, time.Now()) {
-		if r.hasRoom(s, req) {
-			room = append(room, s)
-		}
+	live := r.live(req.Model, time.Now())
+	var s *state
+	if r.cfg.Policy == Predicted {
+		s = r.chooseWithRoom(live, req)
+	} else {
+		s = r.baseline(live)
 	}
-	if len(room) == 0 {
+	if s == nil {
 		return nil
 	}
-	s := r.choose(room, req)
 	if !req.Resume {
 		r.budget.earn()
 	}
 	return r.take(s, req)
 }
 
-func (r *Router) hasRoom(s *state, req Request) bool {
-	if slices.Contains(req.Avoid, s.spec.Name) && len(r.live(req.Model, time.Now())) > 1 {
+func (r *Router) chooseWithRoom(live []*state, req Request) *state {
+	var room []*state
+	for _, s := range live {
+		if r.hasRoom(s, req, len(live)) {
+			room = append(room, s)
+		}
+	}
+	if len(room) == 0 {
+		return nil
+	}
+	return r.choose(room, req)
+}
+
+func (r *Router) hasRoom(s *state, req Request, live int) bool {
+	if slices.Contains(req.Avoid, s.spec.Name) && live > 1 {
 		return false
 	}
 	if req.Resume {
