--- a/generation/link.go
+++ b/generation/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,7 +80,7 @@
 func (l *link) send(ctx context.Context) bool {
 	for {
 		batch := l.collect()
-		if len(batch.appends) == 0 {
+		if batch.empty() {
 			return true
 		}
 		if !l.call(ctx, batch) {
@@ -94,11 +95,26 @@
 // batch is what one call carries to one run of the node.
 type batch struct {
 	to      walnutramp.Incarnation
-	gens    []*Generation
+	gens    []*Generation // of appends
 	appends []Append
+	plain   Columns
+	owners  []*Generation // of plain
 	tokens  int
 }
 
+func (b *batch) empty() bool { return len(b.gens)+len(b.owners) == 0 }
+
+func (b *batch) add(g *Generation, a *Append) {
+	b.tokens += len(a.Tokens) + len(a.PromptTokens)
+	if a.plain() {
+		b.plain.add(a)
+		b.owners = append(b.owners, g)
+		return
+	}
+	b.gens = append(b.gens, g)
+	b.appends = append(b.appends, *a)
+}
+
 // collect takes what is marked, as far as one call carries it; the rest stays
 // marked.
 func (l *link) collect() batch {
@@ -117,14 +133,12 @@
 		if !ok {
 			continue
 		}
-		if len(b.appends) > 0 && replica.Incarnation != b.to {
+		if !b.empty() && replica.Incarnation != b.to {
 			l.mark(g)
 			continue
 		}
 		b.to = replica.Incarnation
-		b.gens = append(b.gens, g)
-		b.appends = append(b.appends, a)
-		b.tokens += len(a.Tokens) + len(a.PromptTokens)
+		b.add(g, &a)
 	}
 	return b
 }
@@ -138,17 +152,20 @@
 func (l *link) call(ctx context.Context, b batch) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	args := ReplicateArgs{From: l.m.store.self, To: b.to, Appends: b.appends}
+	args := ReplicateArgs{From: l.m.store.self, To: b.to, Appends: b.appends, Plain: b.plain}
 	var reply ReplicateReply
 	err := l.m.cfg.Peers.Call(ctx, l.node, Service+".Replicate", args, &reply)
-	if err != nil || len(reply.Acks) != len(b.appends) {
+	if err != nil || len(reply.Acks) != len(b.gens) || len(reply.Plain) != len(b.owners) {
 		now := time.Now()
-		for _, g := range b.gens {
+		for _, g := range slices.Concat(b.gens, b.owners) {
 			g.unreachable(l.node, now)
+			l.mark(g)
 		}
-		l.markAgain(b.gens)
 		return false
 	}
+	for i, held := range reply.Plain {
+		b.owners[i].held(l.node, Handle(b.plain.Handles[i]), held)
+	}
 	for i, ack := range reply.Acks {
 		b.gens[i].acked(l.node, b.appends[i].Handle, ack)
 	}
--- a/generation/owner.go
+++ b/generation/owner.go
@@ -407,6 +407,24 @@
 	}
 }
 
+// held takes a replica's answer to a plain append: what it holds, or a code
+// below 0. What it knew beside tokens has not changed.
+func (g *Generation) held(node walnutramp.NodeName, handle Handle, held int64) {
+	if held < 0 {
+		g.acked(node, handle, Ack{Code: walnutramp.Code(-held)})
+		return
+	}
+	g.rec.mu.Lock()
+	defer g.rec.mu.Unlock()
+	c := g.cursors[node]
+	if c == nil || handle != g.handle || g.rec.owner != g {
+		return
+	}
+	c.failing = time.Time{}
+	c.held = walnutramp.Offset(held)
+	g.release()
+}
+
 // unreachable notes that a replica did not answer.
 func (g *Generation) unreachable(node walnutramp.NodeName, now time.Time) {
 	g.rec.mu.Lock()
--- a/generation/store.go
+++ b/generation/store.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp"
 )
 
@@ -138,9 +139,16 @@
 	if r.owner != nil && r.owner.busy() {
 		return false
 	}
+	if r.state.Final != nil && r.state.Spec.Key == "" {
+		retain /= finishedShare
+	}
 	return now.Sub(r.touched) > retain
 }
 
+// finishedShare divides the retention of finished generations without a key:
+// their callers may reconnect for a moment yet, and nobody asks again later.
+const finishedShare = 4
+
 // Replicate implements the RPC that owners append with.
 func (s *Store) Replicate(args ReplicateArgs, reply *ReplicateReply) error {
 	reply.Acks = make([]Ack, len(args.Appends))
@@ -151,9 +159,29 @@
 		}
 		reply.Acks[i] = s.apply(args.From, &args.Appends[i])
 	}
+	if !args.Plain.whole() {
+		return errors.New("appends do not fit each other")
+	}
+	plain := args.Plain.appends()
+	reply.Plain = make([]int64, len(plain))
+	for i := range plain {
+		if args.To != s.self.Incarnation {
+			reply.Plain[i] = -int64(walnutramp.CodeWrongIncarnation)
+			continue
+		}
+		reply.Plain[i] = s.apply(args.From, &plain[i]).plain()
+	}
 	return nil
 }
 
+// plain is the answer to a plain append.
+func (a Ack) plain() int64 {
+	if a.Code != walnutramp.CodeOK {
+		return -int64(a.Code)
+	}
+	return int64(a.Held)
+}
+
 func (s *Store) apply(owner Member, a *Append) Ack {
 	h, ok := s.resolve(owner, a)
 	if !ok {
--- a/generation/wire.go
+++ b/generation/wire.go
@@ -19,7 +19,8 @@
 type ReplicateArgs struct {
 	From    Member
 	To      walnutramp.Incarnation // the run of the replica that is meant
-	Appends []Append
+	Appends []Append               // those that hold more than tokens
+	Plain   Columns                // all others
 }
 
 // Handle names one epoch of one generation between an owner's run and its
@@ -28,7 +29,8 @@
 
 // ReplicateReply answers each append in order.
 type ReplicateReply struct {
-	Acks []Ack
+	Acks  []Ack
+	Plain []int64 // for each plain append what is held, or a code below 0
 }
 
 // Append extends one generation at a replica.
