Close idle peer connections; count the bytes of load reports

Cause: a node kept a connection to every node it had ever probed, which grows with the site, and the capacity tables left the bytes of load reports out.

--- a/load/capacity.go
+++ b/load/capacity.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +16,8 @@
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/internal/part"
 	"github.com/walnutramp/walnutramp/internal/site"
+	"github.com/walnutramp/walnutramp/standin"
+	"github.com/walnutramp/walnutramp/target"
 	"go.yaml.in/yaml/v3"
 	"gonum.org/v1/gonum/stat"
 )
@@ -56,7 +60,9 @@
 type Capacity struct {
 	Machine string  `json:"machine"`
 	Seconds float64 `json:"seconds"` // of each measurement
-	Slopes  []Slope `json:"slopes"`
+	// ReportBytes is what one load report takes on the wire, both ways.
+	ReportBytes float64 `json:"report_bytes"`
+	Slopes      []Slope `json:"slopes"`
 }
 
 // Names of the slopes.
@@ -103,7 +109,55 @@
 	for i := range c.Slopes {
 		c.Slopes[i].fit()
 	}
-	return c, nil
+	var err error
+	c.ReportBytes, err = reportBytes(ctx)
+	return c, err
+}
+
+// reportBytes counts what load reports take over a connection that is kept.
+func reportBytes(ctx context.Context) (float64, error) {
+	e := standin.NewEngine()
+	defer e.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, err
+	}
+	go e.Serve(l)
+	var count atomic.Int64
+	var d net.Dialer
+	pool := target.NewPool(func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, address)
+		return &countedConn{c, &count}, err
+	})
+	defer pool.Close()
+	engine := pool.Engine(bundle.Target{Address: l.Addr().String()})
+	const rounds = 20
+	for range rounds {
+		if _, err := engine.Load(ctx); err != nil {
+			return 0, err
+		}
+	}
+	return float64(count.Load()) / rounds, nil
+}
+
+// countedConn counts bytes both ways.
+type countedConn struct {
+	net.Conn
+	count *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.count.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.count.Add(int64(n))
+	return n, err
 }
 
 // How long a new site takes until its nodes have no news of each other left.
--- a/load/predict.go
+++ b/load/predict.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"io"
 
-	"github.com/walnutramp/walnutramp/route"
+	"github.com/walnutramp/walnutramp/target"
 )
 
 // TargetSize is the size the system must reach, with its limits.
@@ -14,7 +14,6 @@
 	RequestsPerSec float64
 	TokensPerSec   float64
 	ChangesPerDay  float64
-	Models         int
 	CPULimit       float64 // ms a second of one core, for control
 	MemoryLimit    float64 // MB
 	BytesLimit     float64 // a second
@@ -24,17 +23,13 @@
 // Target is the size of the users' first letter.
 func Target() TargetSize {
 	return TargetSize{
-		Nodes: 440, Servers: 12000, RequestsPerSec: 29000, TokensPerSec: 7.6e6, ChangesPerDay: 20000, Models: 6,
+		Nodes: 440, Servers: 12000, RequestsPerSec: 29000, TokensPerSec: 7.6e6, ChangesPerDay: 20000,
 		CPULimit: 31, MemoryLimit: 128, BytesLimit: 7000, InForceLimit: 5000,
 	}
 }
 
 const secondsPerDay = 86400
 
-// asksAtHalfSecond is how many targets asked each half second come to the 60
-// asks a second that a node is bound to.
-const asksAtHalfSecond = 30
-
 // prediction is one figure at the target size against its limit.
 type prediction struct {
 	what  string
@@ -64,17 +59,21 @@
 		}
 		return 0
 	}
-	perX := func(name string) float64 {
+	highest := func(name string) float64 {
+		y := 0.0
 		if s, ok := c.Slope(name); ok {
-			return s.PerX
+			for _, p := range s.Points {
+				y = max(y, p.Y)
+			}
 		}
-		return 0
+		return y
 	}
 	changes := t.ChangesPerDay / secondsPerDay
 	parse := at(SlopeParse, t.Servers)
 	return []prediction{
 		{"processor time, membership and lease", "fit by members at 440", at(SlopeMembersCPU, t.Nodes), t.CPULimit, "ms/s"},
-		{"processor time, load reports", fmt.Sprintf("slope by targets × %d models × %d targets, at most 60 asked a second", t.Models, route.PerModel), perX(SlopeTargetsCPU) * min(float64(t.Models*route.PerModel), asksAtHalfSecond), t.CPULimit, "ms/s"},
+		{"processor time, load reports", "largest measured by targets: beyond 30 of them the asks a second are bounded", highest(SlopeTargetsCPU), t.CPULimit, "ms/s"},
+		{"bytes, load reports", fmt.Sprintf("%d asks a second × %.0f bytes measured", target.AsksPerSecond, c.ReportBytes), target.AsksPerSecond * c.ReportBytes, t.BytesLimit, "bytes/s"},
 		{"processor time, taking changes of the whole bundle", "time to take a change at 12,000 targets × changes/s", parse * changes, t.CPULimit, "ms/s"},
 		{"bytes, membership and lease", "fit by members at 440", at(SlopeMembersBytes, t.Nodes), t.BytesLimit, "bytes/s"},
 		{"bytes, changes", "bytes of a change at 12,000 targets × changes/s", at(SlopeDelta, t.Servers) * changes, t.BytesLimit, "bytes/s"},
--- a/peer/client.go
+++ b/peer/client.go
@@ -27,6 +27,7 @@
 
 	mu     sync.Mutex
 	closed bool
+	swept  time.Time // when idle connections were last closed
 	remote map[walnutramp.NodeName]*remote
 }
 
@@ -38,6 +39,8 @@
 	mu      sync.Mutex
 	address string
 	client  *rpc.Client
+	calls   int       // under way
+	used    time.Time // by the newest call
 	heard   time.Time // when an answer last came
 	failed  time.Time // when dialling last failed
 }
@@ -54,6 +57,7 @@
 	if err != nil {
 		return err
 	}
+	defer r.done()
 	conn, err := r.connect(ctx, c)
 	if err != nil {
 		return err
@@ -100,20 +104,66 @@
 	return errors.As(err, &s)
 }
 
+// to returns the way to a node with a call counted in.
 func (c *Client) to(node walnutramp.NodeName) (*remote, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return nil, errors.New("client closed")
 	}
+	c.closeIdle(time.Now())
 	r := c.remote[node]
 	if r == nil {
 		r = &remote{node: node, dialing: make(chan struct{}, 1)}
 		c.remote[node] = r
 	}
+	r.use()
 	return r, nil
 }
 
+// use counts a call in.
+func (r *remote) use() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls++
+}
+
+// done counts a call out.
+func (r *remote) done() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls--
+	r.used = time.Now()
+}
+
+// closeIdle closes connections that nothing has used for a while, so that a
+// node does not keep one to every other that it once probed. The caller holds
+// the client's mutex.
+func (c *Client) closeIdle(now time.Time) {
+	if now.Sub(c.swept) < idleLimit {
+		return
+	}
+	c.swept = now
+	for node, r := range c.remote {
+		if r.closeIdle(now) {
+			delete(c.remote, node)
+		}
+	}
+}
+
+func (r *remote) closeIdle(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.calls > 0 || now.Sub(r.used) < idleLimit {
+		return false
+	}
+	if r.client != nil {
+		r.client.Close()
+		r.client = nil
+	}
+	return true
+}
+
 // connect returns the open connection, or dials.
 func (r *remote) connect(ctx context.Context, c *Client) (*rpc.Client, error) {
 	address, ok := c.addresses.Address(r.node)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -25,9 +25,10 @@
 	helloTimeout = 2 * time.Second
 	dialTimeout  = 1 * time.Second
 	redialPause  = 50 * time.Millisecond
-	stuckAfter   = 1 * time.Second // silence after which a connection is given up
-	writeTimeout = 2 * time.Second // of one write to a peer that does not read
-	maxHello     = 1024            // bytes
+	stuckAfter   = 1 * time.Second  // silence after which a connection is given up
+	idleLimit    = 20 * time.Second // after which an unused connection is closed
+	writeTimeout = 2 * time.Second  // of one write to a peer that does not read
+	maxHello     = 1024             // bytes
 )
 
 // hello is the line each side sends first.
--- a/target/watch.go
+++ b/target/watch.go
@@ -100,15 +100,15 @@
 	}
 }
 
-// asksPerSecond bounds how many load reports a node asks for, all targets
+// AsksPerSecond bounds how many load reports a node asks for, all targets
 // together.
-const asksPerSecond = 60
+const AsksPerSecond = 60
 
 func (w *Watch) jittered() time.Duration {
 	w.mu.Lock()
 	n := len(w.tasks)
 	w.mu.Unlock()
-	interval := max(w.interval, time.Duration(n)*time.Second/asksPerSecond)
+	interval := max(w.interval, time.Duration(n)*time.Second/AsksPerSecond)
 	return time.Duration(float64(interval) * (0.8 + 0.4*rand.Float64()))
 }
 
