Tell who would wait too long at once; test the router's failures

Change: a bundle's admission.patience bounds the wait; a request whose predicted wait is longer is refused at once with Retry-After. Tests for herding on a stale report, shares, shedding, a greedy account, the retry budget, a lying report.

--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -39,10 +39,17 @@
 	Leaving    []walnutramp.TargetName `yaml:"leaving"`
 	Guard      Guard                   `yaml:"guard"`
 	Resume     Resume                  `yaml:"resume"`
+	Admission  Admission               `yaml:"admission"`
 	Placement  Placement               `yaml:"placement"`
 	Objectives []Objective             `yaml:"objectives"`
 }
 
+// Admission says how long a request may wait for a place. One that would wait
+// longer is told so at once.
+type Admission struct {
+	Patience time.Duration `yaml:"patience"`
+}
+
 // Placement says whether and how fast this system loads models on engines.
 type Placement struct {
 	Orders bool `yaml:"orders"` // give orders at all
--- a/bundle/check.go
+++ b/bundle/check.go
@@ -148,6 +148,9 @@
 	if g.Coalesce < 0 {
 		c.add("must not be negative", "give a duration such as 5ms", "guard", "coalesce")
 	}
+	if c.bundle.Admission.Patience < 0 {
+		c.add("must not be negative", "give a duration such as 300ms", "admission", "patience")
+	}
 	if c.bundle.Placement.Orders && c.bundle.Placement.Loads < 1 {
 		c.add("must be 1 or more", "say how many loads the weight store bears at once", "placement", "loads")
 	}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -29,6 +29,7 @@
 	Accounts   []bundle.Account // each has the key that KeyOf gives
 	Guard      bundle.Guard
 	Leaning    bundle.Leaning
+	Patience   time.Duration // of admission; 0 for the node's own
 	Objectives []bundle.Objective
 	Network    Network
 	NodeOpt    []node.Option
@@ -240,6 +241,7 @@
 		Models:     []bundle.Model{{Name: s.cfg.Engine.Model, Context: 1 << 17}},
 		Guard:      s.cfg.Guard,
 		Resume:     bundle.Resume{Leaning: s.cfg.Leaning},
+		Admission:  bundle.Admission{Patience: s.cfg.Patience},
 		Objectives: s.cfg.Objectives,
 	}
 	for _, e := range s.Engines {
--- a/load/routing.go
+++ b/load/routing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/walnutramp/walnutramp/node"
 	"github.com/walnutramp/walnutramp/route"
@@ -27,12 +28,12 @@
 }
 
 // RunRouting runs every policy at each share of capacity.
-func (r *Runner) RunRouting(ctx context.Context, shares []float64) ([]*Result, error) {
+func (r *Runner) RunRouting(ctx context.Context, shares []float64, policies []string) ([]*Result, error) {
 	var all []*Result
 	for _, share := range shares {
 		at := *r
 		at.Mix.Drafts = share * r.Shape.Capacity(r.Mix.OutputMean)
-		variants := Policies()
+		variants := slices.DeleteFunc(Policies(), func(v Variant) bool { return !slices.Contains(policies, v.Name) })
 		for i := range variants {
 			variants[i].Name = fmt.Sprintf("%s@%g", variants[i].Name, share)
 		}
--- a/load/shape.go
+++ b/load/shape.go
@@ -23,6 +23,7 @@
 	Accounts int
 	Leaning  bundle.Leaning
 	Coalesce time.Duration
+	Patience time.Duration // for a place at a target; 0 for the node's own
 }
 
 // Shapes are the deployments that can be driven embedded.
@@ -60,6 +61,7 @@
 	cfg.Engine = standin.DefaultEngineConfig()
 	cfg.Leaning = s.Leaning
 	cfg.Guard = bundle.Guard{Replicas: 3, Coalesce: s.Coalesce}
+	cfg.Patience = s.Patience
 	cfg.Network = &site.Loopback{Between: s.Between, Client: s.Client}
 	cfg.Accounts = nil
 	for i := range s.Accounts {
--- a/route/queue.go
+++ b/route/queue.go
@@ -14,9 +14,10 @@
 
 // waiter is a request that waits for a place.
 type waiter struct {
-	req    Request
-	result chan pickResult
-	finish float64 // virtual time at which its account's share is used up
+	req      Request
+	result   chan pickResult
+	patience time.Duration // how long it may wait
+	finish   float64       // virtual time at which its account's share is used up
 }
 
 // errShedSelf stands for the newcomer itself in shedFor's answer.
@@ -27,8 +28,8 @@
 type lane struct {
 	size    int
 	resumes []*waiter
-	classes []*class // priority falling
-	rate    float64  // places granted a second, smoothed
+	classes []*class      // priority falling
+	gap     time.Duration // between places granted while some wait, smoothed
 	last    time.Time
 }
 
@@ -132,23 +133,32 @@
 	return errShedSelf
 }
 
-// served notes that a place was granted.
+// served notes that a place was granted to a waiter.
 func (l *lane) served(now time.Time) {
-	if !l.last.IsZero() {
-		if gap := now.Sub(l.last).Seconds(); gap > 0 {
-			l.rate += (1/gap - l.rate) * smoothing
-		}
+	if since := now.Sub(l.last); since < maxGap {
+		l.gap += time.Duration(smoothing * float64(since-l.gap))
 	}
 	l.last = now
 }
 
+// maxGap bounds what counts as the time between two places: after it the
+// queue was empty.
+const maxGap = 2 * time.Second
+
+// waitOf predicts how long a newcomer of a priority would wait.
+func (l *lane) waitOf(priority int) time.Duration {
+	ahead := 0
+	for _, c := range l.classes {
+		if c.priority >= priority {
+			ahead += len(c.waiters)
+		}
+	}
+	return time.Duration(ahead) * l.gap
+}
+
 // drainTime predicts how long the queue of now needs, between the bounds
 // that callers are told.
 func (l *lane) drainTime() time.Duration {
 	const least, most = time.Second, 30 * time.Second
-	if l.rate <= 0 {
-		return least
-	}
-	d := time.Duration(float64(l.size) / l.rate * float64(time.Second))
-	return min(max(d, least), most)
+	return min(max(time.Duration(l.size)*l.gap, least), most)
 }
--- a/route/route.go
+++ b/route/route.go
@@ -196,14 +196,14 @@
 	if err != nil || grant != nil {
 		return grant, err
 	}
-	timer := time.NewTimer(r.cfg.QueueTime)
+	timer := time.NewTimer(w.patience)
 	defer timer.Stop()
 	select {
 	case res := <-w.result:
 		return res.grant, res.err
 	case <-timer.C:
 		return r.leave(w, walnutramp.NewError(walnutramp.CodeQueueDeadline, walnutramp.NotRun,
-			"no place became free in %v", r.cfg.QueueTime).WithRetryAfter(retryAfterQueue))
+			"no place became free in %v", w.patience).WithRetryAfter(retryAfterQueue))
 	case <-ctx.Done():
 		return r.leave(w, walnutramp.NewError(walnutramp.CodeQueueDeadline, walnutramp.NotRun, "the caller left"))
 	}
@@ -236,22 +236,44 @@
 			return nil, grant, nil
 		}
 	}
-	if shed := l.shedFor(req, r.cfg.QueueLimit); shed != nil {
-		overload := walnutramp.NewError(walnutramp.CodeOverloaded, walnutramp.NotRun,
-			"%d requests wait for model %s", l.size, req.Model).WithRetryAfter(l.drainTime())
-		if shed == errShedSelf {
-			r.release(req.Account)
-			return nil, nil, overload
-		}
-		r.release(shed.req.Account)
-		shed.result <- pickResult{err: overload}
+	w := &waiter{req: req, result: make(chan pickResult, 1), patience: r.patience(req)}
+	if err := r.shed(l, w); err != nil {
+		return nil, nil, err
 	}
-	w := &waiter{req: req, result: make(chan pickResult, 1)}
 	l.push(w)
 	r.dispatch(l, req.Model)
 	return w, nil, nil
 }
 
+// patience is how long a request may wait.
+func (r *Router) patience(req Request) time.Duration {
+	if r.bundle.Admission.Patience > 0 && !req.Resume {
+		return r.bundle.Admission.Patience
+	}
+	return r.cfg.QueueTime
+}
+
+// shed makes room for w, or refuses w: where it would have to wait longer
+// than it may, it is told so now.
+func (r *Router) shed(l *lane, w *waiter) error {
+	loser := l.shedFor(w.req, r.cfg.QueueLimit)
+	if loser == nil && !w.req.Resume && l.waitOf(w.req.Priority) > w.patience {
+		loser = errShedSelf
+	}
+	if loser == nil {
+		return nil
+	}
+	overload := walnutramp.NewError(walnutramp.CodeOverloaded, walnutramp.NotRun,
+		"%d requests wait for model %s", l.size, w.req.Model).WithRetryAfter(l.drainTime())
+	if loser == errShedSelf {
+		r.release(w.req.Account)
+		return overload
+	}
+	r.release(loser.req.Account)
+	loser.result <- pickResult{err: overload}
+	return nil
+}
+
 // leave takes w out of its queue, unless a result came in meanwhile.
 func (r *Router) leave(w *waiter, err *walnutramp.Error) (*Grant, error) {
 	r.mu.Lock()
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,203 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/target"
+)
+
+// newRouter returns a router over n engines of so many slots.
+func newRouter(n, slots int, edit func(*bundle.Bundle), opts ...Option) *Router {
+	b := &bundle.Bundle{Version: 1, Targets: engines(n)}
+	for i := range b.Targets {
+		b.Targets[i].Slots = slots
+	}
+	for _, a := range []walnutramp.ClientAccount{"a", "b"} {
+		b.Accounts = append(b.Accounts, bundle.Account{Name: a, Weight: 1})
+	}
+	if edit != nil {
+		edit(b)
+	}
+	r := New(append([]Option{WithNode("n", "h0")}, opts...)...)
+	r.Apply(b)
+	return r
+}
+
+func ask(account walnutramp.ClientAccount, priority, weight int) Request {
+	return Request{Account: account, Priority: priority, Weight: weight, Model: "m", PromptTokens: 100}
+}
+
+func pick(t *testing.T, r *Router, req Request) *Grant {
+	g, err := r.Pick(t.Context(), req)
+	require.NoError(t, err)
+	return g
+}
+
+func TestStaleReportDoesNotHerd(t *testing.T) {
+	r := newRouter(4, 16, nil)
+	for i := range 4 {
+		load := 8
+		if i == 0 {
+			load = 0
+		}
+		r.Report(walnutramp.TargetName(fmt.Sprintf("e%d", i)), target.LoadReport{Running: load, Slots: 16, PrefillRate: 8000})
+	}
+	sent := map[walnutramp.TargetName]int{}
+	for range 24 {
+		sent[pick(t, r, ask("a", 0, 1)).Target.Name]++
+	}
+	require.Greater(t, sent["e0"], 6, "the idle target is preferred")
+	require.LessOrEqual(t, sent["e0"], 16, "and not flooded on the word of one report")
+}
+
+func TestSharesFollowWeights(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRouter(1, 1, nil)
+		first := pick(t, r, ask("a", 0, 1))
+		var mu sync.Mutex
+		var order []walnutramp.ClientAccount
+		var wg sync.WaitGroup
+		wait := func(account walnutramp.ClientAccount, weight int) {
+			wg.Go(func() {
+				g, err := r.Pick(context.Background(), ask(account, 0, weight))
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				order = append(order, account)
+				mu.Unlock()
+				g.Done(Finished)
+			})
+		}
+		for range 40 {
+			wait("a", 3)
+			wait("b", 1)
+		}
+		synctest.Wait()
+		first.Done(Finished)
+		wg.Wait()
+		got := map[walnutramp.ClientAccount]int{}
+		for _, a := range order[:40] {
+			got[a]++
+		}
+		require.InDelta(t, 30, got["a"], 2, "%v", got)
+	})
+}
+
+func TestPriorityGoesFirstAndIsShedLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRouter(1, 1, nil, WithQueue(2, time.Hour))
+		first := pick(t, r, ask("a", 0, 1))
+		results := make(chan string, 4)
+		wait := func(name string, priority int) {
+			go func() {
+				g, err := r.Pick(context.Background(), ask("a", priority, 1))
+				if err != nil {
+					e := walnutramp.AsError(err)
+					require.Equal(t, walnutramp.NotRun, e.Outcome)
+					require.Positive(t, e.RetryAfter)
+					results <- name + " shed"
+					return
+				}
+				results <- name + " served"
+				g.Done(Finished)
+			}()
+			synctest.Wait()
+		}
+		wait("low 1", 0)
+		wait("low 2", 0)
+		wait("high", 1)
+		require.Equal(t, "low 2 shed", <-results, "the last of the lowest goes, at once")
+		wait("low 3", 0)
+		require.Equal(t, "low 3 shed", <-results)
+		first.Done(Finished)
+		require.Equal(t, "high served", <-results)
+		require.Equal(t, "low 1 served", <-results)
+	})
+}
+
+func TestPatienceBoundsTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRouter(1, 1, func(b *bundle.Bundle) { b.Admission.Patience = 300 * time.Millisecond })
+		pick(t, r, ask("a", 0, 1))
+		began := time.Now()
+		_, err := r.Pick(t.Context(), ask("a", 0, 1))
+		require.True(t, walnutramp.HasCode(err, walnutramp.CodeQueueDeadline), "%v", err)
+		require.Equal(t, 300*time.Millisecond, time.Since(began))
+	})
+}
+
+func TestWhoWouldWaitTooLongIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRouter(1, 1, func(b *bundle.Bundle) { b.Admission.Patience = 300 * time.Millisecond })
+		pick(t, r, ask("a", 0, 1))
+		r.lane("m").gap = 200 * time.Millisecond
+		for range 2 {
+			go r.Pick(context.Background(), ask("a", 0, 1))
+			synctest.Wait()
+		}
+		began := time.Now()
+		_, err := r.Pick(t.Context(), ask("a", 0, 1))
+		require.True(t, walnutramp.HasCode(err, walnutramp.CodeOverloaded), "%v", err)
+		require.Zero(t, time.Since(began))
+		time.Sleep(time.Second)
+	})
+}
+
+func TestGreedyAccountIsHeldToItsLimit(t *testing.T) {
+	r := newRouter(4, 16, func(b *bundle.Bundle) { b.Accounts[0].Limits.Concurrent = 3 })
+	for range 3 {
+		pick(t, r, ask("a", 0, 1))
+	}
+	_, err := r.Pick(t.Context(), ask("a", 0, 1))
+	require.True(t, walnutramp.HasCode(err, walnutramp.CodeAccountLimit))
+	pick(t, r, ask("b", 0, 1)).Done(Finished)
+}
+
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRouter(4, 1000, nil)
+		for range 100 {
+			pick(t, r, ask("a", 0, 1)).Done(Finished)
+		}
+		spent := 0
+		for range 1000 {
+			if r.SpendRetry() {
+				spent++
+			}
+		}
+		require.InDelta(t, 20, spent, 1, "a tenth of 100 sends and the floor of 10")
+	})
+}
+
+func TestLyingReportIsCorrectedByOwnSends(t *testing.T) {
+	r := newRouter(2, 4, nil)
+	r.Report("e0", target.LoadReport{Running: 0, Slots: 4})
+	r.Report("e1", target.LoadReport{Running: 3, Slots: 4})
+	sent := map[walnutramp.TargetName]int{}
+	for range 5 {
+		sent[pick(t, r, ask("a", 0, 1)).Target.Name]++
+		r.Report("e0", target.LoadReport{Running: 0, Slots: 4}) // it never says more
+	}
+	require.Equal(t, 4, sent["e0"], "a target that claims to idle is filled to its slots and no further")
+}
+
+func TestTargetsThatFailComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRouter(1, 4, nil)
+		pick(t, r, ask("a", 0, 1)).Done(Broken)
+		_, err := r.Pick(t.Context(), ask("a", 0, 1))
+		require.True(t, walnutramp.HasCode(err, walnutramp.CodeNoTarget))
+		require.Positive(t, walnutramp.AsError(err).RetryAfter)
+		time.Sleep(firstBackoff)
+		pick(t, r, ask("a", 0, 1)).Done(Finished)
+	})
+}
