--- /dev/null
+++ b/cmd/walnutramp/main_test.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestSettings reads a case file: after each "$" the arguments, below them the
+// exit code and what is printed.
+func TestSettings(t *testing.T) {
+	content, err := os.ReadFile("testdata/settings.txt")
+	require.NoError(t, err)
+	cases := strings.Split(string(content), "\n$ ")
+	require.Greater(t, len(cases), 5)
+	for _, c := range cases[1:] {
+		args, want, _ := strings.Cut(c, "\n")
+		t.Run(args, func(t *testing.T) {
+			var out bytes.Buffer
+			p := &program{out: &out, err: &out}
+			code := p.run(strings.Fields(args))
+			got := strings.TrimSpace(out.String())
+			exit, text, _ := strings.Cut(strings.TrimSpace(want), "\n")
+			require.Equal(t, exit, "exit "+string(rune('0'+code)), got)
+			require.Equal(t, strings.TrimSpace(text), got)
+		})
+	}
+}
+
+// TestDemoKeepsItsPromises runs the demo and reads its last line.
+func TestDemoKeepsItsPromises(t *testing.T) {
+	var out bytes.Buffer
+	p := &program{out: &out, err: &out}
+	require.Equal(t, exitOK, p.run([]string{"demo", "--json"}), out.String())
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	var r demoResult
+	require.NoError(t, json.Unmarshal([]byte(lines[len(lines)-1]), &r))
+	require.Equal(t, r.Drafts, r.Complete)
+	require.Equal(t, 2*demoDrafts*demoTokens, r.Tokens)
+	require.Zero(t, r.Missing+r.Repeated+r.Mixed)
+	require.Positive(t, r.Reconnects)
+}
+
+// TestDemoFailsWhenAPromiseBreaks holds the exit code to the result.
+func TestDemoFailsWhenAPromiseBreaks(t *testing.T) {
+	good := demoResult{Drafts: 1, Complete: 1, LookupsGood: 1}
+	require.NoError(t, good.broken())
+	for _, bad := range []demoResult{
+		{Drafts: 2, Complete: 1, LookupsGood: 1},
+		{Drafts: 1, Complete: 1, LookupsGood: 1, Missing: 1},
+		{Drafts: 1, Complete: 1, LookupsGood: 1, Repeated: 1},
+		{Drafts: 1, Complete: 1, LookupsGood: 1, Mixed: 1},
+		{Drafts: 1, Complete: 1},
+	} {
+		require.Error(t, bad.broken())
+	}
+}
