Let nodes share the last places at a target

Change: above three quarters of a target's slots a node adds no more than its share of the free places, drawn anew at each report.

Seen to fail: without shares 12 nodes send 36 requests for 3 free places (TestNodesShareTheLastPlaces).

--- a/cmd/walnutramp/routing.go
+++ b/cmd/walnutramp/routing.go
@@ -14,6 +14,7 @@
 	Duration time.Duration `long:"duration" default:"12s" description:"for which new requests arrive"`
 	Shares   []float64     `long:"share" default:"0.5" default:"0.9" default:"1.3" description:"shares of the engines' capacity"`
 	Policies []string      `long:"policy" default:"predicted" default:"least-reported" default:"round-robin" default:"random" choice:"predicted" choice:"least-reported" choice:"round-robin" choice:"random" description:"routers to compare"`
+	Slots    int           `long:"slots" default:"0" description:"requests each engine decodes at once; 0 for the stand-in's default"`
 	Patience time.Duration `long:"patience" default:"0" description:"how long a request may wait for a place, as a bundle's admission says"`
 	Failures string        `long:"failures" default:"" description:"failure plan, as for load"`
 	JSON     bool          `long:"json" description:"end with one JSON object on the last line"`
@@ -28,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	shape.Patience = c.Patience
+	shape.Patience, shape.Slots = c.Patience, c.Slots
 	mix := load.DefaultMix()
 	mix.Seed, mix.Duration = c.Seed, c.Duration
 	if mix.Failures, err = load.ParsePlan(c.Failures, c.Duration); err != nil {
--- a/consensus/member.go
+++ b/consensus/member.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/wal"
 	"k8s.io/klog/v2"
 )
@@ -180,7 +181,7 @@
 func (m *Member) keepTimer() {
 	for {
 		wait := m.cfg.Election + m.draw(m.cfg.Election)
-		if !pause(m.ctx, wait/4) {
+		if !pause.For(m.ctx, wait/4) {
 			return
 		}
 		m.mu.Lock()
@@ -378,15 +379,3 @@
 	}
 	return e.Index, true
 }
-
-// pause waits for d; false means ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/control/client.go
+++ b/control/client.go
@@ -10,6 +10,7 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/caller"
+	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/target"
 	"k8s.io/klog/v2"
 )
@@ -92,7 +93,7 @@
 func (c *Client) renewAlways() {
 	for c.ctx.Err() == nil {
 		if !c.renew() {
-			sleep(c.ctx, renewPause)
+			pause.For(c.ctx, renewPause)
 		}
 	}
 }
@@ -219,7 +220,7 @@
 		default:
 			c.forgetLeader(reply.Leader)
 		}
-		if !sleep(ctx, tryPause) {
+		if !pause.For(ctx, tryPause) {
 			return Result{}, walnutramp.NewError(walnutramp.CodeLedgerAway, walnutramp.NotRun,
 				"the control group did not answer in %v", commandTime).WithRetryAfter(time.Second)
 		}
@@ -285,20 +286,8 @@
 			return r, nil
 		}
 		c.forgetLeader("")
-		if !sleep(ctx, tryPause) {
+		if !pause.For(ctx, tryPause) {
 			return HistoryReply{}, err
 		}
 	}
 }
-
-// sleep waits for d; false means ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/generation/link.go
+++ b/generation/link.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/internal/pause"
 )
 
 // Timing and size of messages to replicas.
@@ -62,7 +63,7 @@
 			retry = firstRetry
 			continue
 		}
-		if !pause(ctx, retry) {
+		if !pause.For(ctx, retry) {
 			return
 		}
 		retry = min(2*retry, lastRetry)
@@ -73,7 +74,7 @@
 // false means ctx ended.
 func (l *link) coalesce(ctx context.Context) bool {
 	wait := l.m.cfg.Guard().Coalesce
-	return wait <= 0 || pause(ctx, wait)
+	return wait <= 0 || pause.For(ctx, wait)
 }
 
 // send replicates all that is marked; false means the node didn't answer.
@@ -171,15 +172,3 @@
 	}
 	return true
 }
-
-// pause waits for d; false means ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/generation/manager.go
+++ b/generation/manager.go
@@ -1,7 +1,6 @@
 package generation
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -9,7 +8,6 @@
 	"time"
 
 	"github.com/alitto/pond/v2"
-	"github.com/cespare/xxhash/v2"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/internal/part"
@@ -271,51 +269,6 @@
 	}
 }
 
-// checkSet replaces members that are gone, fills a set that was opened while
-// too few nodes lived, and ends a generation whose majority is lost.
-func (g *Generation) checkSet(now time.Time) {
-	live := g.m.cfg.Directory.Live()
-	g.rec.mu.Lock()
-	defer g.rec.mu.Unlock()
-	if g.rec.owner != g || !g.busy() || g.err != nil {
-		return
-	}
-	if !g.majorityPossible(now) {
-		g.end(walnutramp.NewError(walnutramp.CodeNotProvable, walnutramp.Unknown,
-			"too few of the %d replicas are left", len(g.rec.state.Members)))
-		return
-	}
-	if len(g.rec.state.Members) < g.m.cfg.Guard().Replicas || len(g.failing()) > 0 || g.someoneGone(live) {
-		g.wantReplacement()
-	}
-}
-
-// majorityPossible reports whether enough members may still answer. The
-// caller holds the mutex.
-func (g *Generation) majorityPossible(now time.Time) bool {
-	left := 0
-	for _, mem := range g.rec.state.Members {
-		c := g.cursors[mem.Node]
-		gone := c != nil && (c.lost || !c.failing.IsZero() && now.Sub(c.failing) > g.m.cfg.Patience)
-		if !gone {
-			left++
-		}
-	}
-	return left >= majority(len(g.rec.state.Members))
-}
-
-// someoneGone reports whether a member is not among the live nodes. The
-// caller holds the mutex.
-func (g *Generation) someoneGone(live []Node) bool {
-	for _, mem := range g.rec.state.Members {
-		alive := slices.ContainsFunc(live, func(n Node) bool { return n.Member == mem })
-		if mem != g.m.store.self && !alive {
-			return true
-		}
-	}
-	return false
-}
-
 func (m *Manager) link(node walnutramp.NodeName) *link {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -381,49 +334,6 @@
 	return cs
 }
 
-// chooseMembers makes a replica set: this node first, then those of keep that
-// live, then others by rank for the identity, preferring data halls not yet
-// used. Members in avoid are left out.
-func (m *Manager) chooseMembers(id walnutramp.GenerationID, keep, avoid []Member) []Member {
-	size := m.cfg.Guard().Replicas
-	self := m.cfg.Directory.Self()
-	set := []Member{self.Member}
-	halls := map[walnutramp.DataHall]bool{self.DataHall: true}
-	ranked := Rank(id, m.cfg.Directory.Live())
-	take := func(want func(Node) bool) {
-		for _, n := range ranked {
-			if len(set) < size && !slices.Contains(set, n.Member) && !slices.Contains(avoid, n.Member) && want(n) {
-				set = append(set, n.Member)
-				halls[n.DataHall] = true
-			}
-		}
-	}
-	take(func(n Node) bool { return slices.Contains(keep, n.Member) })
-	take(func(n Node) bool { return !halls[n.DataHall] })
-	take(func(n Node) bool { return n.DataHall != self.DataHall })
-	take(func(Node) bool { return true })
-	if len(set)%2 == 0 {
-		set = set[:len(set)-1]
-	}
-	return set
-}
-
-// Rank orders nodes by their distance on a hash ring behind the place where
-// the identity begins: the place of the node that opened the generation. All
-// generations of a node so share their replicas, and messages to them; and
-// each node is a replica for about as many others as they are for it.
-func Rank(id walnutramp.GenerationID, nodes []Node) []Node {
-	origin := id.Place()
-	ranked := slices.Clone(nodes)
-	slices.SortFunc(ranked, func(a, b Node) int {
-		return cmp.Compare(Place(a.Node)-origin-1, Place(b.Node)-origin-1)
-	})
-	return ranked
-}
-
-// Place is where a node stands on the ring.
-func Place(n walnutramp.NodeName) uint32 { return uint32(xxhash.Sum64String(string(n))) }
-
 func request(spec *Spec, promptTokens int) route.Request {
 	return route.Request{
 		Account:      spec.Account,
--- a/generation/resume.go
+++ b/generation/resume.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/route"
 	"github.com/walnutramp/walnutramp/target"
 )
@@ -74,7 +75,7 @@
 			return nil, last
 		}
 		b = g.broken(causeStalled)
-		if !pause(ctx, retryPause) {
+		if !pause.For(ctx, retryPause) {
 			break
 		}
 	}
--- a/load/capacity.go
+++ b/load/capacity.go
@@ -15,6 +15,7 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/internal/part"
+	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/internal/site"
 	"github.com/walnutramp/walnutramp/standin"
 	"github.com/walnutramp/walnutramp/target"
@@ -235,7 +236,7 @@
 	if err := s.AwaitMembers(ctx); err != nil {
 		return idle{}, err
 	}
-	sleep(ctx, settleBase+time.Duration(nodes)*settlePerNode)
+	pause.For(ctx, settleBase+time.Duration(nodes)*settlePerNode)
 	took, err := m.changeAll(ctx, s)
 	if err != nil {
 		return idle{}, err
@@ -295,7 +296,7 @@
 	accepted := time.Now()
 	for _, n := range s.Nodes {
 		for n.BundleVersion() < b.Version {
-			if !sleep(ctx, 200*time.Microsecond) {
+			if !pause.For(ctx, 200*time.Microsecond) {
 				return 0, errors.New("a bundle did not come into force everywhere")
 			}
 		}
@@ -306,7 +307,7 @@
 // keepChanging submits bundles at a rate for the meter's duration.
 func (m *Meter) keepChanging(ctx context.Context, s *site.Site, perSecond int) error {
 	if perSecond == 0 {
-		sleep(ctx, m.Duration)
+		pause.For(ctx, m.Duration)
 		return nil
 	}
 	end := time.Now().Add(m.Duration)
@@ -315,7 +316,7 @@
 		if _, err := m.changeAll(ctx, s); err != nil {
 			return err
 		}
-		sleep(ctx, time.Until(next))
+		pause.For(ctx, time.Until(next))
 	}
 	return nil
 }
--- a/load/client.go
+++ b/load/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/standin"
 	"github.com/walnutramp/walnutramp/target"
 )
@@ -84,7 +85,7 @@
 			break
 		}
 		f.broke()
-		if !sleep(ctx, f.wait()) {
+		if !pause.For(ctx, f.wait()) {
 			break
 		}
 	}
@@ -93,18 +94,6 @@
 	return f.result
 }
 
-// sleep waits for d; false means ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // follower is one draft on its way.
 type follower struct {
 	client   *Client
--- a/load/routing.go
+++ b/load/routing.go
@@ -7,7 +7,6 @@
 
 	"github.com/walnutramp/walnutramp/node"
 	"github.com/walnutramp/walnutramp/route"
-	"github.com/walnutramp/walnutramp/standin"
 )
 
 // Policies are this router and the baselines it is measured against.
@@ -22,7 +21,7 @@
 // Capacity is how many drafts a second the shape's engines can decode when
 // all their slots are taken, for a mean length in tokens.
 func (s Shape) Capacity(outputMean int) float64 {
-	e := standin.DefaultEngineConfig()
+	e := s.siteConfig(0).Engine
 	full := e.TokenInterval.Seconds() * (1 + e.BatchSlowdown)
 	return float64(s.Engines*e.Slots) / full / float64(outputMean)
 }
--- a/load/run.go
+++ b/load/run.go
@@ -15,6 +15,7 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/generation"
+	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/internal/site"
 	"github.com/walnutramp/walnutramp/node"
 	"github.com/walnutramp/walnutramp/standin"
@@ -147,7 +148,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { u.breakThings(ctx) })
 	for i, a := range u.runner.Mix.arrivals(u.runner.Shape) {
-		if !sleep(ctx, time.Until(u.started.Add(a.at))) {
+		if !pause.For(ctx, time.Until(u.started.Add(a.at))) {
 			break
 		}
 		wg.Go(func() { u.serve(ctx, i, a) })
@@ -195,7 +196,7 @@
 
 // show prints a line of progress a second.
 func (u *run) show(ctx context.Context) {
-	for u.runner.Progress != nil && sleep(ctx, time.Second) {
+	for u.runner.Progress != nil && pause.For(ctx, time.Second) {
 		fmt.Fprintf(u.runner.Progress, "\r%-10s %4.0fs  open %4d  done %6d ", u.variant.Name, time.Since(u.started).Seconds(), u.open.Load(), u.done.Load())
 	}
 }
@@ -205,7 +206,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for _, f := range u.runner.Mix.Failures {
-		if !sleep(ctx, time.Until(u.started.Add(f.At))) {
+		if !pause.For(ctx, time.Until(u.started.Add(f.At))) {
 			return
 		}
 		strike := u.rng.Uint64()
@@ -245,7 +246,7 @@
 // outage ends something and starts it again after a while.
 func (u *run) outage(ctx context.Context, d time.Duration, end func(), start func() error) {
 	end()
-	sleep(ctx, d)
+	pause.For(ctx, d)
 	if err := start(); err != nil {
 		fmt.Fprintln(u.progress(), "could not start again:", err)
 	}
--- a/load/shape.go
+++ b/load/shape.go
@@ -23,6 +23,7 @@
 	Accounts int
 	Leaning  bundle.Leaning
 	Coalesce time.Duration
+	Slots    int           // of each engine; 0 for the stand-in's default
 	Patience time.Duration // for a place at a target; 0 for the node's own
 }
 
@@ -62,6 +63,9 @@
 	cfg.Leaning = s.Leaning
 	cfg.Guard = bundle.Guard{Replicas: 3, Coalesce: s.Coalesce}
 	cfg.Patience = s.Patience
+	if s.Slots > 0 {
+		cfg.Engine.Slots = s.Slots
+	}
 	cfg.Network = &site.Loopback{Between: s.Between, Client: s.Client}
 	cfg.Accounts = nil
 	for i := range s.Accounts {
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/walnutramp/walnutramp/control"
 	"github.com/walnutramp/walnutramp/generation"
 	"github.com/walnutramp/walnutramp/internal/part"
+	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/member"
 	"github.com/walnutramp/walnutramp/operator"
 	"github.com/walnutramp/walnutramp/peer"
@@ -208,7 +209,12 @@
 	n.peerServer = peer.NewServer(self, &n.traffic)
 	me := member.Node{Name: n.cfg.Name, DataHall: n.cfg.DataHall, Address: n.cfg.PeerAddress, Incarnation: n.cfg.Incarnation}
 	n.members = member.NewDetector(me, n.cfg.Peers, n.peers, member.WithPeriod(n.cfg.ProbePeriod), member.WithSeed(n.cfg.Seed),
-		member.WithOnChange(func(member.Node) { n.generations.MembersChanged() }))
+		member.WithOnChange(func(member.Node) { n.membersChanged() }))
+}
+
+func (n *Node) membersChanged() {
+	n.generations.MembersChanged()
+	n.router.SetNodes(len(n.members.Live()) + 1)
 }
 
 // addresses delays the look-up until the member list exists.
@@ -351,12 +357,12 @@
 	klog.InfoS("Node stopping", "node", n.cfg.Name)
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.StopDeadline)
 	defer cancel()
-	n.pauseFor(ctx, noticeTime)
+	pause.For(ctx, noticeTime)
 	if err := n.http.Shutdown(ctx); err != nil {
 		klog.InfoS("Node stops with work under way", "node", n.cfg.Name, "err", err)
 	}
 	n.members.Leave(ctx)
-	n.pauseFor(ctx, handOverTime)
+	pause.For(ctx, handOverTime)
 	n.Close()
 }
 
@@ -369,15 +375,6 @@
 	handOverTime = 2 * time.Second
 )
 
-func (n *Node) pauseFor(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // Close ends the node at once, as a crash would.
 func (n *Node) Close() {
 	n.stopping.Store(true)
--- a/route/grant.go
+++ b/route/grant.go
@@ -124,11 +124,14 @@
 	if err := r.admit(req); err != nil {
 		return nil, false
 	}
-	return r.take(s, req), true
+	return r.place(s, req), true
 }
 
-// take counts req in at a target.
-func (r *Router) take(s *state, req Request) *Grant {
+// place counts req in at a target.
+func (r *Router) place(s *state, req Request) *Grant {
+	if s.share > 0 {
+		s.share--
+	}
 	g := &Grant{router: r, state: s, req: req, Target: s.spec, predicted: s.wait(req.PromptTokens), prefill: req.PromptTokens}
 	s.own++
 	s.prefill += req.PromptTokens
--- a/route/route.go
+++ b/route/route.go
@@ -94,6 +94,7 @@
 
 	mu      sync.Mutex
 	rng     *rand.Rand
+	nodes   int // that live, this one included
 	turn    int // of round robin
 	targets map[walnutramp.TargetName]*state
 	byModel map[walnutramp.ModelName][]*state
@@ -168,6 +169,13 @@
 	}
 }
 
+// SetNodes says how many nodes live, this one included.
+func (r *Router) SetNodes(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.nodes = n
+}
+
 // Report takes a target's load report.
 func (r *Router) Report(name walnutramp.TargetName, report target.LoadReport) {
 	r.mu.Lock()
@@ -176,7 +184,7 @@
 	if s == nil {
 		return
 	}
-	s.take(report)
+	r.take(s, report)
 	r.dispatchAll()
 }
 
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -58,6 +58,25 @@
 	require.LessOrEqual(t, sent["e0"], 16, "and not flooded on the word of one report")
 }
 
+// TestNodesShareTheLastPlaces lets many nodes read the same report of an engine
+// with a few free places: together they must not send much more than fit.
+func TestNodesShareTheLastPlaces(t *testing.T) {
+	const nodes, slots, running = 12, 16, 13
+	sent := 0
+	for i := range nodes {
+		r := newRouter(1, slots, nil, WithSeed(uint64(i)), WithQueue(0, time.Hour))
+		r.SetNodes(nodes)
+		r.Report("e0", target.LoadReport{Running: running, Slots: slots})
+		for range slots {
+			if _, err := r.Pick(t.Context(), ask("a", 0, 1)); err == nil {
+				sent++
+			}
+		}
+	}
+	require.Positive(t, sent)
+	require.LessOrEqual(t, sent, 2*(slots-running), "without shares %d nodes send %d", nodes, nodes*(slots-running))
+}
+
 func TestSharesFollowWeights(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRouter(1, 1, nil)
--- a/route/target.go
+++ b/route/target.go
@@ -31,6 +31,7 @@
 	draining bool
 
 	report      target.LoadReport
+	share       int // requests this node may add near the top until the next report
 	own         int // requests of this node there now
 	ownAtReport int // the same when the report came
 	prefill     int // prompt tokens sent whose first token has not come
@@ -49,8 +50,9 @@
 	return &state{spec: t, meanSilence: defaultInterval, deviation: defaultInterval}
 }
 
-func (s *state) take(report target.LoadReport) {
+func (r *Router) take(s *state, report target.LoadReport) {
 	s.report = report
+	s.share = r.shareOf(s)
 	s.ownAtReport = s.own
 	s.prefillOld = s.prefill
 	s.draining = report.Draining
@@ -60,6 +62,19 @@
 	}
 }
 
+// shareOf draws how many of a target's free places are this node's: every
+// other node reads the same report, and together they must not send more than
+// there is room for.
+func (r *Router) shareOf(s *state) int {
+	free := max(s.slots()-s.report.Running-s.report.Waiting, 0)
+	share := float64(free) / float64(max(r.nodes, 1))
+	whole := int(share)
+	if r.rng.Float64() < share-float64(whole) {
+		whole++
+	}
+	return whole
+}
+
 func (s *state) fail(now time.Time) {
 	s.failures++
 	backoff := firstBackoff << min(s.failures-1, 8)
@@ -134,7 +149,7 @@
 	if !req.Resume {
 		r.budget.earn()
 	}
-	return r.take(s, req)
+	return r.place(s, req)
 }
 
 func (r *Router) chooseWithRoom(live []*state, req Request) *state {
@@ -157,9 +172,17 @@
 	if req.Resume {
 		return s.resumes < r.cfg.ResumeRoom
 	}
-	return s.load() < s.slots()
+	open := (s.slots()*openShare + 99) / 100
+	if !s.seen {
+		open = s.slots()
+	}
+	return s.load() < open || s.load() < s.slots() && s.share > 0
 }
 
+// openShare is the percentage of a target's slots up to which nodes send
+// without regard to each other.
+const openShare = 75
+
 // choose compares a few random candidates, and the one that the prompt's
 // beginning maps to, by predicted wait.
 func (r *Router) choose(room []*state, req Request) *state {
