Look for a generation at every node that may hold it

Change: the search asks every node that may be alive, and tells 4002 with when to come back while some do not answer; 4001 is told only when all have said no.

--- a/generation/manager.go
+++ b/generation/manager.go
@@ -27,6 +27,9 @@
 	Self() Node
 	// Live returns the other nodes that are believed alive.
 	Live() []Node
+	// Known returns the other nodes that may be alive: those not yet heard of
+	// since this node started, and suspects, as well.
+	Known() []Node
 }
 
 // Router gives places at targets.
--- a/generation/owner.go
+++ b/generation/owner.go
@@ -228,7 +228,6 @@
 func (g *Generation) setSource(src Source) {
 	g.rec.mu.Lock()
 	defer g.rec.mu.Unlock()
-	g.sent = true
 	if g.err == nil {
 		g.rec.state.Source = src
 		g.markAll()
--- a/generation/run.go
+++ b/generation/run.go
@@ -147,6 +147,14 @@
 	})
 }
 
+// noteSent notes that an engine may have begun the request: from here on it
+// is not told as not-run.
+func (g *Generation) noteSent() {
+	g.rec.mu.Lock()
+	defer g.rec.mu.Unlock()
+	g.sent = true
+}
+
 // resumePriority puts resumed streams before new ones in an engine's queue.
 const resumePriority = 1000
 
@@ -161,6 +169,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(limit, cancel)
 	stream, err := open(ctx)
+	var unsent *target.NotSentError
+	if !errors.As(err, &unsent) {
+		g.noteSent()
+	}
 	if err != nil || !timer.Stop() {
 		cancel()
 		if err == nil {
--- a/generation/takeover.go
+++ b/generation/takeover.go
@@ -47,8 +47,8 @@
 		return m.revive(g)
 	}
 	found, err := m.find(ctx, FindArgs{Account: account, Key: key})
-	if walnutramp.HasCode(err, walnutramp.CodeGenerationUnknown) {
-		return nil, nil
+	if walnutramp.HasCode(err, walnutramp.CodeGenerationUnknown) || walnutramp.HasCode(err, walnutramp.CodeNotProvable) {
+		return nil, nil // a generation may be run again
 	}
 	if err != nil {
 		return nil, err
@@ -91,42 +91,60 @@
 	if best.Held {
 		return best, nil
 	}
-	nodes := Rank(args.ID, m.cfg.Directory.Live())
+	nodes := Rank(args.ID, m.cfg.Directory.Known())
+	silent := 0
 	for len(nodes) > 0 && !best.Held {
 		n := min(findWidth, len(nodes))
-		best = m.ask(ctx, nodes[:n], args)
+		var answered int
+		best, answered = m.ask(ctx, nodes[:n], args)
+		silent += n - answered
 		nodes = nodes[n:]
 	}
-	if !best.Held {
-		return best, walnutramp.NewError(walnutramp.CodeGenerationUnknown, walnutramp.Unknown, "no reachable node holds it")
+	if best.Held {
+		return best, nil
+	}
+	if silent > 0 {
+		return best, walnutramp.NewError(walnutramp.CodeNotProvable, walnutramp.Unknown,
+			"%d nodes that may hold it do not answer", silent).WithRetryAfter(findRetryAfter)
 	}
-	return best, nil
+	return best, walnutramp.NewError(walnutramp.CodeGenerationUnknown, walnutramp.Unknown, "no node holds it")
 }
 
-// ask returns the first answer of a node that holds the generation. It may
-// be old; the takeover then learns of what is newer.
-func (m *Manager) ask(ctx context.Context, nodes []Node, args FindArgs) FindReply {
+// findRetryAfter is when a caller may look for a generation again.
+const findRetryAfter = 500 * time.Millisecond
+
+// ask returns the first answer of a node that holds the generation, and how
+// many answered. It may be old; the takeover then learns of what is newer.
+func (m *Manager) ask(ctx context.Context, nodes []Node, args FindArgs) (FindReply, int) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	replies := make(chan FindReply, len(nodes))
+	replies := make(chan *FindReply, len(nodes))
 	for _, n := range nodes {
 		m.spawn(func() {
 			var r FindReply
-			m.cfg.Peers.Call(ctx, n.Node, Service+".Find", args, &r)
-			replies <- r
+			if m.cfg.Peers.Call(ctx, n.Node, Service+".Find", args, &r) != nil {
+				replies <- nil
+				return
+			}
+			replies <- &r
 		})
 	}
+	answered := 0
 	for range nodes {
 		select {
 		case r := <-replies:
+			if r == nil {
+				continue
+			}
+			answered++
 			if r.Held {
-				return r
+				return *r, answered
 			}
 		case <-ctx.Done():
-			return FindReply{}
+			return FindReply{}, answered
 		}
 	}
-	return FindReply{}
+	return FindReply{}, answered
 }
 
 // takeOver makes this node the owner of what was found.
--- a/node/node.go
+++ b/node/node.go
@@ -231,7 +231,7 @@
 	}, n.cfg.RouteOpt...)
 	n.router = route.New(opts...)
 	n.pool = target.NewPool(n.cfg.Dial)
-	n.watch = target.NewWatch(n.pool, n.router, n.cfg.LoadInterval)
+	n.watch = target.NewWatch(n.pool, n.router, n.cfg.LoadInterval, n.cfg.Seed)
 }
 
 func (n *Node) wireGenerations() {
@@ -298,6 +298,17 @@
 	return nodes
 }
 
+// Known implements generation.Directory.
+func (d directory) Known() []generation.Node {
+	var nodes []generation.Node
+	for _, m := range d.n.members.All() {
+		if m.Status <= member.Suspect {
+			nodes = append(nodes, asReplica(m))
+		}
+	}
+	return nodes
+}
+
 func asReplica(m member.Node) generation.Node {
 	return generation.Node{
 		Member:   generation.Member{Node: m.Name, Incarnation: m.Incarnation},
--- a/target/watch.go
+++ b/target/watch.go
@@ -25,6 +25,7 @@
 	interval time.Duration
 
 	mu     sync.Mutex
+	rng    *rand.Rand
 	closed bool
 	tasks  map[walnutramp.TargetName]*watchTask
 	wait   sync.WaitGroup
@@ -35,9 +36,12 @@
 	cancel context.CancelFunc
 }
 
-// NewWatch returns a watch of no targets.
-func NewWatch(pool *Pool, sink Sink, interval time.Duration) *Watch {
-	return &Watch{pool: pool, sink: sink, interval: interval, tasks: map[walnutramp.TargetName]*watchTask{}}
+// NewWatch returns a watch of no targets; seed draws the spread of questions.
+func NewWatch(pool *Pool, sink Sink, interval time.Duration, seed uint64) *Watch {
+	return &Watch{
+		pool: pool, sink: sink, interval: interval,
+		rng: rand.New(rand.NewPCG(seed, 6)), tasks: map[walnutramp.TargetName]*watchTask{},
+	}
 }
 
 // Apply makes the watch follow exactly these targets.
@@ -106,10 +110,9 @@
 
 func (w *Watch) jittered() time.Duration {
 	w.mu.Lock()
-	n := len(w.tasks)
-	w.mu.Unlock()
-	interval := max(w.interval, time.Duration(n)*time.Second/AsksPerSecond)
-	return time.Duration(float64(interval) * (0.8 + 0.4*rand.Float64()))
+	defer w.mu.Unlock()
+	interval := max(w.interval, time.Duration(len(w.tasks))*time.Second/AsksPerSecond)
+	return time.Duration(float64(interval) * (0.8 + 0.4*w.rng.Float64()))
 }
 
 func (w *Watch) check(ctx context.Context, t bundle.Target) {
