A node that has no bundle yet says so

Change: without a bundle every request is told 3006, not-run, with when to come back (TestNodeWithoutBundleSaysSo, seen to fail with 401).

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -139,11 +139,19 @@
 	h.refuse(w, walnutramp.NewError(walnutramp.CodeUnknownPath, walnutramp.NotRun, "nothing answers %s %s", r.Method, r.URL.Path))
 }
 
+// noBundleRetry is when to come back to a node that has just started.
+const noBundleRetry = time.Second
+
 type accountHandler func(w http.ResponseWriter, r *http.Request, a bundle.Account)
 
 // asAccount finds the client account of the request's API key.
 func (h *Handler) asAccount(next accountHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if h.cfg.Bundle().Version == 0 {
+			h.refuse(w, walnutramp.NewError(walnutramp.CodeNotInForce, walnutramp.NotRun,
+				"this node has no bundle yet").WithRetryAfter(noBundleRetry))
+			return
+		}
 		account, ok := h.account(r)
 		if !ok {
 			h.refuse(w, walnutramp.NewError(walnutramp.CodeBadKey, walnutramp.NotRun, "the API key belongs to no client account"))
--- a/caller/request_test.go
+++ b/caller/request_test.go
@@ -1,12 +1,28 @@
 package caller
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
+	"github.com/stretchr/testify/require"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 )
 
+// TestNodeWithoutBundleSaysSo asks a node that has just started: it knows no
+// keys yet, so it must not call one wrong.
+func TestNodeWithoutBundleSaysSo(t *testing.T) {
+	h := New(WithBundle(func() *bundle.Bundle { return &bundle.Bundle{} }))
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodGet, "/v1/models", nil)
+	r.Header.Set("Authorization", "Bearer any")
+	h.ServeHTTP(w, r)
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.Equal(t, "1", w.Header().Get("Retry-After"))
+	require.Contains(t, w.Body.String(), `"code":"3006","outcome":"not-run"`)
+}
+
 func FuzzParseRequest(f *testing.F) {
 	b := &bundle.Bundle{Version: 1, Models: []bundle.Model{{Name: "m", Context: 100}}}
 	h := New(WithBundle(func() *bundle.Bundle { return b }))
