Cut slow callers off in time

Cause: a body that never ended was answered after 60 s, when the caller gave up, in place of 10 s: the read deadline was lifted before net/http read on to the body's end (TestSlowCallersAreCutOff, seen to fail).

Change: after a failed read the deadline stays.

--- a/caller/request.go
+++ b/caller/request.go
@@ -106,8 +106,12 @@
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *walnutramp.Error) {
 	control := http.NewResponseController(w)
 	control.SetReadDeadline(time.Now().Add(h.cfg.BodyTime))
-	defer control.SetReadDeadline(time.Time{})
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.cfg.MaxBody))
+	if err == nil {
+		// After a failure the deadline stays: net/http reads on to the body's
+		// end before it answers, and would wait for a slow caller again.
+		control.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- /dev/null
+++ b/node/slow_test.go
@@ -0,0 +1,88 @@
+package node_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/internal/site"
+	"github.com/walnutramp/walnutramp/load"
+	"github.com/walnutramp/walnutramp/standin"
+)
+
+// slowly sends text to a node, keeps the connection, and returns what comes
+// back within a minute, and how long that took.
+func slowly(t *testing.T, s *site.Site, net *site.Memory, text string) (*http.Response, time.Duration) {
+	c, err := net.Dialer(site.ClientHost)(context.Background(), "tcp", s.Nodes[0].Callers)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = c.Write([]byte(text))
+	require.NoError(t, err)
+	c.SetReadDeadline(time.Now().Add(time.Minute))
+	began := time.Now()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return nil, time.Since(began)
+	}
+	body, _ := io.ReadAll(resp.Body)
+	resp.Header.Set("Test-Body", string(body))
+	return resp, time.Since(began)
+}
+
+// TestSlowCallersAreCutOff sends headers and a body that never end; neither
+// may hold the node up for long, or disturb others.
+func TestSlowCallersAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := site.Default()
+		net := site.NewMemory()
+		cfg.Network = net
+		s, err := site.Start(cfg)
+		require.NoError(t, err)
+		defer s.Close()
+		require.NoError(t, s.AwaitMembers(t.Context()))
+		time.Sleep(time.Second)
+		client := load.NewClient(s.Transport(), addressesOf(s))
+		defer client.HTTP.CloseIdleConnections()
+		others := make(chan load.Drafted, 1)
+		go func() {
+			others <- client.Draft(t.Context(), load.Draft{
+				APIKey: site.KeyOf("clerks"), Model: standin.DefaultEngineConfig().Model, Prompt: "x", MaxTokens: 800,
+			})
+		}()
+		_, took := slowly(t, s, net, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nX-Half: ")
+		require.Equal(t, 5*time.Second, took)
+		resp, took := slowly(t, s, net, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+
+			site.KeyOf("clerks")+"\r\nContent-Length: 100\r\n\r\n{\"model\"")
+		require.Equal(t, 10*time.Second, took)
+		require.Equal(t, http.StatusRequestTimeout, resp.StatusCode)
+		require.Contains(t, resp.Header.Get("Test-Body"), `"code":"2011","outcome":"not-run"`)
+		d := <-others
+		require.True(t, d.Complete && d.Verdict.OK())
+	})
+}
+
+// TestOversizeBodyIsRefused sends more than a node takes.
+func TestOversizeBodyIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cfg := site.Default()
+		cfg.Network = site.NewMemory()
+		s, err := site.Start(cfg)
+		require.NoError(t, err)
+		defer s.Close()
+		require.NoError(t, s.AwaitMembers(t.Context()))
+		time.Sleep(time.Second)
+		client := load.NewClient(s.Transport(), addressesOf(s))
+		defer client.HTTP.CloseIdleConnections()
+		_, err = client.Call(t.Context(), load.Call{
+			APIKey: site.KeyOf("clerks"), Method: http.MethodPost,
+			Path: site.ServiceName + "/lookup/x", Body: string(make([]byte, 5<<20)),
+		})
+		require.ErrorContains(t, err, "2003 not-run")
+		time.Sleep(time.Second) // net/http lingers on such a connection
+	})
+}
