Give each voter its own question

Cause: the race detector saw a candidate write the next voter's identity into the question that the last one's task was still sending; a vote could be asked of the wrong identity and be refused.

Change: a copy for each voter; the test group hands calls a copy of the member they reach, since it may be restarted meanwhile.

--- a/consensus/member.go
+++ b/consensus/member.go
@@ -273,10 +273,11 @@
 			continue
 		}
 		asked++
-		args.To = v.Identity
+		to := args
+		to.To = v.Identity
 		m.spawn(func() {
 			var r VoteReply
-			m.peers.Call(ctx, v.Node, Service+".Vote", args, &r)
+			m.peers.Call(ctx, v.Node, Service+".Vote", to, &r)
 			replies <- r
 		})
 	}
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -134,7 +134,8 @@
 	if !m.up || g.cut[[2]walnutramp.NodeName{from, to}] || g.rng.Float64() < g.loss {
 		return nil, delay, false
 	}
-	return m, delay, true
+	now := *m // it may be restarted while the call is on its way
+	return &now, delay, true
 }
 
 // peers is how one node calls others; one-way cuts lose only one direction.
