--- a/consensus/member.go
+++ b/consensus/member.go
@@ -49,7 +49,8 @@
 
 // progress is what a leader knows of one follower.
 type progress struct {
-	voter Voter
+	node  walnutramp.NodeName
+	voter Voter // as the newest group has it
 	next  uint64
 	match uint64
 	asked time.Time // when the newest answered call was sent
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -37,7 +37,7 @@
 			continue
 		}
 		ctx, stop := context.WithCancel(m.ctx)
-		p := &progress{voter: v, next: m.store.lastIndex(), asked: now, wake: make(chan struct{}, 1), stop: stop}
+		p := &progress{node: v.Node, voter: v, next: m.store.lastIndex(), asked: now, wake: make(chan struct{}, 1), stop: stop}
 		p.next = max(p.next, m.store.snapshot.Index+1)
 		m.follow[v.Node] = p
 		m.spawn(func() { m.replicate(ctx, p) })
@@ -54,7 +54,7 @@
 		sent := time.Now()
 		callCtx, cancel := context.WithTimeout(ctx, m.cfg.Election)
 		var reply AppendReply
-		err := m.peers.Call(callCtx, p.voter.Node, Service+".Append", args, &reply)
+		err := m.peers.Call(callCtx, p.node, Service+".Append", args, &reply)
 		cancel()
 		if err == nil && m.answered(p, args, reply, sent, round) {
 			continue
