--- a/consensus/member.go
+++ b/consensus/member.go
@@ -278,7 +278,10 @@
 		to.To = v.Identity
 		m.spawn(func() {
 			var r VoteReply
-			m.peers.Call(ctx, v.Node, Service+".Vote", to, &r)
+			if m.peers.Call(ctx, v.Node, Service+".Vote", to, &r) != nil {
+				replies <- VoteReply{}
+				return
+			}
 			replies <- r
 		})
 	}
