--- a/control/group_test.go
+++ b/control/group_test.go
@@ -278,7 +278,9 @@
 func history(t *testing.T, seed uint64, fault func(g *group, n int)) []porcupine.Operation {
 	g := newGroup(t, 3+2*int(seed%2), seed)
 	defer g.close()
+	g.mu.Lock()
 	g.loss = 0.02
+	g.mu.Unlock()
 	time.Sleep(2 * time.Second)
 	var mu sync.Mutex
 	var ops []porcupine.Operation
