--- a/platform/platform.go
+++ b/discovery/watch.go
@@ -1,7 +1,7 @@
-// Package platform reads the platform's list of live and leaving instances.
+// Package discovery reads the site's list of live and leaving instances.
 // The list lags, so it only ever adds what nodes and targets do not say
 // themselves: an address not known yet, or that a target is leaving.
-package platform
+package discovery
 
 import (
 	"context"
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/walnutramp/walnutramp/caller"
 	"github.com/walnutramp/walnutramp/consensus"
 	"github.com/walnutramp/walnutramp/control"
+	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/generation"
 	"github.com/walnutramp/walnutramp/internal/part"
 	"github.com/walnutramp/walnutramp/internal/pause"
@@ -25,7 +26,6 @@
 	"github.com/walnutramp/walnutramp/operator"
 	"github.com/walnutramp/walnutramp/peer"
 	"github.com/walnutramp/walnutramp/placement"
-	"github.com/walnutramp/walnutramp/platform"
 	"github.com/walnutramp/walnutramp/route"
 	"github.com/walnutramp/walnutramp/target"
 	"github.com/walnutramp/walnutramp/wal"
@@ -171,7 +171,7 @@
 	voter       *consensus.Member // nil on nodes without a disk
 	voterState  *control.State
 	placer      *placement.Controller // gives orders while the voter leads
-	platform    *platform.Watch       // nil for none
+	instances   *discovery.Watch      // nil for none
 	report      *reportKeeper         // nil on nodes without a disk
 
 	stopping atomic.Bool
@@ -333,7 +333,7 @@
 		n.members.Start()
 		n.apply(n.cfg.Bundle)
 		n.startControl()
-		n.startPlatform()
+		n.startDiscovery()
 	})
 	klog.InfoS("Node started", "node", n.cfg.Name, "hall", n.cfg.DataHall, "bundle", n.cfg.Bundle.Version)
 	return nil
@@ -391,7 +391,7 @@
 	n.stopping.Store(true)
 	n.http.Close()
 	n.closeControl()
-	n.closePlatform()
+	n.closeDiscovery()
 	n.closeReport()
 	n.members.Close()
 	n.watch.Close()
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/walnutramp/walnutramp/platform"
+	"github.com/walnutramp/walnutramp/discovery"
 )
 
 // Platform is a fake of the platform's list of instances; its answers lag.
@@ -21,7 +21,7 @@
 
 type datedList struct {
 	at   time.Time
-	list platform.List
+	list discovery.List
 }
 
 // NewPlatform returns a platform that is not serving yet and whose answers
@@ -42,21 +42,21 @@
 func (p *Platform) Close() { p.server.Close() }
 
 // Set replaces the list; it shows once the lag has passed.
-func (p *Platform) Set(list platform.List) {
+func (p *Platform) Set(list discovery.List) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lists = append(p.lists, datedList{time.Now(), list})
 }
 
 // current returns the newest list that is old enough.
-func (p *Platform) current() platform.List {
+func (p *Platform) current() discovery.List {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.lists) > 1 && time.Since(p.lists[1].at) >= p.lag {
 		p.lists = p.lists[1:]
 	}
 	if len(p.lists) == 0 || time.Since(p.lists[0].at) < p.lag {
-		return platform.List{}
+		return discovery.List{}
 	}
 	return p.lists[0].list
 }
@@ -67,7 +67,7 @@
 }
 
 func (p *Platform) serveSet(w http.ResponseWriter, r *http.Request) {
-	var list platform.List
+	var list discovery.List
 	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
