--- /dev/null
+++ b/cmd/walnutramp/serve.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/walnutramp/walnutramp/platform"
+	"github.com/walnutramp/walnutramp/serve"
+	"k8s.io/klog/v2"
+)
+
+type serveCommand struct {
+	*program
+	Config string `long:"config" env:"WALNUTRAMP_CONFIG" default:"/etc/walnutramp/local.toml" description:"settings file of the platform; it is read again on SIGHUP and when it changes"`
+	Check  bool   `long:"check" description:"check the settings, and end"`
+}
+
+// settingsEvery is the time between two looks at the settings file.
+const settingsEvery = time.Second
+
+// Execute implements flags.Commander.
+func (c *serveCommand) Execute([]string) error {
+	adapter := platform.NewAdapter(c.Config)
+	settings, err := adapter.Settings()
+	if err != nil {
+		return &settingError{"--config", c.Config, "a settings file without mistakes (" + err.Error() + ")"}
+	}
+	if c.Check {
+		return nil
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	p, err := serve.New(settings, adapter)
+	if err != nil {
+		return err
+	}
+	c.wait(p, signals)
+	p.Stop()
+	return nil
+}
+
+// wait reloads the settings when they change, until a signal to stop.
+func (c *serveCommand) wait(p *serve.Process, signals <-chan os.Signal) {
+	changed := modified(c.Config)
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				klog.InfoS("Signal to stop", "signal", s.String())
+				return
+			}
+			p.Reload()
+		case <-ticker.C:
+			if now := modified(c.Config); !now.Equal(changed) {
+				changed = now
+				p.Reload()
+			}
+		}
+	}
+}
+
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/code.go
+++ b/code.go
@@ -22,6 +22,7 @@
 	CodeKeyMissing        Code = 2009
 	CodeBadRequest        Code = 2010
 	CodeBodyTimeout       Code = 2011
+	CodeHeaderTooLarge    Code = 2012
 
 	CodeOverloaded    Code = 3001
 	CodeAccountLimit  Code = 3002
@@ -41,6 +42,7 @@
 	CodeStillRunning   Code = 5002
 	CodeTargetFailed   Code = 5003
 	CodeLedgerAway     Code = 5004
+	CodeTargetSlow     Code = 5005
 
 	CodeStaleEpoch       Code = 6001
 	CodeWrongIncarnation Code = 6002
@@ -88,6 +90,7 @@
 	{CodeKeyMissing, "key-missing", 400, "A request that may not be repeated needs an Idempotency-Key."},
 	{CodeBadRequest, "bad-request", 400, "A field of the request has a value that is not allowed."},
 	{CodeBodyTimeout, "body-timeout", 408, "The body did not arrive in time."},
+	{CodeHeaderTooLarge, "header-too-large", 431, "The head of the request is larger than the configuration allows."},
 	{CodeOverloaded, "overloaded", 503, "Too much work is waiting; come back after Retry-After."},
 	{CodeAccountLimit, "account-limit", 429, "The client account is at its limit; come back after Retry-After."},
 	{CodeNoTarget, "no-target", 503, "No live target serves this now; come back after Retry-After."},
@@ -104,6 +107,7 @@
 	{CodeStillRunning, "still-running", 409, "The request with this key is still running."},
 	{CodeTargetFailed, "target-failed", 502, "The target failed before it answered."},
 	{CodeLedgerAway, "ledger-away", 503, "The ledger cannot be reached, so the request was not started."},
+	{CodeTargetSlow, "target-slow", 504, "The target did not answer in the time that the request may take."},
 	{CodeStaleEpoch, "stale-epoch", 409, "A newer epoch holds the generation."},
 	{CodeWrongIncarnation, "wrong-incarnation", 409, "The node restarted since and knows nothing of this."},
 	{CodeNotHeld, "not-held", 404, "This node does not hold the generation."},
--- a/consensus/propose.go
+++ b/consensus/propose.go
@@ -40,7 +40,10 @@
 func (m *Member) Change(ctx context.Context, g Group) ProposeReply {
 	m.mu.Lock()
 	old := m.store.group(m.store.lastIndex())
-	pending := m.groupIndex() > m.commit
+	// Until an entry of its own term is committed, a leader can't know whether
+	// an earlier leader's change is still under way.
+	t, ok := m.store.term(m.commit)
+	pending := m.groupIndex() > m.commit || !ok || t != m.store.ballot.Term
 	m.mu.Unlock()
 	if pending || difference(old, g) != 1 {
 		return ProposeReply{Code: walnutramp.CodeBadRequest}
@@ -149,6 +152,15 @@
 func (m *Member) Leader() walnutramp.NodeName {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.currentLeader()
+}
+
+// currentLeader returns the leader, if it was heard of lately. The caller
+// holds the mutex.
+func (m *Member) currentLeader() walnutramp.NodeName {
+	if m.role != leader && time.Since(m.heard) > 2*m.cfg.Election {
+		return ""
+	}
 	return m.leaderIs
 }
 
@@ -159,6 +171,27 @@
 	return m.role == leader
 }
 
+// FollowerStatus is what a leader knows of another member.
+type FollowerStatus struct {
+	Voter  Voter
+	Silent time.Duration // since the newest answered call was sent
+	Behind uint64        // entries that it is not known to hold
+}
+
+// Followers returns what a leader knows of the others; nil if it leads not.
+func (m *Member) Followers() []FollowerStatus {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.role != leader {
+		return nil
+	}
+	var all []FollowerStatus
+	for _, p := range m.follow {
+		all = append(all, FollowerStatus{Voter: p.voter, Silent: time.Since(p.asked), Behind: m.store.lastIndex() - p.match})
+	}
+	return all
+}
+
 // Status describes a member.
 type Status struct {
 	Term    uint64
@@ -174,7 +207,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return Status{
-		Term: m.store.ballot.Term, Leader: m.leaderIs, Commit: m.commit, Applied: m.applied,
+		Term: m.store.ballot.Term, Leader: m.currentLeader(), Commit: m.commit, Applied: m.applied,
 		Last: m.store.lastIndex(), Group: m.store.group(m.store.lastIndex()),
 	}
 }
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -42,6 +42,40 @@
 
 func (g Group) majority() int { return g.counted()/2 + 1 }
 
+// Nodes names the members.
+func (g Group) Nodes() []walnutramp.NodeName {
+	names := make([]walnutramp.NodeName, 0, len(g.Voters))
+	for _, v := range g.Voters {
+		names = append(names, v.Node)
+	}
+	return names
+}
+
+// Find returns the member at a node.
+func (g Group) Find(node walnutramp.NodeName) (Voter, bool) { return g.find(node) }
+
+// With returns the group with a voter added, or in place of the one at its
+// node.
+func (g Group) With(v Voter) Group {
+	next := g.Without(v.Node)
+	next.Voters = append(next.Voters, v)
+	return next
+}
+
+// Without returns the group without the member at a node.
+func (g Group) Without(node walnutramp.NodeName) Group {
+	var next Group
+	for _, v := range g.Voters {
+		if v.Node != node {
+			next.Voters = append(next.Voters, v)
+		}
+	}
+	return next
+}
+
+// Counted returns how many members count towards a majority.
+func (g Group) Counted() int { return g.counted() }
+
 func (g Group) find(node walnutramp.NodeName) (Voter, bool) {
 	for _, v := range g.Voters {
 		if v.Node == node {
--- a/control/client.go
+++ b/control/client.go
@@ -26,10 +26,15 @@
 	renewWait   = 1 * time.Second // how long the leader may wait for news
 	renewLimit  = 2500 * time.Millisecond
 	renewPause  = 100 * time.Millisecond
-	commandTime = 3 * time.Second // until a command is given up
-	tryTime     = 1 * time.Second // of one call of a command
+	answerLimit = 600 * time.Millisecond // beyond the leader's wait, where members change
+	commandTime = 3 * time.Second        // until a command is given up
+	tryTime     = 1 * time.Second        // of one call of a command
 	tryPause    = 50 * time.Millisecond
 
+	// unconfirmedAfter is how many renewals in a row must fail before a node
+	// that holds nothing takes what a member cannot confirm.
+	unconfirmedAfter = 8
+
 	// LeaseTime is how long a node may take new work after it asked for the
 	// word that its bundle is the newest.
 	LeaseTime = 3 * time.Second
@@ -38,12 +43,15 @@
 // Client is a node's way to the control group. It keeps the newest bundle
 // with its lease, and implements caller.Ledger.
 type Client struct {
-	peers   Peers
-	members []walnutramp.NodeName
-	inForce func(*bundle.Bundle)
+	peers Peers
+	adopt AdoptFunc
+	fast  bool // nodes of the group come and go, so silence is given up on early
 
 	mu     sync.Mutex
-	leader walnutramp.NodeName // last known, or empty
+	seeds  []walnutramp.NodeName // always asked, whoever the members are
+	group  []walnutramp.NodeName // as last heard
+	leader walnutramp.NodeName   // last known, or empty
+	failed int                   // renewals in a row that brought nothing
 	doc    []byte
 	have   uint64
 	until  time.Time // end of the lease
@@ -53,14 +61,42 @@
 	tasks  sync.WaitGroup
 }
 
-// NewClient returns a client of the group; inForce is told of every bundle
-// that comes into force.
+// AdoptFunc puts a document in force that is newer than all before it.
+type AdoptFunc func(version uint64, doc []byte) error
+
+// NewClient returns a client of a group of fixed members; inForce is told of
+// every bundle that comes into force.
 func NewClient(peers Peers, members []walnutramp.NodeName, inForce func(*bundle.Bundle)) *Client {
-	c := &Client{peers: peers, members: members, inForce: inForce}
+	return newClient(peers, members, func(_ uint64, doc []byte) error {
+		b, err := bundle.Decode(doc)
+		if err == nil {
+			inForce(b)
+		}
+		return err
+	})
+}
+
+// NewDocumentClient returns a client of a group whose members change, on a
+// site whose documents are not bundles. It learns the members from the seeds.
+func NewDocumentClient(peers Peers, seeds []walnutramp.NodeName, adopt AdoptFunc) *Client {
+	c := newClient(peers, seeds, adopt)
+	c.fast = true
+	return c
+}
+
+func newClient(peers Peers, seeds []walnutramp.NodeName, adopt AdoptFunc) *Client {
+	c := &Client{peers: peers, seeds: seeds, adopt: adopt}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
 
+// SetSeeds replaces the nodes that are always asked.
+func (c *Client) SetSeeds(seeds []walnutramp.NodeName) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seeds = seeds
+}
+
 // Start begins renewing the lease; Close ends it.
 func (c *Client) Start() {
 	c.tasks.Add(1)
@@ -101,41 +137,87 @@
 // renew asks the leader once. The lease counts from before the question, so
 // the time that the leader waits for news shortens it.
 func (c *Client) renew() bool {
-	ctx, cancel := context.WithTimeout(c.ctx, renewLimit)
-	defer cancel()
-	wait := renewWait
+	wait, limit := renewWait, renewLimit
 	if !c.InForce() {
 		wait = 0
 	}
+	if c.fast {
+		limit = wait + answerLimit
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, limit)
+	defer cancel()
 	asked := time.Now()
 	var reply NewestReply
-	args := NewestArgs{Have: c.Version(), Wait: wait}
+	args := NewestArgs{Have: c.Version(), Wait: wait, Unconfirmed: c.mustTakeAny()}
 	if err := c.peers.Call(ctx, c.target(), Service+".Newest", args, &reply); err != nil {
 		c.forgetLeader("")
+		c.noteRenewal(false)
 		return false
 	}
+	c.LearnGroup(reply.Group)
 	if reply.Code != walnutramp.CodeOK {
 		c.forgetLeader(reply.Leader)
+		c.noteRenewal(false)
 		return false
 	}
+	c.noteRenewal(true)
 	return c.take(reply, asked)
 }
 
+// mustTakeAny reports whether an unconfirmed document is better than none:
+// this node holds nothing, and the group has no leader that could confirm.
+func (c *Client) mustTakeAny() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.fast && c.have == 0 && c.failed >= unconfirmedAfter
+}
+
+func (c *Client) noteRenewal(ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed++
+	if ok {
+		c.failed = 0
+	}
+}
+
+// LearnGroup takes the members that somebody of the group named.
+func (c *Client) LearnGroup(group []walnutramp.NodeName) {
+	if len(group) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.group = group
+}
+
 // target returns whom to ask: the leader if known, else any member.
 func (c *Client) target() walnutramp.NodeName {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leader == "" {
-		c.leader = c.members[rand.IntN(len(c.members))]
+		known := c.known()
+		c.leader = known[rand.IntN(len(known))]
 	}
 	return c.leader
 }
 
+// known returns the seeds and the members. The caller holds the mutex.
+func (c *Client) known() []walnutramp.NodeName {
+	known := slices.Clone(c.group)
+	for _, s := range c.seeds {
+		if !slices.Contains(known, s) {
+			known = append(known, s)
+		}
+	}
+	return known
+}
+
 func (c *Client) forgetLeader(hint walnutramp.NodeName) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leader = ""
-	if slices.Contains(c.members, hint) {
+	if c.fast && hint != "" || slices.Contains(c.seeds, hint) {
 		c.leader = hint
 	}
 }
@@ -154,17 +236,23 @@
 			klog.ErrorS(err, "Bundle not taken", "version", r.Version)
 			return c.takeWhole()
 		}
-		b, err := bundle.Decode(next)
-		if err != nil || bundle.Digest(next) != r.Digest {
+		if bundle.Digest(next) != r.Digest {
+			klog.ErrorS(nil, "Bundle not taken: another digest", "version", r.Version)
+			return false
+		}
+		if err := c.adopt(r.Version, next); err != nil {
 			klog.ErrorS(err, "Bundle not taken", "version", r.Version)
 			return false
 		}
-		c.inForce(b)
+		klog.InfoS("Configuration in force", "version", r.Version, "had", have, "confirmed", !r.Unconfirmed)
 		doc = next
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.doc, c.have = doc, r.Version
+	if r.Unconfirmed {
+		return true
+	}
 	c.until = asked.Add(LeaseTime)
 	return true
 }
@@ -262,6 +350,37 @@
 	return nil
 }
 
+// Offer hands a document to the group of a site that asks for no signature.
+// What it holds must have been checked.
+func (c *Client) Offer(ctx context.Context, version uint64, doc []byte) (Result, error) {
+	sub := Submit{Version: version, Digest: bundle.Digest(doc), Operator: "operator", Doc: doc}
+	r, err := c.do(ctx, ".Offer", OfferArgs{Submit: sub})
+	if err != nil {
+		return Result{}, err
+	}
+	return r, nil
+}
+
+// Newest returns the newest document of the group, as its leader had it
+// confirmed by a majority after this call; false if none could confirm it.
+func (c *Client) Newest(ctx context.Context) (version uint64, doc []byte, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, commandTime)
+	defer cancel()
+	for {
+		var reply NewestReply
+		tryCtx, cancelTry := context.WithTimeout(ctx, tryTime)
+		err := c.peers.Call(tryCtx, c.target(), Service+".Newest", NewestArgs{}, &reply)
+		cancelTry()
+		if err == nil && reply.Code == walnutramp.CodeOK {
+			return reply.Version, reply.Doc, true
+		}
+		c.forgetLeader(reply.Leader)
+		if !pause.For(ctx, tryPause) {
+			return 0, nil, false
+		}
+	}
+}
+
 // Submit offers a signed bundle to the group.
 func (c *Client) Submit(ctx context.Context, doc []byte, s bundle.Signature) (Result, error) {
 	r, err := c.do(ctx, ".Submit", SubmitArgs{Doc: doc, Signature: s})
--- a/control/server.go
+++ b/control/server.go
@@ -17,6 +17,8 @@
 type NewestArgs struct {
 	Have uint64        // version the asker holds
 	Wait time.Duration // how long to wait for a newer one
+	// Unconfirmed asks any member for what it holds.
+	Unconfirmed bool
 }
 
 // NewestReply is the leader's word, confirmed by a majority after it was
@@ -28,6 +30,10 @@
 	Digest  string
 	Deltas  []bundle.Delta
 	Doc     []byte // where there are no deltas from the asker's version
+	// Group names the members, as far as the one who answers knows.
+	Group []walnutramp.NodeName
+	// Unconfirmed says that a newer one may be in force.
+	Unconfirmed bool
 }
 
 // DoArgs hands over a command.
@@ -50,6 +56,13 @@
 	member    *consensus.Member
 	state     *State
 	operators bundle.Operators
+	keeper    *Keeper // nil where members are changed by hand
+}
+
+// NewOpenServer returns a server of a site that asks for no signatures and
+// whose members change by themselves.
+func NewOpenServer(m *consensus.Member, s *State, k *Keeper) *Server {
+	return &Server{member: m, state: s, keeper: k}
 }
 
 // NewServer returns a server over a member and its state.
@@ -61,7 +74,16 @@
 func (s *Server) Newest(args NewestArgs, reply *NewestReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), args.Wait+confirmLimit)
 	defer cancel()
-	if !s.member.Leads() {
+	if s.keeper != nil {
+		reply.Group = s.member.Status().Group.Nodes()
+	}
+	leads := s.member.Leads()
+	if !leads && args.Unconfirmed {
+		s.fill(args, reply)
+		reply.Unconfirmed = true
+		return nil
+	}
+	if !leads {
 		reply.Code, reply.Leader = walnutramp.CodeNoLeader, s.member.Leader()
 		return nil
 	}
@@ -70,8 +92,54 @@
 		reply.Code, reply.Leader = walnutramp.CodeNoLeader, s.member.Leader()
 		return nil
 	}
+	s.fill(args, reply)
+	return nil
+}
+
+// fill answers with what this member has applied.
+func (s *Server) fill(args NewestArgs, reply *NewestReply) {
 	newest, deltas, doc, _ := s.state.since(args.Have)
-	*reply = NewestReply{Code: walnutramp.CodeOK, Version: newest.Version, Digest: newest.Digest, Deltas: deltas, Doc: doc}
+	reply.Code = walnutramp.CodeOK
+	reply.Version, reply.Digest = newest.Version, newest.Digest
+	reply.Deltas, reply.Doc = deltas, doc
+}
+
+// OfferArgs is a document of a site that asks for no signature.
+type OfferArgs struct {
+	Submit Submit
+}
+
+// Offer implements the RPC for an unsigned document.
+func (s *Server) Offer(args OfferArgs, reply *DoReply) error {
+	if s.keeper == nil {
+		reply.Code = walnutramp.CodeBundleSignature
+		return nil
+	}
+	return s.propose(Command{Submit: &args.Submit}, reply)
+}
+
+// JoinArgs asks to become a member.
+type JoinArgs struct {
+	Node     walnutramp.NodeName
+	Identity consensus.Identity
+}
+
+// JoinReply says where to ask instead, if this member does not lead.
+type JoinReply struct {
+	Code   walnutramp.Code
+	Leader walnutramp.NodeName
+	Group  []walnutramp.NodeName
+}
+
+// Join implements the RPC by which a node with a new disk comes in.
+func (s *Server) Join(args JoinArgs, reply *JoinReply) error {
+	reply.Group = s.member.Status().Group.Nodes()
+	if s.keeper == nil || !s.member.Leads() {
+		reply.Code, reply.Leader = walnutramp.CodeNoLeader, s.member.Leader()
+		return nil
+	}
+	s.keeper.asked(args)
+	reply.Code = walnutramp.CodeOK
 	return nil
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -89,8 +89,28 @@
 	Key     string
 }
 
+// Rule says which offered version is accepted.
+type Rule int
+
+// The rules.
+const (
+	// AcceptNext accepts only the version behind the newest.
+	AcceptNext Rule = iota
+	// AcceptHighest accepts any version above the newest. One that is not
+	// above it is acknowledged and changes nothing.
+	AcceptHighest
+)
+
+// StateOption sets how a State works; all members of a group need the same.
+type StateOption func(*State)
+
+// WithRule sets which versions are accepted.
+func WithRule(r Rule) StateOption { return func(s *State) { s.rule = r } }
+
 // State is the replicated state; it implements consensus.StateMachine.
 type State struct {
+	rule Rule
+
 	mu      sync.Mutex
 	doc     []byte
 	history []Accepted
@@ -100,8 +120,12 @@
 }
 
 // NewState returns the state of a new group, before its first bundle.
-func NewState() *State {
-	return &State{ledger: map[ledgerKey]Entry{}, changed: make(chan struct{}), history: []Accepted{{Operator: "nobody"}}}
+func NewState(opts ...StateOption) *State {
+	s := &State{ledger: map[ledgerKey]Entry{}, changed: make(chan struct{}), history: []Accepted{{Operator: "nobody"}}}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
 // Apply implements consensus.StateMachine.
@@ -139,6 +163,9 @@
 // submit accepts the next version. The same document again gets its first
 // answer, however late; another under a taken version learns who won.
 func (s *State) submit(c *Submit, now int64) Result {
+	if s.rule == AcceptHighest {
+		return s.submitHighest(c, now)
+	}
 	if a, ok := s.accepted(c.Version); ok {
 		r := Result{Code: walnutramp.CodeOK, Version: a.Version, Winner: a.Operator, Digest: a.Digest}
 		if a.Digest != c.Digest {
@@ -152,6 +179,20 @@
 	}
 	s.deltas = append(s.deltas, bundle.NewDelta(last.Version, s.doc, c.Version, c.Doc))
 	s.deltas = s.deltas[max(0, len(s.deltas)-keepDeltas):]
+	return s.accept(c, now)
+}
+
+// submitHighest accepts a version above the newest. Versions are uneven, so
+// nodes get whole documents in place of deltas.
+func (s *State) submitHighest(c *Submit, now int64) Result {
+	if last := s.newest(); c.Version <= last.Version {
+		return Result{Code: walnutramp.CodeOK, Version: last.Version, Winner: last.Operator, Digest: last.Digest}
+	}
+	return s.accept(c, now)
+}
+
+// accept puts a document in force.
+func (s *State) accept(c *Submit, now int64) Result {
 	s.doc = c.Doc
 	s.history = append(s.history, Accepted{Version: c.Version, Digest: c.Digest, Operator: c.Operator, At: now})
 	s.history = s.history[max(0, len(s.history)-keepHistory):]
@@ -259,7 +300,7 @@
 		return newest, nil, nil, s.changed
 	}
 	behind := int(newest.Version - version)
-	if version > 0 && behind <= len(s.deltas) {
+	if s.rule == AcceptNext && version > 0 && behind <= len(s.deltas) {
 		return newest, append([]bundle.Delta(nil), s.deltas[len(s.deltas)-behind:]...), nil, s.changed
 	}
 	return newest, nil, s.doc, s.changed
--- /dev/null
+++ b/gateway/counters.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/walnutramp/walnutramp"
+)
+
+// counters are the gateway's metrics.
+type counters struct {
+	set     *metrics.Set
+	retries *metrics.Counter
+	resumes *metrics.Counter
+	copies  *metrics.Counter
+	stalls  *metrics.Counter
+	broken  *metrics.Counter
+	whole   *metrics.Histogram
+	first   *metrics.Histogram
+	gap     *metrics.Histogram
+}
+
+func newCounters() *counters {
+	s := metrics.NewSet()
+	return &counters{
+		set:     s,
+		retries: s.NewCounter("walnutramp_gateway_retries_total"),
+		resumes: s.NewCounter("walnutramp_gateway_resumes_total"),
+		copies:  s.NewCounter("walnutramp_gateway_resumes_from_copy_total"),
+		stalls:  s.NewCounter("walnutramp_gateway_stalls_total"),
+		broken:  s.NewCounter("walnutramp_gateway_broken_answers_total"),
+		whole:   s.NewHistogram("walnutramp_gateway_answer_seconds"),
+		first:   s.NewHistogram("walnutramp_gateway_first_event_seconds"),
+		gap:     s.NewHistogram("walnutramp_gateway_resume_gap_seconds"),
+	}
+}
+
+func (c *counters) refused(code walnutramp.Code) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("walnutramp_gateway_own_answers_total{code=%q}", fmt.Sprint(int(code)))).Inc()
+}
+
+func (c *counters) answered(since time.Time) { c.whole.UpdateDuration(since) }
+
+// WriteMetrics writes the gateway's metrics in the Prometheus text form.
+func (g *Gateway) WriteMetrics(w io.Writer) { g.counters.set.WritePrometheus(w) }
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/targetconn"
+)
+
+// Names are the header names of the site's dialect.
+type Names struct {
+	Identity   string // of one request of a client
+	Deadline   string // milliseconds the client waits
+	Key        string // the client's API key
+	EventID    string // last event a client or this system has
+	Account    string // set for targets: the account's name
+	Expect     string // set for targets: the target's ID
+	Priority   string // set for targets: 0 is first
+	CopyTo     string // set for targets: where the run's memory is copied to
+	CopyFrom   string // set for targets: which copy a run goes on from
+	Load       string // of a target, in its answers
+	NotRun     string // in an answer: the request did not run
+	System     []string
+	Usage      string // tokens of the prompt, and most out
+	CopyHandle func(address, identity string) string
+	ParseLoad  func(header string) (balance.Load, bool)
+}
+
+// Config sets how a Gateway works.
+type Config struct {
+	Names       Names
+	RepeatRatio float64       // repeats that each request earns
+	RepeatStore float64       // repeats that may be saved up
+	RepeatTime  time.Duration // over which the store fills again
+	MaxBuffered int64         // bytes of request bodies held at once
+	Stall       time.Duration // silence within a stream after which its target is given up
+	FirstEvent  time.Duration // wait for a first event after which another target is tried
+	Copies      bool          // ask engines to keep copies of runs
+}
+
+// Option sets a field of Config.
+type Option func(*Config)
+
+// WithNames sets the dialect's header names.
+func WithNames(n Names) Option { return func(c *Config) { c.Names = n } }
+
+// WithRepeats bounds repeated sends to each service.
+func WithRepeats(ratio, store float64, window time.Duration) Option {
+	return func(c *Config) { c.RepeatRatio, c.RepeatStore, c.RepeatTime = ratio, store, window }
+}
+
+// WithStall sets the silence after which a stream's target is given up.
+func WithStall(d time.Duration) Option { return func(c *Config) { c.Stall = d } }
+
+// WithCopies says whether engines keep copies of runs at each other.
+func WithCopies(on bool) Option { return func(c *Config) { c.Copies = on } }
+
+func defaultConfig() Config {
+	return Config{
+		RepeatRatio: 0.7, RepeatStore: 5, RepeatTime: 10 * time.Second,
+		MaxBuffered: 32 << 20, Stall: 450 * time.Millisecond, FirstEvent: 5 * time.Second, Copies: true,
+	}
+}
+
+// Gateway answers clients; it implements http.Handler.
+type Gateway struct {
+	cfg     Config
+	targets *balance.Tracker
+	pool    *targetconn.Pool
+	refresh func() // asks for a new list of targets
+
+	table    atomic.Pointer[Table]
+	stopping atomic.Int32
+	buffered atomic.Int64
+	strip    map[string]bool
+	counters *counters
+
+	mu      sync.Mutex
+	budgets map[string]*balance.Budget
+}
+
+// New returns a gateway without a table: it answers 503 until SetTable.
+// Refresh is called when a target turns out to be another than listed.
+func New(targets *balance.Tracker, pool *targetconn.Pool, refresh func(), opts ...Option) *Gateway {
+	cfg := defaultConfig()
+	for _, opt := range opts {
+		opt(&cfg)
+	}
+	g := &Gateway{cfg: cfg, targets: targets, pool: pool, refresh: refresh, budgets: map[string]*balance.Budget{}, counters: newCounters()}
+	g.strip = map[string]bool{}
+	n := cfg.Names
+	for _, name := range append([]string{n.Key, n.Account, n.Expect, n.Priority, n.CopyTo, n.CopyFrom, n.Deadline}, n.System...) {
+		g.strip[http.CanonicalHeaderKey(name)] = true
+	}
+	return g
+}
+
+// SetTable puts a table in force.
+func (g *Gateway) SetTable(t *Table) { g.table.Store(t) }
+
+// Ready reports whether requests can be served.
+func (g *Gateway) Ready() bool {
+	return g.table.Load() != nil && g.targets.Listed() && g.stopping.Load() == 0
+}
+
+// The phases of a stop.
+const (
+	phaseServing int32 = iota
+	phaseLeaving       // the balancer is being told; requests are served
+	phaseClosing       // connections are closed after their answer
+	phaseClosed        // new requests are refused
+)
+
+// Leave begins a planned stop: the node is no longer ready.
+func (g *Gateway) Leave() { g.stopping.Store(phaseLeaving) }
+
+// CloseConnections asks clients to open no more requests on their connections.
+func (g *Gateway) CloseConnections() { g.stopping.Store(phaseClosing) }
+
+// Refuse refuses new requests as not run.
+func (g *Gateway) Refuse() { g.stopping.Store(phaseClosed) }
+
+func (g *Gateway) budget(service string) *balance.Budget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.budgets[service]
+	if b == nil {
+		b = balance.NewBudget(g.cfg.RepeatRatio, g.cfg.RepeatStore, g.cfg.RepeatTime)
+		g.budgets[service] = b
+	}
+	return b
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	phase := g.stopping.Load()
+	if phase >= phaseClosing {
+		w.Header().Set("Connection", "close")
+	}
+	c, refused := g.open(w, r, arrived)
+	if refused == nil && phase == phaseClosed {
+		refused = walnutramp.NewError(walnutramp.CodeStopping, walnutramp.NotRun, "this node is stopping").WithRetryAfter(retryOther)
+	}
+	if refused != nil {
+		g.refuse(w, r, refused)
+		return
+	}
+	defer g.buffered.Add(-int64(len(c.body)))
+	g.budget(c.service).Earn()
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	if c.route.Kind == Stream {
+		g.stream(ctx, w, c)
+		return
+	}
+	g.plain(ctx, w, c)
+}
--- /dev/null
+++ b/gateway/plain.go
@@ -0,0 +1,257 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/targetconn"
+	"k8s.io/klog/v2"
+)
+
+// Bounds of the tries of one request.
+const (
+	maxTargets     = 6        // that one request asks, those that turn it away included
+	wholeLimit     = 64 << 10 // bytes of an answer that is read whole before it is passed on
+	tryAims        = 3        // a safe request is sent again after so many times its aim
+	shortestTry    = 200 * time.Millisecond
+	deadlineMargin = 20 * time.Millisecond // before the deadline, for the final answer
+)
+
+// plain serves a request whose answer is not an event stream.
+func (g *Gateway) plain(ctx context.Context, w http.ResponseWriter, c *call) {
+	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(-deadlineMargin))
+	defer cancel()
+	var last *wholeAnswer
+	for range maxTargets {
+		t := g.choose(c)
+		if t == nil {
+			break
+		}
+		a, retry := g.tryPlain(ctx, c, t)
+		if a != nil {
+			last = a
+		}
+		if !retry || ctx.Err() != nil || !g.mayRepeat(c) {
+			break
+		}
+	}
+	if last != nil {
+		g.passWhole(w, c, last)
+		return
+	}
+	if ctx.Err() == context.Canceled {
+		panic(http.ErrAbortHandler) // the client is gone
+	}
+	g.fail(w, c, c.giveUp("no target answered"))
+}
+
+// choose picks a target that this call has not tried.
+func (g *Gateway) choose(c *call) *balance.Target {
+	return g.targets.Pick(balance.Choice{Service: c.service, Exclude: func(t *balance.Target) bool { return c.tried[t] }})
+}
+
+// mayRepeat reports whether another target may be asked, and pays for it.
+func (g *Gateway) mayRepeat(c *call) bool {
+	if c.reached && !c.route.Idempotent() {
+		return false
+	}
+	if c.sent >= max(1, c.route.MaxAttempts) {
+		return false
+	}
+	if !g.budget(c.service).Spend() {
+		klog.InfoS("Not repeated: the budget is spent", "request", c.id, "service", c.service)
+		return false
+	}
+	g.counters.retries.Inc()
+	return true
+}
+
+// wholeAnswer is an answer that is passed on in one piece, or, where it is
+// long, from its head on.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	length int64
+	body   []byte
+	rest   *targetconn.Answer // the part behind body, nil if body is all
+}
+
+// tryPlain asks one target. Retry says that another may be asked, as far as
+// the target is concerned.
+func (g *Gateway) tryPlain(ctx context.Context, c *call, t *balance.Target) (a *wholeAnswer, retry bool) {
+	c.tried[t] = true
+	tryCtx, cancel := context.WithCancel(ctx)
+	defer func() {
+		if a == nil || a.rest == nil {
+			cancel()
+		}
+	}()
+	defer g.limitTry(c, cancel).Stop()
+	t.Begin(false)
+	defer t.End(false)
+	answer, err := g.pool.Do(tryCtx, endpoint(t), g.request(c, t))
+	if err != nil {
+		g.noteFailure(ctx, c, t, err)
+		return nil, true
+	}
+	g.noteLoad(t, answer.Header)
+	if g.notRun(answer) {
+		g.noteNotRun(c, t, answer)
+		answer.Close()
+		return nil, true
+	}
+	c.sent++
+	c.reached = true
+	if answer.Header.Get("Content-Encoding") != "" {
+		answer.Close()
+		t.Broke()
+		return nil, true
+	}
+	whole, err := g.readWhole(answer)
+	if err != nil {
+		g.counters.broken.Inc()
+		klog.InfoS("Answer broke off", "request", c.id, "target", t.ID, "status", answer.Status, "err", err)
+		t.Broke()
+		return nil, true
+	}
+	if answer.Status >= http.StatusInternalServerError {
+		t.Erred()
+		return g.ownStatus(c, whole), true
+	}
+	t.Succeeded()
+	return whole, false
+}
+
+// limitTry ends a try that takes so long that a safe request had better be
+// sent to another target.
+func (g *Gateway) limitTry(c *call, cancel context.CancelFunc) *time.Timer {
+	limit := time.Until(c.deadline)
+	if c.route.Kind == Safe && c.sent+1 < c.route.MaxAttempts {
+		limit = max(shortestTry, tryAims*c.route.Aim)
+	}
+	return time.AfterFunc(limit, cancel)
+}
+
+// ownStatus keeps back an answer whose status would promise that a request
+// which may not be repeated did not run, though its target does not say so.
+func (g *Gateway) ownStatus(c *call, a *wholeAnswer) *wholeAnswer {
+	if a.status == http.StatusServiceUnavailable && !c.route.Idempotent() {
+		return nil
+	}
+	return a
+}
+
+// readWhole reads a short answer to its end.
+func (g *Gateway) readWhole(a *targetconn.Answer) (*wholeAnswer, error) {
+	whole := &wholeAnswer{status: a.Status, header: a.Header, length: a.Length}
+	body, err := io.ReadAll(io.LimitReader(a, wholeLimit))
+	if err != nil {
+		a.Close()
+		return nil, err
+	}
+	whole.body = body
+	if len(body) < wholeLimit {
+		// One more read sees the end, which lets the connection be kept.
+		a.Close()
+		whole.length = int64(len(body))
+		return whole, nil
+	}
+	whole.rest = a
+	return whole, nil
+}
+
+// passWhole hands an answer to the client as the target gave it.
+func (g *Gateway) passWhole(w http.ResponseWriter, c *call, a *wholeAnswer) {
+	g.passHead(w, a.header, a.status, a.length)
+	g.counters.answered(c.arrived)
+	if c.method == http.MethodHead {
+		return
+	}
+	if _, err := w.Write(a.body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if a.rest == nil {
+		return
+	}
+	defer a.rest.Close()
+	if _, err := io.Copy(w, a.rest); err != nil {
+		panic(http.ErrAbortHandler) // what ends early must not look whole
+	}
+}
+
+// passHead writes the head of an answer with its headers unchanged.
+func (g *Gateway) passHead(w http.ResponseWriter, header http.Header, status int, length int64) {
+	h := w.Header()
+	named := connectionNamed(header)
+	for name, values := range header {
+		if !connectionHeaders[name] && !named[name] {
+			h[name] = values
+		}
+	}
+	for _, name := range []string{"Content-Type", "Date"} {
+		if _, ok := header[name]; !ok {
+			h[name] = nil // net/http would set one
+		}
+	}
+	if length >= 0 && status != http.StatusNoContent && status != http.StatusNotModified {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	w.WriteHeader(status)
+}
+
+// notRun reports whether an answer states that the request did not run.
+func (g *Gateway) notRun(a *targetconn.Answer) bool {
+	return a.Status == http.StatusMisdirectedRequest || a.Header.Get(g.cfg.Names.NotRun) != ""
+}
+
+// noteNotRun learns from a target that turned a request away.
+func (g *Gateway) noteNotRun(c *call, t *balance.Target, a *targetconn.Answer) {
+	klog.InfoS("Target turned the request away", "request", c.id, "target", t.ID, "status", a.Status)
+	if a.Status == http.StatusMisdirectedRequest {
+		t.Gone()
+		g.pool.Forget(t.ID)
+		g.refresh()
+		return
+	}
+	t.Full()
+}
+
+// noteFailure learns from an exchange that brought no answer.
+func (g *Gateway) noteFailure(ctx context.Context, c *call, t *balance.Target, err error) {
+	var f *targetconn.Failure
+	if errors.As(err, &f) && f.Reached() {
+		c.reached = true
+		c.sent++
+	}
+	if ctx.Err() == context.Canceled {
+		return // the client left; nothing is known of the target
+	}
+	t.Broke()
+	klog.InfoS("Target did not answer", "request", c.id, "target", t.ID, "address", t.Address, "err", err,
+		"ms", time.Since(c.arrived).Milliseconds())
+}
+
+// noteLoad takes the load that an answer tells.
+func (g *Gateway) noteLoad(t *balance.Target, h http.Header) {
+	value := h.Get(g.cfg.Names.Load)
+	if value == "" || g.cfg.Names.ParseLoad == nil {
+		return
+	}
+	if l, ok := g.cfg.Names.ParseLoad(value); ok {
+		t.Told(l)
+	}
+}
+
+// outcomeOf says what is known of a call that got no answer.
+func (c *call) outcomeOf() walnutramp.Outcome {
+	if c.reached {
+		return walnutramp.Unknown
+	}
+	return walnutramp.NotRun
+}
--- /dev/null
+++ b/gateway/refuse.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/walnutramp/walnutramp"
+	"k8s.io/klog/v2"
+)
+
+// When a client that was refused should come back.
+const (
+	retryOther = 100 * time.Millisecond // another node will serve it
+	retryBusy  = 250 * time.Millisecond // a place comes free soon
+)
+
+// errorBody is what a client is told of a request that brought no answer of a
+// target.
+type errorBody struct {
+	Error errorFacts `json:"error"`
+}
+
+type errorFacts struct {
+	Code         int    `json:"code"`
+	Name         string `json:"name"`
+	Outcome      string `json:"outcome"`
+	Message      string `json:"message"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+}
+
+// refuse ends a request with this system's own answer.
+func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, e *walnutramp.Error) {
+	klog.InfoS("Request ended here", "request", r.Header.Get(g.cfg.Names.Identity), "code", int(e.Code), "outcome", e.Outcome, "why", e.Message)
+	g.writeError(w, e)
+}
+
+// fail ends a call with this system's own answer.
+func (g *Gateway) fail(w http.ResponseWriter, c *call, e *walnutramp.Error) {
+	klog.InfoS("Request ended here", "request", c.id, "route", c.route.Name, "code", int(e.Code), "outcome", e.Outcome,
+		"sent", c.sent, "ms", time.Since(c.arrived).Milliseconds(), "why", e.Message)
+	g.writeError(w, e)
+}
+
+func (g *Gateway) writeError(w http.ResponseWriter, e *walnutramp.Error) {
+	g.counters.refused(e.Code)
+	info := e.Code.Info()
+	body, err := json.Marshal(errorBody{errorFacts{
+		Code: int(e.Code), Name: info.Name, Outcome: string(e.Outcome), Message: e.Message, RetryAfterMS: e.RetryAfter.Milliseconds(),
+	}})
+	if err != nil {
+		body = nil
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	w.WriteHeader(info.Status)
+	w.Write(body)
+}
+
+// giveUp returns the final answer of a call that no target answered.
+func (c *call) giveUp(why string) *walnutramp.Error {
+	if !c.reached {
+		return walnutramp.NewError(walnutramp.CodeNoTarget, walnutramp.NotRun, "%s", why).WithRetryAfter(retryBusy)
+	}
+	if !time.Now().Before(c.deadline) {
+		return walnutramp.NewError(walnutramp.CodeTargetSlow, walnutramp.Unknown, "%s", why)
+	}
+	return walnutramp.NewError(walnutramp.CodeTargetFailed, walnutramp.Unknown, "%s", why)
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,248 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/eventstream"
+	"github.com/walnutramp/walnutramp/targetconn"
+	"k8s.io/klog/v2"
+)
+
+const eventStreamType = "text/event-stream"
+
+// relay is one event stream on its way to a client, over the runs that make
+// it up.
+type relay struct {
+	gateway *Gateway
+	call    *call
+	w       http.ResponseWriter
+	flush   *http.ResponseController
+	started bool      // the client has the head
+	newest  time.Time // when the newest event was passed on
+	copy    *copyOf   // of the run that broke off
+}
+
+// copyOf names the memory of a run at another target.
+type copyOf struct {
+	at       *balance.Target
+	identity string
+}
+
+// ending says how a run ended.
+type ending int
+
+const (
+	endWhole  ending = iota // the answer is complete
+	endTurned               // the target turned the request away: it did not run
+	endBroken               // no answer, or it broke off
+	endOther                // an answer that is no event stream was passed on
+
+)
+
+// stream serves a request whose answer is an event stream.
+func (g *Gateway) stream(ctx context.Context, w http.ResponseWriter, c *call) {
+	r := &relay{gateway: g, call: c, w: w, flush: http.NewResponseController(w)}
+	for range maxTargets {
+		end := r.next(ctx)
+		if end == endWhole || end == endOther {
+			g.counters.answered(c.arrived)
+			return
+		}
+		if ctx.Err() != nil || end == endBroken && !c.route.Idempotent() && c.reached || !g.mayRepeat(c) {
+			break
+		}
+	}
+	if r.started || ctx.Err() == context.Canceled {
+		klog.InfoS("Stream given up", "request", c.id, "route", c.route.Name, "last", c.lastID, "sent", c.sent,
+			"outcome", c.outcomeOf(), "cause", ctx.Err())
+		panic(http.ErrAbortHandler) // what ends early must not look whole
+	}
+	g.fail(w, c, c.giveUp("no target answered"))
+}
+
+// next runs the request at one more target: at the copy of the broken run
+// where there is one, else at the best.
+func (r *relay) next(ctx context.Context) ending {
+	from := r.copy
+	r.copy = nil
+	if from != nil && from.at.Usable() {
+		if end := r.run(ctx, from.at, from); end != endTurned {
+			return end
+		}
+	}
+	t := r.gateway.choose(r.call)
+	if t == nil {
+		return endBroken
+	}
+	return r.run(ctx, t, nil)
+}
+
+// run passes one run on until it ends.
+func (r *relay) run(ctx context.Context, t *balance.Target, from *copyOf) ending {
+	g, c := r.gateway, r.call
+	c.tried[t] = true
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	reading := true
+	t.Begin(true)
+	defer func() { t.End(reading) }()
+	request := g.request(c, t)
+	backup := r.copies(request, t, from)
+	answer, err := g.pool.Do(ctx, endpoint(t), request)
+	if err != nil {
+		g.noteFailure(ctx, c, t, err)
+		return endBroken
+	}
+	defer answer.Close()
+	g.noteLoad(t, answer.Header)
+	if g.notRun(answer) {
+		g.noteNotRun(c, t, answer)
+		return endTurned
+	}
+	c.sent++
+	c.reached = true
+	if !isEventStream(answer) {
+		return r.passOther(answer, t)
+	}
+	end := r.pass(answer, t, func() {
+		reading = false
+		t.FirstEvent()
+	})
+	if end == endBroken && backup != nil {
+		r.copy = &copyOf{at: backup, identity: c.id}
+	}
+	return end
+}
+
+// copies asks for a copy of the run at another target, and names the copy
+// that the run goes on from.
+func (r *relay) copies(request *targetconn.Request, t *balance.Target, from *copyOf) *balance.Target {
+	g, c := r.gateway, r.call
+	n := &g.cfg.Names
+	if from != nil && n.CopyHandle != nil {
+		request.Header.Set(n.CopyFrom, n.CopyHandle(from.at.Address, from.identity))
+		g.counters.copies.Inc()
+	}
+	if !g.cfg.Copies || !c.engine.Copies || !c.route.Resume {
+		return nil
+	}
+	backup := g.targets.Pick(balance.Choice{
+		Service: c.service, OtherHall: t.DataHall,
+		Exclude: func(o *balance.Target) bool { return o == t || c.tried[o] },
+	})
+	if backup != nil {
+		request.Header.Set(n.CopyTo, backup.Address)
+	}
+	return backup
+}
+
+func isEventStream(a *targetconn.Answer) bool {
+	return a.Status == http.StatusOK && strings.HasPrefix(a.Header.Get("Content-Type"), eventStreamType) &&
+		a.Header.Get("Content-Encoding") == ""
+}
+
+// passOther passes on an answer that is no event stream, if the client has no
+// head yet.
+func (r *relay) passOther(a *targetconn.Answer, t *balance.Target) ending {
+	g, c := r.gateway, r.call
+	if a.Status >= http.StatusInternalServerError {
+		t.Erred()
+		klog.InfoS("Target failed", "request", c.id, "target", t.ID, "status", a.Status)
+		return endBroken
+	}
+	if r.started {
+		return endBroken
+	}
+	whole, err := g.readWhole(a)
+	if err != nil {
+		return endBroken
+	}
+	g.passWhole(r.w, c, whole)
+	return endOther
+}
+
+// pass passes events on. First is called at the run's first event.
+func (r *relay) pass(a *targetconn.Answer, t *balance.Target, first func()) ending {
+	g, c := r.gateway, r.call
+	events := eventstream.NewReader(a)
+	seen := false
+	for {
+		if !events.Buffered() {
+			wait := g.cfg.Stall
+			if !seen {
+				wait = g.cfg.FirstEvent
+			}
+			a.SetReadDeadline(time.Now().Add(wait))
+		}
+		e, err := events.Next()
+		if err != nil {
+			return r.ended(a, t, events, err)
+		}
+		if !seen {
+			seen = true
+			first()
+			t.Succeeded()
+			r.noteFirst()
+		}
+		if e.HasID && c.hasLast && e.ID <= c.lastID {
+			continue // the client has it
+		}
+		r.write(a, e.Raw)
+		if e.HasID {
+			c.lastID, c.hasLast = e.ID, true
+		}
+	}
+}
+
+// noteFirst measures the wait for a run's first event.
+func (r *relay) noteFirst() {
+	if !r.started {
+		r.gateway.counters.first.UpdateDuration(r.call.arrived)
+		return
+	}
+	gap := time.Since(r.newest)
+	r.gateway.counters.gap.Update(gap.Seconds())
+	klog.InfoS("Stream goes on", "request", r.call.id, "last", r.call.lastID, "gap_ms", gap.Milliseconds())
+}
+
+// ended tells a whole stream from one that broke off.
+func (r *relay) ended(a *targetconn.Answer, t *balance.Target, events *eventstream.Reader, err error) ending {
+	g, c := r.gateway, r.call
+	if err == io.EOF && a.Framed {
+		if rest := events.Rest(); len(rest) > 0 || !r.started {
+			r.write(a, rest)
+		}
+		return endWhole
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		g.counters.stalls.Inc()
+	}
+	g.counters.broken.Inc()
+	g.counters.resumes.Inc()
+	t.Broke()
+	klog.InfoS("Stream broke off", "request", c.id, "target", t.ID, "last", c.lastID, "err", err,
+		"silent_ms", time.Since(r.newest).Milliseconds())
+	return endBroken
+}
+
+// write passes bytes on at once, after the head of the first run.
+func (r *relay) write(a *targetconn.Answer, raw []byte) {
+	if !r.started {
+		r.gateway.passHead(r.w, a.Header, a.Status, -1)
+		r.started = true
+	}
+	if _, err := r.w.Write(raw); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if err := r.flush.Flush(); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	r.newest = time.Now()
+}
--- /dev/null
+++ b/gateway/table.go
@@ -0,0 +1,119 @@
+// Package gateway passes clients' HTTP requests on to the targets of a site's
+// services, opaque and streaming: it finds the route and the account, chooses
+// targets, retries only what may be retried, and lets a stream go on at
+// another target when its target breaks off.
+package gateway
+
+import (
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Kind says what may be repeated of a route's requests.
+type Kind int
+
+// The kinds.
+const (
+	Safe   Kind = iota // may run more than once
+	Unsafe             // may run at most once
+	Stream             // an event stream; as Unsafe unless it may be resumed
+)
+
+// Weighted is one service of a split.
+type Weighted struct {
+	Service string
+	Weight  int
+}
+
+// Route says where requests for a host and path prefix go, and how.
+type Route struct {
+	Name        string
+	Host        string
+	Prefix      string
+	Kind        Kind
+	Timeout     time.Duration // longest time a request is held
+	Aim         time.Duration // within which an answer earns its full credit
+	GapAim      time.Duration // longest pause between events that keeps a stream in time
+	Priority    int           // 0 is highest
+	MaxAttempts int           // most targets one request may go to
+	Open        bool          // no key is asked for
+	Resume      bool          // a stream may go on at another target
+	Split       []Weighted
+}
+
+// Idempotent reports whether a request that may have run may be sent again.
+func (r *Route) Idempotent() bool { return r.Kind == Safe || r.Kind == Stream && r.Resume }
+
+// Service draws one service by weight.
+func (r *Route) Service() string {
+	total := 0
+	for _, w := range r.Split {
+		total += w.Weight
+	}
+	n := rand.IntN(total)
+	for _, w := range r.Split {
+		if n -= w.Weight; n < 0 {
+			return w.Service
+		}
+	}
+	return r.Split[0].Service
+}
+
+// Account is a client account and its rank.
+type Account struct {
+	Name        string
+	Priority    int
+	HasPriority bool
+}
+
+// Service is what the gateway needs to know of a service's targets.
+type Service struct {
+	Name           string
+	MaxConnections int // of one target, from all callers together
+	Engine         bool
+	Copies         bool // its engines keep copies of runs at each other
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Table is a configuration as the gateway uses it. It is not changed once it
+// is in force.
+type Table struct {
+	Version  uint64
+	Limits   Limits
+	Services map[string]Service
+	Accounts map[string]Account // by key; nil where no keys are asked for
+	hosts    map[string][]*Route
+}
+
+// SetRoutes files the routes by host, the longest prefix first.
+func (t *Table) SetRoutes(routes []*Route) {
+	t.hosts = map[string][]*Route{}
+	for _, r := range routes {
+		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+	}
+	for _, rs := range t.hosts {
+		sort.SliceStable(rs, func(i, j int) bool { return len(rs[i].Prefix) > len(rs[j].Prefix) })
+	}
+}
+
+// Route returns the route of a host and path, or nil.
+func (t *Table) Route(host, path string) *Route {
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/serve/entry.go
@@ -0,0 +1,110 @@
+package serve
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/control"
+	"github.com/walnutramp/walnutramp/discovery"
+	"github.com/walnutramp/walnutramp/gateway"
+	"github.com/walnutramp/walnutramp/targetconn"
+	"k8s.io/klog/v2"
+)
+
+// Times of a planned stop, since the order.
+const (
+	stopClosing = 2500 * time.Millisecond // connections are closed after their answer
+	stopRefuse  = 3 * time.Second         // connections at rest are closed, requests refused
+	stopReserve = 500 * time.Millisecond  // before the kill
+)
+
+// Bounds of what clients may take up before a configuration is known.
+const (
+	headTimeout   = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeadBytes  = 64 << 10
+	nodesAssumed  = 16  // that share the bound on repeats
+	ownRepeat     = 0.9 // share of the site's ratio that a node uses
+	storeFraction = 0.5 // a store may be spent once saved up, and once as it refills
+)
+
+// entry answers clients.
+type entry struct {
+	gateway *gateway.Gateway
+	pool    *targetconn.Pool
+	front   *http.Server
+	ready   *http.Server
+}
+
+func (p *Process) startEntry() error {
+	names := p.adapter.Names()
+	targets := balance.NewTracker(balance.WithDataHall(p.settings.DataHall))
+	pool := targetconn.NewPool(targetconn.WithIdentityHeader(names.Identity))
+	poller := discovery.NewPoller(p.adapter.Source(), func(list []discovery.Target) {
+		for _, id := range targets.Update(list) {
+			pool.Forget(id)
+		}
+	})
+	s := p.settings
+	store := s.RepeatSlack / nodesAssumed * storeFraction
+	g := gateway.New(targets, pool, poller.Soon, gateway.WithNames(names),
+		gateway.WithRepeats(s.RepeatRatio*ownRepeat, store, s.RepeatWindow))
+	adopt := func(version uint64, doc []byte) error {
+		table, err := p.adapter.Table(doc)
+		if err == nil {
+			g.SetTable(table)
+		}
+		return err
+	}
+	p.client = control.NewDocumentClient(p.peers, s.Seeds, adopt)
+	p.entry = &entry{gateway: g, pool: pool}
+	var err error
+	p.entry.front, err = listen(s.EntryListen, g)
+	if err != nil {
+		return err
+	}
+	p.entry.ready, err = listen(s.ReadyListen, p.adapter.Ready(g.Ready))
+	if err != nil {
+		return err
+	}
+	p.client.Start()
+	go poller.Run(p.ctx)
+	return nil
+}
+
+// listen serves HTTP on an address.
+func listen(address string, h http.Handler) (*http.Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}
+	go func() {
+		if err := server.Serve(l); err != http.ErrServerClosed {
+			klog.ErrorS(err, "Listener ended", "address", address)
+		}
+	}()
+	return server, nil
+}
+
+// stop lets the balancer see that the node leaves, serves what still comes,
+// and finishes what is under way.
+func (e *entry) stop(grace time.Duration) {
+	began := time.Now()
+	e.gateway.Leave()
+	time.Sleep(stopClosing)
+	e.gateway.CloseConnections()
+	time.Sleep(stopRefuse - stopClosing)
+	e.gateway.Refuse()
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-stopReserve))
+	defer cancel()
+	if err := e.front.Shutdown(ctx); err != nil {
+		klog.InfoS("Requests are cut off at the end of the grace", "err", err)
+		e.front.Close()
+	}
+	e.ready.Close()
+	e.pool.Close()
+}
--- /dev/null
+++ b/serve/replica.go
@@ -0,0 +1,131 @@
+package serve
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/consensus"
+	"github.com/walnutramp/walnutramp/control"
+	"github.com/walnutramp/walnutramp/peer"
+	"github.com/walnutramp/walnutramp/wal"
+	"k8s.io/klog/v2"
+)
+
+// Timing of the control group: a leader that is lost is replaced well within
+// the time in which operators and nodes want an answer.
+const (
+	heartbeat     = 150 * time.Millisecond
+	election      = 600 * time.Millisecond
+	compactBytes  = 8 << 20
+	replicaFinish = 1 * time.Second // for operators' calls when the process stops
+	exitDiskLost  = 3
+)
+
+// replica is a member of the control group.
+type replica struct {
+	member   *consensus.Member
+	server   *peer.Server
+	operator *http.Server
+}
+
+func (p *Process) startReplica(self peer.Identity) error {
+	s := p.settings
+	disk := wal.Dir(s.DataDir)
+	identity, err := p.identity(disk, self.Node)
+	if err != nil {
+		return err
+	}
+	var founding consensus.Group
+	if identity == consensus.Founder {
+		founding = control.FoundingGroup(s.Seeds)
+	}
+	state := control.NewState(control.WithRule(control.AcceptHighest))
+	member, err := consensus.New(self.Node, identity, disk, founding, p.peers, state,
+		consensus.WithTiming(heartbeat, election), consensus.WithCompaction(compactBytes),
+		consensus.WithSeed(uint64(time.Now().UnixNano())), consensus.WithOnFatal(diskLost))
+	if err != nil {
+		return err
+	}
+	keeper := control.NewKeeper(self.Node, member)
+	server := peer.NewServer(self, &p.traffic)
+	if err := errors.Join(
+		server.Register(consensus.Service, member.Handler()),
+		server.Register(control.Service, control.NewOpenServer(member, state, keeper)),
+	); err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", s.PeerListen)
+	if err != nil {
+		return err
+	}
+	go server.Serve(l)
+	member.Start()
+	p.client = control.NewDocumentClient(p.peers, s.Seeds, func(uint64, []byte) error { return nil })
+	go keeper.Run(p.ctx)
+	go control.NewJoiner(p.peers, self.Node, identity, member, p.client).Run(p.ctx)
+	p.replica = &replica{member: member, server: server}
+	p.replica.operator, err = listen(s.OperatorAddr, p.adapter.Operator(&documents{client: p.client, member: member, limit: s.OperatorIn}))
+	return err
+}
+
+// identity returns the disk's identity. A founder's empty disk is marked as
+// one; every other empty disk gets an identity that no group knows.
+func (p *Process) identity(disk wal.FS, self walnutramp.NodeName) (consensus.Identity, error) {
+	if p.settings.Founder && slices.Contains(p.settings.Seeds, self) {
+		if err := control.FoundIdentity(disk); err != nil {
+			klog.V(1).InfoS("The disk has an identity", "err", err)
+		}
+	}
+	return control.ReadIdentity(disk)
+}
+
+// diskLost ends the process: what a failed sync left behind is not known.
+func diskLost(err error) {
+	klog.ErrorS(err, "The disk failed; the process ends")
+	klog.Flush()
+	os.Exit(exitDiskLost)
+}
+
+func (r *replica) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), replicaFinish)
+	defer cancel()
+	r.operator.Shutdown(ctx)
+	r.member.Close()
+	r.server.Close()
+}
+
+// documents is an operator's way to the control group.
+type documents struct {
+	client *control.Client
+	member *consensus.Member
+	limit  time.Duration
+}
+
+// Offer implements Documents.
+func (d *documents) Offer(ctx context.Context, version uint64, doc []byte) error {
+	d.client.LearnGroup(d.member.Status().Group.Nodes())
+	ctx, cancel := context.WithTimeout(ctx, d.limit)
+	defer cancel()
+	r, err := d.client.Offer(ctx, version, doc)
+	if err != nil {
+		return err
+	}
+	if r.Code != walnutramp.CodeOK {
+		return walnutramp.NewError(r.Code, walnutramp.Unknown, "the control group did not take the document")
+	}
+	return nil
+}
+
+// Newest implements Documents.
+func (d *documents) Newest(ctx context.Context) (uint64, []byte, bool) {
+	d.client.LearnGroup(d.member.Status().Group.Nodes())
+	ctx, cancel := context.WithTimeout(ctx, d.limit)
+	defer cancel()
+	return d.client.Newest(ctx)
+}
--- /dev/null
+++ b/serve/serve.go
@@ -0,0 +1,167 @@
+// Package serve wires the parts into a process of a site whose services,
+// operators and machines speak a dialect of their own: an entry that answers
+// clients, a member of the control group, or both.
+package serve
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/control"
+	"github.com/walnutramp/walnutramp/discovery"
+	"github.com/walnutramp/walnutramp/gateway"
+	"github.com/walnutramp/walnutramp/peer"
+	"k8s.io/klog/v2"
+)
+
+// Settings are what a process is told when it starts. Addresses are numeric
+// host:port; an empty one means that the process does not serve it.
+type Settings struct {
+	Name         string
+	DataHall     string
+	EntryListen  string // for clients
+	ReadyListen  string // for the balancer's questions
+	OperatorAddr string // for operators
+	PeerListen   string // for the system's own nodes
+	MetricsAddr  string
+
+	Seeds      []walnutramp.NodeName // members' peer addresses
+	Founder    bool                  // this node founds the group if its disk is empty
+	DataDir    string
+	MemoryMB   int
+	Grace      time.Duration // from the order to stop to the kill
+	OperatorIn time.Duration // in which an operator wants an answer
+
+	RepeatRatio  float64 // of the site's bound on repeated sends
+	RepeatSlack  float64
+	RepeatWindow time.Duration
+}
+
+// Adapter speaks a site's dialect for the process.
+type Adapter interface {
+	// Settings reads the settings file again.
+	Settings() (Settings, error)
+	// Names returns the header names of clients and targets.
+	Names() gateway.Names
+	// Table reads a document into the form the gateway uses.
+	Table(doc []byte) (*gateway.Table, error)
+	// Source reads the site's list of targets.
+	Source() discovery.Source
+	// Operator answers operators.
+	Operator(d Documents) http.Handler
+	// Ready answers the balancer.
+	Ready(ready func() bool) http.Handler
+}
+
+// Documents is what an operator's calls change and read.
+type Documents interface {
+	// Offer hands over a document that was checked.
+	Offer(ctx context.Context, version uint64, doc []byte) error
+	// Newest returns the newest document, confirmed; false if none can be.
+	Newest(ctx context.Context) (version uint64, doc []byte, ok bool)
+}
+
+// The share of a process's memory that the Go heap may take before the
+// collector works harder.
+const memoryShare = 0.6
+
+// Process is a running process.
+type Process struct {
+	settings Settings
+	adapter  Adapter
+	traffic  peer.Traffic
+	peers    *peer.Client
+	client   *control.Client
+	entry    *entry
+	replica  *replica
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+// New starts a process.
+func New(s Settings, a Adapter) (*Process, error) {
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryShare))
+	}
+	p := &Process{settings: s, adapter: a}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	self := peer.Identity{Site: siteName, Node: walnutramp.NodeName(s.PeerListen)}
+	p.peers = peer.NewClient(self, dialer().DialContext, directory{}, &p.traffic)
+	klog.InfoS("Process starts", "name", s.Name, "dataHall", s.DataHall, "entry", s.EntryListen, "operator", s.OperatorAddr,
+		"seeds", s.Seeds, "founder", s.Founder, "disk", s.DataDir != "")
+	if err := p.start(self); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Process) start(self peer.Identity) error {
+	if p.settings.OperatorAddr != "" {
+		if err := p.startReplica(self); err != nil {
+			return errors.Wrap(err, "control group")
+		}
+	}
+	if p.settings.EntryListen != "" {
+		return errors.Wrap(p.startEntry(), "entry")
+	}
+	return nil
+}
+
+// siteName is what nodes of one site say to each other; sites do not share
+// networks.
+const siteName = "site"
+
+// directory finds nodes whose names are their peer addresses.
+type directory struct{}
+
+// Address implements peer.Addresses.
+func (directory) Address(node walnutramp.NodeName) (string, bool) { return string(node), node != "" }
+
+// Times of connections between nodes: a link that was cut says nothing, so
+// the kernel is told to give up.
+const (
+	peerDialTimeout   = 500 * time.Millisecond
+	peerKeepAliveIdle = 1 * time.Second
+)
+
+func dialer() *net.Dialer {
+	return &net.Dialer{Timeout: peerDialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: peerKeepAliveIdle, Interval: peerKeepAliveIdle, Count: 2,
+	}}
+}
+
+// Reload takes what may change while the process runs: the seeds.
+func (p *Process) Reload() {
+	s, err := p.adapter.Settings()
+	if err != nil {
+		klog.ErrorS(err, "Settings not reloaded")
+		return
+	}
+	klog.InfoS("Settings reloaded", "seeds", s.Seeds)
+	if p.client != nil {
+		p.client.SetSeeds(s.Seeds)
+	}
+}
+
+// Stop ends the process as planned: what is under way is finished, as far as
+// the grace lets it.
+func (p *Process) Stop() {
+	klog.InfoS("Process stops", "name", p.settings.Name, "grace", p.settings.Grace)
+	if p.entry != nil {
+		p.entry.stop(p.settings.Grace)
+	}
+	if p.replica != nil {
+		p.replica.stop()
+	}
+	p.cancel()
+	if p.client != nil {
+		p.client.Close()
+	}
+	p.peers.Close()
+	klog.InfoS("Process ends", "name", p.settings.Name)
+}
--- /dev/null
+++ b/targetconn/pool.go
@@ -0,0 +1,160 @@
+package targetconn
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// DialFunc opens a connection; net.Dialer.DialContext is one.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Config sets how a Pool works.
+type Config struct {
+	Dial           DialFunc
+	DialTimeout    time.Duration
+	IdleLimit      time.Duration // longest rest of a kept connection
+	IdleMargin     time.Duration // taken off the rest that the target announces
+	MaxIdle        int           // kept connections to one target
+	HeadLimit      int64         // bytes of an answer's head
+	IdentityHeader string        // repeats the request's identity in its answer
+}
+
+// Option sets a field of Config.
+type Option func(*Config)
+
+// WithDial sets how connections are opened.
+func WithDial(dial DialFunc) Option { return func(c *Config) { c.Dial = dial } }
+
+// WithDialTimeout bounds the opening of a connection.
+func WithDialTimeout(d time.Duration) Option { return func(c *Config) { c.DialTimeout = d } }
+
+// WithIdentityHeader names the header that repeats a request's identity.
+func WithIdentityHeader(name string) Option { return func(c *Config) { c.IdentityHeader = name } }
+
+// WithIdleLimit bounds how long an unused connection is kept.
+func WithIdleLimit(d time.Duration) Option { return func(c *Config) { c.IdleLimit = d } }
+
+// Keep-alive probes find a target's machine that has fallen silent while an
+// answer is awaited; the kernel counts their idle time in whole seconds.
+const (
+	keepAliveIdle     = 1 * time.Second
+	keepAliveInterval = 1 * time.Second
+	keepAliveCount    = 2
+)
+
+func defaultConfig() Config {
+	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+	}}
+	return Config{
+		Dial:           dialer.DialContext,
+		DialTimeout:    500 * time.Millisecond,
+		IdleLimit:      30 * time.Second,
+		IdleMargin:     500 * time.Millisecond,
+		MaxIdle:        8,
+		HeadLimit:      64 << 10,
+		IdentityHeader: "X-Request-Id",
+	}
+}
+
+// Pool keeps connections to targets.
+type Pool struct {
+	cfg    Config
+	dialed atomic.Int64
+
+	mu   sync.Mutex
+	idle map[string][]*conn // by endpoint ID, newest last
+}
+
+// NewPool returns an empty pool.
+func NewPool(opts ...Option) *Pool {
+	cfg := defaultConfig()
+	for _, opt := range opts {
+		opt(&cfg)
+	}
+	return &Pool{cfg: cfg, idle: map[string][]*conn{}}
+}
+
+// Dialed returns how many connections were opened.
+func (p *Pool) Dialed() int64 { return p.dialed.Load() }
+
+// Forget closes the kept connections of a target that is gone.
+func (p *Pool) Forget(id string) {
+	p.mu.Lock()
+	conns := p.idle[id]
+	delete(p.idle, id)
+	p.mu.Unlock()
+	for _, c := range conns {
+		c.close()
+	}
+}
+
+// Close closes every kept connection.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = map[string][]*conn{}
+	p.mu.Unlock()
+	for _, conns := range idle {
+		for _, c := range conns {
+			c.close()
+		}
+	}
+}
+
+// take returns a kept connection that is still good, or nil.
+func (p *Pool) take(id string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		conns := p.idle[id]
+		if len(conns) == 0 {
+			return nil
+		}
+		c := conns[len(conns)-1]
+		p.idle[id] = conns[:len(conns)-1]
+		if c.begin(time.Now()) {
+			return c
+		}
+		c.close()
+	}
+}
+
+// put keeps a connection for the next exchange.
+func (p *Pool) put(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.endpoint.ID]) >= p.cfg.MaxIdle || !c.rest() {
+		c.close()
+		return
+	}
+	p.idle[c.endpoint.ID] = append(p.idle[c.endpoint.ID], c)
+}
+
+// drop takes a connection out that ended while it rested.
+func (p *Pool) drop(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[c.endpoint.ID]
+	for i, other := range conns {
+		if other == c {
+			p.idle[c.endpoint.ID] = append(conns[:i:i], conns[i+1:]...)
+			return
+		}
+	}
+}
+
+// open dials a new connection.
+func (p *Pool) open(ctx context.Context, e Endpoint) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
+	defer cancel()
+	p.dialed.Add(1)
+	raw, err := p.cfg.Dial(ctx, "tcp", e.Address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(p, e, raw), nil
+}
