--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,6 +37,10 @@
 // WithDataHall names the data hall of this node.
 func WithDataHall(hall string) Option { return func(c *Config) { c.DataHall = hall } }
 
+// WithFarCost sets what a target in another data hall is held to be worse by,
+// in requests under way.
+func WithFarCost(cost float64) Option { return func(c *Config) { c.FarCost = cost } }
+
 // WithSeed makes choices repeatable.
 func WithSeed(seed uint64) Option { return func(c *Config) { c.Seed = seed } }
 
--- /dev/null
+++ b/consensus/commit_test.go
@@ -0,0 +1,75 @@
+package consensus
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/internal/memfs"
+)
+
+// recorder is a state machine that keeps what was applied.
+type recorder struct {
+	applied chan string
+}
+
+func (r *recorder) Apply(_ uint64, command []byte) []byte {
+	r.applied <- string(command)
+	return nil
+}
+func (r *recorder) Snapshot() []byte     { return nil }
+func (r *recorder) Restore([]byte) error { return nil }
+
+// nobody can be called.
+type nobody struct{}
+
+func (nobody) Call(context.Context, walnutramp.NodeName, string, any, any) error {
+	return context.DeadlineExceeded
+}
+
+func TestRestartedMemberKnowsWhatWasCommitted(t *testing.T) {
+	alone := Group{Voters: []Voter{{Node: "a", Identity: Founder}}}
+	fs := memfs.New()
+	machine := &recorder{applied: make(chan string, 8)}
+	m, err := New("a", Founder, fs, alone, nobody{}, machine, WithTiming(5*time.Millisecond, 20*time.Millisecond), WithCommitNotes())
+	require.NoError(t, err)
+	m.Start()
+	require.Eventually(t, m.Leads, 5*time.Second, time.Millisecond)
+	require.Equal(t, walnutramp.CodeOK, m.Propose(context.Background(), []byte("one")).Code)
+	require.Equal(t, "one", <-machine.applied)
+	require.Eventually(t, func() bool { return m.store.notedCommit() == m.Status().Applied }, 5*time.Second, time.Millisecond)
+	m.Close()
+
+	// With two more voters that never answer, no leader can be elected.
+	three := alone
+	three.Voters = append(three.Voters, Voter{Node: "b", Identity: Founder}, Voter{Node: "c", Identity: Founder})
+	again := &recorder{applied: make(chan string, 8)}
+	m, err = New("a", Founder, fs, three, nobody{}, again, WithTiming(5*time.Millisecond, 20*time.Millisecond), WithCommitNotes())
+	require.NoError(t, err)
+	m.Start()
+	defer m.Close()
+	select {
+	case command := <-again.applied:
+		require.Equal(t, "one", command)
+	case <-time.After(5 * time.Second):
+		t.Fatal("what was committed before the restart is not known")
+	}
+}
+
+func TestDamagedCommitNoteIsPassedOver(t *testing.T) {
+	fs := memfs.New()
+	store, err := openStorage(fs, Group{})
+	require.NoError(t, err)
+	require.NoError(t, store.saveEntries([]Entry{{Index: 1, Term: 1}}))
+	require.NoError(t, store.noteCommit(1))
+	require.EqualValues(t, 1, store.notedCommit())
+	require.NoError(t, store.noteCommit(7))
+	require.EqualValues(t, 1, store.notedCommit(), "never beyond the log")
+	f, err := fs.Create(commitName)
+	require.NoError(t, err)
+	_, err = f.Write([]byte("torn"))
+	require.NoError(t, err)
+	require.Zero(t, store.notedCommit())
+}
--- a/consensus/member.go
+++ b/consensus/member.go
@@ -92,6 +92,9 @@
 		}
 	}
 	m.commit = store.snapshot.Index
+	if cfg.NoteCommits {
+		m.commit = max(m.commit, store.notedCommit())
+	}
 	m.applied = store.snapshot.Index
 	m.ctx, m.cancel = context.WithCancel(context.Background())
 	return m, nil
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp"
+	"k8s.io/klog/v2"
 )
 
 // maxEntries bounds one call to a follower.
@@ -239,14 +240,21 @@
 
 // apply is the one task that runs committed commands.
 func (m *Member) apply() {
+	noted := m.store.snapshot.Index
 	for {
 		m.mu.Lock()
 		for m.applied < m.commit && m.dead == nil {
 			m.applyNext()
 		}
 		m.compact()
-		changed := m.changed
+		changed, applied := m.changed, m.applied
 		m.mu.Unlock()
+		if m.cfg.NoteCommits && applied > noted {
+			if err := m.store.noteCommit(applied); err != nil {
+				klog.InfoS("Commit not noted", "node", m.node, "err", err)
+			}
+			noted = applied
+		}
 		select {
 		case <-changed:
 		case <-m.ctx.Done():
--- a/consensus/storage.go
+++ b/consensus/storage.go
@@ -1,13 +1,20 @@
 package consensus
 
 import (
+	"encoding/binary"
+	"hash/crc32"
+
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/wal"
 )
 
-const logName = "consensus.log"
+const (
+	logName    = "consensus.log"
+	commitName = "consensus.commit"
+	noteBytes  = 12 // of a commit note: the index and its checksum
+)
 
 // stored is one record of the log file; exactly one field is set.
 type stored struct {
@@ -24,6 +31,7 @@
 
 // storage is a member's state that must survive.
 type storage struct {
+	fs       wal.FS
 	log      *wal.Log
 	ballot   ballot
 	snapshot Snapshot
@@ -37,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &storage{log: log, snapshot: Snapshot{Group: founding}}
+	s := &storage{fs: fs, log: log, snapshot: Snapshot{Group: founding}}
 	for _, r := range records {
 		if err := s.replay(r); err != nil {
 			return nil, err
@@ -46,6 +54,34 @@
 	return s, nil
 }
 
+// noteCommit leaves word of how far the log is committed. It is not synced: it
+// only spares a restarted member the wait for a leader before it knows again
+// what it knew.
+func (s *storage) noteCommit(index uint64) error {
+	f, err := s.fs.Create(commitName)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	note := binary.LittleEndian.AppendUint64(nil, index)
+	note = binary.LittleEndian.AppendUint32(note, crc32.ChecksumIEEE(note))
+	_, err = f.Write(note)
+	return err
+}
+
+// notedCommit returns what noteCommit left, or 0.
+func (s *storage) notedCommit() uint64 {
+	note, err := s.fs.ReadFile(commitName)
+	if err != nil || len(note) != noteBytes {
+		return 0
+	}
+	index := binary.LittleEndian.Uint64(note)
+	if crc32.ChecksumIEEE(note[:8]) != binary.LittleEndian.Uint32(note[8:]) {
+		return 0
+	}
+	return min(index, s.lastIndex())
+}
+
 func (s *storage) replay(record []byte) error {
 	var r stored
 	if err := msgpack.Unmarshal(record, &r); err != nil {
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -176,6 +176,7 @@
 	Heartbeat    time.Duration
 	Election     time.Duration // shortest wait for a leader; the longest is twice that
 	CompactBytes int64         // log size at which a snapshot replaces it
+	NoteCommits  bool          // leave word on the disk of how far the log is committed
 	Seed         uint64
 	OnFatal      func(error) // the disk failed: the process must end
 }
@@ -194,6 +195,10 @@
 // WithCompaction sets the log size at which a snapshot replaces it.
 func WithCompaction(bytes int64) Option { return func(c *Config) { c.CompactBytes = bytes } }
 
+// WithCommitNotes lets a restarted member know, before any leader is elected,
+// what it knew to be committed.
+func WithCommitNotes() Option { return func(c *Config) { c.NoteCommits = true } }
+
 // WithOnFatal gives who is told that the disk failed.
 func WithOnFatal(f func(error)) Option { return func(c *Config) { c.OnFatal = f } }
 
--- a/control/client.go
+++ b/control/client.go
@@ -26,15 +26,12 @@
 	renewWait   = 1 * time.Second // how long the leader may wait for news
 	renewLimit  = 2500 * time.Millisecond
 	renewPause  = 100 * time.Millisecond
+	firstPause  = 30 * time.Millisecond  // while the node holds nothing
 	answerLimit = 600 * time.Millisecond // beyond the leader's wait, where members change
 	commandTime = 3 * time.Second        // until a command is given up
 	tryTime     = 1 * time.Second        // of one call of a command
 	tryPause    = 50 * time.Millisecond
 
-	// unconfirmedAfter is how many renewals in a row must fail before a node
-	// that holds nothing takes what a member cannot confirm.
-	unconfirmedAfter = 8
-
 	// LeaseTime is how long a node may take new work after it asked for the
 	// word that its bundle is the newest.
 	LeaseTime = 3 * time.Second
@@ -51,7 +48,6 @@
 	seeds  []walnutramp.NodeName // always asked, whoever the members are
 	group  []walnutramp.NodeName // as last heard
 	leader walnutramp.NodeName   // last known, or empty
-	failed int                   // renewals in a row that brought nothing
 	doc    []byte
 	have   uint64
 	until  time.Time // end of the lease
@@ -129,11 +125,18 @@
 func (c *Client) renewAlways() {
 	for c.ctx.Err() == nil {
 		if !c.renew() {
-			pause.For(c.ctx, renewPause)
+			pause.For(c.ctx, c.renewPause())
 		}
 	}
 }
 
+func (c *Client) renewPause() time.Duration {
+	if c.fast && c.Version() == 0 {
+		return firstPause
+	}
+	return renewPause
+}
+
 // renew asks the leader once. The lease counts from before the question, so
 // the time that the leader waits for news shortens it.
 func (c *Client) renew() bool {
@@ -148,37 +151,22 @@
 	defer cancel()
 	asked := time.Now()
 	var reply NewestReply
-	args := NewestArgs{Have: c.Version(), Wait: wait, Unconfirmed: c.mustTakeAny()}
+	args := NewestArgs{Have: c.Version(), Wait: wait, Unconfirmed: c.fast && c.Version() == 0}
 	if err := c.peers.Call(ctx, c.target(), Service+".Newest", args, &reply); err != nil {
 		c.forgetLeader("")
-		c.noteRenewal(false)
 		return false
 	}
 	c.LearnGroup(reply.Group)
 	if reply.Code != walnutramp.CodeOK {
 		c.forgetLeader(reply.Leader)
-		c.noteRenewal(false)
 		return false
 	}
-	c.noteRenewal(true)
-	return c.take(reply, asked)
-}
-
-// mustTakeAny reports whether an unconfirmed document is better than none:
-// this node holds nothing, and the group has no leader that could confirm.
-func (c *Client) mustTakeAny() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.fast && c.have == 0 && c.failed >= unconfirmedAfter
-}
-
-func (c *Client) noteRenewal(ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.failed++
-	if ok {
-		c.failed = 0
+	taken := c.take(reply, asked)
+	if reply.Unconfirmed {
+		c.forgetLeader(reply.Leader)
+		return false
 	}
+	return taken
 }
 
 // LearnGroup takes the members that somebody of the group named.
--- a/control/server.go
+++ b/control/server.go
@@ -80,7 +80,7 @@
 	leads := s.member.Leads()
 	if !leads && args.Unconfirmed {
 		s.fill(args, reply)
-		reply.Unconfirmed = true
+		reply.Unconfirmed, reply.Leader = true, s.member.Leader()
 		return nil
 	}
 	if !leads {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	NotRun     string // in an answer: the request did not run
 	System     []string
 	Usage      string // tokens of the prompt, and most out
+	Prefix     string // the parts of the prompt, the request's own last
 	CopyHandle func(address, identity string) string
 	ParseLoad  func(header string) (balance.Load, bool)
 }
@@ -40,6 +41,7 @@
 	MaxBuffered int64         // bytes of request bodies held at once
 	Stall       time.Duration // silence within a stream after which its target is given up
 	FirstEvent  time.Duration // wait for a first event after which another target is tried
+	StartWait   time.Duration // how long a request waits for a node that has just started
 	Copies      bool          // ask engines to keep copies of runs
 }
 
@@ -63,7 +65,8 @@
 func defaultConfig() Config {
 	return Config{
 		RepeatRatio: 0.7, RepeatStore: 5, RepeatTime: 10 * time.Second,
-		MaxBuffered: 32 << 20, Stall: 450 * time.Millisecond, FirstEvent: 5 * time.Second, Copies: true,
+		MaxBuffered: 32 << 20, Stall: 450 * time.Millisecond, FirstEvent: 5 * time.Second,
+		StartWait: time.Second, Copies: true,
 	}
 }
 
@@ -78,8 +81,11 @@
 	stopping atomic.Int32
 	buffered atomic.Int64
 	strip    map[string]bool
+	started  chan struct{} // closed once there are a table and targets
 	counters *counters
 
+	startOnce sync.Once
+
 	mu      sync.Mutex
 	budgets map[string]*balance.Budget
 }
@@ -91,7 +97,8 @@
 	for _, opt := range opts {
 		opt(&cfg)
 	}
-	g := &Gateway{cfg: cfg, targets: targets, pool: pool, refresh: refresh, budgets: map[string]*balance.Budget{}, counters: newCounters()}
+	g := &Gateway{cfg: cfg, targets: targets, pool: pool, refresh: refresh, budgets: map[string]*balance.Budget{}, counters: newCounters(),
+		started: make(chan struct{})}
 	g.strip = map[string]bool{}
 	n := cfg.Names
 	for _, name := range append([]string{n.Key, n.Account, n.Expect, n.Priority, n.CopyTo, n.CopyFrom, n.Deadline}, n.System...) {
@@ -101,7 +108,34 @@
 }
 
 // SetTable puts a table in force.
-func (g *Gateway) SetTable(t *Table) { g.table.Store(t) }
+func (g *Gateway) SetTable(t *Table) {
+	g.table.Store(t)
+	g.Started()
+}
+
+// Started looks whether the node has all it needs to serve, and lets the
+// requests go on that wait for that.
+func (g *Gateway) Started() {
+	if g.table.Load() != nil && g.targets.Listed() {
+		g.startOnce.Do(func() { close(g.started) })
+	}
+}
+
+// awaitStart holds a request that came before the node has all it needs.
+func (g *Gateway) awaitStart(ctx context.Context) {
+	select {
+	case <-g.started:
+		return
+	default:
+	}
+	t := time.NewTimer(g.cfg.StartWait)
+	defer t.Stop()
+	select {
+	case <-g.started:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
 
 // Ready reports whether requests can be served.
 func (g *Gateway) Ready() bool {
@@ -139,6 +173,7 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	g.awaitStart(r.Context())
 	phase := g.stopping.Load()
 	if phase >= phaseClosing {
 		w.Header().Set("Connection", "close")
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,257 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func do(t *testing.T, r *http.Request) (*http.Response, string, error) {
+	t.Helper()
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+func TestAnswerPassesUnchanged(t *testing.T) {
+	f := newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		reply(c, r.Header.Get("X-Id"), 418, "short and stout", "X-Seal: s1", "Connection: keep-alive", "Keep-Alive: timeout=5")
+	})
+	s := newSite(t, []*fakeTarget{f})
+	resp, body, err := do(t, s.request(t, "POST", "/safe/x%2Fy?q=1&q=2", "hello", "X-Account", "forged", "X-System", "forged", "X-Own", "kept"))
+	require.NoError(t, err)
+	require.Equal(t, 418, resp.StatusCode)
+	require.Equal(t, "short and stout", body)
+	require.Equal(t, "s1", resp.Header.Get("X-Seal"))
+	require.Empty(t, resp.Header.Get("Content-Type"), "none was given, none is invented")
+	seen := f.seen()
+	require.Len(t, seen, 1)
+	require.Equal(t, "/safe/x%2Fy?q=1&q=2", seen[0].RequestURI)
+	require.Equal(t, "a.example", seen[0].Host)
+	require.Equal(t, "kept", seen[0].Header.Get("X-Own"))
+	require.Equal(t, "i-1", seen[0].Header.Get("X-Expect"))
+	require.Empty(t, seen[0].Header.Get("X-Account"), "a client can't name its account")
+	require.Empty(t, seen[0].Header.Get("X-System"))
+	require.EqualValues(t, 5, seen[0].ContentLength)
+}
+
+func TestOwnAnswers(t *testing.T) {
+	f := newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		reply(c, r.Header.Get("X-Id"), 200, "ok")
+	})
+	s := newSite(t, []*fakeTarget{f})
+	table := testTable()
+	table.Accounts = map[string]Account{"k1": {Name: "acme"}}
+	table.Limits = Limits{BodyBytes: 10, HeaderBytes: 2000}
+	s.gateway.SetTable(table)
+	for _, c := range []struct {
+		name, path, body string
+		headers          []string
+		status           int
+	}{
+		{"no route", "/nowhere/", "", nil, 404},
+		{"no key", "/safe/", "", nil, 401},
+		{"unknown key", "/safe/", "", []string{"X-Key", "k2"}, 401},
+		{"known key", "/safe/", "", []string{"X-Key", "k1"}, 200},
+		{"open route, the longer prefix", "/safe/deeper/", "", nil, 200},
+		{"body too large", "/safe/", "12345678901", []string{"X-Key", "k1"}, 413},
+		{"head too large", "/safe/", "", []string{"X-Key", "k1", "X-Big", strings.Repeat("x", 2000)}, 431},
+		{"deadline unreadable", "/safe/", "", []string{"X-Key", "k1", "X-Deadline", "soon"}, 400},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			resp, _, err := do(t, s.request(t, "POST", c.path, c.body, c.headers...))
+			require.NoError(t, err)
+			require.Equal(t, c.status, resp.StatusCode)
+		})
+	}
+	for _, r := range f.seen() {
+		require.Empty(t, r.Header.Get("X-Key"), "targets never see a key")
+	}
+	require.Len(t, f.seen(), 2, "what was refused reached no target")
+	require.Equal(t, "acme", f.seen()[0].Header.Get("X-Account"))
+}
+
+func TestRequestWaitsForStart(t *testing.T) {
+	f := newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		reply(c, r.Header.Get("X-Id"), 200, "ok")
+	})
+	s := newSite(t, []*fakeTarget{f})
+	fresh := New(s.tracker, s.gateway.pool, func() {}, WithNames(testNames))
+	s.server.Config.Handler = fresh
+	require.False(t, fresh.Ready())
+	go func() {
+		time.Sleep(100 * time.Millisecond)
+		fresh.SetTable(testTable())
+	}()
+	resp, _, err := do(t, s.request(t, "GET", "/safe/", ""))
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode, "it came before the table, and waited")
+	require.True(t, fresh.Ready())
+}
+
+func TestUnsafeRunsOnce(t *testing.T) {
+	cut := func(_ *fakeTarget, _ *http.Request, c net.Conn) { c.Close() }
+	a := newFakeTarget(t, "i-1", "lookup", "north", cut)
+	b := newFakeTarget(t, "i-2", "lookup", "north", cut)
+	s := newSite(t, []*fakeTarget{a, b})
+	resp, _, err := do(t, s.request(t, "POST", "/once/", "book"))
+	require.NoError(t, err)
+	require.Equal(t, 502, resp.StatusCode, "it may have run, so nothing is promised")
+	require.Equal(t, 1, len(a.seen())+len(b.seen()))
+}
+
+func TestUnsafeGoesOnAfterNotRun(t *testing.T) {
+	full := newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		reply(c, r.Header.Get("X-Id"), 503, "", "X-Not-Run: 1")
+	})
+	other := newFakeTarget(t, "i-2", "lookup", "south", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		reply(c, r.Header.Get("X-Id"), 200, "done")
+	})
+	s := newSite(t, []*fakeTarget{full, other})
+	for range 4 {
+		_, body, err := do(t, s.request(t, "POST", "/once/", "book"))
+		require.NoError(t, err)
+		require.Equal(t, "done", body)
+	}
+	require.NotEmpty(t, full.seen(), "the nearer one is asked first")
+}
+
+func TestAllFullIsNotRun(t *testing.T) {
+	full := newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		reply(c, r.Header.Get("X-Id"), 503, "", "X-Not-Run: 1")
+	})
+	s := newSite(t, []*fakeTarget{full})
+	resp, body, err := do(t, s.request(t, "POST", "/once/", "book"))
+	require.NoError(t, err)
+	require.Equal(t, 503, resp.StatusCode)
+	require.Contains(t, body, `"not-run"`)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+}
+
+func TestOtherServiceAtTheAddress(t *testing.T) {
+	moved := newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		reply(c, r.Header.Get("X-Id"), 421, "")
+	})
+	right := newFakeTarget(t, "i-2", "lookup", "south", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		reply(c, r.Header.Get("X-Id"), 200, "ok")
+	})
+	s := newSite(t, []*fakeTarget{moved, right})
+	for range 3 {
+		_, body, err := do(t, s.request(t, "POST", "/once/", ""))
+		require.NoError(t, err)
+		require.Equal(t, "ok", body)
+	}
+	require.Len(t, moved.seen(), 1, "a target that is another is asked no more")
+}
+
+func TestSafeIsRepeatedAfterAFailure(t *testing.T) {
+	failing := newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		reply(c, r.Header.Get("X-Id"), 500, "sorry", "X-Seal: f")
+	})
+	good := newFakeTarget(t, "i-2", "lookup", "south", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		reply(c, r.Header.Get("X-Id"), 200, "ok")
+	})
+	s := newSite(t, []*fakeTarget{failing, good})
+	_, body, err := do(t, s.request(t, "GET", "/safe/", ""))
+	require.NoError(t, err)
+	require.Equal(t, "ok", body)
+}
+
+func TestBudgetBoundsRepeats(t *testing.T) {
+	failing := func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		reply(c, r.Header.Get("X-Id"), 500, "sorry", "X-Seal: f")
+	}
+	a := newFakeTarget(t, "i-1", "lookup", "north", failing)
+	b := newFakeTarget(t, "i-2", "lookup", "north", failing)
+	s := newSite(t, []*fakeTarget{a, b}, WithRepeats(0, 3, time.Hour))
+	for range 20 {
+		resp, body, err := do(t, s.request(t, "GET", "/safe/", ""))
+		require.NoError(t, err)
+		require.Equal(t, 500, resp.StatusCode, "the target's own answer")
+		require.Equal(t, "sorry", body)
+	}
+	require.Equal(t, 20+3, len(a.seen())+len(b.seen()))
+}
+
+func TestShortAnswerThatBreaksOffIsNotPassed(t *testing.T) {
+	cut := newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nContent-Length: 10\r\n\r\nhalf")
+		c.Close()
+	})
+	s := newSite(t, []*fakeTarget{cut})
+	resp, _, err := do(t, s.request(t, "POST", "/once/", ""))
+	require.NoError(t, err)
+	require.Equal(t, 502, resp.StatusCode)
+}
+
+func TestLongAnswerThatBreaksOffLooksBroken(t *testing.T) {
+	cut := newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nContent-Length: 200000\r\n\r\n"+strings.Repeat("x", 100000))
+		c.Close()
+	})
+	s := newSite(t, []*fakeTarget{cut})
+	_, _, err := do(t, s.request(t, "POST", "/once/", ""))
+	require.Error(t, err)
+}
+
+func TestLongAnswerPassesWhole(t *testing.T) {
+	long := strings.Repeat("0123456789", 50000)
+	f := newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		reply(c, r.Header.Get("X-Id"), 200, long)
+	})
+	s := newSite(t, []*fakeTarget{f})
+	_, body, err := do(t, s.request(t, "GET", "/safe/", ""))
+	require.NoError(t, err)
+	require.Equal(t, long, body)
+}
+
+func TestAnswerToAnotherRequestIsNeverPassed(t *testing.T) {
+	for name, late := range map[string]string{
+		"framed, then the right one": "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 4\r\n\r\nlate",
+		"unframed":                   "HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\nlate",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+				io.WriteString(c, late)
+				if strings.HasPrefix(name, "framed") {
+					reply(c, r.Header.Get("X-Id"), 200, "right")
+					return
+				}
+				c.Close()
+			})
+			s := newSite(t, []*fakeTarget{f})
+			resp, body, err := do(t, s.request(t, "POST", "/once/", ""))
+			require.NoError(t, err)
+			require.NotContains(t, body, "late")
+			if resp.StatusCode == 200 {
+				require.Equal(t, "right", body)
+			}
+		})
+	}
+}
+
+func TestStoppingNodeRefusesLast(t *testing.T) {
+	f := newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		reply(c, r.Header.Get("X-Id"), 200, "ok")
+	})
+	s := newSite(t, []*fakeTarget{f})
+	s.gateway.Leave()
+	require.False(t, s.gateway.Ready())
+	resp, _, _ := do(t, s.request(t, "GET", "/safe/", ""))
+	require.Equal(t, 200, resp.StatusCode, "what still comes is served")
+	s.gateway.CloseConnections()
+	resp, _, _ = do(t, s.request(t, "GET", "/safe/", ""))
+	require.Equal(t, 200, resp.StatusCode)
+	require.True(t, resp.Close)
+	s.gateway.Refuse()
+	resp, body, _ := do(t, s.request(t, "GET", "/safe/", ""))
+	require.Equal(t, 503, resp.StatusCode)
+	require.Contains(t, body, "not-run")
+}
--- /dev/null
+++ b/gateway/harness_test.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/discovery"
+	"github.com/walnutramp/walnutramp/targetconn"
+)
+
+// testNames is a dialect of the tests' own.
+var testNames = Names{
+	Identity: "X-Id", Deadline: "X-Deadline", Key: "X-Key", EventID: "X-Last", Account: "X-Account", Expect: "X-Expect",
+	Priority: "X-Priority", CopyTo: "X-Copy-To", CopyFrom: "X-Copy-From", Load: "X-Load", NotRun: "X-Not-Run", Usage: "X-Usage",
+	Prefix: "X-Prefix", System: []string{"X-System"},
+	CopyHandle: func(address, identity string) string { return address + "/" + identity },
+	ParseLoad: func(v string) (balance.Load, bool) {
+		n, err := strconv.Atoi(v)
+		return balance.Load{Running: n}, err == nil
+	},
+}
+
+// fakeTarget answers each request by a script that writes to the connection.
+type fakeTarget struct {
+	id      string
+	service string
+	hall    string
+	l       net.Listener
+	script  func(t *fakeTarget, r *http.Request, c net.Conn)
+
+	mu       sync.Mutex
+	requests []*http.Request
+}
+
+func newFakeTarget(t *testing.T, id, service, hall string, script func(*fakeTarget, *http.Request, net.Conn)) *fakeTarget {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f := &fakeTarget{id: id, service: service, hall: hall, l: l, script: script}
+	t.Cleanup(func() { l.Close() })
+	go f.serve()
+	return f
+}
+
+func (f *fakeTarget) serve() {
+	for {
+		c, err := f.l.Accept()
+		if err != nil {
+			return
+		}
+		go f.serveConn(c)
+	}
+}
+
+func (f *fakeTarget) serveConn(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body := make([]byte, max(r.ContentLength, 0))
+		for n := 0; n < len(body); {
+			k, err := r.Body.Read(body[n:])
+			n += k
+			if err != nil {
+				break
+			}
+		}
+		f.mu.Lock()
+		f.requests = append(f.requests, r)
+		f.mu.Unlock()
+		f.script(f, r, c)
+	}
+}
+
+func (f *fakeTarget) seen() []*http.Request {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]*http.Request(nil), f.requests...)
+}
+
+func (f *fakeTarget) listed() discovery.Target {
+	return discovery.Target{ID: f.id, Service: f.service, Address: f.l.Addr().String(), DataHall: f.hall, Slots: 8}
+}
+
+// reply writes a whole answer.
+func reply(c net.Conn, id string, status int, body string, headers ...string) {
+	fmt.Fprintf(c, "HTTP/1.1 %d X\r\nX-Id: %s\r\nContent-Length: %d\r\n%s\r\n%s", status, id, len(body), lines(headers), body)
+}
+
+func lines(headers []string) string {
+	if len(headers) == 0 {
+		return ""
+	}
+	return strings.Join(headers, "\r\n") + "\r\n"
+}
+
+// streamHead writes the head of an event stream in chunks.
+func streamHead(c net.Conn, id, seal string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Seal: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id, seal)
+}
+
+func chunk(c net.Conn, text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", n, n) }
+
+func streamEnd(c net.Conn) { fmt.Fprint(c, "0\r\n\r\n") }
+
+// site is a gateway with its targets.
+type site struct {
+	gateway *Gateway
+	tracker *balance.Tracker
+	server  *httptest.Server
+}
+
+func testTable() *Table {
+	table := &Table{Version: 1, Services: map[string]Service{
+		"draft": {Name: "draft", Engine: true, Copies: true}, "lookup": {Name: "lookup"},
+	}}
+	table.SetRoutes([]*Route{
+		{Name: "draft", Host: "a.example", Prefix: "/draft/", Kind: Stream, Resume: true, Timeout: 10 * time.Second, Aim: time.Second, MaxAttempts: 5, Split: []Weighted{{"draft", 1}}},
+		{Name: "once", Host: "a.example", Prefix: "/once/", Kind: Unsafe, Timeout: 3 * time.Second, Aim: time.Second, MaxAttempts: 3, Split: []Weighted{{"lookup", 1}}},
+		{Name: "safe", Host: "a.example", Prefix: "/safe/", Kind: Safe, Timeout: 3 * time.Second, Aim: time.Second, MaxAttempts: 2, Split: []Weighted{{"lookup", 1}}},
+		{Name: "deeper", Host: "a.example", Prefix: "/safe/deeper/", Kind: Safe, Timeout: 3 * time.Second, MaxAttempts: 2, Open: true, Split: []Weighted{{"lookup", 1}}},
+	})
+	return table
+}
+
+func newSite(t *testing.T, targets []*fakeTarget, opts ...Option) *site {
+	t.Helper()
+	tracker := balance.NewTracker(balance.WithSeed(1), balance.WithDataHall("north"), balance.WithFarCost(10))
+	pool := targetconn.NewPool(targetconn.WithIdentityHeader("X-Id"))
+	t.Cleanup(pool.Close)
+	opts = append([]Option{WithNames(testNames), WithRepeats(1, 100, 10*time.Second)}, opts...)
+	g := New(tracker, pool, func() {}, opts...)
+	var list []discovery.Target
+	for _, f := range targets {
+		list = append(list, f.listed())
+	}
+	tracker.Update(list)
+	g.SetTable(testTable())
+	s := &site{gateway: g, tracker: tracker, server: httptest.NewServer(g)}
+	t.Cleanup(s.server.Close)
+	return s
+}
+
+func (s *site) request(t *testing.T, method, path, body string, headers ...string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequestWithContext(context.Background(), method, s.server.URL+path, strings.NewReader(body))
+	require.NoError(t, err)
+	r.Host = "a.example"
+	r.Header.Set("X-Id", "attempt-1")
+	r.Header.Set("X-Deadline", "2000")
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	return r
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -24,9 +24,12 @@
 	call    *call
 	w       http.ResponseWriter
 	flush   *http.ResponseController
-	started bool      // the client has the head
-	newest  time.Time // when the newest event was passed on
-	copy    *copyOf   // of the run that broke off
+	started bool          // the client has the head
+	newest  time.Time     // when the newest event was passed on
+	first   time.Duration // from the request to its first event
+	longest time.Duration // pause between two events
+	runs    int
+	copy    *copyOf // of the run that broke off
 }
 
 // copyOf names the memory of a run at another target.
@@ -53,6 +56,9 @@
 		end := r.next(ctx)
 		if end == endWhole || end == endOther {
 			g.counters.answered(c.arrived)
+			klog.InfoS("Stream served", "request", c.id, "route", c.route.Name, "first_ms", r.first.Milliseconds(),
+				"longest_pause_ms", r.longest.Milliseconds(), "last", c.lastID, "runs", r.runs,
+				"ms", time.Since(c.arrived).Milliseconds())
 			return
 		}
 		if ctx.Err() != nil || end == endBroken && !c.route.Idempotent() && c.reached || !g.mayRepeat(c) {
@@ -88,6 +94,7 @@
 func (r *relay) run(ctx context.Context, t *balance.Target, from *copyOf) ending {
 	g, c := r.gateway, r.call
 	c.tried[t] = true
+	r.runs++
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	reading := true
@@ -244,5 +251,11 @@
 	if err := r.flush.Flush(); err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	r.newest = time.Now()
+	now := time.Now()
+	if r.first == 0 {
+		r.first = now.Sub(r.call.arrived)
+	} else {
+		r.longest = max(r.longest, now.Sub(r.newest))
+	}
+	r.newest = now
 }
--- /dev/null
+++ b/gateway/stream_test.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const draftEvents = 9
+
+// draft streams events from behind the client's last one, and calls at for
+// each before it is written; false ends the script.
+func draft(at func(f *fakeTarget, c net.Conn, n int) bool) func(*fakeTarget, *http.Request, net.Conn) {
+	return func(f *fakeTarget, r *http.Request, c net.Conn) {
+		streamHead(c, r.Header.Get("X-Id"), "seal-of-"+f.id)
+		last, _ := strconv.Atoi(r.Header.Get("X-Last"))
+		for n := last + 1; n <= draftEvents; n++ {
+			if at != nil && !at(f, c, n) {
+				return
+			}
+			chunk(c, event(n))
+		}
+		streamEnd(c)
+	}
+}
+
+func wholeDraft(from int) string {
+	var b strings.Builder
+	for n := from; n <= draftEvents; n++ {
+		b.WriteString(event(n))
+	}
+	return b.String()
+}
+
+func TestStreamGoesOnAtAnotherTarget(t *testing.T) {
+	for name, breakOff := range map[string]func(c net.Conn){
+		"closed":                 func(c net.Conn) { c.Close() },
+		"reset":                  func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() },
+		"closed within an event": func(c net.Conn) { chunk(c, "id: 5\ndata: pie"); c.Close() },
+		"silent":                 func(c net.Conn) { time.Sleep(2 * time.Second) },
+		"bytes that are no chunk": func(c net.Conn) {
+			io.WriteString(c, "zz\r\nrubbish")
+			c.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			breaking := newFakeTarget(t, "i-1", "draft", "north", draft(func(_ *fakeTarget, c net.Conn, n int) bool {
+				if n == 5 {
+					breakOff(c)
+				}
+				return n != 5
+			}))
+			good := newFakeTarget(t, "i-2", "draft", "south", draft(nil))
+			s := newSite(t, []*fakeTarget{breaking, good}, WithStall(300*time.Millisecond))
+			resp, body, err := do(t, s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000"))
+			require.NoError(t, err)
+			require.Equal(t, wholeDraft(1), body)
+			require.Equal(t, "seal-of-i-1", resp.Header.Get("X-Seal"), "the first head stays")
+			resumed := good.seen()[0]
+			require.Equal(t, "4", resumed.Header.Get("X-Last"))
+			require.Equal(t, good.l.Addr().String(), breaking.seen()[0].Header.Get("X-Copy-To"))
+			require.Equal(t, good.l.Addr().String()+"/attempt-1", resumed.Header.Get("X-Copy-From"))
+		})
+	}
+}
+
+func TestStreamResumedByTheClient(t *testing.T) {
+	f := newFakeTarget(t, "i-1", "draft", "north", draft(nil))
+	s := newSite(t, []*fakeTarget{f})
+	_, body, err := do(t, s.request(t, "POST", "/draft/", "", "X-Last", "6"))
+	require.NoError(t, err)
+	require.Equal(t, wholeDraft(7), body)
+}
+
+func TestStreamWithoutTargetsLooksBroken(t *testing.T) {
+	f := newFakeTarget(t, "i-1", "draft", "north", draft(func(_ *fakeTarget, c net.Conn, n int) bool {
+		if n == 3 {
+			c.Close()
+		}
+		return n != 3
+	}))
+	s := newSite(t, []*fakeTarget{f})
+	_, body, err := do(t, s.request(t, "POST", "/draft/", ""))
+	require.Error(t, err, "what ends early must not look whole")
+	require.Equal(t, event(1)+event(2), body)
+}
+
+func TestUnframedStreamIsNeverTakenForWhole(t *testing.T) {
+	f := newFakeTarget(t, "i-1", "draft", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nContent-Type: text/event-stream\r\n\r\n"+event(1))
+		c.Close()
+	})
+	s := newSite(t, []*fakeTarget{f})
+	_, _, err := do(t, s.request(t, "POST", "/draft/", ""))
+	require.Error(t, err)
+}
+
+func TestClientThatLeavesStopsTheRun(t *testing.T) {
+	stopped := make(chan struct{})
+	f := newFakeTarget(t, "i-1", "draft", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		streamHead(c, r.Header.Get("X-Id"), "s")
+		chunk(c, event(1))
+		io.Copy(io.Discard, c) // until the connection is closed
+		close(stopped)
+	})
+	s := newSite(t, []*fakeTarget{f}, WithStall(10*time.Second))
+	resp, err := http.DefaultTransport.RoundTrip(s.request(t, "POST", "/draft/", "", "X-Deadline", "9000"))
+	require.NoError(t, err)
+	buffer := make([]byte, len(event(1)))
+	_, err = io.ReadFull(resp.Body, buffer)
+	require.NoError(t, err)
+	resp.Body.Close()
+	select {
+	case <-stopped:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the run goes on")
+	}
+}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -43,14 +43,16 @@
 	names := p.adapter.Names()
 	targets := balance.NewTracker(balance.WithDataHall(p.settings.DataHall))
 	pool := targetconn.NewPool(targetconn.WithIdentityHeader(names.Identity))
+	var g *gateway.Gateway
 	poller := discovery.NewPoller(p.adapter.Source(), func(list []discovery.Target) {
 		for _, id := range targets.Update(list) {
 			pool.Forget(id)
 		}
+		g.Started()
 	})
 	s := p.settings
 	store := s.RepeatSlack / nodesAssumed * storeFraction
-	g := gateway.New(targets, pool, poller.Soon, gateway.WithNames(names),
+	g = gateway.New(targets, pool, poller.Soon, gateway.WithNames(names),
 		gateway.WithRepeats(s.RepeatRatio*ownRepeat, store, s.RepeatWindow))
 	adopt := func(version uint64, doc []byte) error {
 		table, err := p.adapter.Table(doc)
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -20,8 +20,8 @@
 // Timing of the control group: a leader that is lost is replaced well within
 // the time in which operators and nodes want an answer.
 const (
-	heartbeat     = 150 * time.Millisecond
-	election      = 600 * time.Millisecond
+	heartbeat     = 100 * time.Millisecond
+	election      = 400 * time.Millisecond
 	compactBytes  = 8 << 20
 	replicaFinish = 1 * time.Second // for operators' calls when the process stops
 	exitDiskLost  = 3
@@ -47,7 +47,7 @@
 	}
 	state := control.NewState(control.WithRule(control.AcceptHighest))
 	member, err := consensus.New(self.Node, identity, disk, founding, p.peers, state,
-		consensus.WithTiming(heartbeat, election), consensus.WithCompaction(compactBytes),
+		consensus.WithTiming(heartbeat, election), consensus.WithCompaction(compactBytes), consensus.WithCommitNotes(),
 		consensus.WithSeed(uint64(time.Now().UnixNano())), consensus.WithOnFatal(diskLost))
 	if err != nil {
 		return err
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -38,11 +38,12 @@
 func WithIdleLimit(d time.Duration) Option { return func(c *Config) { c.IdleLimit = d } }
 
 // Keep-alive probes find a target's machine that has fallen silent while an
-// answer is awaited; the kernel counts their idle time in whole seconds.
+// answer is awaited; the kernel counts their times in whole seconds, so that
+// one unanswered probe, after two seconds, is the earliest sign it can give.
 const (
 	keepAliveIdle     = 1 * time.Second
 	keepAliveInterval = 1 * time.Second
-	keepAliveCount    = 2
+	keepAliveCount    = 1
 )
 
 func defaultConfig() Config {
