Let entries share their runs, and what they found of targets

Entries now tell each other their runs and suspects by datagram (loadshare), a choice predicts the wait from all runs known, no copy goes to a suspect, and of two targets at one address the newer holds it.

--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,238 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/discovery"
+)
+
+func listed(service, hall string, ids ...string) []discovery.Target {
+	var list []discovery.Target
+	for _, id := range ids {
+		list = append(list, discovery.Target{ID: id, Service: service, Address: "10.0.0." + id, DataHall: hall, Slots: 8})
+	}
+	return list
+}
+
+func draft(tokens int) Choice { return Choice{Service: "s", Work: Work{Read: tokens, Hold: tokens}} }
+
+func newTracker(list ...discovery.Target) *Tracker {
+	t := NewTracker(WithSeed(1), WithDataHall("north"))
+	t.Update(list)
+	return t
+}
+
+func TestPromptsUnderWaySpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker(listed("s", "north", "1", "2", "3")...)
+		taken := map[string]int{}
+		for range 6 {
+			target := tracker.Pick(draft(8000))
+			taken[target.ID]++
+			target.Begin(Work{Read: 8000, Hold: 8000})
+		}
+		require.Equal(t, map[string]int{"1": 2, "2": 2, "3": 2}, taken)
+	})
+}
+
+func TestOthersRunsCountUntilTheyAreOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker(listed("s", "north", "1", "2")...)
+		tracker.SetOthers("n2", []Shared{{Target: "1", Read: 30000, Hold: 30000}})
+		require.Equal(t, "2", tracker.Pick(draft(8000)).ID)
+		tracker.Pick(draft(8000)).Begin(Work{Read: 8000, Hold: 8000})
+		require.Equal(t, "2", tracker.Pick(draft(8000)).ID, "30,000 tokens weigh more than 8,000")
+		time.Sleep(sharedLife + time.Millisecond)
+		require.Equal(t, "1", tracker.Pick(draft(8000)).ID, "the other node is silent: its word is dropped")
+	})
+}
+
+func TestReadPromptsWeighLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker(listed("s", "north", "1", "2")...)
+		run := tracker.byID["1"].Begin(Work{Read: 8000, Hold: 8000})
+		require.Equal(t, "2", tracker.Pick(draft(8000)).ID)
+		run.FirstEvent()
+		tracker.byID["2"].Begin(Work{Read: 8000, Hold: 8000})
+		require.Equal(t, "1", tracker.Pick(draft(8000)).ID)
+	})
+}
+
+func TestFullMemoryIsShunned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker(listed("s", "north", "1", "2")...)
+		for range 9 {
+			tracker.byID["1"].Begin(Work{Hold: 9000})
+		}
+		tracker.byID["2"].Begin(Work{Read: 9000, Hold: 9000})
+		require.Equal(t, "2", tracker.Pick(draft(8000)).ID)
+	})
+}
+
+func TestRequestThatComesAgainFindsItsTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := listed("s", "north", "1", "2", "3", "4", "5", "6")
+		here, there := newTracker(list...), newTracker(list...)
+		same := 0
+		for i := range 50 {
+			c := draft(8000)
+			c.Key = fmt.Sprint("part-", i)
+			first := here.Pick(c)
+			c.Again = true
+			if there.Pick(c).ID == first.ID {
+				same++
+			}
+		}
+		require.Equal(t, 50, same, "on idle targets the key alone decides")
+	})
+}
+
+func TestBrokenTargetIsAvoidedThenTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker(listed("s", "north", "1", "2")...)
+		one := tracker.byID["1"]
+		one.Broke()
+		for range 20 {
+			require.Equal(t, "2", tracker.Pick(draft(8000)).ID)
+		}
+		time.Sleep(tracker.cfg.AvoidFirst + time.Millisecond)
+		tracker.byID["2"].Begin(Work{Read: 8000, Hold: 8000})
+		require.Equal(t, "1", tracker.Pick(draft(8000)).ID)
+		require.False(t, one.takesCopy(tracker), "no copy at a suspect")
+		one.Succeeded()
+		require.True(t, one.takesCopy(tracker))
+	})
+}
+
+// takesCopy reports whether a copy may go to the target while another one
+// has more to do.
+func (t *Target) takesCopy(tracker *Tracker) bool {
+	return tracker.Pick(Choice{Service: "s", Copy: true, Work: Work{Hold: 8000}}) == t
+}
+
+func TestSuspectsAreShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker(listed("s", "north", "1", "2")...)
+		tracker.byID["2"].Begin(Work{Hold: 20000})
+		require.True(t, tracker.byID["1"].takesCopy(tracker))
+		tracker.SetSuspects([]string{"1", "unknown"})
+		require.False(t, tracker.byID["1"].takesCopy(tracker))
+		require.Empty(t, tracker.Suspects(), "hearsay is not passed on")
+		time.Sleep(suspectLife + time.Millisecond)
+		require.True(t, tracker.byID["1"].takesCopy(tracker))
+	})
+}
+
+func TestEndedTargetsAreSharedAndForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		here, there := newTracker(listed("s", "north", "1", "2")...), newTracker(listed("s", "north", "1", "2")...)
+		here.byID["1"].Refused()
+		there.SetEnded(here.Ended())
+		there.byID["2"].Begin(Work{Read: 50000, Hold: 50000})
+		require.Equal(t, "2", there.Pick(draft(8000)).ID)
+		time.Sleep(refusedLife + time.Millisecond)
+		require.Equal(t, "1", there.Pick(draft(8000)).ID, "it may only have had too many connections")
+	})
+}
+
+func TestHallInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := append(listed("s", "north", "1", "2", "3", "4"), listed("s", "south", "5", "6")...)
+		tracker := newTracker(list...)
+		tracker.byID["1"].Broke()
+		tracker.SetSuspects([]string{"2"})
+		for range 3 {
+			target := tracker.Pick(Choice{Service: "s", Work: Work{Read: 1000, Hold: 1000}})
+			require.Equal(t, "south", target.DataHall)
+			target.Begin(Work{Read: 1000, Hold: 1000})
+		}
+		time.Sleep(hallDoubtTime)
+		require.Equal(t, "north", tracker.Pick(Choice{Service: "s", Work: Work{Read: 1000, Hold: 1000}}).DataHall)
+	})
+}
+
+func TestNewerTargetHasTheAddress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		old := discovery.Target{ID: "old", Service: "s", Address: "10.0.0.1:80", DataHall: "north"}
+		young := old
+		young.ID = "young"
+		tracker := newTracker(old)
+		time.Sleep(time.Second)
+		tracker.Update([]discovery.Target{young, old})
+		for range 20 {
+			require.Equal(t, "young", tracker.Pick(draft(1)).ID)
+		}
+		require.Equal(t, []string{"old"}, tracker.Update([]discovery.Target{young}))
+	})
+}
+
+func TestDrainingTargetGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := listed("s", "north", "1", "2")
+		list[0].State = discovery.TargetDraining
+		tracker := newTracker(list...)
+		for range 20 {
+			require.Equal(t, "2", tracker.Pick(Choice{Service: "s"}).ID)
+		}
+		list[1].State = discovery.TargetDraining
+		tracker.Update(list)
+		require.Nil(t, tracker.Pick(Choice{Service: "s"}))
+	})
+}
+
+func TestTargetThatFailsMoreThanItsPeersIsEjected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker(listed("s", "north", "1", "2", "3")...)
+		for i := range 60 {
+			for id, target := range tracker.byID {
+				if id == "1" && i%2 == 0 || i%8 == 0 {
+					target.Erred()
+				} else {
+					target.Succeeded()
+				}
+			}
+			if time.Now().Before(tracker.byID["1"].avoid) {
+				break
+			}
+		}
+		require.True(t, time.Now().Before(tracker.byID["1"].avoid))
+		require.False(t, time.Now().Before(tracker.byID["2"].avoid))
+	})
+}
+
+func TestBudgetHoldsInEveryWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const ratio, store, window = 0.5, 6, 10 * time.Second
+		b := NewBudget(ratio, store, window)
+		var spent []time.Time
+		var earned []time.Time
+		for range 4000 {
+			time.Sleep(10 * time.Millisecond)
+			if len(earned) < 100 && time.Now().UnixMilli()%50 == 0 {
+				b.Earn()
+				earned = append(earned, time.Now())
+			}
+			if b.Spend() {
+				spent = append(spent, time.Now())
+			}
+		}
+		for _, from := range spent {
+			requests, repeats := 0, 0
+			for _, at := range earned {
+				if !at.Before(from.Add(-window)) && at.Before(from.Add(window)) {
+					requests++
+				}
+			}
+			for _, at := range spent {
+				if !at.Before(from) && at.Before(from.Add(window)) {
+					repeats++
+				}
+			}
+			require.LessOrEqual(t, float64(repeats), ratio*float64(requests)+2*store+2)
+		}
+	})
+}
--- /dev/null
+++ b/balance/health.go
@@ -0,0 +1,191 @@
+package balance
+
+import "time"
+
+// Told takes a load that an answer brought.
+func (t *Target) Told(l Load) {
+	t.tracker.mu.Lock()
+	defer t.tracker.mu.Unlock()
+	t.told, t.toldAt, t.own = l, time.Now(), len(t.runs)
+}
+
+// errorMemory is the weight of the newest answer in the share of failures.
+const errorMemory = 0.1
+
+// Succeeded notes a whole answer.
+func (t *Target) Succeeded() {
+	t.tracker.mu.Lock()
+	defer t.tracker.mu.Unlock()
+	t.row = 0
+	t.avoid = time.Time{}
+	t.broke, t.rumour = time.Time{}, time.Time{}
+	t.errors *= 1 - errorMemory
+}
+
+// Broke notes that the target did not answer, or broke off: it is avoided for
+// a while that doubles with each failure in a row, and is a suspect until it
+// is heard of again.
+func (t *Target) Broke() {
+	t.tracker.mu.Lock()
+	cfg := &t.tracker.cfg
+	pause := min(cfg.AvoidFirst<<min(t.row, 5), cfg.AvoidLongest)
+	t.row++
+	now := time.Now()
+	t.avoid = now.Add(pause)
+	t.broke = now
+	t.tracker.mu.Unlock()
+	t.tracker.changed()
+}
+
+// suspectLife is how long a target that broke off is a suspect if nothing is
+// heard of it: longer than a list still holds a target that crashed.
+const suspectLife = 10 * time.Second
+
+// suspect reports whether the target may have ended. The caller holds the
+// mutex.
+func (t *Target) suspect(now time.Time) bool {
+	return now.Sub(t.broke) < suspectLife || now.Sub(t.rumour) < suspectLife
+}
+
+// Suspects returns the targets that lately broke off to this node.
+func (t *Tracker) Suspects() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ids []string
+	for id, target := range t.byID {
+		if time.Since(target.broke) < suspectLife/2 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// SetSuspects takes another node's word that targets broke off.
+func (t *Tracker) SetSuspects(ids []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	for _, id := range ids {
+		if target := t.byID[id]; target != nil && now.Sub(target.rumour) > suspectLife {
+			target.rumour = now
+		}
+	}
+}
+
+// A data hall is in doubt when this share of a service's targets there broke
+// off within a short time.
+const (
+	hallDoubtTime  = 1500 * time.Millisecond
+	hallDoubtShare = 0.25
+	hallDoubtLeast = 2
+)
+
+// doubtful returns the data halls where so many targets of a service broke
+// off just now that the others may have, too. The caller holds the mutex.
+func (t *Tracker) doubtful(service string, now time.Time) map[string]bool {
+	all, broken := map[string]int{}, map[string]int{}
+	for _, target := range t.service[service] {
+		if target.gone {
+			continue
+		}
+		all[target.DataHall]++
+		if now.Sub(target.broke) < hallDoubtTime || now.Sub(target.rumour) < hallDoubtTime {
+			broken[target.DataHall]++
+		}
+	}
+	halls := map[string]bool{}
+	for hall, n := range broken {
+		halls[hall] = n >= hallDoubtLeast && float64(n) >= hallDoubtShare*float64(all[hall])
+	}
+	return halls
+}
+
+// Erred notes an answer that tells of a failure. A target that fails far more
+// often than its peers is avoided for a while.
+func (t *Target) Erred() {
+	t.tracker.mu.Lock()
+	defer t.tracker.mu.Unlock()
+	t.errors += errorMemory * (1 - t.errors)
+	if t.errors > t.tracker.peerErrors(t)+t.tracker.cfg.ErrorTolerate {
+		t.avoid = time.Now().Add(t.tracker.cfg.ErrorAvoid)
+		t.errors /= 2
+	}
+}
+
+// peerErrors is the mean share of failures of a target's peers. The caller
+// holds the mutex.
+func (t *Tracker) peerErrors(of *Target) float64 {
+	sum, n := 0.0, 0
+	for _, target := range t.service[of.Service] {
+		if target != of {
+			sum += target.errors
+			n++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / float64(n)
+}
+
+// Gone notes that the target has ended: its address is another's now.
+func (t *Target) Gone() {
+	t.tracker.mu.Lock()
+	t.gone = true
+	t.tracker.mu.Unlock()
+	t.tracker.changed()
+}
+
+// Refused notes that nobody answers at the target's address. The target has
+// ended, most likely, and the list still holds it; a target that only had too
+// many connections is asked again after a while.
+func (t *Target) Refused() {
+	t.tracker.mu.Lock()
+	t.refused = time.Now()
+	t.tracker.mu.Unlock()
+	t.tracker.changed()
+}
+
+// Ended returns the targets that this node lately found to have ended.
+func (t *Tracker) Ended() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ended []string
+	for id, target := range t.byID {
+		if target.gone || time.Since(target.refused) < refusedLife/2 {
+			ended = append(ended, id)
+		}
+	}
+	return ended
+}
+
+// SetEnded takes another node's word that targets have ended. It counts for
+// a shorter time than what this node found itself.
+func (t *Tracker) SetEnded(ids []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	told := time.Now().Add(-refusedLife / 2)
+	for _, id := range ids {
+		if target := t.byID[id]; target != nil && target.refused.Before(told) {
+			target.refused = told
+		}
+	}
+}
+
+// refusedLife is how long a target counts as ended after nobody answered at
+// its address: longer than the list lags behind.
+const refusedLife = 5 * time.Second
+
+// Full notes that the target turned a request away for want of room.
+func (t *Target) Full() {
+	t.tracker.mu.Lock()
+	defer t.tracker.mu.Unlock()
+	t.avoid = time.Now().Add(t.tracker.cfg.AvoidFirst / 2)
+}
+
+// Usable reports whether the target may be asked.
+func (t *Target) Usable() bool {
+	t.tracker.mu.Lock()
+	defer t.tracker.mu.Unlock()
+	return t.open(time.Now()) && time.Now().After(t.avoid)
+}
--- /dev/null
+++ b/balance/score.go
@@ -0,0 +1,177 @@
+package balance
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/walnutramp/walnutramp/discovery"
+)
+
+// Choice says what a target is wanted for.
+type Choice struct {
+	Service string
+	Work    Work
+	// Key names what the request shares with others of its own; a request
+	// that comes again is best sent where the first one went.
+	Key string
+	// Again says that the request with this key came before.
+	Again bool
+	// Exclude leaves targets out, such as those already tried.
+	Exclude func(*Target) bool
+	// Copy says that the target is to keep a copy of a run.
+	Copy bool
+	// OtherHall asks for a data hall that is not this one, if one is there.
+	OtherHall string
+}
+
+// Costs in milliseconds of waiting.
+const (
+	avoidCost = 1e6
+
+	copySuspectCost = 5e4
+	trySuspectCost  = 300.0
+	doubtCost       = 1500.0
+	sameHallCost    = 1e4
+	noiseCost       = 20.0
+	requestCost     = 15.0  // of one more request under way at an engine
+	homeGain        = 250.0 // for the target that the key names, so that it is found again
+	keptRead        = 0.2   // share of a prompt read again where its key was before
+	memoryCost      = 100.0 // for each thousand tokens beyond a comfortable memory
+	readPerMS       = 6.6   // prompt tokens a millisecond beside running requests
+	comfortTokens   = 70000
+	slotCost        = 30.0 // a request before this one at a plain service, times its share of the slots
+)
+
+// Pick returns the best target, or nil. Targets that lately failed are taken
+// only where no other is left.
+func (t *Tracker) Pick(c Choice) *Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	home := t.home(c, now)
+	doubtful := t.doubtful(c.Service, now)
+	var best *Target
+	bestScore := math.Inf(1)
+	for _, target := range t.service[c.Service] {
+		if !target.open(now) || c.Exclude != nil && c.Exclude(target) {
+			continue
+		}
+		s := target.score(&c, target == home, now)
+		if doubtful[target.DataHall] {
+			s += doubtCost
+		}
+		if s < bestScore {
+			best, bestScore = target, s
+		}
+	}
+	return best
+}
+
+// open reports whether a target takes new work. The caller holds the mutex.
+func (t *Target) open(now time.Time) bool {
+	return !t.gone && t.State != discovery.TargetDraining && now.Sub(t.refused) > refusedLife
+}
+
+// home returns the target that a key names, by rendezvous hash. The caller
+// holds the mutex.
+func (t *Tracker) home(c Choice, now time.Time) *Target {
+	if c.Key == "" {
+		return nil
+	}
+	var home *Target
+	highest := uint64(0)
+	for _, target := range t.service[c.Service] {
+		if !target.open(now) {
+			continue
+		}
+		if h := xxhash.Sum64String(c.Key + "@" + target.ID); home == nil || h > highest {
+			home, highest = target, h
+		}
+	}
+	return home
+}
+
+// score is the wait expected at a target, in milliseconds, with what else
+// speaks against it. The caller holds the mutex.
+func (t *Target) score(c *Choice, home bool, now time.Time) float64 {
+	cfg := &t.tracker.cfg
+	score := t.tracker.rng.Float64() * noiseCost
+	if c.Work == (Work{}) {
+		score += t.slotWait(now)
+	} else {
+		score += t.engineWait(c, home, now)
+	}
+	if t.DataHall != cfg.DataHall {
+		score += cfg.FarCost * requestCost
+	}
+	if c.OtherHall != "" && t.DataHall == c.OtherHall {
+		score += sameHallCost
+	}
+	if t.suspect(now) {
+		score += suspectCost(c)
+	}
+	if now.Before(t.avoid) {
+		score += avoidCost + t.avoid.Sub(now).Seconds()
+	}
+	return score
+}
+
+// slotWait is the wait at a plain service: own requests are known, others'
+// from what the target told last, which counts less as it grows older.
+func (t *Target) slotWait(now time.Time) float64 {
+	halvings := float64(now.Sub(t.toldAt)) / float64(t.tracker.cfg.LoadHalfLife)
+	others := float64(t.told.Running+t.told.Waiting-t.own) * math.Exp2(-halvings)
+	return (float64(len(t.runs)) + math.Max(0, others)) * slotCost / float64(max(1, t.Slots))
+}
+
+// suspectCost is what speaks against a target that may have ended. To find
+// out costs little, unless it were to keep a copy.
+func suspectCost(c *Choice) float64 {
+	if c.Copy {
+		return copySuspectCost
+	}
+	return trySuspectCost
+}
+
+// engineWait predicts the time to the first event of an engine.
+func (t *Target) engineWait(c *Choice, home bool, now time.Time) float64 {
+	runs := t.underWay(now)
+	read := float64(c.Work.Read) / readPerMS
+	if home && c.Again {
+		read *= keptRead
+	} else if home {
+		read -= homeGain
+	}
+	hold := c.Work.Hold
+	for _, r := range runs {
+		hold += r.Hold
+	}
+	wait := backlog(runs) + read + requestCost*float64(len(runs))
+	if over := hold - comfortTokens; over > 0 {
+		wait += memoryCost * float64(over) / 1000
+	}
+	return wait
+}
+
+// backlog is how long an engine still reads the prompts that came before, in
+// milliseconds, if it reads them one after the other.
+func backlog(runs []Shared) float64 {
+	slices.SortFunc(runs, func(a, b Shared) int { return cmp.Compare(b.Age, a.Age) })
+	finish := math.Inf(-1) // relative to now
+	for _, r := range runs {
+		if r.Read == 0 {
+			continue
+		}
+		start := -float64(r.Age.Milliseconds())
+		// A prompt whose time is over but that is not read yet is held to
+		// need a while longer.
+		finish = math.Max(math.Max(finish, start)+float64(r.Read)/readPerMS, lateRead)
+	}
+	return math.Max(0, finish)
+}
+
+// lateRead is what an overdue prompt is held to need still, in milliseconds.
+const lateRead = 100.0
--- a/control/client.go
+++ b/control/client.go
@@ -42,7 +42,9 @@
 type Client struct {
 	peers Peers
 	adopt AdoptFunc
-	fast  bool // nodes of the group come and go, so silence is given up on early
+	entry string         // this node's address among the entries, empty if it is none
+	seen  func([]string) // is told the entries
+	fast  bool           // nodes of the group come and go, so silence is given up on early
 
 	mu     sync.Mutex
 	seeds  []walnutramp.NodeName // always asked, whoever the members are
@@ -80,6 +82,12 @@
 	return c
 }
 
+// AsEntry makes the node known as an entry at an address, and has the
+// addresses of all entries told to seen. It must be called before Start.
+func (c *Client) AsEntry(address string, seen func([]string)) {
+	c.entry, c.seen = address, seen
+}
+
 func newClient(peers Peers, seeds []walnutramp.NodeName, adopt AdoptFunc) *Client {
 	c := &Client{peers: peers, seeds: seeds, adopt: adopt}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -151,12 +159,15 @@
 	defer cancel()
 	asked := time.Now()
 	var reply NewestReply
-	args := NewestArgs{Have: c.Version(), Wait: wait, Unconfirmed: c.fast && c.Version() == 0}
+	args := NewestArgs{Have: c.Version(), Wait: wait, Unconfirmed: c.fast && c.Version() == 0, Entry: c.entry}
 	if err := c.peers.Call(ctx, c.target(), Service+".Newest", args, &reply); err != nil {
 		c.forgetLeader("")
 		return false
 	}
 	c.LearnGroup(reply.Group)
+	if c.seen != nil && len(reply.Entries) > 0 {
+		c.seen(reply.Entries)
+	}
 	if reply.Code != walnutramp.CodeOK {
 		c.forgetLeader(reply.Leader)
 		return false
--- /dev/null
+++ b/control/entries.go
@@ -0,0 +1,41 @@
+package control
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// entryLife is how long an entry counts as there since it asked.
+const entryLife = 4 * time.Second
+
+// entries are the entry nodes that asked for the newest document lately.
+type entries struct {
+	mu    sync.Mutex
+	heard map[string]time.Time
+}
+
+// noted notes who asks, and returns all who asked lately, in order; nobody is
+// told who is no entry.
+func (e *entries) noted(asker string) []string {
+	if asker == "" {
+		return nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.heard == nil {
+		e.heard = map[string]time.Time{}
+	}
+	now := time.Now()
+	e.heard[asker] = now
+	live := make([]string, 0, len(e.heard))
+	for address, at := range e.heard {
+		if now.Sub(at) > entryLife {
+			delete(e.heard, address)
+			continue
+		}
+		live = append(live, address)
+	}
+	slices.Sort(live)
+	return live
+}
--- a/control/server.go
+++ b/control/server.go
@@ -19,6 +19,9 @@
 	Wait time.Duration // how long to wait for a newer one
 	// Unconfirmed asks any member for what it holds.
 	Unconfirmed bool
+	// Entry is the address at which the asker hears other entries; empty if it
+	// is none.
+	Entry string
 }
 
 // NewestReply is the leader's word, confirmed by a majority after it was
@@ -34,6 +37,8 @@
 	Group []walnutramp.NodeName
 	// Unconfirmed says that a newer one may be in force.
 	Unconfirmed bool
+	// Entries are the addresses of entries that asked lately.
+	Entries []string
 }
 
 // DoArgs hands over a command.
@@ -57,6 +62,7 @@
 	state     *State
 	operators bundle.Operators
 	keeper    *Keeper // nil where members are changed by hand
+	entries   entries
 }
 
 // NewOpenServer returns a server of a site that asks for no signatures and
@@ -77,6 +83,7 @@
 	if s.keeper != nil {
 		reply.Group = s.member.Status().Group.Nodes()
 	}
+	reply.Entries = s.entries.noted(args.Entry)
 	leads := s.member.Leads()
 	if !leads && args.Unconfirmed {
 		s.fill(args, reply)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -31,9 +31,14 @@
 	priority int
 	lastID   int64 // of the last event the client has
 	hasLast  bool
-	tried    map[*balance.Target]bool
-	sent     int  // targets that may have begun the request
-	reached  bool // a target may have run it
+	work     balance.Work
+	key      string                   // names what the request reads; one that comes again has the same
+	again    bool                     // the client has part of the answer
+	tried    map[*balance.Target]bool // may have run it
+	turned   map[*balance.Target]bool // did not run it
+	turns    int                      // targets that were asked
+	sent     int                      // targets that may have begun the request
+	reached  bool                     // a target may have run it
 }
 
 // open reads and checks a request.
@@ -57,6 +62,7 @@
 	c := &call{
 		id: r.Header.Get(g.cfg.Names.Identity), route: route, service: route.Service(), account: account,
 		method: r.Method, uri: r.RequestURI, host: r.Host, arrived: arrived, tried: map[*balance.Target]bool{},
+		turned:   map[*balance.Target]bool{},
 		priority: route.Priority,
 	}
 	if account.HasPriority {
@@ -73,9 +79,23 @@
 	if id, err := strconv.ParseInt(r.Header.Get(g.cfg.Names.EventID), 10, 64); err == nil {
 		c.lastID, c.hasLast = id, true
 	}
+	g.readWork(c, r.Header)
 	return c, nil
 }
 
+// readWork takes what a request asks of an engine.
+func (g *Gateway) readWork(c *call, h http.Header) {
+	n := &g.cfg.Names
+	if !c.engine.Engine || n.ParseUsage == nil {
+		return
+	}
+	prompt, out := n.ParseUsage(h.Get(n.Usage))
+	c.work = balance.Work{Read: prompt, Hold: prompt + out/2}
+	parts := strings.Split(h.Get(n.Prefix), ",")
+	c.key = strings.TrimSpace(parts[len(parts)-1])
+	c.again = c.hasLast
+}
+
 // checkHeader applies the configuration's bound on a request's head.
 func checkHeader(r *http.Request, limits Limits) *walnutramp.Error {
 	if limits.HeaderBytes <= 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,6 +30,7 @@
 	Prefix     string // the parts of the prompt, the request's own last
 	CopyHandle func(address, identity string) string
 	ParseLoad  func(header string) (balance.Load, bool)
+	ParseUsage func(header string) (prompt, out int)
 }
 
 // Config sets how a Gateway works.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,7 +17,6 @@
 
 // Bounds of the tries of one request.
 const (
-	maxTargets     = 6        // that one request asks, those that turn it away included
 	wholeLimit     = 64 << 10 // bytes of an answer that is read whole before it is passed on
 	tryAims        = 3        // a safe request is sent again after so many times its aim
 	shortestTry    = 200 * time.Millisecond
@@ -28,11 +28,7 @@
 	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(-deadlineMargin))
 	defer cancel()
 	var last *wholeAnswer
-	for range maxTargets {
-		t := g.choose(c)
-		if t == nil {
-			break
-		}
+	for t := g.next(ctx, c); t != nil; t = g.next(ctx, c) {
 		a, retry := g.tryPlain(ctx, c, t)
 		if a != nil {
 			last = a
@@ -51,11 +47,6 @@
 	g.fail(w, c, c.giveUp("no target answered"))
 }
 
-// choose picks a target that this call has not tried.
-func (g *Gateway) choose(c *call) *balance.Target {
-	return g.targets.Pick(balance.Choice{Service: c.service, Exclude: func(t *balance.Target) bool { return c.tried[t] }})
-}
-
 // mayRepeat reports whether another target may be asked, and pays for it.
 func (g *Gateway) mayRepeat(c *call) bool {
 	if c.reached && !c.route.Idempotent() {
@@ -85,7 +76,6 @@
 // tryPlain asks one target. Retry says that another may be asked, as far as
 // the target is concerned.
 func (g *Gateway) tryPlain(ctx context.Context, c *call, t *balance.Target) (a *wholeAnswer, retry bool) {
-	c.tried[t] = true
 	tryCtx, cancel := context.WithCancel(ctx)
 	defer func() {
 		if a == nil || a.rest == nil {
@@ -93,8 +83,8 @@
 		}
 	}()
 	defer g.limitTry(c, cancel).Stop()
-	t.Begin(false)
-	defer t.End(false)
+	run := t.Begin(balance.Work{})
+	defer run.End()
 	answer, err := g.pool.Do(tryCtx, endpoint(t), g.request(c, t))
 	if err != nil {
 		g.noteFailure(ctx, c, t, err)
@@ -106,8 +96,7 @@
 		answer.Close()
 		return nil, true
 	}
-	c.sent++
-	c.reached = true
+	c.ran(t)
 	if answer.Header.Get("Content-Encoding") != "" {
 		answer.Close()
 		t.Broke()
@@ -213,6 +202,7 @@
 // noteNotRun learns from a target that turned a request away.
 func (g *Gateway) noteNotRun(c *call, t *balance.Target, a *targetconn.Answer) {
 	klog.InfoS("Target turned the request away", "request", c.id, "target", t.ID, "status", a.Status)
+	c.turned[t] = true
 	if a.Status == http.StatusMisdirectedRequest {
 		t.Gone()
 		g.pool.Forget(t.ID)
@@ -226,12 +216,16 @@
 func (g *Gateway) noteFailure(ctx context.Context, c *call, t *balance.Target, err error) {
 	var f *targetconn.Failure
 	if errors.As(err, &f) && f.Reached() {
-		c.reached = true
-		c.sent++
+		c.ran(t)
+	} else {
+		c.turned[t] = true
 	}
 	if ctx.Err() == context.Canceled {
 		return // the client left; nothing is known of the target
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		t.Refused()
+	}
 	t.Broke()
 	klog.InfoS("Target did not answer", "request", c.id, "target", t.ID, "address", t.Address, "err", err,
 		"ms", time.Since(c.arrived).Milliseconds())
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -44,6 +44,7 @@
 const (
 	endWhole  ending = iota // the answer is complete
 	endTurned               // the target turned the request away: it did not run
+	endNone                 // there is no target to ask
 	endBroken               // no answer, or it broke off
 	endOther                // an answer that is no event stream was passed on
 
@@ -52,7 +53,7 @@
 // stream serves a request whose answer is an event stream.
 func (g *Gateway) stream(ctx context.Context, w http.ResponseWriter, c *call) {
 	r := &relay{gateway: g, call: c, w: w, flush: http.NewResponseController(w)}
-	for range maxTargets {
+	for {
 		end := r.next(ctx)
 		if end == endWhole || end == endOther {
 			g.counters.answered(c.arrived)
@@ -61,7 +62,7 @@
 				"ms", time.Since(c.arrived).Milliseconds())
 			return
 		}
-		if ctx.Err() != nil || end == endBroken && !c.route.Idempotent() && c.reached || !g.mayRepeat(c) {
+		if ctx.Err() != nil || end == endNone || end == endBroken && !c.route.Idempotent() && c.reached || !g.mayRepeat(c) {
 			break
 		}
 	}
@@ -83,9 +84,9 @@
 			return end
 		}
 	}
-	t := r.gateway.choose(r.call)
+	t := r.gateway.next(ctx, r.call)
 	if t == nil {
-		return endBroken
+		return endNone
 	}
 	return r.run(ctx, t, nil)
 }
@@ -93,13 +94,15 @@
 // run passes one run on until it ends.
 func (r *relay) run(ctx context.Context, t *balance.Target, from *copyOf) ending {
 	g, c := r.gateway, r.call
-	c.tried[t] = true
 	r.runs++
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	reading := true
-	t.Begin(true)
-	defer func() { t.End(reading) }()
+	work := c.work
+	if from != nil {
+		work.Read = 0
+	}
+	under := t.Begin(work)
+	defer under.End()
 	request := g.request(c, t)
 	backup := r.copies(request, t, from)
 	answer, err := g.pool.Do(ctx, endpoint(t), request)
@@ -113,15 +116,11 @@
 		g.noteNotRun(c, t, answer)
 		return endTurned
 	}
-	c.sent++
-	c.reached = true
+	c.ran(t)
 	if !isEventStream(answer) {
 		return r.passOther(answer, t)
 	}
-	end := r.pass(answer, t, func() {
-		reading = false
-		t.FirstEvent()
-	})
+	end := r.pass(answer, t, under.FirstEvent)
 	if end == endBroken && backup != nil {
 		r.copy = &copyOf{at: backup, identity: c.id}
 	}
@@ -141,7 +140,7 @@
 		return nil
 	}
 	backup := g.targets.Pick(balance.Choice{
-		Service: c.service, OtherHall: t.DataHall,
+		Service: c.service, OtherHall: t.DataHall, Copy: true, Work: balance.Work{Hold: c.work.Hold},
 		Exclude: func(o *balance.Target) bool { return o == t || c.tried[o] },
 	})
 	if backup != nil {
--- /dev/null
+++ b/loadshare/loadshare_test.go
@@ -0,0 +1,76 @@
+package loadshare
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/discovery"
+)
+
+func newNode(t *testing.T) (*Sharer, *balance.Tracker) {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	require.NoError(t, err)
+	tracker := balance.NewTracker(balance.WithSeed(1))
+	tracker.Update([]discovery.Target{
+		{ID: "1", Service: "s", Address: "10.0.0.1:80", Slots: 8}, {ID: "2", Service: "s", Address: "10.0.0.2:80", Slots: 8},
+	})
+	s := New(conn, tracker)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go s.Run(ctx)
+	return s, tracker
+}
+
+func TestNodesLearnEachOthersRuns(t *testing.T) {
+	here, hereTracker := newNode(t)
+	there, thereTracker := newNode(t)
+	both := []string{here.conn.LocalAddr().String(), there.conn.LocalAddr().String()}
+	here.SetPeers(both)
+	there.SetPeers(both)
+	choice := balance.Choice{Service: "s", Work: balance.Work{Read: 8000, Hold: 8000}}
+	hereTracker.Pick(choice).Begin(balance.Work{Read: 90000, Hold: 90000})
+	taken := hereTracker.Runs()[0].Target
+	never := func() bool {
+		for range 30 {
+			if thereTracker.Pick(choice).ID == taken {
+				return false
+			}
+		}
+		return true
+	}
+	require.Eventually(t, never, 5*time.Second, 5*time.Millisecond)
+}
+
+func TestStrangersAndOldMessagesAreDropped(t *testing.T) {
+	s, tracker := newNode(t)
+	s.SetPeers([]string{"127.0.0.1:9"})
+	heavy := message{Sequence: 5, Runs: []run{{Target: "1", Read: 90000, Hold: 90000}, {Target: "2", Hold: 1, Read: -5}}}
+	choice := balance.Choice{Service: "s", Work: balance.Work{Read: 8000, Hold: 8000}}
+	s.take("127.0.0.1:10", heavy)
+	taken := map[string]bool{}
+	for range 40 {
+		taken[tracker.Pick(choice).ID] = true
+	}
+	require.Len(t, taken, 2, "a stranger's word counts for nothing")
+	s.take("127.0.0.1:9", heavy)
+	s.take("127.0.0.1:9", message{Sequence: 4})
+	for range 20 {
+		require.Equal(t, "2", tracker.Pick(choice).ID, "the older message does not undo the newer")
+	}
+}
+
+func TestOldPeersAreForgotten(t *testing.T) {
+	s, _ := newNode(t)
+	s.SetPeers([]string{"127.0.0.1:9", "127.0.0.1:10", s.conn.LocalAddr().String(), "nonsense"})
+	require.Len(t, s.peers, 2, "itself and what is no address are left out")
+	s.SetPeers([]string{"127.0.0.1:9"})
+	require.Len(t, s.peers, 2, "a new leader may not know all yet")
+	s.named["127.0.0.1:10"] = time.Now().Add(-peerLife)
+	s.SetPeers([]string{"127.0.0.1:9"})
+	require.Len(t, s.peers, 1)
+}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -10,6 +10,7 @@
 	"github.com/walnutramp/walnutramp/control"
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/gateway"
+	"github.com/walnutramp/walnutramp/loadshare"
 	"github.com/walnutramp/walnutramp/targetconn"
 	"k8s.io/klog/v2"
 )
@@ -63,7 +64,12 @@
 	}
 	p.client = control.NewDocumentClient(p.peers, s.Seeds, adopt)
 	p.entry = &entry{gateway: g, pool: pool}
-	var err error
+	conn, err := net.ListenPacket("udp", s.PeerListen)
+	if err != nil {
+		return err
+	}
+	sharer := loadshare.New(conn, targets)
+	p.client.AsEntry(s.PeerListen, sharer.SetPeers)
 	p.entry.front, err = listen(s.EntryListen, g)
 	if err != nil {
 		return err
@@ -74,6 +80,7 @@
 	}
 	p.client.Start()
 	go poller.Run(p.ctx)
+	go sharer.Run(p.ctx)
 	return nil
 }
 
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -52,7 +52,7 @@
 	}}
 	return Config{
 		Dial:           dialer.DialContext,
-		DialTimeout:    500 * time.Millisecond,
+		DialTimeout:    250 * time.Millisecond,
 		IdleLimit:      30 * time.Second,
 		IdleMargin:     500 * time.Millisecond,
 		MaxIdle:        8,
