Let a client that resumes at another node go on from its run's copy

Cause: streams cut at the end of a planned stop's grace, or with a killed node, were read anew at the next node. Nodes now share where each run's copy lies. Ruled out by the log: clients do come again at once (26 ms after a reset). Kept: it is the promise of a planned stop, and costs 40 bytes a run in each datagram.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -63,6 +63,7 @@
 	service map[string][]*Target
 	listed  bool
 	others  map[string]sharedRuns // by node
+	broken  []*Run                // own runs that broke off, oldest first
 	changed func()                // own runs changed
 	rng     *rand.Rand
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -33,7 +33,7 @@
 		for range 6 {
 			target := tracker.Pick(draft(8000))
 			taken[target.ID]++
-			target.Begin(Work{Read: 8000, Hold: 8000})
+			target.Begin(Work{Read: 8000, Hold: 8000}, Trace{})
 		}
 		require.Equal(t, map[string]int{"1": 2, "2": 2, "3": 2}, taken)
 	})
@@ -44,7 +44,7 @@
 		tracker := newTracker(listed("s", "north", "1", "2")...)
 		tracker.SetOthers("n2", []Shared{{Target: "1", Read: 30000, Hold: 30000}})
 		require.Equal(t, "2", tracker.Pick(draft(8000)).ID)
-		tracker.Pick(draft(8000)).Begin(Work{Read: 8000, Hold: 8000})
+		tracker.Pick(draft(8000)).Begin(Work{Read: 8000, Hold: 8000}, Trace{})
 		require.Equal(t, "2", tracker.Pick(draft(8000)).ID, "30,000 tokens weigh more than 8,000")
 		time.Sleep(sharedLife + time.Millisecond)
 		require.Equal(t, "1", tracker.Pick(draft(8000)).ID, "the other node is silent: its word is dropped")
@@ -54,10 +54,10 @@
 func TestReadPromptsWeighLess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tracker := newTracker(listed("s", "north", "1", "2")...)
-		run := tracker.byID["1"].Begin(Work{Read: 8000, Hold: 8000})
+		run := tracker.byID["1"].Begin(Work{Read: 8000, Hold: 8000}, Trace{})
 		require.Equal(t, "2", tracker.Pick(draft(8000)).ID)
 		run.FirstEvent()
-		tracker.byID["2"].Begin(Work{Read: 8000, Hold: 8000})
+		tracker.byID["2"].Begin(Work{Read: 8000, Hold: 8000}, Trace{})
 		require.Equal(t, "1", tracker.Pick(draft(8000)).ID)
 	})
 }
@@ -66,9 +66,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		tracker := newTracker(listed("s", "north", "1", "2")...)
 		for range 9 {
-			tracker.byID["1"].Begin(Work{Hold: 9000})
+			tracker.byID["1"].Begin(Work{Hold: 9000}, Trace{})
 		}
-		tracker.byID["2"].Begin(Work{Read: 9000, Hold: 9000})
+		tracker.byID["2"].Begin(Work{Read: 9000, Hold: 9000}, Trace{})
 		require.Equal(t, "2", tracker.Pick(draft(8000)).ID)
 	})
 }
@@ -100,7 +100,7 @@
 			require.Equal(t, "2", tracker.Pick(draft(8000)).ID)
 		}
 		time.Sleep(tracker.cfg.AvoidFirst + time.Millisecond)
-		tracker.byID["2"].Begin(Work{Read: 8000, Hold: 8000})
+		tracker.byID["2"].Begin(Work{Read: 8000, Hold: 8000}, Trace{})
 		require.Equal(t, "1", tracker.Pick(draft(8000)).ID)
 		require.False(t, one.takesCopy(tracker), "no copy at a suspect")
 		one.Succeeded()
@@ -117,7 +117,7 @@
 func TestSuspectsAreShared(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tracker := newTracker(listed("s", "north", "1", "2")...)
-		tracker.byID["2"].Begin(Work{Hold: 20000})
+		tracker.byID["2"].Begin(Work{Hold: 20000}, Trace{})
 		require.True(t, tracker.byID["1"].takesCopy(tracker))
 		tracker.SetSuspects([]string{"1", "unknown"})
 		require.False(t, tracker.byID["1"].takesCopy(tracker))
@@ -132,7 +132,7 @@
 		here, there := newTracker(listed("s", "north", "1", "2")...), newTracker(listed("s", "north", "1", "2")...)
 		here.byID["1"].Refused()
 		there.SetEnded(here.Ended())
-		there.byID["2"].Begin(Work{Read: 50000, Hold: 50000})
+		there.byID["2"].Begin(Work{Read: 50000, Hold: 50000}, Trace{})
 		require.Equal(t, "2", there.Pick(draft(8000)).ID)
 		time.Sleep(refusedLife + time.Millisecond)
 		require.Equal(t, "1", there.Pick(draft(8000)).ID, "it may only have had too many connections")
@@ -148,7 +148,7 @@
 		for range 3 {
 			target := tracker.Pick(Choice{Service: "s", Work: Work{Read: 1000, Hold: 1000}})
 			require.Equal(t, "south", target.DataHall)
-			target.Begin(Work{Read: 1000, Hold: 1000})
+			target.Begin(Work{Read: 1000, Hold: 1000}, Trace{})
 		}
 		time.Sleep(hallDoubtTime)
 		require.Equal(t, "north", tracker.Pick(Choice{Service: "s", Work: Work{Read: 1000, Hold: 1000}}).DataHall)
--- a/balance/run.go
+++ b/balance/run.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Work is what one request asks of a target.
 type Work struct {
@@ -8,17 +11,26 @@
 	Hold int // tokens of memory that the run takes up
 }
 
+// Trace is how a run is found again after it broke off.
+type Trace struct {
+	Key      string // names the request, however often it comes
+	Identity string // of the run at its target
+	Copy     string // target that keeps a copy of the run's memory; empty for none
+}
+
 // Run is one request of this node under way at a target.
 type Run struct {
 	target *Target
 	work   Work
+	trace  Trace
 	began  time.Time
-	first  bool // its first event has come
+	first  bool      // its first event has come
+	broke  time.Time // when it broke off, zero while it is under way
 }
 
 // Begin counts a request in.
-func (t *Target) Begin(w Work) *Run {
-	r := &Run{target: t, work: w, began: time.Now()}
+func (t *Target) Begin(w Work, trace Trace) *Run {
+	r := &Run{target: t, work: w, trace: trace, began: time.Now()}
 	t.tracker.mu.Lock()
 	t.runs[r] = struct{}{}
 	t.tracker.mu.Unlock()
@@ -36,28 +48,46 @@
 	r.target.tracker.changed()
 }
 
-// End counts the request out.
-func (r *Run) End() {
-	r.target.tracker.mu.Lock()
+// End counts the request out. A run that broke off is remembered for as long
+// as its copy may be kept.
+func (r *Run) End(whole bool) {
+	tracker := r.target.tracker
+	tracker.mu.Lock()
 	delete(r.target.runs, r)
-	r.target.tracker.mu.Unlock()
+	tracker.forgetBroken(time.Now())
+	if !whole && r.trace.Copy != "" && r.first {
+		r.broke = time.Now()
+		tracker.broken = append(tracker.broken, r)
+	}
+	tracker.mu.Unlock()
 	if r.work != (Work{}) {
-		r.target.tracker.changed()
+		tracker.changed()
 	}
 }
 
+// copyLife is how long a copy may still be kept after its run broke off.
+const copyLife = 4 * time.Second
+
+// forgetBroken drops runs whose copies are gone. The caller holds the mutex.
+func (t *Tracker) forgetBroken(now time.Time) {
+	t.broken = slices.DeleteFunc(t.broken, func(r *Run) bool { return now.Sub(r.broke) > copyLife })
+}
+
 // Shared is what nodes tell each other of a run.
 type Shared struct {
 	Target string
 	Read   int           // tokens still to be read when it began; 0 once the first event has come
 	Hold   int           // tokens of memory
 	Age    time.Duration // since it began
+	Trace  Trace
+	Broken bool // it broke off: it holds nothing, but its copy may be there
 }
 
 // sharedRuns is what another node told.
 type sharedRuns struct {
 	at       time.Time
 	byTarget map[string][]Shared
+	traces   map[string]Trace // of runs with copies, by key
 }
 
 // sharedLife is how long another node's word counts.
@@ -78,11 +108,45 @@
 			}
 		}
 	}
+	t.forgetBroken(time.Now())
+	for _, r := range t.broken {
+		all = append(all, Shared{Target: r.target.ID, Trace: r.trace, Broken: true})
+	}
 	return all
 }
 
+// FindCopy returns the copy of a run of the request that a key names, which
+// broke off here or at another node, or whose node fell silent. Nil if none
+// is known at a target that takes work.
+func (t *Tracker) FindCopy(key string) (at *Target, identity string) {
+	if key == "" {
+		return nil, ""
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	t.forgetBroken(now)
+	for _, r := range t.broken {
+		if r.trace.Key == key {
+			at, identity = t.byID[r.trace.Copy], r.trace.Identity
+		}
+	}
+	for _, o := range t.others {
+		if now.Sub(o.at) > copyLife {
+			continue
+		}
+		if trace, ok := o.traces[key]; ok && at == nil {
+			at, identity = t.byID[trace.Copy], trace.Identity
+		}
+	}
+	if at == nil || !at.open(now) || at.suspect(now) {
+		return nil, ""
+	}
+	return at, identity
+}
+
 func (r *Run) shared(id string) Shared {
-	s := Shared{Target: id, Read: r.work.Read, Hold: r.work.Hold, Age: time.Since(r.began)}
+	s := Shared{Target: id, Read: r.work.Read, Hold: r.work.Hold, Age: time.Since(r.began), Trace: r.trace}
 	if r.first {
 		s.Read = 0
 	}
@@ -91,13 +155,18 @@
 
 // SetOthers takes another node's runs in place of what it told before.
 func (t *Tracker) SetOthers(node string, runs []Shared) {
-	byTarget := map[string][]Shared{}
+	byTarget, traces := map[string][]Shared{}, map[string]Trace{}
 	for _, s := range runs {
-		byTarget[s.Target] = append(byTarget[s.Target], s)
+		if s.Trace.Key != "" && s.Trace.Copy != "" {
+			traces[s.Trace.Key] = s.Trace
+		}
+		if !s.Broken {
+			byTarget[s.Target] = append(byTarget[s.Target], s)
+		}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.others[node] = sharedRuns{at: time.Now(), byTarget: byTarget}
+	t.others[node] = sharedRuns{at: time.Now(), byTarget: byTarget, traces: traces}
 }
 
 // underWay returns all runs known at a target. The caller holds the mutex.
@@ -108,8 +177,10 @@
 	}
 	for node, o := range t.tracker.others {
 		age := now.Sub(o.at)
-		if age > sharedLife {
+		if age > copyLife {
 			delete(t.tracker.others, node)
+		}
+		if age > sharedLife {
 			continue
 		}
 		for _, s := range o.byTarget[t.ID] {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -83,8 +83,8 @@
 		}
 	}()
 	defer g.limitTry(c, cancel).Stop()
-	run := t.Begin(balance.Work{})
-	defer run.End()
+	run := t.Begin(balance.Work{}, balance.Trace{})
+	defer run.End(true)
 	answer, err := g.pool.Do(tryCtx, endpoint(t), g.request(c, t))
 	if err != nil {
 		g.noteFailure(ctx, c, t, err)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -53,6 +53,12 @@
 // stream serves a request whose answer is an event stream.
 func (g *Gateway) stream(ctx context.Context, w http.ResponseWriter, c *call) {
 	r := &relay{gateway: g, call: c, w: w, flush: http.NewResponseController(w)}
+	if c.again {
+		if at, identity := g.targets.FindCopy(c.key); at != nil {
+			klog.InfoS("Client comes again, a copy is known", "request", c.id, "run", identity, "at", at.ID, "last", c.lastID)
+			r.copy = &copyOf{at: at, identity: identity}
+		}
+	}
 	for {
 		end := r.next(ctx)
 		if end == endWhole || end == endOther {
@@ -101,10 +107,15 @@
 	if from != nil {
 		work.Read = 0
 	}
-	under := t.Begin(work)
-	defer under.End()
 	request := g.request(c, t)
 	backup := r.copies(request, t, from)
+	trace := balance.Trace{Key: c.key, Identity: c.id}
+	if backup != nil {
+		trace.Copy = backup.ID
+	}
+	under := t.Begin(work, trace)
+	whole := false
+	defer func() { under.End(whole) }()
 	answer, err := g.pool.Do(ctx, endpoint(t), request)
 	if err != nil {
 		g.noteFailure(ctx, c, t, err)
@@ -121,6 +132,7 @@
 		return r.passOther(answer, t)
 	}
 	end := r.pass(answer, t, under.FirstEvent)
+	whole = end == endWhole
 	if end == endBroken && backup != nil {
 		r.copy = &copyOf{at: backup, identity: c.id}
 	}
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -25,7 +25,7 @@
 )
 
 // maxDatagram bounds a datagram, in bytes; runs that do not fit are left out.
-const maxDatagram = 8 << 10
+const maxDatagram = 16 << 10
 
 // message is what a node sends: its runs, newest last.
 type message struct {
@@ -42,6 +42,11 @@
 	Read   int    `msgpack:"p,omitempty"`
 	Hold   int    `msgpack:"h"`
 	AgeMS  int64  `msgpack:"a"`
+	// How the run is found again after it broke off.
+	Key      string `msgpack:"k,omitempty"`
+	Identity string `msgpack:"i,omitempty"`
+	Copy     string `msgpack:"c,omitempty"`
+	Broken   bool   `msgpack:"b,omitempty"`
 }
 
 // maxRuns keeps a message within a datagram.
@@ -59,7 +64,7 @@
 	mu    sync.Mutex
 	peers map[string]*net.UDPAddr
 	named map[string]time.Time // when a peer was last named
-	heard map[string]uint64 // newest sequence, by sender
+	heard map[string]uint64    // newest sequence, by sender
 }
 
 // New returns a sharer that sends and receives on conn.
@@ -122,6 +127,7 @@
 			time.Sleep(Settle)
 		case <-timer.C:
 		case <-ctx.Done():
+			s.send(sequence + 1) // the last word: runs that this node broke off
 			return
 		}
 		select {
@@ -138,7 +144,7 @@
 	m := message{Sequence: sequence}
 	for _, r := range s.tracker.Runs() {
 		if len(m.Runs) < maxRuns {
-			m.Runs = append(m.Runs, run{Target: r.Target, Read: r.Read, Hold: r.Hold, AgeMS: r.Age.Milliseconds()})
+			m.Runs = append(m.Runs, encodeRun(r))
 		}
 	}
 	m.Ended = s.tracker.Ended()
@@ -158,6 +164,22 @@
 	}
 }
 
+// encodeRun leaves out how a run without a copy is found: it can't be.
+func encodeRun(r balance.Shared) run {
+	e := run{Target: r.Target, Read: r.Read, Hold: r.Hold, AgeMS: r.Age.Milliseconds(), Broken: r.Broken}
+	if r.Trace.Copy != "" {
+		e.Key, e.Identity, e.Copy = r.Trace.Key, r.Trace.Identity, r.Trace.Copy
+	}
+	return e
+}
+
+func (r run) shared() balance.Shared {
+	return balance.Shared{
+		Target: r.Target, Read: max(0, r.Read), Hold: max(0, r.Hold), Age: time.Duration(max(0, r.AgeMS)) * time.Millisecond,
+		Trace: balance.Trace{Key: r.Key, Identity: r.Identity, Copy: r.Copy}, Broken: r.Broken,
+	}
+}
+
 func (s *Sharer) receive() {
 	buffer := make([]byte, maxDatagram)
 	for {
@@ -189,9 +211,7 @@
 	}
 	runs := make([]balance.Shared, 0, len(m.Runs))
 	for _, r := range m.Runs {
-		runs = append(runs, balance.Shared{
-			Target: r.Target, Read: max(0, r.Read), Hold: max(0, r.Hold), Age: time.Duration(max(0, r.AgeMS)) * time.Millisecond,
-		})
+		runs = append(runs, r.shared())
 	}
 	s.tracker.SetEnded(m.Ended)
 	s.tracker.SetSuspects(m.Suspects)
--- a/loadshare/loadshare_test.go
+++ b/loadshare/loadshare_test.go
@@ -33,7 +33,7 @@
 	here.SetPeers(both)
 	there.SetPeers(both)
 	choice := balance.Choice{Service: "s", Work: balance.Work{Read: 8000, Hold: 8000}}
-	hereTracker.Pick(choice).Begin(balance.Work{Read: 90000, Hold: 90000})
+	hereTracker.Pick(choice).Begin(balance.Work{Read: 90000, Hold: 90000}, balance.Trace{})
 	taken := hereTracker.Runs()[0].Target
 	never := func() bool {
 		for range 30 {
