Keep the group from growing by dead members; take no stream that a stop would cut

Ruled out: lost identities, torn logs. Silent voters now go first, also without a newcomer where more than three are left, and a newcomer waits while a voter is in doubt.

--- a/consensus/member.go
+++ b/consensus/member.go
@@ -257,6 +257,7 @@
 	group := m.store.group(m.store.lastIndex())
 	m.mu.Unlock()
 	if !m.collect(args, group) {
+		klog.InfoS("Election not won", "node", m.node, "pre", pre, "term", term, "group", group.Nodes())
 		return false
 	}
 	if !pre {
@@ -364,7 +365,7 @@
 	}
 	m.role = leader
 	m.leaderIs = m.node
-	klog.V(1).InfoS("Leader elected", "node", m.node, "term", term)
+	klog.InfoS("Leader elected", "node", m.node, "term", term, "last", m.store.lastIndex(), "group", m.store.group(m.store.lastIndex()).Nodes())
 	if _, ok := m.appendOwn(Entry{}); !ok {
 		return false
 	}
--- a/control/keeper.go
+++ b/control/keeper.go
@@ -20,13 +20,18 @@
 	newcomerLife = 2 * time.Second         // since a newcomer last asked
 	silentLimit  = 1500 * time.Millisecond // after which a voter gives way to a newcomer
 	changeLimit  = 2 * time.Second
-	fewestVoters = 2 // that are left when a silent one is removed
+	doubtLimit   = 500 * time.Millisecond  // after which a voter may be lost
+	deadLimit    = 2500 * time.Millisecond // after which a voter goes though nobody is new
+	fewestVoters = 2                       // that are left when a newcomer is ready
+	enoughVoters = 3                       // of more than these a dead one is of no use
 )
 
 // Keeper changes the group's members on the leader, one step at a time, none
 // of which needs the word of a member that is lost. A newcomer comes in as a
 // learner and counts once it has caught up. Where a voter is silent by then,
-// that one is removed first, so that the group does not grow by dead members.
+// that one is removed first, so that the group does not grow by dead members;
+// where more than three are left, a dead one is removed without a newcomer. A
+// member that was only cut off comes in again as a newcomer.
 type Keeper struct {
 	member *consensus.Member
 	node   walnutramp.NodeName
@@ -82,13 +87,20 @@
 		}
 		return g.With(consensus.Voter{Node: node, Identity: n.identity, Learner: true}), "newcomer"
 	}
+	silent, since := silentVoter(followers)
+	if since > deadLimit && g.Counted() > enoughVoters {
+		return g.Without(silent.Node), "silent"
+	}
 	learner, ok := caughtUp(followers)
 	if !ok {
 		return g, ""
 	}
-	if silent, ok := silentVoter(followers); ok && g.Counted() > fewestVoters {
+	if since > silentLimit && g.Counted() > fewestVoters {
 		return g.Without(silent.Node), "silent, and a newcomer is ready"
 	}
+	if since > doubtLimit && since <= silentLimit {
+		return g, "" // it may be lost: wait, so that the group does not grow by it
+	}
 	learner.Learner = false
 	return g.With(learner), "caught up"
 }
@@ -118,15 +130,15 @@
 	return consensus.Voter{}, false
 }
 
-// silentVoter returns the voter that has been silent longest, if too long.
-func silentVoter(followers []consensus.FollowerStatus) (consensus.Voter, bool) {
+// silentVoter returns the voter that has been silent longest, and how long.
+func silentVoter(followers []consensus.FollowerStatus) (consensus.Voter, time.Duration) {
 	var longest consensus.FollowerStatus
 	for _, f := range followers {
 		if !f.Voter.Learner && f.Silent > longest.Silent {
 			longest = f
 		}
 	}
-	return longest.Voter, longest.Silent > silentLimit
+	return longest.Voter, longest.Silent
 }
 
 // Joiner asks to be let into the group for as long as this node is no voter.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -32,6 +32,7 @@
 	lastID   int64 // of the last event the client has
 	hasLast  bool
 	work     balance.Work
+	out      int                      // most tokens that come out
 	key      string                   // names what the request reads; one that comes again has the same
 	again    bool                     // the client has part of the answer
 	tried    map[*balance.Target]bool // may have run it
@@ -90,6 +91,7 @@
 		return
 	}
 	prompt, out := n.ParseUsage(h.Get(n.Usage))
+	c.out = out
 	c.work = balance.Work{Read: prompt, Hold: prompt + out/2}
 	parts := strings.Split(h.Get(n.Prefix), ",")
 	c.key = strings.TrimSpace(parts[len(parts)-1])
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 
 	table    atomic.Pointer[Table]
 	stopping atomic.Int32
+	leaveBy  atomic.Pointer[time.Time]
 	buffered atomic.Int64
 	strip    map[string]bool
 	started  chan struct{} // closed once there are a table and targets
@@ -151,8 +152,28 @@
 	phaseClosed        // new requests are refused
 )
 
-// Leave begins a planned stop: the node is no longer ready.
-func (g *Gateway) Leave() { g.stopping.Store(phaseLeaving) }
+// Leave begins a planned stop: the node is no longer ready, and a stream that
+// would not be whole by then is refused as not run, so that none is cut off.
+func (g *Gateway) Leave(by time.Time) {
+	g.leaveBy.Store(&by)
+	g.stopping.Store(phaseLeaving)
+}
+
+// Times by which a stream's length is predicted.
+const (
+	typicalFirstEvent = 1500 * time.Millisecond
+	typicalToken      = 6 * time.Millisecond
+)
+
+// fits reports whether a call is answered before the node ends.
+func (g *Gateway) fits(c *call) bool {
+	by := g.leaveBy.Load()
+	if by == nil || c.route.Kind != Stream {
+		return true
+	}
+	need := typicalFirstEvent + time.Duration(c.out)*typicalToken
+	return time.Now().Add(need).Before(*by)
+}
 
 // CloseConnections asks clients to open no more requests on their connections.
 func (g *Gateway) CloseConnections() { g.stopping.Store(phaseClosing) }
@@ -180,7 +201,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	c, refused := g.open(w, r, arrived)
-	if refused == nil && phase == phaseClosed {
+	if refused == nil && (phase == phaseClosed || !g.fits(c)) {
+		w.Header().Set("Connection", "close")
 		refused = walnutramp.NewError(walnutramp.CodeStopping, walnutramp.NotRun, "this node is stopping").WithRetryAfter(retryOther)
 	}
 	if refused != nil {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -242,7 +242,7 @@
 		reply(c, r.Header.Get("X-Id"), 200, "ok")
 	})
 	s := newSite(t, []*fakeTarget{f})
-	s.gateway.Leave()
+	s.gateway.Leave(time.Now().Add(time.Minute))
 	require.False(t, s.gateway.Ready())
 	resp, _, _ := do(t, s.request(t, "GET", "/safe/", ""))
 	require.Equal(t, 200, resp.StatusCode, "what still comes is served")
@@ -255,3 +255,19 @@
 	require.Equal(t, 503, resp.StatusCode)
 	require.Contains(t, body, "not-run")
 }
+
+func TestStoppingNodeTakesOnlyStreamsThatEndInTime(t *testing.T) {
+	f := newFakeTarget(t, "i-1", "draft", "north", draft(nil))
+	s := newSite(t, []*fakeTarget{f})
+	s.gateway.Leave(time.Now().Add(4 * time.Second))
+	resp, _, err := do(t, s.request(t, "POST", "/draft/", "", "X-Usage", "100,50"))
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode, "a short one is whole in time")
+	resp, body, err := do(t, s.request(t, "POST", "/draft/", "", "X-Usage", "100,5000"))
+	require.NoError(t, err)
+	require.Equal(t, 503, resp.StatusCode)
+	require.Contains(t, body, "not-run")
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.True(t, resp.Close)
+	require.Len(t, f.seen(), 1)
+}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -25,6 +25,12 @@
 	Priority: "X-Priority", CopyTo: "X-Copy-To", CopyFrom: "X-Copy-From", Load: "X-Load", NotRun: "X-Not-Run", Usage: "X-Usage",
 	Prefix: "X-Prefix", System: []string{"X-System"},
 	CopyHandle: func(address, identity string) string { return address + "/" + identity },
+	ParseUsage: func(v string) (prompt, out int) {
+		a, b, _ := strings.Cut(v, ",")
+		prompt, _ = strconv.Atoi(a)
+		out, _ = strconv.Atoi(b)
+		return prompt, out
+	},
 	ParseLoad: func(v string) (balance.Load, bool) {
 		n, err := strconv.Atoi(v)
 		return balance.Load{Running: n}, err == nil
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -19,7 +19,7 @@
 const (
 	stopClosing = 2500 * time.Millisecond // connections are closed after their answer
 	stopRefuse  = 3 * time.Second         // connections at rest are closed, requests refused
-	stopReserve = 500 * time.Millisecond  // before the kill
+	stopReserve = 300 * time.Millisecond  // before the kill
 )
 
 // Bounds of what clients may take up before a configuration is known.
@@ -103,12 +103,13 @@
 // and finishes what is under way.
 func (e *entry) stop(grace time.Duration) {
 	began := time.Now()
-	e.gateway.Leave()
+	end := began.Add(grace - stopReserve)
+	e.gateway.Leave(end)
 	time.Sleep(stopClosing)
 	e.gateway.CloseConnections()
 	time.Sleep(stopRefuse - stopClosing)
 	e.gateway.Refuse()
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-stopReserve))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := e.front.Shutdown(ctx); err != nil {
 		klog.InfoS("Requests are cut off at the end of the grace", "err", err)
