--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -71,8 +71,7 @@
 		if n, err := c.raw.Write(message); err != nil {
 			return p.afterBrokenWrite(c, r, n, err)
 		}
-		early := len(c.first) > 0
-		return p.await(c, r, early)
+		return p.await(c, r, false)
 	}
 	return p.sendLong(ctx, c, r, message)
 }
@@ -118,7 +117,7 @@
 }
 
 // await reads answers until the one to this request. Early says that the
-// connection can't be kept, since the request may not have been read whole.
+// connection can't be kept, since the request was not sent whole.
 func (p *Pool) await(c *conn, r *Request, early bool) (*Answer, *Failure) {
 	var err error
 	select {
