--- a/balance/balance.go
+++ b/balance/balance.go
@@ -20,7 +20,8 @@
 // Config sets how targets are weighed.
 type Config struct {
 	DataHall      string        // of this node
-	FarCost       float64       // of a target in another data hall, in requests under way
+	FarCost       float64       // of an engine in another data hall, in milliseconds of wait
+	FarSlotCost   float64       // the same of a plain service's target
 	LoadHalfLife  time.Duration // after which a told load counts half
 	AvoidFirst    time.Duration // how long a target is avoided after one failure
 	AvoidLongest  time.Duration
@@ -36,15 +37,18 @@
 func WithDataHall(hall string) Option { return func(c *Config) { c.DataHall = hall } }
 
 // WithFarCost sets what a target in another data hall is held to be worse by,
-// in requests under way.
-func WithFarCost(cost float64) Option { return func(c *Config) { c.FarCost = cost } }
+// in milliseconds of wait: an engine, and a plain service's target.
+func WithFarCost(engine, slot float64) Option {
+	return func(c *Config) { c.FarCost, c.FarSlotCost = engine, slot }
+}
 
 // WithSeed makes choices repeatable.
 func WithSeed(seed uint64) Option { return func(c *Config) { c.Seed = seed } }
 
 func defaultConfig() Config {
 	return Config{
-		FarCost:       0.3,
+		FarCost:       200,
+		FarSlotCost:   20,
 		LoadHalfLife:  2 * time.Second,
 		AvoidFirst:    400 * time.Millisecond,
 		AvoidLongest:  3 * time.Second,
--- a/balance/score.go
+++ b/balance/score.go
@@ -75,8 +75,8 @@
 	return !t.gone && t.State != discovery.TargetDraining && now.Sub(t.refused) > refusedLife
 }
 
-// home returns the target that a key names, by rendezvous hash. The caller
-// holds the mutex.
+// home returns the target that a key names, by rendezvous hash over those of
+// this node's data hall if it has any. The caller holds the mutex.
 func (t *Tracker) home(c Choice, now time.Time) *Target {
 	if c.Key == "" {
 		return nil
@@ -84,16 +84,30 @@
 	var home *Target
 	highest := uint64(0)
 	for _, target := range t.service[c.Service] {
-		if !target.open(now) {
+		if !target.open(now) || home != nil && t.near(home) && !t.near(target) {
 			continue
 		}
-		if h := xxhash.Sum64String(c.Key + "@" + target.ID); home == nil || h > highest {
+		h := xxhash.Sum64String(c.Key + "@" + target.ID)
+		if home == nil || t.near(target) && !t.near(home) || h > highest {
 			home, highest = target, h
 		}
 	}
 	return home
 }
 
+// near reports whether a target is in this node's data hall.
+func (t *Tracker) near(target *Target) bool { return target.DataHall == t.cfg.DataHall }
+
+// farCost is what speaks against a target in another data hall: the links
+// between halls lose packets now and then, and every event that is sent anew
+// comes late.
+func (c *Config) farCost(choice *Choice) float64 {
+	if choice.Work == (Work{}) {
+		return c.FarSlotCost
+	}
+	return c.FarCost
+}
+
 // score is the wait expected at a target, in milliseconds, with what else
 // speaks against it. The caller holds the mutex.
 func (t *Target) score(c *Choice, home bool, now time.Time) float64 {
@@ -105,7 +119,7 @@
 		score += t.engineWait(c, home, now)
 	}
 	if t.DataHall != cfg.DataHall {
-		score += cfg.FarCost * requestCost
+		score += cfg.farCost(c)
 	}
 	if c.OtherHall != "" && t.DataHall == c.OtherHall {
 		score += sameHallCost
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -147,7 +147,7 @@
 
 func newSite(t *testing.T, targets []*fakeTarget, opts ...Option) *site {
 	t.Helper()
-	tracker := balance.NewTracker(balance.WithSeed(1), balance.WithDataHall("north"), balance.WithFarCost(10))
+	tracker := balance.NewTracker(balance.WithSeed(1), balance.WithDataHall("north"), balance.WithFarCost(1000, 1000))
 	pool := targetconn.NewPool(targetconn.WithIdentityHeader("X-Id"))
 	t.Cleanup(pool.Close)
 	opts = append([]Option{WithNames(testNames), WithRepeats(1, 100, 10*time.Second)}, opts...)
