--- a/balance/score.go
+++ b/balance/score.go
@@ -70,6 +70,18 @@
 	return best
 }
 
+// Kept returns what a request that comes again asks of a target: at the one
+// that its key names, most of the prompt was read before.
+func (t *Tracker) Kept(c Choice, at *Target) Work {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	work := c.Work
+	if c.Again && t.home(c, time.Now()) == at {
+		work.Read = int(float64(work.Read) * keptRead)
+	}
+	return work
+}
+
 // open reports whether a target takes new work. The caller holds the mutex.
 func (t *Target) open(now time.Time) bool {
 	return !t.gone && t.State != discovery.TargetDraining && now.Sub(t.refused) > refusedLife
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -37,10 +37,13 @@
 
 // choose picks the best target that has not had this request.
 func (g *Gateway) choose(c *call) *balance.Target {
-	return g.targets.Pick(balance.Choice{
-		Service: c.service, Work: c.work, Key: c.key, Again: c.again,
-		Exclude: func(t *balance.Target) bool { return c.tried[t] || c.turned[t] },
-	})
+	choice := c.choice()
+	choice.Exclude = func(t *balance.Target) bool { return c.tried[t] || c.turned[t] }
+	return g.targets.Pick(choice)
+}
+
+func (c *call) choice() balance.Choice {
+	return balance.Choice{Service: c.service, Work: c.work, Key: c.key, Again: c.again}
 }
 
 // ran notes that a target may have run the request.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -103,7 +103,9 @@
 	r.runs++
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	work := c.work
+	work := g.targets.Kept(c.choice(), t)
+	klog.InfoS("Run begins", "request", c.id, "target", t.ID, "again", c.again, "last", c.lastID, "read", c.work.Read,
+		"expectedRead", work.Read, "fromCopy", from != nil, "run", r.runs+1)
 	if from != nil {
 		work.Read = 0
 	}
