--- a/cmd/walnutramp/serve.go
+++ b/cmd/walnutramp/serve.go
@@ -1,11 +1,14 @@
 package main
 
 import (
+	"flag"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
+	"github.com/walnutramp/walnutramp/logsink"
 	"github.com/walnutramp/walnutramp/platform"
 	"github.com/walnutramp/walnutramp/serve"
 	"k8s.io/klog/v2"
@@ -30,6 +33,9 @@
 	if c.Check {
 		return nil
 	}
+	sink := logsink.New(os.Stdout)
+	logTo(sink)
+	defer sink.Close(logFlush)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	p, err := serve.New(settings, adapter)
@@ -41,6 +47,18 @@
 	return nil
 }
 
+// logFlush bounds the wait for the last log lines when the process ends.
+const logFlush = 200 * time.Millisecond
+
+// logTo sends every log line to a sink in place of standard error.
+func logTo(w io.Writer) {
+	var set flag.FlagSet
+	klog.InitFlags(&set)
+	set.Set("logtostderr", "false")
+	set.Set("stderrthreshold", "FATAL")
+	klog.SetOutput(w)
+}
+
 // wait reloads the settings when they change, until a signal to stop.
 func (c *serveCommand) wait(p *serve.Process, signals <-chan os.Signal) {
 	changed := modified(c.Config)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -29,7 +29,8 @@
 	arrived  time.Time
 	deadline time.Time
 	priority int
-	lastID   int64 // of the last event the client has
+	version  uint64 // of the configuration that decided its route
+	lastID   int64  // of the last event the client has
 	hasLast  bool
 	work     balance.Work
 	out      int                      // most tokens that come out
@@ -64,7 +65,7 @@
 		id: r.Header.Get(g.cfg.Names.Identity), route: route, service: route.Service(), account: account,
 		method: r.Method, uri: r.RequestURI, host: r.Host, arrived: arrived, tried: map[*balance.Target]bool{},
 		turned:   map[*balance.Target]bool{},
-		priority: route.Priority,
+		priority: route.Priority, version: table.Version,
 	}
 	if account.HasPriority {
 		c.priority = account.Priority
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -38,6 +38,8 @@
 		}
 	}
 	if last != nil {
+		klog.InfoS("Request served", "request", c.id, "route", c.route.Name, "version", c.version, "target", last.target,
+			"status", last.status, "sent", c.sent, "asked", c.turns, "ms", time.Since(c.arrived).Milliseconds())
 		g.passWhole(w, c, last)
 		return
 	}
@@ -66,6 +68,7 @@
 // wholeAnswer is an answer that is passed on in one piece, or, where it is
 // long, from its head on.
 type wholeAnswer struct {
+	target string
 	status int
 	header http.Header
 	length int64
@@ -109,6 +112,7 @@
 		t.Broke()
 		return nil, true
 	}
+	whole.target = t.ID
 	if answer.Status >= http.StatusInternalServerError {
 		t.Erred()
 		return g.ownStatus(c, whole), true
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -104,7 +104,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	work := g.targets.Kept(c.choice(), t)
-	klog.InfoS("Run begins", "request", c.id, "target", t.ID, "again", c.again, "last", c.lastID, "read", c.work.Read,
+	klog.InfoS("Run begins", "request", c.id, "route", c.route.Name, "version", c.version, "target", t.ID, "again", c.again, "last", c.lastID, "read", c.work.Read,
 		"expectedRead", work.Read, "fromCopy", from != nil, "run", r.runs+1)
 	if from != nil {
 		work.Read = 0
