--- a/balance/balance.go
+++ b/balance/balance.go
@@ -82,6 +82,8 @@
 	refused time.Time // when nobody answered at its address
 	broke   time.Time // when it broke off, and has not been heard of since
 	rumour  time.Time // when another node said that it broke off
+	doubted time.Time // when its data hall was in doubt
+	heard   time.Time // when it last answered this node
 	runs    map[*Run]struct{}
 	told    Load
 	toldAt  time.Time
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -204,35 +205,86 @@
 	})
 }
 
+// Nodes that hear of each other with a delay spend together, in bursts, as
+// much as they are allowed and no more; a node alone keeps to its share.
 func TestBudgetHoldsInEveryWindow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const ratio, store, window = 0.5, 6, 10 * time.Second
-		b := NewBudget(ratio, store, window)
-		var spent []time.Time
-		var earned []time.Time
-		for range 4000 {
-			time.Sleep(10 * time.Millisecond)
-			if len(earned) < 100 && time.Now().UnixMilli()%50 == 0 {
-				b.Earn()
-				earned = append(earned, time.Now())
-			}
-			if b.Spend() {
-				spent = append(spent, time.Now())
-			}
+		const nodes = 8
+		cfg := BudgetConfig{Ratio: 0.5, Slack: 100, Window: 10 * time.Second, Nodes: 16}
+		budgets := make([]*Budgets, nodes)
+		for i := range budgets {
+			budgets[i] = NewBudgets(cfg)
 		}
-		for _, from := range spent {
-			requests, repeats := 0, 0
-			for _, at := range earned {
-				if !at.Before(from.Add(-window)) && at.Before(from.Add(window)) {
-					requests++
+		var requests, repeats []time.Time
+		rng := rand.New(rand.NewPCG(7, 7))
+		for tick := range 6000 { // a minute in steps of 10 ms
+			time.Sleep(10 * time.Millisecond)
+			for i, b := range budgets {
+				if rng.IntN(30) == 0 {
+					b.Of("s").Earn()
+					requests = append(requests, time.Now())
+				}
+				burst := tick%900 < 60
+				if burst && rng.IntN(4) == 0 && b.Of("s").Spend() {
+					repeats = append(repeats, time.Now())
+				}
+				if tick%10 == i {
+					for j, other := range budgets {
+						if j != i {
+							other.SetOther(fmt.Sprint(i), b.Counts())
+						}
+					}
 				}
 			}
-			for _, at := range spent {
-				if !at.Before(from) && at.Before(from.Add(window)) {
-					repeats++
+		}
+		require.Greater(t, len(repeats), 300)
+		within := func(times []time.Time, from time.Time) int {
+			n := 0
+			for _, at := range times {
+				if !at.Before(from) && at.Before(from.Add(cfg.Window)) {
+					n++
 				}
 			}
-			require.LessOrEqual(t, float64(repeats), ratio*float64(requests)+2*store+2)
+			return n
+		}
+		for _, from := range repeats {
+			allowed := cfg.Ratio*float64(within(requests, from)) + cfg.Slack
+			require.LessOrEqual(t, float64(within(repeats, from)), allowed)
+		}
+	})
+}
+
+func TestBudgetOfANodeAloneIsItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(BudgetConfig{Ratio: 0.8, Slack: 160, Window: 10 * time.Second, Nodes: 16})
+		spent := 0
+		for b.Spend() {
+			spent++
 		}
+		require.Equal(t, 5, spent, "half of a sixteenth of the slack")
+		b.SetOther("other", Count{})
+		for b.Spend() {
+			spent++
+		}
+		require.Equal(t, 80, spent, "half of the slack, since the other spent nothing")
+		time.Sleep(11 * time.Second)
+		require.True(t, b.Spend(), "the window has passed")
+	})
+}
+
+func TestCopyIsNotKeptInAHallThatWasInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := append(listed("s", "north", "1", "2", "3"), listed("s", "south", "4")...)
+		tracker := newTracker(list...)
+		tracker.byID["4"].Begin(Work{Hold: 30000}, Trace{})
+		copyAt := func() string { return tracker.Pick(Choice{Service: "s", Copy: true, Work: Work{Hold: 1000}}).DataHall }
+		require.Equal(t, "north", copyAt())
+		tracker.byID["1"].Broke()
+		tracker.byID["2"].Broke()
+		require.Equal(t, "south", copyAt())
+		time.Sleep(hallDoubtTime + time.Millisecond)
+		require.Equal(t, "south", copyAt(), "3 may have ended unseen")
+		tracker.byID["3"].Succeeded()
+		require.Equal(t, "north", copyAt(), "3 answers")
 	})
 }
--- a/balance/health.go
+++ b/balance/health.go
@@ -7,6 +7,7 @@
 	t.tracker.mu.Lock()
 	defer t.tracker.mu.Unlock()
 	t.told, t.toldAt, t.own = l, time.Now(), len(t.runs)
+	t.heard = t.toldAt
 }
 
 // errorMemory is the weight of the newest answer in the share of failures.
@@ -19,6 +20,7 @@
 	t.row = 0
 	t.avoid = time.Time{}
 	t.broke, t.rumour = time.Time{}, time.Time{}
+	t.heard = time.Now()
 	t.errors *= 1 - errorMemory
 }
 
@@ -47,6 +49,12 @@
 	return now.Sub(t.broke) < suspectLife || now.Sub(t.rumour) < suspectLife
 }
 
+// unheard reports whether the target's data hall was in doubt, and the target
+// has not answered this node since. The caller holds the mutex.
+func (t *Target) unheard(now time.Time) bool {
+	return now.Sub(t.doubted) < suspectLife && t.heard.Before(t.doubted)
+}
+
 // Suspects returns the targets that lately broke off to this node.
 func (t *Tracker) Suspects() []string {
 	t.mu.Lock()
--- a/balance/score.go
+++ b/balance/score.go
@@ -61,6 +61,7 @@
 		}
 		s := target.score(&c, target == home, now)
 		if doubtful[target.DataHall] {
+			target.doubted = now
 			s += doubtCost
 		}
 		if s < bestScore {
@@ -136,7 +137,7 @@
 	if c.OtherHall != "" && t.DataHall == c.OtherHall {
 		score += sameHallCost
 	}
-	if t.suspect(now) {
+	if t.suspect(now) || c.Copy && t.unheard(now) {
 		score += suspectCost(c)
 	}
 	if now.Before(t.avoid) {
--- /dev/null
+++ b/cmd/walnutramp/explain.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+	"github.com/walnutramp/walnutramp/explain"
+)
+
+type explainCommand struct {
+	*program
+	Positional struct {
+		Request string   `positional-arg-name:"ID" required:"true" description:"the request's id"`
+		Files   []string `positional-arg-name:"FILE" description:"log files of nodes; standard input if there is none"`
+	} `positional-args:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute([]string) error {
+	lines, err := c.read()
+	if err != nil {
+		return err
+	}
+	story, ok := explain.Tell(lines, c.Positional.Request)
+	if !ok {
+		return errors.Newf("no log line names request %s", c.Positional.Request)
+	}
+	story.Write(c.out)
+	return nil
+}
+
+func (c *explainCommand) read() ([]explain.Line, error) {
+	if len(c.Positional.Files) == 0 {
+		return explain.Read(os.Stdin, "standard input")
+	}
+	var all []explain.Line
+	for _, name := range c.Positional.Files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		lines, err := explain.Read(f, filepath.Base(name))
+		f.Close()
+		if err != nil {
+			return nil, errors.Wrap(err, name)
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
--- a/cmd/walnutramp/main.go
+++ b/cmd/walnutramp/main.go
@@ -107,6 +107,7 @@
 	}{
 		{"node", "Run an entry node", &nodeCommand{program: p}},
 		{"serve", "Serve a site on the shared platform, as its settings file says", &serveCommand{program: p}},
+		{"explain", "Tell from nodes' logs what became of a request, and why", &explainCommand{program: p}},
 		{"demo", "Show a draft that survives its engine and its entry node", &demoCommand{program: p}},
 		{"load", "Drive a site, check every answer and report what callers saw", newLoadCommand(p)},
 		{"standin", "Run a stand-in of a system around the node", newStandinCommand(p)},
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,9 +36,6 @@
 // Config sets how a Gateway works.
 type Config struct {
 	Names       Names
-	RepeatRatio float64       // repeats that each request earns
-	RepeatStore float64       // repeats that may be saved up
-	RepeatTime  time.Duration // over which the store fills again
 	MaxBuffered int64         // bytes of request bodies held at once
 	Stall       time.Duration // silence within a stream after which its target is given up
 	FirstEvent  time.Duration // wait for a first event after which another target is tried
@@ -52,11 +49,6 @@
 // WithNames sets the dialect's header names.
 func WithNames(n Names) Option { return func(c *Config) { c.Names = n } }
 
-// WithRepeats bounds repeated sends to each service.
-func WithRepeats(ratio, store float64, window time.Duration) Option {
-	return func(c *Config) { c.RepeatRatio, c.RepeatStore, c.RepeatTime = ratio, store, window }
-}
-
 // WithStall sets the silence after which a stream's target is given up.
 func WithStall(d time.Duration) Option { return func(c *Config) { c.Stall = d } }
 
@@ -65,7 +57,6 @@
 
 func defaultConfig() Config {
 	return Config{
-		RepeatRatio: 0.7, RepeatStore: 5, RepeatTime: 10 * time.Second,
 		MaxBuffered: 32 << 20, Stall: 450 * time.Millisecond, FirstEvent: 5 * time.Second,
 		StartWait: time.Second, Copies: true,
 	}
@@ -88,18 +79,17 @@
 
 	startOnce sync.Once
 
-	mu      sync.Mutex
-	budgets map[string]*balance.Budget
+	budgets *balance.Budgets
 }
 
 // New returns a gateway without a table: it answers 503 until SetTable.
-// Refresh is called when a target turns out to be another than listed.
-func New(targets *balance.Tracker, pool *targetconn.Pool, refresh func(), opts ...Option) *Gateway {
+// Budgets bound what is sent again. Refresh is called when a target turns out to be another than listed.
+func New(targets *balance.Tracker, pool *targetconn.Pool, budgets *balance.Budgets, refresh func(), opts ...Option) *Gateway {
 	cfg := defaultConfig()
 	for _, opt := range opts {
 		opt(&cfg)
 	}
-	g := &Gateway{cfg: cfg, targets: targets, pool: pool, refresh: refresh, budgets: map[string]*balance.Budget{}, counters: newCounters(),
+	g := &Gateway{cfg: cfg, targets: targets, pool: pool, refresh: refresh, budgets: budgets, counters: newCounters(),
 		started: make(chan struct{})}
 	g.strip = map[string]bool{}
 	n := cfg.Names
@@ -181,17 +171,6 @@
 // Refuse refuses new requests as not run.
 func (g *Gateway) Refuse() { g.stopping.Store(phaseClosed) }
 
-func (g *Gateway) budget(service string) *balance.Budget {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	b := g.budgets[service]
-	if b == nil {
-		b = balance.NewBudget(g.cfg.RepeatRatio, g.cfg.RepeatStore, g.cfg.RepeatTime)
-		g.budgets[service] = b
-	}
-	return b
-}
-
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
@@ -210,7 +189,7 @@
 		return
 	}
 	defer g.buffered.Add(-int64(len(c.body)))
-	g.budget(c.service).Earn()
+	g.budgets.Of(c.service).Earn()
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	if c.route.Kind == Stream {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/balance"
 )
 
 func do(t *testing.T, r *http.Request) (*http.Response, string, error) {
@@ -83,7 +84,7 @@
 		reply(c, r.Header.Get("X-Id"), 200, "ok")
 	})
 	s := newSite(t, []*fakeTarget{f})
-	fresh := New(s.tracker, s.gateway.pool, func() {}, WithNames(testNames))
+	fresh := New(s.tracker, s.gateway.pool, s.gateway.budgets, func() {}, WithNames(testNames))
 	s.server.Config.Handler = fresh
 	require.False(t, fresh.Ready())
 	go func() {
@@ -170,7 +171,8 @@
 	}
 	a := newFakeTarget(t, "i-1", "lookup", "north", failing)
 	b := newFakeTarget(t, "i-2", "lookup", "north", failing)
-	s := newSite(t, []*fakeTarget{a, b}, WithRepeats(0, 3, time.Hour))
+	s := newSite(t, []*fakeTarget{a, b})
+	s.gateway.budgets = balance.NewBudgets(balance.BudgetConfig{Slack: 6, Window: time.Hour, Nodes: 1})
 	for range 20 {
 		resp, body, err := do(t, s.request(t, "GET", "/safe/", ""))
 		require.NoError(t, err)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -150,8 +150,9 @@
 	tracker := balance.NewTracker(balance.WithSeed(1), balance.WithDataHall("north"), balance.WithFarCost(1000, 1000))
 	pool := targetconn.NewPool(targetconn.WithIdentityHeader("X-Id"))
 	t.Cleanup(pool.Close)
-	opts = append([]Option{WithNames(testNames), WithRepeats(1, 100, 10*time.Second)}, opts...)
-	g := New(tracker, pool, func() {}, opts...)
+	opts = append([]Option{WithNames(testNames)}, opts...)
+	budgets := balance.NewBudgets(balance.BudgetConfig{Ratio: 1, Slack: 200, Window: 10 * time.Second, Nodes: 1})
+	g := New(tracker, pool, budgets, func() {}, opts...)
 	var list []discovery.Target
 	for _, f := range targets {
 		list = append(list, f.listed())
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -57,7 +57,7 @@
 	if c.sent >= max(1, c.route.MaxAttempts) {
 		return false
 	}
-	if !g.budget(c.service).Spend() {
+	if !g.budgets.Of(c.service).Spend() {
 		klog.InfoS("Not repeated: the budget is spent", "request", c.id, "service", c.service)
 		return false
 	}
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -33,6 +33,8 @@
 	Runs     []run  `msgpack:"r"`
 	// Ended are targets that the sender lately found to have ended.
 	Ended []string `msgpack:"e,omitempty"`
+	// Counts are the sender's requests and repeats, by service.
+	Counts map[string]balance.Count `msgpack:"n,omitempty"`
 	// Suspects are targets that lately broke off to the sender.
 	Suspects []string `msgpack:"s,omitempty"`
 }
@@ -59,6 +61,7 @@
 type Sharer struct {
 	conn    net.PacketConn
 	tracker *balance.Tracker
+	budgets *balance.Budgets
 	changed chan struct{}
 
 	mu    sync.Mutex
@@ -68,9 +71,9 @@
 }
 
 // New returns a sharer that sends and receives on conn.
-func New(conn net.PacketConn, tracker *balance.Tracker) *Sharer {
+func New(conn net.PacketConn, tracker *balance.Tracker, budgets *balance.Budgets) *Sharer {
 	s := &Sharer{
-		conn: conn, tracker: tracker, changed: make(chan struct{}, 1),
+		conn: conn, tracker: tracker, budgets: budgets, changed: make(chan struct{}, 1),
 		peers: map[string]*net.UDPAddr{}, named: map[string]time.Time{}, heard: map[string]uint64{},
 	}
 	tracker.OnChange(s.Changed)
@@ -147,6 +150,7 @@
 			m.Runs = append(m.Runs, encodeRun(r))
 		}
 	}
+	m.Counts = s.budgets.Counts()
 	m.Ended = s.tracker.Ended()
 	m.Ended = m.Ended[:min(len(m.Ended), maxEnded)]
 	m.Suspects = s.tracker.Suspects()
@@ -213,6 +217,7 @@
 	for _, r := range m.Runs {
 		runs = append(runs, r.shared())
 	}
+	s.budgets.SetOther(from, m.Counts)
 	s.tracker.SetEnded(m.Ended)
 	s.tracker.SetSuspects(m.Suspects)
 	s.tracker.SetOthers(from, runs)
--- a/loadshare/loadshare_test.go
+++ b/loadshare/loadshare_test.go
@@ -19,7 +19,7 @@
 	tracker.Update([]discovery.Target{
 		{ID: "1", Service: "s", Address: "10.0.0.1:80", Slots: 8}, {ID: "2", Service: "s", Address: "10.0.0.2:80", Slots: 8},
 	})
-	s := New(conn, tracker)
+	s := New(conn, tracker, balance.NewBudgets(balance.BudgetConfig{Ratio: 1, Slack: 10, Window: time.Second, Nodes: 2}))
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go s.Run(ctx)
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -24,12 +24,10 @@
 
 // Bounds of what clients may take up before a configuration is known.
 const (
-	headTimeout   = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
-	maxHeadBytes  = 64 << 10
-	nodesAssumed  = 16  // that share the bound on repeats
-	ownRepeat     = 0.9 // share of the site's ratio that a node uses
-	storeFraction = 0.5 // a store may be spent once saved up, and once as it refills
+	headTimeout  = 10 * time.Second
+	idleTimeout  = 2 * time.Minute
+	maxHeadBytes = 64 << 10
+	nodesAssumed = 16 // that share the bound on repeats, until they are heard
 )
 
 // entry answers clients.
@@ -52,9 +50,10 @@
 		g.Started()
 	})
 	s := p.settings
-	store := s.RepeatSlack / nodesAssumed * storeFraction
-	g = gateway.New(targets, pool, poller.Soon, gateway.WithNames(names),
-		gateway.WithRepeats(s.RepeatRatio*ownRepeat, store, s.RepeatWindow))
+	budgets := balance.NewBudgets(balance.BudgetConfig{
+		Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow, Nodes: nodesAssumed,
+	})
+	g = gateway.New(targets, pool, budgets, poller.Soon, gateway.WithNames(names))
 	adopt := func(version uint64, doc []byte) error {
 		table, err := p.adapter.Table(doc)
 		if err == nil {
@@ -68,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	sharer := loadshare.New(conn, targets)
+	sharer := loadshare.New(conn, targets, budgets)
 	p.client.AsEntry(s.PeerListen, sharer.SetPeers)
 	p.entry.front, err = listen(s.EntryListen, g)
 	if err != nil {
