--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -133,7 +133,7 @@
 	if !isEventStream(answer) {
 		return r.passOther(answer, t)
 	}
-	end := r.pass(answer, t, under.FirstEvent)
+	end := r.pass(ctx, answer, t, under.FirstEvent)
 	whole = end == endWhole
 	if end == endBroken && backup != nil {
 		r.copy = &copyOf{at: backup, identity: c.id}
@@ -189,7 +189,7 @@
 }
 
 // pass passes events on. First is called at the run's first event.
-func (r *relay) pass(a *targetconn.Answer, t *balance.Target, first func()) ending {
+func (r *relay) pass(ctx context.Context, a *targetconn.Answer, t *balance.Target, first func()) ending {
 	g, c := r.gateway, r.call
 	events := eventstream.NewReader(a)
 	seen := false
@@ -203,7 +203,7 @@
 		}
 		e, err := events.Next()
 		if err != nil {
-			return r.ended(a, t, events, err)
+			return r.ended(ctx, a, t, events, err)
 		}
 		if !seen {
 			seen = true
@@ -233,7 +233,7 @@
 }
 
 // ended tells a whole stream from one that broke off.
-func (r *relay) ended(a *targetconn.Answer, t *balance.Target, events *eventstream.Reader, err error) ending {
+func (r *relay) ended(ctx context.Context, a *targetconn.Answer, t *balance.Target, events *eventstream.Reader, err error) ending {
 	g, c := r.gateway, r.call
 	if err == io.EOF && a.Framed {
 		if rest := events.Rest(); len(rest) > 0 || !r.started {
@@ -241,6 +241,9 @@
 		}
 		return endWhole
 	}
+	if ctx.Err() != nil {
+		return endBroken // this side ended it: the client left, or time is up
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		g.counters.stalls.Inc()
 	}
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -122,4 +122,6 @@
 	case <-time.After(5 * time.Second):
 		t.Fatal("the run goes on")
 	}
+	s.server.Close() // waits for the handler
+	require.Empty(t, s.tracker.Suspects(), "the target did nothing wrong")
 }
