--- a/consensus/propose.go
+++ b/consensus/propose.go
@@ -45,7 +45,7 @@
 	t, ok := m.store.term(m.commit)
 	pending := m.groupIndex() > m.commit || !ok || t != m.store.ballot.Term
 	m.mu.Unlock()
-	if pending || difference(old, g) != 1 {
+	if !m.cfg.UncheckedChanges && (pending || difference(old, g) != 1) {
 		return ProposeReply{Code: walnutramp.CodeBadRequest}
 	}
 	return m.propose(ctx, Entry{Group: &g})
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -176,9 +176,12 @@
 	Heartbeat    time.Duration
 	Election     time.Duration // shortest wait for a leader; the longest is twice that
 	CompactBytes int64         // log size at which a snapshot replaces it
-	NoteCommits  bool          // leave word on the disk of how far the log is committed
-	Seed         uint64
-	OnFatal      func(error) // the disk failed: the process must end
+	// UncheckedChanges takes any change of the members at any time. It is there
+	// for tests that show what the checks prevent.
+	UncheckedChanges bool
+	NoteCommits      bool // leave word on the disk of how far the log is committed
+	Seed             uint64
+	OnFatal          func(error) // the disk failed: the process must end
 }
 
 // Option sets a field of Config.
@@ -199,6 +202,10 @@
 // what it knew to be committed.
 func WithCommitNotes() Option { return func(c *Config) { c.NoteCommits = true } }
 
+// WithUncheckedChanges takes any change of the members at any time, for tests
+// that show what the checks prevent.
+func WithUncheckedChanges() Option { return func(c *Config) { c.UncheckedChanges = true } }
+
 // WithOnFatal gives who is told that the disk failed.
 func WithOnFatal(f func(error)) Option { return func(c *Config) { c.OnFatal = f } }
 
