Give a run up that is silent before its first event, late enough not to add load

Cause: a target that takes a request and never begins held it until the client's deadline: the wait for the head had no bound of its own. Kept: 5 s, which only ends what is lost already.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,7 +38,7 @@
 	Names       Names
 	MaxBuffered int64         // bytes of request bodies held at once
 	Stall       time.Duration // silence within a stream after which its target is given up
-	FirstEvent  time.Duration // wait for a first event after which another target is tried
+	FirstEvent  time.Duration // wait for a first event, beside the reading of the prompt, after which another target is tried
 	StartWait   time.Duration // how long a request waits for a node that has just started
 	Copies      bool          // ask engines to keep copies of runs
 }
@@ -52,6 +52,10 @@
 // WithStall sets the silence after which a stream's target is given up.
 func WithStall(d time.Duration) Option { return func(c *Config) { c.Stall = d } }
 
+// WithFirstEvent sets the wait for a first event, beside the reading of the
+// prompt, after which another target is tried.
+func WithFirstEvent(d time.Duration) Option { return func(c *Config) { c.FirstEvent = d } }
+
 // WithCopies says whether engines keep copies of runs at each other.
 func WithCopies(on bool) Option { return func(c *Config) { c.Copies = on } }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -101,11 +101,12 @@
 func (r *relay) run(ctx context.Context, t *balance.Target, from *copyOf) ending {
 	g, c := r.gateway, r.call
 	r.runs++
-	ctx, cancel := context.WithCancel(ctx)
+	parent := ctx
+	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	work := g.targets.Kept(c.choice(), t)
 	klog.InfoS("Run begins", "request", c.id, "route", c.route.Name, "version", c.version, "target", t.ID, "again", c.again, "last", c.lastID, "read", c.work.Read,
-		"expectedRead", work.Read, "fromCopy", from != nil, "run", r.runs+1)
+		"expectedRead", work.Read, "fromCopy", from != nil, "run", r.runs)
 	if from != nil {
 		work.Read = 0
 	}
@@ -118,9 +119,14 @@
 	under := t.Begin(work, trace)
 	whole := false
 	defer func() { under.End(whole) }()
+	patience := time.AfterFunc(r.headWait(work), cancel)
 	answer, err := g.pool.Do(ctx, endpoint(t), request)
 	if err != nil {
-		g.noteFailure(ctx, c, t, err)
+		g.noteFailure(parent, c, t, err)
+		return endBroken
+	}
+	if !patience.Stop() {
+		answer.Close()
 		return endBroken
 	}
 	defer answer.Close()
@@ -163,6 +169,19 @@
 	return backup
 }
 
+// headWait is how long a run may be silent before its first event, when
+// another target may still answer in time; the last target is waited for.
+func (r *relay) headWait(work balance.Work) time.Duration {
+	c := r.call
+	if c.sent+1 >= c.route.MaxAttempts || !c.route.Idempotent() {
+		return time.Until(c.deadline)
+	}
+	return r.gateway.cfg.FirstEvent + time.Duration(work.Read)*readToken
+}
+
+// readToken is how long an engine takes to read a prompt's token.
+const readToken = 150 * time.Microsecond
+
 func isEventStream(a *targetconn.Answer) bool {
 	return a.Status == http.StatusOK && strings.HasPrefix(a.Header.Get("Content-Type"), eventStreamType) &&
 		a.Header.Get("Content-Encoding") == ""
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -125,3 +125,18 @@
 	s.server.Close() // waits for the handler
 	require.Empty(t, s.tracker.Suspects(), "the target did nothing wrong")
 }
+
+func TestTargetThatNeverBeginsIsGivenUp(t *testing.T) {
+	gone := make(chan struct{})
+	mute := newFakeTarget(t, "i-1", "draft", "north", func(_ *fakeTarget, _ *http.Request, c net.Conn) {
+		io.Copy(io.Discard, c)
+		close(gone)
+	})
+	good := newFakeTarget(t, "i-2", "draft", "south", draft(nil))
+	s := newSite(t, []*fakeTarget{mute, good}, WithFirstEvent(100*time.Millisecond))
+	_, body, err := do(t, s.request(t, "POST", "/draft/", "", "X-Deadline", "9000"))
+	require.NoError(t, err)
+	require.Equal(t, wholeDraft(1), body)
+	require.Len(t, mute.seen(), 1)
+	<-gone
+}
