Let the control group's leader read the list of targets for all entries

The leader now reads it and answers each entry's question for the newest document with it; an entry reads itself when the leader's word is older than 1.6 s, or when a target turns out to be another.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -120,6 +120,9 @@
 		if known == nil {
 			known = &Target{tracker: t, since: now, runs: map[*Run]struct{}{}}
 		}
+		if known.State == discovery.TargetDraining {
+			entry.State = discovery.TargetDraining // a target that leaves does not come back
+		}
 		known.Target = entry
 		byID[entry.ID] = known
 		service[entry.Service] = append(service[entry.Service], known)
--- a/control/client.go
+++ b/control/client.go
@@ -10,6 +10,7 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/caller"
+	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/target"
 	"k8s.io/klog/v2"
@@ -44,6 +45,8 @@
 	adopt AdoptFunc
 	entry string         // this node's address among the entries, empty if it is none
 	seen  func([]string) // is told the entries
+	fed   FedFunc        // is told the leader's list of targets
+	held  uint64         // version of that list
 	fast  bool           // nodes of the group come and go, so silence is given up on early
 
 	mu     sync.Mutex
@@ -82,6 +85,32 @@
 	return c
 }
 
+// FedFunc takes the leader's list of targets, and how old it is; same says
+// that it is the one taken last, and list is nil then.
+type FedFunc func(list []discovery.Target, same bool, age time.Duration)
+
+// FeedTargets has the leader's list of targets told to fed. It must be called
+// before Start.
+func (c *Client) FeedTargets(fed FedFunc) { c.fed = fed }
+
+// takeRoster hands the leader's list of targets on.
+func (c *Client) takeRoster(r RosterReply) {
+	if c.fed == nil || r.Version == 0 {
+		return
+	}
+	if r.Version == c.held {
+		c.fed(nil, true, r.Age)
+		return
+	}
+	list, err := r.Targets()
+	if err != nil {
+		klog.ErrorS(err, "List of targets not taken")
+		return
+	}
+	c.held = r.Version
+	c.fed(list, false, r.Age)
+}
+
 // AsEntry makes the node known as an entry at an address, and has the
 // addresses of all entries told to seen. It must be called before Start.
 func (c *Client) AsEntry(address string, seen func([]string)) {
@@ -159,7 +188,7 @@
 	defer cancel()
 	asked := time.Now()
 	var reply NewestReply
-	args := NewestArgs{Have: c.Version(), Wait: wait, Unconfirmed: c.fast && c.Version() == 0, Entry: c.entry}
+	args := NewestArgs{Have: c.Version(), Wait: wait, Unconfirmed: c.fast && c.Version() == 0, Entry: c.entry, Roster: c.held}
 	if err := c.peers.Call(ctx, c.target(), Service+".Newest", args, &reply); err != nil {
 		c.forgetLeader("")
 		return false
@@ -172,6 +201,7 @@
 		c.forgetLeader(reply.Leader)
 		return false
 	}
+	c.takeRoster(reply.Roster)
 	taken := c.take(reply, asked)
 	if reply.Unconfirmed {
 		c.forgetLeader(reply.Leader)
--- a/control/model_test.go
+++ b/control/model_test.go
@@ -154,7 +154,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m.mu.Lock()
 	n.identity, n.client, n.cancel = identity, client, cancel
-	n.server = NewOpenServer(n.member, n.state, keeper)
+	n.server = NewOpenServer(n.member, n.state, keeper, NewRoster())
 	n.up = true
 	m.mu.Unlock()
 	n.member.Start()
--- a/control/server.go
+++ b/control/server.go
@@ -19,6 +19,8 @@
 	Wait time.Duration // how long to wait for a newer one
 	// Unconfirmed asks any member for what it holds.
 	Unconfirmed bool
+	// Roster is the version of the list of targets that the asker holds.
+	Roster uint64
 	// Entry is the address at which the asker hears other entries; empty if it
 	// is none.
 	Entry string
@@ -39,6 +41,8 @@
 	Unconfirmed bool
 	// Entries are the addresses of entries that asked lately.
 	Entries []string
+	// Roster is the leader's list of targets, where the asker holds another.
+	Roster RosterReply
 }
 
 // DoArgs hands over a command.
@@ -63,12 +67,13 @@
 	operators bundle.Operators
 	keeper    *Keeper // nil where members are changed by hand
 	entries   entries
+	roster    *Roster // nil where nodes read the list themselves
 }
 
 // NewOpenServer returns a server of a site that asks for no signatures and
 // whose members change by themselves.
-func NewOpenServer(m *consensus.Member, s *State, k *Keeper) *Server {
-	return &Server{member: m, state: s, keeper: k}
+func NewOpenServer(m *consensus.Member, s *State, k *Keeper, r *Roster) *Server {
+	return &Server{member: m, state: s, keeper: k, roster: r}
 }
 
 // NewServer returns a server over a member and its state.
@@ -100,6 +105,9 @@
 		return nil
 	}
 	s.fill(args, reply)
+	if s.roster != nil && args.Entry != "" {
+		reply.Roster = s.roster.since(args.Roster)
+	}
 	return nil
 }
 
@@ -153,18 +161,29 @@
 // await waits for a bundle newer than the asker's, for as long as it wants.
 func (s *Server) await(ctx context.Context, args NewestArgs) {
 	newest, _, _, changed := s.state.since(args.Have)
-	if newest.Version > args.Have || args.Wait <= 0 {
+	rosterChanged, other := s.rosterChanged(args)
+	if newest.Version > args.Have || args.Wait <= 0 || other {
 		return
 	}
 	t := time.NewTimer(args.Wait)
 	defer t.Stop()
 	select {
 	case <-changed:
+	case <-rosterChanged:
 	case <-t.C:
 	case <-ctx.Done():
 	}
 }
 
+// rosterChanged returns what is closed when the list of targets changes, and
+// whether the asker holds another one already.
+func (s *Server) rosterChanged(args NewestArgs) (changed <-chan struct{}, other bool) {
+	if s.roster == nil || args.Entry == "" {
+		return nil, false
+	}
+	return s.roster.watch(args.Roster)
+}
+
 // Do implements the RPC that changes the ledger.
 func (s *Server) Do(args DoArgs, reply *DoReply) error {
 	if args.Command.Submit != nil {
--- a/discovery/poller.go
+++ b/discovery/poller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/walnutramp/walnutramp/internal/pause"
@@ -21,6 +22,10 @@
 	take   func([]Target)
 	cfg    PollerConfig
 	soon   chan struct{}
+
+	mu   sync.Mutex
+	read time.Time // when the list in force was read, here or by another node
+	last time.Time // when another node's word on it came
 }
 
 // PollerConfig sets how often a Poller reads.
@@ -28,6 +33,8 @@
 	Interval time.Duration
 	Soonest  time.Duration // between two readings, when one is asked for
 	Timeout  time.Duration
+	Trust    time.Duration // how old another node's reading, and its word on it, may be
+	Only     func() bool   // reads only while this holds; nil for always
 }
 
 // PollerOption sets a field of PollerConfig.
@@ -38,9 +45,14 @@
 	return func(c *PollerConfig) { c.Interval = d }
 }
 
+// WithOnly makes a poller read only while a condition holds.
+func WithOnly(condition func() bool) PollerOption {
+	return func(c *PollerConfig) { c.Only = condition }
+}
+
 // NewPoller returns a poller that hands every list it reads to take.
 func NewPoller(source Source, take func([]Target), opts ...PollerOption) *Poller {
-	cfg := PollerConfig{Interval: time.Second, Soonest: 300 * time.Millisecond, Timeout: 700 * time.Millisecond}
+	cfg := PollerConfig{Interval: time.Second, Soonest: 300 * time.Millisecond, Timeout: 700 * time.Millisecond, Trust: 1600 * time.Millisecond}
 	for _, opt := range opts {
 		opt(&cfg)
 	}
@@ -55,41 +67,83 @@
 	}
 }
 
+// Fed takes another node's reading in place of an own one: a list, or the
+// word that the one taken last is still the same.
+func (p *Poller) Fed(list []Target, same bool, age time.Duration) {
+	read := time.Now().Add(-age)
+	p.mu.Lock()
+	newer := read.After(p.read)
+	if newer {
+		p.read, p.last = read, time.Now()
+	}
+	p.mu.Unlock()
+	if newer && !same {
+		p.take(list)
+	}
+}
+
+// fresh reports whether another node's reading makes an own one needless.
+func (p *Poller) fresh() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.last) < p.cfg.Trust && p.last.Sub(p.read) < p.cfg.Trust
+}
+
+// due reports whether it is time to read.
+func (p *Poller) due(asked bool) bool {
+	if p.cfg.Only != nil && !p.cfg.Only() {
+		return false
+	}
+	return asked || !p.fresh()
+}
+
 // Run reads until ctx ends.
 func (p *Poller) Run(ctx context.Context) {
-	lost := false
+	lost, asked := false, false
 	for {
-		err := p.read(ctx)
+		var err error
+		if p.due(asked) {
+			err = p.readOnce(ctx)
+		}
 		if (err != nil) != lost {
 			lost = err != nil
 			klog.InfoS("List of targets", "lost", lost, "err", err)
 		}
-		if !pause.For(ctx, p.cfg.Soonest) || !p.wait(ctx) {
+		if !pause.For(ctx, p.cfg.Soonest) {
+			return
+		}
+		if asked = p.wait(ctx); ctx.Err() != nil {
 			return
 		}
 	}
 }
 
-func (p *Poller) read(ctx context.Context) error {
+func (p *Poller) readOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.Timeout)
 	defer cancel()
+	began := time.Now()
 	list, err := p.source.Targets(ctx)
-	if err == nil {
-		p.take(list)
+	if err != nil {
+		return err
 	}
-	return err
+	p.mu.Lock()
+	p.read = began
+	p.mu.Unlock()
+	p.take(list)
+	return nil
 }
 
-// wait waits for the next reading; the interval is drawn so that nodes spread.
+// wait waits for the next reading; the interval is drawn so that nodes
+// spread. It reports whether a reading was asked for.
 func (p *Poller) wait(ctx context.Context) bool {
 	rest := p.cfg.Interval - p.cfg.Soonest
 	t := time.NewTimer(rest*9/10 + rand.N(rest/5+1))
 	defer t.Stop()
 	select {
-	case <-t.C:
 	case <-p.soon:
+		return true
+	case <-t.C:
 	case <-ctx.Done():
-		return false
 	}
-	return true
+	return false
 }
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -69,6 +69,7 @@
 	}
 	sharer := loadshare.New(conn, targets, budgets)
 	p.client.AsEntry(s.PeerListen, sharer.SetPeers)
+	p.client.FeedTargets(poller.Fed)
 	p.entry.front, err = listen(s.EntryListen, g)
 	if err != nil {
 		return err
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -12,6 +12,7 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/consensus"
 	"github.com/walnutramp/walnutramp/control"
+	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/peer"
 	"github.com/walnutramp/walnutramp/wal"
 	"k8s.io/klog/v2"
@@ -53,10 +54,12 @@
 		return err
 	}
 	keeper := control.NewKeeper(self.Node, member)
+	roster := control.NewRoster()
+	poller := discovery.NewPoller(p.adapter.Source(), roster.Set, discovery.WithOnly(member.Leads))
 	server := peer.NewServer(self, &p.traffic)
 	if err := errors.Join(
 		server.Register(consensus.Service, member.Handler()),
-		server.Register(control.Service, control.NewOpenServer(member, state, keeper)),
+		server.Register(control.Service, control.NewOpenServer(member, state, keeper, roster)),
 	); err != nil {
 		return err
 	}
@@ -68,6 +71,7 @@
 	member.Start()
 	p.client = control.NewDocumentClient(p.peers, s.Seeds, func(uint64, []byte) error { return nil })
 	go keeper.Run(p.ctx)
+	go poller.Run(p.ctx)
 	go control.NewJoiner(p.peers, self.Node, identity, member, p.client).Run(p.ctx)
 	p.replica = &replica{member: member, server: server}
 	p.replica.operator, err = listen(s.OperatorAddr, p.adapter.Operator(&documents{client: p.client, member: member, limit: s.OperatorIn}))
