--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,8 +17,23 @@
 	Slots   int
 }
 
+// Policy says how a target is chosen among those that may be asked.
+type Policy string
+
+// The policies. All but Predicted are there to be compared with.
+const (
+	Predicted     Policy = "predicted"      // least wait predicted
+	LeastReported Policy = "least-reported" // least load that its newest answer told
+	RoundRobin    Policy = "round-robin"
+	Random        Policy = "random"
+)
+
+// Policies lists every policy.
+func Policies() []Policy { return []Policy{Predicted, LeastReported, RoundRobin, Random} }
+
 // Config sets how targets are weighed.
 type Config struct {
+	Policy        Policy
 	DataHall      string        // of this node
 	FarCost       float64       // of an engine in another data hall, in milliseconds of wait
 	FarSlotCost   float64       // the same of a plain service's target
@@ -33,6 +48,9 @@
 // Option sets a field of Config.
 type Option func(*Config)
 
+// WithPolicy sets how a target is chosen.
+func WithPolicy(p Policy) Option { return func(c *Config) { c.Policy = p } }
+
 // WithDataHall names the data hall of this node.
 func WithDataHall(hall string) Option { return func(c *Config) { c.DataHall = hall } }
 
@@ -47,6 +65,7 @@
 
 func defaultConfig() Config {
 	return Config{
+		Policy:        Predicted,
 		FarCost:       200,
 		FarSlotCost:   20,
 		LoadHalfLife:  2 * time.Second,
@@ -69,6 +88,7 @@
 	others  map[string]sharedRuns // by node
 	broken  []*Run                // own runs that broke off, oldest first
 	changed func()                // own runs changed
+	turn    uint64                // of RoundRobin
 	rng     *rand.Rand
 }
 
@@ -78,6 +98,7 @@
 	tracker *Tracker
 	since   time.Time // when it was first listed
 
+	turn    uint64    // of RoundRobin, when it was chosen last
 	gone    bool      // it is known to have ended
 	refused time.Time // when nobody answered at its address
 	broke   time.Time // when it broke off, and has not been heard of since
--- a/balance/score.go
+++ b/balance/score.go
@@ -36,6 +36,7 @@
 	doubtCost       = 1500.0
 	sameHallCost    = 1e4
 	noiseCost       = 20.0
+	randomCost      = 100.0
 	requestCost     = 15.0  // of one more request under way at an engine
 	homeGain        = 250.0 // for the target that the key names, so that it is found again
 	keptRead        = 0.2   // share of a prompt read again where its key was before
@@ -68,6 +69,10 @@
 			best, bestScore = target, s
 		}
 	}
+	if best != nil {
+		t.turn++
+		best.turn = t.turn
+	}
 	return best
 }
 
@@ -126,6 +131,14 @@
 func (t *Target) score(c *Choice, home bool, now time.Time) float64 {
 	cfg := &t.tracker.cfg
 	score := t.tracker.rng.Float64() * noiseCost
+	switch cfg.Policy {
+	case Random:
+		return t.rest(c, now, t.tracker.rng.Float64()*randomCost)
+	case RoundRobin:
+		return t.rest(c, now, float64(t.turn))
+	case LeastReported:
+		return t.rest(c, now, score+slotCost*float64(t.told.Running+t.told.Waiting))
+	}
 	if c.Work == (Work{}) {
 		score += t.slotWait(now)
 	} else {
@@ -134,6 +147,12 @@
 	if t.DataHall != cfg.DataHall {
 		score += cfg.farCost(c)
 	}
+	return t.rest(c, now, score)
+}
+
+// rest adds what speaks against a target under every policy. The caller holds
+// the mutex.
+func (t *Target) rest(c *Choice, now time.Time, score float64) float64 {
 	if c.OtherHall != "" && t.DataHall == c.OtherHall {
 		score += sameHallCost
 	}
--- a/cmd/walnutramp/serve.go
+++ b/cmd/walnutramp/serve.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/logsink"
 	"github.com/walnutramp/walnutramp/platform"
 	"github.com/walnutramp/walnutramp/serve"
@@ -17,6 +18,7 @@
 type serveCommand struct {
 	*program
 	Config string `long:"config" env:"WALNUTRAMP_CONFIG" default:"/etc/walnutramp/local.toml" description:"settings file of the platform; it is read again on SIGHUP and when it changes"`
+	Policy string `long:"policy" env:"WALNUTRAMP_POLICY" default:"predicted" choice:"predicted" choice:"least-reported" choice:"round-robin" choice:"random" description:"how a target is chosen; all but the default are there to be compared with"`
 	Check  bool   `long:"check" description:"check the settings, and end"`
 }
 
@@ -30,6 +32,7 @@
 	if err != nil {
 		return &settingError{"--config", c.Config, "a settings file without mistakes (" + err.Error() + ")"}
 	}
+	settings.Policy = balance.Policy(c.Policy)
 	if c.Check {
 		return nil
 	}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -40,7 +40,11 @@
 
 func (p *Process) startEntry() error {
 	names := p.adapter.Names()
-	targets := balance.NewTracker(balance.WithDataHall(p.settings.DataHall))
+	weigh := []balance.Option{balance.WithDataHall(p.settings.DataHall)}
+	if p.settings.Policy != "" {
+		weigh = append(weigh, balance.WithPolicy(p.settings.Policy))
+	}
+	targets := balance.NewTracker(weigh...)
 	pool := targetconn.NewPool(targetconn.WithIdentityHeader(names.Identity))
 	var g *gateway.Gateway
 	poller := discovery.NewPoller(p.adapter.Source(), func(list []discovery.Target) {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/control"
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/gateway"
@@ -37,6 +38,8 @@
 	Grace      time.Duration // from the order to stop to the kill
 	OperatorIn time.Duration // in which an operator wants an answer
 
+	Policy balance.Policy // by which targets are chosen; empty for the default
+
 	RepeatRatio  float64 // of the site's bound on repeated sends
 	RepeatSlack  float64
 	RepeatWindow time.Duration
