--- a/balance/score.go
+++ b/balance/score.go
@@ -76,6 +76,19 @@
 	return best
 }
 
+// Expected predicts the time to the first event at a target, for whoever
+// compares it with what came.
+func (t *Tracker) Expected(c Choice, at *Target) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	read := float64(c.Work.Read) / readPerMS
+	if c.Again && t.home(c, now) == at {
+		read *= keptRead
+	}
+	return time.Duration((backlog(at.underWay(now)) + read) * float64(time.Millisecond))
+}
+
 // Kept returns what a request that comes again asks of a target: at the one
 // that its key names, most of the prompt was read before.
 func (t *Tracker) Kept(c Choice, at *Target) Work {
--- a/cmd/walnutramp/serve.go
+++ b/cmd/walnutramp/serve.go
@@ -19,6 +19,7 @@
 	*program
 	Config string `long:"config" env:"WALNUTRAMP_CONFIG" default:"/etc/walnutramp/local.toml" description:"settings file of the platform; it is read again on SIGHUP and when it changes"`
 	Policy string `long:"policy" env:"WALNUTRAMP_POLICY" default:"predicted" choice:"predicted" choice:"least-reported" choice:"round-robin" choice:"random" description:"how a target is chosen; all but the default are there to be compared with"`
+	NoLog  bool   `long:"no-log" env:"WALNUTRAMP_NO_LOG" description:"write no log lines; there to measure what they cost"`
 	Check  bool   `long:"check" description:"check the settings, and end"`
 }
 
@@ -38,6 +39,9 @@
 	}
 	sink := logsink.New(os.Stdout)
 	logTo(sink)
+	if c.NoLog {
+		logTo(io.Discard)
+	}
 	defer sink.Close(logFlush)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -106,7 +106,7 @@
 	defer cancel()
 	work := g.targets.Kept(c.choice(), t)
 	klog.InfoS("Run begins", "request", c.id, "route", c.route.Name, "version", c.version, "target", t.ID, "again", c.again, "last", c.lastID, "read", c.work.Read,
-		"expectedRead", work.Read, "fromCopy", from != nil, "run", r.runs)
+		"expectedRead", work.Read, "expected_ms", g.targets.Expected(c.choice(), t).Milliseconds(), "fromCopy", from != nil, "run", r.runs)
 	if from != nil {
 		work.Read = 0
 	}
