--- a/control/client.go
+++ b/control/client.go
@@ -9,10 +9,7 @@
 
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
-	"github.com/walnutramp/walnutramp/caller"
-	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/internal/pause"
-	"github.com/walnutramp/walnutramp/target"
 	"k8s.io/klog/v2"
 )
 
@@ -85,38 +82,6 @@
 	return c
 }
 
-// FedFunc takes the leader's list of targets, and how old it is; same says
-// that it is the one taken last, and list is nil then.
-type FedFunc func(list []discovery.Target, same bool, age time.Duration)
-
-// FeedTargets has the leader's list of targets told to fed. It must be called
-// before Start.
-func (c *Client) FeedTargets(fed FedFunc) { c.fed = fed }
-
-// takeRoster hands the leader's list of targets on.
-func (c *Client) takeRoster(r RosterReply) {
-	if c.fed == nil || r.Version == 0 {
-		return
-	}
-	if r.Version == c.held {
-		c.fed(nil, true, r.Age)
-		return
-	}
-	list, err := r.Targets()
-	if err != nil {
-		klog.ErrorS(err, "List of targets not taken")
-		return
-	}
-	c.held = r.Version
-	c.fed(list, false, r.Age)
-}
-
-// AsEntry makes the node known as an entry at an address, and has the
-// addresses of all entries told to seen. It must be called before Start.
-func (c *Client) AsEntry(address string, seen func([]string)) {
-	c.entry, c.seen = address, seen
-}
-
 func newClient(peers Peers, seeds []walnutramp.NodeName, adopt AdoptFunc) *Client {
 	c := &Client{peers: peers, seeds: seeds, adopt: adopt}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -312,126 +277,3 @@
 	}
 	return c.take(reply, asked)
 }
-
-// do sends a command until a leader has answered or time is up. The command
-// may be sent more than once, so it must bear that.
-func (c *Client) do(ctx context.Context, method string, args any) (Result, *walnutramp.Error) {
-	ctx, cancel := context.WithTimeout(ctx, commandTime)
-	defer cancel()
-	for {
-		var reply DoReply
-		tryCtx, cancelTry := context.WithTimeout(ctx, tryTime)
-		err := c.peers.Call(tryCtx, c.target(), Service+method, args, &reply)
-		cancelTry()
-		switch {
-		case err != nil:
-			c.forgetLeader("")
-		case reply.Code == walnutramp.CodeOK:
-			return reply.Result, nil
-		case reply.Code == walnutramp.CodeBundleInvalid, reply.Code == walnutramp.CodeBundleSignature:
-			return Result{}, walnutramp.NewError(reply.Code, walnutramp.NotRun, "%s", reply.Code.Info().Text)
-		default:
-			c.forgetLeader(reply.Leader)
-		}
-		if !pause.For(ctx, tryPause) {
-			return Result{}, walnutramp.NewError(walnutramp.CodeLedgerAway, walnutramp.NotRun,
-				"the control group did not answer in %v", commandTime).WithRetryAfter(time.Second)
-		}
-	}
-}
-
-// Claim implements caller.Ledger. Where it fails the claim may yet stand, so
-// it is settled as not run in the background: this node never sends it.
-func (c *Client) Claim(ctx context.Context, claim caller.Claim) (caller.Held, error) {
-	token := rand.Uint64()
-	cmd := Command{Claim: &Claim{Account: claim.Account, Key: claim.Key, Digest: claim.Digest, Token: token}}
-	r, err := c.do(ctx, ".Do", DoArgs{Command: cmd})
-	if err != nil {
-		c.disclaim(claim, token)
-		return caller.Held{}, err
-	}
-	return caller.Held{
-		Mine: r.Mine, Token: r.Entry.Token, Outcome: r.Entry.Outcome, Settled: r.Entry.Settled,
-		Digest: r.Entry.Digest, Answer: r.Entry.Answer,
-	}, nil
-}
-
-// disclaim records in the background that a claim was not sent.
-func (c *Client) disclaim(claim caller.Claim, token uint64) {
-	if c.ctx.Err() != nil {
-		return
-	}
-	c.tasks.Add(1)
-	go func() {
-		defer c.tasks.Done()
-		if err := c.Settle(c.ctx, claim, token, walnutramp.NotRun, target.Answer{}); err != nil {
-			klog.V(1).InfoS("Claim left open", "account", claim.Account, "err", err)
-		}
-	}()
-}
-
-// Settle implements caller.Ledger.
-func (c *Client) Settle(ctx context.Context, claim caller.Claim, token uint64, outcome walnutramp.Outcome, a target.Answer) error {
-	cmd := Command{Settle: &Settle{Account: claim.Account, Key: claim.Key, Token: token, Outcome: outcome, Answer: a}}
-	if _, err := c.do(ctx, ".Do", DoArgs{Command: cmd}); err != nil {
-		return err
-	}
-	return nil
-}
-
-// Offer hands a document to the group of a site that asks for no signature.
-// What it holds must have been checked.
-func (c *Client) Offer(ctx context.Context, version uint64, doc []byte) (Result, error) {
-	sub := Submit{Version: version, Digest: bundle.Digest(doc), Operator: "operator", Doc: doc}
-	r, err := c.do(ctx, ".Offer", OfferArgs{Submit: sub})
-	if err != nil {
-		return Result{}, err
-	}
-	return r, nil
-}
-
-// Newest returns the newest document of the group, as its leader had it
-// confirmed by a majority after this call; false if none could confirm it.
-func (c *Client) Newest(ctx context.Context) (version uint64, doc []byte, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, commandTime)
-	defer cancel()
-	for {
-		var reply NewestReply
-		tryCtx, cancelTry := context.WithTimeout(ctx, tryTime)
-		err := c.peers.Call(tryCtx, c.target(), Service+".Newest", NewestArgs{}, &reply)
-		cancelTry()
-		if err == nil && reply.Code == walnutramp.CodeOK {
-			return reply.Version, reply.Doc, true
-		}
-		c.forgetLeader(reply.Leader)
-		if !pause.For(ctx, tryPause) {
-			return 0, nil, false
-		}
-	}
-}
-
-// Submit offers a signed bundle to the group.
-func (c *Client) Submit(ctx context.Context, doc []byte, s bundle.Signature) (Result, error) {
-	r, err := c.do(ctx, ".Submit", SubmitArgs{Doc: doc, Signature: s})
-	if err != nil {
-		return Result{}, err
-	}
-	return r, nil
-}
-
-// History returns the accepted bundles from a member that answers.
-func (c *Client) History(ctx context.Context) (HistoryReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, commandTime)
-	defer cancel()
-	for {
-		var r HistoryReply
-		err := c.peers.Call(ctx, c.target(), Service+".History", HistoryArgs{}, &r)
-		if err == nil {
-			return r, nil
-		}
-		c.forgetLeader("")
-		if !pause.For(ctx, tryPause) {
-			return HistoryReply{}, err
-		}
-	}
-}
--- /dev/null
+++ b/control/feed.go
@@ -0,0 +1,40 @@
+package control
+
+import (
+	"time"
+
+	"github.com/walnutramp/walnutramp/discovery"
+	"k8s.io/klog/v2"
+)
+
+// FedFunc takes the leader's list of targets, and how old it is; same says
+// that it is the one taken last, and list is nil then.
+type FedFunc func(list []discovery.Target, same bool, age time.Duration)
+
+// FeedTargets has the leader's list of targets told to fed. It must be called
+// before Start.
+func (c *Client) FeedTargets(fed FedFunc) { c.fed = fed }
+
+// takeRoster hands the leader's list of targets on.
+func (c *Client) takeRoster(r RosterReply) {
+	if c.fed == nil || r.Version == 0 {
+		return
+	}
+	if r.Version == c.held {
+		c.fed(nil, true, r.Age)
+		return
+	}
+	list, err := r.Targets()
+	if err != nil {
+		klog.ErrorS(err, "List of targets not taken")
+		return
+	}
+	c.held = r.Version
+	c.fed(list, false, r.Age)
+}
+
+// AsEntry makes the node known as an entry at an address, and has the
+// addresses of all entries told to seen. It must be called before Start.
+func (c *Client) AsEntry(address string, seen func([]string)) {
+	c.entry, c.seen = address, seen
+}
