--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -47,7 +47,6 @@
 	endNone                 // there is no target to ask
 	endBroken               // no answer, or it broke off
 	endOther                // an answer that is no event stream was passed on
-
 )
 
 // stream serves a request whose answer is an event stream.
@@ -97,36 +96,52 @@
 	return r.run(ctx, t, nil)
 }
 
+// order is what one run asks of its target.
+type order struct {
+	request *targetconn.Request
+	work    balance.Work
+	holder  *balance.Target // keeps a copy of the run; nil for none
+	trace   balance.Trace
+}
+
 // run passes one run on until it ends.
 func (r *relay) run(ctx context.Context, t *balance.Target, from *copyOf) ending {
-	g, c := r.gateway, r.call
 	r.runs++
-	parent := ctx
-	ctx, cancel := context.WithCancel(parent)
-	defer cancel()
-	work := g.targets.Kept(c.choice(), t)
-	klog.InfoS("Run begins", "request", c.id, "route", c.route.Name, "version", c.version, "target", t.ID, "again", c.again, "last", c.lastID, "read", c.work.Read,
-		"expectedRead", work.Read, "expected_ms", g.targets.Expected(c.choice(), t).Milliseconds(), "fromCopy", from != nil, "run", r.runs)
+	o := r.order(t, from)
+	under := t.Begin(o.work, o.trace)
+	end := r.follow(ctx, t, o, under)
+	under.End(end == endWhole)
+	if end == endBroken && o.holder != nil {
+		r.copy = &copyOf{at: o.holder, identity: r.call.id}
+	}
+	return end
+}
+
+// order works out what a run asks of its target.
+func (r *relay) order(t *balance.Target, from *copyOf) order {
+	g, c := r.gateway, r.call
+	o := order{request: g.request(c, t), work: g.targets.Kept(c.choice(), t), trace: balance.Trace{Key: c.key, Identity: c.id}}
+	klog.InfoS("Run begins", "request", c.id, "route", c.route.Name, "version", c.version, "target", t.ID, "again", c.again, "last", c.lastID,
+		"read", c.work.Read, "expectedRead", o.work.Read, "expected_ms", g.targets.Expected(c.choice(), t).Milliseconds(),
+		"fromCopy", from != nil, "run", r.runs)
 	if from != nil {
-		work.Read = 0
+		o.work.Read = 0
 	}
-	request := g.request(c, t)
-	backup := r.copies(request, t, from)
-	trace := balance.Trace{Key: c.key, Identity: c.id}
-	if backup != nil {
-		trace.Copy = backup.ID
+	if o.holder = r.copies(o.request, t, from); o.holder != nil {
+		o.trace.Copy = o.holder.ID
 	}
-	under := t.Begin(work, trace)
-	whole := false
-	defer func() { under.End(whole) }()
-	patience := time.AfterFunc(r.headWait(work), cancel)
-	answer, err := g.pool.Do(ctx, endpoint(t), request)
+	return o
+}
+
+// follow sends a run's request and passes on what comes.
+func (r *relay) follow(ctx context.Context, t *balance.Target, o order, under *balance.Run) ending {
+	g, c := r.gateway, r.call
+	runCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	patience := time.AfterFunc(r.headWait(o.work), cancel)
+	answer, err := g.pool.Do(runCtx, endpoint(t), o.request)
 	if err != nil {
-		g.noteFailure(parent, c, t, err)
-		return endBroken
-	}
-	if !patience.Stop() {
-		answer.Close()
+		g.noteFailure(ctx, c, t, err)
 		return endBroken
 	}
 	defer answer.Close()
@@ -136,15 +151,13 @@
 		return endTurned
 	}
 	c.ran(t)
+	if !patience.Stop() {
+		return endBroken
+	}
 	if !isEventStream(answer) {
 		return r.passOther(answer, t)
 	}
-	end := r.pass(ctx, answer, t, under.FirstEvent)
-	whole = end == endWhole
-	if end == endBroken && backup != nil {
-		r.copy = &copyOf{at: backup, identity: c.id}
-	}
-	return end
+	return r.pass(runCtx, answer, t, under.FirstEvent)
 }
 
 // copies asks for a copy of the run at another target, and names the copy
