Keep the traces of copies over a kill of all nodes

An entry with a disk now writes what it knows (without a sync, by a task of its own), and tells the others when it starts.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -87,9 +87,12 @@
 	listed  bool
 	others  map[string]sharedRuns // by node
 	broken  []*Run                // own runs that broke off, oldest first
+	memory  map[string]Trace      // by key, from before this node's start
 	changed func()                // own runs changed
 	turn    uint64                // of RoundRobin
 	rng     *rand.Rand
+
+	remembered time.Time // when memory was taken
 }
 
 // Target is one target with what is known of it.
--- a/balance/run.go
+++ b/balance/run.go
@@ -112,9 +112,43 @@
 	for _, r := range t.broken {
 		all = append(all, Shared{Target: r.target.ID, Trace: r.trace, Broken: true})
 	}
+	if time.Since(t.remembered) < copyLife {
+		for _, trace := range t.memory {
+			all = append(all, Shared{Trace: trace, Broken: true})
+		}
+	}
+	return all
+}
+
+// Traces returns how every run with a copy is found that this node knows of,
+// its own and other nodes'.
+func (t *Tracker) Traces() []Trace {
+	var all []Trace
+	for _, s := range t.Runs() {
+		if s.Trace.Copy != "" {
+			all = append(all, s.Trace)
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, o := range t.others {
+		for _, trace := range o.traces {
+			all = append(all, trace)
+		}
+	}
 	return all
 }
 
+// Remember takes the traces that this node knew before it was started again.
+func (t *Tracker) Remember(traces []Trace) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.memory, t.remembered = map[string]Trace{}, time.Now()
+	for _, trace := range traces {
+		t.memory[trace.Key] = trace
+	}
+}
+
 // FindCopy returns the copy of a run of the request that a key names, which
 // broke off here or at another node, or whose node fell silent. Nil if none
 // is known at a target that takes work.
@@ -139,6 +173,9 @@
 			at, identity = t.byID[trace.Copy], trace.Identity
 		}
 	}
+	if trace, ok := t.memory[key]; ok && at == nil && now.Sub(t.remembered) < copyLife {
+		at, identity = t.byID[trace.Copy], trace.Identity
+	}
 	if at == nil || !at.open(now) || at.suspect(now) {
 		return nil, ""
 	}
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -63,6 +63,9 @@
 	tracker *balance.Tracker
 	budgets *balance.Budgets
 	changed chan struct{}
+	news    chan struct{} // there is something new to write down
+	file    string        // of the memory; empty for none
+	started time.Time
 
 	mu    sync.Mutex
 	peers map[string]*net.UDPAddr
@@ -71,12 +74,18 @@
 }
 
 // New returns a sharer that sends and receives on conn.
-func New(conn net.PacketConn, tracker *balance.Tracker, budgets *balance.Budgets) *Sharer {
+func New(conn net.PacketConn, tracker *balance.Tracker, budgets *balance.Budgets, opts ...Option) *Sharer {
 	s := &Sharer{
-		conn: conn, tracker: tracker, budgets: budgets, changed: make(chan struct{}, 1),
+		conn: conn, tracker: tracker, budgets: budgets, changed: make(chan struct{}, 1), news: make(chan struct{}, 1), started: time.Now(),
 		peers: map[string]*net.UDPAddr{}, named: map[string]time.Time{}, heard: map[string]uint64{},
 	}
+	for _, opt := range opts {
+		opt(s)
+	}
 	tracker.OnChange(s.Changed)
+	if s.file != "" {
+		s.recall()
+	}
 	return s
 }
 
@@ -92,6 +101,11 @@
 // of the control group knows the entries only once they have asked it.
 const peerLife = 6 * time.Second
 
+// strangerTime is how long after its start a node hears nodes that it was not
+// told of: those that kept their peers over a restart speak before anybody
+// else can name them.
+const strangerTime = 2 * time.Second
+
 // SetPeers names the nodes that are there, by numeric host:port.
 func (s *Sharer) SetPeers(addresses []string) {
 	own := s.conn.LocalAddr().String()
@@ -120,6 +134,9 @@
 // Run sends until ctx ends, and receives until the connection is closed.
 func (s *Sharer) Run(ctx context.Context) {
 	go s.receive()
+	if s.file != "" {
+		go s.keepMemory(ctx)
+	}
 	defer s.conn.Close()
 	timer := time.NewTimer(Refresh)
 	defer timer.Stop()
@@ -139,6 +156,7 @@
 		}
 		sequence++
 		s.send(sequence)
+		s.note()
 		timer.Reset(Refresh)
 	}
 }
@@ -205,6 +223,7 @@
 func (s *Sharer) take(from string, m message) {
 	s.mu.Lock()
 	_, known := s.peers[from]
+	known = known || time.Since(s.started) < strangerTime
 	stale := m.Sequence <= s.heard[from]
 	if known && !stale {
 		s.heard[from] = m.Sequence
@@ -221,4 +240,5 @@
 	s.tracker.SetEnded(m.Ended)
 	s.tracker.SetSuspects(m.Suspects)
 	s.tracker.SetOthers(from, runs)
+	s.note()
 }
--- a/loadshare/loadshare_test.go
+++ b/loadshare/loadshare_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"net"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,6 +51,7 @@
 
 func TestStrangersAndOldMessagesAreDropped(t *testing.T) {
 	s, tracker := newNode(t)
+	s.started = time.Now().Add(-strangerTime)
 	s.SetPeers([]string{"127.0.0.1:9"})
 	heavy := message{Sequence: 5, Runs: []run{{Target: "1", Read: 90000, Hold: 90000}, {Target: "2", Hold: 1, Read: -5}}}
 	choice := balance.Choice{Service: "s", Work: balance.Work{Read: 8000, Hold: 8000}}
@@ -74,3 +78,51 @@
 	s.SetPeers([]string{"127.0.0.1:9"})
 	require.Len(t, s.peers, 1)
 }
+
+// All nodes are killed; one of them has a disk, and tells the others where the
+// copies are before anybody has told them who is there.
+func TestTracesOutliveAKillOfAllNodes(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "traces")
+	listen := func() net.PacketConn {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		require.NoError(t, err)
+		return conn
+	}
+	list := []discovery.Target{{ID: "1", Service: "s", Address: "10.0.0.1:80", Slots: 8}, {ID: "2", Service: "s", Address: "10.0.0.2:80", Slots: 8}}
+	budgets := balance.NewBudgets(balance.BudgetConfig{Ratio: 1, Slack: 10, Window: time.Second, Nodes: 2})
+	start := func(conn net.PacketConn, opts ...Option) (*Sharer, *balance.Tracker, context.CancelFunc) {
+		tracker := balance.NewTracker(balance.WithSeed(1))
+		tracker.Update(list)
+		s := New(conn, tracker, budgets, opts...)
+		ctx, cancel := context.WithCancel(context.Background())
+		go s.Run(ctx)
+		t.Cleanup(cancel)
+		return s, tracker, cancel
+	}
+	here, there := listen(), listen()
+	addresses := []string{here.LocalAddr().String(), there.LocalAddr().String()}
+	withDisk, hereTracker, killHere := start(here, WithMemory(file))
+	without, thereTracker, killThere := start(there)
+	withDisk.SetPeers(addresses)
+	without.SetPeers(addresses)
+	run := thereTracker.Pick(balance.Choice{Service: "s"}).Begin(balance.Work{Read: 1, Hold: 1}, balance.Trace{Key: "part-1", Identity: "run-1", Copy: "2"})
+	run.FirstEvent()
+	require.Eventually(t, func() bool { at, _ := hereTracker.FindCopy("part-1"); return at != nil }, 5*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool {
+		text, err := os.ReadFile(file)
+		return err == nil && strings.Contains(string(text), "run-1")
+	}, 5*time.Second, 10*time.Millisecond)
+	killHere()
+	killThere()
+
+	again, err := net.ListenPacket("udp", addresses[1])
+	for err != nil {
+		again, err = net.ListenPacket("udp", addresses[1])
+	}
+	_, laterTracker, _ := start(again)
+	_, _, _ = start(listen(), WithMemory(file))
+	require.Eventually(t, func() bool {
+		at, identity := laterTracker.FindCopy("part-1")
+		return at != nil && at.ID == "2" && identity == "run-1"
+	}, 5*time.Second, 5*time.Millisecond)
+}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"path/filepath"
 	"time"
 
 	"github.com/walnutramp/walnutramp/balance"
@@ -30,6 +31,9 @@
 	nodesAssumed = 16 // that share the bound on repeats, until they are heard
 )
 
+// tracesFile keeps where the copies of runs are, over a kill.
+const tracesFile = "traces"
+
 // entry answers clients.
 type entry struct {
 	gateway *gateway.Gateway
@@ -71,7 +75,11 @@
 	if err != nil {
 		return err
 	}
-	sharer := loadshare.New(conn, targets, budgets)
+	var memory []loadshare.Option
+	if s.DataDir != "" {
+		memory = append(memory, loadshare.WithMemory(filepath.Join(s.DataDir, tracesFile)))
+	}
+	sharer := loadshare.New(conn, targets, budgets, memory...)
 	p.client.AsEntry(s.PeerListen, sharer.SetPeers)
 	p.client.FeedTargets(poller.Fed)
 	p.entry.front, err = listen(s.EntryListen, g)
