Apply the configuration's bounds on connections; fail-closed as a site setting

net/http takes its bounds once; a connection now brings each deadline forward to what the configuration in force allows.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -49,6 +49,9 @@
 	if table == nil {
 		return nil, walnutramp.NewError(walnutramp.CodeNotInForce, walnutramp.NotRun, "no configuration is known here yet").WithRetryAfter(retryOther)
 	}
+	if !g.holdsLease() {
+		return nil, walnutramp.NewError(walnutramp.CodeNotInForce, walnutramp.NotRun, "this node is cut off from the control group").WithRetryAfter(retryOther)
+	}
 	if err := checkHeader(r, table.Limits); err != nil {
 		return nil, err
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,6 +40,7 @@
 	Stall       time.Duration // silence within a stream after which its target is given up
 	FirstEvent  time.Duration // wait for a first event, beside the reading of the prompt, after which another target is tried
 	StartWait   time.Duration // how long a request waits for a node that has just started
+	Lease       func() bool   // whether new work may be taken; nil for always
 	Copies      bool          // ask engines to keep copies of runs
 }
 
@@ -56,6 +57,10 @@
 // prompt, after which another target is tried.
 func WithFirstEvent(d time.Duration) Option { return func(c *Config) { c.FirstEvent = d } }
 
+// WithLease sets what says whether new work may be taken, on a site whose
+// nodes take none while they are cut off.
+func WithLease(held func() bool) Option { return func(c *Config) { c.Lease = held } }
+
 // WithCopies says whether engines keep copies of runs at each other.
 func WithCopies(on bool) Option { return func(c *Config) { c.Copies = on } }
 
@@ -109,6 +114,14 @@
 	g.Started()
 }
 
+// Limits returns the bounds of the table in force, none before the first.
+func (g *Gateway) Limits() Limits {
+	if t := g.table.Load(); t != nil {
+		return t.Limits
+	}
+	return Limits{}
+}
+
 // Started looks whether the node has all it needs to serve, and lets the
 // requests go on that wait for that.
 func (g *Gateway) Started() {
@@ -135,9 +148,12 @@
 
 // Ready reports whether requests can be served.
 func (g *Gateway) Ready() bool {
-	return g.table.Load() != nil && g.targets.Listed() && g.stopping.Load() == 0
+	return g.table.Load() != nil && g.targets.Listed() && g.stopping.Load() == 0 && g.holdsLease()
 }
 
+// holdsLease reports whether new work may be taken.
+func (g *Gateway) holdsLease() bool { return g.cfg.Lease == nil || g.cfg.Lease() }
+
 // The phases of a stop.
 const (
 	phaseServing int32 = iota
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -273,3 +273,21 @@
 	require.True(t, resp.Close)
 	require.Len(t, f.seen(), 1)
 }
+
+func TestCutOffNodeServesOnOrNotAsTheSiteWants(t *testing.T) {
+	f := newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		reply(c, r.Header.Get("X-Id"), 200, "ok")
+	})
+	held := true
+	s := newSite(t, []*fakeTarget{f}, WithLease(func() bool { return held }))
+	resp, _, err := do(t, s.request(t, "GET", "/safe/", ""))
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+	held = false
+	require.False(t, s.gateway.Ready())
+	resp, body, err := do(t, s.request(t, "GET", "/safe/", ""))
+	require.NoError(t, err)
+	require.Equal(t, 503, resp.StatusCode)
+	require.Contains(t, body, "not-run")
+	require.Len(t, f.seen(), 1)
+}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -61,7 +61,7 @@
 	budgets := balance.NewBudgets(balance.BudgetConfig{
 		Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow, Nodes: nodesAssumed,
 	})
-	g = gateway.New(targets, pool, budgets, poller.Soon, gateway.WithNames(names))
+	g = gateway.New(targets, pool, budgets, poller.Soon, gateway.WithNames(names), gateway.WithLease(p.lease()))
 	adopt := func(version uint64, doc []byte) error {
 		table, err := p.adapter.Table(doc)
 		if err == nil {
@@ -82,10 +82,12 @@
 	sharer := loadshare.New(conn, targets, budgets, memory...)
 	p.client.AsEntry(s.PeerListen, sharer.SetPeers)
 	p.client.FeedTargets(poller.Fed)
-	p.entry.front, err = listen(s.EntryListen, g)
+	clients, err := net.Listen("tcp", s.EntryListen)
 	if err != nil {
 		return err
 	}
+	p.entry.front = newServer(g)
+	serveOn(p.entry.front, &boundedListener{Listener: clients, limits: g.Limits})
 	p.entry.ready, err = listen(s.ReadyListen, p.adapter.Ready(g.Ready))
 	if err != nil {
 		return err
@@ -96,19 +98,36 @@
 	return nil
 }
 
+// lease says whether new work may be taken: always, unless the site wants
+// nodes that are cut off from the control group to take none.
+func (p *Process) lease() func() bool {
+	if !p.settings.FailClosed {
+		return nil
+	}
+	return func() bool { return p.client.InForce() }
+}
+
 // listen serves HTTP on an address.
 func listen(address string, h http.Handler) (*http.Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}
+	server := newServer(h)
+	serveOn(server, l)
+	return server, nil
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}
+}
+
+func serveOn(server *http.Server, l net.Listener) {
 	go func() {
 		if err := server.Serve(l); err != http.ErrServerClosed {
-			klog.ErrorS(err, "Listener ended", "address", address)
+			klog.ErrorS(err, "Listener ended", "address", l.Addr())
 		}
 	}()
-	return server, nil
 }
 
 // stop lets the balancer see that the node leaves, serves what still comes,
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -38,6 +38,10 @@
 	Grace      time.Duration // from the order to stop to the kill
 	OperatorIn time.Duration // in which an operator wants an answer
 
+	// FailClosed has entries refuse new work while they can't tell whether
+	// what they hold is the newest.
+	FailClosed bool
+
 	Policy balance.Policy // by which targets are chosen; empty for the default
 
 	RepeatRatio  float64 // of the site's bound on repeated sends
