Do not ask again at once who was asked in vain

An entry drew whom to ask among all members, the leader that was cut off in silence included, and took hints to it from members that had not heard of the new one.

--- a/control/client.go
+++ b/control/client.go
@@ -50,6 +50,7 @@
 	seeds  []walnutramp.NodeName // always asked, whoever the members are
 	group  []walnutramp.NodeName // as last heard
 	leader walnutramp.NodeName   // last known, or empty
+	missed walnutramp.NodeName   // who was asked in vain last
 	doc    []byte
 	have   uint64
 	until  time.Time // end of the lease
@@ -191,6 +192,9 @@
 	defer c.mu.Unlock()
 	if c.leader == "" {
 		known := c.known()
+		if others := without(known, c.missed); len(others) > 0 {
+			known = others
+		}
 		c.leader = known[rand.IntN(len(known))]
 	}
 	return c.leader
@@ -207,10 +211,20 @@
 	return known
 }
 
+func without(nodes []walnutramp.NodeName, missed walnutramp.NodeName) []walnutramp.NodeName {
+	return slices.DeleteFunc(slices.Clone(nodes), func(n walnutramp.NodeName) bool { return n == missed })
+}
+
+// forgetLeader notes that the node that was asked last is no leader, or does
+// not answer: it is not asked again next, whoever names it.
 func (c *Client) forgetLeader(hint walnutramp.NodeName) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.leader = ""
+	missed := c.missed
+	c.missed, c.leader = c.leader, ""
+	if hint != "" && hint == missed {
+		return // a member that has not heard of the new leader yet
+	}
 	if c.fast && hint != "" || slices.Contains(c.seeds, hint) {
 		c.leader = hint
 	}
