Tell runs by changes and by data hall, the list of targets by changes

The list of targets went whole to each entry with each change, and each 421 had an entry read all its pages.

Ruled out: processor time (entries used 0.0155 cores at most of 0.192).

Now a node tells what changed, and all there is now and then; peers of other halls are told later, and the more peers there are, the longer changes are gathered. The list and the entries' addresses go as changes. A fed node does not read the list itself. A share of the bound on repeats counts the nodes that are there.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -85,11 +85,12 @@
 	byID    map[string]*Target
 	service map[string][]*Target
 	listed  bool
-	others  map[string]sharedRuns // by node
-	broken  []*Run                // own runs that broke off, oldest first
-	memory  map[string]Trace      // by key, from before this node's start
-	changed func()                // own runs changed
-	turn    uint64                // of RoundRobin
+	others  map[string]*sharedRuns // by node
+	broken  []*Run                 // own runs that broke off, oldest first
+	memory  map[string]memory      // by key, from before this node's start
+	numbers uint64                 // of own runs
+	changed func()                 // own runs changed
+	turn    uint64                 // of RoundRobin
 	rng     *rand.Rand
 
 	remembered time.Time // when memory was taken
@@ -109,6 +110,7 @@
 	doubted time.Time // when its data hall was in doubt
 	heard   time.Time // when it last answered this node
 	runs    map[*Run]struct{}
+	others  map[string]otherRuns // by node
 	told    Load
 	toldAt  time.Time
 	own     int // own requests under way when it told
@@ -124,7 +126,7 @@
 		opt(&cfg)
 	}
 	return &Tracker{
-		cfg: cfg, byID: map[string]*Target{}, service: map[string][]*Target{}, others: map[string]sharedRuns{},
+		cfg: cfg, byID: map[string]*Target{}, service: map[string][]*Target{}, others: map[string]*sharedRuns{},
 		changed: func() {}, rng: rand.New(rand.NewPCG(cfg.Seed, 11)),
 	}
 }
@@ -142,7 +144,7 @@
 	for _, entry := range list {
 		known := t.byID[entry.ID]
 		if known == nil {
-			known = &Target{tracker: t, since: now, runs: map[*Run]struct{}{}}
+			known = &Target{tracker: t, since: now, runs: map[*Run]struct{}{}, others: map[string]otherRuns{}}
 		}
 		if known.State == discovery.TargetDraining {
 			entry.State = discovery.TargetDraining // a target that leaves does not come back
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -288,3 +288,21 @@
 		require.Equal(t, "north", copyAt(), "3 answers")
 	})
 }
+
+// Nodes that all keep to their own share must stay within the bound of all,
+// however many there are.
+func TestOwnSharesOfManyNodesStayWithinTheBound(t *testing.T) {
+	const nodes = 300
+	cfg := BudgetConfig{Ratio: 0.8, Slack: 150, Window: 10 * time.Second, Nodes: 16}
+	spent := 0
+	for range nodes {
+		budgets := NewBudgets(cfg)
+		budgets.Of("s").Earn()
+		budgets.SetNodes(nodes)
+		budgets.SetNodes(3) // a new leader knows few yet
+		for budgets.Of("s").Spend() {
+			spent++
+		}
+	}
+	require.LessOrEqual(t, float64(spent), cfg.Ratio*nodes+cfg.Slack)
+}
--- a/balance/budget.go
+++ b/balance/budget.go
@@ -72,6 +72,14 @@
 	return true
 }
 
+// setNodes says how many nodes share the bound. A lower count than before is
+// not taken: nodes that are not heard may spend all the same.
+func (b *Budget) setNodes(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cfg.Nodes = max(b.cfg.Nodes, n)
+}
+
 // inOwnShare reports whether a repeat is within this node's share. The caller
 // holds the mutex, as for the methods below.
 func (b *Budget) inOwnShare(own Count) bool {
@@ -155,6 +163,16 @@
 	return budget
 }
 
+// SetNodes says how many nodes are there to share each bound.
+func (b *Budgets) SetNodes(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cfg.Nodes = max(b.cfg.Nodes, n)
+	for _, budget := range b.byName {
+		budget.setNodes(n)
+	}
+}
+
 // Counts returns this node's counts by service, as far as there is any.
 func (b *Budgets) Counts() map[string]Count {
 	b.mu.Lock()
--- a/balance/run.go
+++ b/balance/run.go
@@ -20,6 +20,7 @@
 
 // Run is one request of this node under way at a target.
 type Run struct {
+	number uint64 // names the run among this node's
 	target *Target
 	work   Work
 	trace  Trace
@@ -32,6 +33,7 @@
 func (t *Target) Begin(w Work, trace Trace) *Run {
 	r := &Run{target: t, work: w, trace: trace, began: time.Now()}
 	t.tracker.mu.Lock()
+	r.number = t.tracker.nextNumber()
 	t.runs[r] = struct{}{}
 	t.tracker.mu.Unlock()
 	if w != (Work{}) {
@@ -75,6 +77,7 @@
 
 // Shared is what nodes tell each other of a run.
 type Shared struct {
+	Number uint64 // names the run among those of its node
 	Target string
 	Read   int           // tokens still to be read when it began; 0 once the first event has come
 	Hold   int           // tokens of memory
@@ -85,9 +88,15 @@
 
 // sharedRuns is what another node told.
 type sharedRuns struct {
-	at       time.Time
-	byTarget map[string][]Shared
-	traces   map[string]Trace // of runs with copies, by key
+	at      time.Time
+	targets []*Target        // at which it has runs under way
+	traces  map[string]Trace // of runs with copies, by key
+}
+
+// otherRuns are another node's runs at one target.
+type otherRuns struct {
+	told *sharedRuns
+	runs []Shared // their ages are as of told.at
 }
 
 // sharedLife is how long another node's word counts.
@@ -110,11 +119,11 @@
 	}
 	t.forgetBroken(time.Now())
 	for _, r := range t.broken {
-		all = append(all, Shared{Target: r.target.ID, Trace: r.trace, Broken: true})
+		all = append(all, Shared{Number: r.number, Target: r.target.ID, Trace: r.trace, Broken: true})
 	}
 	if time.Since(t.remembered) < copyLife {
-		for _, trace := range t.memory {
-			all = append(all, Shared{Trace: trace, Broken: true})
+		for _, m := range t.memory {
+			all = append(all, Shared{Number: m.number, Trace: m.trace, Broken: true})
 		}
 	}
 	return all
@@ -143,9 +152,9 @@
 func (t *Tracker) Remember(traces []Trace) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.memory, t.remembered = map[string]Trace{}, time.Now()
+	t.memory, t.remembered = map[string]memory{}, time.Now()
 	for _, trace := range traces {
-		t.memory[trace.Key] = trace
+		t.memory[trace.Key] = memory{number: t.nextNumber(), trace: trace}
 	}
 }
 
@@ -173,8 +182,8 @@
 			at, identity = t.byID[trace.Copy], trace.Identity
 		}
 	}
-	if trace, ok := t.memory[key]; ok && at == nil && now.Sub(t.remembered) < copyLife {
-		at, identity = t.byID[trace.Copy], trace.Identity
+	if m, ok := t.memory[key]; ok && at == nil && now.Sub(t.remembered) < copyLife {
+		at, identity = t.byID[m.trace.Copy], m.trace.Identity
 	}
 	if at == nil || !at.open(now) || at.suspect(now) {
 		return nil, ""
@@ -183,19 +192,32 @@
 }
 
 func (r *Run) shared(id string) Shared {
-	s := Shared{Target: id, Read: r.work.Read, Hold: r.work.Hold, Age: time.Since(r.began), Trace: r.trace}
+	s := Shared{Number: r.number, Target: id, Read: r.work.Read, Hold: r.work.Hold, Age: time.Since(r.began), Trace: r.trace}
 	if r.first {
 		s.Read = 0
 	}
 	return s
 }
 
+// memory is a trace from before this node's start.
+type memory struct {
+	number uint64
+	trace  Trace
+}
+
+// nextNumber names a run. The caller holds the mutex.
+func (t *Tracker) nextNumber() uint64 {
+	t.numbers++
+	return t.numbers
+}
+
 // SetOthers takes another node's runs in place of what it told before.
 func (t *Tracker) SetOthers(node string, runs []Shared) {
-	byTarget, traces := map[string][]Shared{}, map[string]Trace{}
+	byTarget := map[string][]Shared{}
+	told := &sharedRuns{at: time.Now(), traces: map[string]Trace{}}
 	for _, s := range runs {
 		if s.Trace.Key != "" && s.Trace.Copy != "" {
-			traces[s.Trace.Key] = s.Trace
+			told.traces[s.Trace.Key] = s.Trace
 		}
 		if !s.Broken {
 			byTarget[s.Target] = append(byTarget[s.Target], s)
@@ -203,24 +225,45 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.others[node] = sharedRuns{at: time.Now(), byTarget: byTarget, traces: traces}
+	t.forgetOther(node)
+	for name, o := range t.others {
+		if told.at.Sub(o.at) > copyLife {
+			t.forgetOther(name)
+		}
+	}
+	t.others[node] = told
+	for id, of := range byTarget {
+		if target := t.byID[id]; target != nil {
+			target.others[node] = otherRuns{told: told, runs: of}
+			told.targets = append(told.targets, target)
+		}
+	}
+}
+
+// forgetOther drops what another node told. The caller holds the mutex.
+func (t *Tracker) forgetOther(node string) {
+	o := t.others[node]
+	if o == nil {
+		return
+	}
+	for _, target := range o.targets {
+		delete(target.others, node)
+	}
+	delete(t.others, node)
 }
 
 // underWay returns all runs known at a target. The caller holds the mutex.
 func (t *Target) underWay(now time.Time) []Shared {
-	var all []Shared
+	all := make([]Shared, 0, len(t.runs)+len(t.others))
 	for r := range t.runs {
 		all = append(all, r.shared(t.ID))
 	}
-	for node, o := range t.tracker.others {
-		age := now.Sub(o.at)
-		if age > copyLife {
-			delete(t.tracker.others, node)
-		}
+	for _, o := range t.others {
+		age := now.Sub(o.told.at)
 		if age > sharedLife {
 			continue
 		}
-		for _, s := range o.byTarget[t.ID] {
+		for _, s := range o.runs {
 			s.Age += age
 			all = append(all, s)
 		}
--- a/control/client.go
+++ b/control/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/internal/pause"
 	"k8s.io/klog/v2"
 )
@@ -38,13 +39,16 @@
 // Client is a node's way to the control group. It keeps the newest bundle
 // with its lease, and implements caller.Ledger.
 type Client struct {
-	peers Peers
-	adopt AdoptFunc
-	entry string         // this node's address among the entries, empty if it is none
-	seen  func([]string) // is told the entries
-	fed   FedFunc        // is told the leader's list of targets
-	held  uint64         // version of that list
-	fast  bool           // nodes of the group come and go, so silence is given up on early
+	peers       Peers
+	adopt       AdoptFunc
+	entry       string         // this node's address among the entries, empty if it is none
+	seen        func([]string) // is told the entries
+	entries     []string       // as last told
+	entriesHeld uint64         // their version
+	fed         FedFunc        // is told the leader's list of targets
+	held        uint64         // version of that list
+	list        []discovery.Target
+	fast        bool // nodes of the group come and go, so silence is given up on early
 
 	mu     sync.Mutex
 	seeds  []walnutramp.NodeName // always asked, whoever the members are
@@ -154,15 +158,13 @@
 	defer cancel()
 	asked := time.Now()
 	var reply NewestReply
-	args := NewestArgs{Have: c.Version(), Wait: wait, Unconfirmed: c.fast && c.Version() == 0, Entry: c.entry, Roster: c.held}
+	args := NewestArgs{Have: c.Version(), Wait: wait, Unconfirmed: c.fast && c.Version() == 0, Entry: c.entry, Entries: c.entriesHeld, Roster: c.held}
 	if err := c.peers.Call(ctx, c.target(), Service+".Newest", args, &reply); err != nil {
 		c.forgetLeader("")
 		return false
 	}
 	c.LearnGroup(reply.Group)
-	if c.seen != nil && len(reply.Entries) > 0 {
-		c.seen(reply.Entries)
-	}
+	c.takeEntries(&reply)
 	if reply.Code != walnutramp.CodeOK {
 		c.forgetLeader(reply.Leader)
 		return false
--- a/control/entries.go
+++ b/control/entries.go
@@ -2,8 +2,11 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // entryLife is how long an entry counts as there since it asked.
@@ -15,11 +18,12 @@
 	heard map[string]time.Time
 }
 
-// noted notes who asks, and returns all who asked lately, in order; nobody is
-// told who is no entry.
-func (e *entries) noted(asker string) []string {
+// noted notes who asks, and returns all who asked lately, in order, with their
+// version; the asker is told the addresses only where it holds another, and
+// nothing if it is no entry.
+func (e *entries) noted(asker string, held uint64) (addresses []string, version uint64) {
 	if asker == "" {
-		return nil
+		return nil, 0
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -37,5 +41,9 @@
 		live = append(live, address)
 	}
 	slices.Sort(live)
-	return live
+	version = max(1, xxhash.Sum64String(strings.Join(live, " ")))
+	if version == held {
+		return nil, version
+	}
+	return live, version
 }
--- a/control/feed.go
+++ b/control/feed.go
@@ -24,12 +24,13 @@
 		c.fed(nil, true, r.Age)
 		return
 	}
-	list, err := r.Targets()
+	list, err := r.Targets(c.held, c.list)
 	if err != nil {
 		klog.ErrorS(err, "List of targets not taken")
+		c.held = 0
 		return
 	}
-	c.held = r.Version
+	c.held, c.list = r.Version, list
 	c.fed(list, false, r.Age)
 }
 
@@ -38,3 +39,15 @@
 func (c *Client) AsEntry(address string, seen func([]string)) {
 	c.entry, c.seen = address, seen
 }
+
+// takeEntries hands the addresses of all entries on. A reply without them says
+// that they are those that this node knows.
+func (c *Client) takeEntries(r *NewestReply) {
+	if c.seen == nil || r.EntriesVersion == 0 {
+		return
+	}
+	if r.EntriesVersion != c.entriesHeld {
+		c.entriesHeld, c.entries = r.EntriesVersion, r.Entries
+	}
+	c.seen(c.entries)
+}
--- a/control/roster.go
+++ b/control/roster.go
@@ -1,71 +1,158 @@
 package control
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/walnutramp/walnutramp/discovery"
 )
 
 // Roster is the leader's newest reading of the site's list of targets. Entries
 // get it with the word on the newest document, so that one node reads the list
-// for all of them.
+// for all of them; one that holds a list of a while ago gets what has changed.
 type Roster struct {
 	mu      sync.Mutex
-	encoded []byte
-	version uint64 // hash of the list; 0 before the first
+	past    []rosterVersion // newest last
 	read    time.Time
 	changed chan struct{}
 }
 
+// rosterVersion is one reading.
+type rosterVersion struct {
+	version uint64 // hash of the list
+	list    []discovery.Target
+	encoded []byte
+}
+
+// keepRosters is how many past readings are kept to tell changes from.
+const keepRosters = 24
+
 // NewRoster returns a roster without a list.
 func NewRoster() *Roster { return &Roster{changed: make(chan struct{})} }
 
-// RosterReply is a list of targets, or the word that the asker's is the same.
+// RosterReply is a list of targets, or what has changed since the asker's.
+// Where neither is there, the asker's list is the newest.
 type RosterReply struct {
-	Version uint64
-	List    []byte        // where the asker's version is another
+	Version uint64        // 0 where none is known
+	From    uint64        // version that Change is to be applied to
+	Change  *RosterChange // where the asker's version is known
+	List    []byte        // where it is not
 	Age     time.Duration // since the list was read
 }
 
-// Set takes a reading.
+// RosterChange turns one list of targets into another.
+type RosterChange struct {
+	Removed []string           // IDs
+	Put     []discovery.Target // new or changed
+}
+
+// Set takes a reading. The order of targets in it means nothing.
 func (r *Roster) Set(list []discovery.Target) {
+	list = slices.Clone(list)
+	slices.SortFunc(list, func(a, b discovery.Target) int { return cmp.Compare(a.ID, b.ID) })
 	encoded, err := msgpack.Marshal(list)
 	if err != nil {
 		panic(err) // these types always encode
 	}
-	version := max(1, xxhash.Sum64(encoded))
+	next := rosterVersion{version: max(1, xxhash.Sum64(encoded)), list: list, encoded: encoded}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.read = time.Now()
-	if version == r.version {
+	if next.version == r.newest().version {
 		return
 	}
-	r.encoded, r.version = encoded, version
+	r.past = append(r.past, next)
+	r.past = r.past[max(0, len(r.past)-keepRosters):]
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
+// newest returns the newest reading. The caller holds the mutex.
+func (r *Roster) newest() rosterVersion {
+	if len(r.past) == 0 {
+		return rosterVersion{}
+	}
+	return r.past[len(r.past)-1]
+}
+
 func (r *Roster) since(version uint64) RosterReply {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reply := RosterReply{Version: r.version, Age: time.Since(r.read)}
-	if version != r.version {
-		reply.List = r.encoded
+	newest := r.newest()
+	reply := RosterReply{Version: newest.version, Age: time.Since(r.read)}
+	if version == newest.version {
+		return reply
+	}
+	for _, before := range r.past {
+		if before.version == version {
+			change := changeOf(before.list, newest.list)
+			reply.From, reply.Change = version, &change
+			return reply
+		}
 	}
+	reply.List = newest.encoded
 	return reply
 }
 
 func (r *Roster) watch(version uint64) (changed <-chan struct{}, other bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.changed, r.version != 0 && r.version != version
+	newest := r.newest().version
+	return r.changed, newest != 0 && newest != version
 }
 
-// Targets decodes the list.
-func (r RosterReply) Targets() ([]discovery.Target, error) {
-	var list []discovery.Target
-	return list, msgpack.Unmarshal(r.List, &list)
+// changeOf returns what turns one list into another.
+func changeOf(from, to []discovery.Target) RosterChange {
+	var c RosterChange
+	before := make(map[string]discovery.Target, len(from))
+	for _, t := range from {
+		before[t.ID] = t
+	}
+	for _, t := range to {
+		if known, ok := before[t.ID]; !ok || known != t {
+			c.Put = append(c.Put, t)
+		}
+		delete(before, t.ID)
+	}
+	for id := range before {
+		c.Removed = append(c.Removed, id)
+	}
+	slices.Sort(c.Removed)
+	return c
+}
+
+// apply returns a list with a change made in it.
+func (c *RosterChange) apply(list []discovery.Target) []discovery.Target {
+	out := make(map[string]bool, len(c.Removed)+len(c.Put))
+	for _, id := range c.Removed {
+		out[id] = true
+	}
+	for _, t := range c.Put {
+		out[t.ID] = true
+	}
+	next := make([]discovery.Target, 0, len(list)+len(c.Put))
+	for _, t := range list {
+		if !out[t.ID] {
+			next = append(next, t)
+		}
+	}
+	return append(next, c.Put...)
+}
+
+// Targets returns the list that a reply tells of, by the one that the asker
+// holds under a version.
+func (r RosterReply) Targets(held uint64, list []discovery.Target) ([]discovery.Target, error) {
+	if r.Change != nil {
+		if r.From != held {
+			return nil, errors.Newf("the change is of list %x, %x is held", r.From, held)
+		}
+		return r.Change.apply(list), nil
+	}
+	var whole []discovery.Target
+	return whole, msgpack.Unmarshal(r.List, &whole)
 }
--- /dev/null
+++ b/control/roster_test.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+	"github.com/walnutramp/walnutramp/discovery"
+)
+
+func targetsNamed(first, n int) []discovery.Target {
+	var list []discovery.Target
+	for i := range n {
+		list = append(list, discovery.Target{ID: fmt.Sprint("i-", first+i), Service: "s", Address: fmt.Sprint("10.0.0.1:", first+i), Slots: 24})
+	}
+	return list
+}
+
+// An entry that asks now and then, whatever it holds, always ends up with the
+// leader's list.
+func TestEntryFollowsTheRoster(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	r := NewRoster()
+	var taken []discovery.Target
+	c := NewDocumentClient(nil, nil, nil)
+	defer c.Close()
+	c.FeedTargets(func(list []discovery.Target, same bool, _ time.Duration) {
+		if !same {
+			taken = list
+		}
+	})
+	list := targetsNamed(0, 280)
+	for step := range 300 {
+		gone, at := rng.IntN(4), rng.IntN(200)
+		list = append(append([]discovery.Target{}, list[:at]...), list[at+gone:]...)
+		list = append(list, targetsNamed(1000+10*step, gone)...)
+		list[rng.IntN(len(list))].State = discovery.TargetDraining
+		rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+		r.Set(list)
+		if rng.IntN(3) == 0 || step == 150 {
+			c.takeRoster(r.since(c.held))
+			require.ElementsMatch(t, list, taken)
+		}
+		if step == 100 {
+			c.held, c.list = 77, nil // a version that the leader does not know
+		}
+	}
+}
+
+func TestChangeOfTheRosterIsShort(t *testing.T) {
+	r := NewRoster()
+	list := targetsNamed(0, 280)
+	r.Set(list)
+	whole := r.since(0)
+	require.Nil(t, whole.Change)
+	r.Set(append(list[1:], targetsNamed(900, 1)...))
+	reply := r.since(whole.Version)
+	require.Nil(t, reply.List)
+	require.Equal(t, []string{"i-0"}, reply.Change.Removed)
+	require.Len(t, reply.Change.Put, 1)
+	short, err := msgpack.Marshal(reply)
+	require.NoError(t, err)
+	require.Less(t, len(short)*20, len(whole.List))
+	shuffled := append([]discovery.Target{}, list[1:]...)
+	shuffled = append(targetsNamed(900, 1), shuffled...)
+	r.Set(shuffled)
+	require.Equal(t, reply.Version, r.since(0).Version, "the order means nothing")
+	_, err = reply.Targets(5, nil)
+	require.Error(t, err, "a change of another list")
+}
+
+func TestEntriesAreToldOnlyWhenTheyChange(t *testing.T) {
+	var e entries
+	first, version := e.noted("10.0.0.1:1", 0)
+	require.Equal(t, []string{"10.0.0.1:1"}, first)
+	again, same := e.noted("10.0.0.1:1", version)
+	require.Nil(t, again)
+	require.Equal(t, version, same)
+	both, other := e.noted("10.0.0.2:1", version)
+	require.Len(t, both, 2)
+	require.NotEqual(t, version, other)
+	none, zero := e.noted("", 0)
+	require.Nil(t, none)
+	require.Zero(t, zero)
+}
--- a/control/server.go
+++ b/control/server.go
@@ -24,6 +24,8 @@
 	// Entry is the address at which the asker hears other entries; empty if it
 	// is none.
 	Entry string
+	// Entries is the version of the entries' addresses that the asker holds.
+	Entries uint64
 }
 
 // NewestReply is the leader's word, confirmed by a majority after it was
@@ -39,8 +41,10 @@
 	Group []walnutramp.NodeName
 	// Unconfirmed says that a newer one may be in force.
 	Unconfirmed bool
-	// Entries are the addresses of entries that asked lately.
-	Entries []string
+	// Entries are the addresses of entries that asked lately, where the asker
+	// holds another version of them. The version is 0 where none are told.
+	Entries        []string
+	EntriesVersion uint64
 	// Roster is the leader's list of targets, where the asker holds another.
 	Roster RosterReply
 }
@@ -88,7 +92,7 @@
 	if s.keeper != nil {
 		reply.Group = s.member.Status().Group.Nodes()
 	}
-	reply.Entries = s.entries.noted(args.Entry)
+	reply.Entries, reply.EntriesVersion = s.entries.noted(args.Entry, args.Entries)
 	leads := s.member.Leads()
 	if !leads && args.Unconfirmed {
 		s.fill(args, reply)
--- a/discovery/poller.go
+++ b/discovery/poller.go
@@ -24,8 +24,9 @@
 	soon   chan struct{}
 
 	mu   sync.Mutex
-	read time.Time // when the list in force was read, here or by another node
-	last time.Time // when another node's word on it came
+	read time.Time     // when the list in force was read, here or by another node
+	last time.Time     // when another node's word on it came
+	age  time.Duration // how old that node's reading was then
 }
 
 // PollerConfig sets how often a Poller reads.
@@ -40,11 +41,6 @@
 // PollerOption sets a field of PollerConfig.
 type PollerOption func(*PollerConfig)
 
-// WithPollInterval sets the time between two readings.
-func WithPollInterval(d time.Duration) PollerOption {
-	return func(c *PollerConfig) { c.Interval = d }
-}
-
 // WithOnly makes a poller read only while a condition holds.
 func WithOnly(condition func() bool) PollerOption {
 	return func(c *PollerConfig) { c.Only = condition }
@@ -74,8 +70,9 @@
 	p.mu.Lock()
 	newer := read.After(p.read)
 	if newer {
-		p.read, p.last = read, time.Now()
+		p.read = read
 	}
+	p.last, p.age = time.Now(), age
 	p.mu.Unlock()
 	if newer && !same {
 		p.take(list)
@@ -86,23 +83,25 @@
 func (p *Poller) fresh() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return time.Since(p.last) < p.cfg.Trust && p.last.Sub(p.read) < p.cfg.Trust
+	return time.Since(p.last) < p.cfg.Trust && p.age < p.cfg.Trust
 }
 
-// due reports whether it is time to read.
-func (p *Poller) due(asked bool) bool {
+// due reports whether it is time to read. A node that another one reads for
+// has the next reading within an interval, so it does not read itself even if
+// one is asked for: on a large site, each reading is many calls.
+func (p *Poller) due() bool {
 	if p.cfg.Only != nil && !p.cfg.Only() {
 		return false
 	}
-	return asked || !p.fresh()
+	return !p.fresh()
 }
 
 // Run reads until ctx ends.
 func (p *Poller) Run(ctx context.Context) {
-	lost, asked := false, false
+	lost := false
 	for {
 		var err error
-		if p.due(asked) {
+		if p.due() {
 			err = p.readOnce(ctx)
 		}
 		if (err != nil) != lost {
@@ -112,7 +111,7 @@
 		if !pause.For(ctx, p.cfg.Soonest) {
 			return
 		}
-		if asked = p.wait(ctx); ctx.Err() != nil {
+		if p.wait(ctx); ctx.Err() != nil {
 			return
 		}
 	}
@@ -134,16 +133,14 @@
 }
 
 // wait waits for the next reading; the interval is drawn so that nodes
-// spread. It reports whether a reading was asked for.
-func (p *Poller) wait(ctx context.Context) bool {
+// spread.
+func (p *Poller) wait(ctx context.Context) {
 	rest := p.cfg.Interval - p.cfg.Soonest
 	t := time.NewTimer(rest*9/10 + rand.N(rest/5+1))
 	defer t.Stop()
 	select {
 	case <-p.soon:
-		return true
 	case <-t.C:
 	case <-ctx.Done():
 	}
-	return false
 }
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -1,14 +1,15 @@
 // Package loadshare lets entry nodes tell each other what they have under way
 // at the targets, so that they do not all choose the same one from the same
-// old report. Each node sends its whole table, which is short, in one
-// datagram: after a change, and now and then without one. A datagram that is
-// lost is made good by the next.
+// old report. A node tells changes in datagrams, and now and then all there
+// is, which makes good what was lost. Nodes of its own data hall are told
+// sooner than the others.
 package loadshare
 
 import (
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -16,69 +17,37 @@
 	"k8s.io/klog/v2"
 )
 
-// Times of sending.
-const (
-	// Settle is how long changes are gathered before they are sent.
-	Settle = 10 * time.Millisecond
-	// Refresh is the longest time between two datagrams.
-	Refresh = 1 * time.Second
-)
-
-// maxDatagram bounds a datagram, in bytes; runs that do not fit are left out.
-const maxDatagram = 16 << 10
-
-// message is what a node sends: its runs, newest last.
-type message struct {
-	Sequence uint64 `msgpack:"q"`
-	Runs     []run  `msgpack:"r"`
-	// Ended are targets that the sender lately found to have ended.
-	Ended []string `msgpack:"e,omitempty"`
-	// Counts are the sender's requests and repeats, by service.
-	Counts map[string]balance.Count `msgpack:"n,omitempty"`
-	// Suspects are targets that lately broke off to the sender.
-	Suspects []string `msgpack:"s,omitempty"`
-}
-
-type run struct {
-	Target string `msgpack:"t"`
-	Read   int    `msgpack:"p,omitempty"`
-	Hold   int    `msgpack:"h"`
-	AgeMS  int64  `msgpack:"a"`
-	// How the run is found again after it broke off.
-	Key      string `msgpack:"k,omitempty"`
-	Identity string `msgpack:"i,omitempty"`
-	Copy     string `msgpack:"c,omitempty"`
-	Broken   bool   `msgpack:"b,omitempty"`
-}
-
-// maxRuns keeps a message within a datagram.
-const (
-	maxRuns  = 120
-	maxEnded = 40
-)
-
-// Sharer sends and receives tables.
+// Sharer tells peers of this node's runs, and learns theirs.
 type Sharer struct {
-	conn    net.PacketConn
-	tracker *balance.Tracker
-	budgets *balance.Budgets
-	changed chan struct{}
-	news    chan struct{} // there is something new to write down
-	file    string        // of the memory; empty for none
-	started time.Time
+	conn     net.PacketConn
+	tracker  *balance.Tracker
+	budgets  *balance.Budgets
+	dataHall string
+	near     *audience
+	far      *audience
+	news     chan struct{} // there is something new to write down
+	file     string        // of the memory; empty for none
+	started  time.Time
+	sequence atomic.Uint64
 
 	mu    sync.Mutex
 	peers map[string]*net.UDPAddr
 	named map[string]time.Time // when a peer was last named
-	heard map[string]uint64    // newest sequence, by sender
+	heard map[string]*sender   // by address
 }
 
+// WithDataHall names the data hall of this node.
+func WithDataHall(hall string) Option { return func(s *Sharer) { s.dataHall = hall } }
+
 // New returns a sharer that sends and receives on conn.
 func New(conn net.PacketConn, tracker *balance.Tracker, budgets *balance.Budgets, opts ...Option) *Sharer {
 	s := &Sharer{
-		conn: conn, tracker: tracker, budgets: budgets, changed: make(chan struct{}, 1), news: make(chan struct{}, 1), started: time.Now(),
-		peers: map[string]*net.UDPAddr{}, named: map[string]time.Time{}, heard: map[string]uint64{},
+		conn: conn, tracker: tracker, budgets: budgets, near: newAudience(true, nearPace), far: newAudience(false, farPace),
+		news: make(chan struct{}, 1), started: time.Now(),
+		peers: map[string]*net.UDPAddr{}, named: map[string]time.Time{}, heard: map[string]*sender{},
 	}
+	// A sender that restarts begins at a later time, and so higher.
+	s.sequence.Store(uint64(time.Now().UnixNano()))
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -91,10 +60,8 @@
 
 // Changed says that the tracker's runs changed.
 func (s *Sharer) Changed() {
-	select {
-	case s.changed <- struct{}{}:
-	default:
-	}
+	s.near.wake()
+	s.far.wake()
 }
 
 // peerLife is how long a node is told after it was last named: a new leader
@@ -128,7 +95,27 @@
 			delete(s.heard, a)
 		}
 	}
+	if len(peers) > len(s.peers) {
+		s.Changed()
+	}
 	s.peers = peers
+	s.budgets.SetNodes(len(peers) + 1)
+}
+
+// peersOf returns the peers of an audience. A peer that was not heard yet is
+// held to be in another data hall.
+func (s *Sharer) peersOf(a *audience) []*net.UDPAddr {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	peers := make([]*net.UDPAddr, 0, len(s.peers))
+	for address, peer := range s.peers {
+		heard := s.heard[address]
+		near := heard != nil && s.dataHall != "" && heard.dataHall == s.dataHall
+		if near == a.near {
+			peers = append(peers, peer)
+		}
+	}
+	return peers
 }
 
 // Run sends until ctx ends, and receives until the connection is closed.
@@ -138,67 +125,63 @@
 		go s.keepMemory(ctx)
 	}
 	defer s.conn.Close()
-	timer := time.NewTimer(Refresh)
+	var tasks sync.WaitGroup
+	for _, a := range []*audience{s.near, s.far} {
+		tasks.Go(func() { s.tell(ctx, a) })
+	}
+	tasks.Wait()
+}
+
+// tell keeps an audience up to date until ctx ends. Its last word names the
+// runs that this node broke off.
+func (s *Sharer) tell(ctx context.Context, a *audience) {
+	timer := time.NewTimer(a.pace.refresh)
 	defer timer.Stop()
-	sequence := uint64(time.Now().UnixNano())
 	for {
 		select {
-		case <-s.changed:
-			time.Sleep(Settle)
+		case <-a.changed:
+			time.Sleep(a.pace.gather(a.peers))
 		case <-timer.C:
 		case <-ctx.Done():
-			s.send(sequence + 1) // the last word: runs that this node broke off
+			s.send(a, true)
 			return
 		}
-		select {
-		case <-s.changed:
-		default:
-		}
-		sequence++
-		s.send(sequence)
+		a.drain()
+		s.send(a, false)
 		s.note()
-		timer.Reset(Refresh)
+		timer.Reset(a.pace.refresh)
 	}
 }
 
-func (s *Sharer) send(sequence uint64) {
-	m := message{Sequence: sequence}
-	for _, r := range s.tracker.Runs() {
-		if len(m.Runs) < maxRuns {
-			m.Runs = append(m.Runs, encodeRun(r))
-		}
+// send brings an audience up to date.
+func (s *Sharer) send(a *audience, full bool) {
+	peers := s.peersOf(a)
+	now := time.Now()
+	full = full || a.fullDue(now, len(peers))
+	if full {
+		a.fullAt = now
 	}
-	m.Counts = s.budgets.Counts()
-	m.Ended = s.tracker.Ended()
-	m.Ended = m.Ended[:min(len(m.Ended), maxEnded)]
-	m.Suspects = s.tracker.Suspects()
-	m.Suspects = m.Suspects[:min(len(m.Suspects), maxEnded)]
-	datagram, err := msgpack.Marshal(m)
-	if err != nil {
-		klog.ErrorS(err, "Runs not encoded")
+	a.peers = len(peers)
+	if len(peers) == 0 {
 		return
 	}
-	s.mu.Lock()
-	peers := s.peers
-	s.mu.Unlock()
-	for _, addr := range peers {
-		s.conn.WriteTo(datagram, addr) // a lost one is made good by the next
+	n := news{runs: s.tracker.Runs(), ended: s.tracker.Ended(), suspects: s.tracker.Suspects(), counts: s.budgets.Counts()}
+	for _, m := range a.compose(n, full) {
+		m.DataHall = s.dataHall
+		m.Sequence = s.sequence.Add(1)
+		s.sendTo(peers, m)
 	}
 }
 
-// encodeRun leaves out how a run without a copy is found: it can't be.
-func encodeRun(r balance.Shared) run {
-	e := run{Target: r.Target, Read: r.Read, Hold: r.Hold, AgeMS: r.Age.Milliseconds(), Broken: r.Broken}
-	if r.Trace.Copy != "" {
-		e.Key, e.Identity, e.Copy = r.Trace.Key, r.Trace.Identity, r.Trace.Copy
+// sendTo sends a message; what is lost is made good by the next full one.
+func (s *Sharer) sendTo(peers []*net.UDPAddr, m message) {
+	datagram, err := msgpack.Marshal(m)
+	if err != nil {
+		klog.ErrorS(err, "Runs not encoded")
+		return
 	}
-	return e
-}
-
-func (r run) shared() balance.Shared {
-	return balance.Shared{
-		Target: r.Target, Read: max(0, r.Read), Hold: max(0, r.Hold), Age: time.Duration(max(0, r.AgeMS)) * time.Millisecond,
-		Trace: balance.Trace{Key: r.Key, Identity: r.Identity, Copy: r.Copy}, Broken: r.Broken,
+	for _, peer := range peers {
+		s.conn.WriteTo(datagram, peer)
 	}
 }
 
@@ -218,27 +201,37 @@
 	}
 }
 
-// take hands on a message, unless a newer one of its sender came before. A
-// sender that restarts begins at a later time, and so higher.
+// take hands on a message, unless a newer one of its sender came before.
 func (s *Sharer) take(from string, m message) {
-	s.mu.Lock()
-	_, known := s.peers[from]
-	known = known || time.Since(s.started) < strangerTime
-	stale := m.Sequence <= s.heard[from]
-	if known && !stale {
-		s.heard[from] = m.Sequence
-	}
-	s.mu.Unlock()
-	if !known || stale {
+	runs, ok := s.apply(from, m)
+	if !ok {
 		return
 	}
-	runs := make([]balance.Shared, 0, len(m.Runs))
-	for _, r := range m.Runs {
-		runs = append(runs, r.shared())
+	if len(m.Counts) > 0 {
+		s.budgets.SetOther(from, m.Counts)
 	}
-	s.budgets.SetOther(from, m.Counts)
 	s.tracker.SetEnded(m.Ended)
 	s.tracker.SetSuspects(m.Suspects)
 	s.tracker.SetOthers(from, runs)
 	s.note()
 }
+
+// apply brings what a sender told up to date; false if the message counts for
+// nothing.
+func (s *Sharer) apply(from string, m message) ([]balance.Shared, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, known := s.peers[from]
+	if !known && time.Since(s.started) >= strangerTime {
+		return nil, false
+	}
+	heard := s.heard[from]
+	if heard == nil {
+		heard = &sender{}
+		s.heard[from] = heard
+	}
+	if m.Sequence <= heard.sequence {
+		return nil, false
+	}
+	return heard.take(m, time.Now()), true
+}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -28,7 +28,7 @@
 	headTimeout  = 10 * time.Second
 	idleTimeout  = 2 * time.Minute
 	maxHeadBytes = 64 << 10
-	nodesAssumed = 16 // that share the bound on repeats, until they are heard
+	nodesAssumed = 64 // that share the bound on repeats, until they are heard
 )
 
 // tracesFile keeps where the copies of runs are, over a kill.
@@ -75,11 +75,11 @@
 	if err != nil {
 		return err
 	}
-	var memory []loadshare.Option
+	sharing := []loadshare.Option{loadshare.WithDataHall(s.DataHall)}
 	if s.DataDir != "" {
-		memory = append(memory, loadshare.WithMemory(filepath.Join(s.DataDir, tracesFile)))
+		sharing = append(sharing, loadshare.WithMemory(filepath.Join(s.DataDir, tracesFile)))
 	}
-	sharer := loadshare.New(conn, targets, budgets, memory...)
+	sharer := loadshare.New(conn, targets, budgets, sharing...)
 	p.client.AsEntry(s.PeerListen, sharer.SetPeers)
 	p.client.FeedTargets(poller.Fed)
 	clients, err := net.Listen("tcp", s.EntryListen)
