Keep the configuration on every machine with a disk; documents to nodes by deltas

Ruled out: a slow leader (0.016 cores at most of 0.512).

A process of the role that has no disk passes operators on, and tells nodes that ask it where the group is. Documents of one line are cut at their objects, and versions above the newest keep deltas too.

--- a/control/state.go
+++ b/control/state.go
@@ -4,6 +4,7 @@
 package control
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -177,13 +178,10 @@
 	if c.Version != last.Version+1 {
 		return Result{Code: walnutramp.CodeBundleConflict, Version: last.Version, Winner: last.Operator, Digest: last.Digest}
 	}
-	s.deltas = append(s.deltas, bundle.NewDelta(last.Version, s.doc, c.Version, c.Doc))
-	s.deltas = s.deltas[max(0, len(s.deltas)-keepDeltas):]
 	return s.accept(c, now)
 }
 
-// submitHighest accepts a version above the newest. Versions are uneven, so
-// nodes get whole documents in place of deltas.
+// submitHighest accepts a version above the newest.
 func (s *State) submitHighest(c *Submit, now int64) Result {
 	if last := s.newest(); c.Version <= last.Version {
 		return Result{Code: walnutramp.CodeOK, Version: last.Version, Winner: last.Operator, Digest: last.Digest}
@@ -193,6 +191,8 @@
 
 // accept puts a document in force.
 func (s *State) accept(c *Submit, now int64) Result {
+	s.deltas = append(s.deltas, bundle.NewDelta(s.newest().Version, s.doc, c.Version, c.Doc))
+	s.deltas = s.deltas[max(0, len(s.deltas)-keepDeltas):]
 	s.doc = c.Doc
 	s.history = append(s.history, Accepted{Version: c.Version, Digest: c.Digest, Operator: c.Operator, At: now})
 	s.history = s.history[max(0, len(s.history)-keepHistory):]
@@ -299,13 +299,32 @@
 	if version >= newest.Version {
 		return newest, nil, nil, s.changed
 	}
-	behind := int(newest.Version - version)
-	if s.rule == AcceptNext && version > 0 && behind <= len(s.deltas) {
-		return newest, append([]bundle.Delta(nil), s.deltas[len(s.deltas)-behind:]...), nil, s.changed
+	if deltas := s.deltasFrom(version); deltas != nil {
+		return newest, deltas, nil, s.changed
 	}
 	return newest, nil, s.doc, s.changed
 }
 
+// deltasFrom returns the deltas that lead from a version to the newest, or nil
+// where they are not kept or are no shorter than the document. The caller holds
+// the mutex.
+func (s *State) deltasFrom(version uint64) []bundle.Delta {
+	if version == 0 {
+		return nil
+	}
+	size := 0
+	for i := len(s.deltas) - 1; i >= 0; i-- {
+		size += s.deltas[i].Size()
+		if size > len(s.doc) {
+			return nil
+		}
+		if s.deltas[i].From == version {
+			return slices.Clone(s.deltas[i:])
+		}
+	}
+	return nil
+}
+
 // History returns the accepted bundles, oldest first.
 func (s *State) History() []Accepted {
 	s.mu.Lock()
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -37,7 +37,7 @@
 		p.entry.gateway.WriteMetrics(w)
 		fmt.Fprintf(w, "walnutramp_target_connections_opened_total %d\n", p.entry.pool.Dialed())
 	}
-	if p.replica != nil {
+	if p.replica != nil && p.replica.member != nil {
 		p.replica.writeMetrics(w)
 	}
 }
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -28,13 +28,34 @@
 	exitDiskLost  = 3
 )
 
-// replica is a member of the control group.
+// replica serves operators, as a member of the control group or as a proxy of
+// its members.
 type replica struct {
-	member   *consensus.Member
+	member   *consensus.Member // nil for a proxy
 	server   *peer.Server
 	operator *http.Server
 }
 
+// startProxy serves operators without being a member: a machine without a
+// disk can't be one. It passes their calls on to the group.
+func (p *Process) startProxy(self peer.Identity) error {
+	s := p.settings
+	p.client = control.NewDocumentClient(p.peers, s.Seeds, func(uint64, []byte) error { return nil })
+	server := peer.NewServer(self, &p.traffic)
+	if err := server.Register(control.Service, control.NewGuide(p.client)); err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", s.PeerListen)
+	if err != nil {
+		return err
+	}
+	go server.Serve(l)
+	p.client.Start()
+	p.replica = &replica{server: server}
+	p.replica.operator, err = listen(s.OperatorAddr, p.adapter.Operator(&documents{client: p.client, limit: s.OperatorIn}))
+	return err
+}
+
 func (p *Process) startReplica(self peer.Identity) error {
 	s := p.settings
 	disk := wal.Dir(s.DataDir)
@@ -100,20 +121,29 @@
 	ctx, cancel := context.WithTimeout(context.Background(), replicaFinish)
 	defer cancel()
 	r.operator.Shutdown(ctx)
-	r.member.Close()
+	if r.member != nil {
+		r.member.Close()
+	}
 	r.server.Close()
 }
 
 // documents is an operator's way to the control group.
 type documents struct {
 	client *control.Client
-	member *consensus.Member
+	member *consensus.Member // of this process; nil for a proxy
 	limit  time.Duration
 }
 
+// learnGroup takes the members that this process knows as one of them.
+func (d *documents) learnGroup() {
+	if d.member != nil {
+		d.client.LearnGroup(d.member.Status().Group.Nodes())
+	}
+}
+
 // Offer implements Documents.
 func (d *documents) Offer(ctx context.Context, version uint64, doc []byte) error {
-	d.client.LearnGroup(d.member.Status().Group.Nodes())
+	d.learnGroup()
 	ctx, cancel := context.WithTimeout(ctx, d.limit)
 	defer cancel()
 	r, err := d.client.Offer(ctx, version, doc)
@@ -128,7 +158,7 @@
 
 // Newest implements Documents.
 func (d *documents) Newest(ctx context.Context) (uint64, []byte, bool) {
-	d.client.LearnGroup(d.member.Status().Group.Nodes())
+	d.learnGroup()
 	ctx, cancel := context.WithTimeout(ctx, d.limit)
 	defer cancel()
 	return d.client.Newest(ctx)
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -111,7 +111,11 @@
 
 func (p *Process) start(self peer.Identity) error {
 	if p.settings.OperatorAddr != "" {
-		if err := p.startReplica(self); err != nil {
+		start := p.startReplica
+		if p.settings.DataDir == "" {
+			start = p.startProxy
+		}
+		if err := start(self); err != nil {
 			return errors.Wrap(err, "control group")
 		}
 	}
