Move runs that have not begun from targets that fell silent; ask for no copy before the first event

Nodes now tell each other which targets fell silent. A hall of which a quarter fell silent since a run began has the run moved. A stall counts for the hall only, as an engine may have put that run back.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -90,6 +90,7 @@
 	memory  map[string]memory      // by key, from before this node's start
 	numbers uint64                 // of own runs
 	changed func()                 // own runs changed
+	silence func()                 // a target fell silent
 	turn    uint64                 // of RoundRobin
 	rng     *rand.Rand
 
@@ -107,6 +108,9 @@
 	refused time.Time // when nobody answered at its address
 	broke   time.Time // when it broke off, and has not been heard of since
 	rumour  time.Time // when another node said that it broke off
+	silent  time.Time // when it fell silent to this node or, as told, to another
+	mute    time.Time // when it fell silent to this node
+	dark    time.Time // when this node found that it answers nothing at all
 	doubted time.Time // when its data hall was in doubt
 	heard   time.Time // when it last answered this node
 	runs    map[*Run]struct{}
@@ -127,7 +131,7 @@
 	}
 	return &Tracker{
 		cfg: cfg, byID: map[string]*Target{}, service: map[string][]*Target{}, others: map[string]*sharedRuns{},
-		changed: func() {}, rng: rand.New(rand.NewPCG(cfg.Seed, 11)),
+		changed: func() {}, silence: func() {}, rng: rand.New(rand.NewPCG(cfg.Seed, 11)),
 	}
 }
 
--- a/balance/run.go
+++ b/balance/run.go
@@ -50,6 +50,13 @@
 	r.target.tracker.changed()
 }
 
+// Begun reports whether the first event has come.
+func (r *Run) Begun() bool {
+	r.target.tracker.mu.Lock()
+	defer r.target.tracker.mu.Unlock()
+	return r.first
+}
+
 // End counts the request out. A run that broke off is remembered for as long
 // as its copy may be kept.
 func (r *Run) End(whole bool) {
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -17,6 +17,7 @@
 	copies  *metrics.Counter
 	stalls  *metrics.Counter
 	broken  *metrics.Counter
+	moved   *metrics.Counter
 	whole   *metrics.Histogram
 	first   *metrics.Histogram
 	gap     *metrics.Histogram
@@ -31,6 +32,7 @@
 		copies:  s.NewCounter("walnutramp_gateway_resumes_from_copy_total"),
 		stalls:  s.NewCounter("walnutramp_gateway_stalls_total"),
 		broken:  s.NewCounter("walnutramp_gateway_broken_answers_total"),
+		moved:   s.NewCounter("walnutramp_gateway_runs_moved_total"),
 		whole:   s.NewHistogram("walnutramp_gateway_answer_seconds"),
 		first:   s.NewHistogram("walnutramp_gateway_first_event_seconds"),
 		gap:     s.NewHistogram("walnutramp_gateway_resume_gap_seconds"),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -88,6 +88,8 @@
 
 	startOnce sync.Once
 
+	unbegun unbegunRuns
+
 	budgets *balance.Budgets
 }
 
@@ -99,7 +101,8 @@
 		opt(&cfg)
 	}
 	g := &Gateway{cfg: cfg, targets: targets, pool: pool, refresh: refresh, budgets: budgets, counters: newCounters(),
-		started: make(chan struct{})}
+		started: make(chan struct{}), unbegun: unbegunRuns{runs: map[*unbegunRun]struct{}{}}}
+	targets.OnSilence(g.unbegun.moveFromSilent)
 	g.strip = map[string]bool{}
 	n := cfg.Names
 	for _, name := range append([]string{n.Key, n.Account, n.Expect, n.Priority, n.CopyTo, n.CopyFrom, n.Deadline}, n.System...) {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -230,7 +230,11 @@
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		t.Refused()
 	}
-	t.Broke()
+	if silence(err) {
+		t.FellSilent(true)
+	} else {
+		t.Broke()
+	}
 	klog.InfoS("Target did not answer", "request", c.id, "target", t.ID, "address", t.Address, "err", err,
 		"ms", time.Since(c.arrived).Milliseconds())
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
@@ -111,7 +110,7 @@
 	under := t.Begin(o.work, o.trace)
 	end := r.follow(ctx, t, o, under)
 	under.End(end == endWhole)
-	if end == endBroken && o.holder != nil {
+	if end == endBroken && o.holder != nil && under.Begun() {
 		r.copy = &copyOf{at: o.holder, identity: r.call.id}
 	}
 	return end
@@ -136,10 +135,16 @@
 // follow sends a run's request and passes on what comes.
 func (r *relay) follow(ctx context.Context, t *balance.Target, o order, under *balance.Run) ending {
 	g, c := r.gateway, r.call
-	runCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	patience := time.AfterFunc(r.headWait(o.work), cancel)
+	runCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	patience := time.AfterFunc(r.headWait(o.work), func() { cancel(nil) })
+	silent := g.unbegun.add(t, cancel, c.mayMove())
+	defer silent.drop()
 	answer, err := g.pool.Do(runCtx, endpoint(t), o.request)
+	if err != nil && errors.Is(context.Cause(runCtx), errTargetSilent) {
+		g.noteMoved(c, t)
+		return endBroken
+	}
 	if err != nil {
 		g.noteFailure(ctx, c, t, err)
 		return endBroken
@@ -157,7 +162,24 @@
 	if !isEventStream(answer) {
 		return r.passOther(answer, t)
 	}
-	return r.pass(runCtx, answer, t, under.FirstEvent)
+	return r.pass(runCtx, answer, t, func() {
+		silent.drop()
+		under.FirstEvent()
+	})
+}
+
+// mayMove reports whether another target may still be asked in this one's
+// place, before the first event has come.
+func (c *call) mayMove() bool {
+	return c.route.Idempotent() && c.sent+1 < c.route.MaxAttempts
+}
+
+// noteMoved notes that a run was given up before its first event because its
+// target has fallen silent to others.
+func (g *Gateway) noteMoved(c *call, t *balance.Target) {
+	c.ran(t)
+	g.counters.moved.Inc()
+	klog.InfoS("Run moved: its target is silent to others", "request", c.id, "target", t.ID, "ms", time.Since(c.arrived).Milliseconds())
 }
 
 // copies asks for a copy of the run at another target, and names the copy
@@ -186,7 +208,7 @@
 // another target may still answer in time; the last target is waited for.
 func (r *relay) headWait(work balance.Work) time.Duration {
 	c := r.call
-	if c.sent+1 >= c.route.MaxAttempts || !c.route.Idempotent() {
+	if !c.mayMove() {
 		return time.Until(c.deadline)
 	}
 	return r.gateway.cfg.FirstEvent + time.Duration(work.Read)*readToken
@@ -276,12 +298,14 @@
 	if ctx.Err() != nil {
 		return endBroken // this side ended it: the client left, or time is up
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		g.counters.stalls.Inc()
-	}
 	g.counters.broken.Inc()
 	g.counters.resumes.Inc()
-	t.Broke()
+	if silence(err) {
+		g.counters.stalls.Inc()
+		t.FellSilent(false) // it may only have put this run back
+	} else {
+		t.Broke()
+	}
 	klog.InfoS("Stream broke off", "request", c.id, "target", t.ID, "last", c.lastID, "err", err,
 		"silent_ms", time.Since(r.newest).Milliseconds())
 	return endBroken
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/discovery"
 )
 
 const draftEvents = 9
@@ -140,3 +141,40 @@
 	require.Len(t, mute.seen(), 1)
 	<-gone
 }
+
+// A copy of a run's memory is there only once the run has begun.
+func TestNoCopyIsAskedForBeforeTheFirstEvent(t *testing.T) {
+	breaking := newFakeTarget(t, "i-1", "draft", "north", func(_ *fakeTarget, _ *http.Request, c net.Conn) { c.Close() })
+	good := newFakeTarget(t, "i-2", "draft", "south", draft(nil))
+	s := newSite(t, []*fakeTarget{breaking, good})
+	_, body, err := do(t, s.request(t, "POST", "/draft/", "", "X-Deadline", "9000"))
+	require.NoError(t, err)
+	require.Equal(t, wholeDraft(1), body)
+	require.NotEmpty(t, breaking.seen()[0].Header.Get("X-Copy-To"))
+	require.Empty(t, good.seen()[0].Header.Get("X-Copy-From"))
+}
+
+// A run that waits for its first event can't tell that its target has lost
+// power; what befalls the hall's other targets does.
+func TestRunMovesFromAHallThatFallsSilent(t *testing.T) {
+	asked := make(chan struct{})
+	mute := newFakeTarget(t, "i-1", "draft", "north", func(_ *fakeTarget, _ *http.Request, c net.Conn) {
+		close(asked)
+		io.Copy(io.Discard, c)
+	})
+	others := []string{"i-3", "i-4"}
+	targets := []*fakeTarget{mute, newFakeTarget(t, "i-2", "draft", "south", draft(nil))}
+	s := newSite(t, targets)
+	list := []discovery.Target{targets[0].listed(), targets[1].listed()}
+	for _, id := range others {
+		list = append(list, discovery.Target{ID: id, Service: "draft", Address: "127.0.0.1:1", DataHall: "north", State: discovery.TargetDraining})
+	}
+	s.tracker.Update(list)
+	go func() {
+		<-asked
+		s.tracker.SetSilent(others)
+	}()
+	_, body, err := do(t, s.request(t, "POST", "/draft/", "", "X-Deadline", "9000"))
+	require.NoError(t, err)
+	require.Equal(t, wholeDraft(1), body)
+}
--- a/loadshare/audience.go
+++ b/loadshare/audience.go
@@ -39,6 +39,7 @@
 	told     map[uint64]balance.Shared
 	ended    map[string]bool
 	suspects map[string]bool
+	silent   map[string]bool
 }
 
 func newAudience(near bool, p pace) *audience {
@@ -72,6 +73,7 @@
 	runs     []balance.Shared
 	ended    []string
 	suspects []string
+	silent   []string
 	counts   map[string]balance.Count
 }
 
@@ -79,19 +81,22 @@
 // is, or what has changed. None are returned if nothing has.
 func (a *audience) compose(n news, full bool) []message {
 	if full {
-		a.told, a.ended, a.suspects = map[uint64]balance.Shared{}, map[string]bool{}, map[string]bool{}
+		a.told = map[uint64]balance.Shared{}
+		a.ended, a.suspects, a.silent = nil, nil, nil
 	}
 	runs := a.changedRuns(n.runs)
 	over := a.overRuns(n.runs)
 	ended := unknownTo(a.ended, n.ended)
 	suspects := unknownTo(a.suspects, n.suspects)
-	a.ended, a.suspects = setOf(n.ended), setOf(n.suspects)
-	if !full && len(runs)+len(over)+len(ended)+len(suspects) == 0 {
+	silent := unknownTo(a.silent, n.silent)
+	a.ended, a.suspects, a.silent = setOf(n.ended), setOf(n.suspects), setOf(n.silent)
+	if !full && len(runs)+len(over)+len(ended)+len(suspects)+len(silent) == 0 {
 		return nil
 	}
-	first := message{Full: full, Ended: ended, Suspects: suspects, Counts: n.counts}
-	first.Ended = first.Ended[:min(len(ended), maxTargets)]
-	first.Suspects = first.Suspects[:min(len(suspects), maxTargets)]
+	first := message{Full: full, Counts: n.counts}
+	first.Ended, _ = cut(ended, maxTargets)
+	first.Suspects, _ = cut(suspects, maxTargets)
+	first.Silent, _ = cut(silent, maxTargets)
 	first.Runs, runs = cut(runs, maxRuns)
 	first.Over, over = cut(over, maxOver)
 	messages := []message{first}
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -165,7 +165,8 @@
 	if len(peers) == 0 {
 		return
 	}
-	n := news{runs: s.tracker.Runs(), ended: s.tracker.Ended(), suspects: s.tracker.Suspects(), counts: s.budgets.Counts()}
+	n := news{runs: s.tracker.Runs(), ended: s.tracker.Ended(), suspects: s.tracker.Suspects(),
+		silent: s.tracker.SilentTargets(), counts: s.budgets.Counts()}
 	for _, m := range a.compose(n, full) {
 		m.DataHall = s.dataHall
 		m.Sequence = s.sequence.Add(1)
@@ -212,6 +213,7 @@
 	}
 	s.tracker.SetEnded(m.Ended)
 	s.tracker.SetSuspects(m.Suspects)
+	s.tracker.SetSilent(m.Silent)
 	s.tracker.SetOthers(from, runs)
 	s.note()
 }
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -20,6 +20,8 @@
 	Ended []string `msgpack:"e,omitempty"`
 	// Suspects are targets that lately broke off to the sender.
 	Suspects []string `msgpack:"s,omitempty"`
+	// Silent are targets that just now fell silent to the sender.
+	Silent []string `msgpack:"m,omitempty"`
 	// Counts are the sender's requests and repeats, by service.
 	Counts map[string]balance.Count `msgpack:"n,omitempty"`
 }
