Keep the steps of a planned stop within its grace

The entry's stop waits 2.5 s before it closes connections and 3 s before it refuses, whatever the grace; with 3 s it was still in these steps when the kill came. The steps are now parts of a short grace.

--- a/serve/entry.go
+++ b/serve/entry.go
@@ -16,13 +16,29 @@
 	"k8s.io/klog/v2"
 )
 
-// Times of a planned stop, since the order.
+// Times of a planned stop, since the order. Where the grace is short, they are
+// its parts.
 const (
-	stopClosing = 2500 * time.Millisecond // connections are closed after their answer
-	stopRefuse  = 3 * time.Second         // connections at rest are closed, requests refused
-	stopReserve = 300 * time.Millisecond  // before the kill
+	stopClosing      = 2500 * time.Millisecond // connections are closed after their answer
+	stopRefuse       = 3 * time.Second         // connections at rest are closed, requests refused
+	stopReserve      = 300 * time.Millisecond  // before the kill
+	stopClosingShare = 0.6
+	stopRefuseShare  = 0.75
 )
 
+// stopTimes are the steps of a planned stop, since the order.
+type stopTimes struct {
+	closing time.Duration
+	refuse  time.Duration
+	end     time.Duration // what is left is cut off
+}
+
+func stopTimesOf(grace time.Duration) stopTimes {
+	end := max(0, grace-stopReserve)
+	part := func(share float64) time.Duration { return time.Duration(share * float64(end)) }
+	return stopTimes{closing: min(stopClosing, part(stopClosingShare)), refuse: min(stopRefuse, part(stopRefuseShare)), end: end}
+}
+
 // Bounds of what clients may take up before a configuration is known.
 const (
 	headTimeout  = 10 * time.Second
@@ -133,12 +149,12 @@
 // stop lets the balancer see that the node leaves, serves what still comes,
 // and finishes what is under way.
 func (e *entry) stop(grace time.Duration) {
-	began := time.Now()
-	end := began.Add(grace - stopReserve)
+	times := stopTimesOf(grace)
+	end := time.Now().Add(times.end)
 	e.gateway.Leave(end)
-	time.Sleep(stopClosing)
+	time.Sleep(times.closing)
 	e.gateway.CloseConnections()
-	time.Sleep(stopRefuse - stopClosing)
+	time.Sleep(times.refuse - times.closing)
 	e.gateway.Refuse()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
