--- a/cmd/walnutramp/load.go
+++ b/cmd/walnutramp/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 	"time"
@@ -19,6 +20,7 @@
 	*program
 	Routing  routingCommand  `command:"routing" description:"compare this router with baselines at several shares of capacity"`
 	Capacity capacityCommand `command:"capacity" description:"measure how costs grow with a site's size"`
+	Scores   scoresCommand   `command:"scores" description:"show how the worth of measured days went over time, from the journal"`
 	Shape    string          `long:"shape" env:"WALNUTRAMP_LOAD_SHAPE" default:"small" choice:"small" choice:"tortuguero" choice:"po-valley" description:"the site that is run and driven"`
 	Seed     uint64          `long:"seed" env:"WALNUTRAMP_LOAD_SEED" default:"1" description:"of the mix and the failures"`
 	Duration time.Duration   `long:"duration" env:"WALNUTRAMP_LOAD_DURATION" default:"20s" description:"for which new requests arrive"`
@@ -34,7 +36,7 @@
 }
 
 func newLoadCommand(p *program) *loadCommand {
-	return &loadCommand{program: p, Capacity: capacityCommand{program: p}, Routing: routingCommand{program: p}}
+	return &loadCommand{program: p, Capacity: capacityCommand{program: p}, Routing: routingCommand{program: p}, Scores: scoresCommand{program: p}}
 }
 
 // Execute implements flags.Commander.
@@ -68,12 +70,7 @@
 
 func (c *loadCommand) writeFiles(report load.Report) error {
 	if c.Plot != "" {
-		f, err := os.Create(c.Plot)
-		if err != nil {
-			return err
-		}
-		defer f.Close()
-		if err := load.WriteHTML(f, report); err != nil {
+		if err := writeFile(c.Plot, func(w io.Writer) error { return load.WriteHTML(w, report) }); err != nil {
 			return err
 		}
 	}
--- a/cmd/walnutramp/report.go
+++ b/cmd/walnutramp/report.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/json"
-	"os"
+	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,10 +53,5 @@
 }
 
 func writeReportPage(file string, report []slo.Series) error {
-	f, err := os.Create(file)
-	if err != nil {
-		return err
-	}
-	defer f.Close()
-	return slo.WriteHTML(f, report, time.Now())
+	return writeFile(file, func(w io.Writer) error { return slo.WriteHTML(w, report, time.Now()) })
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -37,7 +37,7 @@
 type Config struct {
 	Names       Names
 	MaxBuffered int64         // bytes of request bodies held at once
-	Stall       time.Duration // silence within a stream after which its target is given up
+	Stall       time.Duration // silence within a stream after which its target is given up, where its route names no longest pause
 	FirstEvent  time.Duration // wait for a first event, beside the reading of the prompt, after which another target is tried
 	StartWait   time.Duration // how long a request waits for a node that has just started
 	Lease       func() bool   // whether new work may be taken; nil for always
@@ -50,7 +50,8 @@
 // WithNames sets the dialect's header names.
 func WithNames(n Names) Option { return func(c *Config) { c.Names = n } }
 
-// WithStall sets the silence after which a stream's target is given up.
+// WithStall sets the silence after which a stream's target is given up, where
+// its route names no longest pause.
 func WithStall(d time.Duration) Option { return func(c *Config) { c.Stall = d } }
 
 // WithFirstEvent sets the wait for a first event, beside the reading of the
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -249,7 +249,7 @@
 	seen := false
 	for {
 		if !events.Buffered() {
-			wait := g.cfg.Stall
+			wait := g.stall(c.route)
 			if !seen {
 				wait = g.cfg.FirstEvent
 			}
@@ -275,6 +275,19 @@
 	}
 }
 
+// stallShare is the part of the longest pause that keeps a stream in time
+// after which its target is given up: the rest is left for another to go on.
+const stallShare = 0.64
+
+// stall is the silence within a route's stream after which its target is given
+// up.
+func (g *Gateway) stall(r *Route) time.Duration {
+	if r.GapAim > 0 {
+		return time.Duration(stallShare * float64(r.GapAim))
+	}
+	return g.cfg.Stall
+}
+
 // noteFirst measures the wait for a run's first event.
 func (r *relay) noteFirst() {
 	if !r.started {
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -142,6 +142,16 @@
 	<-gone
 }
 
+func TestStallFollowsTheRoutesLongestPause(t *testing.T) {
+	s := newSite(t, nil, WithStall(time.Second))
+	require.Equal(t, time.Second, s.gateway.stall(&Route{}))
+	for _, pause := range []time.Duration{200 * time.Millisecond, 700 * time.Millisecond, 3 * time.Second} {
+		stall := s.gateway.stall(&Route{GapAim: pause})
+		require.Less(t, stall, pause*3/4, "time is left to go on elsewhere")
+		require.Greater(t, stall, pause/2)
+	}
+}
+
 // A copy of a run's memory is there only once the run has begun.
 func TestNoCopyIsAskedForBeforeTheFirstEvent(t *testing.T) {
 	breaking := newFakeTarget(t, "i-1", "draft", "north", func(_ *fakeTarget, _ *http.Request, c net.Conn) { c.Close() })
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -70,10 +70,9 @@
 
 // Service is what the gateway needs to know of a service's targets.
 type Service struct {
-	Name           string
-	MaxConnections int // of one target, from all callers together
-	Engine         bool
-	Copies         bool // its engines keep copies of runs at each other
+	Name   string
+	Engine bool
+	Copies bool // its engines keep copies of runs at each other
 }
 
 // Limits bound what a client may send.
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -28,15 +28,9 @@
 // WithDial sets how connections are opened.
 func WithDial(dial DialFunc) Option { return func(c *Config) { c.Dial = dial } }
 
-// WithDialTimeout bounds the opening of a connection.
-func WithDialTimeout(d time.Duration) Option { return func(c *Config) { c.DialTimeout = d } }
-
 // WithIdentityHeader names the header that repeats a request's identity.
 func WithIdentityHeader(name string) Option { return func(c *Config) { c.IdentityHeader = name } }
 
-// WithIdleLimit bounds how long an unused connection is kept.
-func WithIdleLimit(d time.Duration) Option { return func(c *Config) { c.IdleLimit = d } }
-
 // Keep-alive probes find a target's machine that has fallen silent while an
 // answer is awaited; the kernel counts their times in whole seconds, so that
 // one unanswered probe, after two seconds, is the earliest sign it can give.
