--- a/balance/balance.go
+++ b/balance/balance.go
@@ -89,6 +89,8 @@
 	broken  []*Run                 // own runs that broke off, oldest first
 	memory  map[string]memory      // by key, from before this node's start
 	numbers uint64                 // of own runs
+	own     string                 // this node
+	nodes   []string               // that choose among the targets, sorted
 	changed func()                 // own runs changed
 	silence func()                 // a target fell silent
 	turn    uint64                 // of RoundRobin
@@ -115,6 +117,7 @@
 	heard   time.Time // when it last answered this node
 	runs    map[*Run]struct{}
 	others  map[string]otherRuns // by node
+	gain    float64              // because this node owns it
 	told    Load
 	toldAt  time.Time
 	own     int // own requests under way when it told
@@ -148,7 +151,10 @@
 	for _, entry := range list {
 		known := t.byID[entry.ID]
 		if known == nil {
-			known = &Target{tracker: t, since: now, runs: map[*Run]struct{}{}, others: map[string]otherRuns{}}
+			known = &Target{
+				tracker: t, since: now, gain: t.ownershipGain(entry.ID),
+				runs: map[*Run]struct{}{}, others: map[string]otherRuns{},
+			}
 		}
 		if known.State == discovery.TargetDraining {
 			entry.State = discovery.TargetDraining // a target that leaves does not come back
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -306,3 +306,44 @@
 	}
 	require.LessOrEqual(t, float64(spent), cfg.Ratio*nodes+cfg.Slack)
 }
+
+// Nodes that all look for targets at one moment, before they have told each
+// other, rarely choose the same ones.
+func TestNodesPartIdleTargets(t *testing.T) {
+	var list []discovery.Target
+	for i := range 200 {
+		list = append(list, listed("s", "north", fmt.Sprint("i-", i))...)
+	}
+	nodes := make([]string, 40)
+	for i := range nodes {
+		nodes[i] = fmt.Sprint("10.0.0.", i, ":7341")
+	}
+	choose := func(owned bool) (distinct int) {
+		taken := map[string]bool{}
+		for i, node := range nodes {
+			tracker := NewTracker(WithSeed(uint64(i)), WithDataHall("north"))
+			tracker.Update(list)
+			if owned {
+				tracker.SetNodes(node, nodes)
+			}
+			for range 2 {
+				target := tracker.Pick(draft(8000))
+				target.Begin(Work{Read: 8000, Hold: 8000}, Trace{})
+				taken[target.ID] = true
+			}
+		}
+		return len(taken)
+	}
+	require.Less(t, choose(false), 72, "of 80")
+	require.Greater(t, choose(true), 76)
+}
+
+func TestFailedHallIsLeft(t *testing.T) {
+	tracker := newTracker(append(listed("s", "north", "1", "2"), listed("s", "south", "3", "4")...)...)
+	require.Equal(t, "north", tracker.Pick(draft(8000)).DataHall)
+	failed := draft(8000)
+	failed.FailedHalls = map[string]int{"north": 1}
+	require.Equal(t, "south", tracker.Pick(failed).DataHall)
+	failed.FailedHalls = map[string]int{"north": 1, "south": 1}
+	require.Equal(t, "north", tracker.Pick(failed).DataHall, "both failed: the near one")
+}
--- a/balance/score.go
+++ b/balance/score.go
@@ -23,6 +23,8 @@
 	Exclude func(*Target) bool
 	// Copy says that the target is to keep a copy of a run.
 	Copy bool
+	// FailedHalls counts the targets in a data hall that failed this request.
+	FailedHalls map[string]int
 	// OtherHall asks for a data hall that is not this one, if one is there.
 	OtherHall string
 }
@@ -34,6 +36,7 @@
 	copySuspectCost = 5e4
 	trySuspectCost  = 300.0
 	doubtCost       = 1500.0
+	failedHallCost  = 400.0 // for each target of the data hall that failed the request
 	sameHallCost    = 1e4
 	noiseCost       = 20.0
 	randomCost      = 100.0
@@ -166,6 +169,7 @@
 // rest adds what speaks against a target under every policy. The caller holds
 // the mutex.
 func (t *Target) rest(c *Choice, now time.Time, score float64) float64 {
+	score += failedHallCost * float64(c.FailedHalls[t.DataHall])
 	if c.OtherHall != "" && t.DataHall == c.OtherHall {
 		score += sameHallCost
 	}
@@ -208,7 +212,7 @@
 	for _, r := range runs {
 		hold += r.Hold
 	}
-	wait := backlog(runs) + read + requestCost*float64(len(runs))
+	wait := backlog(runs) + read + requestCost*float64(len(runs)) - t.gain
 	if over := hold - comfortTokens; over > 0 {
 		wait += memoryCost * float64(over) / 1000
 	}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -182,6 +182,12 @@
 		return ownAnswerCause(s, last)
 	case "Stream given up":
 		return givenUpCause(s, last)
+	case "Client left":
+		if s.stopping(last) {
+			return givenUpCause(s, last)
+		}
+		return fmt.Sprintf("the client closed its connection after event %s", last.Fields["last"]),
+			"nothing failed here; if it came again, its next attempt has another id"
 	}
 	if l, ok := s.later("Process stops", last); ok {
 		return fmt.Sprintf("the process %s was stopped as planned at %.3f while it served the request", l.Process, l.Time),
@@ -223,7 +229,7 @@
 	case status != "":
 		return fmt.Sprintf("served with status %s by target %s in %s ms", status, last.Fields["target"], last.Fields["ms"]), ""
 	}
-	broken := s.count("Stream broke off") + s.count("Target did not answer")
+	broken := s.count("Stream broke off") + s.count("Target did not answer") + s.count("Run moved: its target is silent to others")
 	if broken == 0 {
 		return fmt.Sprintf("served whole: first event after %s ms, longest pause %s ms", last.Fields["first_ms"], last.Fields["longest_pause_ms"]), ""
 	}
@@ -249,6 +255,8 @@
 		switch l.Message {
 		case "Stream broke off", "Target did not answer", "Answer broke off":
 			parts = append(parts, fmt.Sprintf("target %s: %s", l.Fields["target"], plain(l.Fields["err"])))
+		case "Run moved: its target is silent to others":
+			parts = append(parts, fmt.Sprintf("target %s: its data hall fell silent before the first event", l.Fields["target"]))
 		case "Target turned the request away":
 			parts = append(parts, fmt.Sprintf("target %s turned it away with %s", l.Fields["target"], l.Fields["status"]))
 		}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -53,6 +53,22 @@
 	require.False(t, ok)
 }
 
+func TestClientThatLeft(t *testing.T) {
+	const begun = `I0807 10:00:01.500000   13212 stream.go:10] "Run begins" request="a1" target="i-1" run=1
+I0807 10:00:02.250000   13212 stream.go:99] "Client left" request="a1" route="r" last=9 err="broken pipe"
+`
+	for text, want := range map[string]string{
+		begun: "the client closed its connection after event 9",
+		begun + `I0807 10:00:02.300000   13212 serve.go:99] "Process ends" name="n"`: "planned stop",
+	} {
+		lines, err := Read(strings.NewReader(text), "node-1.log")
+		require.NoError(t, err)
+		story, ok := Tell(lines, "a1")
+		require.True(t, ok)
+		require.Contains(t, story.Cause, want)
+	}
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add(`  1.5 node I0807 10:00:01.500000 1 a.go:1] "Run begins" request="a" target="b c" list=["x","y"]`)
 	f.Fuzz(func(t *testing.T, text string) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -41,6 +41,9 @@
 	turns    int                      // targets that were asked
 	sent     int                      // targets that may have begun the request
 	reached  bool                     // a target may have run it
+	seen     bool                     // a target was reached, if only to turn it away
+	failed   map[string]int           // targets that failed it, by data hall
+	prepaid  bool                     // a repeat was paid for that has not arrived yet
 }
 
 // open reads and checks a request.
@@ -67,7 +70,7 @@
 	c := &call{
 		id: r.Header.Get(g.cfg.Names.Identity), route: route, service: route.Service(), account: account,
 		method: r.Method, uri: r.RequestURI, host: r.Host, arrived: arrived, tried: map[*balance.Target]bool{},
-		turned:   map[*balance.Target]bool{},
+		turned: map[*balance.Target]bool{}, failed: map[string]int{},
 		priority: route.Priority, version: table.Version,
 	}
 	if account.HasPriority {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -42,12 +42,37 @@
 	return g.targets.Pick(choice)
 }
 
+// choice says what the next target is wanted for. Once targets have failed the
+// request, many others may look for new ones, too, so they had better part by
+// node than by what they read.
 func (c *call) choice() balance.Choice {
-	return balance.Choice{Service: c.service, Work: c.work, Key: c.key, Again: c.again}
+	key := c.key
+	if len(c.failed) > 0 {
+		key = ""
+	}
+	return balance.Choice{Service: c.service, Work: c.work, Key: key, Again: c.again && key != "", FailedHalls: c.failed}
+}
+
+// arrive notes that a target was reached. What never arrives, such as a
+// connection that is refused, is no repeat.
+func (c *call) arrive() {
+	c.seen = true
+	c.prepaid = false
+}
+
+// payRepeat takes what one more arrival costs from the budget; false if it is
+// spent.
+func (c *call) payRepeat(b *balance.Budget) bool {
+	if c.seen && !c.prepaid {
+		c.prepaid = b.Spend()
+		return c.prepaid
+	}
+	return true
 }
 
 // ran notes that a target may have run the request.
 func (c *call) ran(t *balance.Target) {
+	c.arrive()
 	c.tried[t] = true
 	c.sent++
 	c.reached = true
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -182,6 +183,25 @@
 	require.Equal(t, 20+3, len(a.seen())+len(b.seen()))
 }
 
+// What is refused a connection reaches no target, so it is no repeat.
+func TestRefusedConnectionsCostNoBudget(t *testing.T) {
+	gone := []*fakeTarget{}
+	for i := range 4 {
+		f := newFakeTarget(t, fmt.Sprint("i-", i), "lookup", "north", nil)
+		f.l.Close()
+		gone = append(gone, f)
+	}
+	good := newFakeTarget(t, "i-9", "lookup", "south", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		reply(c, r.Header.Get("X-Id"), 200, "ok")
+	})
+	s := newSite(t, append(gone, good))
+	s.gateway.budgets = balance.NewBudgets(balance.BudgetConfig{Window: time.Hour, Nodes: 1})
+	resp, body, err := do(t, s.request(t, "POST", "/once/", "book"))
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+	require.Equal(t, "ok", body)
+}
+
 func TestShortAnswerThatBreaksOffIsNotPassed(t *testing.T) {
 	cut := newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nContent-Length: 10\r\n\r\nhalf")
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -57,7 +57,7 @@
 	if c.sent >= max(1, c.route.MaxAttempts) {
 		return false
 	}
-	if !g.budgets.Of(c.service).Spend() {
+	if !c.payRepeat(g.budgets.Of(c.service)) {
 		klog.InfoS("Not repeated: the budget is spent", "request", c.id, "service", c.service)
 		return false
 	}
@@ -206,6 +206,7 @@
 // noteNotRun learns from a target that turned a request away.
 func (g *Gateway) noteNotRun(c *call, t *balance.Target, a *targetconn.Answer) {
 	klog.InfoS("Target turned the request away", "request", c.id, "target", t.ID, "status", a.Status)
+	c.arrive()
 	c.turned[t] = true
 	if a.Status == http.StatusMisdirectedRequest {
 		t.Gone()
@@ -227,6 +228,7 @@
 	if ctx.Err() == context.Canceled {
 		return // the client left; nothing is known of the target
 	}
+	c.failed[t.DataHall]++
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		t.Refused()
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -178,6 +178,7 @@
 // target has fallen silent to others.
 func (g *Gateway) noteMoved(c *call, t *balance.Target) {
 	c.ran(t)
+	c.failed[t.DataHall]++
 	g.counters.moved.Inc()
 	klog.InfoS("Run moved: its target is silent to others", "request", c.id, "target", t.ID, "ms", time.Since(c.arrived).Milliseconds())
 }
@@ -313,6 +314,7 @@
 	}
 	g.counters.broken.Inc()
 	g.counters.resumes.Inc()
+	c.failed[t.DataHall]++
 	if silence(err) {
 		g.counters.stalls.Inc()
 		t.FellSilent(false) // it may only have put this run back
@@ -330,10 +332,12 @@
 		r.gateway.passHead(r.w, a.Header, a.Status, -1)
 		r.started = true
 	}
-	if _, err := r.w.Write(raw); err != nil {
-		panic(http.ErrAbortHandler)
+	_, err := r.w.Write(raw)
+	if err == nil {
+		err = r.flush.Flush()
 	}
-	if err := r.flush.Flush(); err != nil {
+	if err != nil {
+		klog.InfoS("Client left", "request", r.call.id, "route", r.call.route.Name, "last", r.call.lastID, "err", err)
 		panic(http.ErrAbortHandler)
 	}
 	now := time.Now()
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -7,7 +7,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -100,6 +102,7 @@
 	}
 	s.peers = peers
 	s.budgets.SetNodes(len(peers) + 1)
+	s.tracker.SetNodes(own, slices.Collect(maps.Keys(peers)))
 }
 
 // peersOf returns the peers of an audience. A peer that was not heard yet is
