--- a/balance/budget.go
+++ b/balance/budget.go
@@ -90,17 +90,33 @@
 // inSiteBound reports whether a repeat is within the bound of all nodes, as
 // far as they told.
 func (b *Budget) inSiteBound(own Count, now time.Time) bool {
-	site, heard := own, 0
+	site, heard := b.site(own, now)
+	return heard > 0 && float64(site.Repeats) < ratioUsed*b.cfg.Ratio*float64(site.Requests)+slackUsed*b.cfg.Slack
+}
+
+// Site returns what this node and the others told within the window, and how
+// many others were heard lately.
+func (b *Budget) Site() (total Count, heard int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.bucket(now)
+	return b.site(b.total(), now)
+}
+
+// site adds what others told to the own count. The caller holds the mutex.
+func (b *Budget) site(own Count, now time.Time) (total Count, heard int) {
+	total = own
 	for node, o := range b.others {
 		if now.Sub(o.at) > sharedLife {
 			delete(b.others, node)
 			continue
 		}
 		heard++
-		site.Requests += o.count.Requests
-		site.Repeats += o.count.Repeats
+		total.Requests += o.count.Requests
+		total.Repeats += o.count.Repeats
 	}
-	return heard > 0 && float64(site.Repeats) < ratioUsed*b.cfg.Ratio*float64(site.Requests)+slackUsed*b.cfg.Slack
+	return total, heard
 }
 
 // bucket returns the bucket of a time, and clears those that are too old.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -58,7 +58,9 @@
 		return false
 	}
 	if !c.payRepeat(g.budgets.Of(c.service)) {
-		klog.InfoS("Not repeated: the budget is spent", "request", c.id, "service", c.service)
+		seen, heard := g.budgets.Of(c.service).Site()
+		klog.InfoS("Not repeated: the budget is spent", "request", c.id, "service", c.service, "requests", seen.Requests,
+			"repeats", seen.Repeats, "nodesHeard", heard)
 		return false
 	}
 	g.counters.retries.Inc()
