--- a/control/client.go
+++ b/control/client.go
@@ -58,6 +58,7 @@
 	doc    []byte
 	have   uint64
 	until  time.Time // end of the lease
+	hall   string    // data hall of this node
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -158,7 +159,7 @@
 	defer cancel()
 	asked := time.Now()
 	var reply NewestReply
-	args := NewestArgs{Have: c.Version(), Wait: wait, Unconfirmed: c.fast && c.Version() == 0, Entry: c.entry, Entries: c.entriesHeld, Roster: c.held}
+	args := NewestArgs{Have: c.Version(), Wait: wait, Unconfirmed: c.fast && c.Version() == 0, Entry: c.entry, Entries: c.entriesHeld, Roster: c.held, DataHall: c.hall}
 	if err := c.peers.Call(ctx, c.target(), Service+".Newest", args, &reply); err != nil {
 		c.forgetLeader("")
 		return false
@@ -170,14 +171,24 @@
 		return false
 	}
 	c.takeRoster(reply.Roster)
-	taken := c.take(reply, asked)
+	taken := c.take(reply, asked.Add(-reply.Age))
 	if reply.Unconfirmed {
 		c.forgetLeader(reply.Leader)
 		return false
 	}
+	if reply.Relay != "" {
+		c.askNext(reply.Relay)
+	}
 	return taken
 }
 
+// askNext sets whom to ask from now on.
+func (c *Client) askNext(node walnutramp.NodeName) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = node
+}
+
 // LearnGroup takes the members that somebody of the group named.
 func (c *Client) LearnGroup(group []walnutramp.NodeName) {
 	if len(group) == 0 {
--- a/control/entries.go
+++ b/control/entries.go
@@ -18,20 +18,23 @@
 	heard map[string]time.Time
 }
 
-// noted notes who asks, and returns all who asked lately, in order, with their
-// version; the asker is told the addresses only where it holds another, and
-// nothing if it is no entry.
-func (e *entries) noted(asker string, held uint64) (addresses []string, version uint64) {
+// note notes an entry that asks; an empty address is none.
+func (e *entries) note(asker string) {
 	if asker == "" {
-		return nil, 0
+		return
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.heard == nil {
 		e.heard = map[string]time.Time{}
 	}
+	e.heard[asker] = time.Now()
+}
+
+// live returns the entries that asked lately, in order. The caller holds the
+// mutex.
+func (e *entries) live() []string {
 	now := time.Now()
-	e.heard[asker] = now
 	live := make([]string, 0, len(e.heard))
 	for address, at := range e.heard {
 		if now.Sub(at) > entryLife {
@@ -41,8 +44,28 @@
 		live = append(live, address)
 	}
 	slices.Sort(live)
+	return live
+}
+
+// all returns the entries that asked lately.
+func (e *entries) all() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.live()
+}
+
+// count returns how many entries asked lately.
+func (e *entries) count() int { return len(e.all()) }
+
+// told returns all entries that asked lately with their version, for an asker
+// that needs to know them; the addresses only where it holds another version.
+func (e *entries) told(args NewestArgs) (addresses []string, version uint64) {
+	if !args.wantsRoster() {
+		return nil, 0
+	}
+	live := e.all()
 	version = max(1, xxhash.Sum64String(strings.Join(live, " ")))
-	if version == held {
+	if version == args.Entries {
 		return nil, version
 	}
 	return live, version
--- a/control/feed.go
+++ b/control/feed.go
@@ -34,10 +34,10 @@
 	c.fed(list, false, r.Age)
 }
 
-// AsEntry makes the node known as an entry at an address, and has the
-// addresses of all entries told to seen. It must be called before Start.
-func (c *Client) AsEntry(address string, seen func([]string)) {
-	c.entry, c.seen = address, seen
+// AsEntry makes the node known as an entry of a data hall at an address, and has
+// the addresses of all entries told to seen. It must be called before Start.
+func (c *Client) AsEntry(address, dataHall string, seen func([]string)) {
+	c.entry, c.hall, c.seen = address, dataHall, seen
 }
 
 // takeEntries hands the addresses of all entries on. A reply without them says
--- /dev/null
+++ b/control/relay.go
@@ -0,0 +1,237 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/consensus"
+	"github.com/walnutramp/walnutramp/internal/pause"
+	"k8s.io/klog/v2"
+)
+
+// On a large site the leader would answer every entry itself: hundreds of
+// questions a second, and hundreds of copies of each change. So it names each
+// entry a member of its data hall that relays its word. A relay has the
+// documents anyway, as a member; it asks the leader for the word that they are
+// the newest and for the list of targets.
+
+// Bounds of relaying.
+const (
+	relayedFrom = 100                     // entries: up to so many the leader answers itself
+	relayFresh  = 1600 * time.Millisecond // how old the leader's word may be that is relayed
+	relayLife   = 5 * time.Second         // since a relay last asked the leader
+	relayPause  = 100 * time.Millisecond  // after a question in vain
+	relayRest   = 2 * time.Second         // between questions while nobody needs a relay
+	relayLag    = 300 * time.Millisecond  // by which a member may apply later than the leader
+)
+
+// relays are the members that relay the leader's word, by data hall.
+type relays struct {
+	mu    sync.Mutex
+	heard map[string]map[string]time.Time // by data hall and address
+}
+
+// note notes a relay that asks; an empty address is none.
+func (r *relays) note(hall, address string) {
+	if address == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.heard == nil {
+		r.heard = map[string]map[string]time.Time{}
+	}
+	if r.heard[hall] == nil {
+		r.heard[hall] = map[string]time.Time{}
+	}
+	r.heard[hall][address] = time.Now()
+}
+
+// of returns the relay of an entry: one of its data hall, always the same
+// while the same ones are there. Empty if there is none.
+func (r *relays) of(hall, entry string) walnutramp.NodeName {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var best string
+	var highest uint64
+	for address, at := range r.heard[hall] {
+		if time.Since(at) > relayLife {
+			delete(r.heard[hall], address)
+			continue
+		}
+		if h := xxhash.Sum64String(entry + "@" + address); best == "" || h > highest {
+			best, highest = address, h
+		}
+	}
+	return walnutramp.NodeName(best)
+}
+
+// Relay keeps a member that does not lead up to date with the leader's word.
+type Relay struct {
+	peers  Peers
+	node   walnutramp.NodeName
+	hall   string
+	member *consensus.Member
+	server *Server
+
+	mu       sync.Mutex
+	asked    time.Time // when the newest word was asked for
+	version  uint64    // that it confirmed as the newest
+	whole    bool      // the whole list of targets is needed
+	entries  uint64    // version of the entries that it named
+	everyone []string  // these entries
+}
+
+// NewRelay returns a relay for a member's server, which answers with its word
+// from then on.
+func NewRelay(peers Peers, node walnutramp.NodeName, hall string, m *consensus.Member, s *Server) *Relay {
+	r := &Relay{peers: peers, node: node, hall: hall, member: m, server: s}
+	s.relay = r
+	return r
+}
+
+// Run asks the leader, as long as another member leads, until ctx ends.
+func (r *Relay) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		leader := r.member.Leader()
+		switch {
+		case r.member.Leads() || leader == "" || !r.ask(ctx, leader):
+			pause.For(ctx, relayPause)
+		case !r.needed():
+			pause.For(ctx, relayRest)
+		}
+	}
+}
+
+// needed reports whether there are so many entries that they are relayed to.
+func (r *Relay) needed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.everyone) > relayedFrom
+}
+
+// ask asks the leader once, and waits for news there.
+func (r *Relay) ask(ctx context.Context, leader walnutramp.NodeName) bool {
+	ctx, cancel := context.WithTimeout(ctx, renewWait+answerLimit)
+	defer cancel()
+	args := r.question()
+	asked := time.Now()
+	var reply NewestReply
+	if err := r.peers.Call(ctx, leader, Service+".Newest", args, &reply); err != nil || reply.Code != walnutramp.CodeOK || reply.Unconfirmed {
+		return false
+	}
+	r.take(reply, asked)
+	return true
+}
+
+// question asks for what this member does not hold yet.
+func (r *Relay) question() NewestArgs {
+	held, _, _, _ := r.server.state.since(0)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	args := NewestArgs{
+		Have: held.Version, Wait: renewWait, Entries: r.entries,
+		DataHall: r.hall, Relay: string(r.node), Relayed: r.server.entries.all(),
+	}
+	if r.server.roster != nil && !r.whole {
+		args.Roster, _ = r.server.roster.held()
+	}
+	return args
+}
+
+// take keeps the leader's word.
+func (r *Relay) take(reply NewestReply, asked time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.takeRoster(reply.Roster) {
+		return
+	}
+	r.asked, r.version = asked, reply.Version
+	if reply.EntriesVersion != 0 && reply.EntriesVersion != r.entries {
+		r.entries, r.everyone = reply.EntriesVersion, reply.Entries
+	}
+}
+
+// takeRoster keeps the leader's list of targets; false if it does not fit. The
+// caller holds the mutex.
+func (r *Relay) takeRoster(told RosterReply) bool {
+	if r.server.roster == nil || told.Version == 0 {
+		return true
+	}
+	version, list := r.server.roster.held()
+	if told.Version != version {
+		list, err := told.Targets(version, list)
+		if err == nil {
+			r.server.roster.Set(list)
+			version, _ = r.server.roster.held()
+		}
+		if r.whole = err != nil || version != told.Version; r.whole {
+			klog.ErrorS(err, "List of targets not taken", "version", told.Version)
+			return false
+		}
+	}
+	r.server.roster.readBefore(told.Age)
+	return true
+}
+
+// answer answers an entry with the leader's word, where there is a fresh one
+// and this member holds what it confirmed. An entry that the leader itself
+// should answer gets false.
+func (r *Relay) answer(ctx context.Context, s *Server, args NewestArgs, reply *NewestReply) bool {
+	if r == nil || !r.fresh() {
+		return false
+	}
+	s.await(ctx, args)
+	r.awaitApplied()
+	if !r.fresh() {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.fill(args, reply)
+	reply.Age = time.Since(r.asked)
+	reply.Relay = r.node
+	reply.Leader = ""
+	if s.roster != nil {
+		reply.Roster = s.roster.since(args.Roster)
+	}
+	reply.Entries, reply.EntriesVersion = slices.Clone(r.everyone), r.entries
+	if r.entries == args.Entries {
+		reply.Entries = nil
+	}
+	return true
+}
+
+// awaitApplied waits a little until this member has applied what the leader
+// confirmed, so that a change does not send every entry to the leader.
+func (r *Relay) awaitApplied() {
+	r.mu.Lock()
+	confirmed := r.version
+	r.mu.Unlock()
+	late := time.NewTimer(relayLag)
+	defer late.Stop()
+	for {
+		applied, _, _, changed := r.server.state.since(confirmed)
+		if applied.Version >= confirmed {
+			return
+		}
+		select {
+		case <-changed:
+		case <-late.C:
+			return
+		}
+	}
+}
+
+// fresh reports whether the leader's word is new enough, and this member has
+// applied what it confirmed.
+func (r *Relay) fresh() bool {
+	applied, _, _, _ := r.server.state.since(0)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.asked) < relayFresh && applied.Version >= r.version
+}
--- a/control/roster.go
+++ b/control/roster.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"sync"
@@ -55,10 +56,7 @@
 func (r *Roster) Set(list []discovery.Target) {
 	list = slices.Clone(list)
 	slices.SortFunc(list, func(a, b discovery.Target) int { return cmp.Compare(a.ID, b.ID) })
-	encoded, err := msgpack.Marshal(list)
-	if err != nil {
-		panic(err) // these types always encode
-	}
+	encoded := encodeList(list)
 	next := rosterVersion{version: max(1, xxhash.Sum64(encoded)), list: list, encoded: encoded}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -72,6 +70,17 @@
 	r.changed = make(chan struct{})
 }
 
+// encodeList encodes a list without the names of its fields.
+func encodeList(list []discovery.Target) []byte {
+	var text bytes.Buffer
+	encoder := msgpack.NewEncoder(&text)
+	encoder.UseArrayEncodedStructs(true)
+	if err := encoder.Encode(list); err != nil {
+		panic(err) // these types always encode
+	}
+	return text.Bytes()
+}
+
 // newest returns the newest reading. The caller holds the mutex.
 func (r *Roster) newest() rosterVersion {
 	if len(r.past) == 0 {
@@ -80,6 +89,21 @@
 	return r.past[len(r.past)-1]
 }
 
+// held returns the newest reading, which must not be changed, and its version.
+func (r *Roster) held() (version uint64, list []discovery.Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.newest().version, r.newest().list
+}
+
+// readBefore notes how long ago the newest list was read, where another node
+// read it.
+func (r *Roster) readBefore(age time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.read = time.Now().Add(-age)
+}
+
 func (r *Roster) since(version uint64) RosterReply {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/control/server.go
+++ b/control/server.go
@@ -26,6 +26,12 @@
 	Entry string
 	// Entries is the version of the entries' addresses that the asker holds.
 	Entries uint64
+	// DataHall is the asker's.
+	DataHall string
+	// Relay is the asker's own address, if it answers entries of its data hall
+	// with the leader's word; Relayed are those that asked it lately.
+	Relay   string
+	Relayed []string
 }
 
 // NewestReply is the leader's word, confirmed by a majority after it was
@@ -47,6 +53,11 @@
 	EntriesVersion uint64
 	// Roster is the leader's list of targets, where the asker holds another.
 	Roster RosterReply
+	// Age is how long ago the leader was asked; 0 from the leader itself.
+	Age time.Duration
+	// Relay is whom an entry should ask from now on: a member of its data
+	// hall that relays the leader's word. Empty for the leader itself.
+	Relay walnutramp.NodeName
 }
 
 // DoArgs hands over a command.
@@ -72,6 +83,8 @@
 	keeper    *Keeper // nil where members are changed by hand
 	entries   entries
 	roster    *Roster // nil where nodes read the list themselves
+	relays    relays  // members that relay this one's word, while it leads
+	relay     *Relay  // relays the leader's word, while another leads; nil for none
 }
 
 // NewOpenServer returns a server of a site that asks for no signatures and
@@ -92,8 +105,12 @@
 	if s.keeper != nil {
 		reply.Group = s.member.Status().Group.Nodes()
 	}
-	reply.Entries, reply.EntriesVersion = s.entries.noted(args.Entry, args.Entries)
+	s.noteAskers(args)
+	reply.Entries, reply.EntriesVersion = s.entries.told(args)
 	leads := s.member.Leads()
+	if !leads && args.Entry != "" && s.relay.answer(ctx, s, args, reply) {
+		return nil
+	}
 	if !leads && args.Unconfirmed {
 		s.fill(args, reply)
 		reply.Unconfirmed, reply.Leader = true, s.member.Leader()
@@ -109,12 +126,27 @@
 		return nil
 	}
 	s.fill(args, reply)
-	if s.roster != nil && args.Entry != "" {
+	if s.roster != nil && args.wantsRoster() {
 		reply.Roster = s.roster.since(args.Roster)
 	}
+	if args.Entry != "" && s.entries.count() > relayedFrom {
+		reply.Relay = s.relays.of(args.DataHall, args.Entry)
+	}
 	return nil
 }
 
+// wantsRoster reports whether the asker uses the list of targets.
+func (a *NewestArgs) wantsRoster() bool { return a.Entry != "" || a.Relay != "" }
+
+// noteAskers notes who is there: the asker, and those it relays to.
+func (s *Server) noteAskers(args NewestArgs) {
+	s.entries.note(args.Entry)
+	for _, entry := range args.Relayed {
+		s.entries.note(entry)
+	}
+	s.relays.note(args.DataHall, args.Relay)
+}
+
 // fill answers with what this member has applied.
 func (s *Server) fill(args NewestArgs, reply *NewestReply) {
 	newest, deltas, doc, _ := s.state.since(args.Have)
@@ -182,7 +214,7 @@
 // rosterChanged returns what is closed when the list of targets changes, and
 // whether the asker holds another one already.
 func (s *Server) rosterChanged(args NewestArgs) (changed <-chan struct{}, other bool) {
-	if s.roster == nil || args.Entry == "" {
+	if s.roster == nil || !args.wantsRoster() {
 		return nil, false
 	}
 	return s.roster.watch(args.Roster)
--- a/discovery/poller.go
+++ b/discovery/poller.go
@@ -33,7 +33,7 @@
 type PollerConfig struct {
 	Interval time.Duration
 	Soonest  time.Duration // between two readings, when one is asked for
-	Timeout  time.Duration
+	Timeout  time.Duration // of a whole reading, however many calls it is
 	Trust    time.Duration // how old another node's reading, and its word on it, may be
 	Only     func() bool   // reads only while this holds; nil for always
 }
@@ -48,7 +48,7 @@
 
 // NewPoller returns a poller that hands every list it reads to take.
 func NewPoller(source Source, take func([]Target), opts ...PollerOption) *Poller {
-	cfg := PollerConfig{Interval: time.Second, Soonest: 300 * time.Millisecond, Timeout: 700 * time.Millisecond, Trust: 1600 * time.Millisecond}
+	cfg := PollerConfig{Interval: time.Second, Soonest: 300 * time.Millisecond, Timeout: 3 * time.Second, Trust: 1600 * time.Millisecond}
 	for _, opt := range opts {
 		opt(&cfg)
 	}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -96,7 +96,7 @@
 		sharing = append(sharing, loadshare.WithMemory(filepath.Join(s.DataDir, tracesFile)))
 	}
 	sharer := loadshare.New(conn, targets, budgets, sharing...)
-	p.client.AsEntry(s.PeerListen, sharer.SetPeers)
+	p.client.AsEntry(s.PeerListen, s.DataHall, sharer.SetPeers)
 	p.client.FeedTargets(poller.Fed)
 	clients, err := net.Listen("tcp", s.EntryListen)
 	if err != nil {
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -78,9 +78,11 @@
 	roster := control.NewRoster()
 	poller := discovery.NewPoller(p.adapter.Source(), roster.Set, discovery.WithOnly(member.Leads))
 	server := peer.NewServer(self, &p.traffic)
+	answers := control.NewOpenServer(member, state, keeper, roster)
+	relay := control.NewRelay(p.peers, self.Node, s.DataHall, member, answers)
 	if err := errors.Join(
 		server.Register(consensus.Service, member.Handler()),
-		server.Register(control.Service, control.NewOpenServer(member, state, keeper, roster)),
+		server.Register(control.Service, answers),
 	); err != nil {
 		return err
 	}
@@ -93,6 +95,7 @@
 	p.client = control.NewDocumentClient(p.peers, s.Seeds, func(uint64, []byte) error { return nil })
 	go keeper.Run(p.ctx)
 	go poller.Run(p.ctx)
+	go relay.Run(p.ctx)
 	go control.NewJoiner(p.peers, self.Node, identity, member, p.client).Run(p.ctx)
 	p.replica = &replica{member: member, server: server}
 	p.replica.operator, err = listen(s.OperatorAddr, p.adapter.Operator(&documents{client: p.client, member: member, limit: s.OperatorIn}))
