--- a/serve/entry.go
+++ b/serve/entry.go
@@ -67,7 +67,7 @@
 	targets := balance.NewTracker(weigh...)
 	pool := targetconn.NewPool(targetconn.WithIdentityHeader(names.Identity))
 	var g *gateway.Gateway
-	poller := discovery.NewPoller(p.adapter.Source(), func(list []discovery.Target) {
+	poller := discovery.NewPoller(p.adapter.Source(true), func(list []discovery.Target) {
 		for _, id := range targets.Update(list) {
 			pool.Forget(id)
 		}
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -76,7 +76,7 @@
 	}
 	keeper := control.NewKeeper(self.Node, member)
 	roster := control.NewRoster()
-	poller := discovery.NewPoller(p.adapter.Source(), roster.Set, discovery.WithOnly(member.Leads))
+	poller := discovery.NewPoller(p.adapter.Source(false), roster.Set, discovery.WithOnly(member.Leads))
 	server := peer.NewServer(self, &p.traffic)
 	answers := control.NewOpenServer(member, state, keeper, roster)
 	relay := control.NewRelay(p.peers, self.Node, s.DataHall, member, answers)
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -57,8 +57,9 @@
 	Names() gateway.Names
 	// Table reads a document into the form the gateway uses.
 	Table(doc []byte) (*gateway.Table, error)
-	// Source reads the site's list of targets.
-	Source() discovery.Source
+	// Source reads the site's list of targets. One that may rely on another
+	// node's reading leaves long lists to it.
+	Source(reliant bool) discovery.Source
 	// Operator answers operators.
 	Operator(d Documents) http.Handler
 	// Ready answers the balancer.
