--- a/gateway/call.go
+++ b/gateway/call.go
@@ -41,7 +41,7 @@
 	turns    int                      // targets that were asked
 	sent     int                      // targets that may have begun the request
 	reached  bool                     // a target may have run it
-	seen     bool                     // a target was reached, if only to turn it away
+	asked    bool                     // a target was reached, if only to turn it away
 	failed   map[string]int           // targets that failed it, by data hall
 	prepaid  bool                     // a repeat was paid for that has not arrived yet
 }
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -56,14 +56,14 @@
 // arrive notes that a target was reached. What never arrives, such as a
 // connection that is refused, is no repeat.
 func (c *call) arrive() {
-	c.seen = true
+	c.asked = true
 	c.prepaid = false
 }
 
 // payRepeat takes what one more arrival costs from the budget; false if it is
 // spent.
 func (c *call) payRepeat(b *balance.Budget) bool {
-	if c.seen && !c.prepaid {
+	if c.asked && !c.prepaid {
 		c.prepaid = b.Spend()
 		return c.prepaid
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -89,7 +89,7 @@
 
 	startOnce sync.Once
 
-	unbegun unbegunRuns
+	pending pendingRuns
 
 	budgets *balance.Budgets
 }
@@ -102,8 +102,8 @@
 		opt(&cfg)
 	}
 	g := &Gateway{cfg: cfg, targets: targets, pool: pool, refresh: refresh, budgets: budgets, counters: newCounters(),
-		started: make(chan struct{}), unbegun: unbegunRuns{runs: map[*unbegunRun]struct{}{}}}
-	targets.OnSilence(g.unbegun.moveFromSilent)
+		started: make(chan struct{}), pending: pendingRuns{runs: map[*pendingRun]struct{}{}}}
+	targets.OnSilence(g.pending.moveFromSilent)
 	g.strip = map[string]bool{}
 	n := cfg.Names
 	for _, name := range append([]string{n.Key, n.Account, n.Expect, n.Priority, n.CopyTo, n.CopyFrom, n.Deadline}, n.System...) {
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -22,24 +22,24 @@
 	return errors.Is(err, syscall.ETIMEDOUT) || errors.As(err, &timeout) && timeout.Timeout() && !errors.Is(err, context.DeadlineExceeded)
 }
 
-// unbegunRuns are the runs without a first event. Nothing tells them from
+// pendingRuns are the runs without a first event. Nothing tells them from
 // runs at a target that has lost power, but for what befalls others there.
-type unbegunRuns struct {
+type pendingRuns struct {
 	mu   sync.Mutex
-	runs map[*unbegunRun]struct{}
+	runs map[*pendingRun]struct{}
 }
 
-// unbegunRun is a run that waits for its first event.
-type unbegunRun struct {
-	set    *unbegunRuns
+// pendingRun is a run that waits for its first event.
+type pendingRun struct {
+	set    *pendingRuns
 	target *balance.Target
 	began  time.Time
 	cancel context.CancelCauseFunc
 }
 
 // add notes a run that begins; one that may not move is not given up.
-func (u *unbegunRuns) add(t *balance.Target, cancel context.CancelCauseFunc, mayMove bool) *unbegunRun {
-	r := &unbegunRun{set: u, target: t, began: time.Now(), cancel: cancel}
+func (u *pendingRuns) add(t *balance.Target, cancel context.CancelCauseFunc, mayMove bool) *pendingRun {
+	r := &pendingRun{set: u, target: t, began: time.Now(), cancel: cancel}
 	if mayMove {
 		u.mu.Lock()
 		u.runs[r] = struct{}{}
@@ -49,7 +49,7 @@
 }
 
 // drop forgets a run that has begun or ended.
-func (r *unbegunRun) drop() {
+func (r *pendingRun) drop() {
 	r.set.mu.Lock()
 	delete(r.set.runs, r)
 	r.set.mu.Unlock()
@@ -57,7 +57,7 @@
 
 // moveFromSilent gives up the runs whose targets have fallen silent since the
 // runs began.
-func (u *unbegunRuns) moveFromSilent() {
+func (u *pendingRuns) moveFromSilent() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for r := range u.runs {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -138,8 +138,8 @@
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	patience := time.AfterFunc(r.headWait(o.work), func() { cancel(nil) })
-	silent := g.unbegun.add(t, cancel, c.mayMove())
-	defer silent.drop()
+	pending := g.pending.add(t, cancel, c.mayMove())
+	defer pending.drop()
 	answer, err := g.pool.Do(runCtx, endpoint(t), o.request)
 	if err != nil && errors.Is(context.Cause(runCtx), errTargetSilent) {
 		g.noteMoved(c, t)
@@ -163,7 +163,7 @@
 		return r.passOther(answer, t)
 	}
 	return r.pass(runCtx, answer, t, func() {
-		silent.drop()
+		pending.drop()
 		under.FirstEvent()
 	})
 }
