Let no relay answer on a site where the leader answers all

Seen in the last read of the change: with up to 100 entries a relay that had asked lately answered an entry that happened to ask it, though nobody is to rely on it there.

--- a/control/relay.go
+++ b/control/relay.go
@@ -182,7 +182,7 @@
 // and this member holds what it confirmed. An entry that the leader itself
 // should answer gets false.
 func (r *Relay) answer(ctx context.Context, s *Server, args NewestArgs, reply *NewestReply) bool {
-	if r == nil || !r.fresh() {
+	if r == nil || !r.needed() || !r.fresh() {
 		return false
 	}
 	s.await(ctx, args)
--- a/control/relay_test.go
+++ b/control/relay_test.go
@@ -37,6 +37,9 @@
 func newRelayPair() (*leaderPeers, *Server, *Relay) {
 	rule := WithRule(AcceptHighest)
 	peers := &leaderPeers{leader: &Server{state: NewState(rule), roster: NewRoster()}}
+	for i := range relayedFrom + 1 {
+		peers.leader.entries.note(fmt.Sprint("e", i))
+	}
 	member := &Server{state: NewState(rule), roster: NewRoster()}
 	return peers, member, NewRelay(peers, "relay", "north", nil, member)
 }
@@ -78,6 +81,19 @@
 	})
 }
 
+// On a small site the leader answers every entry itself.
+func TestSmallSiteNeedsNoRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		peers, member, relay := newRelayPair()
+		peers.leader.entries = entries{}
+		peers.leader.roster.Set(targetsNamed(0, 3))
+		require.True(t, relay.ask(t.Context(), "leader"))
+		_, ok := askRelay(member, NewestArgs{Entry: "e1"})
+		require.False(t, ok)
+		require.False(t, relay.needed())
+	})
+}
+
 // A relay that has heard of a version which it has not applied yet must not
 // answer with the one before.
 func TestRelayThatLagsDoesNotAnswer(t *testing.T) {
@@ -148,6 +164,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		peers, member, relay := newRelayPair()
 		peers.leader.roster.Set([]discovery.Target{{ID: "i-1"}})
+		peers.leader.entries = entries{}
 		for i := range relayedFrom + 1 {
 			member.noteAskers(NewestArgs{Entry: fmt.Sprint("e", i)})
 		}
