Test that a stranger's word counts for nothing whatever targets the node owns

Cause: the test looked whether both of two idle targets are chosen; since targets have owners, a node that owns one of them, as the test's random port decides, always chooses that one.

--- a/loadshare/loadshare_test.go
+++ b/loadshare/loadshare_test.go
@@ -55,13 +55,18 @@
 	s.SetPeers([]string{"127.0.0.1:9"})
 	heavy := message{Sequence: 5, Runs: []run{{Number: 1, Target: "1", Read: 90000, Hold: 90000}, {Number: 2, Target: "2", Hold: 1, Read: -5}}}
 	choice := balance.Choice{Service: "s", Work: balance.Work{Read: 8000, Hold: 8000}}
-	s.take("127.0.0.1:10", heavy)
-	taken := map[string]bool{}
-	for range 40 {
-		taken[tracker.Pick(choice).ID] = true
+	expected := func(id string) time.Duration {
+		only := choice
+		only.Exclude = func(t *balance.Target) bool { return t.ID != id }
+		return tracker.Expected(choice, tracker.Pick(only))
 	}
-	require.Len(t, taken, 2, "a stranger's word counts for nothing")
+	idle := expected("1")
+	s.take("127.0.0.1:10", heavy)
+	require.Equal(t, idle, expected("1"), "a stranger's word counts for nothing")
+	require.Equal(t, idle, expected("2"))
 	s.take("127.0.0.1:9", heavy)
+	require.Greater(t, expected("1"), idle)
+	require.Equal(t, idle, expected("2"), "a negative number of tokens counts as none")
 	s.take("127.0.0.1:9", message{Sequence: 4})
 	for range 20 {
 		require.Equal(t, "2", tracker.Pick(choice).ID, "the older message does not undo the newer")
