--- a/control/state_test.go
+++ b/control/state_test.go
@@ -26,6 +26,8 @@
 
 func accept(s *State, version uint64) {
 	doc := documentOf(version)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.submit(&Submit{Version: version, Digest: bundle.Digest(doc), Doc: doc}, 0)
 }
 
