--- a/control/entries.go
+++ b/control/entries.go
@@ -31,9 +31,10 @@
 	e.heard[asker] = time.Now()
 }
 
-// live returns the entries that asked lately, in order. The caller holds the
-// mutex.
-func (e *entries) live() []string {
+// all returns the entries that asked lately, in order.
+func (e *entries) all() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	now := time.Now()
 	live := make([]string, 0, len(e.heard))
 	for address, at := range e.heard {
@@ -47,13 +48,6 @@
 	return live
 }
 
-// all returns the entries that asked lately.
-func (e *entries) all() []string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.live()
-}
-
 // count returns how many entries asked lately.
 func (e *entries) count() int { return len(e.all()) }
 
