--- a/balance/balance.go
+++ b/balance/balance.go
@@ -88,6 +88,8 @@
 	others  map[string]*sharedRuns // by node
 	broken  []*Run                 // own runs that broke off, oldest first
 	memory  map[string]memory      // by key, from before this node's start
+	engines map[string]Engine      // by service, as the configuration says
+	paces   map[string]*pace       // by service
 	numbers uint64                 // of own runs
 	own     string                 // this node
 	nodes   []string               // that choose among the targets, sorted
@@ -134,6 +136,7 @@
 	}
 	return &Tracker{
 		cfg: cfg, byID: map[string]*Target{}, service: map[string][]*Target{}, others: map[string]*sharedRuns{},
+		paces:   map[string]*pace{},
 		changed: func() {}, silence: func() {}, rng: rand.New(rand.NewPCG(cfg.Seed, 11)),
 	}
 }
--- /dev/null
+++ b/balance/room.go
@@ -0,0 +1,111 @@
+package balance
+
+import "time"
+
+// Engine is what a configuration says of a service's engines.
+type Engine struct {
+	Memory int // tokens that runs and copies may hold; 0 if that is not known
+	Slots  int // runs at once; 0 if that is not known
+}
+
+// Shares of an engine's memory.
+const (
+	// fullShare is how much new runs may fill: what is left bears that runs
+	// of other nodes are known late, and that answers grow longer than was
+	// predicted. An engine that runs out puts runs back and reads them anew.
+	fullShare = 0.9
+	// rankReserve is kept free for each rank of more urgent requests.
+	rankReserve = 0.05
+	// copyShare is how much may be filled when a copy is added: copies must
+	// not keep runs out.
+	copyShare = 0.6
+	// comfortShare is how much may be filled before memory speaks against an
+	// engine.
+	comfortShare = 0.8
+	// assumedMemory is held to be there where the configuration tells none,
+	// in tokens: that of a large model on one server.
+	assumedMemory = 80000
+)
+
+// SetEngines takes what a configuration says of the engines, by service. What
+// was learned of engines that are described anew is forgotten.
+func (t *Tracker) SetEngines(engines map[string]Engine) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for service, engine := range engines {
+		if before, known := t.engines[service]; known && before != engine {
+			delete(t.paces, service)
+		}
+	}
+	t.engines = engines
+}
+
+// memoryOf returns the memory of a service's engines, in tokens. The caller
+// holds the mutex.
+func (t *Tracker) memoryOf(service string) int {
+	if e := t.engines[service]; e.Memory > 0 {
+		return e.Memory
+	}
+	return assumedMemory
+}
+
+// copiesFor returns what copies take up at the targets that a choice is among;
+// nothing for plain services. The caller holds the mutex.
+func (t *Tracker) copiesFor(c *Choice, now time.Time) map[string]int {
+	if c.Work == (Work{}) {
+		return nil
+	}
+	return t.copiesHeld(now)
+}
+
+// copiesHeld returns how many tokens the copies of runs take up, by target.
+// The caller holds the mutex.
+func (t *Tracker) copiesHeld(now time.Time) map[string]int {
+	held := map[string]int{}
+	for _, target := range t.byID {
+		for _, r := range target.underWay(now) {
+			if r.Trace.Copy != "" {
+				held[r.Trace.Copy] += r.Hold
+			}
+		}
+	}
+	return held
+}
+
+// occupancy is what takes an engine up.
+type occupancy struct {
+	runs   []Shared
+	held   int // tokens of the runs
+	copies int // tokens of copies of other engines' runs
+}
+
+// occupancy returns what is known to take the target up. The caller holds the
+// mutex.
+func (t *Target) occupancy(copies map[string]int, now time.Time) occupancy {
+	o := occupancy{runs: t.underWay(now), copies: copies[t.ID]}
+	for _, r := range o.runs {
+		o.held += r.Hold
+	}
+	return o
+}
+
+// fits reports whether a choice finds room at a target that it takes up, and
+// would begin there in time. The caller holds the mutex.
+func (t *Target) fits(c *Choice, o occupancy) bool {
+	memory := float64(t.tracker.memoryOf(t.Service))
+	taken := float64(o.held + o.copies + c.Work.Hold)
+	if c.Copy {
+		return taken <= copyShare*memory
+	}
+	if !c.Admission {
+		return true
+	}
+	if slots := t.tracker.engines[t.Service].Slots; slots > 0 && len(o.runs) >= slots {
+		return false
+	}
+	if len(o.runs) > 0 && taken > (fullShare-rankReserve*float64(c.Rank))*memory {
+		return false // an idle engine takes what is larger, too
+	}
+	begins := t.tracker.backlog(t.Service, o.runs) + t.tracker.readMS(t.Service, c.Work.Read)
+	return c.Within == 0 || begins <= float64(c.Within.Milliseconds())
+}
--- a/balance/run.go
+++ b/balance/run.go
@@ -9,6 +9,9 @@
 type Work struct {
 	Read int // prompt tokens that the target reads before the first event
 	Hold int // tokens of memory that the run takes up
+	// Cached says that most of the prompt is held to be in the target's cache;
+	// Read is what is left.
+	Cached bool
 }
 
 // Trace is how a run is found again after it broke off.
@@ -20,13 +23,15 @@
 
 // Run is one request of this node under way at a target.
 type Run struct {
-	number uint64 // names the run among this node's
-	target *Target
-	work   Work
-	trace  Trace
-	began  time.Time
-	first  bool      // its first event has come
-	broke  time.Time // when it broke off, zero while it is under way
+	number  uint64 // names the run among this node's
+	target  *Target
+	work    Work
+	trace   Trace
+	began   time.Time
+	alone   bool      // no other prompt was to be read when it began
+	first   bool      // its first event has come
+	firstAt time.Time // when that was
+	broke   time.Time // when it broke off, zero while it is under way
 }
 
 // Begin counts a request in.
@@ -34,6 +39,7 @@
 	r := &Run{target: t, work: w, trace: trace, began: time.Now()}
 	t.tracker.mu.Lock()
 	r.number = t.tracker.nextNumber()
+	r.alone = w != (Work{}) && t.tracker.backlog(t.Service, t.underWay(r.began)) == 0
 	t.runs[r] = struct{}{}
 	t.tracker.mu.Unlock()
 	if w != (Work{}) {
@@ -45,7 +51,8 @@
 // FirstEvent notes that the target has read the prompt.
 func (r *Run) FirstEvent() {
 	r.target.tracker.mu.Lock()
-	r.first = true
+	r.first, r.firstAt = true, time.Now()
+	r.learnReading(r.firstAt)
 	r.target.tracker.mu.Unlock()
 	r.target.tracker.changed()
 }
@@ -57,14 +64,23 @@
 	return r.first
 }
 
+// RunEnd says how a run ended.
+type RunEnd struct {
+	Whole  bool // with its whole answer
+	Tokens int  // that came out, 0 if that is not known
+}
+
 // End counts the request out. A run that broke off is remembered for as long
 // as its copy may be kept.
-func (r *Run) End(whole bool) {
+func (r *Run) End(how RunEnd) {
 	tracker := r.target.tracker
 	tracker.mu.Lock()
 	delete(r.target.runs, r)
+	if how.Whole && r.work.Read > 0 {
+		r.learnWhole(time.Now(), how.Tokens)
+	}
 	tracker.forgetBroken(time.Now())
-	if !whole && r.trace.Copy != "" && r.first {
+	if !how.Whole && r.trace.Copy != "" && r.first {
 		r.broke = time.Now()
 		tracker.broken = append(tracker.broken, r)
 	}
--- a/balance/score.go
+++ b/balance/score.go
@@ -23,6 +23,13 @@
 	Exclude func(*Target) bool
 	// Copy says that the target is to keep a copy of a run.
 	Copy bool
+	// Admission says that the request is new: only a target with room for it
+	// is picked, where it is predicted to begin within a time.
+	Admission bool
+	Within    time.Duration // 0 for no bound
+	// Rank counts the ranks of more urgent requests, for which some room is
+	// kept.
+	Rank int
 	// FailedHalls counts the targets in a data hall that failed this request.
 	FailedHalls map[string]int
 	// OtherHall asks for a data hall that is not this one, if one is there.
@@ -45,9 +52,7 @@
 	homeGain        = 250.0 // for the target that the key names, so that it is found again
 	keptRead        = 0.2   // share of a prompt read again where its key was before
 	memoryCost      = 100.0 // for each thousand tokens beyond a comfortable memory
-	readPerMS       = 6.6   // prompt tokens a millisecond beside running requests
-	comfortTokens   = 70000
-	slotCost        = 30.0 // a request before this one at a plain service, times its share of the slots
+	slotCost        = 30.0  // a request before this one at a plain service, times its share of the slots
 )
 
 // Pick returns the best target, or nil. Targets that lately failed are taken
@@ -58,13 +63,20 @@
 	now := time.Now()
 	home := t.home(c, now)
 	doubtful := t.doubtful(c.Service, now)
+	copies := t.copiesFor(&c, now)
 	var best *Target
 	bestScore := math.Inf(1)
 	for _, target := range t.service[c.Service] {
 		if !target.open(now) || c.Exclude != nil && c.Exclude(target) {
 			continue
 		}
-		s := target.score(&c, target == home, now)
+		var o occupancy
+		if c.Work != (Work{}) {
+			if o = target.occupancy(copies, now); !target.fits(&c, o) {
+				continue
+			}
+		}
+		s := target.score(&c, o, target == home, now)
 		if doubtful[target.DataHall] {
 			target.doubted = now
 			s += doubtCost
@@ -86,11 +98,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	read := float64(c.Work.Read) / readPerMS
+	read := t.readMS(c.Service, c.Work.Read)
 	if c.Again && t.home(c, now) == at {
 		read *= keptRead
 	}
-	return time.Duration((backlog(at.underWay(now)) + read) * float64(time.Millisecond))
+	return time.Duration((t.backlog(c.Service, at.underWay(now)) + read) * float64(time.Millisecond))
 }
 
 // Kept returns what a request that comes again asks of a target: at the one
@@ -101,6 +113,7 @@
 	work := c.Work
 	if c.Again && t.home(c, time.Now()) == at {
 		work.Read = int(float64(work.Read) * keptRead)
+		work.Cached = true
 	}
 	return work
 }
@@ -145,7 +158,7 @@
 
 // score is the wait expected at a target, in milliseconds, with what else
 // speaks against it. The caller holds the mutex.
-func (t *Target) score(c *Choice, home bool, now time.Time) float64 {
+func (t *Target) score(c *Choice, o occupancy, home bool, now time.Time) float64 {
 	cfg := &t.tracker.cfg
 	score := t.tracker.rng.Float64() * noiseCost
 	switch cfg.Policy {
@@ -159,7 +172,7 @@
 	if c.Work == (Work{}) {
 		score += t.slotWait(now)
 	} else {
-		score += t.engineWait(c, home, now)
+		score += t.engineWait(c, o, home)
 	}
 	if t.DataHall != cfg.DataHall {
 		score += cfg.farCost(c)
@@ -200,29 +213,27 @@
 	return trySuspectCost
 }
 
-// engineWait predicts the time to the first event of an engine.
-func (t *Target) engineWait(c *Choice, home bool, now time.Time) float64 {
-	runs := t.underWay(now)
-	read := float64(c.Work.Read) / readPerMS
+// engineWait predicts the time to the first event of an engine, and what the
+// run would cost others there, in milliseconds.
+func (t *Target) engineWait(c *Choice, o occupancy, home bool) float64 {
+	read := t.tracker.readMS(t.Service, c.Work.Read)
+	crowd := (requestCost + crowdWeight*read) * float64(len(o.runs))
 	if home && c.Again {
 		read *= keptRead
 	} else if home {
 		read -= homeGain
 	}
-	hold := c.Work.Hold
-	for _, r := range runs {
-		hold += r.Hold
-	}
-	wait := backlog(runs) + read + (requestCost+crowdWeight*float64(c.Work.Read)/readPerMS)*float64(len(runs)) - t.gain
-	if over := hold - comfortTokens; over > 0 {
-		wait += memoryCost * float64(over) / 1000
+	wait := t.tracker.backlog(t.Service, o.runs) + read + crowd - t.gain
+	comfort := comfortShare * float64(t.tracker.memoryOf(t.Service))
+	if over := float64(o.held+o.copies+c.Work.Hold) - comfort; over > 0 {
+		wait += memoryCost * over / 1000
 	}
 	return wait
 }
 
-// backlog is how long an engine still reads the prompts that came before, in
-// milliseconds, if it reads them one after the other.
-func backlog(runs []Shared) float64 {
+// backlog is how long a service's engine still reads the prompts that came
+// before, in milliseconds, if it reads them one after the other.
+func (t *Tracker) backlog(service string, runs []Shared) float64 {
 	slices.SortFunc(runs, func(a, b Shared) int { return cmp.Compare(b.Age, a.Age) })
 	finish := math.Inf(-1) // relative to now
 	for _, r := range runs {
@@ -232,7 +243,7 @@
 		start := -float64(r.Age.Milliseconds())
 		// A prompt whose time is over but that is not read yet is held to
 		// need a while longer.
-		finish = math.Max(math.Max(finish, start)+float64(r.Read)/readPerMS, lateRead)
+		finish = math.Max(math.Max(finish, start)+t.readMS(service, r.Read), lateRead)
 	}
 	return math.Max(0, finish)
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -29,6 +29,7 @@
 	arrived  time.Time
 	deadline time.Time
 	priority int
+	rank     int    // of its priority: how many more urgent ones there are
 	version  uint64 // of the configuration that decided its route
 	lastID   int64  // of the last event the client has
 	hasLast  bool
@@ -76,6 +77,7 @@
 	if account.HasPriority {
 		c.priority = account.Priority
 	}
+	c.rank = table.ranks[c.priority]
 	c.engine = table.Services[c.service]
 	if err := g.readDeadline(c, r.Header); err != nil {
 		return nil, err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,6 +114,8 @@
 
 // SetTable puts a table in force.
 func (g *Gateway) SetTable(t *Table) {
+	t.setRanks()
+	g.targets.SetEngines(t.engines())
 	g.table.Store(t)
 	g.Started()
 }
@@ -173,11 +175,9 @@
 	g.stopping.Store(phaseLeaving)
 }
 
-// Times by which a stream's length is predicted.
-const (
-	typicalFirstEvent = 1500 * time.Millisecond
-	typicalToken      = 6 * time.Millisecond
-)
+// startMargin is the wait for a place at an engine that is allowed for when a
+// stream's end is predicted: about the mean of a site under its usual load.
+const startMargin = 500 * time.Millisecond
 
 // fits reports whether a call is answered before the node ends.
 func (g *Gateway) fits(c *call) bool {
@@ -185,7 +185,7 @@
 	if by == nil || c.route.Kind != Stream {
 		return true
 	}
-	need := typicalFirstEvent + time.Duration(c.out)*typicalToken
+	need := startMargin + g.targets.RunTime(c.service, c.work.Read, c.out)
 	return time.Now().Add(need).Before(*by)
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -89,7 +89,7 @@
 	}()
 	defer g.limitTry(c, cancel).Stop()
 	run := t.Begin(balance.Work{}, balance.Trace{})
-	defer run.End(true)
+	defer run.End(balance.RunEnd{Whole: true})
 	answer, err := g.pool.Do(tryCtx, endpoint(t), g.request(c, t))
 	if err != nil {
 		g.noteFailure(ctx, c, t, err)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -28,6 +28,7 @@
 	first   time.Duration // from the request to its first event
 	longest time.Duration // pause between two events
 	runs    int
+	events  int     // of the newest run
 	copy    *copyOf // of the run that broke off
 }
 
@@ -106,10 +107,11 @@
 // run passes one run on until it ends.
 func (r *relay) run(ctx context.Context, t *balance.Target, from *copyOf) ending {
 	r.runs++
+	r.events = 0
 	o := r.order(t, from)
 	under := t.Begin(o.work, o.trace)
 	end := r.follow(ctx, t, o, under)
-	under.End(end == endWhole)
+	under.End(balance.RunEnd{Whole: end == endWhole, Tokens: r.events * r.call.engine.EventTokens})
 	if end == endBroken && o.holder != nil && under.Begun() {
 		r.copy = &copyOf{at: o.holder, identity: r.call.id}
 	}
@@ -208,16 +210,13 @@
 // headWait is how long a run may be silent before its first event, when
 // another target may still answer in time; the last target is waited for.
 func (r *relay) headWait(work balance.Work) time.Duration {
-	c := r.call
+	g, c := r.gateway, r.call
 	if !c.mayMove() {
 		return time.Until(c.deadline)
 	}
-	return r.gateway.cfg.FirstEvent + time.Duration(work.Read)*readToken
+	return g.cfg.FirstEvent + g.targets.RunTime(c.service, work.Read, 0)
 }
 
-// readToken is how long an engine takes to read a prompt's token.
-const readToken = 150 * time.Microsecond
-
 func isEventStream(a *targetconn.Answer) bool {
 	return a.Status == http.StatusOK && strings.HasPrefix(a.Header.Get("Content-Type"), eventStreamType) &&
 		a.Header.Get("Content-Encoding") == ""
@@ -260,6 +259,7 @@
 		if err != nil {
 			return r.ended(ctx, a, t, events, err)
 		}
+		r.events++
 		if !seen {
 			seen = true
 			first()
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -5,10 +5,14 @@
 package gateway
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/walnutramp/walnutramp/balance"
 )
 
 // Kind says what may be repeated of a route's requests.
@@ -73,6 +77,11 @@
 	Name   string
 	Engine bool
 	Copies bool // its engines keep copies of runs at each other
+	Memory int  // of an engine, in tokens; 0 if that is not told
+	Slots  int  // runs at once at an engine; 0 if that is not told
+	// EventTokens is how many tokens one event of a stream holds, 0 if that is
+	// not told.
+	EventTokens int
 }
 
 // Limits bound what a client may send.
@@ -91,6 +100,37 @@
 	Services map[string]Service
 	Accounts map[string]Account // by key; nil where no keys are asked for
 	hosts    map[string][]*Route
+	ranks    map[int]int // of priorities: how many more urgent ones there are
+}
+
+// engines returns what the table says of the engines, by service.
+func (t *Table) engines() map[string]balance.Engine {
+	engines := map[string]balance.Engine{}
+	for name, s := range t.Services {
+		if s.Engine {
+			engines[name] = balance.Engine{Memory: s.Memory, Slots: s.Slots}
+		}
+	}
+	return engines
+}
+
+// setRanks gives every priority that routes and accounts have its rank.
+func (t *Table) setRanks() {
+	seen := map[int]bool{}
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			seen[r.Priority] = true
+		}
+	}
+	for _, a := range t.Accounts {
+		if a.HasPriority {
+			seen[a.Priority] = true
+		}
+	}
+	t.ranks = map[int]int{}
+	for rank, priority := range slices.Sorted(maps.Keys(seen)) {
+		t.ranks[priority] = rank
+	}
 }
 
 // SetRoutes files the routes by host, the longest prefix first.
