--- a/balance/pace.go
+++ b/balance/pace.go
@@ -5,8 +5,7 @@
 // How fast the engines of a service work is learned from the runs of this
 // node, and forgotten when the configuration of the engines changes.
 
-// Assumed values, before anything has been seen. Each counts as one
-// observation, so the first runs replace it.
+// Assumed values, until the first observation takes their place.
 const (
 	assumedReadPerMS  = 5.0  // prompt tokens read in a millisecond, of a large model on one server
 	assumedTokenMS    = 7.0  // milliseconds between two tokens
@@ -24,7 +23,8 @@
 	leastRead = 500
 )
 
-// estimate is a mean of observations, the newer the more they weigh.
+// estimate is a mean of observations; once there are many, the newer weigh
+// more.
 type estimate struct {
 	value float64
 	seen  int
@@ -33,7 +33,7 @@
 func (e *estimate) observe(x float64) {
 	e.seen++
 	x = min(max(x, e.value/paceOutlier), e.value*paceOutlier)
-	e.value += max(1/float64(e.seen+1), paceMemory) * (x - e.value)
+	e.value += max(1/float64(e.seen), paceMemory) * (x - e.value)
 }
 
 // pace is how fast a service's engines work.
