--- a/gateway/call.go
+++ b/gateway/call.go
@@ -44,6 +44,7 @@
 	reached  bool                     // a target may have run it
 	asked    bool                     // a target was reached, if only to turn it away
 	failed   map[string]int           // targets that failed it, by data hall
+	noRoom   bool                     // there are targets, but none has room
 	prepaid  bool                     // a repeat was paid for that has not arrived yet
 }
 
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -14,12 +14,19 @@
 	lookAgain    = 25 * time.Millisecond
 	mostTurned   = 12 // targets that may turn one request away
 	longestPause = 2 * time.Second
+
+	// roomPatience is the share of its aim that a new request waits for room
+	// at an engine. One that is refused sooner can come back in time.
+	roomPatience = 0.2
+	// beginShare is the part of its aim within which a new request must be
+	// predicted to begin: the rest bears mistakes of the prediction.
+	beginShare = 0.9
 )
 
 // next returns the next target to ask, or nil. While there is none, a request
-// that has time is held: targets come back, and the list is read again.
+// that has time is held: targets come back, runs end, and the list is read
+// again.
 func (g *Gateway) next(ctx context.Context, c *call) *balance.Target {
-	until := c.arrived.Add(min(time.Duration(float64(c.route.Aim)*patience), longestPause))
 	for {
 		if c.turns > mostTurned {
 			return nil
@@ -28,20 +35,38 @@
 			c.turns++
 			return t
 		}
-		if c.reached || !time.Now().Before(until) || !pause.For(ctx, lookAgain) {
+		if c.reached || !time.Now().Before(c.searchUntil()) || !pause.For(ctx, lookAgain) {
 			return nil
 		}
 		clear(c.turned)
 	}
 }
 
+// searchUntil returns until when a target is looked for.
+func (c *call) searchUntil() time.Time {
+	if c.noRoom {
+		return c.arrived.Add(time.Duration(float64(c.route.Aim) * roomPatience))
+	}
+	return c.arrived.Add(min(time.Duration(float64(c.route.Aim)*patience), longestPause))
+}
+
 // choose picks the best target that has not had this request.
 func (g *Gateway) choose(c *call) *balance.Target {
 	choice := c.choice()
 	choice.Exclude = func(t *balance.Target) bool { return c.tried[t] || c.turned[t] }
-	return g.targets.Pick(choice)
+	t := g.targets.Pick(choice)
+	c.noRoom = false
+	if t == nil && choice.Admission {
+		choice.Admission = false
+		c.noRoom = g.targets.Pick(choice) != nil
+	}
+	return t
 }
 
+// isNew reports whether a call has to be admitted: nothing of it has run yet,
+// and its client has no part of the answer.
+func (c *call) isNew() bool { return c.engine.Engine && !c.reached && !c.hasLast }
+
 // choice says what the next target is wanted for. Once targets have failed the
 // request, many others may look for new ones, too, so they had better part by
 // node than by what they read.
@@ -50,7 +75,13 @@
 	if len(c.failed) > 0 {
 		key = ""
 	}
-	return balance.Choice{Service: c.service, Work: c.work, Key: key, Again: c.again && key != "", FailedHalls: c.failed}
+	choice := balance.Choice{Service: c.service, Work: c.work, Key: key, Again: c.again && key != "", FailedHalls: c.failed}
+	if c.isNew() {
+		choice.Admission = true
+		choice.Rank = c.rank
+		choice.Within = time.Until(c.arrived.Add(time.Duration(beginShare * float64(c.route.Aim))))
+	}
+	return choice
 }
 
 // arrive notes that a target was reached. What never arrives, such as a
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -46,7 +46,7 @@
 	if ctx.Err() == context.Canceled {
 		panic(http.ErrAbortHandler) // the client is gone
 	}
-	g.fail(w, c, c.giveUp("no target answered"))
+	g.fail(w, c, g.giveUp(c, "no target answered"))
 }
 
 // mayRepeat reports whether another target may be asked, and pays for it.
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -62,8 +63,22 @@
 	w.Write(body)
 }
 
+// comeBackShare is the part of a run's usual time after which a request that
+// found no room had better come back: by then some of the runs have ended.
+const comeBackShare = 0.5
+
+// comeBack says when a request that found no room should come back. Those that
+// are refused together do not come back together.
+func (g *Gateway) comeBack(c *call) time.Duration {
+	mean := comeBackShare * float64(g.targets.WholeRun(c.service))
+	return time.Duration(mean * (0.5 + rand.Float64()))
+}
+
 // giveUp returns the final answer of a call that no target answered.
-func (c *call) giveUp(why string) *walnutramp.Error {
+func (g *Gateway) giveUp(c *call, why string) *walnutramp.Error {
+	if !c.reached && c.noRoom {
+		return walnutramp.NewError(walnutramp.CodeOverloaded, walnutramp.NotRun, "no engine has room").WithRetryAfter(g.comeBack(c))
+	}
 	if !c.reached {
 		return walnutramp.NewError(walnutramp.CodeNoTarget, walnutramp.NotRun, "%s", why).WithRetryAfter(retryBusy)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -76,7 +76,7 @@
 			"outcome", c.outcomeOf(), "cause", ctx.Err())
 		panic(http.ErrAbortHandler) // what ends early must not look whole
 	}
-	g.fail(w, c, c.giveUp("no target answered"))
+	g.fail(w, c, g.giveUp(c, "no target answered"))
 }
 
 // next runs the request at one more target: at the copy of the broken run
