--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -17,7 +17,7 @@
 
 	// roomPatience is the share of its aim that a new request waits for room
 	// at an engine. One that is refused sooner can come back in time.
-	roomPatience = 0.2
+	roomPatience = 0.0
 	// beginShare is the part of its aim within which a new request must be
 	// predicted to begin: the rest bears mistakes of the prediction.
 	beginShare = 0.9
