--- a/balance/room.go
+++ b/balance/room.go
@@ -13,7 +13,7 @@
 	// fullShare is how much new runs may fill: what is left bears that runs
 	// of other nodes are known late, and that answers grow longer than was
 	// predicted. An engine that runs out puts runs back and reads them anew.
-	fullShare = 0.9
+	fullShare = 0.95
 	// rankReserve is kept free for each rank of more urgent requests.
 	rankReserve = 0.05
 	// copyShare is how much may be filled when a copy is added: copies must
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -65,7 +65,7 @@
 
 // comeBackShare is the part of a run's usual time after which a request that
 // found no room had better come back: by then some of the runs have ended.
-const comeBackShare = 0.5
+const comeBackShare = 1.0
 
 // comeBack says when a request that found no room should come back. Those that
 // are refused together do not come back together.
