--- a/balance/room.go
+++ b/balance/room.go
@@ -16,9 +16,9 @@
 	fullShare = 0.95
 	// rankReserve is kept free for each rank of more urgent requests.
 	rankReserve = 0.05
-	// copyShare is how much may be filled when a copy is added: copies must
-	// not keep runs out.
-	copyShare = 0.6
+	// runGrowth is how far the runs of a service may grow while its copies
+	// leave them room: a data hall may be lost, or more requests come.
+	runGrowth = 1.25
 	// comfortShare is how much may be filled before memory speaks against an
 	// engine.
 	comfortShare = 0.8
@@ -89,13 +89,29 @@
 	return o
 }
 
+// roomForCopies reports whether one more copy leaves the runs of its service
+// the room that they may come to need. The caller holds the mutex.
+func (t *Tracker) roomForCopies(c *Choice, copies map[string]int, now time.Time) bool {
+	memory, runs, held := 0, 0, c.Work.Hold
+	for _, target := range t.service[c.Service] {
+		if !target.open(now) {
+			continue
+		}
+		o := target.occupancy(copies, now)
+		memory += t.memoryOf(c.Service)
+		runs += o.held
+		held += o.copies
+	}
+	return float64(held)+runGrowth*float64(runs) <= fullShare*float64(memory)
+}
+
 // fits reports whether a choice finds room at a target that it takes up, and
 // would begin there in time. The caller holds the mutex.
 func (t *Target) fits(c *Choice, o occupancy) bool {
 	memory := float64(t.tracker.memoryOf(t.Service))
 	taken := float64(o.held + o.copies + c.Work.Hold)
 	if c.Copy {
-		return taken <= copyShare*memory
+		return taken <= fullShare*memory
 	}
 	if !c.Admission {
 		return true
--- a/balance/score.go
+++ b/balance/score.go
@@ -64,6 +64,9 @@
 	home := t.home(c, now)
 	doubtful := t.doubtful(c.Service, now)
 	copies := t.copiesFor(&c, now)
+	if c.Copy && !t.roomForCopies(&c, copies, now) {
+		return nil
+	}
 	var best *Target
 	bestScore := math.Inf(1)
 	for _, target := range t.service[c.Service] {
