--- a/balance/room_test.go
+++ b/balance/room_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -21,12 +22,14 @@
 func TestCopyIsKeptOnlyWhereThereIsRoom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tracker := sized(20000, "north", "south", "west")
-		run := tracker.byID["1"].Begin(Work{Hold: 6000}, Trace{Copy: "2"})
+		tracker.byID["1"].Begin(Work{Hold: 6000}, Trace{Copy: "2"})
 		copyOf := Choice{Service: "s", Copy: true, OtherHall: "north", Work: Work{Hold: 7000}}
 		require.Equal(t, "3", tracker.Pick(copyOf).ID, "the other one already keeps a copy")
-		tracker.byID["3"].Begin(Work{Hold: 6000}, Trace{})
+		tracker.byID["3"].Begin(Work{Hold: 13000}, Trace{})
+		require.Equal(t, "2", tracker.Pick(copyOf).ID)
+		run := tracker.byID["2"].Begin(Work{Hold: 7000}, Trace{})
 		copyOf.Exclude = func(at *Target) bool { return at.ID == "1" }
-		require.Nil(t, tracker.Pick(copyOf), "copies leave room for runs")
+		require.Nil(t, tracker.Pick(copyOf), "two runs and a copy leave no room for another")
 		run.End(RunEnd{Whole: true})
 		require.Equal(t, "2", tracker.Pick(copyOf).ID)
 	})
@@ -37,7 +40,69 @@
 		tracker := sized(20000, "north", "south")
 		copyOf := Choice{Service: "s", Copy: true, Work: Work{Hold: 6000}, Exclude: func(at *Target) bool { return at.ID == "1" }}
 		require.NotNil(t, tracker.Pick(copyOf))
-		tracker.SetOthers("n2", []Shared{{Number: 1, Target: "1", Hold: 7000, Trace: Trace{Key: "k", Copy: "2"}}})
+		tracker.SetOthers("n2", []Shared{{Number: 1, Target: "1", Hold: 13500, Trace: Trace{Key: "k", Copy: "2"}}})
 		require.Nil(t, tracker.Pick(copyOf))
 	})
 }
+
+// While engines are busy all over the site, copies would keep new runs out.
+func TestCopiesLeaveTheRunsOfTheSiteRoomToGrow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := sized(20000, "north", "south", "west")
+		tracker.byID["1"].Begin(Work{Hold: 17000}, Trace{})
+		tracker.byID["3"].Begin(Work{Hold: 7000}, Trace{})
+		copyOf := Choice{Service: "s", Copy: true, Work: Work{Hold: 7000}}
+		require.NotNil(t, tracker.Pick(copyOf))
+		tracker.byID["2"].Begin(Work{Hold: 17000}, Trace{})
+		require.Nil(t, tracker.Pick(copyOf), "the third engine has room, the site has not")
+	})
+}
+
+// newDraft is a choice for a request that is to be admitted.
+func newDraft(tokens int, within time.Duration) Choice {
+	c := draft(tokens)
+	c.Admission, c.Within = true, within
+	return c
+}
+
+func TestNewRunIsAdmittedOnlyWhereThereIsRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := sized(20000, "north")
+		require.NotNil(t, tracker.Pick(newDraft(50000, 0)), "an idle engine takes what is larger than it, too")
+		run := tracker.byID["1"].Begin(Work{Hold: 14000}, Trace{})
+		require.NotNil(t, tracker.Pick(newDraft(5000, 0)))
+		require.Nil(t, tracker.Pick(newDraft(5001, 0)))
+		urgent := newDraft(5000, 0)
+		urgent.Rank = 1
+		require.Nil(t, tracker.Pick(urgent), "some room is kept for the more urgent")
+		resumed := draft(5001)
+		require.NotNil(t, tracker.Pick(resumed), "what has begun goes on")
+		run.End(RunEnd{Whole: true})
+		require.NotNil(t, tracker.Pick(newDraft(5001, 0)))
+	})
+}
+
+func TestNewRunIsAdmittedOnlyWhereItBeginsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := sized(90000, "north", "south")
+		for range 2 {
+			for _, target := range tracker.byID {
+				target.Begin(Work{Read: 5000, Hold: 5000}, Trace{})
+			}
+		}
+		require.NotNil(t, tracker.Pick(newDraft(5000, 4*time.Second)))
+		require.Nil(t, tracker.Pick(newDraft(5000, 2500*time.Millisecond)), "two prompts are read before it")
+		time.Sleep(1500 * time.Millisecond)
+		require.NotNil(t, tracker.Pick(newDraft(5000, 2500*time.Millisecond)))
+	})
+}
+
+func TestFullSlotsTakeNoNewRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := sized(90000, "north")
+		for range 8 {
+			tracker.byID["1"].Begin(Work{Hold: 100}, Trace{})
+		}
+		require.Nil(t, tracker.Pick(newDraft(100, 0)))
+	})
+}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -15,18 +15,17 @@
 	mostTurned   = 12 // targets that may turn one request away
 	longestPause = 2 * time.Second
 
-	// roomPatience is the share of its aim that a new request waits for room
-	// at an engine. One that is refused sooner can come back in time.
-	roomPatience = 0.0
 	// beginShare is the part of its aim within which a new request must be
 	// predicted to begin: the rest bears mistakes of the prediction.
 	beginShare = 0.9
 )
 
 // next returns the next target to ask, or nil. While there is none, a request
-// that has time is held: targets come back, runs end, and the list is read
-// again.
+// that has time is held: targets come back, and the list is read again. A new
+// request for which no engine has room is not held: refused at once, it can
+// come back in time.
 func (g *Gateway) next(ctx context.Context, c *call) *balance.Target {
+	until := c.arrived.Add(min(time.Duration(float64(c.route.Aim)*patience), longestPause))
 	for {
 		if c.turns > mostTurned {
 			return nil
@@ -35,21 +34,13 @@
 			c.turns++
 			return t
 		}
-		if c.reached || !time.Now().Before(c.searchUntil()) || !pause.For(ctx, lookAgain) {
+		if c.noRoom || c.reached || !time.Now().Before(until) || !pause.For(ctx, lookAgain) {
 			return nil
 		}
 		clear(c.turned)
 	}
 }
 
-// searchUntil returns until when a target is looked for.
-func (c *call) searchUntil() time.Time {
-	if c.noRoom {
-		return c.arrived.Add(time.Duration(float64(c.route.Aim) * roomPatience))
-	}
-	return c.arrived.Add(min(time.Duration(float64(c.route.Aim)*patience), longestPause))
-}
-
 // choose picks the best target that has not had this request.
 func (g *Gateway) choose(c *call) *balance.Target {
 	choice := c.choice()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -311,3 +312,50 @@
 	require.Contains(t, body, "not-run")
 	require.Len(t, f.seen(), 1)
 }
+
+func TestNewDraftIsRefusedAtOnceWhereNoEngineHasRoom(t *testing.T) {
+	release := make(chan struct{})
+	f := newFakeTarget(t, "i-1", "draft", "north", draft(func(_ *fakeTarget, _ net.Conn, n int) bool {
+		if n == 2 {
+			<-release
+		}
+		return true
+	}))
+	s := newSite(t, []*fakeTarget{f}, WithStall(10*time.Second))
+	table := testTable()
+	table.Services["draft"] = Service{Name: "draft", Engine: true, Memory: 1000, Slots: 8}
+	s.gateway.SetTable(table)
+	usage := []string{"X-Usage", "600,100", "X-Deadline", "9000"}
+
+	first := make(chan string, 1)
+	go func() {
+		_, body, _ := do(t, s.request(t, "POST", "/draft/", "", usage...))
+		first <- body
+	}()
+	require.Eventually(t, func() bool { return len(f.seen()) == 1 }, 5*time.Second, time.Millisecond)
+
+	resp, body, err := do(t, s.request(t, "POST", "/draft/", "", append(usage, "X-Id", "attempt-2")...))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Contains(t, body, `"code":3001`)
+	require.Contains(t, body, `"outcome":"not-run"`)
+	after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.Positive(t, after)
+	require.Len(t, f.seen(), 1, "it was not sent")
+
+	close(release)
+	_, body, err = do(t, s.request(t, "POST", "/draft/", "", append(usage, "X-Id", "attempt-3", "X-Last", "6")...))
+	require.NoError(t, err)
+	require.Equal(t, wholeDraft(7), body, "a client that has part of the answer is served")
+	require.Equal(t, wholeDraft(1), <-first)
+}
+
+// Priorities need not be next to each other; only their order counts.
+func TestRanksFollowTheOrderOfPriorities(t *testing.T) {
+	table := testTable()
+	table.SetRoutes([]*Route{{Host: "a", Prefix: "/a/", Priority: 7}, {Host: "a", Prefix: "/b/", Priority: 2}})
+	table.Accounts = map[string]Account{"k": {Name: "n", Priority: 4, HasPriority: true}, "o": {Name: "m"}}
+	table.setRanks()
+	require.Equal(t, map[int]int{2: 0, 4: 1, 7: 2}, table.ranks)
+}
