--- a/balance/balance.go
+++ b/balance/balance.go
@@ -90,6 +90,7 @@
 	memory  map[string]memory      // by key, from before this node's start
 	engines map[string]Engine      // by service, as the configuration says
 	paces   map[string]*pace       // by service
+	read    readPlaces             // of prompts
 	numbers uint64                 // of own runs
 	own     string                 // this node
 	nodes   []string               // that choose among the targets, sorted
@@ -98,7 +99,8 @@
 	turn    uint64                 // of RoundRobin
 	rng     *rand.Rand
 
-	remembered time.Time // when memory was taken
+	remembered time.Time     // when memory was taken
+	memoryAge  time.Duration // how old it was then
 }
 
 // Target is one target with what is known of it.
--- a/balance/run.go
+++ b/balance/run.go
@@ -19,6 +19,7 @@
 	Key      string // names the request, however often it comes
 	Identity string // of the run at its target
 	Copy     string // target that keeps a copy of the run's memory; empty for none
+	ReadAt   string // target that has read the prompt; empty until one has
 }
 
 // Run is one request of this node under way at a target.
@@ -53,6 +54,8 @@
 	r.target.tracker.mu.Lock()
 	r.first, r.firstAt = true, time.Now()
 	r.learnReading(r.firstAt)
+	r.trace.ReadAt = r.target.ID
+	r.target.tracker.read.note(r.trace.Key, r.target.ID, r.firstAt)
 	r.target.tracker.mu.Unlock()
 	r.target.tracker.changed()
 }
@@ -80,7 +83,7 @@
 		r.learnWhole(time.Now(), how.Tokens)
 	}
 	tracker.forgetBroken(time.Now())
-	if !how.Whole && r.trace.Copy != "" && r.first {
+	if !how.Whole && r.trace.Key != "" && r.first {
 		r.broke = time.Now()
 		tracker.broken = append(tracker.broken, r)
 	}
@@ -113,7 +116,7 @@
 type sharedRuns struct {
 	at      time.Time
 	targets []*Target        // at which it has runs under way
-	traces  map[string]Trace // of runs with copies, by key
+	traces  map[string]Trace // of runs, by key
 }
 
 // otherRuns are another node's runs at one target.
@@ -146,18 +149,18 @@
 	}
 	if time.Since(t.remembered) < copyLife {
 		for _, m := range t.memory {
-			all = append(all, Shared{Number: m.number, Trace: m.trace, Broken: true})
+			all = append(all, Shared{Number: m.number, Target: m.trace.ReadAt, Trace: m.trace, Broken: true})
 		}
 	}
 	return all
 }
 
-// Traces returns how every run with a copy is found that this node knows of,
-// its own and other nodes'.
+// Traces returns how every run is found again that this node knows of, its own
+// and other nodes'.
 func (t *Tracker) Traces() []Trace {
 	var all []Trace
 	for _, s := range t.Runs() {
-		if s.Trace.Copy != "" {
+		if s.Trace.Key != "" {
 			all = append(all, s.Trace)
 		}
 	}
@@ -171,13 +174,18 @@
 	return all
 }
 
-// Remember takes the traces that this node knew before it was started again.
-func (t *Tracker) Remember(traces []Trace) {
+// Remember takes the traces that this node knew before it was started again,
+// and how long ago that was.
+func (t *Tracker) Remember(traces []Trace, age time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.memory, t.remembered = map[string]memory{}, time.Now()
+	t.memory, t.remembered, t.memoryAge = map[string]memory{}, time.Now(), age
 	for _, trace := range traces {
+		if age > copyLife {
+			trace.Copy = ""
+		}
 		t.memory[trace.Key] = memory{number: t.nextNumber(), trace: trace}
+		t.read.note(trace.Key, trace.ReadAt, t.remembered)
 	}
 }
 
@@ -193,7 +201,7 @@
 	now := time.Now()
 	t.forgetBroken(now)
 	for _, r := range t.broken {
-		if r.trace.Key == key {
+		if r.trace.Key == key && r.trace.Copy != "" {
 			at, identity = t.byID[r.trace.Copy], r.trace.Identity
 		}
 	}
@@ -201,11 +209,11 @@
 		if now.Sub(o.at) > copyLife {
 			continue
 		}
-		if trace, ok := o.traces[key]; ok && at == nil {
+		if trace, ok := o.traces[key]; ok && at == nil && trace.Copy != "" {
 			at, identity = t.byID[trace.Copy], trace.Identity
 		}
 	}
-	if m, ok := t.memory[key]; ok && at == nil && now.Sub(t.remembered) < copyLife {
+	if m, ok := t.memory[key]; ok && at == nil && m.trace.Copy != "" && now.Sub(t.remembered)+t.memoryAge < copyLife {
 		at, identity = t.byID[m.trace.Copy], m.trace.Identity
 	}
 	if at == nil || !at.open(now) || at.suspect(now) {
@@ -239,7 +247,7 @@
 	byTarget := map[string][]Shared{}
 	told := &sharedRuns{at: time.Now(), traces: map[string]Trace{}}
 	for _, s := range runs {
-		if s.Trace.Key != "" && s.Trace.Copy != "" {
+		if s.Trace.Key != "" {
 			told.traces[s.Trace.Key] = s.Trace
 		}
 		if !s.Broken {
@@ -255,6 +263,9 @@
 		}
 	}
 	t.others[node] = told
+	for key, trace := range told.traces {
+		t.read.note(key, trace.ReadAt, told.at)
+	}
 	for id, of := range byTarget {
 		if target := t.byID[id]; target != nil {
 			target.others[node] = otherRuns{told: told, runs: of}
--- a/balance/score.go
+++ b/balance/score.go
@@ -50,7 +50,7 @@
 	requestCost     = 15.0  // of one more request under way at an engine
 	crowdWeight     = 0.6   // of the time that reading takes from each run under way there; 0.3, 0.6 and 1 measured alike, 0 worse (docs/DECISIONS.md)
 	homeGain        = 250.0 // for the target that the key names, so that it is found again
-	keptRead        = 0.2   // share of a prompt read again where its key was before
+	keptRead        = 0.2   // share of a prompt read again where it was read before
 	memoryCost      = 100.0 // for each thousand tokens beyond a comfortable memory
 	slotCost        = 30.0  // a request before this one at a plain service, times its share of the slots
 )
@@ -61,7 +61,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	home := t.home(c, now)
+	home, keeper := t.home(c, now), t.keeper(c, now)
 	doubtful := t.doubtful(c.Service, now)
 	copies := t.copiesFor(&c, now)
 	if c.Copy && !t.roomForCopies(&c, copies, now) {
@@ -79,7 +79,7 @@
 				continue
 			}
 		}
-		s := target.score(&c, o, target == home, now)
+		s := target.score(&c, o, affinity{home: target == home, keeps: target == keeper}, now)
 		if doubtful[target.DataHall] {
 			target.doubted = now
 			s += doubtCost
@@ -102,19 +102,19 @@
 	defer t.mu.Unlock()
 	now := time.Now()
 	read := t.readMS(c.Service, c.Work.Read)
-	if c.Again && t.home(c, now) == at {
+	if t.keeper(c, now) == at {
 		read *= keptRead
 	}
 	return time.Duration((t.backlog(c.Service, at.underWay(now)) + read) * float64(time.Millisecond))
 }
 
-// Kept returns what a request that comes again asks of a target: at the one
-// that its key names, most of the prompt was read before.
+// Kept returns what a request asks of a target: where its prompt was read
+// before, most of it is in the cache.
 func (t *Tracker) Kept(c Choice, at *Target) Work {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	work := c.Work
-	if c.Again && t.home(c, time.Now()) == at {
+	if t.keeper(c, time.Now()) == at {
 		work.Read = int(float64(work.Read) * keptRead)
 		work.Cached = true
 	}
@@ -159,9 +159,15 @@
 	return c.FarCost
 }
 
+// affinity is what ties a request to a target.
+type affinity struct {
+	home  bool // its key names the target
+	keeps bool // the target most likely keeps its prompt in the cache
+}
+
 // score is the wait expected at a target, in milliseconds, with what else
 // speaks against it. The caller holds the mutex.
-func (t *Target) score(c *Choice, o occupancy, home bool, now time.Time) float64 {
+func (t *Target) score(c *Choice, o occupancy, tie affinity, now time.Time) float64 {
 	cfg := &t.tracker.cfg
 	score := t.tracker.rng.Float64() * noiseCost
 	switch cfg.Policy {
@@ -175,7 +181,7 @@
 	if c.Work == (Work{}) {
 		score += t.slotWait(now)
 	} else {
-		score += t.engineWait(c, o, home)
+		score += t.engineWait(c, o, tie)
 	}
 	if t.DataHall != cfg.DataHall {
 		score += cfg.farCost(c)
@@ -218,12 +224,13 @@
 
 // engineWait predicts the time to the first event of an engine, and what the
 // run would cost others there, in milliseconds.
-func (t *Target) engineWait(c *Choice, o occupancy, home bool) float64 {
+func (t *Target) engineWait(c *Choice, o occupancy, tie affinity) float64 {
 	read := t.tracker.readMS(t.Service, c.Work.Read)
-	crowd := (requestCost + crowdWeight*read) * float64(len(o.runs))
-	if home && c.Again {
+	if tie.keeps {
 		read *= keptRead
-	} else if home {
+	}
+	crowd := (requestCost + crowdWeight*read) * float64(len(o.runs))
+	if tie.home && !c.Again {
 		read -= homeGain
 	}
 	wait := t.tracker.backlog(t.Service, o.runs) + read + crowd - t.gain
--- a/loadshare/loadshare_test.go
+++ b/loadshare/loadshare_test.go
@@ -131,3 +131,33 @@
 		return at != nil && at.ID == "2" && identity == "run-1"
 	}, 5*time.Second, 5*time.Millisecond)
 }
+
+func TestMemoryOutlivesALossOfPower(t *testing.T) {
+	for _, id := range []string{"1", "2"} {
+		t.Run(id, func(t *testing.T) {
+			t.Parallel()
+			file := filepath.Join(t.TempDir(), "traces")
+			start := func() *balance.Tracker {
+				conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+				require.NoError(t, err)
+				tracker := balance.NewTracker(balance.WithSeed(1))
+				tracker.Update([]discovery.Target{{ID: "1", Service: "s", Address: "10.0.0.1:80", Slots: 8}, {ID: "2", Service: "s", Address: "10.0.0.2:80", Slots: 8}})
+				s := New(conn, tracker, balance.NewBudgets(balance.BudgetConfig{Ratio: 1, Slack: 10, Window: time.Second, Nodes: 1}), WithMemory(file))
+				ctx, cancel := context.WithCancel(context.Background())
+				t.Cleanup(cancel)
+				go s.Run(ctx)
+				return tracker
+			}
+			choice := balance.Choice{Service: "s", Work: balance.Work{Read: 8000, Hold: 8000}, Key: "part-1", Again: true}
+			read := choice
+			read.Exclude = func(t *balance.Target) bool { return t.ID != id }
+			start().Pick(read).Begin(choice.Work, balance.Trace{Key: "part-1"}).FirstEvent()
+			require.Eventually(t, func() bool {
+				traces := readMemory(file + syncedSuffix).Traces
+				return len(traces) == 1 && traces[0].ReadAt == id
+			}, 10*time.Second, 10*time.Millisecond)
+			require.NoError(t, os.WriteFile(file, []byte("torn"), 0o600))
+			require.Equal(t, id, start().Pick(choice).ID)
+		})
+	}
+}
--- a/loadshare/memory.go
+++ b/loadshare/memory.go
@@ -3,18 +3,20 @@
 import (
 	"context"
 	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/wal"
 	"k8s.io/klog/v2"
 )
 
 // memory is what a node with a disk leaves for itself, so that streams find
-// their copies even when all nodes are killed at once. It is written without
-// a sync: a kill leaves files as they were, and after a loss of power the
-// copies are gone before the clients come again.
+// their copies, or where their prompts were read, even when all nodes end at
+// once. It is written twice: often and without a sync, since a kill leaves
+// files as they were, and now and then with one, for a loss of power.
 type memory struct {
 	At     int64 // unix nanoseconds
 	Peers  []string
@@ -24,37 +26,61 @@
 const (
 	// SaveEvery is the shortest time between two writings.
 	SaveEvery = 50 * time.Millisecond
-	// memoryLife is how old what is read may be: copies live about as long.
-	memoryLife = 4 * time.Second
+	// syncEvery is the shortest time between two writings with a sync: what
+	// is known of a run after a second lasts, and the disk is left to the
+	// control group.
+	syncEvery = time.Second
+	// memoryLife is how old what is read may be. Copies live for a shorter
+	// time, prompts stay in engines' caches for about as long.
+	memoryLife = 30 * time.Second
+	// syncedSuffix names the file that is written with a sync.
+	syncedSuffix = ".synced"
 )
 
 // Option sets how a Sharer works.
 type Option func(*Sharer)
 
-// WithMemory keeps the traces of runs in a file over a restart.
+// WithMemory keeps the traces of runs in a file over a restart, and beside it
+// in another one over a loss of power.
 func WithMemory(file string) Option { return func(s *Sharer) { s.file = file } }
 
-// recall reads what this node left.
+// recall reads what this node left, the newer of its two files.
 func (s *Sharer) recall() {
-	text, err := os.ReadFile(s.file)
-	if err != nil {
-		return
-	}
-	var m memory
-	if err := msgpack.Unmarshal(text, &m); err != nil {
-		klog.InfoS("Traces not read", "err", err)
-		return
-	}
-	age := time.Since(time.Unix(0, m.At))
+	m, age := newerMemory(readMemory(s.file), readMemory(s.file+syncedSuffix))
 	if age < 0 || age > memoryLife {
 		return
 	}
 	klog.InfoS("Traces read", "runs", len(m.Traces), "age", age, "peers", len(m.Peers))
 	s.SetPeers(m.Peers)
-	s.tracker.Remember(m.Traces)
+	s.tracker.Remember(m.Traces, age)
 	s.Changed()
 }
 
+// newerMemory returns the newer of two memories and its age.
+func newerMemory(a, b memory) (memory, time.Duration) {
+	if b.At > a.At {
+		a = b
+	}
+	return a, time.Since(time.Unix(0, a.At))
+}
+
+// readMemory reads a file, or returns a memory of nothing, as old as can be.
+func readMemory(file string) memory {
+	text, err := os.ReadFile(file)
+	if os.IsNotExist(err) {
+		return memory{}
+	}
+	var m memory
+	if err == nil {
+		err = msgpack.Unmarshal(text, &m)
+	}
+	if err != nil {
+		klog.InfoS("Traces not read", "file", file, "err", err)
+		return memory{}
+	}
+	return m
+}
+
 // note says that there is something new to write down.
 func (s *Sharer) note() {
 	select {
@@ -66,29 +92,51 @@
 // keepMemory writes what is new. It is a task of its own: a disk that hangs
 // must not hold up what nodes tell each other.
 func (s *Sharer) keepMemory(ctx context.Context) {
+	var synced time.Time
 	for pause.For(ctx, SaveEvery) {
 		select {
 		case <-s.news:
-			s.save()
 		case <-ctx.Done():
 			return
 		}
+		text, err := s.encodeMemory()
+		if err == nil {
+			err = os.WriteFile(s.file, text, 0o600)
+		}
+		if err == nil && time.Since(synced) >= syncEvery {
+			synced = time.Now()
+			err = writeSynced(s.file+syncedSuffix, text)
+		}
+		if err != nil {
+			klog.V(1).InfoS("Traces not written", "err", err)
+		}
 	}
 }
 
-// save writes what this node knows.
-func (s *Sharer) save() {
+// encodeMemory returns what this node knows.
+func (s *Sharer) encodeMemory() ([]byte, error) {
 	m := memory{At: time.Now().UnixNano(), Traces: s.tracker.Traces()}
 	s.mu.Lock()
 	for address := range s.peers {
 		m.Peers = append(m.Peers, address)
 	}
 	s.mu.Unlock()
-	text, err := msgpack.Marshal(m)
-	if err == nil {
-		err = os.WriteFile(s.file, text, 0o600)
-	}
+	return msgpack.Marshal(m)
+}
+
+// writeSynced puts a whole file in place of the one before it.
+func writeSynced(file string, text []byte) error {
+	dir, name := wal.Dir(filepath.Dir(file)), filepath.Base(file)
+	f, err := dir.Create(name + ".new")
 	if err != nil {
-		klog.V(1).InfoS("Traces not written", "err", err)
+		return err
+	}
+	defer f.Close()
+	if _, err := f.Write(text); err != nil {
+		return err
+	}
+	if err := f.Sync(); err != nil {
+		return err
 	}
+	return dir.Rename(name+".new", name)
 }
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -47,19 +47,26 @@
 	maxTargets  = 80 // that ended, or are suspects
 )
 
-// encodeRun leaves out how a run without a copy is found: it can't be.
+// encodeRun leaves out which copy a run without one has.
 func encodeRun(r balance.Shared) run {
-	e := run{Number: r.Number, Target: r.Target, Read: r.Read, Hold: r.Hold, AgeMS: r.Age.Milliseconds(), Broken: r.Broken}
+	e := run{
+		Number: r.Number, Target: r.Target, Read: r.Read, Hold: r.Hold, AgeMS: r.Age.Milliseconds(), Broken: r.Broken,
+		Key: r.Trace.Key,
+	}
 	if r.Trace.Copy != "" {
-		e.Key, e.Identity, e.Copy = r.Trace.Key, r.Trace.Identity, r.Trace.Copy
+		e.Identity, e.Copy = r.Trace.Identity, r.Trace.Copy
 	}
 	return e
 }
 
 func (r run) shared() balance.Shared {
-	return balance.Shared{
+	s := balance.Shared{
 		Number: r.Number, Target: r.Target, Read: max(0, r.Read), Hold: max(0, r.Hold),
 		Age:   time.Duration(max(0, r.AgeMS)) * time.Millisecond,
 		Trace: balance.Trace{Key: r.Key, Identity: r.Identity, Copy: r.Copy}, Broken: r.Broken,
 	}
+	if s.Read == 0 {
+		s.Trace.ReadAt = r.Target
+	}
+	return s
 }
