--- a/balance/health.go
+++ b/balance/health.go
@@ -55,6 +55,19 @@
 	return now.Sub(t.doubted) < suspectLife && t.heard.Before(t.doubted)
 }
 
+// Lost reports whether what the target kept is lost, most likely: it has ended
+// or leaves, broke off, or its data hall is in doubt and it has not answered
+// this node since.
+func (t *Target) Lost() bool {
+	t.tracker.mu.Lock()
+	defer t.tracker.mu.Unlock()
+	now := time.Now()
+	if !t.open(now) || t.suspect(now) || t.unheard(now) {
+		return true
+	}
+	return t.tracker.doubtful(t.Service, now)[t.DataHall] && now.Sub(t.heard) > hallDoubtTime
+}
+
 // Suspects returns the targets that lately broke off to this node.
 func (t *Tracker) Suspects() []string {
 	t.mu.Lock()
--- a/balance/readplaces_test.go
+++ b/balance/readplaces_test.go
@@ -38,7 +38,7 @@
 			require.NotEqual(t, at, here.Pick(again(key)), "the prompt is not read yet")
 			run.FirstEvent()
 			there.SetOthers("here", here.Runs())
-			run.End(false)
+			run.End(RunEnd{})
 			there.SetOthers("here", nil)
 			for _, tracker := range []*Tracker{here, there} {
 				picked := tracker.Pick(again(key))
@@ -59,7 +59,7 @@
 		list := listed("s", "north", "1", "2", "3", "4", "5", "6")
 		before, after := newTracker(list...), newTracker(list...)
 		at := elsewhere(before, "part-1")
-		at.Begin(Work{Read: 8000, Hold: 8000}, Trace{Key: "part-1", Identity: "run-1", Copy: "2"}).FirstEvent()
+		at.Begin(Work{Read: 8000, Hold: 8000}, Trace{Key: "part-1", CopyName: "run-1", Copy: "2"}).FirstEvent()
 		traces := before.Traces()
 
 		after.Remember(traces, copyLife+time.Second)
--- a/balance/run.go
+++ b/balance/run.go
@@ -17,8 +17,8 @@
 // Trace is how a run is found again after it broke off.
 type Trace struct {
 	Key      string // names the request, however often it comes
-	Identity string // of the run at its target
 	Copy     string // target that keeps a copy of the run's memory; empty for none
+	CopyName string // by which that target is told to go on from the copy
 	ReadAt   string // target that has read the prompt; empty until one has
 }
 
@@ -60,6 +60,15 @@
 	r.target.tracker.changed()
 }
 
+// SetCopy notes that another target keeps a copy of the run now, and under
+// which name.
+func (r *Run) SetCopy(target, name string) {
+	r.target.tracker.mu.Lock()
+	r.trace.Copy, r.trace.CopyName = target, name
+	r.target.tracker.mu.Unlock()
+	r.target.tracker.changed()
+}
+
 // Begun reports whether the first event has come.
 func (r *Run) Begun() bool {
 	r.target.tracker.mu.Lock()
@@ -192,7 +201,7 @@
 // FindCopy returns the copy of a run of the request that a key names, which
 // broke off here or at another node, or whose node fell silent. Nil if none
 // is known at a target that takes work.
-func (t *Tracker) FindCopy(key string) (at *Target, identity string) {
+func (t *Tracker) FindCopy(key string) (at *Target, name string) {
 	if key == "" {
 		return nil, ""
 	}
@@ -202,7 +211,7 @@
 	t.forgetBroken(now)
 	for _, r := range t.broken {
 		if r.trace.Key == key && r.trace.Copy != "" {
-			at, identity = t.byID[r.trace.Copy], r.trace.Identity
+			at, name = t.byID[r.trace.Copy], r.trace.CopyName
 		}
 	}
 	for _, o := range t.others {
@@ -210,16 +219,16 @@
 			continue
 		}
 		if trace, ok := o.traces[key]; ok && at == nil && trace.Copy != "" {
-			at, identity = t.byID[trace.Copy], trace.Identity
+			at, name = t.byID[trace.Copy], trace.CopyName
 		}
 	}
 	if m, ok := t.memory[key]; ok && at == nil && m.trace.Copy != "" && now.Sub(t.remembered)+t.memoryAge < copyLife {
-		at, identity = t.byID[m.trace.Copy], m.trace.Identity
+		at, name = t.byID[m.trace.Copy], m.trace.CopyName
 	}
 	if at == nil || !at.open(now) || at.suspect(now) {
 		return nil, ""
 	}
-	return at, identity
+	return at, name
 }
 
 func (r *Run) shared(id string) Shared {
--- /dev/null
+++ b/gateway/copies.go
@@ -0,0 +1,206 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/targetconn"
+	"k8s.io/klog/v2"
+)
+
+// Engines keep copies of runs' memory at each other, so that a run whose engine
+// is lost goes on within milliseconds. The copy is asked for with the request,
+// and grows with the run. Where its holder is lost before the run has ended,
+// the run's engine is ordered to copy it anew.
+
+// Bounds of ordered copies.
+const (
+	// copyWatch is the shortest time between two looks at a run's copy: a
+	// holder is found lost some tens of milliseconds after it was.
+	copyWatch = 100 * time.Millisecond
+	// copyRetry is the wait after an order that brought no copy.
+	copyRetry = 500 * time.Millisecond
+	// copyOrderTime bounds an order: a prompt is copied in some 100 ms, and
+	// waits behind others.
+	copyOrderTime = 2 * time.Second
+	// copyRenewShare is the part of an ordered copy's life after which it is
+	// ordered again; what is new since then is copied.
+	copyRenewShare = 0.5
+	// longestCopyAnswer bounds the answer to an order, in bytes.
+	longestCopyAnswer = 4 << 10
+)
+
+// CopyOrders are the calls by which engines are ordered to copy runs.
+type CopyOrders struct {
+	// Make orders a run's target to copy its memory to a holder.
+	Make func(run, holder string) Order
+	// Made reads the answer: the name of the copy at the run's target.
+	Made func(answer []byte) (handle string, err error)
+	// Release gives up a copy at the run's target, and at its holder.
+	Release func(handle string) Order
+}
+
+// Order is a call to a target that is no client's request.
+type Order struct {
+	Method string
+	URI    string
+	Body   []byte
+}
+
+// copyOf names the memory of a run at another target.
+type copyOf struct {
+	at   *balance.Target
+	name string // by which the holder is told to go on from it
+}
+
+// runCopy is the copy of one run under way.
+type runCopy struct {
+	relay  *relay
+	target *balance.Target // where the run is
+	run    *balance.Run
+
+	mu      sync.Mutex
+	copy    *copyOf // nil for none
+	handle  string  // of an ordered copy
+	ordered bool    // an order is under way
+	next    time.Time
+	renew   time.Time // zero for a copy that grows by itself
+}
+
+// copies asks for a copy of the run at another target, and names the copy that
+// the run goes on from.
+func (r *relay) copies(request *targetconn.Request, t *balance.Target, from *copyOf) *copyOf {
+	g, c := r.gateway, r.call
+	n := &g.cfg.Names
+	if from != nil {
+		request.Header.Set(n.CopyFrom, from.name)
+		g.counters.copies.Inc()
+	}
+	if !g.cfg.Copies || n.CopyHandle == nil || !c.engine.Copies || !c.route.Resume {
+		return nil
+	}
+	holder := r.pickHolder(t)
+	if holder == nil {
+		return nil
+	}
+	request.Header.Set(n.CopyTo, holder.Address)
+	return &copyOf{at: holder, name: n.CopyHandle(holder.Address, c.id)}
+}
+
+// pickHolder picks a target to keep a copy of a run at another one, or nil.
+func (r *relay) pickHolder(t *balance.Target) *balance.Target {
+	c := r.call
+	return r.gateway.targets.Pick(balance.Choice{
+		Service: c.service, OtherHall: t.DataHall, Copy: true, Work: balance.Work{Hold: c.work.Hold},
+		Exclude: func(o *balance.Target) bool { return o == t || c.tried[o] },
+	})
+}
+
+// watch looks after the run's copy, at most once in a while: where its holder
+// is lost, or an ordered copy grows old, one is ordered.
+func (k *runCopy) watch(ctx context.Context) {
+	g, c := k.relay.gateway, k.relay.call
+	if g.cfg.Names.CopyOrders.Make == nil || !g.cfg.Copies || !c.engine.CopyOrders || !c.route.Resume {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	if k.ordered || now.Before(k.next) {
+		return
+	}
+	k.next = now.Add(copyWatch)
+	holder := k.holder(now)
+	if holder == nil {
+		return
+	}
+	k.ordered = true
+	go k.order(ctx, holder)
+}
+
+// holder returns the target that a copy is to be ordered at now, nil for none.
+// The caller holds the mutex.
+func (k *runCopy) holder(now time.Time) *balance.Target {
+	if k.copy == nil || k.copy.at.Lost() {
+		k.copy, k.renew = nil, time.Time{}
+		return k.relay.pickHolder(k.target)
+	}
+	if !k.renew.IsZero() && now.After(k.renew) {
+		return k.copy.at
+	}
+	return nil
+}
+
+// order has the run's engine copy it, and takes the copy.
+func (k *runCopy) order(ctx context.Context, holder *balance.Target) {
+	g, c := k.relay.gateway, k.relay.call
+	ctx, cancel := context.WithTimeout(ctx, copyOrderTime)
+	defer cancel()
+	answer, err := g.command(ctx, k.target, g.cfg.Names.CopyOrders.Make(c.id, holder.Address))
+	handle := ""
+	if err == nil {
+		handle, err = g.cfg.Names.CopyOrders.Made(answer)
+	}
+	klog.InfoS("Copy ordered", "request", c.id, "target", k.target.ID, "at", holder.ID, "handle", handle, "err", err)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ordered = false
+	if err != nil {
+		k.copy, k.renew = nil, time.Time{}
+		k.next = time.Now().Add(copyRetry)
+		return
+	}
+	k.copy = &copyOf{at: holder, name: g.cfg.Names.CopyHandle(k.target.Address, handle)}
+	k.handle = handle
+	k.renew = time.Now().Add(time.Duration(copyRenewShare * float64(c.engine.CopyLife)))
+	k.run.SetCopy(holder.ID, k.copy.name)
+	g.counters.recopies.Inc()
+}
+
+// end returns the copy that a broken run goes on from, and gives up an ordered
+// copy that is not needed any more.
+func (k *runCopy) end(end ending) *copyOf {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if end == endBroken {
+		return k.copy
+	}
+	if k.handle != "" {
+		go k.release(k.handle)
+	}
+	return nil
+}
+
+func (k *runCopy) release(handle string) {
+	g := k.relay.gateway
+	ctx, cancel := context.WithTimeout(context.Background(), copyOrderTime)
+	defer cancel()
+	if _, err := g.command(ctx, k.target, g.cfg.Names.CopyOrders.Release(handle)); err != nil {
+		klog.V(1).InfoS("Copy not given up: it ends by itself", "target", k.target.ID, "handle", handle, "err", err)
+	}
+}
+
+// command sends a target an order, and returns its answer.
+func (g *Gateway) command(ctx context.Context, t *balance.Target, o Order) ([]byte, error) {
+	h := http.Header{}
+	if len(o.Body) > 0 {
+		h.Set("Content-Type", "application/json")
+	}
+	answer, err := g.pool.Do(ctx, endpoint(t), &targetconn.Request{
+		Method: o.Method, URI: o.URI, Host: t.Address, Header: h, Body: o.Body, HasBody: len(o.Body) > 0,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(io.LimitReader(answer, longestCopyAnswer))
+	if err == nil && answer.Status != http.StatusOK {
+		err = errors.Newf("status %d", answer.Status)
+	}
+	return body, err
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,6 +29,7 @@
 	Usage      string // tokens of the prompt, and most out
 	Prefix     string // the parts of the prompt, the request's own last
 	CopyHandle func(address, identity string) string
+	CopyOrders CopyOrders
 	ParseLoad  func(header string) (balance.Load, bool)
 	ParseUsage func(header string) (prompt, out int)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -32,12 +32,6 @@
 	copy    *copyOf // of the run that broke off
 }
 
-// copyOf names the memory of a run at another target.
-type copyOf struct {
-	at       *balance.Target
-	identity string
-}
-
 // ending says how a run ended.
 type ending int
 
@@ -53,9 +47,9 @@
 func (g *Gateway) stream(ctx context.Context, w http.ResponseWriter, c *call) {
 	r := &relay{gateway: g, call: c, w: w, flush: http.NewResponseController(w)}
 	if c.again {
-		if at, identity := g.targets.FindCopy(c.key); at != nil {
-			klog.InfoS("Client comes again, a copy is known", "request", c.id, "run", identity, "at", at.ID, "last", c.lastID)
-			r.copy = &copyOf{at: at, identity: identity}
+		if at, name := g.targets.FindCopy(c.key); at != nil {
+			klog.InfoS("Client comes again, a copy is known", "request", c.id, "copy", name, "at", at.ID, "last", c.lastID)
+			r.copy = &copyOf{at: at, name: name}
 		}
 	}
 	for {
@@ -100,7 +94,7 @@
 type order struct {
 	request *targetconn.Request
 	work    balance.Work
-	holder  *balance.Target // keeps a copy of the run; nil for none
+	copy    *copyOf // that grows with the run; nil for none
 	trace   balance.Trace
 }
 
@@ -110,10 +104,11 @@
 	r.events = 0
 	o := r.order(t, from)
 	under := t.Begin(o.work, o.trace)
-	end := r.follow(ctx, t, o, under)
+	kept := &runCopy{relay: r, target: t, run: under, copy: o.copy}
+	end := r.follow(ctx, t, o, kept)
 	under.End(balance.RunEnd{Whole: end == endWhole, Tokens: r.events * r.call.engine.EventTokens})
-	if end == endBroken && o.holder != nil && under.Begun() {
-		r.copy = &copyOf{at: o.holder, identity: r.call.id}
+	if left := kept.end(end); under.Begun() {
+		r.copy = left
 	}
 	return end
 }
@@ -121,21 +116,21 @@
 // order works out what a run asks of its target.
 func (r *relay) order(t *balance.Target, from *copyOf) order {
 	g, c := r.gateway, r.call
-	o := order{request: g.request(c, t), work: g.targets.Kept(c.choice(), t), trace: balance.Trace{Key: c.key, Identity: c.id}}
+	o := order{request: g.request(c, t), work: g.targets.Kept(c.choice(), t), trace: balance.Trace{Key: c.key}}
 	klog.InfoS("Run begins", "request", c.id, "route", c.route.Name, "version", c.version, "target", t.ID, "again", c.again, "last", c.lastID,
 		"read", c.work.Read, "expectedRead", o.work.Read, "expected_ms", g.targets.Expected(c.choice(), t).Milliseconds(),
 		"fromCopy", from != nil, "run", r.runs)
 	if from != nil {
 		o.work.Read = 0
 	}
-	if o.holder = r.copies(o.request, t, from); o.holder != nil {
-		o.trace.Copy = o.holder.ID
+	if o.copy = r.copies(o.request, t, from); o.copy != nil {
+		o.trace.Copy, o.trace.CopyName = o.copy.at.ID, o.copy.name
 	}
 	return o
 }
 
 // follow sends a run's request and passes on what comes.
-func (r *relay) follow(ctx context.Context, t *balance.Target, o order, under *balance.Run) ending {
+func (r *relay) follow(ctx context.Context, t *balance.Target, o order, kept *runCopy) ending {
 	g, c := r.gateway, r.call
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -164,10 +159,7 @@
 	if !isEventStream(answer) {
 		return r.passOther(answer, t)
 	}
-	return r.pass(runCtx, answer, t, func() {
-		pending.drop()
-		under.FirstEvent()
-	})
+	return r.pass(runCtx, answer, kept, pending.drop)
 }
 
 // mayMove reports whether another target may still be asked in this one's
@@ -185,28 +177,6 @@
 	klog.InfoS("Run moved: its target is silent to others", "request", c.id, "target", t.ID, "ms", time.Since(c.arrived).Milliseconds())
 }
 
-// copies asks for a copy of the run at another target, and names the copy
-// that the run goes on from.
-func (r *relay) copies(request *targetconn.Request, t *balance.Target, from *copyOf) *balance.Target {
-	g, c := r.gateway, r.call
-	n := &g.cfg.Names
-	if from != nil && n.CopyHandle != nil {
-		request.Header.Set(n.CopyFrom, n.CopyHandle(from.at.Address, from.identity))
-		g.counters.copies.Inc()
-	}
-	if !g.cfg.Copies || !c.engine.Copies || !c.route.Resume {
-		return nil
-	}
-	backup := g.targets.Pick(balance.Choice{
-		Service: c.service, OtherHall: t.DataHall, Copy: true, Work: balance.Work{Hold: c.work.Hold},
-		Exclude: func(o *balance.Target) bool { return o == t || c.tried[o] },
-	})
-	if backup != nil {
-		request.Header.Set(n.CopyTo, backup.Address)
-	}
-	return backup
-}
-
 // headWait is how long a run may be silent before its first event, when
 // another target may still answer in time; the last target is waited for.
 func (r *relay) headWait(work balance.Work) time.Duration {
@@ -243,8 +213,8 @@
 }
 
 // pass passes events on. First is called at the run's first event.
-func (r *relay) pass(ctx context.Context, a *targetconn.Answer, t *balance.Target, first func()) ending {
-	g, c := r.gateway, r.call
+func (r *relay) pass(ctx context.Context, a *targetconn.Answer, kept *runCopy, first func()) ending {
+	g, c, t := r.gateway, r.call, kept.target
 	events := eventstream.NewReader(a)
 	seen := false
 	for {
@@ -263,9 +233,11 @@
 		if !seen {
 			seen = true
 			first()
+			kept.run.FirstEvent()
 			t.Succeeded()
 			r.noteFirst()
 		}
+		kept.watch(ctx)
 		if e.HasID && c.hasLast && e.ID <= c.lastID {
 			continue // the client has it
 		}
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -77,8 +77,12 @@
 	Name   string
 	Engine bool
 	Copies bool // its engines keep copies of runs at each other
-	Memory int  // of an engine, in tokens; 0 if that is not told
-	Slots  int  // runs at once at an engine; 0 if that is not told
+	// CopyOrders says that its engines take orders to copy a run, and CopyLife
+	// for how long they keep such a copy.
+	CopyOrders bool
+	CopyLife   time.Duration
+	Memory     int // of an engine, in tokens; 0 if that is not told
+	Slots      int // runs at once at an engine; 0 if that is not told
 	// EventTokens is how many tokens one event of a stream holds, 0 if that is
 	// not told.
 	EventTokens int
--- a/loadshare/audience.go
+++ b/loadshare/audience.go
@@ -114,7 +114,7 @@
 	var changed []run
 	for _, r := range now {
 		before, known := a.told[r.Number]
-		if known && before.Read == r.Read && before.Broken == r.Broken {
+		if known && before.Read == r.Read && before.Broken == r.Broken && before.Trace.CopyName == r.Trace.CopyName {
 			continue
 		}
 		a.told[r.Number] = r
--- a/loadshare/audience_test.go
+++ b/loadshare/audience_test.go
@@ -16,7 +16,7 @@
 	for i := range n {
 		runs = append(runs, balance.Shared{
 			Number: uint64(first + i), Target: fmt.Sprint("i-6c3b5107", i), Read: 8000, Hold: 8400,
-			Trace: balance.Trace{Key: "5c1e07a2", Identity: "9c41d07be2a35f68", Copy: "i-7f3a91c2"},
+			Trace: balance.Trace{Key: "5c1e07a2", CopyName: "9c41d07be2a35f68", Copy: "i-7f3a91c2"},
 		})
 	}
 	return runs
--- a/loadshare/loadshare_test.go
+++ b/loadshare/loadshare_test.go
@@ -110,7 +110,7 @@
 	without, thereTracker, killThere := start(there)
 	withDisk.SetPeers(addresses)
 	without.SetPeers(addresses)
-	run := thereTracker.Pick(balance.Choice{Service: "s"}).Begin(balance.Work{Read: 1, Hold: 1}, balance.Trace{Key: "part-1", Identity: "run-1", Copy: "2"})
+	run := thereTracker.Pick(balance.Choice{Service: "s"}).Begin(balance.Work{Read: 1, Hold: 1}, balance.Trace{Key: "part-1", CopyName: "run-1", Copy: "2"})
 	run.FirstEvent()
 	require.Eventually(t, func() bool { at, _ := hereTracker.FindCopy("part-1"); return at != nil }, 5*time.Second, 5*time.Millisecond)
 	require.Eventually(t, func() bool {
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -34,7 +34,7 @@
 	AgeMS  int64  `msgpack:"a,omitempty"`
 	// How the run is found again after it broke off.
 	Key      string `msgpack:"k,omitempty"`
-	Identity string `msgpack:"i,omitempty"`
+	CopyName string `msgpack:"i,omitempty"`
 	Copy     string `msgpack:"c,omitempty"`
 	Broken   bool   `msgpack:"b,omitempty"`
 }
@@ -54,7 +54,7 @@
 		Key: r.Trace.Key,
 	}
 	if r.Trace.Copy != "" {
-		e.Identity, e.Copy = r.Trace.Identity, r.Trace.Copy
+		e.CopyName, e.Copy = r.Trace.CopyName, r.Trace.Copy
 	}
 	return e
 }
@@ -63,7 +63,7 @@
 	s := balance.Shared{
 		Number: r.Number, Target: r.Target, Read: max(0, r.Read), Hold: max(0, r.Hold),
 		Age:   time.Duration(max(0, r.AgeMS)) * time.Millisecond,
-		Trace: balance.Trace{Key: r.Key, Identity: r.Identity, Copy: r.Copy}, Broken: r.Broken,
+		Trace: balance.Trace{Key: r.Key, CopyName: r.CopyName, Copy: r.Copy}, Broken: r.Broken,
 	}
 	if s.Read == 0 {
 		s.Trace.ReadAt = r.Target
