Find read prompts again after a loss of power; order a new copy where a run's copy is lost

Change: entries remember, and tell each other, where prompts were read; those with a disk write it down, once a second with a sync. A run whose copy's holder is lost or in doubt has its engine ordered to copy it anew, and again before that copy's life is over. Ruled out: the copies' own speed (resumes from a copy take 10 to 60 ms). Tests failed first or could not be written without the change: places, memory over a loss of power, copies ordered anew, given up, refused.

--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -25,6 +25,15 @@
 	Priority: "X-Priority", CopyTo: "X-Copy-To", CopyFrom: "X-Copy-From", Load: "X-Load", NotRun: "X-Not-Run", Usage: "X-Usage",
 	Prefix: "X-Prefix", System: []string{"X-System"},
 	CopyHandle: func(address, identity string) string { return address + "/" + identity },
+	CopyOrders: CopyOrders{
+		Make: func(run, holder string) Order {
+			return Order{Method: "POST", URI: copyPath, Body: []byte(run + " to " + holder)}
+		},
+		Made: func(answer []byte) (string, error) { return string(answer), nil },
+		Release: func(handle string) Order {
+			return Order{Method: "DELETE", URI: copyPath + "/" + handle}
+		},
+	},
 	ParseUsage: func(v string) (prompt, out int) {
 		a, b, _ := strings.Cut(v, ",")
 		prompt, _ = strconv.Atoi(a)
@@ -37,6 +46,8 @@
 	},
 }
 
+const copyPath = "/copy"
+
 // fakeTarget answers each request by a script that writes to the connection.
 type fakeTarget struct {
 	id      string
@@ -134,7 +145,7 @@
 
 func testTable() *Table {
 	table := &Table{Version: 1, Services: map[string]Service{
-		"draft": {Name: "draft", Engine: true, Copies: true}, "lookup": {Name: "lookup"},
+		"draft": {Name: "draft", Engine: true, Copies: true, CopyOrders: true, CopyLife: 4 * time.Second}, "lookup": {Name: "lookup"},
 	}}
 	table.SetRoutes([]*Route{
 		{Name: "draft", Host: "a.example", Prefix: "/draft/", Kind: Stream, Resume: true, Timeout: 10 * time.Second, Aim: time.Second, MaxAttempts: 5, Split: []Weighted{{"draft", 1}}},
