--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -70,11 +70,16 @@
 	if c.isNew() {
 		choice.Admission = true
 		choice.Rank = c.rank
-		choice.Within = time.Until(c.arrived.Add(time.Duration(beginShare * float64(c.route.Aim))))
+		choice.Within = time.Until(c.beginBy())
 	}
 	return choice
 }
 
+// beginBy returns when a new request must be predicted to begin.
+func (c *call) beginBy() time.Time {
+	return c.arrived.Add(time.Duration(beginShare * float64(c.route.Aim)))
+}
+
 // arrive notes that a target was reached. What never arrives, such as a
 // connection that is refused, is no repeat.
 func (c *call) arrive() {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -94,8 +94,10 @@
 type order struct {
 	request *targetconn.Request
 	work    balance.Work
-	copy    *copyOf // that grows with the run; nil for none
-	trace   balance.Trace
+	// expected is the predicted time to the first event.
+	expected time.Duration
+	copy     *copyOf // that grows with the run; nil for none
+	trace    balance.Trace
 }
 
 // run passes one run on until it ends.
@@ -116,9 +118,12 @@
 // order works out what a run asks of its target.
 func (r *relay) order(t *balance.Target, from *copyOf) order {
 	g, c := r.gateway, r.call
-	o := order{request: g.request(c, t), work: g.targets.Kept(c.choice(), t), trace: balance.Trace{Key: c.key}}
+	o := order{
+		request: g.request(c, t), work: g.targets.Kept(c.choice(), t), expected: g.targets.Expected(c.choice(), t),
+		trace: balance.Trace{Key: c.key},
+	}
 	klog.InfoS("Run begins", "request", c.id, "route", c.route.Name, "version", c.version, "target", t.ID, "again", c.again, "last", c.lastID,
-		"read", c.work.Read, "expectedRead", o.work.Read, "expected_ms", g.targets.Expected(c.choice(), t).Milliseconds(),
+		"read", c.work.Read, "expectedRead", o.work.Read, "expected_ms", o.expected.Milliseconds(),
 		"fromCopy", from != nil, "run", r.runs)
 	if from != nil {
 		o.work.Read = 0
@@ -134,7 +139,7 @@
 	g, c := r.gateway, r.call
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	patience := time.AfterFunc(r.headWait(o.work), func() { cancel(nil) })
+	patience := time.AfterFunc(r.headWait(o), func() { cancel(nil) })
 	pending := g.pending.add(t, cancel, c.mayMove())
 	defer pending.drop()
 	answer, err := g.pool.Do(runCtx, endpoint(t), o.request)
@@ -177,14 +182,25 @@
 	klog.InfoS("Run moved: its target is silent to others", "request", c.id, "target", t.ID, "ms", time.Since(c.arrived).Milliseconds())
 }
 
+// overdue is how many times its predicted wait a run must have been silent
+// before its first event to be given up so that another target can begin in
+// time: a sound target is rarely that wrong.
+const overdue = 2
+
 // headWait is how long a run may be silent before its first event, when
-// another target may still answer in time; the last target is waited for.
-func (r *relay) headWait(work balance.Work) time.Duration {
+// another target may still answer; the last target is waited for. A run that
+// is overdue is given up at the last moment at which another one can begin in
+// time.
+func (r *relay) headWait(o order) time.Duration {
 	g, c := r.gateway, r.call
 	if !c.mayMove() {
 		return time.Until(c.deadline)
 	}
-	return g.cfg.FirstEvent + g.targets.RunTime(c.service, work.Read, 0)
+	read := g.targets.RunTime(c.service, c.work.Read, 0)
+	if latest := time.Until(c.beginBy()) - read; !r.started && latest > overdue*o.expected {
+		return latest
+	}
+	return g.cfg.FirstEvent + read
 }
 
 func isEventStream(a *targetconn.Answer) bool {
