--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -142,6 +142,18 @@
 	<-gone
 }
 
+// The aim of the route is a second and the client waits two: five seconds of
+// patience for a first event would leave it without an answer.
+func TestOverdueRunIsGivenUpWhileAnotherCanBeginInTime(t *testing.T) {
+	mute := newFakeTarget(t, "i-1", "draft", "north", func(_ *fakeTarget, _ *http.Request, c net.Conn) { io.Copy(io.Discard, c) })
+	good := newFakeTarget(t, "i-2", "draft", "south", draft(nil))
+	s := newSite(t, []*fakeTarget{mute, good})
+	_, body, err := do(t, s.request(t, "POST", "/draft/", "prompt", "X-Usage", "300,60", "X-Deadline", "2000"))
+	require.NoError(t, err)
+	require.Equal(t, wholeDraft(1), body)
+	require.Len(t, mute.seen(), 1)
+}
+
 func TestStallFollowsTheRoutesLongestPause(t *testing.T) {
 	s := newSite(t, nil, WithStall(time.Second))
 	require.Equal(t, time.Second, s.gateway.stall(&Route{}))
