--- a/balance/room.go
+++ b/balance/room.go
@@ -49,29 +49,6 @@
 	return assumedMemory
 }
 
-// copiesFor returns what copies take up at the targets that a choice is among;
-// nothing for plain services. The caller holds the mutex.
-func (t *Tracker) copiesFor(c *Choice, now time.Time) map[string]int {
-	if c.Work == (Work{}) {
-		return nil
-	}
-	return t.copiesHeld(now)
-}
-
-// copiesHeld returns how many tokens the copies of runs take up, by target.
-// The caller holds the mutex.
-func (t *Tracker) copiesHeld(now time.Time) map[string]int {
-	held := map[string]int{}
-	for _, target := range t.byID {
-		for _, r := range target.underWay(now) {
-			if r.Trace.Copy != "" {
-				held[r.Trace.Copy] += r.Hold
-			}
-		}
-	}
-	return held
-}
-
 // occupancy is what takes an engine up.
 type occupancy struct {
 	runs   []Shared
@@ -79,35 +56,44 @@
 	copies int // tokens of copies of other engines' runs
 }
 
-// occupancy returns what is known to take the target up. The caller holds the
-// mutex.
-func (t *Target) occupancy(copies map[string]int, now time.Time) occupancy {
-	o := occupancy{runs: t.underWay(now), copies: copies[t.ID]}
-	for _, r := range o.runs {
-		o.held += r.Hold
+// occupancies returns what is known to take up the engines of a service; none
+// for a request that asks nothing of engines. The caller holds the mutex.
+func (t *Tracker) occupancies(c *Choice, now time.Time) map[*Target]*occupancy {
+	if c.Work == (Work{}) {
+		return nil
+	}
+	all := make(map[*Target]*occupancy, len(t.service[c.Service]))
+	for _, target := range t.service[c.Service] {
+		all[target] = &occupancy{runs: target.underWay(now)}
 	}
-	return o
+	for _, o := range all {
+		for _, r := range o.runs {
+			o.held += r.Hold
+			if holder := all[t.byID[r.Trace.Copy]]; holder != nil {
+				holder.copies += r.Hold
+			}
+		}
+	}
+	return all
 }
 
 // roomForCopies reports whether one more copy leaves the runs of its service
 // the room that they may come to need. The caller holds the mutex.
-func (t *Tracker) roomForCopies(c *Choice, copies map[string]int, now time.Time) bool {
-	memory, runs, held := 0, 0, c.Work.Hold
-	for _, target := range t.service[c.Service] {
-		if !target.open(now) {
-			continue
+func (t *Tracker) roomForCopies(c *Choice, all map[*Target]*occupancy, now time.Time) bool {
+	memory, runs, copies := 0, 0, c.Work.Hold
+	for target, o := range all {
+		if target.open(now) {
+			memory += t.memoryOf(c.Service)
+			runs += o.held
+			copies += o.copies
 		}
-		o := target.occupancy(copies, now)
-		memory += t.memoryOf(c.Service)
-		runs += o.held
-		held += o.copies
 	}
-	return float64(held)+runGrowth*float64(runs) <= fullShare*float64(memory)
+	return float64(copies)+runGrowth*float64(runs) <= fullShare*float64(memory)
 }
 
 // fits reports whether a choice finds room at a target that it takes up, and
 // would begin there in time. The caller holds the mutex.
-func (t *Target) fits(c *Choice, o occupancy) bool {
+func (t *Target) fits(c *Choice, o *occupancy) bool {
 	memory := float64(t.tracker.memoryOf(t.Service))
 	taken := float64(o.held + o.copies + c.Work.Hold)
 	if c.Copy {
--- a/balance/score.go
+++ b/balance/score.go
@@ -63,8 +63,8 @@
 	now := time.Now()
 	home, keeper := t.home(c, now), t.keeper(c, now)
 	doubtful := t.doubtful(c.Service, now)
-	copies := t.copiesFor(&c, now)
-	if c.Copy && !t.roomForCopies(&c, copies, now) {
+	taken := t.occupancies(&c, now)
+	if c.Copy && !t.roomForCopies(&c, taken, now) {
 		return nil
 	}
 	var best *Target
@@ -73,11 +73,9 @@
 		if !target.open(now) || c.Exclude != nil && c.Exclude(target) {
 			continue
 		}
-		var o occupancy
-		if c.Work != (Work{}) {
-			if o = target.occupancy(copies, now); !target.fits(&c, o) {
-				continue
-			}
+		o := taken[target]
+		if o != nil && !target.fits(&c, o) {
+			continue
 		}
 		s := target.score(&c, o, affinity{home: target == home, keeps: target == keeper}, now)
 		if doubtful[target.DataHall] {
@@ -167,7 +165,7 @@
 
 // score is the wait expected at a target, in milliseconds, with what else
 // speaks against it. The caller holds the mutex.
-func (t *Target) score(c *Choice, o occupancy, tie affinity, now time.Time) float64 {
+func (t *Target) score(c *Choice, o *occupancy, tie affinity, now time.Time) float64 {
 	cfg := &t.tracker.cfg
 	score := t.tracker.rng.Float64() * noiseCost
 	switch cfg.Policy {
@@ -178,7 +176,7 @@
 	case LeastReported:
 		return t.rest(c, now, score+slotCost*float64(t.told.Running+t.told.Waiting))
 	}
-	if c.Work == (Work{}) {
+	if o == nil {
 		score += t.slotWait(now)
 	} else {
 		score += t.engineWait(c, o, tie)
@@ -224,7 +222,7 @@
 
 // engineWait predicts the time to the first event of an engine, and what the
 // run would cost others there, in milliseconds.
-func (t *Target) engineWait(c *Choice, o occupancy, tie affinity) float64 {
+func (t *Target) engineWait(c *Choice, o *occupancy, tie affinity) float64 {
 	read := t.tracker.readMS(t.Service, c.Work.Read)
 	if tie.keeps {
 		read *= keptRead
