--- /dev/null
+++ b/balance/pick_bench_test.go
@@ -0,0 +1,28 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkPick shows how a choice grows with a service's engines, with two
+// runs at each that another node told of.
+func BenchmarkPick(b *testing.B) {
+	for _, engines := range []int{20, 100, 500} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			var ids []string
+			var runs []Shared
+			for i := range engines {
+				ids = append(ids, fmt.Sprint(i))
+				for n := range 2 {
+					runs = append(runs, Shared{Number: uint64(2*i + n), Target: fmt.Sprint(i), Hold: 5000, Trace: Trace{Copy: fmt.Sprint((i + 1) % engines)}})
+				}
+			}
+			tracker := newTracker(listed("s", "north", ids...)...)
+			tracker.SetOthers("n2", runs)
+			for b.Loop() {
+				tracker.Pick(draft(5000))
+			}
+		})
+	}
+}
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -38,15 +38,15 @@
 // CopyOrders are the calls by which engines are ordered to copy runs.
 type CopyOrders struct {
 	// Make orders a run's target to copy its memory to a holder.
-	Make func(run, holder string) Order
+	Make func(run, holder string) TargetCall
 	// Made reads the answer: the name of the copy at the run's target.
 	Made func(answer []byte) (handle string, err error)
 	// Release gives up a copy at the run's target, and at its holder.
-	Release func(handle string) Order
+	Release func(handle string) TargetCall
 }
 
-// Order is a call to a target that is no client's request.
-type Order struct {
+// TargetCall is a call to a target that is no client's request.
+type TargetCall struct {
 	Method string
 	URI    string
 	Body   []byte
@@ -141,7 +141,7 @@
 	g, c := k.relay.gateway, k.relay.call
 	ctx, cancel := context.WithTimeout(ctx, copyOrderTime)
 	defer cancel()
-	answer, err := g.command(ctx, k.target, g.cfg.Names.CopyOrders.Make(c.id, holder.Address))
+	answer, err := g.callTarget(ctx, k.target, g.cfg.Names.CopyOrders.Make(c.id, holder.Address))
 	handle := ""
 	if err == nil {
 		handle, err = g.cfg.Names.CopyOrders.Made(answer)
@@ -180,13 +180,13 @@
 	g := k.relay.gateway
 	ctx, cancel := context.WithTimeout(context.Background(), copyOrderTime)
 	defer cancel()
-	if _, err := g.command(ctx, k.target, g.cfg.Names.CopyOrders.Release(handle)); err != nil {
+	if _, err := g.callTarget(ctx, k.target, g.cfg.Names.CopyOrders.Release(handle)); err != nil {
 		klog.V(1).InfoS("Copy not given up: it ends by itself", "target", k.target.ID, "handle", handle, "err", err)
 	}
 }
 
-// command sends a target an order, and returns its answer.
-func (g *Gateway) command(ctx context.Context, t *balance.Target, o Order) ([]byte, error) {
+// callTarget sends a call that is no client's request, and returns its answer.
+func (g *Gateway) callTarget(ctx context.Context, t *balance.Target, o TargetCall) ([]byte, error) {
 	h := http.Header{}
 	if len(o.Body) > 0 {
 		h.Set("Content-Type", "application/json")
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -26,12 +26,12 @@
 	Prefix: "X-Prefix", System: []string{"X-System"},
 	CopyHandle: func(address, identity string) string { return address + "/" + identity },
 	CopyOrders: CopyOrders{
-		Make: func(run, holder string) Order {
-			return Order{Method: "POST", URI: copyPath, Body: []byte(run + " to " + holder)}
+		Make: func(run, holder string) TargetCall {
+			return TargetCall{Method: "POST", URI: copyPath, Body: []byte(run + " to " + holder)}
 		},
 		Made: func(answer []byte) (string, error) { return string(answer), nil },
-		Release: func(handle string) Order {
-			return Order{Method: "DELETE", URI: copyPath + "/" + handle}
+		Release: func(handle string) TargetCall {
+			return TargetCall{Method: "DELETE", URI: copyPath + "/" + handle}
 		},
 	},
 	ParseUsage: func(v string) (prompt, out int) {
