--- a/emulator/policies_test.go
+++ b/emulator/policies_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -47,16 +48,27 @@
 
 // Shape of a small site: a data hall's engines die together again and again.
 const (
-	halls          = 3
-	enginesPerHall = 6
-	entries        = 6
-	draftsPerS     = 4.5
-	length         = 30 * time.Second
-	shareDelay     = 15 * time.Millisecond
-	firstAim       = 4500 * time.Millisecond
-	pauseAim       = 700 * time.Millisecond
+	halls      = 3
+	entries    = 6
+	length     = 30 * time.Second
+	shareDelay = 15 * time.Millisecond
+	firstAim   = 4500 * time.Millisecond
+	pauseAim   = 700 * time.Millisecond
 )
 
+// shape is what is tried on a site.
+type shape struct {
+	policy         balance.Policy
+	enginesPerHall int
+	draftsPerS     float64
+	crashes        bool // a data hall's engines crash every 6.5 s
+}
+
+// usual is the shape of a small site whose halls crash.
+func usual(policy balance.Policy) shape {
+	return shape{policy: policy, enginesPerHall: 6, draftsPerS: 4.5, crashes: true}
+}
+
 // emulation is a site in virtual time.
 type emulation struct {
 	net      *memnet.Network
@@ -205,21 +217,19 @@
 	}
 }
 
-// emulate plays one seed under a policy and returns the share of drafts in
-// time.
-func emulate(t *testing.T, policy balance.Policy, seed uint64) float64 {
-	var share float64
+// emulate plays one seed and returns how many drafts were in time, and all.
+func emulate(t *testing.T, try shape, seed uint64) (inTime, all int) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &emulation{net: memnet.New(), rng: rand.New(rand.NewPCG(seed, 3))}
 		for h := range halls {
-			for i := range enginesPerHall {
+			for i := range try.enginesPerHall {
 				e.start(h, fmt.Sprintf("10.0.%d.%d:80", h, i))
 			}
 		}
 		budgets := balance.NewBudgets(balance.BudgetConfig{Ratio: 1, Slack: 1000, Window: 10 * time.Second, Nodes: 1})
 		var pools []*targetconn.Pool
 		for i := range entries {
-			tracker := balance.NewTracker(balance.WithSeed(seed+uint64(i)), balance.WithDataHall(hall(i%halls)), balance.WithPolicy(policy))
+			tracker := balance.NewTracker(balance.WithSeed(seed+uint64(i)), balance.WithDataHall(hall(i%halls)), balance.WithPolicy(try.policy))
 			pool := targetconn.NewPool(targetconn.WithIdentityHeader(names.Identity), targetconn.WithDial(e.net.Dialer(fmt.Sprint("entry-", i))))
 			g := gateway.New(tracker, pool, budgets, func() {}, gateway.WithNames(dialect), gateway.WithCopies(false))
 			g.SetTable(draftTable())
@@ -230,7 +240,7 @@
 		tasks.Go(func() { e.list(ctx) })
 		tasks.Go(func() { e.share(ctx) })
 		tasks.Go(func() {
-			for h := 0; ctx.Err() == nil; h++ {
+			for h := 0; try.crashes && ctx.Err() == nil; h++ {
 				time.Sleep(6500 * time.Millisecond)
 				e.crash(h % halls)
 			}
@@ -242,7 +252,7 @@
 			prompt := 200 + int(8000*math.Exp(e.rng.NormFloat64()*0.3))
 			out := 6 * int(130*math.Exp(e.rng.NormFloat64()*0.2))
 			drafts.Go(func() { e.draft(i, g, prompt, out) })
-			time.Sleep(time.Duration(e.rng.ExpFloat64() / draftsPerS * float64(time.Second)))
+			time.Sleep(time.Duration(e.rng.ExpFloat64() / try.draftsPerS * float64(time.Second)))
 		}
 		drafts.Wait()
 		stop()
@@ -254,13 +264,15 @@
 			m.listener.Close()
 			m.engine.Close()
 		}
-		share = float64(e.inTime) / float64(e.all)
+		inTime, all = e.inTime, e.all
 	})
-	return share
+	return inTime, all
 }
 
 func draftTable() *gateway.Table {
-	table := &gateway.Table{Version: 1, Services: map[string]gateway.Service{"draft": {Name: "draft", Engine: true}}}
+	table := &gateway.Table{Version: 1, Services: map[string]gateway.Service{
+		"draft": {Name: "draft", Engine: true, Memory: DefaultConfig(names).Memory, Slots: DefaultConfig(names).Slots},
+	}}
 	table.SetRoutes([]*gateway.Route{{
 		Name: "draft", Host: "a.example", Prefix: "/draft/", Kind: gateway.Stream, Resume: true, Timeout: 25 * time.Second, Aim: firstAim,
 		MaxAttempts: 5, Split: []gateway.Weighted{{Service: "draft", Weight: 1}},
@@ -288,7 +300,8 @@
 				t.Parallel()
 				sum := 0.0
 				for seed := range seeds() {
-					sum += emulate(t, policy, seed)
+					inTime, all := emulate(t, usual(policy), seed)
+					sum += float64(inTime) / float64(all)
 				}
 				mu.Lock()
 				defer mu.Unlock()
@@ -301,6 +314,23 @@
 	require.Less(t, mean[balance.RoundRobin], mean[balance.Predicted])
 }
 
+// Beyond what the engines can do, drafts are refused at once, and as many as
+// before are in time. Without a bound on what is sent to an engine, all get
+// slower, and at four times the load next to none is.
+func TestAsManyAreInTimeBeyondTheKnee(t *testing.T) {
+	var inTime []int
+	loads := []float64{1, 3, 6, 9, 12}
+	for _, load := range loads {
+		n, all := emulate(t, shape{policy: balance.Predicted, enginesPerHall: 2, draftsPerS: load}, 1)
+		t.Logf("%v drafts a second: %d of %d in time", load, n, all)
+		inTime = append(inTime, n)
+	}
+	peak := slices.Max(inTime)
+	for i, n := range inTime[slices.Index(inTime, peak):] {
+		require.Greater(t, float64(n), 0.9*float64(peak), "step %d beyond the peak", i)
+	}
+}
+
 func TestEngineReadsOnePromptAfterTheOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := NewEngine(DefaultConfig(names))
