--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -23,7 +23,8 @@
 	// copyWatch is the shortest time between two looks at a run's copy: a
 	// holder is found lost some tens of milliseconds after it was.
 	copyWatch = 100 * time.Millisecond
-	// copyRetry is the wait after an order that brought no copy.
+	// copyRetry is the wait after an order that brought no copy, or where no
+	// target had room for one.
 	copyRetry = 500 * time.Millisecond
 	// copyOrderTime bounds an order: a prompt is copied in some 100 ms, and
 	// waits behind others.
@@ -72,9 +73,9 @@
 	renew   time.Time // zero for a copy that grows by itself
 }
 
-// copies asks for a copy of the run at another target, and names the copy that
-// the run goes on from.
-func (r *relay) copies(request *targetconn.Request, t *balance.Target, from *copyOf) *copyOf {
+// askForCopy asks for a copy of the run at another target, and names the copy
+// that the run goes on from. It returns the new copy, nil for none.
+func (r *relay) askForCopy(request *targetconn.Request, t *balance.Target, from *copyOf) *copyOf {
 	g, c := r.gateway, r.call
 	n := &g.cfg.Names
 	if from != nil {
@@ -114,8 +115,7 @@
 	if k.ordered || now.Before(k.next) {
 		return
 	}
-	k.next = now.Add(copyWatch)
-	holder := k.holder(now)
+	holder := k.nextHolder(now)
 	if holder == nil {
 		return
 	}
@@ -123,17 +123,22 @@
 	go k.order(ctx, holder)
 }
 
-// holder returns the target that a copy is to be ordered at now, nil for none.
-// The caller holds the mutex.
-func (k *runCopy) holder(now time.Time) *balance.Target {
-	if k.copy == nil || k.copy.at.Lost() {
-		k.copy, k.renew = nil, time.Time{}
-		return k.relay.pickHolder(k.target)
-	}
-	if !k.renew.IsZero() && now.After(k.renew) {
+// nextHolder returns the target that a copy is to be ordered at now, nil for
+// none, and sets when to look again. The caller holds the mutex.
+func (k *runCopy) nextHolder(now time.Time) *balance.Target {
+	k.next = now.Add(copyWatch)
+	if k.copy != nil && !k.copy.at.Lost() {
+		if k.renew.IsZero() || now.Before(k.renew) {
+			return nil
+		}
 		return k.copy.at
 	}
-	return nil
+	k.copy, k.renew = nil, time.Time{}
+	holder := k.relay.pickHolder(k.target)
+	if holder == nil {
+		k.next = now.Add(copyRetry) // no room, which does not come soon
+	}
+	return holder
 }
 
 // order has the run's engine copy it, and takes the copy.
@@ -151,15 +156,14 @@
 	defer k.mu.Unlock()
 	k.ordered = false
 	if err != nil {
-		k.copy, k.renew = nil, time.Time{}
 		k.next = time.Now().Add(copyRetry)
-		return
+		return // a copy that was to be renewed may live for a while
 	}
 	k.copy = &copyOf{at: holder, name: g.cfg.Names.CopyHandle(k.target.Address, handle)}
 	k.handle = handle
 	k.renew = time.Now().Add(time.Duration(copyRenewShare * float64(c.engine.CopyLife)))
 	k.run.SetCopy(holder.ID, k.copy.name)
-	g.counters.recopies.Inc()
+	g.counters.ordered.Inc()
 }
 
 // end returns the copy that a broken run goes on from, and gives up an ordered
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -128,7 +128,7 @@
 	if from != nil {
 		o.work.Read = 0
 	}
-	if o.copy = r.copies(o.request, t, from); o.copy != nil {
+	if o.copy = r.askForCopy(o.request, t, from); o.copy != nil {
 		o.trace.Copy, o.trace.CopyName = o.copy.at.ID, o.copy.name
 	}
 	return o
