Count a run out whose client left in the middle of a write

Cause, found by reading: a failed write to the client ended the request by a panic, past the place where the run is counted out. It stayed at its target in this node's table, and in what the node tells others, for as long as the node lived; since admission goes by that table, it would have kept new runs out. Ruled out: plain services (their count is deferred). Change: a write reports that the client has gone, and the run ends as any other. Test failed before: TestRunOfAClientThatLeftIsCountedOut.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -41,6 +41,7 @@
 	endNone                 // there is no target to ask
 	endBroken               // no answer, or it broke off
 	endOther                // an answer that is no event stream was passed on
+	endLeft                 // the client has gone
 )
 
 // stream serves a request whose answer is an event stream.
@@ -61,7 +62,7 @@
 				"ms", time.Since(c.arrived).Milliseconds())
 			return
 		}
-		if ctx.Err() != nil || end == endNone || end == endBroken && !c.route.Idempotent() && c.reached || !g.mayRepeat(c) {
+		if ctx.Err() != nil || end == endNone || end == endLeft || end == endBroken && !c.route.Idempotent() && c.reached || !g.mayRepeat(c) {
 			break
 		}
 	}
@@ -257,7 +258,9 @@
 		if e.HasID && c.hasLast && e.ID <= c.lastID {
 			continue // the client has it
 		}
-		r.write(a, e.Raw)
+		if !r.write(a, e.Raw) {
+			return endLeft
+		}
 		if e.HasID {
 			c.lastID, c.hasLast = e.ID, true
 		}
@@ -292,8 +295,8 @@
 func (r *relay) ended(ctx context.Context, a *targetconn.Answer, t *balance.Target, events *eventstream.Reader, err error) ending {
 	g, c := r.gateway, r.call
 	if err == io.EOF && a.Framed {
-		if rest := events.Rest(); len(rest) > 0 || !r.started {
-			r.write(a, rest)
+		if rest := events.Rest(); (len(rest) > 0 || !r.started) && !r.write(a, rest) {
+			return endLeft
 		}
 		return endWhole
 	}
@@ -314,8 +317,9 @@
 	return endBroken
 }
 
-// write passes bytes on at once, after the head of the first run.
-func (r *relay) write(a *targetconn.Answer, raw []byte) {
+// write passes bytes on at once, after the head of the first run; false if the
+// client has gone.
+func (r *relay) write(a *targetconn.Answer, raw []byte) bool {
 	if !r.started {
 		r.gateway.passHead(r.w, a.Header, a.Status, -1)
 		r.started = true
@@ -326,7 +330,7 @@
 	}
 	if err != nil {
 		klog.InfoS("Client left", "request", r.call.id, "route", r.call.route.Name, "last", r.call.lastID, "err", err)
-		panic(http.ErrAbortHandler)
+		return false
 	}
 	now := time.Now()
 	if r.first == 0 {
@@ -335,4 +339,5 @@
 		r.longest = max(r.longest, now.Sub(r.newest))
 	}
 	r.newest = now
+	return true
 }
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -4,8 +4,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -127,6 +129,33 @@
 	require.Empty(t, s.tracker.Suspects(), "the target did nothing wrong")
 }
 
+// goneClient takes one event.
+type goneClient struct {
+	*httptest.ResponseRecorder
+	events int
+}
+
+func (c *goneClient) Write(p []byte) (int, error) {
+	c.events++
+	if c.events > 1 {
+		return 0, syscall.EPIPE
+	}
+	return c.ResponseRecorder.Write(p)
+}
+
+// A run that stayed counted would take up room at its engine for ever.
+func TestRunOfAClientThatLeftIsCountedOut(t *testing.T) {
+	f := newFakeTarget(t, "i-1", "draft", "north", draft(nil))
+	s := newSite(t, []*fakeTarget{f})
+	r := s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000", "X-Usage", "100,60")
+	r.RequestURI = "/draft/"
+	require.PanicsWithError(t, http.ErrAbortHandler.Error(), func() {
+		s.gateway.ServeHTTP(&goneClient{ResponseRecorder: httptest.NewRecorder()}, r)
+	})
+	require.Empty(t, s.tracker.Runs())
+	require.Len(t, f.seen(), 1, "nobody else is asked")
+}
+
 func TestTargetThatNeverBeginsIsGivenUp(t *testing.T) {
 	gone := make(chan struct{})
 	mute := newFakeTarget(t, "i-1", "draft", "north", func(_ *fakeTarget, _ *http.Request, c net.Conn) {
