Admit large requests as often as small ones

Cause: a new run was admitted where it itself found room. Change: room for a run of the usual size decides, so long as the run itself fits into the memory; refusals log what was asked. Ruled out: the bound on the first event (the longest prompt takes 2.2 s of 4.05). More in time by serving the short ones alone is no service.

--- a/balance/room.go
+++ b/balance/room.go
@@ -27,6 +27,31 @@
 	assumedMemory = 80000
 )
 
+// roomForRun reports whether an engine has room for one more run of the usual
+// size: large requests are not to be refused more often than small ones, which
+// would always find a gap. What is larger may take what is kept free, but not
+// more than there is. The caller holds the mutex.
+func (t *Target) roomForRun(c *Choice, o *occupancy) bool {
+	memory := float64(t.tracker.memoryOf(t.Service))
+	taken := float64(o.held + o.copies)
+	share := fullShare - rankReserve*float64(c.Rank)
+	return taken+c.usualHold <= share*memory && taken+float64(c.Work.Hold) <= memory
+}
+
+// usualHold is the mean of what the runs of a service take up, in tokens; where
+// there are none, what the choice itself does.
+func usualHold(c *Choice, all map[*Target]*occupancy) float64 {
+	runs, held := 0, 0
+	for _, o := range all {
+		runs += len(o.runs)
+		held += o.held
+	}
+	if runs == 0 {
+		return float64(c.Work.Hold)
+	}
+	return float64(held) / float64(runs)
+}
+
 // SetEngines takes what a configuration says of the engines, by service. What
 // was learned of engines that are described anew is forgotten.
 func (t *Tracker) SetEngines(engines map[string]Engine) {
@@ -105,7 +130,7 @@
 	if slots := t.tracker.engines[t.Service].Slots; slots > 0 && len(o.runs) >= slots {
 		return false
 	}
-	if len(o.runs) > 0 && taken > (fullShare-rankReserve*float64(c.Rank))*memory {
+	if len(o.runs) > 0 && !t.roomForRun(c, o) {
 		return false // an idle engine takes what is larger, too
 	}
 	begins := t.tracker.backlog(t.Service, o.runs) + t.tracker.readMS(t.Service, c.Work.Read)
--- a/balance/score.go
+++ b/balance/score.go
@@ -34,6 +34,8 @@
 	FailedHalls map[string]int
 	// OtherHall asks for a data hall that is not this one, if one is there.
 	OtherHall string
+
+	usualHold float64 // what a run of the service takes up, in tokens
 }
 
 // Costs in milliseconds of waiting.
@@ -67,6 +69,7 @@
 	if c.Copy && !t.roomForCopies(&c, taken, now) {
 		return nil
 	}
+	c.usualHold = usualHold(&c, taken)
 	var best *Target
 	bestScore := math.Inf(1)
 	for _, target := range t.service[c.Service] {
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -40,7 +40,7 @@
 // fail ends a call with this system's own answer.
 func (g *Gateway) fail(w http.ResponseWriter, c *call, e *walnutramp.Error) {
 	klog.InfoS("Request ended here", "request", c.id, "route", c.route.Name, "code", int(e.Code), "outcome", e.Outcome,
-		"sent", c.sent, "ms", time.Since(c.arrived).Milliseconds(), "why", e.Message)
+		"sent", c.sent, "read", c.work.Read, "priority", c.priority, "ms", time.Since(c.arrived).Milliseconds(), "why", e.Message)
 	g.writeError(w, e)
 }
 
