--- a/balance/room.go
+++ b/balance/room.go
@@ -18,7 +18,7 @@
 	rankReserve = 0.05
 	// runGrowth is how far the runs of a service may grow while its copies
 	// leave them room: a data hall may be lost, or more requests come.
-	runGrowth = 1.25
+	runGrowth = 1.5
 	// comfortShare is how much may be filled before memory speaks against an
 	// engine.
 	comfortShare = 0.8
