Learn the speed of single engines from the runs of all nodes

Cause: all engines of a service were held to read at one speed. Engines of two speeds, or one that turned slow, kept getting as much as the others. Change: a run of another node that has begun since the node told it last shows how long its prompt took; own runs do as before. An engine's speed beside its peers' is kept, and counts half after ten seconds, so that it is tried again. Runs with a part of their prompt in a cache, or behind another prompt, count not.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -122,6 +122,8 @@
 	runs    map[*Run]struct{}
 	others  map[string]otherRuns // by node
 	gain    float64              // because this node owns it
+	speed   estimate             // of reading, beside its peers
+	speedAt time.Time            // when that was learned
 	told    Load
 	toldAt  time.Time
 	own     int // own requests under way when it told
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // How fast the engines of a service work is learned from the runs of this
 // node, and forgotten when the configuration of the engines changes.
@@ -18,6 +21,9 @@
 	// paceOutlier bounds an observation to so many times the estimate, or that
 	// part of it: a stalled engine says nothing of the others.
 	paceOutlier = 4.0
+	// speedHalfLife is the time in which what is known of one target's speed
+	// beside its peers counts half: faults of a server pass in seconds.
+	speedHalfLife = 10 * time.Second
 	// leastRead is the shortest prompt, in tokens, whose reading is measured:
 	// with a shorter one, other delays weigh too much.
 	leastRead = 500
@@ -68,15 +74,85 @@
 	return float64(tokens) / t.paceOf(service).readPerMS.value
 }
 
-// learnReading takes the time of a run's first event. It counts only where no
-// other prompt was read before it. The caller holds the mutex.
-func (r *Run) learnReading(now time.Time) {
-	if !r.alone || r.work.Cached || r.work.Read < leastRead {
+// readMS is how long the target reads a prompt of so many tokens, in
+// milliseconds. The caller holds the mutex.
+func (t *Target) readMS(tokens int, now time.Time) float64 {
+	return t.tracker.readMS(t.Service, tokens) / t.relativeSpeed(now)
+}
+
+// relativeSpeed is how fast the target reads beside its peers, 1 where that is
+// not known. A target that was slow is held to become like its peers in time,
+// so that it is tried again. The caller holds the mutex.
+func (t *Target) relativeSpeed(now time.Time) float64 {
+	if t.speed.seen == 0 {
+		return 1
+	}
+	halvings := float64(now.Sub(t.speedAt)) / float64(speedHalfLife)
+	return math.Exp2(math.Log2(t.speed.value) * math.Exp2(-halvings))
+}
+
+// learnReading takes how long the target took to read a prompt before which it
+// had none to read. The caller holds the mutex.
+func (t *Target) learnReading(tokens int, took time.Duration, now time.Time) {
+	ms := float64(took.Milliseconds())
+	if tokens < leastRead || ms <= 0 {
 		return
 	}
-	if ms := float64(now.Sub(r.began).Milliseconds()); ms > 0 {
-		r.target.tracker.paceOf(r.target.Service).readPerMS.observe(float64(r.work.Read) / ms)
+	perMS := float64(tokens) / ms
+	pace := t.tracker.paceOf(t.Service)
+	pace.readPerMS.observe(perMS)
+	relative := perMS / pace.readPerMS.value
+	if t.speed.seen == 0 {
+		t.speed.value = 1
+	} else {
+		t.speed.value = t.relativeSpeed(now)
+	}
+	t.speed.observe(relative)
+	t.speedAt = now
+}
+
+// prompt is another node's run that had not begun when it was told.
+type prompt struct {
+	alone bool // no other prompt was to be read there when it was first told
+	read  int
+}
+
+// wholePrompt reports whether a run that another node told of has its whole
+// prompt to read, and none of it in a cache: it takes up little more.
+func (s *Shared) wholePrompt() bool { return 2*s.Read >= s.Hold }
+
+// learnFromOthers takes what another node's runs show of the targets' speed:
+// those that have begun since the node told them last. It returns those that
+// still have not. The caller holds the mutex, and has not taken the runs yet.
+func (t *Tracker) learnFromOthers(before *sharedRuns, runs []Shared, now time.Time) map[uint64]prompt {
+	waiting := map[uint64]prompt{}
+	unread := map[string]int{} // prompts by target
+	for _, s := range runs {
+		if s.Read > 0 {
+			unread[s.Target]++
+		}
+	}
+	for _, s := range runs {
+		target := t.byID[s.Target]
+		if target == nil || s.Broken {
+			continue
+		}
+		var known bool
+		var p prompt
+		if before != nil {
+			p, known = before.prompts[s.Number]
+		}
+		switch {
+		case s.Read == 0 && known && p.alone:
+			target.learnReading(p.read, s.Age, now)
+		case s.Read > 0 && known:
+			waiting[s.Number] = p
+		case s.Read > 0:
+			alone := unread[s.Target] == 1 && s.wholePrompt() && target.backlog(target.underWay(now), now) == 0
+			waiting[s.Number] = prompt{alone: alone, read: s.Read}
+		}
 	}
+	return waiting
 }
 
 // learnWhole takes the time that a whole run took, of which it knows how many
--- a/balance/pace_test.go
+++ b/balance/pace_test.go
@@ -77,3 +77,51 @@
 		require.Equal(t, assumed, tracker.Expected(draft(6000), tracker.byID["1"]))
 	})
 }
+
+// tellReading lets another node's run read its prompt at a target, and tells
+// this node of it as that node would.
+func tellReading(tracker *Tracker, number uint64, id string, tokens int, perMS float64) {
+	run := Shared{Number: number, Target: id, Read: tokens, Hold: tokens}
+	tracker.SetOthers("n2", []Shared{run})
+	took := time.Duration(float64(tokens) / perMS * float64(time.Millisecond))
+	time.Sleep(took)
+	run.Read, run.Age = 0, took
+	tracker.SetOthers("n2", []Shared{run})
+	tracker.SetOthers("n2", nil)
+}
+
+func TestSlowTargetIsKnownFromOtherNodesRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker(listed("s", "north", "1", "2", "3", "4")...)
+		slow, sound := tracker.byID["1"], tracker.byID["2"]
+		number := uint64(0)
+		for range 4 {
+			for _, id := range []string{"2", "3", "4"} {
+				number++
+				tellReading(tracker, number, id, 6000, 4)
+			}
+		}
+		number++
+		tellReading(tracker, number, "1", 6000, 1)
+		require.Greater(t, tracker.Expected(draft(6000), slow), 2*tracker.Expected(draft(6000), sound))
+		for range 20 {
+			require.NotEqual(t, slow, tracker.Pick(draft(6000)))
+		}
+		time.Sleep(5 * speedHalfLife)
+		require.InEpsilon(t, tracker.Expected(draft(6000), sound), tracker.Expected(draft(6000), slow), 0.1, "it is tried again")
+	})
+}
+
+func TestCachedPromptsOfOtherNodesTeachNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker(listed("s", "north", "1")...)
+		before := tracker.Expected(draft(6000), tracker.byID["1"])
+		run := Shared{Number: 1, Target: "1", Read: 1200, Hold: 6500}
+		tracker.SetOthers("n2", []Shared{run})
+		time.Sleep(50 * time.Millisecond)
+		run.Read, run.Age = 0, 50*time.Millisecond
+		tracker.SetOthers("n2", []Shared{run})
+		tracker.SetOthers("n2", nil)
+		require.Equal(t, before, tracker.Expected(draft(6000), tracker.byID["1"]))
+	})
+}
--- a/balance/room.go
+++ b/balance/room.go
@@ -118,7 +118,7 @@
 
 // fits reports whether a choice finds room at a target that it takes up, and
 // would begin there in time. The caller holds the mutex.
-func (t *Target) fits(c *Choice, o *occupancy) bool {
+func (t *Target) fits(c *Choice, o *occupancy, now time.Time) bool {
 	memory := float64(t.tracker.memoryOf(t.Service))
 	taken := float64(o.held + o.copies + c.Work.Hold)
 	if c.Copy {
@@ -133,6 +133,6 @@
 	if len(o.runs) > 0 && !t.roomForRun(c, o) {
 		return false // an idle engine takes what is larger, too
 	}
-	begins := t.tracker.backlog(t.Service, o.runs) + t.tracker.readMS(t.Service, c.Work.Read)
+	begins := t.backlog(o.runs, now) + t.readMS(c.Work.Read, now)
 	return c.Within == 0 || begins <= float64(c.Within.Milliseconds())
 }
--- a/balance/run.go
+++ b/balance/run.go
@@ -40,7 +40,7 @@
 	r := &Run{target: t, work: w, trace: trace, began: time.Now()}
 	t.tracker.mu.Lock()
 	r.number = t.tracker.nextNumber()
-	r.alone = w != (Work{}) && t.tracker.backlog(t.Service, t.underWay(r.began)) == 0
+	r.alone = w != (Work{}) && !w.Cached && t.backlog(t.underWay(r.began), r.began) == 0
 	t.runs[r] = struct{}{}
 	t.tracker.mu.Unlock()
 	if w != (Work{}) {
@@ -53,7 +53,9 @@
 func (r *Run) FirstEvent() {
 	r.target.tracker.mu.Lock()
 	r.first, r.firstAt = true, time.Now()
-	r.learnReading(r.firstAt)
+	if r.alone {
+		r.target.learnReading(r.work.Read, r.firstAt.Sub(r.began), r.firstAt)
+	}
 	r.trace.ReadAt = r.target.ID
 	r.target.tracker.read.note(r.trace.Key, r.target.ID, r.firstAt)
 	r.target.tracker.mu.Unlock()
@@ -124,8 +126,9 @@
 // sharedRuns is what another node told.
 type sharedRuns struct {
 	at      time.Time
-	targets []*Target        // at which it has runs under way
-	traces  map[string]Trace // of runs, by key
+	targets []*Target         // at which it has runs under way
+	traces  map[string]Trace  // of runs, by key
+	prompts map[uint64]prompt // of runs that have not begun
 }
 
 // otherRuns are another node's runs at one target.
@@ -265,7 +268,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	before := t.others[node]
 	t.forgetOther(node)
+	told.prompts = t.learnFromOthers(before, runs, told.at)
 	for name, o := range t.others {
 		if told.at.Sub(o.at) > copyLife {
 			t.forgetOther(name)
--- a/balance/score.go
+++ b/balance/score.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		o := taken[target]
-		if o != nil && !target.fits(&c, o) {
+		if o != nil && !target.fits(&c, o, now) {
 			continue
 		}
 		s := target.score(&c, o, affinity{home: target == home, keeps: target == keeper}, now)
@@ -102,11 +102,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	read := t.readMS(c.Service, c.Work.Read)
+	read := at.readMS(c.Work.Read, now)
 	if t.keeper(c, now) == at {
 		read *= keptRead
 	}
-	return time.Duration((t.backlog(c.Service, at.underWay(now)) + read) * float64(time.Millisecond))
+	return time.Duration((at.backlog(at.underWay(now), now) + read) * float64(time.Millisecond))
 }
 
 // Kept returns what a request asks of a target: where its prompt was read
@@ -182,7 +182,7 @@
 	if o == nil {
 		score += t.slotWait(now)
 	} else {
-		score += t.engineWait(c, o, tie)
+		score += t.engineWait(c, o, tie, now)
 	}
 	if t.DataHall != cfg.DataHall {
 		score += cfg.farCost(c)
@@ -225,8 +225,8 @@
 
 // engineWait predicts the time to the first event of an engine, and what the
 // run would cost others there, in milliseconds.
-func (t *Target) engineWait(c *Choice, o *occupancy, tie affinity) float64 {
-	read := t.tracker.readMS(t.Service, c.Work.Read)
+func (t *Target) engineWait(c *Choice, o *occupancy, tie affinity, now time.Time) float64 {
+	read := t.readMS(c.Work.Read, now)
 	if tie.keeps {
 		read *= keptRead
 	}
@@ -234,7 +234,7 @@
 	if tie.home && !c.Again {
 		read -= homeGain
 	}
-	wait := t.tracker.backlog(t.Service, o.runs) + read + crowd - t.gain
+	wait := t.backlog(o.runs, now) + read + crowd - t.gain
 	comfort := comfortShare * float64(t.tracker.memoryOf(t.Service))
 	if over := float64(o.held+o.copies+c.Work.Hold) - comfort; over > 0 {
 		wait += memoryCost * over / 1000
@@ -242,9 +242,10 @@
 	return wait
 }
 
-// backlog is how long a service's engine still reads the prompts that came
-// before, in milliseconds, if it reads them one after the other.
-func (t *Tracker) backlog(service string, runs []Shared) float64 {
+// backlog is how long an engine still reads the prompts that came before, in
+// milliseconds, if it reads them one after the other. The caller holds the
+// mutex.
+func (t *Target) backlog(runs []Shared, now time.Time) float64 {
 	slices.SortFunc(runs, func(a, b Shared) int { return cmp.Compare(b.Age, a.Age) })
 	finish := math.Inf(-1) // relative to now
 	for _, r := range runs {
@@ -254,7 +255,7 @@
 		start := -float64(r.Age.Milliseconds())
 		// A prompt whose time is over but that is not read yet is held to
 		// need a while longer.
-		finish = math.Max(math.Max(finish, start)+t.readMS(service, r.Read), lateRead)
+		finish = math.Max(math.Max(finish, start)+t.readMS(r.Read, now), lateRead)
 	}
 	return math.Max(0, finish)
 }
