--- a/balance/pace.go
+++ b/balance/pace.go
@@ -173,8 +173,8 @@
 	return time.Duration(t.paceOf(service).wholeMS.value * float64(time.Millisecond))
 }
 
-// RunTime predicts how long a run of its own takes: its prompt is read, then
-// so many tokens come out.
+// RunTime predicts how long a run takes that nothing delays more than usual: its
+// prompt is read, then so many tokens come out.
 func (t *Tracker) RunTime(service string, read, out int) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
