Predict streams of untold length by what others took, before a planned stop

Change: where no length is told, one and a half times the usual run of the service counts, six seconds until that is known. Streams that tell theirs are as before. Ruled out: the steps of the stop (the entry's log shows the streams taken after the order). Test failed before: TestStoppingNodeTakesStreamsOfUnknownLengthByWhatOthersTook.

--- a/balance/run.go
+++ b/balance/run.go
@@ -90,7 +90,8 @@
 	tracker := r.target.tracker
 	tracker.mu.Lock()
 	delete(r.target.runs, r)
-	if how.Whole && r.work.Read > 0 {
+	fromStart := r.work.Read > 0 || r.work == (Work{}) // and not from a copy
+	if how.Whole && fromStart {
 		r.learnWhole(time.Now(), how.Tokens)
 	}
 	tracker.forgetBroken(time.Now())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -176,9 +176,15 @@
 	g.stopping.Store(phaseLeaving)
 }
 
-// startMargin is the wait for a place at an engine that is allowed for when a
-// stream's end is predicted: about the mean of a site under its usual load.
-const startMargin = 500 * time.Millisecond
+// By these a stream's end is predicted.
+const (
+	// startMargin is the wait for a place at an engine that is allowed for:
+	// about the mean of a site under its usual load.
+	startMargin = 500 * time.Millisecond
+	// unknownLength is how many times the usual a stream may take whose request
+	// does not tell its length: few of one kind take longer.
+	unknownLength = 1.5
+)
 
 // fits reports whether a call is answered before the node ends.
 func (g *Gateway) fits(c *call) bool {
@@ -186,8 +192,15 @@
 	if by == nil || c.route.Kind != Stream {
 		return true
 	}
-	need := startMargin + g.targets.RunTime(c.service, c.work.Read, c.out)
-	return time.Now().Add(need).Before(*by)
+	return time.Now().Add(startMargin + g.streamTime(c)).Before(*by)
+}
+
+// streamTime predicts how long a stream takes once it has a place.
+func (g *Gateway) streamTime(c *call) time.Duration {
+	if c.out > 0 {
+		return g.targets.RunTime(c.service, c.work.Read, c.out)
+	}
+	return time.Duration(unknownLength * float64(g.targets.WholeRun(c.service)))
 }
 
 // CloseConnections asks clients to open no more requests on their connections.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -295,6 +295,26 @@
 	require.Len(t, f.seen(), 1)
 }
 
+// Where a request does not tell how long its answer is, what others took counts.
+func TestStoppingNodeTakesStreamsOfUnknownLengthByWhatOthersTook(t *testing.T) {
+	f := newFakeTarget(t, "i-1", "draft", "north", draft(nil))
+	s := newSite(t, []*fakeTarget{f})
+	s.gateway.Leave(time.Now().Add(2 * time.Second))
+	resp, _, err := do(t, s.request(t, "POST", "/draft/", ""))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, "nothing is known of these streams")
+
+	s = newSite(t, []*fakeTarget{f})
+	for range 12 {
+		_, _, err := do(t, s.request(t, "POST", "/draft/", ""))
+		require.NoError(t, err)
+	}
+	s.gateway.Leave(time.Now().Add(2 * time.Second))
+	resp, _, err = do(t, s.request(t, "POST", "/draft/", ""))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode, "they take some milliseconds")
+}
+
 func TestCutOffNodeServesOnOrNotAsTheSiteWants(t *testing.T) {
 	f := newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
 		reply(c, r.Header.Get("X-Id"), 200, "ok")
