Work out an engine's backlog once for each choice

The last read of the change found it sorted and summed twice for each engine, once for admission and once for the wait; and the choice of a run put together twice.

--- a/balance/pace.go
+++ b/balance/pace.go
@@ -6,7 +6,8 @@
 )
 
 // How fast the engines of a service work is learned from the runs of this
-// node, and forgotten when the configuration of the engines changes.
+// node, and how fast they read from other nodes' as well. It is forgotten when
+// the configuration of the engines changes.
 
 // Assumed values, until the first observation takes their place.
 const (
--- a/balance/room.go
+++ b/balance/room.go
@@ -79,6 +79,9 @@
 	runs   []Shared
 	held   int // tokens of the runs
 	copies int // tokens of copies of other engines' runs
+	// backlog is how long it still reads, in milliseconds, once that is worked
+	// out.
+	backlog float64
 }
 
 // occupancies returns what is known to take up the engines of a service; none
@@ -133,6 +136,6 @@
 	if len(o.runs) > 0 && !t.roomForRun(c, o) {
 		return false // an idle engine takes what is larger, too
 	}
-	begins := t.backlog(o.runs, now) + t.readMS(c.Work.Read, now)
+	begins := o.backlog + t.readMS(c.Work.Read, now)
 	return c.Within == 0 || begins <= float64(c.Within.Milliseconds())
 }
--- a/balance/score.go
+++ b/balance/score.go
@@ -81,8 +81,11 @@
 			continue
 		}
 		o := taken[target]
-		if o != nil && !target.fits(&c, o, now) {
-			continue
+		if o != nil {
+			o.backlog = target.backlog(o.runs, now)
+			if !target.fits(&c, o, now) {
+				continue
+			}
 		}
 		s := target.score(&c, o, affinity{home: target == home, keeps: target == keeper}, now)
 		if doubtful[target.DataHall] {
@@ -239,7 +242,7 @@
 	if tie.home && !c.Again {
 		read -= homeGain
 	}
-	wait := t.backlog(o.runs, now) + read + crowd - t.gain
+	wait := o.backlog + read + crowd - t.gain
 	comfort := comfortShare * float64(t.tracker.memoryOf(t.Service))
 	if over := float64(o.held+o.copies+c.Work.Hold) - comfort; over > 0 {
 		wait += memoryCost * over / 1000
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -119,8 +119,9 @@
 // order works out what a run asks of its target.
 func (r *relay) order(t *balance.Target, from *copyOf) order {
 	g, c := r.gateway, r.call
+	choice := c.choice()
 	o := order{
-		request: g.request(c, t), work: g.targets.Kept(c.choice(), t), expected: g.targets.Expected(c.choice(), t),
+		request: g.request(c, t), work: g.targets.Kept(choice, t), expected: g.targets.Expected(choice, t),
 		trace: balance.Trace{Key: c.key},
 	}
 	klog.InfoS("Run begins", "request", c.id, "route", c.route.Name, "version", c.version, "target", t.ID, "again", c.again, "last", c.lastID,
