Close a connection that was dialled while its watch ended

Cause: target.Watch.checkService returned without closing a connection whose dial succeeded just after the task's context had ended. Found by reading what dials through the test's network; the peers' client was ruled out (its remotes with calls under way are never dropped from its map). Before: TestWatchThatEndsWhileItDialsClosesTheConnection fails; after: passes.

--- a/target/watch.go
+++ b/target/watch.go
@@ -136,6 +136,9 @@
 	dialCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	c, err := w.pool.shared.DialContext(dialCtx, "tcp", t.Address)
+	if err == nil {
+		c.Close()
+	}
 	if ctx.Err() != nil {
 		return
 	}
@@ -143,6 +146,5 @@
 		w.sink.Unreachable(t.Name)
 		return
 	}
-	c.Close()
 	w.sink.Report(t.Name, LoadReport{Slots: t.Slots, At: time.Now()})
 }
