--- a/balance/balance.go
+++ b/balance/balance.go
@@ -83,9 +83,11 @@
 
 	mu      sync.Mutex
 	byID    map[string]*Target
+	byShort map[uint32]*Target // by ShortName of the ID
 	service map[string][]*Target
 	listed  bool
 	others  map[string]*sharedRuns // by node
+	named   map[string]namedTrace  // traces that were told by themselves, by key
 	broken  []*Run                 // own runs that broke off, oldest first
 	memory  map[string]memory      // by key, from before this node's start
 	engines map[string]Engine      // by service, as the configuration says
@@ -95,6 +97,7 @@
 	own     string                 // this node
 	nodes   []string               // that choose among the targets, sorted
 	farLag  time.Duration          // by which word of nodes in other halls is older
+	newsLag time.Duration          // until most nodes know what one began
 	changed func()                 // own runs changed
 	silence func()                 // a target fell silent
 	turn    uint64                 // of RoundRobin
@@ -141,7 +144,7 @@
 	}
 	return &Tracker{
 		cfg: cfg, byID: map[string]*Target{}, service: map[string][]*Target{}, others: map[string]*sharedRuns{},
-		paces:   map[string]*pace{},
+		named: map[string]namedTrace{}, paces: map[string]*pace{},
 		changed: func() {}, silence: func() {}, rng: rand.New(rand.NewPCG(cfg.Seed, 11)),
 	}
 }
@@ -154,6 +157,7 @@
 	defer t.mu.Unlock()
 	now := time.Now()
 	byID := make(map[string]*Target, len(list))
+	byShort := make(map[uint32]*Target, len(list))
 	service := map[string][]*Target{}
 	holder := map[string]*Target{}
 	for _, entry := range list {
@@ -169,6 +173,7 @@
 		}
 		known.Target = entry
 		byID[entry.ID] = known
+		byShort[ShortName(entry.ID)] = known
 		service[entry.Service] = append(service[entry.Service], known)
 		holder[entry.Address] = later(holder[entry.Address], known)
 	}
@@ -178,7 +183,7 @@
 			removed = append(removed, id)
 		}
 	}
-	t.byID, t.service, t.listed = byID, service, true
+	t.byID, t.byShort, t.service, t.listed = byID, byShort, service, true
 	return removed
 }
 
--- /dev/null
+++ b/balance/rivals.go
@@ -0,0 +1,68 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Nodes that know the same and choose at the same moment choose the same engine:
+// the fastest idle one. The fresher their knowledge, the more so. So a choice is
+// drawn among as many of the best engines as there are choices at the same time,
+// most likely, that this node can't know of yet.
+
+const (
+	// roomPerRival is how many engines are drawn among for each other choice:
+	// with two, four in ten choices meet another one; with one, six.
+	roomPerRival = 2.0
+	// fewRivals is up to how many of them the best engine is taken: it is rarely
+	// another one's, too.
+	fewRivals = 0.5
+)
+
+// candidate is a target that may be chosen.
+type candidate struct {
+	target *Target
+	score  float64
+}
+
+// SetNewsLag says how long it takes until most nodes know what one has begun.
+func (t *Tracker) SetNewsLag(lag time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.newsLag = lag
+}
+
+// rivals is how many other choices are made, most likely, until this one is
+// known: as many as runs begin in that time, and, where a data hall failed the
+// request, as many as had runs there and must go elsewhere, too. The caller
+// holds the mutex.
+func (t *Tracker) rivals(c *Choice, taken map[*Target]*occupancy) float64 {
+	runs, displaced := 0, 0
+	for target, o := range taken {
+		runs += len(o.runs)
+		if c.FailedHalls[target.DataHall] > 0 {
+			displaced += len(o.runs) - len(target.runs)
+		}
+	}
+	wholeRuns := float64(t.newsLag.Milliseconds()) / t.paceOf(c.Service).wholeMS.value
+	return float64(runs)*wholeRuns + float64(displaced)
+}
+
+// draw takes the best candidate, or, among many rivals, one of the best, of
+// which none is worse than the best by more than a time in milliseconds: that of
+// reading one more prompt, which is what meeting a rival would cost.
+func (t *Tracker) draw(candidates []candidate, rivals, worse float64) *Target {
+	if len(candidates) == 0 {
+		return nil
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	if rivals <= fewRivals || t.cfg.Policy != Predicted {
+		return candidates[0].target
+	}
+	n := min(len(candidates), 1+int(roomPerRival*rivals))
+	for n > 1 && candidates[n-1].score > candidates[0].score+worse {
+		n--
+	}
+	return candidates[t.rng.IntN(n)].target
+}
--- a/balance/run.go
+++ b/balance/run.go
@@ -119,14 +119,15 @@
 	Target string
 	Read   int           // tokens still to be read when it began; 0 once the first event has come
 	Hold   int           // tokens of memory
-	Age    time.Duration // since it began
+	Age    time.Duration // since it began; once the first event has come, how long that took
 	Trace  Trace
 	Broken bool // it broke off: it holds nothing, but its copy may be there
 }
 
 // sharedRuns is what another node told.
 type sharedRuns struct {
-	at      time.Time
+	at      time.Time         // when it told them
+	heard   time.Time         // when it was last known to be there
 	targets []*Target         // at which it has runs under way
 	traces  map[string]Trace  // of runs, by key
 	prompts map[uint64]prompt // of runs that have not begun
@@ -184,9 +185,59 @@
 			all = append(all, trace)
 		}
 	}
+	for _, n := range t.named {
+		all = append(all, n.trace)
+	}
 	return all
 }
 
+// namedTrace is a trace of another node's run that this node was told of by
+// itself.
+type namedTrace struct {
+	trace Trace
+	at    time.Time
+}
+
+// NoteTrace takes the trace of another node's run. It counts for as long as a
+// copy may be kept, unless it is told again.
+func (t *Tracker) NoteTrace(trace Trace) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	for key, n := range t.named {
+		if now.Sub(n.at) > copyLife {
+			delete(t.named, key)
+		}
+	}
+	t.named[trace.Key] = namedTrace{trace: trace, at: now}
+	t.read.note(trace.Key, trace.ReadAt, now)
+}
+
+// DropTrace forgets the trace of a run that is over; where the prompt was read
+// is kept.
+func (t *Tracker) DropTrace(trace Trace) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.named[trace.Key].trace.CopyName == trace.CopyName {
+		delete(t.named, trace.Key)
+	}
+}
+
+// TraceOf returns what is known of the runs that a key names; false for
+// nothing.
+func (t *Tracker) TraceOf(key string) (Trace, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	trace := Trace{Key: key, ReadAt: t.read.of(key)}
+	now := time.Now()
+	if n, ok := t.named[key]; ok && now.Sub(n.at) <= copyLife {
+		trace.Copy, trace.CopyName = n.trace.Copy, n.trace.CopyName
+	} else if m, ok := t.memory[key]; ok && now.Sub(t.remembered)+t.memoryAge < copyLife {
+		trace.Copy, trace.CopyName = m.trace.Copy, m.trace.CopyName
+	}
+	return trace, trace.ReadAt != "" || trace.Copy != ""
+}
+
 // Remember takes the traces that this node knew before it was started again,
 // and how long ago that was.
 func (t *Tracker) Remember(traces []Trace, age time.Duration) {
@@ -219,13 +270,16 @@
 		}
 	}
 	for _, o := range t.others {
-		if now.Sub(o.at) > copyLife {
+		if now.Sub(o.heard) > copyLife {
 			continue
 		}
 		if trace, ok := o.traces[key]; ok && at == nil && trace.Copy != "" {
 			at, name = t.byID[trace.Copy], trace.CopyName
 		}
 	}
+	if n, ok := t.named[key]; ok && at == nil && n.trace.Copy != "" && now.Sub(n.at) <= copyLife {
+		at, name = t.byID[n.trace.Copy], n.trace.CopyName
+	}
 	if m, ok := t.memory[key]; ok && at == nil && m.trace.Copy != "" && now.Sub(t.remembered)+t.memoryAge < copyLife {
 		at, name = t.byID[m.trace.Copy], m.trace.CopyName
 	}
@@ -238,7 +292,7 @@
 func (r *Run) shared(id string) Shared {
 	s := Shared{Number: r.number, Target: id, Read: r.work.Read, Hold: r.work.Hold, Age: time.Since(r.began), Trace: r.trace}
 	if r.first {
-		s.Read = 0
+		s.Read, s.Age = 0, r.firstAt.Sub(r.began)
 	}
 	return s
 }
@@ -258,7 +312,8 @@
 // SetOthers takes another node's runs in place of what it told before.
 func (t *Tracker) SetOthers(node string, runs []Shared) {
 	byTarget := map[string][]Shared{}
-	told := &sharedRuns{at: time.Now(), traces: map[string]Trace{}}
+	now := time.Now()
+	told := &sharedRuns{at: now, heard: now, traces: map[string]Trace{}}
 	for _, s := range runs {
 		if s.Trace.Key != "" {
 			told.traces[s.Trace.Key] = s.Trace
@@ -273,7 +328,7 @@
 	t.forgetOther(node)
 	told.prompts = t.learnFromOthers(before, runs, told.at)
 	for name, o := range t.others {
-		if told.at.Sub(o.at) > copyLife {
+		if now.Sub(o.heard) > copyLife {
 			t.forgetOther(name)
 		}
 	}
@@ -289,6 +344,18 @@
 	}
 }
 
+// StillThere notes that nodes are there, whose runs are as they told last.
+func (t *Tracker) StillThere(nodes []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	for _, node := range nodes {
+		if o := t.others[node]; o != nil {
+			o.heard = now
+		}
+	}
+}
+
 // forgetOther drops what another node told. The caller holds the mutex.
 func (t *Tracker) forgetOther(node string) {
 	o := t.others[node]
@@ -308,12 +375,14 @@
 		all = append(all, r.shared(t.ID))
 	}
 	for _, o := range t.others {
-		age := now.Sub(o.told.at)
-		if age > sharedLife {
+		if now.Sub(o.told.heard) > sharedLife {
 			continue
 		}
+		age := now.Sub(o.told.at)
 		for _, s := range o.runs {
-			s.Age += age
+			if s.Read > 0 {
+				s.Age += age
+			}
 			all = append(all, s)
 		}
 	}
--- a/balance/score.go
+++ b/balance/score.go
@@ -74,8 +74,7 @@
 		return nil
 	}
 	c.usualHold = usualHold(&c, taken)
-	var best *Target
-	bestScore := math.Inf(1)
+	var candidates []candidate
 	for _, target := range t.service[c.Service] {
 		if !target.open(now) || c.Exclude != nil && c.Exclude(target) {
 			continue
@@ -92,10 +91,9 @@
 			target.doubted = now
 			s += doubtCost
 		}
-		if s < bestScore {
-			best, bestScore = target, s
-		}
+		candidates = append(candidates, candidate{target: target, score: s})
 	}
+	best := t.draw(candidates, t.rivals(&c, taken), t.readMS(c.Service, c.Work.Read))
 	if best != nil {
 		t.turn++
 		best.turn = t.turn
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -43,6 +43,10 @@
 	StartWait   time.Duration // how long a request waits for a node that has just started
 	Lease       func() bool   // whether new work may be taken; nil for always
 	Copies      bool          // ask engines to keep copies of runs
+
+	// Find learns of runs of a key that other nodes had, where this node does
+	// not know them anyway; nil if it always does.
+	Find func(ctx context.Context, key string)
 }
 
 // Option sets a field of Config.
@@ -66,6 +70,11 @@
 // WithCopies says whether engines keep copies of runs at each other.
 func WithCopies(on bool) Option { return func(c *Config) { c.Copies = on } }
 
+// WithFind sets what learns of runs of a key that other nodes had.
+func WithFind(find func(ctx context.Context, key string)) Option {
+	return func(c *Config) { c.Find = find }
+}
+
 func defaultConfig() Config {
 	return Config{
 		MaxBuffered: 32 << 20, Stall: 450 * time.Millisecond, FirstEvent: 5 * time.Second,
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -47,6 +47,9 @@
 // stream serves a request whose answer is an event stream.
 func (g *Gateway) stream(ctx context.Context, w http.ResponseWriter, c *call) {
 	r := &relay{gateway: g, call: c, w: w, flush: http.NewResponseController(w)}
+	if g.cfg.Find != nil {
+		g.cfg.Find(ctx, c.key)
+	}
 	if c.again {
 		if at, name := g.targets.FindCopy(c.key); at != nil {
 			klog.InfoS("Client comes again, a copy is known", "request", c.id, "copy", name, "at", at.ID, "last", c.lastID)
--- a/loadshare/audience.go
+++ b/loadshare/audience.go
@@ -32,6 +32,7 @@
 type audience struct {
 	pace    pace
 	near    bool // peers of the own data hall
+	relays  bool // relays of the own data hall, on a site of many nodes
 	changed chan struct{}
 
 	fullAt   time.Time // when the last full message was sent
@@ -46,6 +47,13 @@
 	return &audience{pace: p, near: near, changed: make(chan struct{}, 1)}
 }
 
+// newRelayAudience returns that of the relays: few peers, however many nodes.
+func newRelayAudience() *audience {
+	a := newAudience(false, nearPace)
+	a.relays = true
+	return a
+}
+
 // wake says that there may be something to tell.
 func (a *audience) wake() {
 	select {
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -24,27 +24,44 @@
 	conn     net.PacketConn
 	tracker  *balance.Tracker
 	budgets  *balance.Budgets
-	dataHall string
-	near     *audience
-	far      *audience
+	place    place     // of this node
+	short    uint32    // its name in feeds
+	near     *audience // of the own data hall, told directly
+	far      *audience // of the others, told directly
+	up       *audience // relays, told where there are any
+	traces   toldTraces
+	tendSoon chan struct{}
 	news     chan struct{} // there is something new to write down
 	file     string        // of the memory; empty for none
 	started  time.Time
 	sequence atomic.Uint64
 
-	mu    sync.Mutex
-	peers map[string]*net.UDPAddr
-	named map[string]time.Time // when a peer was last named
-	heard map[string]*sender   // by address
+	mu      sync.Mutex
+	peers   map[string]*net.UDPAddr
+	named   map[string]time.Time       // when a peer was last named
+	heard   map[string]*sender         // by address
+	layout  *layout                    // nil if it is to be worked out anew
+	lookups uint64                     // numbers lookups
+	asked   map[uint64]chan *traceNote // lookups that wait
+
+	askedHalls time.Time // only used by the task that tends subscriptions
+
+	relayMu sync.Mutex
+	relay   *relay
+	feeds   map[feedKey]*feed
+	missed  map[string]time.Time // when a relay fell silent, by address
+	thereAt time.Time            // when the tracker was told who is there
 }
 
 // WithDataHall names the data hall of this node.
-func WithDataHall(hall string) Option { return func(s *Sharer) { s.dataHall = hall } }
+func WithDataHall(hall string) Option { return func(s *Sharer) { s.place.dataHall = hall } }
 
 // New returns a sharer that sends and receives on conn.
 func New(conn net.PacketConn, tracker *balance.Tracker, budgets *balance.Budgets, opts ...Option) *Sharer {
 	s := &Sharer{
 		conn: conn, tracker: tracker, budgets: budgets, near: newAudience(true, nearPace), far: newAudience(false, farPace),
+		up: newRelayAudience(), tendSoon: make(chan struct{}, 1), short: balance.ShortName(conn.LocalAddr().String()),
+		relay: newRelay(), feeds: map[feedKey]*feed{}, missed: map[string]time.Time{}, asked: map[uint64]chan *traceNote{},
 		news: make(chan struct{}, 1), started: time.Now(),
 		peers: map[string]*net.UDPAddr{}, named: map[string]time.Time{}, heard: map[string]*sender{},
 	}
@@ -55,6 +72,7 @@
 	}
 	tracker.OnChange(s.Changed)
 	if s.file != "" {
+		s.place.disk = true
 		s.recall()
 	}
 	return s
@@ -64,6 +82,7 @@
 func (s *Sharer) Changed() {
 	s.near.wake()
 	s.far.wake()
+	s.up.wake()
 }
 
 // peerLife is how long a node is told after it was last named: a new leader
@@ -100,21 +119,43 @@
 	if len(peers) > len(s.peers) {
 		s.Changed()
 	}
-	s.peers = peers
+	s.peers, s.layout = peers, nil
 	s.budgets.SetNodes(len(peers) + 1)
 	s.tracker.SetNodes(own, slices.Collect(maps.Keys(peers)))
-	s.tracker.SetFarLag(s.far.pace.gather(len(peers)) - s.near.pace.settle)
+	s.tracker.SetFarLag(s.farLag(len(peers)))
+	s.tracker.SetNewsLag(s.newsLag(len(peers)))
+}
+
+// farLag is by how much word of other data halls comes later than that of the
+// own one: through relays there is one more step, of a publisher that has few
+// subscribers.
+func (s *Sharer) farLag(peers int) time.Duration {
+	if peers+1 > directNodes {
+		return leastGather
+	}
+	return s.far.pace.gather(peers) - s.near.pace.settle
+}
+
+// newsLag is how long it takes until most nodes know what one has begun.
+func (s *Sharer) newsLag(peers int) time.Duration {
+	if peers+1 > directNodes {
+		return s.up.pace.settle + leastGather + relaySpan*perSubscriber
+	}
+	return s.far.pace.gather(peers)
 }
 
 // peersOf returns the peers of an audience. A peer that was not heard yet is
 // held to be in another data hall.
-func (s *Sharer) peersOf(a *audience) []*net.UDPAddr {
+func (s *Sharer) peersOf(a *audience, l *layout) []*net.UDPAddr {
+	if a.relays {
+		return s.addressesOf(without(l.relays[l.hall], l.own))
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	peers := make([]*net.UDPAddr, 0, len(s.peers))
 	for address, peer := range s.peers {
 		heard := s.heard[address]
-		near := heard != nil && s.dataHall != "" && heard.dataHall == s.dataHall
+		near := heard != nil && s.place.dataHall != "" && heard.place.dataHall == s.place.dataHall
 		if near == a.near {
 			peers = append(peers, peer)
 		}
@@ -130,9 +171,13 @@
 	}
 	defer s.conn.Close()
 	var tasks sync.WaitGroup
-	for _, a := range []*audience{s.near, s.far} {
+	for _, a := range []*audience{s.near, s.far, s.up} {
 		tasks.Go(func() { s.tell(ctx, a) })
 	}
+	for _, p := range []*publisher{s.relay.hall, s.relay.site} {
+		tasks.Go(func() { s.publish(ctx, p) })
+	}
+	tasks.Go(func() { s.tend(ctx) })
 	tasks.Wait()
 }
 
@@ -157,9 +202,22 @@
 	}
 }
 
-// send brings an audience up to date.
+// send brings an audience up to date, if it is told at all on a site of this
+// size.
 func (s *Sharer) send(a *audience, full bool) {
-	peers := s.peersOf(a)
+	l := s.layoutNow()
+	if a.relays != l.relayed {
+		a.peers = 0
+		return
+	}
+	n := news{runs: s.tracker.Runs(), ended: s.tracker.Ended(), suspects: s.tracker.Suspects(),
+		silent: s.tracker.SilentTargets(), counts: s.budgets.Counts()}
+	if a.relays {
+		s.tellTraces(l, n.runs)
+		n.runs = untraced(n.runs)
+		s.passOn(l.own, n.runs, n.counts, urgent{ended: n.ended, suspects: n.suspects, silent: n.silent})
+	}
+	peers := s.peersOf(a, l)
 	now := time.Now()
 	full = full || a.fullDue(now, len(peers))
 	if full {
@@ -169,15 +227,27 @@
 	if len(peers) == 0 {
 		return
 	}
-	n := news{runs: s.tracker.Runs(), ended: s.tracker.Ended(), suspects: s.tracker.Suspects(),
-		silent: s.tracker.SilentTargets(), counts: s.budgets.Counts()}
 	for _, m := range a.compose(n, full) {
-		m.DataHall = s.dataHall
+		m.DataHall, m.Disk = s.place.dataHall, s.place.disk
 		m.Sequence = s.sequence.Add(1)
 		s.sendTo(peers, m)
 	}
 }
 
+// untraced returns the runs that hold anything, without how they are found
+// again: relays do not pass that on.
+func untraced(runs []balance.Shared) []balance.Shared {
+	var untraced []balance.Shared
+	for _, r := range runs {
+		if r.Broken {
+			continue
+		}
+		r.Trace = balance.Trace{Copy: r.Trace.Copy, CopyName: r.Trace.CopyName}
+		untraced = append(untraced, r)
+	}
+	return untraced
+}
+
 // sendTo sends a message; what is lost is made good by the next full one.
 func (s *Sharer) sendTo(peers []*net.UDPAddr, m message) {
 	datagram, err := msgpack.Marshal(m)
@@ -197,8 +267,8 @@
 		if err != nil {
 			return
 		}
-		var m message
-		if err := msgpack.Unmarshal(buffer[:n], &m); err != nil {
+		m, err := decode(buffer[:n])
+		if err != nil {
 			klog.V(1).InfoS("Datagram not read", "from", from, "err", err)
 			continue
 		}
@@ -206,38 +276,78 @@
 	}
 }
 
-// take hands on a message, unless a newer one of its sender came before.
+// take hands on a message, if its sender is known.
 func (s *Sharer) take(from string, m message) {
-	runs, ok := s.apply(from, m)
-	if !ok {
+	heard := s.senderOf(from, &m)
+	if heard == nil {
 		return
 	}
-	if len(m.Counts) > 0 {
-		s.budgets.SetOther(from, m.Counts)
+	if m.Asks {
+		s.sendTo(s.addressesOf([]string{from}), message{DataHall: s.place.dataHall, Disk: s.place.disk})
+	}
+	if m.report() {
+		s.takeReport(from, heard, m)
+	}
+	if m.Feed != nil {
+		s.takeFeed(from, m.Feed)
+	}
+	if m.Subscribe != nil {
+		s.takeSubscribe(from, m.Subscribe)
+	}
+	if len(m.Traces) > 0 {
+		s.takeTraces(m.Traces)
+	}
+	if m.Lookup != nil {
+		s.answerLookup(from, m.Lookup)
+	}
+	if m.Found != nil {
+		s.takeFound(m.Found)
 	}
-	s.tracker.SetEnded(m.Ended)
-	s.tracker.SetSuspects(m.Suspects)
-	s.tracker.SetSilent(m.Silent)
-	s.tracker.SetOthers(from, runs)
-	s.note()
 }
 
-// apply brings what a sender told up to date; false if the message counts for
-// nothing.
-func (s *Sharer) apply(from string, m message) ([]balance.Shared, bool) {
+// senderOf returns what is known of a message's sender, nil for a stranger.
+func (s *Sharer) senderOf(from string, m *message) *sender {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, known := s.peers[from]
 	if !known && time.Since(s.started) >= strangerTime {
-		return nil, false
+		return nil
 	}
 	heard := s.heard[from]
 	if heard == nil {
 		heard = &sender{}
 		s.heard[from] = heard
 	}
+	s.notePlace(heard, m)
+	return heard
+}
+
+// takeReport takes what a node tells of its runs, unless something newer came
+// before.
+func (s *Sharer) takeReport(from string, heard *sender, m message) {
+	runs, near, ok := s.apply(heard, m)
+	if !ok {
+		return
+	}
+	if near && s.layoutNow().relayed {
+		s.passOn(from, runs, m.Counts, urgent{ended: m.Ended, suspects: m.Suspects, silent: m.Silent})
+	} else if len(m.Counts) > 0 {
+		s.budgets.SetOther(from, m.Counts)
+	}
+	s.tracker.SetEnded(m.Ended)
+	s.tracker.SetSuspects(m.Suspects)
+	s.tracker.SetSilent(m.Silent)
+	s.tracker.SetOthers(nodeName(balance.ShortName(from)), runs)
+	s.note()
+}
+
+// apply brings what a sender told up to date, and reports whether that is a
+// node of the own data hall; false if the message counts for nothing.
+func (s *Sharer) apply(heard *sender, m message) (runs []balance.Shared, near, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if m.Sequence <= heard.sequence {
-		return nil, false
+		return nil, false, false
 	}
-	return heard.take(m, time.Now()), true
+	return heard.take(m, time.Now()), heard.place.dataHall == s.place.dataHall, true
 }
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -1,8 +1,10 @@
 package loadshare
 
 import (
+	"bytes"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"github.com/walnutramp/walnutramp/balance"
 )
 
@@ -24,6 +26,112 @@
 	Silent []string `msgpack:"m,omitempty"`
 	// Counts are the sender's requests and repeats, by service.
 	Counts map[string]balance.Count `msgpack:"n,omitempty"`
+
+	// Disk says that the sender keeps traces over a loss of power.
+	Disk bool `msgpack:"d,omitempty"`
+	// Asks wants to be told the receiver's data hall.
+	Asks bool `msgpack:"a,omitempty"`
+	// Subscribe asks the receiver for its feed.
+	Subscribe *subscribe `msgpack:"w,omitempty"`
+	// Feed is part of a relay's feed.
+	Feed *feedPart `msgpack:"x,omitempty"`
+	// Traces are those of the sender's runs that the receiver keeps.
+	Traces []traceNote `msgpack:"t,omitempty"`
+	// Lookup asks for a trace, Found answers.
+	Lookup *lookup `msgpack:"k,omitempty"`
+	Found  *found  `msgpack:"g,omitempty"`
+}
+
+// report says whether a message tells of its sender's runs. Only these are
+// numbered by Sequence; nodes of an earlier version drop all others by it.
+func (m *message) report() bool { return m.Sequence > 0 }
+
+// scope says whose runs a feed tells.
+type scope int
+
+const (
+	scopeHall scope = iota + 1 // nodes of the relay's data hall
+	scopeSite                  // all nodes
+)
+
+// subscribe asks a relay for a feed. It is sent again and again.
+type subscribe struct {
+	Scope scope `msgpack:"s"`
+	// Whole wants everything told: nothing is known, or too much was lost.
+	Whole bool `msgpack:"w,omitempty"`
+	// From is the number of the first datagram that was lost; 0 for none.
+	From uint64 `msgpack:"f,omitempty"`
+}
+
+// feedPart is one datagram of a relay's feed. Those that tell changes are
+// numbered one after the other. Those that tell everything to one subscriber
+// carry the number of the newest change and count their own parts.
+type feedPart struct {
+	Scope  scope  `msgpack:"s"`
+	Number uint64 `msgpack:"n"`
+	// Beat says that nothing has changed since that number.
+	Beat  bool `msgpack:"h,omitempty"`
+	Part  int  `msgpack:"p,omitempty"`
+	Parts int  `msgpack:"o,omitempty"` // 0 for changes
+	// Sections are the runs of nodes.
+	Sections []section `msgpack:"x,omitempty"`
+	// Targets that ended, broke off and fell silent; see message.
+	Ended    []string `msgpack:"e,omitempty"`
+	Suspects []string `msgpack:"b,omitempty"`
+	Silent   []string `msgpack:"m,omitempty"`
+	// Counts are summed over the nodes of the scope.
+	Counts map[string]balance.Count `msgpack:"c,omitempty"`
+}
+
+// section is what changed of one node's runs.
+type section struct {
+	//lint:ignore U1000 msgpack reads it: the fields go without their names
+	_msgpack struct{} `msgpack:",as_array"`
+	Node     uint32   // short name of its address
+	Gone     bool     // nothing is known of its runs any more
+	Runs     []shortRun
+	Over     []uint64
+}
+
+// shortRun is a run in a feed.
+type shortRun struct {
+	//lint:ignore U1000 msgpack reads it: the fields go without their names
+	_msgpack struct{} `msgpack:",as_array"`
+	Number   uint64
+	Target   uint32 // short name, as below
+	Read     int    // tokens still to be read; 0 once the first event has come
+	Hold     int    // tokens of memory
+	AgeMS    int64  // see balance.Shared
+	Copy     uint32 // target that keeps a copy; 0 for none
+}
+
+// traceNote tells of a run's trace, or that the run is over.
+type traceNote struct {
+	Key      string `msgpack:"k"`
+	CopyName string `msgpack:"i,omitempty"`
+	Copy     string `msgpack:"c,omitempty"`
+	ReadAt   string `msgpack:"r,omitempty"`
+	Over     bool   `msgpack:"o,omitempty"`
+}
+
+func encodeTrace(t balance.Trace) traceNote {
+	return traceNote{Key: t.Key, CopyName: t.CopyName, Copy: t.Copy, ReadAt: t.ReadAt}
+}
+
+func (n traceNote) trace() balance.Trace {
+	return balance.Trace{Key: n.Key, CopyName: n.CopyName, Copy: n.Copy, ReadAt: n.ReadAt}
+}
+
+// lookup asks a keeper of traces for that of a key.
+type lookup struct {
+	ID  uint64 `msgpack:"i"` // names the question among the asker's
+	Key string `msgpack:"k"`
+}
+
+// found answers a lookup.
+type found struct {
+	ID    uint64     `msgpack:"i"`
+	Trace *traceNote `msgpack:"t,omitempty"` // nil if none is known
 }
 
 type run struct {
@@ -47,6 +155,17 @@
 	maxTargets  = 80 // that ended, or are suspects
 )
 
+// decode reads a datagram. It is passed over once before, since its lists are
+// held to be as long as they say they are: a garbled one would take up all
+// memory.
+func decode(datagram []byte) (message, error) {
+	var m message
+	if err := msgpack.NewDecoder(bytes.NewReader(datagram)).Skip(); err != nil {
+		return m, err
+	}
+	return m, msgpack.Unmarshal(datagram, &m)
+}
+
 // encodeRun leaves out which copy a run without one has.
 func encodeRun(r balance.Shared) run {
 	e := run{
--- /dev/null
+++ b/loadshare/relaying.go
@@ -0,0 +1,425 @@
+package loadshare
+
+import (
+	"context"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/walnutramp/walnutramp/balance"
+	"k8s.io/klog/v2"
+)
+
+// Times of tending the subscriptions.
+const (
+	tendEvery  = 100 * time.Millisecond
+	tendDirect = time.Second // where nothing passes through relays
+	// askHallsEvery is the pause between two questions for data halls that are
+	// not known, and askHallsMost bounds one round of them.
+	askHallsEvery = 200 * time.Millisecond
+	askHallsMost  = 100
+	// stillThereEvery is well within the time that a node's word counts.
+	stillThereEvery = 500 * time.Millisecond
+	// siteCounts names what all other nodes together told of repeats.
+	siteCounts = "site"
+)
+
+// nodeName names a node to the tracker.
+func nodeName(short uint32) string { return strconv.FormatUint(uint64(short), 16) }
+
+// layoutNow returns the layout of the nodes that are known now.
+func (s *Sharer) layoutNow() *layout {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.layout == nil {
+		own := s.conn.LocalAddr().String()
+		places := map[string]place{own: s.place}
+		for address := range s.peers {
+			places[address] = place{}
+			if heard := s.heard[address]; heard != nil {
+				places[address] = heard.place
+			}
+		}
+		s.layout = newLayout(own, places)
+	}
+	return s.layout
+}
+
+// notePlace takes where a sender stands. The caller holds the mutex.
+func (s *Sharer) notePlace(heard *sender, m *message) {
+	p := place{dataHall: m.DataHall, disk: m.Disk}
+	if m.DataHall == "" || p == heard.place {
+		return
+	}
+	heard.place = p
+	s.layout = nil
+}
+
+// addressesOf returns the peers with these addresses.
+func (s *Sharer) addressesOf(addresses []string) []*net.UDPAddr {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var peers []*net.UDPAddr
+	for _, a := range addresses {
+		if peer := s.peers[a]; peer != nil {
+			peers = append(peers, peer)
+		}
+	}
+	return peers
+}
+
+// shortRuns returns runs as feeds tell them. What broke off holds nothing.
+func shortRuns(runs []balance.Shared) []shortRun {
+	var short []shortRun
+	for _, r := range runs {
+		if r.Broken {
+			continue
+		}
+		one := shortRun{Number: r.Number, Target: balance.ShortName(r.Target), Read: r.Read, Hold: r.Hold, AgeMS: r.Age.Milliseconds()}
+		if r.Trace.Copy != "" {
+			one.Copy = balance.ShortName(r.Trace.Copy)
+		}
+		short = append(short, one)
+	}
+	return short
+}
+
+// passOn takes the report of a node of the own data hall, or of this one, for
+// those that are told by this node.
+func (s *Sharer) passOn(from string, runs []balance.Shared, counts map[string]balance.Count, u urgent) {
+	now := time.Now()
+	s.relayMu.Lock()
+	defer s.relayMu.Unlock()
+	node := balance.ShortName(from)
+	s.relay.change(s.relay.difference(node, shortRuns(runs)), true, now)
+	if len(counts) > 0 {
+		s.relay.origins[node].counts = counts
+	}
+	s.relay.site.addUrgent(u, now)
+	s.relay.hall.addUrgent(u, now)
+}
+
+// takeFeed takes part of a feed that this node subscribed to.
+func (s *Sharer) takeFeed(from string, p *feedPart) {
+	now := time.Now()
+	s.relayMu.Lock()
+	f := s.feedFrom(from, p.Scope)
+	if f == nil {
+		s.relayMu.Unlock()
+		return
+	}
+	sections, ask := f.take(p, now)
+	if p.Parts == 0 && s.lackWhole(sections, now) {
+		f.synced, ask = false, true
+	}
+	if ask {
+		f.asked = time.Time{}
+	}
+	changed := s.applySections(sections, now)
+	s.relay.site.addUrgent(urgent{ended: p.Ended, suspects: p.Suspects, silent: p.Silent}, now)
+	s.relayMu.Unlock()
+	s.handOn(changed)
+	s.tracker.SetEnded(p.Ended)
+	s.tracker.SetSuspects(p.Suspects)
+	s.tracker.SetSilent(p.Silent)
+	if ask {
+		s.wakeTend()
+	}
+}
+
+// feedFrom returns the feed of a source, nil if there is none. The caller
+// holds relayMu.
+func (s *Sharer) feedFrom(source string, of scope) *feed {
+	for _, f := range s.feeds {
+		if f.source == source && f.scope == of {
+			return f
+		}
+	}
+	return nil
+}
+
+// lackWhole reports whether changes are told of a node of whose runs this one
+// was not told everything by the feed, since the node reported here then. The
+// caller holds relayMu.
+func (s *Sharer) lackWhole(sections []section, now time.Time) bool {
+	return slices.ContainsFunc(sections, func(one section) bool { return s.relay.reportedOnce(one.Node, now) })
+}
+
+// applySections applies what a feed told, and returns the nodes whose runs it
+// changed as they stand now. The caller holds relayMu.
+func (s *Sharer) applySections(sections []section, now time.Time) map[uint32][]shortRun {
+	changed := map[uint32][]shortRun{}
+	for _, one := range sections {
+		if one.Node == s.short || s.relay.hears(one.Node, now) {
+			continue
+		}
+		s.relay.change(one, false, now)
+		changed[one.Node] = nil
+	}
+	for node := range changed {
+		changed[node] = s.relay.runsOf(node, now)
+	}
+	return changed
+}
+
+// handOn gives the tracker the runs of nodes.
+func (s *Sharer) handOn(changed map[uint32][]shortRun) {
+	for node, runs := range changed {
+		s.tracker.SetOthers(nodeName(node), s.longRuns(runs))
+	}
+}
+
+// longRuns returns runs as the tracker takes them; those at targets that are
+// not listed are left out.
+func (s *Sharer) longRuns(short []shortRun) []balance.Shared {
+	names := make([]uint32, 0, 2*len(short))
+	for _, r := range short {
+		names = append(names, r.Target, r.Copy)
+	}
+	ids := s.tracker.IDs(names)
+	var runs []balance.Shared
+	for i, r := range short {
+		if ids[2*i] == "" {
+			continue
+		}
+		runs = append(runs, balance.Shared{
+			Number: r.Number, Target: ids[2*i], Read: max(0, r.Read), Hold: max(0, r.Hold),
+			Age: time.Duration(max(0, r.AgeMS)) * time.Millisecond, Trace: balance.Trace{Copy: ids[2*i+1]},
+		})
+	}
+	return runs
+}
+
+// takeSubscribe notes a subscriber, and tells it again what it lost.
+func (s *Sharer) takeSubscribe(from string, q *subscribe) {
+	s.relayMu.Lock()
+	var again []feedPart
+	if p := s.relay.publisherOf(q.Scope); p != nil {
+		again = p.subscribe(from, q, time.Now())
+	}
+	s.relayMu.Unlock()
+	s.sendParts([]string{from}, again)
+}
+
+// publish tells the subscribers of a feed until ctx ends.
+func (s *Sharer) publish(ctx context.Context, p *publisher) {
+	timer := time.NewTimer(heartbeat)
+	defer timer.Stop()
+	for {
+		select {
+		case <-p.changed:
+			time.Sleep(s.gatherOf(p))
+		case <-timer.C:
+		case <-ctx.Done():
+			return
+		}
+		s.flush(p)
+		timer.Reset(heartbeat)
+	}
+}
+
+func (s *Sharer) gatherOf(p *publisher) time.Duration {
+	s.relayMu.Lock()
+	defer s.relayMu.Unlock()
+	return p.gather()
+}
+
+// flush sends what there is to tell.
+func (s *Sharer) flush(p *publisher) {
+	now := time.Now()
+	s.relayMu.Lock()
+	if len(p.subscribers) == 0 {
+		p.forget()
+		s.relayMu.Unlock()
+		return
+	}
+	counts := s.countsOf(p.scope)
+	changes, told, newcomers := p.flush(s.relay, counts, now)
+	var everything []feedPart
+	if len(newcomers) > 0 {
+		everything = p.everything(s.relay, counts, now)
+	}
+	s.relayMu.Unlock()
+	s.sendParts(told, changes)
+	s.sendParts(newcomers, everything)
+}
+
+func (s *Sharer) sendParts(addresses []string, parts []feedPart) {
+	peers := s.addressesOf(addresses)
+	if len(peers) == 0 {
+		return
+	}
+	for i := range parts {
+		s.sendTo(peers, message{Feed: &parts[i]})
+	}
+}
+
+// countsOf sums the counts of the nodes of a scope. The caller holds relayMu.
+func (s *Sharer) countsOf(of scope) map[string]balance.Count {
+	sum := s.relay.counts()
+	if of == scopeSite {
+		for _, f := range s.feeds {
+			addCounts(sum, f.counts)
+		}
+	}
+	return sum
+}
+
+// wakeTend has the subscriptions looked after at once.
+func (s *Sharer) wakeTend() {
+	select {
+	case s.tendSoon <- struct{}{}:
+	default:
+	}
+}
+
+// tend keeps the subscriptions in order until ctx ends.
+func (s *Sharer) tend(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-s.tendSoon:
+		case <-ctx.Done():
+			return
+		}
+		l := s.layoutNow()
+		next := tendDirect
+		if l.relayed {
+			s.tendRelayed(l, time.Now())
+			next = tendEvery
+		}
+		timer.Reset(next)
+	}
+}
+
+// tendRelayed does what is due where words pass through relays.
+func (s *Sharer) tendRelayed(l *layout, now time.Time) {
+	s.askHalls(l, now)
+	s.relayMu.Lock()
+	s.wantFeeds(l)
+	changed := s.expire(now)
+	asks := s.askFeeds(l, now)
+	others := s.countsOfOthers()
+	var there []string
+	if now.Sub(s.thereAt) >= stillThereEvery {
+		s.thereAt = now
+		there = s.relay.names()
+	}
+	s.relayMu.Unlock()
+	s.handOn(changed)
+	for source, q := range asks {
+		s.sendTo(s.addressesOf([]string{source}), message{Subscribe: &q, DataHall: s.place.dataHall, Disk: s.place.disk})
+	}
+	s.budgets.SetOther(siteCounts, others)
+	s.tracker.StillThere(there)
+}
+
+// askHalls asks peers where they stand, as far as that is not known.
+func (s *Sharer) askHalls(l *layout, now time.Time) {
+	if len(l.unknown) == 0 || now.Sub(s.askedHalls) < askHallsEvery {
+		return
+	}
+	s.askedHalls = now
+	some := slices.Clone(l.unknown)
+	rank(some, l.own+strconv.FormatInt(now.UnixNano(), 36)) // each time others
+	some = some[:min(askHallsMost, len(some))]
+	s.sendTo(s.addressesOf(some), message{DataHall: s.place.dataHall, Disk: s.place.disk, Asks: true})
+}
+
+// wantFeeds has a feed for each that this node needs: a relay one of each other
+// data hall, any other node that of its relay. The caller holds relayMu.
+func (s *Sharer) wantFeeds(l *layout) {
+	wanted := map[feedKey]bool{}
+	if l.isRelay() {
+		for hall := range l.relays {
+			if hall != l.hall {
+				wanted[feedKey{scopeHall, hall}] = true
+			}
+		}
+	} else {
+		wanted[feedKey{scopeSite, l.hall}] = true
+	}
+	for key := range wanted {
+		if s.feeds[key] == nil {
+			s.feeds[key] = newFeed(key.scope, key.hall)
+		}
+	}
+	for key := range s.feeds {
+		if !wanted[key] {
+			delete(s.feeds, key)
+		}
+	}
+}
+
+// feedKey names a feed.
+type feedKey struct {
+	scope scope
+	hall  string
+}
+
+// expire forgets nodes and subscribers that are not heard any more, and returns
+// the nodes whose runs are gone. The caller holds relayMu.
+func (s *Sharer) expire(now time.Time) map[uint32][]shortRun {
+	gone := map[uint32][]shortRun{}
+	for _, node := range s.relay.expire(now) {
+		gone[node] = nil
+		s.resyncFor(node)
+	}
+	s.relay.site.expire(now)
+	s.relay.hall.expire(now)
+	for _, f := range s.feeds {
+		if now.Sub(later(f.heard, f.since)) > originLife {
+			for node := range s.applySections(f.drop(), now) {
+				gone[node] = nil
+			}
+		}
+	}
+	return gone
+}
+
+// resyncFor has a feed that tells of a node tell everything: the node reported
+// here until now. The caller holds relayMu.
+func (s *Sharer) resyncFor(node uint32) {
+	for _, f := range s.feeds {
+		if f.nodes[node] {
+			f.synced = false
+		}
+	}
+}
+
+// askFeeds chooses the sources of the feeds, and returns the questions that
+// are due by source. The caller holds relayMu.
+func (s *Sharer) askFeeds(l *layout, now time.Time) map[string]subscribe {
+	asks := map[string]subscribe{}
+	for _, f := range s.feeds {
+		before := f.source
+		if f.choose(without(l.sources(f.hall), l.own), s.missed, now) && s.missed[before].Equal(now) {
+			klog.InfoS("Relay is silent, another is asked", "dataHall", f.hall, "silent", before, "asked", f.source)
+		}
+		if f.due(now) {
+			asks[f.source] = f.question(now)
+		}
+	}
+	return asks
+}
+
+// countsOfOthers sums the counts of all other nodes. The caller holds relayMu.
+func (s *Sharer) countsOfOthers() map[string]balance.Count {
+	sum := map[string]balance.Count{}
+	relayed := false
+	for _, f := range s.feeds {
+		addCounts(sum, f.counts)
+		relayed = relayed || f.scope == scopeHall
+	}
+	if relayed {
+		addCounts(sum, s.relay.counts())
+	}
+	for service, own := range s.budgets.Counts() {
+		c := sum[service]
+		sum[service] = balance.Count{Requests: max(0, c.Requests-own.Requests), Repeats: max(0, c.Repeats-own.Repeats)}
+	}
+	return sum
+}
--- a/loadshare/sender.go
+++ b/loadshare/sender.go
@@ -10,7 +10,7 @@
 // that was lost on the way is made good by the next full message.
 type sender struct {
 	sequence uint64 // of its newest message
-	dataHall string
+	place    place
 	runs     map[uint64]heardRun
 }
 
@@ -23,9 +23,6 @@
 // take applies a message and returns the sender's runs as they stand now.
 func (s *sender) take(m message, now time.Time) []balance.Shared {
 	s.sequence = m.Sequence
-	if m.DataHall != "" {
-		s.dataHall = m.DataHall
-	}
 	if m.Full || s.runs == nil {
 		s.runs = make(map[uint64]heardRun, len(m.Runs))
 	}
@@ -37,7 +34,9 @@
 	}
 	runs := make([]balance.Shared, 0, len(s.runs))
 	for _, r := range s.runs {
-		r.Age += now.Sub(r.at)
+		if r.Read > 0 {
+			r.Age += now.Sub(r.at)
+		}
 		runs = append(runs, r.Shared)
 	}
 	return runs
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -77,7 +77,9 @@
 	budgets := balance.NewBudgets(balance.BudgetConfig{
 		Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow, Nodes: nodesAssumed,
 	})
-	g = gateway.New(targets, pool, budgets, poller.Soon, gateway.WithNames(names), gateway.WithLease(p.lease()))
+	var sharer *loadshare.Sharer
+	find := func(ctx context.Context, key string) { sharer.Find(ctx, key) }
+	g = gateway.New(targets, pool, budgets, poller.Soon, gateway.WithNames(names), gateway.WithLease(p.lease()), gateway.WithFind(find))
 	adopt := func(version uint64, doc []byte) error {
 		table, err := p.adapter.Table(doc)
 		if err == nil {
@@ -95,7 +97,7 @@
 	if s.DataDir != "" {
 		sharing = append(sharing, loadshare.WithMemory(filepath.Join(s.DataDir, tracesFile)))
 	}
-	sharer := loadshare.New(conn, targets, budgets, sharing...)
+	sharer = loadshare.New(conn, targets, budgets, sharing...)
 	p.client.AsEntry(s.PeerListen, s.DataHall, sharer.SetPeers)
 	p.client.FeedTargets(poller.Fed)
 	clients, err := net.Listen("tcp", s.EntryListen)
