--- a/balance/rivals.go
+++ b/balance/rivals.go
@@ -35,20 +35,31 @@
 
 // rivals is how many other choices are made, most likely, until this one is
 // known: as many as runs begin in that time, and, where a data hall failed the
-// request, as many as had runs there and must go elsewhere, too. The caller
-// holds the mutex.
+// request, as many as wait there for their first event and must go elsewhere,
+// too. Those that have begun go on from their copies. The caller holds the mutex.
 func (t *Tracker) rivals(c *Choice, taken map[*Target]*occupancy) float64 {
 	runs, displaced := 0, 0
 	for target, o := range taken {
 		runs += len(o.runs)
 		if c.FailedHalls[target.DataHall] > 0 {
-			displaced += len(o.runs) - len(target.runs)
+			displaced += unread(o.runs)
 		}
 	}
 	wholeRuns := float64(t.newsLag.Milliseconds()) / t.paceOf(c.Service).wholeMS.value
 	return float64(runs)*wholeRuns + float64(displaced)
 }
 
+// unread counts the runs that wait for their first event.
+func unread(runs []Shared) int {
+	n := 0
+	for _, r := range runs {
+		if r.Read > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // draw takes the best candidate, or, among many rivals, one of the best, of
 // which none is worse than the best by more than a time in milliseconds: that of
 // reading one more prompt, which is what meeting a rival would cost.
