--- a/loadshare/failures_test.go
+++ b/loadshare/failures_test.go
@@ -35,7 +35,7 @@
 	return s.nodes[i]
 }
 
-// kill ends a node as a loss of power does: it says nothing any more.
+// cutOff has a node say and hear nothing any more, as after a loss of power.
 func (s *siteOf) cutOff(n *siteNode) {
 	lost := n.conn.address
 	before := s.network.drop
@@ -44,7 +44,7 @@
 	s.network.drop = func(from, to string) bool { return from == lost || to == lost || before(from, to) }
 }
 
-// others returns how many nodes but one know of work at an engine.
+// othersSee returns how many nodes but one know of work at an engine.
 func (s *siteOf) othersSee(engine string, but *siteNode) int {
 	count := s.see(engine)
 	if but.sees(engine) {
