--- /dev/null
+++ b/loadshare/subscriptions.go
@@ -0,0 +1,183 @@
+package loadshare
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/walnutramp/walnutramp/balance"
+	"k8s.io/klog/v2"
+)
+
+// Times of tending the subscriptions.
+const (
+	tendEvery  = 100 * time.Millisecond
+	tendDirect = time.Second // where nothing passes through relays
+	// askHallsEvery is the pause between two questions for data halls that are
+	// not known, and askHallsMost bounds one round of them.
+	askHallsEvery = 200 * time.Millisecond
+	askHallsMost  = 100
+	// stillThereEvery is well within the time that a node's word counts.
+	stillThereEvery = 500 * time.Millisecond
+	// siteCounts names what all other nodes together told of repeats.
+	siteCounts = "site"
+)
+
+// wakeTend has the subscriptions looked after at once.
+func (s *Sharer) wakeTend() {
+	select {
+	case s.tendSoon <- struct{}{}:
+	default:
+	}
+}
+
+// tend keeps the subscriptions in order until ctx ends.
+func (s *Sharer) tend(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-s.tendSoon:
+		case <-ctx.Done():
+			return
+		}
+		l := s.layoutNow()
+		next := tendDirect
+		if l.relayed {
+			s.tendRelayed(l, time.Now())
+			next = tendEvery
+		}
+		timer.Reset(next)
+	}
+}
+
+// tendRelayed does what is due where words pass through relays.
+func (s *Sharer) tendRelayed(l *layout, now time.Time) {
+	s.askHalls(l, now)
+	s.relayMu.Lock()
+	s.wantFeeds(l)
+	changed := s.expire(now)
+	asks := s.askFeeds(l, now)
+	others := s.countsOfOthers()
+	var there []string
+	if now.Sub(s.thereAt) >= stillThereEvery {
+		s.thereAt = now
+		there = s.relay.names()
+	}
+	s.relayMu.Unlock()
+	s.handOn(changed)
+	for source, q := range asks {
+		s.sendTo(s.addressesOf([]string{source}), message{Subscribe: &q, DataHall: s.place.dataHall, Disk: s.place.disk})
+	}
+	s.budgets.SetOther(siteCounts, others)
+	s.tracker.StillThere(there)
+}
+
+// askHalls asks peers where they stand, as far as that is not known.
+func (s *Sharer) askHalls(l *layout, now time.Time) {
+	if len(l.unknown) == 0 || now.Sub(s.askedHalls) < askHallsEvery {
+		return
+	}
+	s.askedHalls = now
+	some := slices.Clone(l.unknown)
+	rank(some, l.own+strconv.FormatInt(now.UnixNano(), 36)) // each time others
+	some = some[:min(askHallsMost, len(some))]
+	s.sendTo(s.addressesOf(some), message{DataHall: s.place.dataHall, Disk: s.place.disk, Asks: true})
+}
+
+// wantFeeds has a feed for each that this node needs: a relay one of each other
+// data hall, any other node that of its relay. The caller holds relayMu.
+func (s *Sharer) wantFeeds(l *layout) {
+	wanted := map[feedKey]bool{}
+	if l.isRelay() {
+		for hall := range l.relays {
+			if hall != l.hall {
+				wanted[feedKey{scopeHall, hall}] = true
+			}
+		}
+	} else {
+		wanted[feedKey{scopeSite, l.hall}] = true
+	}
+	for key := range wanted {
+		if s.feeds[key] == nil {
+			s.feeds[key] = newFeed(key.scope, key.hall)
+		}
+	}
+	for key := range s.feeds {
+		if !wanted[key] {
+			delete(s.feeds, key)
+		}
+	}
+}
+
+// feedKey names a feed.
+type feedKey struct {
+	scope scope
+	hall  string
+}
+
+// expire forgets nodes and subscribers that are not heard any more, and returns
+// the nodes whose runs are gone. The caller holds relayMu.
+func (s *Sharer) expire(now time.Time) map[uint32][]shortRun {
+	gone := map[uint32][]shortRun{}
+	for _, node := range s.relay.expire(now) {
+		gone[node] = nil
+		s.resyncFor(node)
+	}
+	s.relay.site.expire(now)
+	s.relay.hall.expire(now)
+	for _, f := range s.feeds {
+		if now.Sub(later(f.heard, f.since)) > originLife {
+			for node := range s.applySections(f.drop(), now) {
+				gone[node] = nil
+			}
+		}
+	}
+	return gone
+}
+
+// resyncFor has a feed that tells of a node tell everything: the node reported
+// here until now. The caller holds relayMu.
+func (s *Sharer) resyncFor(node uint32) {
+	for _, f := range s.feeds {
+		if f.nodes[node] {
+			f.synced = false
+		}
+	}
+}
+
+// askFeeds chooses the sources of the feeds, and returns the questions that
+// are due by source. The caller holds relayMu.
+func (s *Sharer) askFeeds(l *layout, now time.Time) map[string]subscribe {
+	asks := map[string]subscribe{}
+	for _, f := range s.feeds {
+		before := f.source
+		if f.choose(without(l.sources(f.hall), l.own), s.missed, now) && s.missed[before].Equal(now) {
+			klog.InfoS("Relay is silent, another is asked", "dataHall", f.hall, "silent", before, "asked", f.source)
+		}
+		if f.due(now) {
+			asks[f.source] = f.question(now)
+		}
+	}
+	return asks
+}
+
+// countsOfOthers sums the counts of all other nodes. The caller holds relayMu.
+func (s *Sharer) countsOfOthers() map[string]balance.Count {
+	sum := map[string]balance.Count{}
+	relayed := false
+	for _, f := range s.feeds {
+		addCounts(sum, f.counts)
+		relayed = relayed || f.scope == scopeHall
+	}
+	if relayed {
+		addCounts(sum, s.relay.counts())
+	}
+	for service, own := range s.budgets.Counts() {
+		c := sum[service]
+		sum[service] = balance.Count{Requests: max(0, c.Requests-own.Requests), Repeats: max(0, c.Repeats-own.Repeats)}
+	}
+	return sum
+}
