--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -30,6 +30,7 @@
 	far      *audience // of the others, told directly
 	up       *audience // relays, told where there are any
 	traces   toldTraces
+	count    counters
 	tendSoon chan struct{}
 	news     chan struct{} // there is something new to write down
 	file     string        // of the memory; empty for none
@@ -258,6 +259,8 @@
 	for _, peer := range peers {
 		s.conn.WriteTo(datagram, peer)
 	}
+	s.count.datagrams.Add(int64(len(peers)))
+	s.count.bytes.Add(int64(len(peers) * len(datagram)))
 }
 
 func (s *Sharer) receive() {
--- a/loadshare/relaying.go
+++ b/loadshare/relaying.go
@@ -224,6 +224,7 @@
 	var everything []feedPart
 	if len(newcomers) > 0 {
 		everything = p.everything(s.relay, counts, now)
+		s.count.whole.Add(int64(len(newcomers)))
 	}
 	s.relayMu.Unlock()
 	s.sendParts(told, changes)
--- a/loadshare/site_test.go
+++ b/loadshare/site_test.go
@@ -262,6 +262,15 @@
 		defer s.close()
 		time.Sleep(3 * time.Second)
 		require.True(t, s.nodes[0].layoutNow().relayed)
+		subscribers := 0
+		for _, n := range s.nodes {
+			st := n.Stats()
+			require.Equal(t, 119, st.Nodes)
+			require.True(t, st.Relayed)
+			require.Positive(t, st.Datagrams)
+			subscribers += st.Subscribers
+		}
+		require.GreaterOrEqual(t, subscribers, 120, "each node but a relay, and each relay in five other halls")
 		run := s.nodes[7].begin("i-5", "")
 		time.Sleep(150 * time.Millisecond)
 		require.Equal(t, 120, s.see("i-5"))
--- /dev/null
+++ b/loadshare/stats.go
@@ -0,0 +1,37 @@
+package loadshare
+
+import "sync/atomic"
+
+// counters count what a sharer sends.
+type counters struct {
+	datagrams atomic.Int64
+	bytes     atomic.Int64
+	whole     atomic.Int64 // subscribers that were told everything
+	silent    atomic.Int64 // relays that were left since they fell silent
+}
+
+// Stats are the figures of a sharer.
+type Stats struct {
+	Nodes       int   // other nodes that are known
+	Relayed     bool  // words pass through relays
+	Subscribers int   // nodes that this one tells of others
+	Datagrams   int64 // sent
+	Bytes       int64 // sent
+	Whole       int64 // times that a subscriber was told everything
+	Silent      int64 // relays that were left since they fell silent
+}
+
+// Stats returns the figures as they stand.
+func (s *Sharer) Stats() Stats {
+	st := Stats{
+		Relayed: s.layoutNow().relayed, Datagrams: s.count.datagrams.Load(), Bytes: s.count.bytes.Load(),
+		Whole: s.count.whole.Load(), Silent: s.count.silent.Load(),
+	}
+	s.mu.Lock()
+	st.Nodes = len(s.peers)
+	s.mu.Unlock()
+	s.relayMu.Lock()
+	st.Subscribers = len(s.relay.hall.subscribers) + len(s.relay.site.subscribers)
+	s.relayMu.Unlock()
+	return st
+}
--- a/loadshare/subscriptions.go
+++ b/loadshare/subscriptions.go
@@ -155,6 +155,7 @@
 	for _, f := range s.feeds {
 		before := f.source
 		if f.choose(without(l.sources(f.hall), l.own), s.missed, now) && s.missed[before].Equal(now) {
+			s.count.silent.Add(1)
 			klog.InfoS("Relay is silent, another is asked", "dataHall", f.hall, "silent", before, "asked", f.source)
 		}
 		if f.due(now) {
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -54,6 +54,7 @@
 type entry struct {
 	gateway *gateway.Gateway
 	pool    *targetconn.Pool
+	sharer  *loadshare.Sharer
 	front   *http.Server
 	ready   *http.Server
 }
@@ -98,6 +99,7 @@
 		sharing = append(sharing, loadshare.WithMemory(filepath.Join(s.DataDir, tracesFile)))
 	}
 	sharer = loadshare.New(conn, targets, budgets, sharing...)
+	p.entry.sharer = sharer
 	p.client.AsEntry(s.PeerListen, s.DataHall, sharer.SetPeers)
 	p.client.FeedTargets(poller.Fed)
 	clients, err := net.Listen("tcp", s.EntryListen)
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/walnutramp/walnutramp/loadshare"
 )
 
 // MetricsPath is where a process tells its figures.
@@ -36,12 +37,28 @@
 	if p.entry != nil {
 		p.entry.gateway.WriteMetrics(w)
 		fmt.Fprintf(w, "walnutramp_target_connections_opened_total %d\n", p.entry.pool.Dialed())
+		writeSharing(w, p.entry.sharer.Stats())
 	}
 	if p.replica != nil && p.replica.member != nil {
 		p.replica.writeMetrics(w)
 	}
 }
 
+// writeSharing writes what an entry tells others of its runs, and for others.
+func writeSharing(w io.Writer, s loadshare.Stats) {
+	relayed := 0
+	if s.Relayed {
+		relayed = 1
+	}
+	fmt.Fprintf(w, "walnutramp_sharing_nodes %d\n", s.Nodes)
+	fmt.Fprintf(w, "walnutramp_sharing_relayed %d\n", relayed)
+	fmt.Fprintf(w, "walnutramp_sharing_subscribers %d\n", s.Subscribers)
+	fmt.Fprintf(w, "walnutramp_sharing_sent_datagrams_total %d\n", s.Datagrams)
+	fmt.Fprintf(w, "walnutramp_sharing_sent_bytes_total %d\n", s.Bytes)
+	fmt.Fprintf(w, "walnutramp_sharing_told_whole_total %d\n", s.Whole)
+	fmt.Fprintf(w, "walnutramp_sharing_relays_left_total %d\n", s.Silent)
+}
+
 func (r *replica) writeMetrics(w io.Writer) {
 	s := r.member.Status()
 	leads := 0
