--- a/balance/rivals.go
+++ b/balance/rivals.go
@@ -67,7 +67,9 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	// Stable, so that of those alike the first listed is the best: round-robin
+	// would else take them in no order.
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
 	if rivals <= fewRivals || t.cfg.Policy != Predicted {
 		return candidates[0].target
 	}
--- a/balance/rivals_test.go
+++ b/balance/rivals_test.go
@@ -77,3 +77,12 @@
 	}
 	require.Nil(t, tr.draw(nil, 5, 1500))
 }
+
+// Under round-robin targets are chosen in the order in which they are listed.
+func TestRoundRobinKeepsTheOrderOfTheList(t *testing.T) {
+	tr := NewTracker(WithSeed(1), WithPolicy(RoundRobin))
+	tr.Update(siteEngines(40, 4))
+	for i := range 80 {
+		require.Equal(t, fmt.Sprint("i-", i%40), tr.Pick(Choice{Service: "s", Work: Work{Read: 8000, Hold: 8400}}).ID)
+	}
+}
