Forget what only a feed told that is not wanted any more

Found by reading the change: a node that becomes a relay, or stops being one, gave its feed up and kept the runs that only that feed had told of. Nobody tells of their end any more, and they were renewed as still there, so their engines looked taken for ever. Now they go with the feed; the new one tells everything at once. TestNodeThatBecomesARelayForgetsWhatOnlyItsFeedTold fails before.

--- a/loadshare/failures_test.go
+++ b/loadshare/failures_test.go
@@ -204,6 +204,31 @@
 	})
 }
 
+// A node that becomes a relay gives up the feed that told it of all nodes. What
+// only that feed knew must not stay for ever: nobody says any more that it is
+// over.
+func TestNodeThatBecomesARelayForgetsWhatOnlyItsFeedTold(t *testing.T) {
+	network := newDatagramNet()
+	tracker := balance.NewTracker(balance.WithSeed(1))
+	tracker.Update(engines(1))
+	s := New(network.listen(addressOf(0)), tracker,
+		balance.NewBudgets(balance.BudgetConfig{Ratio: 1, Slack: 10, Window: time.Second, Nodes: 2}), WithDataHall("a"))
+	now := time.Now()
+	f := newFeed(scopeSite, "a")
+	f.source, f.heard = addressOf(1), now
+	s.feeds[feedKey{scopeSite, "a"}] = f
+	s.takeFeed(f.source, &feedPart{Scope: scopeSite, Parts: 1, Sections: []section{{
+		Node: 7, Runs: []shortRun{{Number: 1, Target: balance.ShortName("i-5"), Read: 90000, Hold: 8000}},
+	}}})
+	n := &siteNode{Sharer: s, tracker: tracker}
+	require.True(t, n.sees("i-5"))
+	l := s.layoutNow()
+	require.True(t, l.isRelay())
+	s.tendRelayed(l, now)
+	require.Empty(t, s.relay.origins)
+	require.False(t, n.sees("i-5"))
+}
+
 // What is garbled, or told by who was not asked, changes nothing.
 func TestGarbledAndLyingDatagramsChangeNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/loadshare/subscriptions.go
+++ b/loadshare/subscriptions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -57,8 +58,8 @@
 func (s *Sharer) tendRelayed(l *layout, now time.Time) {
 	s.askHalls(l, now)
 	s.relayMu.Lock()
-	s.wantFeeds(l)
-	changed := s.expire(now)
+	changed := s.wantFeeds(l, now)
+	maps.Copy(changed, s.expire(now))
 	asks := s.askFeeds(l, now)
 	others := s.countsOfOthers()
 	var there []string
@@ -88,8 +89,9 @@
 }
 
 // wantFeeds has a feed for each that this node needs: a relay one of each other
-// data hall, any other node that of its relay. The caller holds relayMu.
-func (s *Sharer) wantFeeds(l *layout) {
+// data hall, any other node that of its relay. It returns the nodes that only a
+// feed told of that is not wanted any more. The caller holds relayMu.
+func (s *Sharer) wantFeeds(l *layout, now time.Time) map[uint32][]shortRun {
 	wanted := map[feedKey]bool{}
 	if l.isRelay() {
 		for hall := range l.relays {
@@ -105,11 +107,14 @@
 			s.feeds[key] = newFeed(key.scope, key.hall)
 		}
 	}
-	for key := range s.feeds {
+	gone := map[uint32][]shortRun{}
+	for key, f := range s.feeds {
 		if !wanted[key] {
 			delete(s.feeds, key)
+			maps.Copy(gone, s.applySections(f.drop(), now))
 		}
 	}
+	return gone
 }
 
 // feedKey names a feed.
@@ -130,9 +135,7 @@
 	s.relay.hall.expire(now)
 	for _, f := range s.feeds {
 		if now.Sub(later(f.heard, f.since)) > originLife {
-			for node := range s.applySections(f.drop(), now) {
-				gone[node] = nil
-			}
+			maps.Copy(gone, s.applySections(f.drop(), now))
 		}
 	}
 	return gone
