Simplify what the relays brought; no change of behaviour but one

takeWhole returned a second result that was always false; a field was written and never read; where a node stands was put in messages in four places; whether words pass through relays was decided by two rules, of which the one for the lags forgot that a node without a data hall tells all others directly (that one is mended). Counts are summed when they are told, not at every flush; the best candidate is found without sorting all where nothing is drawn.

--- a/balance/rivals.go
+++ b/balance/rivals.go
@@ -67,12 +67,11 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	// Stable, so that of those alike the first listed is the best: round-robin
-	// would else take them in no order.
-	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+	byScore := func(a, b candidate) int { return cmp.Compare(a.score, b.score) }
 	if rivals <= fewRivals || t.cfg.Policy != Predicted {
-		return candidates[0].target
+		return slices.MinFunc(candidates, byScore).target // of those alike the first listed
 	}
+	slices.SortFunc(candidates, byScore)
 	n := min(len(candidates), 1+int(roomPerRival*rivals))
 	for n > 1 && candidates[n-1].score > candidates[0].score+worse {
 		n--
--- a/loadshare/feed.go
+++ b/loadshare/feed.go
@@ -127,7 +127,7 @@
 		f.counts = p.Counts
 	}
 	if p.Parts > 0 {
-		return f.takeWhole(p)
+		return f.takeWhole(p), false
 	}
 	if !f.synced || p.Number <= f.number {
 		return nil, false // everything was asked for, or it came late
@@ -155,13 +155,13 @@
 
 // takeWhole takes a part of everything there is. Runs that are not told any
 // more are cleared with the last part.
-func (f *feed) takeWhole(p *feedPart) (sections []section, ask bool) {
+func (f *feed) takeWhole(p *feedPart) (sections []section) {
 	if p.Part == 0 {
 		f.fresh, f.part = map[uint32]bool{}, 0
 		f.number = p.Number
 	} else if f.fresh == nil || p.Part != f.part || p.Number != f.number {
 		f.fresh = nil
-		return nil, false
+		return nil
 	}
 	f.part++
 	for _, s := range p.Sections {
@@ -176,7 +176,7 @@
 		}
 		f.nodes, f.fresh, f.synced, f.lacks, f.asks = f.fresh, nil, true, time.Time{}, 0
 	}
-	return sections, false
+	return sections
 }
 
 // note keeps which nodes the source tells of.
--- a/loadshare/layout.go
+++ b/loadshare/layout.go
@@ -47,7 +47,7 @@
 // newLayout works the layout out from where this node and its peers stand.
 func newLayout(own string, places map[string]place) *layout {
 	l := &layout{own: own, hall: places[own].dataHall, relays: map[string][]string{}}
-	l.relayed = len(places) > directNodes && l.hall != ""
+	l.relayed = throughRelays(len(places), l.hall)
 	var withDisk []string
 	for address, p := range places {
 		if p.dataHall == "" {
@@ -71,6 +71,10 @@
 	return l
 }
 
+// throughRelays reports whether words pass through relays, on a site of so many
+// nodes, as far as a node of a data hall is concerned.
+func throughRelays(nodes int, hall string) bool { return nodes > directNodes && hall != "" }
+
 // rank sorts addresses by the hash of a key with each: nodes that know the same
 // addresses have the same order, and one more or less changes little.
 func rank(addresses []string, key string) {
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -131,7 +131,7 @@
 // own one: through relays there is one more step, of a publisher that has few
 // subscribers.
 func (s *Sharer) farLag(peers int) time.Duration {
-	if peers+1 > directNodes {
+	if throughRelays(peers+1, s.place.dataHall) {
 		return leastGather
 	}
 	return s.far.pace.gather(peers) - s.near.pace.settle
@@ -139,7 +139,7 @@
 
 // newsLag is how long it takes until most nodes know what one has begun.
 func (s *Sharer) newsLag(peers int) time.Duration {
-	if peers+1 > directNodes {
+	if throughRelays(peers+1, s.place.dataHall) {
 		return s.up.pace.settle + leastGather + relaySpan*perSubscriber
 	}
 	return s.far.pace.gather(peers)
@@ -229,7 +229,7 @@
 		return
 	}
 	for _, m := range a.compose(n, full) {
-		m.DataHall, m.Disk = s.place.dataHall, s.place.disk
+		m = s.signed(m)
 		m.Sequence = s.sequence.Add(1)
 		s.sendTo(peers, m)
 	}
@@ -249,6 +249,12 @@
 	return untraced
 }
 
+// signed returns a message that says where this node stands.
+func (s *Sharer) signed(m message) message {
+	m.DataHall, m.Disk = s.place.dataHall, s.place.disk
+	return m
+}
+
 // sendTo sends a message; what is lost is made good by the next full one.
 func (s *Sharer) sendTo(peers []*net.UDPAddr, m message) {
 	datagram, err := msgpack.Marshal(m)
@@ -286,7 +292,7 @@
 		return
 	}
 	if m.Asks {
-		s.sendTo(s.addressesOf([]string{from}), message{DataHall: s.place.dataHall, Disk: s.place.disk})
+		s.sendTo(s.addressesOf([]string{from}), s.signed(message{}))
 	}
 	if m.report() {
 		s.takeReport(from, heard, m)
--- a/loadshare/publisher.go
+++ b/loadshare/publisher.go
@@ -45,9 +45,8 @@
 	kept        []feedPart // the newest datagrams of changes
 	pending     []section
 	news        urgent
-	told        map[newsKey]time.Time // urgent news: when it was told on
-	countsAt    time.Time             // when the counts were told last
-	sentAt      time.Time
+	told        map[newsKey]time.Time  // urgent news: when it was told on
+	countsAt    time.Time              // when the counts were told last
 	subscribers map[string]*subscriber // by address
 }
 
@@ -168,11 +167,14 @@
 	return max(leastGather, all)
 }
 
+// countsDue reports whether the counts are to be told now.
+func (p *publisher) countsDue(now time.Time) bool { return now.Sub(p.countsAt) >= countsEvery }
+
 // flush returns the datagrams that tell what has changed, those who are told
 // them, and the newcomers that are told everything.
 func (p *publisher) flush(r *relay, counts map[string]balance.Count, now time.Time) (changes []feedPart, told, newcomers []string) {
 	first := feedPart{Scope: p.scope, Ended: p.news.ended, Suspects: p.news.suspects, Silent: p.news.silent}
-	if now.Sub(p.countsAt) >= countsEvery {
+	if p.countsDue(now) {
 		p.countsAt, first.Counts = now, counts
 	}
 	changes = p.parts(first, p.pending)
@@ -186,7 +188,7 @@
 		p.kept = append(p.kept, changes...)
 		p.kept = p.kept[max(0, len(p.kept)-keptParts):]
 	}
-	p.pending, p.news, p.sentAt = nil, urgent{}, now
+	p.forget()
 	for address, s := range p.subscribers {
 		if s.whole && r.mayTellWhole(p.scope, now) {
 			s.whole = false
--- a/loadshare/relaying.go
+++ b/loadshare/relaying.go
@@ -219,11 +219,14 @@
 		s.relayMu.Unlock()
 		return
 	}
-	counts := s.countsOf(p.scope)
+	var counts map[string]balance.Count
+	if p.countsDue(now) {
+		counts = s.countsOf(p.scope)
+	}
 	changes, told, newcomers := p.flush(s.relay, counts, now)
 	var everything []feedPart
 	if len(newcomers) > 0 {
-		everything = p.everything(s.relay, counts, now)
+		everything = p.everything(s.relay, s.countsOf(p.scope), now)
 		s.count.whole.Add(int64(len(newcomers)))
 	}
 	s.relayMu.Unlock()
--- a/loadshare/subscriptions.go
+++ b/loadshare/subscriptions.go
@@ -70,7 +70,7 @@
 	s.relayMu.Unlock()
 	s.handOn(changed)
 	for source, q := range asks {
-		s.sendTo(s.addressesOf([]string{source}), message{Subscribe: &q, DataHall: s.place.dataHall, Disk: s.place.disk})
+		s.sendTo(s.addressesOf([]string{source}), s.signed(message{Subscribe: &q}))
 	}
 	s.budgets.SetOther(siteCounts, others)
 	s.tracker.StillThere(there)
@@ -85,7 +85,7 @@
 	some := slices.Clone(l.unknown)
 	rank(some, l.own+strconv.FormatInt(now.UnixNano(), 36)) // each time others
 	some = some[:min(askHallsMost, len(some))]
-	s.sendTo(s.addressesOf(some), message{DataHall: s.place.dataHall, Disk: s.place.disk, Asks: true})
+	s.sendTo(s.addressesOf(some), s.signed(message{Asks: true}))
 }
 
 // wantFeeds has a feed for each that this node needs: a relay one of each other
--- a/loadshare/traces.go
+++ b/loadshare/traces.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/walnutramp/walnutramp/balance"
@@ -171,11 +172,5 @@
 
 // without returns the addresses but one.
 func without(addresses []string, own string) []string {
-	var others []string
-	for _, a := range addresses {
-		if a != own {
-			others = append(others, a)
-		}
-	}
-	return others
+	return slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == own })
 }
