One rendezvous hash in place of four

The key's target and the owners of targets (balance), a member's entries (control) and now the relays and keepers of traces (loadshare) each hashed a key with a name by themselves; the change had written a fourth. Weight and Sort of internal/rendezvous serve all. The first three rank as before; relays and keepers were ranked by half of the hash, so other nodes relay now, by the same rule.

--- a/balance/ownership.go
+++ b/balance/ownership.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/walnutramp/walnutramp/internal/rendezvous"
 )
 
 // Nodes that see the same idle targets at the same moment, as after a data
@@ -67,4 +67,4 @@
 	return secondGain
 }
 
-func ownership(node, id string) uint64 { return xxhash.Sum64String(node + "@" + id) }
+func ownership(node, id string) uint64 { return rendezvous.Weight(node, id) }
--- a/balance/score.go
+++ b/balance/score.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/walnutramp/walnutramp/discovery"
+	"github.com/walnutramp/walnutramp/internal/rendezvous"
 )
 
 // Choice says what a target is wanted for.
@@ -144,7 +144,7 @@
 		if !target.open(now) || home != nil && t.near(home) && !t.near(target) {
 			continue
 		}
-		h := xxhash.Sum64String(c.Key + "@" + target.ID)
+		h := rendezvous.Weight(c.Key, target.ID)
 		if home == nil || t.near(target) && !t.near(home) || h > highest {
 			home, highest = target, h
 		}
--- a/control/relay.go
+++ b/control/relay.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/consensus"
 	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/internal/rendezvous"
 	"k8s.io/klog/v2"
 )
 
@@ -63,7 +63,7 @@
 			delete(r.heard[hall], address)
 			continue
 		}
-		if h := xxhash.Sum64String(entry + "@" + address); best == "" || h > highest {
+		if h := rendezvous.Weight(entry, address); best == "" || h > highest {
 			best, highest = address, h
 		}
 	}
--- /dev/null
+++ b/internal/rendezvous/rendezvous_test.go
@@ -0,0 +1,40 @@
+package rendezvous_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/internal/rendezvous"
+)
+
+func names(n int) []string {
+	var all []string
+	for i := range n {
+		all = append(all, fmt.Sprint("node-", i))
+	}
+	return all
+}
+
+func TestOrderDoesNotDependOnTheOrderBefore(t *testing.T) {
+	a, b := names(20), names(20)
+	slices.Reverse(b)
+	rendezvous.Sort(a, "key")
+	rendezvous.Sort(b, "key")
+	require.Equal(t, a, b)
+	for i := 1; i < len(a); i++ {
+		require.GreaterOrEqual(t, rendezvous.Weight("key", a[i-1]), rendezvous.Weight("key", a[i]))
+	}
+}
+
+func TestOneNameLessMovesOnlyItsKeys(t *testing.T) {
+	for i := range 100 {
+		key := fmt.Sprint("key-", i)
+		all, less := names(20), names(19)
+		rendezvous.Sort(all, key)
+		rendezvous.Sort(less, key)
+		all = slices.DeleteFunc(all, func(name string) bool { return name == "node-19" })
+		require.Equal(t, all, less)
+	}
+}
--- a/loadshare/layout.go
+++ b/loadshare/layout.go
@@ -1,10 +1,9 @@
 package loadshare
 
 import (
-	"cmp"
 	"slices"
 
-	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/internal/rendezvous"
 )
 
 // On a site of many nodes, words pass through relays: some nodes of each data
@@ -64,7 +63,7 @@
 		l.keepers = withDisk
 	}
 	for hall, nodes := range l.relays {
-		rank(nodes, hall)
+		rendezvous.Sort(nodes, hall)
 		n := max(leastRelays, (len(nodes)+relaySpan-1)/relaySpan)
 		l.relays[hall] = nodes[:min(n, len(nodes))]
 	}
@@ -75,14 +74,6 @@
 // nodes, as far as a node of a data hall is concerned.
 func throughRelays(nodes int, hall string) bool { return nodes > directNodes && hall != "" }
 
-// rank sorts addresses by the hash of a key with each: nodes that know the same
-// addresses have the same order, and one more or less changes little.
-func rank(addresses []string, key string) {
-	slices.SortFunc(addresses, func(a, b string) int {
-		return cmp.Or(cmp.Compare(balance.ShortName(key+"@"+b), balance.ShortName(key+"@"+a)), cmp.Compare(a, b))
-	})
-}
-
 // isRelay reports whether this node is one of its data hall's relays.
 func (l *layout) isRelay() bool { return slices.Contains(l.relays[l.hall], l.own) }
 
@@ -90,13 +81,13 @@
 // subscribes to them, so that nodes spread over all.
 func (l *layout) sources(hall string) []string {
 	sources := slices.Clone(l.relays[hall])
-	rank(sources, l.own)
+	rendezvous.Sort(sources, l.own)
 	return sources
 }
 
 // holders returns the nodes that keep the trace of a key.
 func (l *layout) holders(key string) []string {
 	keepers := slices.Clone(l.keepers)
-	rank(keepers, key)
+	rendezvous.Sort(keepers, key)
 	return keepers[:min(traceHolders, len(keepers))]
 }
--- a/loadshare/subscriptions.go
+++ b/loadshare/subscriptions.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/internal/rendezvous"
 	"k8s.io/klog/v2"
 )
 
@@ -83,7 +84,7 @@
 	}
 	s.askedHalls = now
 	some := slices.Clone(l.unknown)
-	rank(some, l.own+strconv.FormatInt(now.UnixNano(), 36)) // each time others
+	rendezvous.Sort(some, l.own+strconv.FormatInt(now.UnixNano(), 36)) // each time others
 	some = some[:min(askHallsMost, len(some))]
 	s.sendTo(s.addressesOf(some), s.signed(message{Asks: true}))
 }
