Log lost contact with the control group and the sizes of documents; no change of logic

The logs of a node could not tell an answer that came too late from a member that was not reached, and nobody logged how large a change is.

--- a/control/client.go
+++ b/control/client.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/discovery"
@@ -49,6 +50,7 @@
 	held        uint64         // version of that list
 	list        []discovery.Target
 	fast        bool // nodes of the group come and go, so silence is given up on early
+	contact     contact
 
 	mu     sync.Mutex
 	seeds  []walnutramp.NodeName // always asked, whoever the members are
@@ -160,16 +162,20 @@
 	asked := time.Now()
 	var reply NewestReply
 	args := NewestArgs{Have: c.Version(), Wait: wait, Unconfirmed: c.fast && c.Version() == 0, Entry: c.entry, Entries: c.entriesHeld, Roster: c.held, DataHall: c.hall}
-	if err := c.peers.Call(ctx, c.target(), Service+".Newest", args, &reply); err != nil {
+	node := c.target()
+	if err := c.peers.Call(ctx, node, Service+".Newest", args, &reply); err != nil {
+		c.contact.failed(node, args.Have, asked, err)
 		c.forgetLeader("")
 		return false
 	}
 	c.LearnGroup(reply.Group)
 	c.takeEntries(&reply)
 	if reply.Code != walnutramp.CodeOK {
+		c.contact.failed(node, args.Have, asked, errors.Newf("answered with %v", reply.Code))
 		c.forgetLeader(reply.Leader)
 		return false
 	}
+	c.contact.heard(node, reply.Version)
 	c.takeRoster(reply.Roster)
 	taken := c.take(reply, asked.Add(-reply.Age))
 	if reply.Unconfirmed {
@@ -265,7 +271,7 @@
 			klog.ErrorS(err, "Bundle not taken", "version", r.Version)
 			return false
 		}
-		klog.InfoS("Configuration in force", "version", r.Version, "had", have, "confirmed", !r.Unconfirmed)
+		klog.InfoS("Configuration in force", "version", r.Version, "had", have, "bytes", len(next), "confirmed", !r.Unconfirmed)
 		doc = next
 	}
 	c.mu.Lock()
--- a/control/state.go
+++ b/control/state.go
@@ -11,6 +11,7 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/target"
+	"k8s.io/klog/v2"
 )
 
 // Command is one change of the state; exactly one of its pointers is set.
@@ -191,7 +192,9 @@
 
 // accept puts a document in force.
 func (s *State) accept(c *Submit, now int64) Result {
-	s.deltas = append(s.deltas, bundle.NewDelta(s.newest().Version, s.doc, c.Version, c.Doc))
+	delta := bundle.NewDelta(s.newest().Version, s.doc, c.Version, c.Doc)
+	klog.InfoS("Document accepted", "version", c.Version, "had", s.newest().Version, "bytes", len(c.Doc), "changeBytes", delta.Size())
+	s.deltas = append(s.deltas, delta)
 	s.deltas = s.deltas[max(0, len(s.deltas)-keepDeltas):]
 	s.doc = c.Doc
 	s.history = append(s.history, Accepted{Version: c.Version, Digest: c.Digest, Operator: c.Operator, At: now})
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -33,6 +33,9 @@
 	}
 	if p.client != nil {
 		fmt.Fprintf(w, "walnutramp_configuration_version %d\n", p.client.Version())
+		asked := p.client.ContactStats()
+		fmt.Fprintf(w, "walnutramp_control_questions_total %d\n", asked.Asked)
+		fmt.Fprintf(w, "walnutramp_control_questions_failed_total %d\n", asked.Failed)
 	}
 	if p.entry != nil {
 		p.entry.gateway.WriteMetrics(w)
