--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -15,13 +15,22 @@
 // Network joins hosts by address.
 type Network struct {
 	// Delay is how long each way takes between two hosts; nil means no time.
-	// It is set before the first connection.
+	// It is set before the first connection, and needed where Rate is set.
 	Delay func(a, b string) time.Duration
+	// Rate is how many bytes a second a host's link carries, each way; nil means
+	// any number. It is set before the first connection.
+	Rate func(host string) float64
 
 	mu        sync.Mutex
 	listeners map[string]*listener
 	conns     map[*conn]struct{}
 	cut       map[[2]string]bool
+	links     map[string]*hostLinks
+}
+
+// hostLinks are a host's links into the network and out of it.
+type hostLinks struct {
+	out, in *slownet.Link
 }
 
 // New returns an empty network.
@@ -30,6 +39,7 @@
 		listeners: map[string]*listener{},
 		conns:     map[*conn]struct{}{},
 		cut:       map[[2]string]bool{},
+		links:     map[string]*hostLinks{},
 	}
 }
 
@@ -61,7 +71,8 @@
 	}
 	a, b := net.Pipe()
 	if n.Delay != nil {
-		a = slownet.New(a, n.Delay(host, l.host))
+		there, back := n.ways(host, l.host)
+		a = slownet.New(a, n.Delay(host, l.host), there, back)
 	}
 	client := &conn{Conn: a, net: n, hosts: pair(host, l.host)}
 	server := &conn{Conn: b, net: n, hosts: client.hosts}
@@ -78,6 +89,26 @@
 	}
 }
 
+// ways returns the links between two hosts, each way. The caller holds the
+// mutex.
+func (n *Network) ways(a, b string) (there, back slownet.Links) {
+	if n.Rate == nil || a == b {
+		return nil, nil
+	}
+	from, to := n.linksOf(a), n.linksOf(b)
+	return slownet.Links{from.out, to.in}, slownet.Links{to.out, from.in}
+}
+
+// linksOf returns a host's links. The caller holds the mutex.
+func (n *Network) linksOf(host string) *hostLinks {
+	l := n.links[host]
+	if l == nil {
+		l = &hostLinks{out: slownet.NewLink(n.Rate(host)), in: slownet.NewLink(n.Rate(host))}
+		n.links[host] = l
+	}
+	return l
+}
+
 // Cut breaks every connection between two hosts and refuses new ones.
 func (n *Network) Cut(a, b string) {
 	n.mu.Lock()
--- a/internal/site/network.go
+++ b/internal/site/network.go
@@ -104,7 +104,7 @@
 			return nil, err
 		}
 		if delay := l.delay(host, address); delay > 0 {
-			return slownet.New(c, delay), nil
+			return slownet.New(c, delay, nil, nil), nil
 		}
 		return c, nil
 	}
--- a/internal/slownet/slownet.go
+++ b/internal/slownet/slownet.go
@@ -1,4 +1,5 @@
-// Package slownet delays connections, to stand for the way between hosts.
+// Package slownet delays connections and limits their rate, to stand for the
+// way between hosts.
 package slownet
 
 import (
@@ -24,9 +25,20 @@
 
 // line carries parcels in order.
 type line struct {
+	delay   time.Duration
+	links   Links
 	parcels chan parcel
 	done    chan struct{}
 	once    sync.Once
+
+	// Where links limit the rate, what was written waits here for its turn, so
+	// that a write never blocks: in a bubble of virtual time, one that blocks
+	// with a mutex held would stop the clock.
+	room   chan struct{} // held by each segment on its way; nil without links
+	more   chan struct{} // says that something waits
+	mu     sync.Mutex
+	waits  []byte
+	ending error // after what waits
 }
 
 const (
@@ -34,13 +46,76 @@
 	readBuffer = 64 << 10
 )
 
-func newLine() *line { return &line{parcels: make(chan parcel, lineDepth), done: make(chan struct{})} }
+func newLine(delay time.Duration, links Links) *line {
+	l := &line{delay: delay, links: links, parcels: make(chan parcel, lineDepth), done: make(chan struct{})}
+	if len(links) > 0 {
+		l.room = make(chan struct{}, window)
+		l.more = make(chan struct{}, 1)
+		go l.pump()
+	}
+	return l
+}
 
 func (l *line) close() { l.once.Do(func() { close(l.done) }) }
 
-func (l *line) put(p parcel) bool {
+// carry sends bytes on their way, and with err the end after them. It keeps data.
+func (l *line) carry(data []byte, err error) bool {
+	if l.room == nil {
+		return l.put(data, err)
+	}
+	l.mu.Lock()
+	l.waits = append(l.waits, data...)
+	l.ending = err
+	l.mu.Unlock()
+	select {
+	case l.more <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// pump hands what waits to the links, a segment at a time, as far as there is
+// room.
+func (l *line) pump() {
+	for {
+		select {
+		case l.room <- struct{}{}:
+		case <-l.done:
+			return
+		}
+		data, err, ok := l.next()
+		if !ok || !l.put(data, err) || err != nil {
+			return
+		}
+	}
+}
+
+// next returns the next segment, when there is one, or the end.
+func (l *line) next() (data []byte, err error, ok bool) {
+	for {
+		l.mu.Lock()
+		n := min(segment, len(l.waits))
+		data, l.waits = l.waits[:n:n], l.waits[n:]
+		err = l.ending
+		l.mu.Unlock()
+		if n > 0 {
+			return data, nil, true
+		}
+		if err != nil {
+			return nil, err, true
+		}
+		select {
+		case <-l.more:
+		case <-l.done:
+			return nil, nil, false
+		}
+	}
+}
+
+func (l *line) put(data []byte, err error) bool {
+	due := l.links.pass(len(data), time.Now()).Add(l.delay)
 	select {
-	case l.parcels <- p:
+	case l.parcels <- parcel{due: due, data: data, err: err}:
 		return true
 	case <-l.done:
 		return false
@@ -67,19 +142,24 @@
 func (l *line) take() (parcel, bool) {
 	select {
 	case p := <-l.parcels:
-		return p, l.until(p.due)
+		arrived := l.until(p.due)
+		if l.room != nil {
+			<-l.room
+		}
+		return p, arrived
 	case <-l.done:
 		return parcel{}, false
 	}
 }
 
-// New returns c with the delay on each direction. Closing it loses what is on
-// its way. Its deadlines do nothing.
-func New(c net.Conn, delay time.Duration) net.Conn {
-	d := &delayed{Conn: c, out: newLine(), in: newLine()}
+// New returns c with the delay on each direction, and the links that what is
+// written and what is read must pass. Closing it loses what is on its way. Its
+// deadlines do nothing.
+func New(c net.Conn, delay time.Duration, out, in Links) net.Conn {
+	d := &delayed{Conn: c, out: newLine(delay, out), in: newLine(delay, in)}
 	go d.send()
-	go d.receive(delay)
-	return &delayedConn{delayed: d, delay: delay}
+	go d.receive()
+	return &delayedConn{delayed: d}
 }
 
 func (d *delayed) send() {
@@ -95,11 +175,11 @@
 	}
 }
 
-func (d *delayed) receive(delay time.Duration) {
+func (d *delayed) receive() {
 	for {
 		buf := make([]byte, readBuffer)
 		n, err := d.Conn.Read(buf)
-		if !d.in.put(parcel{due: time.Now().Add(delay), data: buf[:n], err: err}) || err != nil {
+		if !d.in.carry(buf[:n], err) || err != nil {
 			return
 		}
 	}
@@ -113,12 +193,11 @@
 
 type delayedConn struct {
 	*delayed
-	delay time.Duration
 }
 
 // Write implements net.Conn.
 func (c *delayedConn) Write(p []byte) (int, error) {
-	if !c.out.put(parcel{due: time.Now().Add(c.delay), data: append([]byte(nil), p...)}) {
+	if !c.out.carry(append([]byte(nil), p...), nil) {
 		return 0, net.ErrClosed
 	}
 	return len(p), nil
@@ -136,7 +215,7 @@
 		}
 		c.rest = next.data
 		if next.err != nil {
-			c.in.put(parcel{err: next.err})
+			c.in.put(nil, next.err)
 		}
 	}
 	n := copy(p, c.rest)
