Read large updates in pieces near by, compressed, at a bounded rate

Cause: a change of 290 kB went to 79 entries at once as part of the leader's answers, 23 MB through one link of 100 Mbit/s; votes and heartbeats waited behind it, the leader was deposed, and answers not there 1.6 s after the question were thrown away and asked for anew at the next leader, whose link filled in turn. Ruled out: processor time (14 and 2 in 100), disks, documents that do not fit (none logged).

Now an update of more than 8 KiB (compressed) is not part of the answer. The leader names the member of the node's data hall, which hands it out in pieces of 32 KiB at half of its link. Documents are compressed in the log as well.

Test: 71 to 73 of 79 entries late and the leader deposed -> none late, same leader.

--- a/control/calls.go
+++ b/control/calls.go
@@ -82,8 +82,7 @@
 // Offer hands a document to the group of a site that asks for no signature.
 // What it holds must have been checked.
 func (c *Client) Offer(ctx context.Context, version uint64, doc []byte) (Result, error) {
-	sub := Submit{Version: version, Digest: bundle.Digest(doc), Operator: "operator", Doc: doc}
-	r, err := c.do(ctx, ".Offer", OfferArgs{Submit: sub})
+	r, err := c.do(ctx, ".Offer", OfferArgs{Submit: newSubmit(version, "operator", doc)})
 	if err != nil {
 		return Result{}, err
 	}
@@ -97,11 +96,15 @@
 	defer cancel()
 	for {
 		var reply NewestReply
+		node := c.target()
 		tryCtx, cancelTry := context.WithTimeout(ctx, tryTime)
-		err := c.peers.Call(tryCtx, c.target(), Service+".Newest", NewestArgs{}, &reply)
+		err := c.peers.Call(tryCtx, node, Service+".Newest", NewestArgs{}, &reply)
 		cancelTry()
 		if err == nil && reply.Code == walnutramp.CodeOK {
-			return reply.Version, reply.Doc, true
+			if doc, err = c.confirmed(ctx, node, &reply); err == nil {
+				return reply.Version, doc, true
+			}
+			klog.InfoS("Configuration not read whole", "node", node, "version", reply.Version, "err", err)
 		}
 		c.forgetLeader(reply.Leader)
 		if !pause.For(ctx, tryPause) {
@@ -110,6 +113,15 @@
 	}
 }
 
+// confirmed returns the document of an answer to a node that holds none; nil
+// before the first.
+func (c *Client) confirmed(ctx context.Context, node walnutramp.NodeName, r *NewestReply) ([]byte, error) {
+	if r.Version == 0 {
+		return nil, nil
+	}
+	return c.document(ctx, node, 0, nil, r)
+}
+
 // Submit offers a signed bundle to the group.
 func (c *Client) Submit(ctx context.Context, doc []byte, s bundle.Signature) (Result, error) {
 	r, err := c.do(ctx, ".Submit", SubmitArgs{Doc: doc, Signature: s})
--- a/control/client.go
+++ b/control/client.go
@@ -50,6 +50,7 @@
 	held        uint64         // version of that list
 	list        []discovery.Target
 	fast        bool // nodes of the group come and go, so silence is given up on early
+	whole       bool // the change to the newest document did not fit: the whole is asked for
 	contact     contact
 
 	mu     sync.Mutex
@@ -161,7 +162,11 @@
 	defer cancel()
 	asked := time.Now()
 	var reply NewestReply
-	args := NewestArgs{Have: c.Version(), Wait: wait, Unconfirmed: c.fast && c.Version() == 0, Entry: c.entry, Entries: c.entriesHeld, Roster: c.held, DataHall: c.hall}
+	have := c.Version()
+	if c.whole {
+		have = 0
+	}
+	args := NewestArgs{Have: have, Wait: wait, Unconfirmed: c.fast && c.Version() == 0, Entry: c.entry, Entries: c.entriesHeld, Roster: c.held, DataHall: c.hall}
 	node := c.target()
 	if err := c.peers.Call(ctx, node, Service+".Newest", args, &reply); err != nil {
 		c.contact.failed(node, args.Have, asked, err)
@@ -177,7 +182,7 @@
 	}
 	c.contact.heard(node, reply.Version)
 	c.takeRoster(reply.Roster)
-	taken := c.take(reply, asked.Add(-reply.Age))
+	taken := c.take(node, args.Have, &reply, asked.Add(-reply.Age))
 	if reply.Unconfirmed {
 		c.forgetLeader(reply.Leader)
 		return false
@@ -249,8 +254,9 @@
 	}
 }
 
-// take puts a newer bundle in force and extends the lease.
-func (c *Client) take(r NewestReply, asked time.Time) bool {
+// take puts a newer document in force and extends the lease. The answer is a
+// node's to the question of one that holds a version.
+func (c *Client) take(node walnutramp.NodeName, had uint64, r *NewestReply, asked time.Time) bool {
 	c.mu.Lock()
 	doc, have := c.doc, c.have
 	c.mu.Unlock()
@@ -258,22 +264,19 @@
 		return false // an older leader's word; versions never go back
 	}
 	if r.Version > have {
-		next, err := advance(doc, r)
-		if err != nil {
-			klog.ErrorS(err, "Bundle not taken", "version", r.Version)
-			return c.takeWhole()
-		}
-		if bundle.Digest(next) != r.Digest {
-			klog.ErrorS(nil, "Bundle not taken: another digest", "version", r.Version)
-			return false
+		next, err := c.document(c.ctx, node, had, doc, r)
+		if err == nil {
+			err = c.adopt(r.Version, next)
 		}
-		if err := c.adopt(r.Version, next); err != nil {
-			klog.ErrorS(err, "Bundle not taken", "version", r.Version)
+		if err != nil {
+			klog.ErrorS(err, "Configuration not taken", "version", r.Version, "had", had)
+			c.whole = true
 			return false
 		}
 		klog.InfoS("Configuration in force", "version", r.Version, "had", have, "bytes", len(next), "confirmed", !r.Unconfirmed)
 		doc = next
 	}
+	c.whole = false
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.doc, c.have = doc, r.Version
@@ -283,30 +286,3 @@
 	c.until = asked.Add(LeaseTime)
 	return true
 }
-
-// advance returns the newest document from what a node holds and the answer.
-func advance(doc []byte, r NewestReply) ([]byte, error) {
-	if r.Doc != nil {
-		return r.Doc, nil
-	}
-	for i := range r.Deltas {
-		var err error
-		if doc, err = r.Deltas[i].Apply(doc); err != nil {
-			return nil, err
-		}
-	}
-	return doc, nil
-}
-
-// takeWhole asks for the whole document after a delta did not fit.
-func (c *Client) takeWhole() bool {
-	ctx, cancel := context.WithTimeout(c.ctx, renewLimit)
-	defer cancel()
-	asked := time.Now()
-	var reply NewestReply
-	err := c.peers.Call(ctx, c.target(), Service+".Newest", NewestArgs{}, &reply)
-	if err != nil || reply.Code != walnutramp.CodeOK || reply.Doc == nil {
-		return false
-	}
-	return c.take(reply, asked)
-}
--- a/control/model_test.go
+++ b/control/model_test.go
@@ -420,6 +420,8 @@
 		return n.member.Handler().Append(a, reply.(*consensus.AppendReply))
 	case Service + ".Newest":
 		return n.server.Newest(args.(NewestArgs), reply.(*NewestReply))
+	case Service + ".Piece":
+		return n.server.Piece(args.(PieceArgs), reply.(*PieceReply))
 	case Service + ".Offer":
 		return n.server.Offer(args.(OfferArgs), reply.(*DoReply))
 	case Service + ".Join":
--- a/control/relay.go
+++ b/control/relay.go
@@ -212,19 +212,7 @@
 	r.mu.Lock()
 	confirmed := r.version
 	r.mu.Unlock()
-	late := time.NewTimer(relayLag)
-	defer late.Stop()
-	for {
-		applied, _, _, changed := r.server.state.since(confirmed)
-		if applied.Version >= confirmed {
-			return
-		}
-		select {
-		case <-changed:
-		case <-late.C:
-			return
-		}
-	}
+	r.server.awaitVersion(confirmed, relayLag)
 }
 
 // fresh reports whether the leader's word is new enough, and this member has
--- a/control/relay_test.go
+++ b/control/relay_test.go
@@ -36,11 +36,11 @@
 // newRelayPair returns a leader's server and a relay with its own.
 func newRelayPair() (*leaderPeers, *Server, *Relay) {
 	rule := WithRule(AcceptHighest)
-	peers := &leaderPeers{leader: &Server{state: NewState(rule), roster: NewRoster()}}
+	peers := &leaderPeers{leader: NewOpenServer(nil, NewState(rule), nil, NewRoster())}
 	for i := range relayedFrom + 1 {
 		peers.leader.entries.note(fmt.Sprint("e", i))
 	}
-	member := &Server{state: NewState(rule), roster: NewRoster()}
+	member := NewOpenServer(nil, NewState(rule), nil, NewRoster())
 	return peers, member, NewRelay(peers, "relay", "north", nil, member)
 }
 
--- a/control/server.go
+++ b/control/server.go
@@ -8,6 +8,7 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/consensus"
+	"golang.org/x/time/rate"
 )
 
 // Service is the name under which the control group answers nodes.
@@ -41,8 +42,13 @@
 	Leader  walnutramp.NodeName // where to ask instead, if known
 	Version uint64
 	Digest  string
-	Deltas  []bundle.Delta
-	Doc     []byte // where there are no deltas from the asker's version
+	// Update leads from the asker's document to this one, compressed. One that
+	// is too large for an answer is left out: then its size and hash are told,
+	// and Source, or else who answers, hands it out in pieces.
+	Update      []byte
+	UpdateBytes int
+	UpdateHash  uint64
+	Source      walnutramp.NodeName
 	// Group names the members, as far as the one who answers knows.
 	Group []walnutramp.NodeName
 	// Unconfirmed says that a newer one may be in force.
@@ -79,6 +85,8 @@
 type Server struct {
 	member    *consensus.Member
 	state     *State
+	updates   *updates
+	feed      *rate.Limiter // of pieces of updates
 	operators bundle.Operators
 	keeper    *Keeper // nil where members are changed by hand
 	entries   entries
@@ -87,15 +95,35 @@
 	relay     *Relay  // relays the leader's word, while another leads; nil for none
 }
 
+// ServerOption sets how a Server works.
+type ServerOption func(*Server)
+
+// WithLink tells how many bytes a second the node's link carries, so that
+// reading large documents leaves room on it.
+func WithLink(bytesPerSecond float64) ServerOption {
+	return func(s *Server) { s.feed = newFeed(bytesPerSecond) }
+}
+
 // NewOpenServer returns a server of a site that asks for no signatures and
 // whose members change by themselves.
-func NewOpenServer(m *consensus.Member, s *State, k *Keeper, r *Roster) *Server {
-	return &Server{member: m, state: s, keeper: k, roster: r}
+func NewOpenServer(m *consensus.Member, s *State, k *Keeper, r *Roster, opts ...ServerOption) *Server {
+	server := newServer(m, s)
+	server.keeper, server.roster = k, r
+	for _, opt := range opts {
+		opt(server)
+	}
+	return server
 }
 
 // NewServer returns a server over a member and its state.
 func NewServer(m *consensus.Member, s *State, operators bundle.Operators) *Server {
-	return &Server{member: m, state: s, operators: operators}
+	server := newServer(m, s)
+	server.operators = operators
+	return server
+}
+
+func newServer(m *consensus.Member, s *State) *Server {
+	return &Server{member: m, state: s, updates: &updates{state: s}, feed: newFeed(0)}
 }
 
 // Newest implements the RPC behind each node's lease.
@@ -129,12 +157,24 @@
 	if s.roster != nil && args.wantsRoster() {
 		reply.Roster = s.roster.since(args.Roster)
 	}
-	if args.Entry != "" && s.entries.count() > relayedFrom {
-		reply.Relay = s.relays.of(args.DataHall, args.Entry)
+	if args.Entry != "" {
+		s.refer(args, reply)
 	}
 	return nil
 }
 
+// refer names an entry the member of its data hall that it should ask from now
+// on, on a site of many entries, and where to read a large update.
+func (s *Server) refer(args NewestArgs, reply *NewestReply) {
+	near := s.relays.of(args.DataHall, args.Entry)
+	if s.entries.count() > relayedFrom {
+		reply.Relay = near
+	}
+	if reply.UpdateBytes > 0 {
+		reply.Source = near
+	}
+}
+
 // wantsRoster reports whether the asker uses the list of targets.
 func (a *NewestArgs) wantsRoster() bool { return a.Entry != "" || a.Relay != "" }
 
@@ -149,10 +189,14 @@
 
 // fill answers with what this member has applied.
 func (s *Server) fill(args NewestArgs, reply *NewestReply) {
-	newest, deltas, doc, _ := s.state.since(args.Have)
+	newest, packed := s.updates.since(args.Have)
 	reply.Code = walnutramp.CodeOK
 	reply.Version, reply.Digest = newest.Version, newest.Digest
-	reply.Deltas, reply.Doc = deltas, doc
+	if len(packed.bytes) <= inlineBytes {
+		reply.Update = packed.bytes
+		return
+	}
+	reply.UpdateBytes, reply.UpdateHash = len(packed.bytes), packed.hash
 }
 
 // OfferArgs is a document of a site that asks for no signature.
@@ -277,6 +321,6 @@
 		reply.Code = walnutramp.CodeBundleInvalid
 		return nil
 	}
-	sub := &Submit{Version: b.Version, Digest: bundle.Digest(args.Doc), Operator: args.Signature.Operator, Doc: args.Doc}
-	return s.propose(Command{Submit: sub}, reply)
+	sub := newSubmit(b.Version, args.Signature.Operator, args.Doc)
+	return s.propose(Command{Submit: &sub}, reply)
 }
--- a/control/state.go
+++ b/control/state.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/internal/pack"
 	"github.com/walnutramp/walnutramp/target"
 	"k8s.io/klog/v2"
 )
@@ -27,7 +28,14 @@
 	Version  uint64
 	Digest   string
 	Operator string
-	Doc      []byte
+	Doc      []byte // compressed
+}
+
+// newSubmit returns the offer of a checked document. The log carries documents
+// compressed, to a tenth for many routes, so that a large one passes the
+// leader's link to all members within a heartbeat.
+func newSubmit(version uint64, operator string, doc []byte) Submit {
+	return Submit{Version: version, Digest: bundle.Digest(doc), Operator: operator, Doc: pack.Compress(doc)}
 }
 
 // Claim asks to be the one who runs a request.
@@ -192,11 +200,16 @@
 
 // accept puts a document in force.
 func (s *State) accept(c *Submit, now int64) Result {
-	delta := bundle.NewDelta(s.newest().Version, s.doc, c.Version, c.Doc)
-	klog.InfoS("Document accepted", "version", c.Version, "had", s.newest().Version, "bytes", len(c.Doc), "changeBytes", delta.Size())
+	doc, err := pack.Expand(c.Doc, maxDocument)
+	if err != nil {
+		klog.ErrorS(err, "Document not accepted", "version", c.Version)
+		return Result{Code: walnutramp.CodeBundleInvalid, Version: s.newest().Version}
+	}
+	delta := bundle.NewDelta(s.newest().Version, s.doc, c.Version, doc)
+	klog.InfoS("Document accepted", "version", c.Version, "had", s.newest().Version, "bytes", len(doc), "changeBytes", delta.Size())
 	s.deltas = append(s.deltas, delta)
 	s.deltas = s.deltas[max(0, len(s.deltas)-keepDeltas):]
-	s.doc = c.Doc
+	s.doc = doc
 	s.history = append(s.history, Accepted{Version: c.Version, Digest: c.Digest, Operator: c.Operator, At: now})
 	s.history = s.history[max(0, len(s.history)-keepHistory):]
 	close(s.changed)
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -28,7 +28,8 @@
 	doc := documentOf(version)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.submit(&Submit{Version: version, Digest: bundle.Digest(doc), Doc: doc}, 0)
+	sub := newSubmit(version, "operator", doc)
+	s.submit(&sub, 0)
 }
 
 // A node that asks now and then gets to the newest document whatever version
@@ -51,7 +52,7 @@
 		if deltas != nil {
 			byDeltas++
 		}
-		next, err := advance(doc, NewestReply{Version: newest.Version, Deltas: deltas, Doc: whole})
+		next, err := (&update{Deltas: deltas, Doc: whole}).apply(doc)
 		require.NoError(t, err)
 		require.Equal(t, string(documentOf(version)), string(next))
 		require.Equal(t, newest.Digest, bundle.Digest(next))
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -26,6 +26,7 @@
 	compactBytes  = 8 << 20
 	replicaFinish = 1 * time.Second // for operators' calls when the process stops
 	exitDiskLost  = 3
+	bytesPerMbit  = 1e6 / 8
 )
 
 // replica serves operators, as a member of the control group or as a proxy of
@@ -78,7 +79,7 @@
 	roster := control.NewRoster()
 	poller := discovery.NewPoller(p.adapter.Source(false), roster.Set, discovery.WithOnly(member.Leads))
 	server := peer.NewServer(self, &p.traffic)
-	answers := control.NewOpenServer(member, state, keeper, roster)
+	answers := control.NewOpenServer(member, state, keeper, roster, control.WithLink(s.LinkMbps*bytesPerMbit))
 	relay := control.NewRelay(p.peers, self.Node, s.DataHall, member, answers)
 	if err := errors.Join(
 		server.Register(consensus.Service, member.Handler()),
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -35,6 +35,7 @@
 	Founder    bool                  // this node founds the group if its disk is empty
 	DataDir    string
 	MemoryMB   int
+	LinkMbps   float64       // what the machine's link carries, in megabits a second; 0 for unknown
 	Grace      time.Duration // from the order to stop to the kill
 	OperatorIn time.Duration // in which an operator wants an answer
 
