--- a/control/fetch.go
+++ b/control/fetch.go
@@ -16,7 +16,7 @@
 const (
 	pieceLimit = feedWait + 400*time.Millisecond // of one piece: its turn, and the way
 	piecePause = 50 * time.Millisecond           // after one that did not come
-	pieceTries = 6                               // in a row that failed
+	pieceTries = 4                               // in a row that failed: each node twice
 	pieceBusy  = 5 * time.Second                 // without a piece, while nodes say that it is not its turn
 )
 
--- a/control/large_test.go
+++ b/control/large_test.go
@@ -42,6 +42,23 @@
 	})
 }
 
+// Entries that start together, as after a loss of power, all want the whole
+// document.
+func TestEntriesThatStartTogetherGetALargeDocument(t *testing.T) {
+	inFleet(t, 8, 0, func(t *testing.T, fl *fleet) {
+		fl.offer(1, routesDocument(1, 4240))
+		leader := fl.leader()
+		term := leader.raft.Status().Term
+		began := time.Now()
+		for i := range 79 {
+			fl.startEntry(i)
+		}
+		time.Sleep(inForceTime)
+		require.Zero(t, fl.late(1, began), "entries without the document in time")
+		require.Equal(t, term, leader.raft.Status().Term, "the leader was deposed")
+	})
+}
+
 // randomDocument returns a document that does not compress.
 func randomDocument(seed uint64, bytes int) []byte {
 	doc := make([]byte, bytes)
