--- a/code.go
+++ b/code.go
@@ -110,7 +110,7 @@
 	{CodeTargetSlow, "target-slow", 504, "The target did not answer in the time that the request may take."},
 	{CodeStaleEpoch, "stale-epoch", 409, "A newer epoch holds the generation."},
 	{CodeWrongIncarnation, "wrong-incarnation", 409, "The node restarted since and knows nothing of this."},
-	{CodeNotHeld, "not-held", 404, "This node does not hold the generation."},
+	{CodeNotHeld, "not-held", 404, "This node does not hold the generation, or what a piece was asked of."},
 	{CodeNoQuorum, "no-quorum", 503, "No majority answered."},
 	{CodeStranger, "stranger", 403, "The peer is not a node of this site."},
 	{CodeBundleInvalid, "bundle-invalid", 400, "The bundle has mistakes."},
--- a/control/state.go
+++ b/control/state.go
@@ -206,7 +206,7 @@
 		return Result{Code: walnutramp.CodeBundleInvalid, Version: s.newest().Version}
 	}
 	delta := bundle.NewDelta(s.newest().Version, s.doc, c.Version, doc)
-	klog.InfoS("Document accepted", "version", c.Version, "had", s.newest().Version, "bytes", len(doc), "changeBytes", delta.Size())
+	klog.InfoS("Document accepted", "version", c.Version, "had", s.newest().Version, "bytes", len(doc), "compressed", len(c.Doc), "changeBytes", delta.Size())
 	s.deltas = append(s.deltas, delta)
 	s.doc = doc
 	s.forgetDeltas()
