--- a/control/calls.go
+++ b/control/calls.go
@@ -88,7 +88,7 @@
 // What it holds must have been checked.
 func (c *Client) Offer(ctx context.Context, version uint64, doc []byte) (Result, error) {
 	sub := newSubmit(version, "operator", doc)
-	try := tryTime + time.Duration(len(sub.Doc))*time.Second/offerRate
+	try := tryTime + time.Duration(len(sub.Packed))*time.Second/offerRate
 	r, err := c.doWithin(ctx, try, ".Offer", OfferArgs{Submit: sub})
 	if err != nil {
 		return Result{}, err
--- a/control/server.go
+++ b/control/server.go
@@ -11,6 +11,7 @@
 	"github.com/walnutramp/walnutramp/consensus"
 	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
+	"k8s.io/klog/v2"
 )
 
 // Service is the name under which the control group answers nodes.
@@ -213,12 +214,22 @@
 	answer, err, _ := s.offers.Do(name, func() (any, error) {
 		var first DoReply
 		err := s.propose(Command{Submit: &args.Submit}, &first)
+		s.logAccepted(&args.Submit, &first)
 		return first, err
 	})
 	*reply = answer.(DoReply)
 	return err
 }
 
+// logAccepted logs a document that is newly in force, with its sizes.
+func (s *Server) logAccepted(c *Submit, r *DoReply) {
+	if r.Code != walnutramp.CodeOK || r.Result.Version != c.Version {
+		return
+	}
+	doc, change := s.state.sizes()
+	klog.InfoS("Document accepted", "version", c.Version, "bytes", doc, "compressed", len(c.Packed), "changeBytes", change)
+}
+
 // JoinArgs asks to become a member.
 type JoinArgs struct {
 	Node     walnutramp.NodeName
--- a/control/state.go
+++ b/control/state.go
@@ -28,14 +28,23 @@
 	Version  uint64
 	Digest   string
 	Operator string
-	Doc      []byte // compressed
+	Packed   []byte // the document, compressed
+	Doc      []byte // as it is, in logs that were written before it was compressed
 }
 
 // newSubmit returns the offer of a checked document. The log carries documents
-// compressed, to a tenth for many routes, so that a large one passes the
-// leader's link to all members within a heartbeat.
+// compressed, one of 1,400 routes to a thirteenth, so that a large one passes
+// the leader's link to all members within a heartbeat.
 func newSubmit(version uint64, operator string, doc []byte) Submit {
-	return Submit{Version: version, Digest: bundle.Digest(doc), Operator: operator, Doc: pack.Compress(doc)}
+	return Submit{Version: version, Digest: bundle.Digest(doc), Operator: operator, Packed: pack.Compress(doc)}
+}
+
+// document returns the document that is offered.
+func (c *Submit) document() ([]byte, error) {
+	if c.Packed == nil {
+		return c.Doc, nil
+	}
+	return pack.Expand(c.Packed, maxDocument)
 }
 
 // Claim asks to be the one who runs a request.
@@ -200,14 +209,12 @@
 
 // accept puts a document in force.
 func (s *State) accept(c *Submit, now int64) Result {
-	doc, err := pack.Expand(c.Doc, maxDocument)
+	doc, err := c.document()
 	if err != nil {
 		klog.ErrorS(err, "Document not accepted", "version", c.Version)
 		return Result{Code: walnutramp.CodeBundleInvalid, Version: s.newest().Version}
 	}
-	delta := bundle.NewDelta(s.newest().Version, s.doc, c.Version, doc)
-	klog.InfoS("Document accepted", "version", c.Version, "had", s.newest().Version, "bytes", len(doc), "compressed", len(c.Doc), "changeBytes", delta.Size())
-	s.deltas = append(s.deltas, delta)
+	s.deltas = append(s.deltas, bundle.NewDelta(s.newest().Version, s.doc, c.Version, doc))
 	s.doc = doc
 	s.forgetDeltas()
 	s.history = append(s.history, Accepted{Version: c.Version, Digest: c.Digest, Operator: c.Operator, At: now})
@@ -321,6 +328,16 @@
 	return nil
 }
 
+// sizes returns how many bytes the newest document has, and what last changed it.
+func (s *State) sizes() (doc, change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.deltas) > 0 {
+		change = s.deltas[len(s.deltas)-1].Size()
+	}
+	return len(s.doc), change
+}
+
 // since returns what leads from a version to the newest: deltas where they
 // are kept, else the whole document.
 func (s *State) since(version uint64) (newest Accepted, deltas []bundle.Delta, doc []byte, changed <-chan struct{}) {
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 )
 
@@ -86,3 +87,37 @@
 	_, deltas, _, _ := restored.since(5)
 	require.Len(t, deltas, 1)
 }
+
+// A member that is started on the disk of an older version, whose log holds
+// documents as they are, has the same state as one whose log was compressed.
+func TestLogOfDocumentsThatAreNotCompressedIsRead(t *testing.T) {
+	older, newer := NewState(WithRule(AcceptHighest)), NewState(WithRule(AcceptHighest))
+	for version := uint64(1); version < 6; version++ {
+		doc := documentOf(version)
+		plain := Submit{Version: version, Digest: bundle.Digest(doc), Operator: "operator", Doc: doc}
+		require.Equal(t, walnutramp.CodeOK, older.submit(&plain, 0).Code)
+		accept(newer, version)
+	}
+	require.Equal(t, newer.Snapshot(), older.Snapshot())
+}
+
+func TestDocumentThatCannotBeExpandedIsNotAccepted(t *testing.T) {
+	s := NewState(WithRule(AcceptHighest))
+	accept(s, 1)
+	sub := Submit{Version: 2, Digest: "d", Operator: "operator", Packed: []byte("no compressed text")}
+	require.Equal(t, walnutramp.CodeBundleInvalid, s.submit(&sub, 0).Code)
+	newest, _, doc, _ := s.since(0)
+	require.Equal(t, uint64(1), newest.Version)
+	require.Equal(t, string(documentOf(1)), string(doc))
+}
+
+// Deltas that add up to more than the document are sent to nobody, so they are
+// not kept, nor in snapshots.
+func TestLongDeltasAreForgotten(t *testing.T) {
+	s := NewState(WithRule(AcceptHighest))
+	for version := uint64(1); version < 20; version++ {
+		submitRandom(s, version)
+	}
+	require.Empty(t, s.deltas)
+	require.Less(t, len(s.Snapshot()), 2*len(s.doc))
+}
