--- /dev/null
+++ b/control/model_site_test.go
@@ -0,0 +1,343 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/cockroachdb/errors"
+	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/consensus"
+	"github.com/walnutramp/walnutramp/internal/memfs"
+	"github.com/walnutramp/walnutramp/wal"
+)
+
+type model struct {
+	defect defect
+	seed   uint64
+	names  []walnutramp.NodeName // the seeds, by founding
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	nodes   map[walnutramp.NodeName]*modelNode
+	cut     map[[2]walnutramp.NodeName]bool
+	version uint64
+	history []porcupine.Operation
+	began   time.Time
+	next    int // number of the next new node
+}
+
+type modelNode struct {
+	name     walnutramp.NodeName
+	disk     *memfs.FS
+	identity consensus.Identity
+	member   *consensus.Member
+	state    *State
+	server   *Server
+	client   *Client
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+	up       bool
+	gone     bool // for good
+}
+
+// lyingDisk returns from a sync that it has not done.
+type lyingDisk struct{ *memfs.FS }
+
+type lyingFile struct{ wal.File }
+
+func (lyingFile) Sync() error { return nil }
+
+func (d lyingDisk) Create(name string) (wal.File, error) {
+	f, err := d.FS.Create(name)
+	return lyingFile{f}, err
+}
+
+func (d lyingDisk) Append(name string, size int64) (wal.File, error) {
+	f, err := d.FS.Append(name, size)
+	return lyingFile{f}, err
+}
+
+func newModel(seed uint64, d defect) *model {
+	m := &model{
+		defect: d, seed: seed, rng: rand.New(rand.NewPCG(seed, 99)), nodes: map[walnutramp.NodeName]*modelNode{},
+		cut: map[[2]walnutramp.NodeName]bool{}, began: time.Now(), names: []walnutramp.NodeName{"n1", "n2", "n3"}, next: 4,
+	}
+	for _, name := range m.names {
+		m.nodes[name] = &modelNode{name: name, disk: memfs.New()}
+		m.start(name, true)
+	}
+	if seed%2 == 0 { // four voters on every other seed
+		m.add()
+	}
+	return m
+}
+
+func (m *model) intn(n int) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rng.IntN(n)
+}
+
+func (m *model) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(m.intn(int(high-low)))
+}
+
+// add makes a new machine with an empty disk.
+func (m *model) add() walnutramp.NodeName {
+	m.mu.Lock()
+	name := walnutramp.NodeName(fmt.Sprintf("n%d", m.next))
+	m.next++
+	m.nodes[name] = &modelNode{name: name, disk: memfs.New()}
+	m.mu.Unlock()
+	m.start(name, false)
+	return name
+}
+
+func (m *model) start(name walnutramp.NodeName, founder bool) {
+	m.mu.Lock()
+	n := m.nodes[name]
+	m.mu.Unlock()
+	var disk wal.FS = n.disk
+	if m.defect == acksBeforeSync {
+		disk = lyingDisk{n.disk}
+	}
+	if founder {
+		FoundIdentity(disk)
+	}
+	identity, err := ReadIdentity(disk)
+	if err != nil {
+		panic(err)
+	}
+	var founding consensus.Group
+	if identity == consensus.Founder {
+		founding = FoundingGroup(m.names)
+	}
+	peers := modelPeers{m, name}
+	n.state = NewState(WithRule(AcceptHighest))
+	opts := []consensus.Option{
+		consensus.WithTiming(100*time.Millisecond, 400*time.Millisecond), consensus.WithSeed(uint64(m.intn(1 << 30))),
+		consensus.WithCompaction(6000), consensus.WithCommitNotes(),
+	}
+	if m.seed%3 == 0 {
+		opts = append(opts, consensus.WithCallBytes(modelCallBytes))
+	}
+	if m.defect == swapsTwoMembers {
+		opts = append(opts, consensus.WithUncheckedChanges())
+	}
+	n.member, err = consensus.New(name, identity, disk, founding, peers, n.state, opts...)
+	if err != nil {
+		panic(err)
+	}
+	keeper := NewKeeper(name, n.member)
+	client := NewDocumentClient(peers, m.seeds(), func(uint64, []byte) error { return nil })
+	ctx, cancel := context.WithCancel(context.Background())
+	m.mu.Lock()
+	n.identity, n.client, n.cancel = identity, client, cancel
+	n.server = NewOpenServer(n.member, n.state, keeper, NewRoster())
+	n.up = true
+	m.mu.Unlock()
+	n.member.Start()
+	run := keeper.Run
+	if m.defect == swapsTwoMembers {
+		run = func(ctx context.Context) { swapMembers(ctx, keeper) }
+	}
+	n.tasks.Go(func() { run(ctx) })
+	n.tasks.Go(func() { NewJoiner(peers, name, identity, n.member, client).Run(ctx) })
+}
+
+// swapMembers is a keeper with the mistake: it puts a newcomer in the place
+// of a voter that is silent for a moment, in one change, counted at once.
+func swapMembers(ctx context.Context, k *Keeper) {
+	for ctx.Err() == nil {
+		time.Sleep(keepEvery)
+		if !k.member.Leads() {
+			continue
+		}
+		g := k.member.Status().Group
+		silent, since := silentVoter(k.member.Followers())
+		for node, n := range k.waiting() {
+			if _, there := g.Find(node); there {
+				continue
+			}
+			if since > 300*time.Millisecond {
+				g = g.Without(silent.Node)
+			}
+			k.member.Change(ctx, g.With(consensus.Voter{Node: node, Identity: n.identity}))
+		}
+	}
+}
+
+// seeds are the nodes that a process is told of when it starts: up to three
+// of the machines that are there, whether they run or not.
+func (m *model) seeds() []walnutramp.NodeName {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var there []walnutramp.NodeName
+	for name, n := range m.nodes {
+		if !n.gone {
+			there = append(there, name)
+		}
+	}
+	slices.Sort(there)
+	return there[:min(3, len(there))]
+}
+
+// remove kills a machine for good.
+func (m *model) remove(name walnutramp.NodeName) {
+	m.kill(name, false)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.nodes[name].gone = true
+}
+
+// kill ends a node as a crash does; power loses what was not synced.
+func (m *model) kill(name walnutramp.NodeName, power bool) {
+	m.mu.Lock()
+	n := m.nodes[name]
+	up := n.up
+	n.up = false
+	m.mu.Unlock()
+	if !up {
+		return
+	}
+	n.cancel()
+	n.member.Close()
+	n.client.Close()
+	n.tasks.Wait()
+	keep := 1 << 20
+	if power {
+		keep = m.intn(60)
+	}
+	if m.defect == acksBeforeSync {
+		keep = 0
+	}
+	n.disk.Crash(keep)
+}
+
+func (m *model) wipe(name walnutramp.NodeName) {
+	n := m.nodes[name]
+	n.disk.Wipe()
+	if m.defect == votesAsOldSelf {
+		writeIdentity(n.disk, n.identity)
+	}
+}
+
+func (m *model) live() []walnutramp.NodeName {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []walnutramp.NodeName
+	for name, n := range m.nodes {
+		if n.up {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (m *model) any() walnutramp.NodeName {
+	live := m.live()
+	if len(live) == 0 {
+		return m.names[0]
+	}
+	return live[m.intn(len(live))]
+}
+
+// setCut cuts or joins one direction.
+func (m *model) setCut(from, to walnutramp.NodeName, cut bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cut[[2]walnutramp.NodeName{from, to}] = cut
+}
+
+// partition cuts one side from the other; oneWay leaves the way back.
+func (m *model) partition(side []walnutramp.NodeName, cut, oneWay bool) {
+	for _, a := range m.live() {
+		for _, b := range m.live() {
+			if slices.Contains(side, a) != slices.Contains(side, b) && (!oneWay || slices.Contains(side, a)) {
+				m.setCut(a, b, cut)
+			}
+		}
+	}
+}
+
+func (m *model) heal() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.cut)
+}
+
+// modelPeers carries a node's calls.
+type modelPeers struct {
+	m    *model
+	from walnutramp.NodeName
+}
+
+func (p modelPeers) Call(ctx context.Context, to walnutramp.NodeName, method string, args, reply any) error {
+	target, delay, reached := p.m.reach(p.from, to)
+	if !reached {
+		<-ctx.Done() // a cut says nothing
+		return ctx.Err()
+	}
+	if target == nil {
+		time.Sleep(delay)
+		return errSilent // a dead port refuses
+	}
+	time.Sleep(delay)
+	if err := p.m.deliver(target, method, args, reply); err != nil {
+		return err
+	}
+	if _, delay, reached = p.m.reach(to, p.from); !reached {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(delay)
+	return ctx.Err()
+}
+
+// reach returns a node as it is now; nil if its process is down.
+func (m *model) reach(from, to walnutramp.NodeName) (*modelNode, time.Duration, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delay := time.Duration(m.rng.IntN(4000)+200) * time.Microsecond
+	if m.cut[[2]walnutramp.NodeName{from, to}] || m.rng.IntN(400) == 0 {
+		return nil, delay, false
+	}
+	n := m.nodes[to]
+	if n == nil || !n.up {
+		return nil, delay, true
+	}
+	now := &modelNode{member: n.member, server: n.server, identity: n.identity}
+	return now, delay, true
+}
+
+func (m *model) deliver(n *modelNode, method string, args, reply any) error {
+	switch method {
+	case consensus.Service + ".Vote":
+		a := args.(consensus.VoteArgs)
+		if m.defect == replacedCounts {
+			a.To = n.identity
+		}
+		return n.member.Handler().Vote(a, reply.(*consensus.VoteReply))
+	case consensus.Service + ".Append":
+		a := args.(consensus.AppendArgs)
+		if m.defect == replacedCounts {
+			a.To = n.identity
+		}
+		return n.member.Handler().Append(a, reply.(*consensus.AppendReply))
+	case Service + ".Newest":
+		return n.server.Newest(args.(NewestArgs), reply.(*NewestReply))
+	case Service + ".Piece":
+		return n.server.Piece(args.(PieceArgs), reply.(*PieceReply))
+	case Service + ".Offer":
+		return n.server.Offer(args.(OfferArgs), reply.(*DoReply))
+	case Service + ".Join":
+		return n.server.Join(args.(JoinArgs), reply.(*JoinReply))
+	}
+	return errors.Newf("method %s", method)
+}
--- a/control/server.go
+++ b/control/server.go
@@ -14,70 +14,6 @@
 	"k8s.io/klog/v2"
 )
 
-// Service is the name under which the control group answers nodes.
-const Service = "Control"
-
-// NewestArgs asks for the newest bundle and a word that it is the newest.
-type NewestArgs struct {
-	Have uint64        // version the asker holds
-	Wait time.Duration // how long to wait for a newer one
-	// Unconfirmed asks any member for what it holds.
-	Unconfirmed bool
-	// Roster is the version of the list of targets that the asker holds.
-	Roster uint64
-	// Entry is the address at which the asker hears other entries; empty if it
-	// is none.
-	Entry string
-	// Entries is the version of the entries' addresses that the asker holds.
-	Entries uint64
-	// DataHall is the asker's.
-	DataHall string
-	// Relay is the asker's own address, if it answers entries of its data hall
-	// with the leader's word; Relayed are those that asked it lately.
-	Relay   string
-	Relayed []string
-}
-
-// NewestReply is the leader's word, confirmed by a majority after it was
-// asked.
-type NewestReply struct {
-	Code    walnutramp.Code
-	Leader  walnutramp.NodeName // where to ask instead, if known
-	Version uint64
-	Digest  string
-	// Update leads from the asker's document to this one.
-	Update Content
-	// Source is where to read long contents; who answers, where it is empty.
-	Source walnutramp.NodeName
-	// Group names the members, as far as the one who answers knows.
-	Group []walnutramp.NodeName
-	// Unconfirmed says that a newer one may be in force.
-	Unconfirmed bool
-	// Entries are the addresses of entries that asked lately, where the asker
-	// holds another version of them. The version is 0 where none are told.
-	Entries        []string
-	EntriesVersion uint64
-	// Roster is the leader's list of targets, where the asker holds another.
-	Roster RosterReply
-	// Age is how long ago the leader was asked; 0 from the leader itself.
-	Age time.Duration
-	// Relay is whom an entry should ask from now on: a member of its data
-	// hall that relays the leader's word. Empty for the leader itself.
-	Relay walnutramp.NodeName
-}
-
-// DoArgs hands over a command.
-type DoArgs struct {
-	Command Command
-}
-
-// DoReply answers a command.
-type DoReply struct {
-	Code   walnutramp.Code // CodeOK where Result holds; else why not
-	Leader walnutramp.NodeName
-	Result Result
-}
-
 // confirmLimit bounds the wait for a majority's confirmation.
 const confirmLimit = 1 * time.Second
 
@@ -176,9 +112,6 @@
 	}
 }
 
-// wantsRoster reports whether the asker uses the list of targets.
-func (a *NewestArgs) wantsRoster() bool { return a.Entry != "" || a.Relay != "" }
-
 // noteAskers notes who is there: the asker, and those it relays to.
 func (s *Server) noteAskers(args NewestArgs) {
 	s.entries.note(args.Entry)
@@ -196,11 +129,6 @@
 	reply.Update = next.content()
 }
 
-// OfferArgs is a document of a site that asks for no signature.
-type OfferArgs struct {
-	Submit Submit
-}
-
 // Offer implements the RPC for an unsigned document.
 func (s *Server) Offer(args OfferArgs, reply *DoReply) error {
 	if s.keeper == nil {
@@ -230,19 +158,6 @@
 	klog.InfoS("Document accepted", "version", c.Version, "bytes", doc, "compressed", len(c.Packed), "changeBytes", change)
 }
 
-// JoinArgs asks to become a member.
-type JoinArgs struct {
-	Node     walnutramp.NodeName
-	Identity consensus.Identity
-}
-
-// JoinReply says where to ask instead, if this member does not lead.
-type JoinReply struct {
-	Code   walnutramp.Code
-	Leader walnutramp.NodeName
-	Group  []walnutramp.NodeName
-}
-
 // Join implements the RPC by which a node with a new disk comes in.
 func (s *Server) Join(args JoinArgs, reply *JoinReply) error {
 	reply.Group = s.member.Status().Group.Nodes()
@@ -304,15 +219,6 @@
 	return nil
 }
 
-// HistoryArgs asks for the accepted bundles.
-type HistoryArgs struct{}
-
-// HistoryReply holds them, oldest first, as this member has applied them.
-type HistoryReply struct {
-	Accepted []Accepted
-	Group    consensus.Status
-}
-
 // History implements the RPC for the accepted bundles.
 func (s *Server) History(_ HistoryArgs, reply *HistoryReply) error {
 	reply.Accepted = s.state.History()
@@ -320,12 +226,6 @@
 	return nil
 }
 
-// SubmitArgs is an operator's signed bundle.
-type SubmitArgs struct {
-	Doc       []byte
-	Signature bundle.Signature
-}
-
 // Submit implements the RPC for a signed bundle; the signature is checked
 // here, on the member that proposes it.
 func (s *Server) Submit(args SubmitArgs, reply *DoReply) error {
