Tell of the list under one lock; look for a member near by only where one is named; no change of behaviour

Roster.told took the mutex twice and looked its own reading up again; between the two another reading could push it out, and the answer then told of a list without one. Each answer to an entry ranked the hall's members, also where none is named. The question of a renewal is a function of its own.

--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -89,9 +89,8 @@
 	args := AppendArgs{Term: m.store.ballot.Term, Leader: m.node, To: p.voter.Identity, Commit: m.commit}
 	prevTerm, ok := m.store.term(p.next - 1)
 	if !ok {
-		snap := m.snapshotFor(p)
-		args.Snapshot = snap
-		args.PrevIndex, args.PrevTerm = snap.Index, snap.Term
+		args.Snapshot = m.snapshotFor(p)
+		args.PrevIndex, args.PrevTerm = args.Snapshot.Index, args.Snapshot.Term
 		return m.split(p, args), m.round, true
 	}
 	args.PrevIndex, args.PrevTerm = p.next-1, prevTerm
--- a/control/client.go
+++ b/control/client.go
@@ -163,11 +163,7 @@
 	defer cancel()
 	asked := time.Now()
 	var reply NewestReply
-	have := c.Version()
-	if c.whole {
-		have = 0
-	}
-	args := NewestArgs{Have: have, Wait: wait, Unconfirmed: c.fast && c.Version() == 0, Entry: c.entry, Entries: c.entriesHeld, Roster: c.held, DataHall: c.hall}
+	args := c.question(wait)
 	node := c.target()
 	if err := c.peers.Call(ctx, node, Service+".Newest", args, &reply); err != nil {
 		c.contact.failed(node, args.Have, asked, err)
@@ -198,6 +194,19 @@
 	return taken
 }
 
+// question asks for what this node does not hold yet.
+func (c *Client) question(wait time.Duration) NewestArgs {
+	have := c.Version()
+	args := NewestArgs{
+		Have: have, Wait: wait, Unconfirmed: c.fast && have == 0,
+		Entry: c.entry, Entries: c.entriesHeld, Roster: c.held, DataHall: c.hall,
+	}
+	if c.whole {
+		args.Have = 0
+	}
+	return args
+}
+
 // askNext sets whom to ask from now on.
 func (c *Client) askNext(node walnutramp.NodeName) {
 	c.mu.Lock()
--- a/control/roster.go
+++ b/control/roster.go
@@ -87,16 +87,12 @@
 
 // told returns what an answer to a holder of a version tells of the list.
 func (r *Roster) told(version uint64) RosterReply {
-	reply := r.since(version)
-	if reply.List == nil {
-		return reply
-	}
-	reply.List = nil
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	at := slices.IndexFunc(r.past, func(v rosterVersion) bool { return v.version == reply.Version })
-	if at >= 0 {
-		reply.Whole = r.pack(at).content()
+	reply := r.reply(version)
+	if reply.List != nil {
+		reply.List = nil
+		reply.Whole = r.pack(len(r.past) - 1).content()
 	}
 	return reply
 }
@@ -177,9 +173,9 @@
 	r.read = time.Now().Add(-age)
 }
 
-func (r *Roster) since(version uint64) RosterReply {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// reply returns what leads from a version to the newest reading, with the whole
+// list as it is. The caller holds the mutex.
+func (r *Roster) reply(version uint64) RosterReply {
 	newest := r.newest()
 	reply := RosterReply{Version: newest.version, Age: time.Since(r.read)}
 	if version == newest.version {
--- a/control/roster_test.go
+++ b/control/roster_test.go
@@ -19,6 +19,13 @@
 	return list
 }
 
+// since is what is told before the whole list is compressed.
+func (r *Roster) since(version uint64) RosterReply {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.reply(version)
+}
+
 // An entry that asks now and then, whatever it holds, always ends up with the
 // leader's list.
 func TestEntryFollowsTheRoster(t *testing.T) {
--- a/control/server.go
+++ b/control/server.go
@@ -103,11 +103,16 @@
 // refer names an entry the member of its data hall that it should ask from now
 // on, on a site of many entries, and that has long contents for it.
 func (s *Server) refer(args NewestArgs, reply *NewestReply) {
+	relayed := s.entries.count() > relayedFrom
+	long := reply.Update.Bytes > 0 || reply.Roster.Whole.Bytes > 0
+	if !relayed && !long {
+		return
+	}
 	near := s.relays.of(args.DataHall, args.Entry)
-	if s.entries.count() > relayedFrom {
+	if relayed {
 		reply.Relay = near
 	}
-	if reply.Update.Bytes > 0 || reply.Roster.Whole.Bytes > 0 {
+	if long {
 		reply.Source = near
 	}
 }
