Roll-outs: a new version of a service is taken into use, or taken back

Cause: on a site whose rules have roll-outs an order ended in a 404, and the version of a target was not read.

Found beside it: with runs that take no time the number of rivals overflowed and each choice panicked (test fails first).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -187,6 +187,20 @@
 	return removed
 }
 
+// OpenIDs returns the targets of a service that may be asked and are wanted.
+func (t *Tracker) OpenIDs(service string, wanted func(*Target) bool) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	var ids []string
+	for _, target := range t.service[service] {
+		if target.open(now) && wanted(target) {
+			ids = append(ids, target.ID)
+		}
+	}
+	return ids
+}
+
 // later marks the one of two targets at an address gone that was listed
 // earlier, and returns the other.
 func later(a, b *Target) *Target {
--- a/balance/health.go
+++ b/balance/health.go
@@ -68,6 +68,14 @@
 	return t.tracker.doubtful(t.Service, now)[t.DataHall] && now.Sub(t.heard) > hallDoubtTime
 }
 
+// HallInDoubt reports whether so many targets of a target's service and data
+// hall broke off just now that all of them may have.
+func (t *Tracker) HallInDoubt(of *Target) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.doubtful(of.Service, time.Now())[of.DataHall]
+}
+
 // Suspects returns the targets that lately broke off to this node.
 func (t *Tracker) Suspects() []string {
 	t.mu.Lock()
--- a/balance/rivals.go
+++ b/balance/rivals.go
@@ -18,6 +18,9 @@
 	// fewRivals is up to how many of them the best engine is taken: it is rarely
 	// another one's, too.
 	fewRivals = 0.5
+	// shortestRunMS bounds the estimate of a whole run from below, in
+	// milliseconds: engines that answer at once would have endless rivals.
+	shortestRunMS = 1.0
 )
 
 // candidate is a target that may be chosen.
@@ -45,7 +48,7 @@
 			displaced += unread(o.runs)
 		}
 	}
-	wholeRuns := float64(t.newsLag.Milliseconds()) / t.paceOf(c.Service).wholeMS.value
+	wholeRuns := float64(t.newsLag.Milliseconds()) / max(shortestRunMS, t.paceOf(c.Service).wholeMS.value)
 	return float64(runs)*wholeRuns + float64(displaced)
 }
 
--- a/balance/rivals_test.go
+++ b/balance/rivals_test.go
@@ -86,3 +86,16 @@
 		require.Equal(t, fmt.Sprint("i-", i%40), tr.Pick(Choice{Service: "s", Work: Work{Read: 8000, Hold: 8400}}).ID)
 	}
 }
+
+// A stand-in of an engine that answered in no time had the estimate of a whole
+// run sink to 0: the number of rivals overflowed, and each request panicked.
+func TestRunsThatTakeNoTimeDoNotBreakTheChoice(t *testing.T) {
+	tr := NewTracker(WithSeed(1))
+	tr.Update(siteEngines(24, 1))
+	tr.SetNewsLag(20 * time.Millisecond)
+	tr.SetOthers("others", []Shared{{Number: 1, Target: "i-3", Read: 8000, Hold: 8400}})
+	for _, wholeMS := range []float64{0, 1e-300} {
+		tr.paceOf("s").wholeMS.value = wholeMS
+		require.NotNil(t, tr.Pick(Choice{Service: "s", Work: Work{Read: 8000, Hold: 8400}}))
+	}
+}
--- a/cmd/walnutramp/main.go
+++ b/cmd/walnutramp/main.go
@@ -110,6 +110,8 @@
 		{"explain", "Tell from nodes' logs what became of a request, and why", &explainCommand{program: p}},
 		{"demo", "Show a draft that survives its engine and its entry node", &demoCommand{program: p}},
 		{"load", "Drive a site, check every answer and report what callers saw", newLoadCommand(p)},
+		{"experiment", "Play policies in virtual time and count what they got wrong", newExperimentCommand(p)},
+		{"rollout", "Order a roll-out at a member of the control group, and watch it", newRolloutCommand(p)},
 		{"standin", "Run a stand-in of a system around the node", newStandinCommand(p)},
 		{"bundle", "Check, compare, sign, submit and show bundles", newBundleCommand(p)},
 		{"control", "Set up the control group's disks", newControlCommand(p)},
--- a/code.go
+++ b/code.go
@@ -54,6 +54,10 @@
 	CodeBundleSignature Code = 7002
 	CodeBundleConflict  Code = 7003
 	CodeNoLeader        Code = 7004
+	CodeRolloutUnderWay Code = 7005
+	CodeRolloutInForce  Code = 7006
+	CodeRolloutInvalid  Code = 7007
+	CodeRolloutUnknown  Code = 7008
 
 	CodeInternal Code = 9001
 )
@@ -117,6 +121,10 @@
 	{CodeBundleSignature, "bundle-signature", 403, "The bundle is not signed by a known operator."},
 	{CodeBundleConflict, "bundle-conflict", 409, "Another bundle won this version."},
 	{CodeNoLeader, "no-leader", 503, "The control group has no leader now."},
+	{CodeRolloutUnderWay, "rollout-under-way", 409, "A roll-out of the service is under way."},
+	{CodeRolloutInForce, "rollout-in-force", 422, "The service has that version already."},
+	{CodeRolloutInvalid, "rollout-invalid", 400, "The order names no service, version or time above 0, or the site has no roll-outs."},
+	{CodeRolloutUnknown, "rollout-unknown", 404, "There is no such service, or it had no roll-out."},
 	{CodeInternal, "internal", 500, "The node failed."},
 }
 
@@ -141,5 +149,15 @@
 	return codeIndex[CodeInternal]
 }
 
+// Final reports whether the control group answers the same, whichever member
+// is asked again.
+func (c Code) Final() bool {
+	switch c {
+	case CodeBundleInvalid, CodeBundleSignature, CodeRolloutInvalid, CodeRolloutUnknown:
+		return true
+	}
+	return false
+}
+
 // String gives the number and the name.
 func (c Code) String() string { return fmt.Sprintf("%d %s", int(c), c.Info().Name) }
--- a/control/calls.go
+++ b/control/calls.go
@@ -33,7 +33,7 @@
 			c.forgetLeader("")
 		case reply.Code == walnutramp.CodeOK:
 			return reply.Result, nil
-		case reply.Code == walnutramp.CodeBundleInvalid, reply.Code == walnutramp.CodeBundleSignature:
+		case reply.Code.Final():
 			return Result{}, walnutramp.NewError(reply.Code, walnutramp.NotRun, "%s", reply.Code.Info().Text)
 		default:
 			c.forgetLeader(reply.Leader)
--- a/control/client.go
+++ b/control/client.go
@@ -12,6 +12,7 @@
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/rollout"
 	"k8s.io/klog/v2"
 )
 
@@ -53,6 +54,7 @@
 	fast        bool // nodes of the group come and go, so silence is given up on early
 	whole       bool // the change to the newest document did not fit: the whole is asked for
 	contact     contact
+	agent       *rollout.Agent // of roll-outs; nil for none
 
 	mu     sync.Mutex
 	seeds  []walnutramp.NodeName // always asked, whoever the members are
@@ -112,6 +114,10 @@
 		defer c.tasks.Done()
 		c.renewAlways()
 	}()
+	if c.agent == nil {
+		return
+	}
+	c.tasks.Go(c.reportAlways)
 }
 
 // Close ends renewing and every side job.
@@ -178,6 +184,7 @@
 		return false
 	}
 	c.contact.heard(node, reply.Version)
+	c.takeVersions(reply.Versions)
 	if err := reply.Roster.readWhole(c.ctx, c.peers, node, reply.Source); err != nil {
 		klog.ErrorS(err, "List of targets not read", "asked", node)
 	} else {
@@ -204,6 +211,10 @@
 	if c.whole {
 		args.Have = 0
 	}
+	args.Versions = anyVersions
+	if c.agent != nil {
+		args.Versions = c.agent.Revision()
+	}
 	return args
 }
 
@@ -249,8 +260,9 @@
 	return known
 }
 
-func without(nodes []walnutramp.NodeName, missed walnutramp.NodeName) []walnutramp.NodeName {
-	return slices.DeleteFunc(slices.Clone(nodes), func(n walnutramp.NodeName) bool { return n == missed })
+// without returns a list without one of its elements.
+func without[T comparable](list []T, left T) []T {
+	return slices.DeleteFunc(slices.Clone(list), func(e T) bool { return e == left })
 }
 
 // forgetLeader notes that the node that was asked last is no leader, or does
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/walnutramp/walnutramp/internal/memfs"
 	"github.com/walnutramp/walnutramp/internal/memnet"
 	"github.com/walnutramp/walnutramp/peer"
+	"github.com/walnutramp/walnutramp/rollout"
 )
 
 // fleet is a control group and the entries that follow it, each on a host with
@@ -41,11 +42,13 @@
 	roster *control.Roster
 	server *peer.Server
 	client *control.Client // of operators' calls
+	cancel context.CancelFunc
 }
 
 type fleetEntry struct {
 	peers  *peer.Client
 	client *control.Client
+	agent  *rollout.Agent
 
 	mu      sync.Mutex
 	since   map[uint64]time.Time // when each version came into force
@@ -65,6 +68,9 @@
 	inForceTime = 2500 * time.Millisecond // from acknowledged to in force everywhere
 )
 
+// fleetBounds are those of the users' site with roll-outs.
+var fleetBounds = rollout.Bounds{Share: 0.1, Slack: 50, StopWithin: 5 * time.Second}
+
 // inFleet runs f in a bubble of virtual time on a fleet that has a leader.
 func inFleet(t *testing.T, members, entries int, f func(*testing.T, *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -140,9 +146,12 @@
 	joiner := control.NewJoiner(peers, name, identity, raft, m.client)
 	go m.server.Serve(l)
 	raft.Start()
-	fl.spawn(keeper.Run)
-	fl.spawn(relay.Run)
-	fl.spawn(joiner.Run)
+	var ctx context.Context
+	ctx, m.cancel = context.WithCancel(fl.ctx)
+	controller := control.NewRolloutController(raft, answers, fleetBounds)
+	for _, run := range []func(context.Context){keeper.Run, relay.Run, joiner.Run, controller.Run} {
+		fl.spawn(func(context.Context) { run(ctx) })
+	}
 	fl.members = append(fl.members, m)
 	return m
 }
@@ -165,6 +174,8 @@
 		e.since[version] = time.Now()
 		return nil
 	})
+	e.agent = rollout.NewAgent(uint64(i))
+	e.client.WithRollouts(e.agent)
 	e.client.AsEntry(host, hallOf(i), func([]string) {})
 	e.client.FeedTargets(func(list []discovery.Target, same bool, _ time.Duration) {
 		e.mu.Lock()
@@ -180,6 +191,7 @@
 
 // stop ends a member as a planned stop does.
 func (m *fleetMember) stop() {
+	m.cancel()
 	m.raft.Close()
 	m.server.Close()
 	m.client.Close()
--- a/control/messages.go
+++ b/control/messages.go
@@ -1,11 +1,13 @@
 package control
 
 import (
+	"math"
 	"time"
 
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/consensus"
+	"github.com/walnutramp/walnutramp/rollout"
 )
 
 // What nodes and members say to each other, beside pieces (see Piece).
@@ -26,6 +28,9 @@
 	Entry string
 	// Entries is the version of the entries' addresses that the asker holds.
 	Entries uint64
+	// Versions is the revision of the view of versions that the asker holds;
+	// anyVersions where it needs none.
+	Versions uint64
 	// DataHall is the asker's.
 	DataHall string
 	// Relay is the asker's own address, if it answers entries of its data hall
@@ -34,6 +39,9 @@
 	Relayed []string
 }
 
+// anyVersions is held to be the newest revision of a view.
+const anyVersions = math.MaxUint64
+
 // NewestReply is the leader's word, confirmed by a majority after it was
 // asked.
 type NewestReply struct {
@@ -55,6 +63,9 @@
 	EntriesVersion uint64
 	// Roster is the leader's list of targets, where the asker holds another.
 	Roster RosterReply
+	// Versions is the view of the services' versions, where the asker holds an
+	// older one.
+	Versions *rollout.View
 	// Age is how long ago the leader was asked; 0 from the leader itself.
 	Age time.Duration
 	// Relay is whom an entry should ask from now on: a member of its data
@@ -95,6 +106,48 @@
 	Group  []walnutramp.NodeName
 }
 
+// RolloutArgs asks for the newest roll-out of a service.
+type RolloutArgs struct {
+	Service string
+}
+
+// RolloutReply is the leader's word on it, confirmed by a majority after it was
+// asked.
+type RolloutReply struct {
+	Code    walnutramp.Code // CodeRolloutUnknown where there was none
+	Leader  walnutramp.NodeName
+	Record  rollout.Record
+	Elapsed time.Duration // since the order
+	// Sums are what nodes saw since then, as far as they told this leader, and
+	// Verdict is what that says.
+	Sums    []rollout.Cell
+	Verdict rollout.Verdict
+}
+
+// OrderArgs is an operator's order of a roll-out.
+type OrderArgs struct {
+	Service  string
+	Version  string
+	Duration time.Duration
+}
+
+// ReportArgs tells the leader what a node saw of the targets of services that
+// have a roll-out under way.
+type ReportArgs struct {
+	Node  string
+	Life  uint64 // names the node's process
+	Judge uint64 // who had the reports before; 0 for nobody
+	Cells []rollout.Cell
+}
+
+// ReportReply answers with permits for the new versions.
+type ReportReply struct {
+	Code    walnutramp.Code
+	Leader  walnutramp.NodeName
+	Judge   uint64 // who has the reports now
+	Permits []rollout.Permit
+}
+
 // HistoryArgs asks for the accepted bundles.
 type HistoryArgs struct{}
 
--- a/control/relay.go
+++ b/control/relay.go
@@ -138,7 +138,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	args := NewestArgs{
-		Have: held.Version, Wait: renewWait, Entries: r.entries,
+		Have: held.Version, Wait: renewWait, Entries: r.entries, Versions: anyVersions,
 		DataHall: r.hall, Relay: string(r.node), Relayed: r.server.entries.all(),
 	}
 	if r.server.roster != nil && !r.whole {
--- /dev/null
+++ b/control/rollout_server.go
@@ -0,0 +1,72 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/walnutramp/walnutramp"
+)
+
+// longestRollout bounds the time that an order may give.
+const longestRollout = 24 * time.Hour
+
+// Order implements the RPC for an operator's order of a roll-out.
+func (s *Server) Order(args OrderArgs, reply *DoReply) error {
+	if s.releases == nil || args.Service == "" || args.Version == "" || args.Duration <= 0 || args.Duration > longestRollout {
+		reply.Code = walnutramp.CodeRolloutInvalid
+		return nil
+	}
+	if !s.member.Leads() {
+		reply.Code, reply.Leader = walnutramp.CodeNoLeader, s.member.Leader()
+		return nil
+	}
+	order := RolloutOrder{Service: args.Service, Version: args.Version, Duration: args.Duration}
+	listed, list := s.roster.held()
+	order.Listed = versionsOf(list)[args.Service]
+	view, _ := s.state.versions()
+	rec, known := view.Of(args.Service)
+	switch {
+	case known:
+		order.Repeat = order.repeats(&rec) && s.state.rolloutElapsed(rec) < repeatWindow
+	case listed == 0:
+		reply.Code = walnutramp.CodeNoLeader // it has not read the list of targets yet
+		return nil
+	case len(order.Listed) == 0:
+		reply.Code = walnutramp.CodeRolloutUnknown
+		return nil
+	}
+	return s.propose(Command{Rollout: &order}, reply)
+}
+
+// Rollout implements the RPC that reads the newest roll-out of a service.
+func (s *Server) Rollout(args RolloutArgs, reply *RolloutReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), confirmLimit)
+	defer cancel()
+	if !s.member.Leads() || !s.member.Confirm(ctx) {
+		reply.Code, reply.Leader = walnutramp.CodeNoLeader, s.member.Leader()
+		return nil
+	}
+	view, _ := s.state.versions()
+	rec, known := view.Of(args.Service)
+	if !known || rec.Number == 0 {
+		reply.Code = walnutramp.CodeRolloutUnknown
+		return nil
+	}
+	reply.Code, reply.Record, reply.Elapsed = walnutramp.CodeOK, rec, s.state.rolloutElapsed(rec)
+	if s.releases != nil {
+		reply.Sums, reply.Verdict = s.releases.weighed(rec)
+	}
+	return nil
+}
+
+// Report implements the RPC by which a node tells what it saw of targets, and
+// gets permits for new versions.
+func (s *Server) Report(args ReportArgs, reply *ReportReply) error {
+	if s.releases == nil || !s.member.Leads() {
+		reply.Code, reply.Leader = walnutramp.CodeNoLeader, s.member.Leader()
+		return nil
+	}
+	reply.Code = walnutramp.CodeOK
+	reply.Judge, reply.Permits = s.releases.report(args)
+	return nil
+}
--- a/control/server.go
+++ b/control/server.go
@@ -27,9 +27,10 @@
 	operators bundle.Operators
 	keeper    *Keeper // nil where members are changed by hand
 	entries   entries
-	roster    *Roster // nil where nodes read the list themselves
-	relays    relays  // members that relay this one's word, while it leads
-	relay     *Relay  // relays the leader's word, while another leads; nil for none
+	roster    *Roster            // nil where nodes read the list themselves
+	relays    relays             // members that relay this one's word, while it leads
+	relay     *Relay             // relays the leader's word, while another leads; nil for none
+	releases  *RolloutController // nil where there are no roll-outs
 }
 
 // ServerOption sets how a Server works.
@@ -132,6 +133,9 @@
 	reply.Code = walnutramp.CodeOK
 	reply.Version, reply.Digest = newest.Version, newest.Digest
 	reply.Update = next.content()
+	if view, _ := s.state.versions(); view.Revision > args.Versions {
+		reply.Versions = &view
+	}
 }
 
 // Offer implements the RPC for an unsigned document.
@@ -178,8 +182,9 @@
 // await waits for a bundle newer than the asker's, for as long as it wants.
 func (s *Server) await(ctx context.Context, args NewestArgs) {
 	newest, _, _, changed := s.state.since(args.Have)
+	view, _ := s.state.versions()
 	rosterChanged, other := s.rosterChanged(args)
-	if newest.Version > args.Have || args.Wait <= 0 || other {
+	if newest.Version > args.Have || view.Revision > args.Versions || args.Wait <= 0 || other {
 		return
 	}
 	t := time.NewTimer(args.Wait)
--- a/control/state.go
+++ b/control/state.go
@@ -11,6 +11,7 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/internal/pack"
+	"github.com/walnutramp/walnutramp/rollout"
 	"k8s.io/klog/v2"
 )
 
@@ -20,6 +21,10 @@
 	Submit *Submit `msgpack:"s,omitempty"`
 	Claim  *Claim  `msgpack:"c,omitempty"`
 	Settle *Settle `msgpack:"t,omitempty"`
+
+	Known   *KnownVersions `msgpack:"v,omitempty"`
+	Rollout *RolloutOrder  `msgpack:"r,omitempty"`
+	Step    *RolloutStep   `msgpack:"p,omitempty"`
 }
 
 // Submit offers a bundle that was signed and checked.
@@ -54,6 +59,7 @@
 	Digest  string
 	Entry   Entry // of the ledger
 	Mine    bool  // the claim is the asker's own
+	Rollout rollout.Record
 }
 
 // Accepted is one bundle of the history.
@@ -102,7 +108,9 @@
 	history []Accepted
 	deltas  []bundle.Delta // newest last
 	ledger  map[ledgerKey]Entry
-	changed chan struct{} // closed when a bundle is accepted
+	changed chan struct{} // closed when a bundle is accepted, or the view of versions changes
+
+	rollouts rollouts
 }
 
 // NewState returns the state of a new group, before its first bundle.
@@ -133,7 +141,31 @@
 	case c.Settle != nil:
 		return encode(s.settle(c.Settle, c.Now))
 	}
-	return encode(Result{Code: walnutramp.CodeInternal})
+	return encode(s.applyRollout(index, &c))
+}
+
+// applyRollout applies a command about the versions of services.
+func (s *State) applyRollout(index uint64, c *Command) Result {
+	before := s.rollouts.view.Revision
+	result := Result{Code: walnutramp.CodeInternal}
+	switch {
+	case c.Known != nil:
+		result = s.rollouts.know(c.Known)
+	case c.Rollout != nil:
+		result = s.rollouts.order(index, c.Rollout, c.Now)
+	case c.Step != nil:
+		result = s.rollouts.step(c.Step, c.Now)
+	}
+	if s.rollouts.view.Revision != before {
+		s.wake()
+	}
+	return result
+}
+
+// wake tells those who wait for a change. The caller holds the mutex.
+func (s *State) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 func encode(v any) []byte {
@@ -186,8 +218,7 @@
 	s.forgetDeltas()
 	s.history = append(s.history, Accepted{Version: c.Version, Digest: c.Digest, Operator: c.Operator, At: now})
 	s.history = s.history[max(0, len(s.history)-keepHistory):]
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 	return Result{Code: walnutramp.CodeOK, Version: c.Version, Winner: c.Operator, Digest: c.Digest}
 }
 
@@ -221,13 +252,18 @@
 	Deltas  []bundle.Delta
 	Keys    []ledgerKey
 	Entries []Entry
+
+	Versions rollout.View
 }
 
 // Snapshot implements consensus.StateMachine.
 func (s *State) Snapshot() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	img := stateImage{Doc: s.doc, History: s.history, Deltas: s.deltas}
+	img := stateImage{Doc: s.doc, History: s.history, Deltas: s.deltas, Versions: s.rollouts.copyView()}
+	for i, rec := range img.Versions.Records {
+		img.Versions.Records[i].Elapsed = s.rollouts.elapsed(rec)
+	}
 	for k, e := range s.ledger {
 		img.Keys = append(img.Keys, k)
 		img.Entries = append(img.Entries, e)
@@ -248,8 +284,8 @@
 	for i, k := range img.Keys {
 		s.ledger[k] = img.Entries[i]
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.restoreRollouts(img.Versions)
+	s.wake()
 	return nil
 }
 
--- a/discovery/target.go
+++ b/discovery/target.go
@@ -18,4 +18,5 @@
 	DataHall string
 	Slots    int // requests worked on at once
 	State    TargetState
+	Version  string // of what the target runs; empty if it is not told
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
 )
 
@@ -46,6 +47,7 @@
 	failed   map[string]int           // targets that failed it, by data hall
 	noRoom   bool                     // there are targets, but none has room
 	prepaid  bool                     // a repeat was paid for that has not arrived yet
+	watched  *rollout.Request         // the newest try, while its service has a roll-out
 }
 
 // open reads and checks a request.
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -32,6 +32,7 @@
 		}
 		if t := g.choose(c); t != nil {
 			c.turns++
+			g.watch(c, t)
 			return t
 		}
 		if c.noRoom || c.reached || !time.Now().Before(until) || !pause.For(ctx, lookAgain) {
@@ -41,10 +42,23 @@
 	}
 }
 
-// choose picks the best target that has not had this request.
+// choose picks the best target that has not had this request, of a version
+// that it may go to.
 func (g *Gateway) choose(c *call) *balance.Target {
+	if g.drawNew(c) {
+		if t := g.pick(c, g.newTargets(c)); t != nil {
+			return t
+		}
+		g.cfg.Rollouts.Undo(c.service, c.route.Name)
+	}
+	return g.pick(c, g.versions(c))
+}
+
+// pick picks the best target that has not had this request and is not left out
+// otherwise.
+func (g *Gateway) pick(c *call, leftOut func(*balance.Target) bool) *balance.Target {
 	choice := c.choice()
-	choice.Exclude = func(t *balance.Target) bool { return c.tried[t] || c.turned[t] }
+	choice.Exclude = func(t *balance.Target) bool { return c.tried[t] || c.turned[t] || leftOut != nil && leftOut(t) }
 	t := g.targets.Pick(choice)
 	c.noRoom = false
 	if t == nil && choice.Admission {
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -98,7 +98,7 @@
 	c := r.call
 	return r.gateway.targets.Pick(balance.Choice{
 		Service: c.service, OtherHall: t.DataHall, Copy: true, Work: balance.Work{Hold: c.work.Hold},
-		Exclude: func(o *balance.Target) bool { return o == t || c.tried[o] },
+		Exclude: func(o *balance.Target) bool { return o == t || c.tried[o] || o.Version != t.Version },
 	})
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
 )
 
@@ -44,6 +45,9 @@
 	Lease       func() bool   // whether new work may be taken; nil for always
 	Copies      bool          // ask engines to keep copies of runs
 
+	// Rollouts says which versions of targets requests go to; nil for any.
+	Rollouts *rollout.Agent
+
 	// Find learns of runs of a key that other nodes had, where this node does
 	// not know them anyway; nil if it always does.
 	Find func(ctx context.Context, key string)
@@ -67,6 +71,10 @@
 // nodes take none while they are cut off.
 func WithLease(held func() bool) Option { return func(c *Config) { c.Lease = held } }
 
+// WithRollouts sets what says which versions of targets requests go to, and is
+// told what came of it.
+func WithRollouts(a *rollout.Agent) Option { return func(c *Config) { c.Rollouts = a } }
+
 // WithCopies says whether engines keep copies of runs at each other.
 func WithCopies(on bool) Option { return func(c *Config) { c.Copies = on } }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
 	"k8s.io/klog/v2"
 )
@@ -104,6 +105,7 @@
 	c.ran(t)
 	if answer.Header.Get("Content-Encoding") != "" {
 		answer.Close()
+		g.noteLost(c, t)
 		t.Broke()
 		return nil, true
 	}
@@ -111,14 +113,20 @@
 	if err != nil {
 		g.counters.broken.Inc()
 		klog.InfoS("Answer broke off", "request", c.id, "target", t.ID, "status", answer.Status, "err", err)
+		if ctx.Err() == nil {
+			g.noteLost(c, t)
+		}
 		t.Broke()
 		return nil, true
 	}
 	whole.target = t.ID
+	c.watched.First()
 	if answer.Status >= http.StatusInternalServerError {
+		c.watched.Ended(rollout.Failed)
 		t.Erred()
 		return g.ownStatus(c, whole), true
 	}
+	c.watched.Ended(rollout.Served)
 	t.Succeeded()
 	return whole, false
 }
@@ -209,6 +217,7 @@
 func (g *Gateway) noteNotRun(c *call, t *balance.Target, a *targetconn.Answer) {
 	klog.InfoS("Target turned the request away", "request", c.id, "target", t.ID, "status", a.Status)
 	c.arrive()
+	c.watched.Dropped()
 	c.turned[t] = true
 	if a.Status == http.StatusMisdirectedRequest {
 		t.Gone()
@@ -228,8 +237,10 @@
 		c.turned[t] = true
 	}
 	if ctx.Err() == context.Canceled {
+		c.watched.Dropped()
 		return // the client left; nothing is known of the target
 	}
+	g.noteLost(c, t)
 	c.failed[t.DataHall]++
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		t.Refused()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/eventstream"
+	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
 	"k8s.io/klog/v2"
 )
@@ -28,8 +29,9 @@
 	first   time.Duration // from the request to its first event
 	longest time.Duration // pause between two events
 	runs    int
-	events  int     // of the newest run
-	copy    *copyOf // of the run that broke off
+	events  int       // of the newest run
+	begun   time.Time // when the newest run's first event came
+	copy    *copyOf   // of the run that broke off
 }
 
 // ending says how a run ended.
@@ -82,7 +84,8 @@
 func (r *relay) next(ctx context.Context) ending {
 	from := r.copy
 	r.copy = nil
-	if from != nil && from.at.Usable() {
+	if from != nil && from.at.Usable() && r.gateway.mayGoOn(r.call, from.at) {
+		r.gateway.watch(r.call, from.at)
 		if end := r.run(ctx, from.at, from); end != endTurned {
 			return end
 		}
@@ -183,6 +186,7 @@
 func (g *Gateway) noteMoved(c *call, t *balance.Target) {
 	c.ran(t)
 	c.failed[t.DataHall]++
+	g.noteLost(c, t)
 	g.counters.moved.Inc()
 	klog.InfoS("Run moved: its target is silent to others", "request", c.id, "target", t.ID, "ms", time.Since(c.arrived).Milliseconds())
 }
@@ -218,6 +222,7 @@
 func (r *relay) passOther(a *targetconn.Answer, t *balance.Target) ending {
 	g, c := r.gateway, r.call
 	if a.Status >= http.StatusInternalServerError {
+		c.watched.Ended(rollout.Failed)
 		t.Erred()
 		klog.InfoS("Target failed", "request", c.id, "target", t.ID, "status", a.Status)
 		return endBroken
@@ -257,12 +262,18 @@
 			kept.run.FirstEvent()
 			t.Succeeded()
 			r.noteFirst()
+			r.begun = time.Now()
+			c.watched.First()
+		}
+		if r.events == paceEvents {
+			c.watched.Pace(time.Since(r.begun) / (paceEvents - 1))
 		}
 		kept.watch(ctx)
 		if e.HasID && c.hasLast && e.ID <= c.lastID {
 			continue // the client has it
 		}
 		if !r.write(a, e.Raw) {
+			c.watched.Dropped()
 			return endLeft
 		}
 		if e.HasID {
@@ -271,6 +282,11 @@
 	}
 }
 
+// paceEvents is after how many events of a run its pace is measured: enough to
+// even out the prompts that are read between them, and few enough to tell a
+// slow version within a second.
+const paceEvents = 6
+
 // stallShare is the part of the longest pause that keeps a stream in time
 // after which its target is given up: the rest is left for another to go on.
 const stallShare = 0.64
@@ -302,11 +318,14 @@
 		if rest := events.Rest(); (len(rest) > 0 || !r.started) && !r.write(a, rest) {
 			return endLeft
 		}
+		c.watched.Ended(rollout.Served)
 		return endWhole
 	}
 	if ctx.Err() != nil {
+		c.watched.Dropped()
 		return endBroken // this side ended it: the client left, or time is up
 	}
+	g.noteLost(c, t)
 	g.counters.broken.Inc()
 	g.counters.resumes.Inc()
 	c.failed[t.DataHall]++
--- /dev/null
+++ b/gateway/versions_test.go
@@ -0,0 +1,165 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/discovery"
+	"github.com/walnutramp/walnutramp/rollout"
+)
+
+// versionSite is a service with a target of each of two versions.
+type versionSite struct {
+	*site
+	agent *rollout.Agent
+}
+
+// newVersionSite lists the first target under the old version and the others
+// under the new one.
+func newVersionSite(t *testing.T, service string, targets ...*fakeTarget) *versionSite {
+	v := &versionSite{agent: rollout.NewAgent(1)}
+	v.site = newSite(t, targets, WithRollouts(v.agent))
+	var list []discovery.Target
+	for i, f := range targets {
+		listed := f.listed()
+		listed.Version = "v2"
+		if i == 0 {
+			listed.Version = "v1"
+		}
+		list = append(list, listed)
+	}
+	v.tracker.Update(list)
+	v.view(service, rollout.Running)
+	return v
+}
+
+func (v *versionSite) view(service string, state rollout.State) {
+	inForce := "v1"
+	if state == rollout.Completed {
+		inForce = "v2"
+	}
+	v.agent.SetView(rollout.View{Revision: v.agent.Revision() + 1, Records: []rollout.Record{
+		{Service: service, InForce: []string{inForce}, Number: 1, Target: "v2", State: state},
+	}})
+}
+
+func (v *versionSite) permit(service string, share float64) {
+	v.agent.SetPermits([]rollout.Permit{{Service: service, Number: 1, Other: share, Focus: rollout.Focus{Part: share}, For: time.Minute}}, time.Now())
+}
+
+func serving(f *fakeTarget, r *http.Request, c net.Conn) { reply(c, r.Header.Get("X-Id"), 200, f.id) }
+
+func failing(_ *fakeTarget, r *http.Request, c net.Conn) { reply(c, r.Header.Get("X-Id"), 500, "") }
+
+func TestNewVersionGetsThePermittedShareOnly(t *testing.T) {
+	old, new := newFakeTarget(t, "i-1", "lookup", "north", serving), newFakeTarget(t, "i-2", "lookup", "north", serving)
+	v := newVersionSite(t, "lookup", old, new)
+	get := func(n int) {
+		for range n {
+			r, _, err := do(t, v.request(t, "GET", "/safe/x", ""))
+			require.NoError(t, err)
+			require.Equal(t, 200, r.StatusCode)
+		}
+	}
+	get(20)
+	require.Empty(t, new.seen(), "there is no permit")
+	v.permit("lookup", 0.2)
+	get(50)
+	require.InDelta(t, 10, len(new.seen()), 1)
+	v.permit("lookup", 1)
+	before := len(old.seen())
+	get(10)
+	require.Len(t, old.seen(), before)
+	v.view("lookup", rollout.RolledBack)
+	taken := len(new.seen())
+	get(10)
+	require.Len(t, new.seen(), taken)
+}
+
+// What the new version fails is answered by the old one, and counted.
+func TestFailureOfTheNewVersionIsTriedAtTheOld(t *testing.T) {
+	old, new := newFakeTarget(t, "i-1", "lookup", "north", serving), newFakeTarget(t, "i-2", "lookup", "north", failing)
+	v := newVersionSite(t, "lookup", old, new)
+	v.permit("lookup", 0.5)
+	for range 10 {
+		r, body, err := do(t, v.request(t, "GET", "/safe/x", ""))
+		require.NoError(t, err)
+		require.Equal(t, 200, r.StatusCode)
+		require.Equal(t, "i-1", body)
+	}
+	require.InDelta(t, 5, len(new.seen()), 1)
+	for _, cell := range v.agent.Counts() {
+		if cell.Key.Version == "v2" {
+			require.EqualValues(t, len(new.seen()), cell.Counts.Failed)
+			require.Equal(t, "i-2", cell.Key.Target)
+			continue
+		}
+		require.EqualValues(t, 10, cell.Counts.Served)
+	}
+}
+
+// A request that may run once is not sent to the old version after the new one
+// may have run it.
+func TestOnceIsOnceInARollout(t *testing.T) {
+	old, new := newFakeTarget(t, "i-1", "lookup", "north", serving), newFakeTarget(t, "i-2", "lookup", "north", failing)
+	v := newVersionSite(t, "lookup", old, new)
+	v.permit("lookup", 1)
+	r, _, err := do(t, v.request(t, "POST", "/once/x", ""))
+	require.NoError(t, err)
+	require.Equal(t, 500, r.StatusCode)
+	require.Empty(t, old.seen())
+}
+
+// While no target of the new version is there, its requests go to the old one.
+func TestRolloutWithoutTargetsServes(t *testing.T) {
+	old := newFakeTarget(t, "i-1", "lookup", "north", serving)
+	v := newVersionSite(t, "lookup", old)
+	v.permit("lookup", 1)
+	_, body, err := do(t, v.request(t, "GET", "/safe/x", ""))
+	require.NoError(t, err)
+	require.Equal(t, "i-1", body)
+}
+
+// The old targets stop when a roll-out completes: a stream at one of them goes
+// on at the new version, whole, and memory is copied within a version only.
+func TestStreamGoesOnAtTheNewVersionWhenTheOldStops(t *testing.T) {
+	var stopped atomic.Bool
+	var v *versionSite
+	old := newFakeTarget(t, "i-1", "draft", "north", draft(func(_ *fakeTarget, c net.Conn, n int) bool {
+		if n == 5 {
+			v.view("draft", rollout.Completed)
+			stopped.Store(true)
+			return false
+		}
+		return true
+	}))
+	new := newFakeTarget(t, "i-2", "draft", "south", draft(nil))
+	v = newVersionSite(t, "draft", old, new)
+	r, body, err := do(t, v.request(t, "POST", "/draft/", "prompt", "X-Usage", "100,60", "X-Prefix", "part-1"))
+	require.NoError(t, err)
+	require.True(t, stopped.Load())
+	require.Equal(t, 200, r.StatusCode)
+	require.Equal(t, wholeDraft(1), body)
+	require.Len(t, new.seen(), 1)
+	require.Equal(t, "4", new.seen()[0].Header.Get("X-Last"))
+	require.Empty(t, old.seen()[0].Header.Get("X-Copy-To"), "there is no other target of its version")
+}
+
+func TestFocusIsPartOfTheTargets(t *testing.T) {
+	ids := func() []string { return []string{"a", "b", "c", "d", "e", "f", "g", "h"} }
+	first := inFocus(rollout.Focus{Round: 1, Part: 0.2}, ids())
+	require.Len(t, first, 2)
+	require.Equal(t, first, inFocus(rollout.Focus{Round: 1, Part: 0.2}, ids()), "all nodes draw the same")
+	seen := map[string]bool{}
+	for round := range uint64(40) {
+		for _, id := range inFocus(rollout.Focus{Round: round, Part: 0.01}, ids()) {
+			seen[id] = true
+		}
+	}
+	require.Len(t, seen, 8, "each has its turn")
+	require.Empty(t, inFocus(rollout.Focus{Part: 0.5}, nil))
+}
--- /dev/null
+++ b/rollout/plan_test.go
@@ -0,0 +1,88 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var testBounds = Bounds{Share: 0.1, Slack: 50, StopWithin: 5 * time.Second}
+
+// situation is one of a plain service of 270 requests a second, of which two
+// routes get 220 and 50, and its new version a twentieth.
+func situation(elapsed time.Duration) Situation {
+	s := elapsed.Seconds()
+	counts := func(perS float64) Counts { return Counts{Sent: uint32(perS * s)} }
+	return Situation{
+		Record:  Record{Service: "s", Number: 1, Target: "v2", State: Running, Duration: testDuration},
+		Elapsed: elapsed, NewPlaces: 24, OldPlaces: 24, Verdict: Verdict{Answers: 5 * s, Score: -1},
+		Sums: map[Key]Counts{
+			{Service: "s", Route: "often", Version: "v1"}:  counts(210),
+			{Service: "s", Route: "often", Version: "v2"}:  counts(7),
+			{Service: "s", Route: "seldom", Version: "v1"}: counts(47),
+			{Service: "s", Route: "seldom", Version: "v2"}: counts(6),
+		},
+	}
+}
+
+func TestPlanOfARollout(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*Situation)
+		at     time.Duration
+		state  State
+		stage  Stage
+		reason string
+	}{
+		{"canary", func(*Situation) {}, 5 * time.Second, Running, StageCanary, ""},
+		{"shift", func(*Situation) {}, 11 * time.Second, Running, StageShift, "no evidence"},
+		{"bad", func(s *Situation) { s.Verdict.Bad, s.Verdict.Evidence = true, "answers failed" }, 5 * time.Second, RolledBack, StageCanary, "answers failed"},
+		{"many bad answers", func(s *Situation) { s.Verdict.Excess = 25 }, 5 * time.Second, RolledBack, StageCanary, "too many"},
+		{"doubtful until the end", func(s *Situation) { s.Verdict.Doubtful = true }, 11700 * time.Millisecond, RolledBack, StageCanary, "doubtful"},
+		{"doubtful", func(s *Situation) { s.Verdict.Doubtful = true }, 11 * time.Second, Running, StageCanary, ""},
+		{"no targets yet", func(s *Situation) { s.NewPlaces = 0 }, 5 * time.Second, Running, StageCanary, ""},
+		{"no targets", func(s *Situation) { s.NewPlaces = 0 }, 11700 * time.Millisecond, RolledBack, StageCanary, "no target"},
+		{"few targets", func(s *Situation) { s.NewPlaces = 6 }, 11700 * time.Millisecond, RolledBack, StageCanary, "too few targets"},
+		{"targets came late", func(s *Situation) { s.Verdict.Answers = 3 }, 11700 * time.Millisecond, RolledBack, StageCanary, "too few answers"},
+		{"done", func(s *Situation) { s.Record.Stage, s.ShiftedAt = StageShift, 10900*time.Millisecond }, 11700 * time.Millisecond, Completed, StageShift, "no evidence"},
+		{"shift begun just now", func(s *Situation) { s.Record.Stage, s.ShiftedAt = StageShift, 11500*time.Millisecond }, 11700 * time.Millisecond, Running, StageShift, ""},
+		{"bad in the shift", func(s *Situation) { s.Record.Stage, s.Verdict.Bad = StageShift, true }, 11 * time.Second, RolledBack, StageCanary, ""},
+		{"doubtful at the end of the shift", func(s *Situation) { s.Record.Stage, s.Verdict.Doubtful = StageShift, true }, 11700 * time.Millisecond, RolledBack, StageCanary, "doubtful"},
+		{"a leader that knows nothing yet", func(s *Situation) { s.Sums, s.Verdict = nil, Verdict{} }, 5 * time.Second, Running, StageCanary, ""},
+		{"past the deadline", func(*Situation) {}, time.Minute, RolledBack, StageCanary, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := situation(c.at)
+			c.change(&s)
+			step := testBounds.Plan(s)
+			require.Equal(t, c.state, step.State, step.Reason)
+			require.Contains(t, step.Reason, c.reason)
+			if step.State != RolledBack {
+				require.Equal(t, c.stage, step.Stage)
+			}
+		})
+	}
+}
+
+// The new version's requests stay within the bound up to the deadline, and the
+// seldom route is seen as often as the other.
+func TestCanaryStaysWithinTheBound(t *testing.T) {
+	s := situation(5 * time.Second)
+	step := testBounds.Plan(s)
+	often, seldom := 217*step.Shares["often"], 53*step.Shares["seldom"]
+	require.InDelta(t, often, seldom, 1)
+	canary := (often + seldom) * 11
+	shift := 270.0
+	require.Less(t, canary+shift, testBounds.Share*270*12+testBounds.Slack)
+	require.Greater(t, canary, 40.0)
+	s.Sums[Key{Service: "s", Route: "often", Version: "v2"}] = Counts{Sent: 400}
+	require.Empty(t, testBounds.Plan(s).Shares, "more than the bound has gone there")
+}
+
+func TestRolloutOfASeldomServiceSeesEnough(t *testing.T) {
+	s := situation(5 * time.Second)
+	s.Sums = map[Key]Counts{{Service: "s", Route: "r", Version: "v1"}: {Sent: 30}}
+	s.Streams = true
+	require.InDelta(t, mostCanary, testBounds.Plan(s).Shares["r"], 0.15, "the slack of the bound is used")
+}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -12,6 +13,7 @@
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/gateway"
 	"github.com/walnutramp/walnutramp/loadshare"
+	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
 	"k8s.io/klog/v2"
 )
@@ -57,6 +59,7 @@
 	sharer  *loadshare.Sharer
 	front   *http.Server
 	ready   *http.Server
+	agent   *rollout.Agent // of roll-outs; nil where there are none
 }
 
 func (p *Process) startEntry() error {
@@ -80,7 +83,13 @@
 	})
 	var sharer *loadshare.Sharer
 	find := func(ctx context.Context, key string) { sharer.Find(ctx, key) }
-	g = gateway.New(targets, pool, budgets, poller.Soon, gateway.WithNames(names), gateway.WithLease(p.lease()), gateway.WithFind(find))
+	options := []gateway.Option{gateway.WithNames(names), gateway.WithLease(p.lease()), gateway.WithFind(find)}
+	var agent *rollout.Agent
+	if s.Rollouts.Enabled() {
+		agent = rollout.NewAgent(rand.Uint64())
+		options = append(options, gateway.WithRollouts(agent))
+	}
+	g = gateway.New(targets, pool, budgets, poller.Soon, options...)
 	adopt := func(version uint64, doc []byte) error {
 		table, err := p.adapter.Table(doc)
 		if err == nil {
@@ -89,7 +98,10 @@
 		return err
 	}
 	p.client = control.NewDocumentClient(p.peers, s.Seeds, adopt)
-	p.entry = &entry{gateway: g, pool: pool}
+	if agent != nil {
+		p.client.WithRollouts(agent)
+	}
+	p.entry = &entry{gateway: g, pool: pool, agent: agent}
 	conn, err := net.ListenPacket("udp", s.PeerListen)
 	if err != nil {
 		return err
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/walnutramp/walnutramp/loadshare"
+	"github.com/walnutramp/walnutramp/rollout"
 )
 
 // MetricsPath is where a process tells its figures.
@@ -41,12 +42,38 @@
 		p.entry.gateway.WriteMetrics(w)
 		fmt.Fprintf(w, "walnutramp_target_connections_opened_total %d\n", p.entry.pool.Dialed())
 		writeSharing(w, p.entry.sharer.Stats())
+		if p.entry.agent != nil {
+			writeVersions(w, p.entry.agent)
+		}
 	}
 	if p.replica != nil && p.replica.member != nil {
 		p.replica.writeMetrics(w)
 	}
 }
 
+// writeVersions writes what an entry knows of its services' versions, and what
+// it saw of them in the roll-outs under way.
+func writeVersions(w io.Writer, a *rollout.Agent) {
+	fmt.Fprintf(w, "walnutramp_versions_revision %d\n", a.Revision())
+	byVersion := map[[2]string]rollout.Counts{}
+	for _, cell := range a.Counts() {
+		key := [2]string{cell.Key.Service, cell.Key.Version}
+		sum := byVersion[key]
+		sum.Sent += cell.Counts.Sent
+		sum.Served += cell.Counts.Served
+		sum.Failed += cell.Counts.Failed
+		sum.Lost += cell.Counts.Lost
+		byVersion[key] = sum
+	}
+	for key, sum := range byVersion {
+		labels := fmt.Sprintf("service=%q,version=%q", key[0], key[1])
+		fmt.Fprintf(w, "walnutramp_rollout_sent{%s} %d\n", labels, sum.Sent)
+		fmt.Fprintf(w, "walnutramp_rollout_served{%s} %d\n", labels, sum.Served)
+		fmt.Fprintf(w, "walnutramp_rollout_failed{%s} %d\n", labels, sum.Failed)
+		fmt.Fprintf(w, "walnutramp_rollout_lost{%s} %d\n", labels, sum.Lost)
+	}
+}
+
 // writeSharing writes what an entry tells others of its runs, and for others.
 func writeSharing(w io.Writer, s loadshare.Stats) {
 	relayed := 0
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -81,6 +81,9 @@
 	server := peer.NewServer(self, &p.traffic)
 	answers := control.NewOpenServer(member, state, keeper, roster, control.WithLink(s.LinkMbps*bytesPerMbit))
 	relay := control.NewRelay(p.peers, self.Node, s.DataHall, member, answers)
+	if s.Rollouts.Enabled() {
+		go control.NewRolloutController(member, answers, s.Rollouts).Run(p.ctx)
+	}
 	if err := errors.Join(
 		server.Register(consensus.Service, member.Handler()),
 		server.Register(control.Service, answers),
@@ -160,6 +163,23 @@
 	return nil
 }
 
+// StartRollout implements Documents.
+func (d *documents) StartRollout(ctx context.Context, service, version string, duration time.Duration) error {
+	d.learnGroup()
+	ctx, cancel := context.WithTimeout(ctx, d.limit)
+	defer cancel()
+	_, err := d.client.StartRollout(ctx, service, version, duration)
+	return err
+}
+
+// Rollout implements Documents.
+func (d *documents) Rollout(ctx context.Context, service string) (control.RolloutReply, error) {
+	d.learnGroup()
+	ctx, cancel := context.WithTimeout(ctx, d.limit)
+	defer cancel()
+	return d.client.Rollout(ctx, service)
+}
+
 // Newest implements Documents.
 func (d *documents) Newest(ctx context.Context) (uint64, []byte, bool) {
 	d.learnGroup()
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -17,6 +17,7 @@
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/gateway"
 	"github.com/walnutramp/walnutramp/peer"
+	"github.com/walnutramp/walnutramp/rollout"
 	"k8s.io/klog/v2"
 )
 
@@ -43,6 +44,10 @@
 	// what they hold is the newest.
 	FailClosed bool
 
+	// Rollouts bounds what new versions of services may do before they are
+	// known to be good; not enabled where there are no roll-outs.
+	Rollouts rollout.Bounds
+
 	Policy balance.Policy // by which targets are chosen; empty for the default
 
 	RepeatRatio  float64 // of the site's bound on repeated sends
@@ -73,6 +78,11 @@
 	Offer(ctx context.Context, version uint64, doc []byte) error
 	// Newest returns the newest document, confirmed; false if none can be.
 	Newest(ctx context.Context) (version uint64, doc []byte, ok bool)
+	// StartRollout orders a service to be brought to a version within a time.
+	// An error that is final is a *walnutramp.Error.
+	StartRollout(ctx context.Context, service, version string, duration time.Duration) error
+	// Rollout returns the newest roll-out of a service, confirmed.
+	Rollout(ctx context.Context, service string) (control.RolloutReply, error)
 }
 
 // The share of a process's memory that the Go heap may take before the
