--- a/cmd/walnutramp/explain.go
+++ b/cmd/walnutramp/explain.go
@@ -11,7 +11,7 @@
 type explainCommand struct {
 	*program
 	Positional struct {
-		Request string   `positional-arg-name:"ID" required:"true" description:"the request's id"`
+		Request string   `positional-arg-name:"ID" required:"true" description:"the request's id, or a service whose roll-out is to be explained"`
 		Files   []string `positional-arg-name:"FILE" description:"log files of nodes; standard input if there is none"`
 	} `positional-args:"true"`
 }
@@ -23,10 +23,15 @@
 		return err
 	}
 	story, ok := explain.Tell(lines, c.Positional.Request)
+	if ok {
+		story.Write(c.out)
+		return nil
+	}
+	rollout, ok := explain.TellRollout(lines, c.Positional.Request)
 	if !ok {
-		return errors.Newf("no log line names request %s", c.Positional.Request)
+		return errors.Newf("no log line names request %s, or a roll-out of a service of that name", c.Positional.Request)
 	}
-	story.Write(c.out)
+	rollout.Write(c.out)
 	return nil
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -122,7 +122,7 @@
 	whole.target = t.ID
 	c.watched.First()
 	if answer.Status >= http.StatusInternalServerError {
-		c.watched.Ended(rollout.Failed)
+		g.noteFailed(c, t)
 		t.Erred()
 		return g.ownStatus(c, whole), true
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -222,7 +222,7 @@
 func (r *relay) passOther(a *targetconn.Answer, t *balance.Target) ending {
 	g, c := r.gateway, r.call
 	if a.Status >= http.StatusInternalServerError {
-		c.watched.Ended(rollout.Failed)
+		g.noteFailed(c, t)
 		t.Erred()
 		klog.InfoS("Target failed", "request", c.id, "target", t.ID, "status", a.Status)
 		return endBroken
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -9,6 +9,7 @@
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/internal/rendezvous"
 	"github.com/walnutramp/walnutramp/rollout"
+	"k8s.io/klog/v2"
 )
 
 // While a service is brought to a new version of its targets, the roll-out's
@@ -75,6 +76,21 @@
 	}
 }
 
+// noteFailed notes that a target's answer tells of a failure.
+func (g *Gateway) noteFailed(c *call, t *balance.Target) {
+	logAgainst(c, t, "failed")
+	c.watched.Ended(rollout.Failed)
+}
+
+// logAgainst logs what speaks against a new version: its share of the requests
+// is small, and so are these lines.
+func logAgainst(c *call, t *balance.Target, how string) {
+	if c.watched.New() {
+		klog.InfoS("Answer against a new version", "request", c.id, "service", c.service, "route", c.route.Name,
+			"version", t.Version, "target", t.ID, "how", how)
+	}
+}
+
 // lossSettle is how long a lost answer waits to be counted: by then a data hall
 // that was lost is known to be in doubt.
 const lossSettle = 300 * time.Millisecond
@@ -86,6 +102,7 @@
 	if watched == nil {
 		return
 	}
+	logAgainst(c, t, "lost")
 	c.watched = nil
 	time.AfterFunc(lossSettle, func() {
 		if g.targets.HallInDoubt(t) {
--- a/rollout/request.go
+++ b/rollout/request.go
@@ -53,6 +53,9 @@
 	r.change(func(c *Counts) { c.Pace = c.Pace.Note(d) })
 }
 
+// New reports whether the request is at a target of the new version.
+func (r *Request) New() bool { return r != nil && r.key.Target != "" }
+
 // Ended notes how the request ended, once.
 func (r *Request) Ended(o Outcome) {
 	if r == nil {
