--- a/control/model_site_test.go
+++ b/control/model_site_test.go
@@ -13,6 +13,7 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/consensus"
 	"github.com/walnutramp/walnutramp/internal/memfs"
+	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/wal"
 )
 
@@ -29,6 +30,8 @@
 	history []porcupine.Operation
 	began   time.Time
 	next    int // number of the next new node
+
+	rollouts bool // the site has roll-outs
 }
 
 type modelNode struct {
@@ -62,9 +65,11 @@
 	return lyingFile{f}, err
 }
 
-func newModel(seed uint64, d defect) *model {
+func newModel(seed uint64, d defect) *model { return newModelOf(seed, d, false) }
+
+func newModelOf(seed uint64, d defect, rollouts bool) *model {
 	m := &model{
-		defect: d, seed: seed, rng: rand.New(rand.NewPCG(seed, 99)), nodes: map[walnutramp.NodeName]*modelNode{},
+		defect: d, seed: seed, rollouts: rollouts, rng: rand.New(rand.NewPCG(seed, 99)), nodes: map[walnutramp.NodeName]*modelNode{},
 		cut: map[[2]walnutramp.NodeName]bool{}, began: time.Now(), names: []walnutramp.NodeName{"n1", "n2", "n3"}, next: 4,
 	}
 	for _, name := range m.names {
@@ -147,6 +152,11 @@
 		run = func(ctx context.Context) { swapMembers(ctx, keeper) }
 	}
 	n.tasks.Go(func() { run(ctx) })
+	if m.rollouts {
+		n.server.roster.Set(modelList())
+		controller := NewRolloutController(n.member, n.server, rollout.Bounds{Share: 0.1, Slack: 50})
+		n.tasks.Go(func() { controller.Run(ctx) })
+	}
 	n.tasks.Go(func() { NewJoiner(peers, name, identity, n.member, client).Run(ctx) })
 }
 
@@ -336,6 +346,10 @@
 		return n.server.Piece(args.(PieceArgs), reply.(*PieceReply))
 	case Service + ".Offer":
 		return n.server.Offer(args.(OfferArgs), reply.(*DoReply))
+	case Service + ".Order":
+		return n.server.Order(args.(OrderArgs), reply.(*DoReply))
+	case Service + ".Rollout":
+		return n.server.Rollout(args.(RolloutArgs), reply.(*RolloutReply))
 	case Service + ".Join":
 		return n.server.Join(args.(JoinArgs), reply.(*JoinReply))
 	}
