--- a/control/model_rollout_test.go
+++ b/control/model_rollout_test.go
@@ -83,8 +83,14 @@
 }
 
 func (m *model) readRollout(h *rolloutHistory) {
-	c, _ := m.client()
+	c, n := m.client()
 	call := time.Now()
+	if m.defect == readsAnywhere {
+		view, _ := n.state.versions()
+		rec, _ := view.Of(modelService)
+		h.note(rolloutOp{call: call, record: rec})
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
 	defer cancel()
 	reply, err := c.Rollout(ctx, modelService)
@@ -148,12 +154,12 @@
 	}
 }
 
-// Orders that are acknowledged before they are synced are forgotten when all
-// members lose power, which the check sees.
+// What any member reads without a majority's word may be older than what was
+// read before, which the check sees.
 func TestModelOfRolloutsSeesAMistake(t *testing.T) {
 	const most = 200
 	for seed := range uint64(most) {
-		if what := playRollouts(t, seed, acksBeforeSync, 4).wrong(); what != "" {
+		if what := playRollouts(t, seed, readsAnywhere, 4).wrong(); what != "" {
 			t.Logf("seen with seed %d: %s", seed, what)
 			return
 		}
