--- a/control/rollout_controller.go
+++ b/control/rollout_controller.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/consensus"
 	"github.com/walnutramp/walnutramp/discovery"
@@ -30,21 +29,22 @@
 // is not agreed on: nodes tell a new leader everything again.
 type RolloutController struct {
 	member *consensus.Member
+	server *Server
 	state  *State
 	roster *Roster
 	bounds rollout.Bounds
 	policy rollout.Policy
 
-	mu        sync.Mutex
-	judge     uint64    // names this member's time as leader; 0 while it does not lead
-	began     time.Time // when that began
-	confirmed time.Time
-	tally     *rollout.Tally
-	trials    map[string]*trial // by service
+	mu          sync.Mutex
+	judge       uint64    // names this member's time as leader; 0 while it does not lead
+	began       time.Time // when that began
+	confirmed   time.Time
+	tally       *rollout.Tally
+	evaluations map[string]*evaluation // by service
 }
 
-// trial is the leader's view of one running roll-out.
-type trial struct {
+// evaluation is the leader's view of one running roll-out.
+type evaluation struct {
 	number   uint64
 	judge    *rollout.Judge
 	step     rollout.Step
@@ -66,11 +66,11 @@
 // NewRolloutController returns a controller for a member's server, which
 // answers about roll-outs from then on.
 func NewRolloutController(m *consensus.Member, s *Server, bounds rollout.Bounds, opts ...ControllerOption) *RolloutController {
-	c := &RolloutController{member: m, state: s.state, roster: s.roster, bounds: bounds, policy: rollout.ChangePoint}
+	c := &RolloutController{member: m, server: s, state: s.state, roster: s.roster, bounds: bounds, policy: rollout.ChangePoint}
 	for _, opt := range opts {
 		opt(c)
 	}
-	s.releases = c
+	s.rollouts = c
 	return c
 }
 
@@ -92,7 +92,7 @@
 func (c *RolloutController) resign() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.judge, c.tally, c.trials = 0, nil, nil
+	c.judge, c.tally, c.evaluations = 0, nil, nil
 }
 
 // confirm has a majority say that this member still leads.
@@ -115,7 +115,7 @@
 func (c *RolloutController) begin() {
 	if c.judge == 0 {
 		c.judge, c.began = rand.Uint64()|1, time.Now()
-		c.tally, c.trials = rollout.NewTally(), map[string]*trial{}
+		c.tally, c.evaluations = rollout.NewTally(), map[string]*evaluation{}
 	}
 }
 
@@ -136,8 +136,8 @@
 		if _, known := view.Of(service); known {
 			continue
 		}
-		klog.InfoS("Versions noted", "service", service, "versions", versions)
-		c.propose(ctx, Command{Known: &KnownVersions{Service: service, Versions: versions}})
+		_, ok := c.agree(ctx, Command{Known: &KnownVersions{Service: service, Versions: versions}})
+		klog.InfoS("Versions noted", "service", service, "versions", versions, "agreed", ok)
 	}
 }
 
@@ -156,24 +156,17 @@
 	return versions
 }
 
-func (c *RolloutController) propose(ctx context.Context, command Command) Result {
+// agree has the group agree on a command; false if that is not known to have
+// come about.
+func (c *RolloutController) agree(ctx context.Context, command Command) (Result, bool) {
 	ctx, cancel := context.WithTimeout(ctx, stepLimit)
 	defer cancel()
-	command.Now = time.Now().UnixMilli()
-	text, err := msgpack.Marshal(command)
-	if err != nil {
-		klog.ErrorS(err, "Command not encoded")
-		return Result{Code: walnutramp.CodeInternal}
+	var reply DoReply
+	if err := c.server.propose(ctx, command, &reply); err != nil {
+		klog.ErrorS(err, "Command not handed to the group")
+		return Result{}, false
 	}
-	reply := c.member.Propose(ctx, text)
-	result := Result{Code: reply.Code}
-	if reply.Code == walnutramp.CodeOK {
-		if err := msgpack.Unmarshal(reply.Result, &result); err != nil {
-			klog.ErrorS(err, "Result not decoded")
-			return Result{Code: walnutramp.CodeInternal}
-		}
-	}
-	return result
+	return reply.Result, reply.Code == walnutramp.CodeOK
 }
 
 // controlAll takes every running roll-out a step further.
@@ -187,7 +180,7 @@
 			continue
 		}
 		command := RolloutStep{Service: rec.Service, Number: rec.Number, State: step.State, Stage: step.Stage, Elapsed: elapsed, Reason: step.Reason}
-		if r := c.propose(ctx, Command{Step: &command}); r.Code == walnutramp.CodeOK {
+		if r, ok := c.agree(ctx, Command{Step: &command}); ok {
 			c.agreed(rec, r.Rollout)
 		}
 	}
@@ -199,7 +192,7 @@
 	elapsed = c.state.rolloutElapsed(rec)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t := c.trialOf(rec, elapsed)
+	t := c.evaluationOf(rec, elapsed)
 	t.verdict = t.judge.Verdict()
 	situation := c.situation(rec, t, elapsed)
 	t.step = c.bounds.Plan(situation)
@@ -212,23 +205,23 @@
 	return t.step, changes, elapsed
 }
 
-// trialOf returns what is known of a running roll-out. The caller holds the
+// evaluationOf returns what is known of a running roll-out. The caller holds the
 // mutex.
-func (c *RolloutController) trialOf(rec rollout.Record, elapsed time.Duration) *trial {
-	t := c.trials[rec.Service]
+func (c *RolloutController) evaluationOf(rec rollout.Record, elapsed time.Duration) *evaluation {
+	t := c.evaluations[rec.Service]
 	if t == nil || t.number != rec.Number {
-		t = &trial{number: rec.Number, judge: rollout.NewJudge(c.policy, rec.Duration), notedAt: time.Now()}
+		t = &evaluation{number: rec.Number, judge: rollout.NewJudge(c.policy, rec.Duration), notedAt: time.Now()}
 		if rec.Stage == rollout.StageShift {
 			t.shifted = elapsed // a new leader: at the latest now
 		}
-		c.trials[rec.Service] = t
+		c.evaluations[rec.Service] = t
 		c.tally.Forget(rec.Service)
 	}
 	return t
 }
 
 // situation gathers what a plan goes by. The caller holds the mutex.
-func (c *RolloutController) situation(rec rollout.Record, t *trial, elapsed time.Duration) rollout.Situation {
+func (c *RolloutController) situation(rec rollout.Record, t *evaluation, elapsed time.Duration) rollout.Situation {
 	s := rollout.Situation{Record: rec, Elapsed: elapsed, ShiftedAt: t.shifted, Sums: c.tally.Sums(rec.Service), Verdict: t.verdict}
 	_, list := c.roster.held()
 	for _, target := range list {
@@ -251,7 +244,7 @@
 func (c *RolloutController) agreed(before, now rollout.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t := c.trials[now.Service]
+	t := c.evaluations[now.Service]
 	if t == nil || t.number != now.Number {
 		return
 	}
@@ -268,7 +261,7 @@
 // logEvery bounds the lines about a roll-out that goes on as before.
 const logEvery = 1 * time.Second
 
-func (t *trial) log(rec rollout.Record, s rollout.Situation) {
+func (t *evaluation) log(rec rollout.Record, s rollout.Situation) {
 	if time.Since(t.loggedAt) < logEvery {
 		return
 	}
@@ -297,7 +290,7 @@
 			continue
 		}
 		elapsed := c.state.rolloutElapsed(rec)
-		t := c.trialOf(rec, elapsed)
+		t := c.evaluationOf(rec, elapsed)
 		t.judge.Take(elapsed, rec.Target, cellsOf(news, rec.Service))
 		if t.permits && life > 0 {
 			permits = append(permits, rollout.Permit{
@@ -322,7 +315,7 @@
 func (c *RolloutController) weighed(rec rollout.Record) ([]rollout.Cell, rollout.Verdict) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t := c.trials[rec.Service]
+	t := c.evaluations[rec.Service]
 	if t == nil || t.number != rec.Number {
 		return nil, rollout.Verdict{}
 	}
--- a/control/rollout_server.go
+++ b/control/rollout_server.go
@@ -12,7 +12,7 @@
 
 // Order implements the RPC for an operator's order of a roll-out.
 func (s *Server) Order(args OrderArgs, reply *DoReply) error {
-	if s.releases == nil || args.Service == "" || args.Version == "" || args.Duration <= 0 || args.Duration > longestRollout {
+	if s.rollouts == nil || args.Service == "" || args.Version == "" || args.Duration <= 0 || args.Duration > longestRollout {
 		reply.Code = walnutramp.CodeRolloutInvalid
 		return nil
 	}
@@ -35,7 +35,7 @@
 		reply.Code = walnutramp.CodeRolloutUnknown
 		return nil
 	}
-	return s.propose(Command{Rollout: &order}, reply)
+	return s.propose(context.Background(), Command{Rollout: &order}, reply)
 }
 
 // Rollout implements the RPC that reads the newest roll-out of a service.
@@ -53,8 +53,8 @@
 		return nil
 	}
 	reply.Code, reply.Record, reply.Elapsed = walnutramp.CodeOK, rec, s.state.rolloutElapsed(rec)
-	if s.releases != nil {
-		reply.Sums, reply.Verdict = s.releases.weighed(rec)
+	if s.rollouts != nil {
+		reply.Sums, reply.Verdict = s.rollouts.weighed(rec)
 	}
 	return nil
 }
@@ -62,11 +62,11 @@
 // Report implements the RPC by which a node tells what it saw of targets, and
 // gets permits for new versions.
 func (s *Server) Report(args ReportArgs, reply *ReportReply) error {
-	if s.releases == nil || !s.member.Leads() {
+	if s.rollouts == nil || !s.member.Leads() {
 		reply.Code, reply.Leader = walnutramp.CodeNoLeader, s.member.Leader()
 		return nil
 	}
 	reply.Code = walnutramp.CodeOK
-	reply.Judge, reply.Permits = s.releases.report(args)
+	reply.Judge, reply.Permits = s.rollouts.report(args)
 	return nil
 }
--- a/control/server.go
+++ b/control/server.go
@@ -30,7 +30,7 @@
 	roster    *Roster            // nil where nodes read the list themselves
 	relays    relays             // members that relay this one's word, while it leads
 	relay     *Relay             // relays the leader's word, while another leads; nil for none
-	releases  *RolloutController // nil where there are no roll-outs
+	rollouts  *RolloutController // nil where there are no roll-outs
 }
 
 // ServerOption sets how a Server works.
@@ -150,7 +150,7 @@
 	name := fmt.Sprint(args.Submit.Version, " ", args.Submit.Digest)
 	answer, err, _ := s.offers.Do(name, func() (any, error) {
 		var first DoReply
-		err := s.propose(Command{Submit: &args.Submit}, &first)
+		err := s.propose(context.Background(), Command{Submit: &args.Submit}, &first)
 		s.logAccepted(&args.Submit, &first)
 		return first, err
 	})
@@ -212,16 +212,17 @@
 		reply.Code = walnutramp.CodeBundleSignature
 		return nil
 	}
-	return s.propose(args.Command, reply)
+	return s.propose(context.Background(), args.Command, reply)
 }
 
-func (s *Server) propose(c Command, reply *DoReply) error {
+// propose has the group agree on a command, if this member leads.
+func (s *Server) propose(ctx context.Context, c Command, reply *DoReply) error {
 	c.Now = time.Now().UnixMilli()
 	command, err := msgpack.Marshal(c)
 	if err != nil {
 		return err
 	}
-	r := s.member.Propose(context.Background(), command)
+	r := s.member.Propose(ctx, command)
 	reply.Code, reply.Leader = r.Code, r.Leader
 	if r.Code == walnutramp.CodeOK {
 		return msgpack.Unmarshal(r.Result, &reply.Result)
@@ -249,5 +250,5 @@
 		return nil
 	}
 	sub := newSubmit(b.Version, args.Signature.Operator, args.Doc)
-	return s.propose(Command{Submit: &sub}, reply)
+	return s.propose(context.Background(), Command{Submit: &sub}, reply)
 }
--- a/rollout/agent.go
+++ b/rollout/agent.go
@@ -114,9 +114,9 @@
 	}
 }
 
-// mayTry reports whether requests may go to the new version now. The caller
+// permitted reports whether requests may go to the new version now. The caller
 // holds the mutex.
-func (s *service) mayTry(now time.Time) bool {
+func (s *service) permitted(now time.Time) bool {
 	return s != nil && s.record.State == Running && now.Before(s.until)
 }
 
@@ -135,7 +135,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := a.services[name]
-	if !s.mayTry(a.now()) {
+	if !s.permitted(a.now()) {
 		return false
 	}
 	credit, begun := s.credits[route]
@@ -168,7 +168,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := a.services[name]
-	return s.mayTry(a.now()) && s.permit.Other >= 1
+	return s.permitted(a.now()) && s.permit.Other >= 1
 }
 
 // Versions returns those that a request may go to: the new one where it was
@@ -197,7 +197,7 @@
 	if s == nil {
 		return true
 	}
-	if version == s.record.Target && s.mayTry(a.now()) {
+	if version == s.record.Target && s.permitted(a.now()) {
 		return true
 	}
 	return slices.Contains(s.record.InForce, version) || len(s.record.InForce) == 0 && version != s.record.Target
