--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -89,6 +89,7 @@
 		}
 	}()
 	defer g.limitTry(c, cancel).Stop()
+	defer func() { c.watched.Dropped() }() // unless its end is noted
 	run := t.Begin(balance.Work{}, balance.Trace{})
 	defer run.End(balance.RunEnd{Whole: true})
 	answer, err := g.pool.Do(tryCtx, endpoint(t), g.request(c, t))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -115,6 +115,7 @@
 	under := t.Begin(o.work, o.trace)
 	kept := &runCopy{relay: r, target: t, run: under, copy: o.copy}
 	end := r.follow(ctx, t, o, kept)
+	r.call.watched.Dropped() // unless its end is noted
 	under.End(balance.RunEnd{Whole: end == endWhole, Tokens: r.events * r.call.engine.EventTokens})
 	if left := kept.end(end); under.Begun() {
 		r.copy = left
--- a/gateway/versions_test.go
+++ b/gateway/versions_test.go
@@ -163,3 +163,25 @@
 	require.Len(t, seen, 8, "each has its turn")
 	require.Empty(t, inFocus(rollout.Focus{Part: 0.5}, nil))
 }
+
+// What ends in a way that is not counted does not wait for its first event for
+// ever: it would be held to be late.
+func TestNothingWaitsOnOnceItHasEnded(t *testing.T) {
+	odd := func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		c.Write([]byte("HTTP/1.1 200 OK\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nContent-Length: 900\r\n\r\nshort"))
+		c.Close()
+	}
+	old, new := newFakeTarget(t, "i-1", "draft", "north", draft(nil)), newFakeTarget(t, "i-2", "draft", "south", odd)
+	v := newVersionSite(t, "draft", old, new)
+	v.agent.SetPermits([]rollout.Permit{{
+		Service: "draft", Number: 1, Other: 1, Focus: rollout.Focus{Part: 1}, Late: map[string]time.Duration{"draft": time.Nanosecond}, For: time.Minute,
+	}}, time.Now())
+	_, _, err := do(t, v.request(t, "POST", "/draft/", "prompt", "X-Usage", "100,60", "X-Prefix", "part-1"))
+	require.NoError(t, err)
+	v.agent.Report(1)
+	for _, cell := range v.agent.Counts() {
+		if cell.Key.Version == "v2" {
+			require.Empty(t, cell.Counts.First, "%+v", cell)
+		}
+	}
+}
