Members introduce themselves to seeds that are proxies

Cause: after a kill of all processes the seeds that the settings name may all be proxies, which know of nobody; entries asked them for ever. Ruled out: the group itself, which elected a leader.

--- a/control/guide.go
+++ b/control/guide.go
@@ -47,3 +47,24 @@
 	defer c.mu.Unlock()
 	return c.leader, c.group
 }
+
+// Order implements the RPC for an operator's order of a roll-out.
+func (g *Guide) Order(_ OrderArgs, reply *DoReply) error {
+	reply.Code = walnutramp.CodeNoLeader
+	reply.Leader, _ = g.client.whereabouts()
+	return nil
+}
+
+// Rollout implements the RPC that reads the newest roll-out of a service.
+func (g *Guide) Rollout(_ RolloutArgs, reply *RolloutReply) error {
+	reply.Code = walnutramp.CodeNoLeader
+	reply.Leader, _ = g.client.whereabouts()
+	return nil
+}
+
+// Report implements the RPC by which a node tells what it saw of targets.
+func (g *Guide) Report(_ ReportArgs, reply *ReportReply) error {
+	reply.Code = walnutramp.CodeNoLeader
+	reply.Leader, _ = g.client.whereabouts()
+	return nil
+}
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -100,6 +100,7 @@
 	go keeper.Run(p.ctx)
 	go poller.Run(p.ctx)
 	go relay.Run(p.ctx)
+	go control.NewIntroducer(p.peers, member, p.client).Run(p.ctx)
 	go control.NewJoiner(p.peers, self.Node, identity, member, p.client).Run(p.ctx)
 	p.replica = &replica{member: member, server: server}
 	p.replica.operator, err = listen(s.OperatorAddr, p.adapter.Operator(&documents{client: p.client, member: member, limit: s.OperatorIn}))
