--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -246,7 +247,7 @@
 		left += share * n
 	}
 	routes := slices.SortedFunc(maps.Keys(byRoute), func(a, b string) int {
-		return int(math.Copysign(1, byRoute[a]-byRoute[b]))
+		return cmp.Or(cmp.Compare(byRoute[a], byRoute[b]), cmp.Compare(a, b))
 	})
 	for i, route := range routes {
 		n := byRoute[route]
