--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -46,9 +46,10 @@
 }
 
 type fleetEntry struct {
-	peers  *peer.Client
-	client *control.Client
-	agent  *rollout.Agent
+	peers   *peer.Client
+	client  *control.Client
+	agent   *rollout.Agent
+	traffic *peer.Traffic
 
 	mu      sync.Mutex
 	since   map[uint64]time.Time // when each version came into force
@@ -166,8 +167,8 @@
 
 func (fl *fleet) startEntry(i int) *fleetEntry {
 	host := fmt.Sprintf("e%d", i+1)
-	_, peers, _ := fl.peersOf(host)
-	e := &fleetEntry{peers: peers, since: map[uint64]time.Time{}}
+	_, peers, traffic := fl.peersOf(host)
+	e := &fleetEntry{peers: peers, traffic: traffic, since: map[uint64]time.Time{}}
 	e.client = control.NewDocumentClient(peers, fl.seeds, func(version uint64, _ []byte) error {
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- a/control/rollout_fleet_test.go
+++ b/control/rollout_fleet_test.go
@@ -20,6 +20,12 @@
 	answerTime    = 30 * time.Millisecond
 )
 
+// controlBytes is what control may cost an entry, in bytes a second.
+const controlBytes = 7000
+
+// bytes is what an entry has sent and received.
+func (e *fleetEntry) bytes() int64 { return e.traffic.Sent.Load() + e.traffic.Received.Load() }
+
 // versionedList lists targets of versions, four of each.
 func versionedList(versions ...string) []discovery.Target {
 	var list []discovery.Target
@@ -161,7 +167,11 @@
 func TestRolloutOfAGoodVersionCompletesInTime(t *testing.T) {
 	withRollout(t, 0, func(fl *fleet, load *requests) {
 		began, before := time.Now(), load.of("v1")
+		bytes := fl.entries[0].bytes()
 		time.Sleep(8 * time.Second)
+		perS := (fl.entries[0].bytes() - bytes) / 8
+		t.Logf("an entry with 25 requests a second: %d bytes a second of control", perS)
+		require.Less(t, perS, int64(controlBytes))
 		require.Positive(t, load.of("v2"))
 		all := float64(load.of("v1") - before + load.of("v2"))
 		require.Less(t, float64(load.of("v2")), fleetBounds.Share*all+fleetBounds.Slack)
--- a/control/rollout_server.go
+++ b/control/rollout_server.go
@@ -7,8 +7,15 @@
 	"github.com/walnutramp/walnutramp"
 )
 
-// longestRollout bounds the time that an order may give.
-const longestRollout = 24 * time.Hour
+const (
+	// longestRollout bounds the time that an order may give.
+	longestRollout = 24 * time.Hour
+	// orderPatience is in which operators send an order again, where the site
+	// does not tell.
+	orderPatience = 5 * time.Second
+	// repeatMargin is how much later than that the last repeat may come in.
+	repeatMargin = 1 * time.Second
+)
 
 // Order implements the RPC for an operator's order of a roll-out.
 func (s *Server) Order(args OrderArgs, reply *DoReply) error {
@@ -27,7 +34,7 @@
 	rec, known := view.Of(args.Service)
 	switch {
 	case known:
-		order.Repeat = order.repeats(&rec) && s.state.rolloutElapsed(rec) < repeatWindow
+		order.Repeat = order.repeats(&rec) && s.state.rolloutElapsed(rec) < s.patience+repeatMargin
 	case listed == 0:
 		reply.Code = walnutramp.CodeNoLeader // it has not read the list of targets yet
 		return nil
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -39,15 +39,9 @@
 	Reason  string
 }
 
-// Bounds of a roll-out's time.
-const (
-	// repeatWindow is how long after an order the same one is held to be a
-	// repeat of it, whose answer was lost, though the roll-out has ended.
-	repeatWindow = 6 * time.Second
-	// longestOutage bounds the time that the members' clocks say has passed
-	// while none of them ran: no more is believed of a clock that was set.
-	longestOutage = 2 * time.Second
-)
+// longestOutage bounds the time that the members' clocks say has passed while
+// none of them ran: no more is believed of a clock that was set.
+const longestOutage = 2 * time.Second
 
 // rollouts are the versions that the control group has agreed on.
 type rollouts struct {
--- a/control/server.go
+++ b/control/server.go
@@ -31,6 +31,7 @@
 	relays    relays             // members that relay this one's word, while it leads
 	relay     *Relay             // relays the leader's word, while another leads; nil for none
 	rollouts  *RolloutController // nil where there are no roll-outs
+	patience  time.Duration      // in which an operator sends an order again whose answer was lost
 }
 
 // ServerOption sets how a Server works.
@@ -42,6 +43,12 @@
 	return func(s *Server) { s.feed = newFeed(bytesPerSecond) }
 }
 
+// WithOrderPatience tells for how long operators send an order of a roll-out
+// again whose answer was lost.
+func WithOrderPatience(d time.Duration) ServerOption {
+	return func(s *Server) { s.patience = d }
+}
+
 // NewOpenServer returns a server of a site that asks for no signatures and
 // whose members change by themselves.
 func NewOpenServer(m *consensus.Member, s *State, k *Keeper, r *Roster, opts ...ServerOption) *Server {
@@ -61,7 +68,7 @@
 }
 
 func newServer(m *consensus.Member, s *State) *Server {
-	return &Server{member: m, state: s, updates: &updates{state: s}, feed: newFeed(0)}
+	return &Server{member: m, state: s, updates: &updates{state: s}, feed: newFeed(0), patience: orderPatience}
 }
 
 // Newest implements the RPC behind each node's lease.
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -39,6 +39,9 @@
 	LinkMbps   float64       // what the machine's link carries, in megabits a second; 0 for unknown
 	Grace      time.Duration // from the order to stop to the kill
 	OperatorIn time.Duration // in which an operator wants an answer
+	// OrderPatience is for how long an operator sends an order of a roll-out
+	// again whose answer was lost.
+	OrderPatience time.Duration
 
 	// FailClosed has entries refuse new work while they can't tell whether
 	// what they hold is the newest.
