--- a/control/guide.go
+++ b/control/guide.go
@@ -15,56 +15,58 @@
 
 // Newest implements the RPC behind each node's lease.
 func (g *Guide) Newest(_ NewestArgs, reply *NewestReply) error {
-	reply.Code = walnutramp.CodeNoLeader
-	reply.Leader, reply.Group = g.client.whereabouts()
+	reply.Group = g.refer(&reply.Code, &reply.Leader)
 	return nil
 }
 
 // Join implements the RPC by which a node with a new disk comes in.
 func (g *Guide) Join(_ JoinArgs, reply *JoinReply) error {
-	reply.Code = walnutramp.CodeNoLeader
-	reply.Leader, reply.Group = g.client.whereabouts()
+	reply.Group = g.refer(&reply.Code, &reply.Leader)
 	return nil
 }
 
 // Do implements the RPC that changes the ledger.
 func (g *Guide) Do(_ DoArgs, reply *DoReply) error {
-	reply.Code = walnutramp.CodeNoLeader
-	reply.Leader, _ = g.client.whereabouts()
+	g.refer(&reply.Code, &reply.Leader)
 	return nil
 }
 
 // Offer implements the RPC for an unsigned document.
 func (g *Guide) Offer(_ OfferArgs, reply *DoReply) error {
-	reply.Code = walnutramp.CodeNoLeader
-	reply.Leader, _ = g.client.whereabouts()
+	g.refer(&reply.Code, &reply.Leader)
 	return nil
 }
 
-// whereabouts returns the leader, if known, and the members as last heard.
-func (c *Client) whereabouts() (leader walnutramp.NodeName, group []walnutramp.NodeName) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.leader, c.group
-}
-
 // Order implements the RPC for an operator's order of a roll-out.
 func (g *Guide) Order(_ OrderArgs, reply *DoReply) error {
-	reply.Code = walnutramp.CodeNoLeader
-	reply.Leader, _ = g.client.whereabouts()
+	g.refer(&reply.Code, &reply.Leader)
 	return nil
 }
 
 // Rollout implements the RPC that reads the newest roll-out of a service.
 func (g *Guide) Rollout(_ RolloutArgs, reply *RolloutReply) error {
-	reply.Code = walnutramp.CodeNoLeader
-	reply.Leader, _ = g.client.whereabouts()
+	g.refer(&reply.Code, &reply.Leader)
 	return nil
 }
 
 // Report implements the RPC by which a node tells what it saw of targets.
 func (g *Guide) Report(_ ReportArgs, reply *ReportReply) error {
-	reply.Code = walnutramp.CodeNoLeader
-	reply.Leader, _ = g.client.whereabouts()
+	g.refer(&reply.Code, &reply.Leader)
 	return nil
 }
+
+// refer answers that this process does not lead, and who does as far as is
+// known. It returns the members as last heard.
+func (g *Guide) refer(code *walnutramp.Code, leader *walnutramp.NodeName) []walnutramp.NodeName {
+	*code = walnutramp.CodeNoLeader
+	var group []walnutramp.NodeName
+	*leader, group = g.client.whereabouts()
+	return group
+}
+
+// whereabouts returns the leader, if known, and the members as last heard.
+func (c *Client) whereabouts() (leader walnutramp.NodeName, group []walnutramp.NodeName) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader, c.group
+}
