--- a/rollout/plan.go
+++ b/rollout/plan.go
@@ -14,7 +14,7 @@
 	// version is to get, up to the deadline and with the last step in it, stay
 	// below the site's bound. So the bound holds though the version turns bad at
 	// any moment, and more requests come than were expected.
-	boundDoubt = 2.0
+	boundDoubt = 1.5
 	// leastCanary is the part of these that it gets before the last step,
 	// however short that becomes.
 	leastCanary = 0.3
@@ -37,13 +37,13 @@
 	leastAnswers = 8
 	// endMarginPart of the roll-out's time, between the bounds, is left when it
 	// is completed: for an acknowledgement that was late, and a new leader.
-	endMarginPart     = 0.03
-	shortestEndMargin = 350 * time.Millisecond
+	endMarginPart     = 0.025
+	shortestEndMargin = 300 * time.Millisecond
 	longestEndMargin  = 2 * time.Second
 	// shortestShift is how long all requests go to the new version before the
 	// old targets are given up: a permit and a report, so that no node sends to
 	// them any more, and what comes of that is seen.
-	shortestShift = 650 * time.Millisecond
+	shortestShift = 550 * time.Millisecond
 	// streamShift is the same of streams, which tell nothing in so short a time:
 	// what it saves is for the canary.
 	streamShift = 450 * time.Millisecond
