--- a/discovery/target.go
+++ b/discovery/target.go
@@ -18,5 +18,6 @@
 	DataHall string
 	Slots    int // requests worked on at once
 	State    TargetState
+	Spot     bool   // it may be taken away at short notice, with all such of its data hall
 	Version  string // of what the target runs; empty if it is not told
 }
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,65 @@
+// Package fleet decides how many targets a service has, in which data halls
+// and of which kind, from what requests need and what targets cost. The
+// decision knows no wire and no clock but the times that it is handed.
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/walnutramp/walnutramp/duty"
+)
+
+// Kind is a kind of target, by its terms.
+type Kind int
+
+// The kinds.
+const (
+	OnDemand Kind = iota // stays until it is ordered away
+	Spot                 // cheaper; all of a data hall may be taken away at short notice
+)
+
+// Scaling is what the configuration says of a service whose targets can be
+// ordered.
+type Scaling struct {
+	// Min and Max bound the targets of each data hall, both kinds together.
+	Min, Max int
+	// Boot is the time from an order until a new target serves.
+	Boot time.Duration
+	// SpotPrice is what a spot target costs, as a part of an on-demand one's
+	// price; 0 where there are none.
+	SpotPrice float64
+	// Prices are what a second of an on-demand target costs, by data hall.
+	Prices map[string]float64
+}
+
+// Order sets how many targets of a kind a service has in a data hall.
+type Order struct {
+	Service  string
+	DataHall string
+	Kind     Kind
+	Count    int
+}
+
+// Subject returns what the order is about, for its fencing token. Both kinds
+// of a hall share it, as the platform has it.
+func (o Order) Subject() duty.Subject {
+	return duty.Subject("fleet/" + o.Service + "/" + o.DataHall)
+}
+
+// Scaler hands an order to the platform.
+type Scaler interface {
+	// Scale makes the call once. Rejected says that there are no such targets
+	// to be had now.
+	Scale(ctx context.Context, p duty.Permission, o Order) duty.Outcome
+}
+
+// Demand is what a service's requests have asked for at one node since its
+// process started. It only ever grows.
+type Demand struct {
+	Service  string
+	Requests uint64 // new ones, refused ones among them
+	Refused  uint64 // for want of room
+	Read     uint64 // tokens of their prompts
+	Write    uint64 // tokens that they may put out, as their clients guess
+}
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/fleet"
 )
 
 // Kind says what may be repeated of a route's requests.
@@ -86,6 +87,8 @@
 	// EventTokens is how many tokens one event of a stream holds, 0 if that is
 	// not told.
 	EventTokens int
+	// Scaling says how many targets may be ordered; nil where none can be.
+	Scaling *fleet.Scaling
 }
 
 // Limits bound what a client may send.
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -15,9 +15,12 @@
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/control"
 	"github.com/walnutramp/walnutramp/discovery"
+	"github.com/walnutramp/walnutramp/duty"
 	"github.com/walnutramp/walnutramp/gateway"
+	"github.com/walnutramp/walnutramp/metering"
 	"github.com/walnutramp/walnutramp/peer"
 	"github.com/walnutramp/walnutramp/rollout"
+	"github.com/walnutramp/walnutramp/topology"
 	"k8s.io/klog/v2"
 )
 
@@ -51,6 +54,15 @@
 	// known to be good; not enabled where there are no roll-outs.
 	Rollouts rollout.Bounds
 
+	// Topology tells how far the site's data halls are from each other.
+	Topology topology.Map
+
+	// Duties bounds the calls to the platform that one node at a time makes;
+	// not enabled where there are none.
+	Duties   duty.Config
+	Metering metering.Config // of requests; not enabled where nothing is metered
+	Scales   bool            // services' targets are ordered from the platform
+
 	Policy balance.Policy // by which targets are chosen; empty for the default
 
 	RepeatRatio  float64 // of the site's bound on repeated sends
