Control group: hand-over of the leadership, one election for each lost leader, a leader whose disk stalls holds nobody up

Cause: members 12 ms apart campaign together; one that had asked for a term and voted in it before it campaigned went on in the next and deposed the winner, and votes split. A leader synced its own entries with its mutex held, so a stalled disk stopped its heartbeats and all its callers.

Change: a campaign holds to the term it asked about, a pre-vote goes to one candidate at a time, and a member that just voted grants none. A leader's own entries are staged and synced by a task without the mutex; it counts itself only for what is synced. HandOver passes the leadership to the nearest caught-up follower by TimeoutNow; a planned stop uses it. The model check plays hand-overs and machines in three regions, with a mistake put in that it finds.

--- /dev/null
+++ b/consensus/handover_test.go
@@ -0,0 +1,123 @@
+package consensus
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp"
+)
+
+// Callers keep proposing through hand-overs, as operators and nodes do: each
+// proposal is committed, or answered as not taken and sent again.
+func TestHandOverCostsNoAcknowledgement(t *testing.T) {
+	const (
+		oneWay = 12 * time.Millisecond
+		most   = 250 * time.Millisecond // from the call to its acknowledgement
+	)
+	inCluster(t, 6, 1, oneWay, func(t *testing.T, c *cluster) {
+		c.awaitLeader()
+		var longest atomic.Int64
+		ctx, stop := context.WithCancel(t.Context())
+		var callers sync.WaitGroup
+		defer callers.Wait()
+		defer stop()
+		for range 4 {
+			callers.Go(func() {
+				for ctx.Err() == nil {
+					longest.Store(max(longest.Load(), int64(c.acknowledged(t))))
+					time.Sleep(3 * time.Millisecond)
+				}
+			})
+		}
+		for range 20 {
+			time.Sleep(300 * time.Millisecond)
+			old := c.awaitLeader()
+			term := old.Status().Term
+			require.True(t, old.HandOver(t.Context()))
+			require.False(t, old.Leads())
+			require.Eventually(t, func() bool { m := c.leader(); return m != nil && m != old }, time.Second, time.Millisecond)
+			require.Equal(t, term+1, c.leader().Status().Term, "one election")
+		}
+		stop()
+		callers.Wait()
+		require.Less(t, time.Duration(longest.Load()), most)
+	})
+}
+
+// acknowledged proposes until it is acknowledged and returns how long that
+// took; what was taken must not be left unknown.
+func (c *cluster) acknowledged(t *testing.T) time.Duration {
+	began := time.Now()
+	for {
+		m := c.leader()
+		if m == nil {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		switch code := m.Propose(t.Context(), []byte("command")).Code; code {
+		case walnutramp.CodeOK:
+			return time.Since(began)
+		default:
+			require.Equal(t, walnutramp.CodeNoLeader, code)
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// The nearest of the followers that hold everything takes over.
+func TestHandOverGoesToTheNearestMember(t *testing.T) {
+	inCluster(t, 6, 2, time.Millisecond, func(t *testing.T, c *cluster) {
+		old := c.awaitLeader()
+		near := c.names[0]
+		if near == old.node {
+			near = c.names[1]
+		}
+		c.mu.Lock()
+		c.oneWay = func(from, to walnutramp.NodeName) time.Duration {
+			if from == near || to == near {
+				return time.Millisecond
+			}
+			return 12 * time.Millisecond
+		}
+		c.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		require.True(t, old.HandOver(t.Context()))
+		require.Equal(t, near, c.awaitLeader().node)
+	})
+}
+
+// A leader that nobody can follow keeps leading, and takes proposals again.
+func TestHandOverThatFailsChangesNothing(t *testing.T) {
+	inCluster(t, 3, 3, time.Millisecond, func(t *testing.T, c *cluster) {
+		old := c.awaitLeader()
+		c.mu.Lock()
+		c.lost = func(_, _ walnutramp.NodeName, method string) bool { return method == Service+".TimeoutNow" }
+		c.mu.Unlock()
+		require.False(t, old.HandOver(t.Context()))
+		require.True(t, old.Leads())
+		require.Equal(t, walnutramp.CodeOK, old.Propose(t.Context(), []byte("command")).Code)
+	})
+}
+
+// A member that follows another leader, or none, does not campaign at the word
+// of one that leads no longer.
+func TestTimeoutNowOfAFormerLeaderIsNotTaken(t *testing.T) {
+	inCluster(t, 3, 4, time.Millisecond, func(t *testing.T, c *cluster) {
+		old := c.awaitLeader()
+		term := old.Status().Term
+		require.True(t, old.HandOver(t.Context()))
+		next := c.awaitLeader()
+		for _, name := range c.names {
+			var reply TimeoutNowReply
+			args := TimeoutNowArgs{Term: term, Leader: old.node, To: Founder}
+			require.NoError(t, c.member(name).Handler().TimeoutNow(args, &reply))
+			require.False(t, reply.Taken)
+		}
+		time.Sleep(time.Second)
+		require.Equal(t, next.node, c.leader().node)
+	})
+}
--- a/consensus/member.go
+++ b/consensus/member.go
@@ -20,6 +20,11 @@
 	leader
 )
 
+// endorseShare of an election timeout is how long a pre-vote is kept for one
+// candidate: longer than it takes to ask for the votes, and shorter than the
+// wait of the others before they ask again.
+const endorseShare = 4
+
 // Member is one node's part in the group.
 type Member struct {
 	cfg      Config
@@ -28,20 +33,25 @@
 	peers    Peers
 	machine  StateMachine
 
-	mu       sync.Mutex
-	store    *storage
-	role     role
-	leaderIs walnutramp.NodeName
-	heard    time.Time // from a leader, or a vote given
-	commit   uint64
-	applied  uint64
-	changed  chan struct{} // closed at every change of role, commit or applied
-	follow   map[walnutramp.NodeName]*progress
-	waiting  map[uint64]*proposal // by index
-	round    uint64               // of confirmations that were asked for
-	in       *incoming            // what a leader sends in parts
-	dead     error                // the disk failed
-	rng      *rand.Rand
+	mu         sync.Mutex
+	store      *storage
+	role       role
+	leaderIs   walnutramp.NodeName
+	heard      time.Time // from a leader, or a vote given
+	voted      time.Time // for another, in this life of the process
+	commit     uint64
+	applied    uint64
+	changed    chan struct{} // closed at every change of role, commit or applied
+	follow     map[walnutramp.NodeName]*progress
+	waiting    map[uint64]*proposal // by index
+	round      uint64               // of confirmations that were asked for
+	endorsed   walnutramp.NodeName  // who was granted the newest pre-vote
+	endorsedAt time.Time
+	unsynced   chan struct{}       // wakes the task that syncs a leader's own entries
+	in         *incoming           // what a leader sends in parts
+	successor  walnutramp.NodeName // who is handed the leadership; empty for nobody
+	dead       error               // the disk failed
+	rng        *rand.Rand
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -56,6 +66,7 @@
 	match uint64
 	asked time.Time // when the newest answered call was sent
 	round uint64    // confirmation round of the newest answered call
+	trip  tripTime  // of calls without entries
 	out   *outgoing // what goes in parts; nil where the last call took all
 	wake  chan struct{}
 	stop  context.CancelFunc
@@ -85,7 +96,7 @@
 	}
 	m := &Member{
 		cfg: cfg, node: node, identity: identity, peers: peers, machine: machine, store: store,
-		changed: make(chan struct{}), follow: map[walnutramp.NodeName]*progress{}, waiting: map[uint64]*proposal{},
+		changed: make(chan struct{}), unsynced: make(chan struct{}, 1), follow: map[walnutramp.NodeName]*progress{}, waiting: map[uint64]*proposal{},
 		rng: rand.New(rand.NewPCG(cfg.Seed, 5)), heard: time.Now(),
 	}
 	if len(store.snapshot.State) > 0 {
@@ -106,6 +117,10 @@
 func (m *Member) Start() {
 	m.spawn(m.keepTimer)
 	m.spawn(m.apply)
+	m.spawn(m.syncOwn)
+	if m.cfg.NoteCommits {
+		m.spawn(m.noteCommits)
+	}
 }
 
 func (m *Member) spawn(f func()) {
@@ -229,21 +244,41 @@
 	return n >= group.majority()
 }
 
-// campaign asks first whether it would be elected, and only then in earnest.
+// campaign asks first whether it would be elected, and only then in earnest,
+// in the term that it asked about: where another election has begun meanwhile,
+// one in the term behind it would depose the leader that has just won. Of six
+// members 12 ms apart two often campaign together: without this 1.16 terms
+// followed each lost leader, and 0.7 s where it was more than one.
 func (m *Member) campaign() {
-	if m.poll(true) {
-		m.poll(false)
+	m.mu.Lock()
+	term := m.store.ballot.Term + 1
+	m.mu.Unlock()
+	if m.poll(ballotPre, term) {
+		m.poll(ballotVote, term)
 	}
 }
 
-// poll runs one round of votes and reports whether it was won.
-func (m *Member) poll(pre bool) bool {
+// ballotKind is what a round of votes is for.
+type ballotKind int
+
+const (
+	ballotPre      ballotKind = iota // whether the candidate would be elected
+	ballotVote                       // an election
+	ballotTransfer                   // an election at the leader's order: it ends its own term
+)
+
+// poll runs one round of votes for a term and reports whether it was won.
+func (m *Member) poll(kind ballotKind, term uint64) bool {
+	pre := kind == ballotPre
 	m.mu.Lock()
-	if m.role == leader || m.dead != nil {
+	if m.role == leader || m.dead != nil || m.store.ballot.Term+1 != term {
+		m.mu.Unlock()
+		return false
+	}
+	if pre && !m.endorse(m.node) {
 		m.mu.Unlock()
 		return false
 	}
-	term := m.store.ballot.Term + 1
 	if !pre {
 		if !m.enter(term, m.node) {
 			m.mu.Unlock()
@@ -253,7 +288,7 @@
 		m.heard = time.Now()
 	}
 	args := VoteArgs{
-		Pre: pre, Term: term, Candidate: m.node, Identity: m.identity,
+		Pre: pre, Transfer: kind == ballotTransfer, Term: term, Candidate: m.node, Identity: m.identity,
 		LastIndex: m.store.lastIndex(), LastTerm: m.store.lastTerm(),
 	}
 	group := m.store.group(m.store.lastIndex())
@@ -326,9 +361,10 @@
 	}
 	upToDate := args.LastTerm > m.store.lastTerm() ||
 		args.LastTerm == m.store.lastTerm() && args.LastIndex >= m.store.lastIndex()
-	leaderLives := m.role == leader || m.leaderIs != "" && time.Since(m.heard) < m.cfg.Election
+	leaderLives := !args.Transfer && (m.role == leader || m.leaderIs != "" && time.Since(m.heard) < m.cfg.Election)
 	if args.Pre {
-		reply.Granted = upToDate && !leaderLives && args.Term > m.store.ballot.Term
+		electing := time.Since(m.voted) < m.cfg.Election // the one this member voted for may just have won
+		reply.Granted = upToDate && !leaderLives && !electing && args.Term > m.store.ballot.Term && m.endorse(args.Candidate)
 		return reply
 	}
 	if leaderLives || args.Term < m.store.ballot.Term {
@@ -346,10 +382,25 @@
 		return reply
 	}
 	m.heard = time.Now()
+	m.voted = m.heard
 	reply.Granted = true
 	return reply
 }
 
+// endorse grants one candidate at a time a pre-vote. Where two ask at the same
+// moment they would both go on, split the votes and wait for another election
+// timeout; so one goes on, or both ask again when they next look at the timer.
+// With six members 12 ms apart the slowest of 400 elections took 1.36 s without
+// this and 0.88 s with it (TestOneElectionFollowsALostLeader). The caller holds
+// the mutex.
+func (m *Member) endorse(candidate walnutramp.NodeName) bool {
+	if m.endorsed != candidate && time.Since(m.endorsedAt) < m.cfg.Election/endorseShare {
+		return false
+	}
+	m.endorsed, m.endorsedAt = candidate, time.Now()
+	return true
+}
+
 // knows reports whether the candidate's disk is one this member knows of, or
 // this member knows of no group yet. The caller holds the mutex.
 func (m *Member) knows(args VoteArgs) bool {
@@ -376,15 +427,19 @@
 	return true
 }
 
-// appendOwn syncs an entry of this leader's. The caller holds the mutex.
+// appendOwn takes an entry of this leader's, which is synced here while it is on
+// its way to the others. The caller holds the mutex.
 func (m *Member) appendOwn(e Entry) (uint64, bool) {
 	e.Index = m.store.lastIndex() + 1
 	e.Term = m.store.ballot.Term
-	if err := m.store.saveEntries([]Entry{e}); err != nil {
+	if err := m.store.stage(e); err != nil {
 		m.die(err)
 		return 0, false
 	}
-	m.advance()
+	select {
+	case m.unsynced <- struct{}{}:
+	default:
+	}
 	for _, p := range m.follow {
 		p.poke()
 	}
--- a/consensus/propose.go
+++ b/consensus/propose.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -80,9 +81,12 @@
 }
 
 func (m *Member) propose(ctx context.Context, e Entry) ProposeReply {
+	ctx, cancel := context.WithTimeout(ctx, proposeLimit)
+	defer cancel()
+	successor := m.awaitTaking(ctx)
 	m.mu.Lock()
-	if m.role != leader {
-		reply := ProposeReply{Code: walnutramp.CodeNoLeader, Leader: m.leaderIs}
+	if m.role != leader || m.successor != "" {
+		reply := ProposeReply{Code: walnutramp.CodeNoLeader, Leader: cmp.Or(m.leaderIs, successor)}
 		m.mu.Unlock()
 		return reply
 	}
@@ -98,8 +102,6 @@
 	m.waiting[index] = p
 	m.notify()
 	m.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, proposeLimit)
-	defer cancel()
 	select {
 	case o := <-p.result:
 		return ProposeReply{Code: o.code, Result: o.result}
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -113,6 +113,10 @@
 		return false
 	}
 	p.asked = sent
+	if len(args.Entries) == 0 && args.Snapshot == nil && args.Part == nil {
+		now := time.Now()
+		p.trip.add(now.Sub(sent), now)
+	}
 	p.round = max(p.round, round)
 	if r.Partial {
 		m.notify() // a confirmation may wait for this round
@@ -143,7 +147,7 @@
 			continue
 		}
 		if v.Node == m.node {
-			held = append(held, m.store.lastIndex())
+			held = append(held, m.store.synced)
 		} else if p := m.follow[v.Node]; p != nil {
 			held = append(held, p.match)
 		} else {
@@ -249,18 +253,54 @@
 	return true
 }
 
-// apply is the one task that runs committed commands.
-func (m *Member) apply() {
+// syncOwn is the one task that syncs a leader's own entries. It does so without
+// the mutex: while the disk stalls, heartbeats go out, and the others make a
+// majority without this member. With the sync under the mutex, a stall of the
+// leader's disk of 1 s ended its term, left what was proposed unknown and held
+// up its callers for as long (TestStalledDiskOfTheLeaderHoldsNobodyUp).
+func (m *Member) syncOwn() {
+	for {
+		select {
+		case <-m.unsynced:
+		case <-m.ctx.Done():
+			return
+		}
+		m.syncStaged()
+	}
+}
+
+func (m *Member) syncStaged() {
+	m.mu.Lock()
+	batch := m.store.takeStaged()
+	if len(batch) == 0 {
+		m.mu.Unlock()
+		return
+	}
+	m.store.disk.Lock() // under the mutex, so that nothing is written before the batch
+	m.mu.Unlock()
+	err := m.store.writeBatch(batch)
+	m.store.disk.Unlock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err != nil {
+		m.die(err)
+		return
+	}
+	m.store.noteSynced(batch)
+	if m.role == leader {
+		m.advance()
+	}
+}
+
+// noteCommits is the one task that leaves word of how far commands were run,
+// which a stalled disk holds up.
+func (m *Member) noteCommits() {
 	noted := m.store.snapshot.Index
 	for {
 		m.mu.Lock()
-		for m.applied < m.commit && m.dead == nil {
-			m.applyNext()
-		}
-		m.compact()
 		changed, applied := m.changed, m.applied
 		m.mu.Unlock()
-		if m.cfg.NoteCommits && applied > noted {
+		if applied > noted {
 			if err := m.store.noteCommit(applied); err != nil {
 				klog.InfoS("Commit not noted", "node", m.node, "err", err)
 			}
@@ -274,6 +314,24 @@
 	}
 }
 
+// apply is the one task that runs committed commands.
+func (m *Member) apply() {
+	for {
+		m.mu.Lock()
+		for m.applied < m.commit && m.dead == nil {
+			m.applyNext()
+		}
+		m.compact()
+		changed := m.changed
+		m.mu.Unlock()
+		select {
+		case <-changed:
+		case <-m.ctx.Done():
+			return
+		}
+	}
+}
+
 // applyNext runs one command. The caller holds the mutex.
 func (m *Member) applyNext() {
 	e, ok := m.store.entry(m.applied + 1)
@@ -298,7 +356,8 @@
 
 // compact puts a snapshot in place of a long log. The caller holds the mutex.
 func (m *Member) compact() {
-	if m.dead != nil || m.store.log.Size() < m.cfg.CompactBytes || m.applied == m.store.snapshot.Index {
+	size, ok := m.store.sizeAtRest()
+	if m.dead != nil || !ok || size < m.cfg.CompactBytes || m.applied == m.store.snapshot.Index {
 		return
 	}
 	term, ok := m.store.term(m.applied)
--- a/consensus/storage.go
+++ b/consensus/storage.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash/crc32"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -29,13 +30,19 @@
 	Voted walnutramp.NodeName
 }
 
-// storage is a member's state that must survive.
+// storage is a member's state that must survive. The member's mutex guards it;
+// the log is written by whoever holds disk, which is taken after that mutex, so
+// that a leader's own entries can be written without it.
 type storage struct {
 	fs       wal.FS
-	log      *wal.Log
 	ballot   ballot
 	snapshot Snapshot
 	entries  []Entry // behind the snapshot
+	staged   []Entry // the last of entries, which nobody has begun to write
+	synced   uint64  // index up to which entries are on the disk
+
+	disk sync.Mutex
+	log  *wal.Log
 }
 
 // openStorage reads what a member had synced. A new log begins with the group
@@ -51,6 +58,7 @@
 			return nil, err
 		}
 	}
+	s.synced = s.lastIndex()
 	if len(records) == 0 && len(founding.Voters) > 0 {
 		return s, s.saveFounding()
 	}
@@ -165,6 +173,15 @@
 	return g
 }
 
+// sizeAtRest returns the log's length in bytes; false while it is written.
+func (s *storage) sizeAtRest() (int64, bool) {
+	if !s.disk.TryLock() {
+		return 0, false
+	}
+	defer s.disk.Unlock()
+	return s.log.Size(), true
+}
+
 func encodeRecord(r stored) ([]byte, error) { return msgpack.Marshal(r) }
 
 // saveBallot syncs the term and vote.
@@ -173,24 +190,80 @@
 	if err != nil {
 		return err
 	}
-	if err := s.log.Append(record); err != nil {
+	if err := s.write(record); err != nil {
 		return err
 	}
 	s.ballot = b
 	return nil
 }
 
-// saveEntries syncs entries, each in place of what stood from its index on.
-func (s *storage) saveEntries(es []Entry) error {
+// write syncs what is staged and then more records.
+func (s *storage) write(records ...[]byte) error {
+	batch := s.takeStaged()
+	s.disk.Lock()
+	defer s.disk.Unlock()
+	if err := s.writeBatch(batch, records...); err != nil {
+		return err
+	}
+	s.synced = s.lastIndex()
+	return nil
+}
+
+// writeBatch syncs entries and then more records. The caller holds disk. It
+// fails, too, where an earlier write did.
+func (s *storage) writeBatch(batch []Entry, more ...[]byte) error {
+	records, err := encodeEntries(batch)
+	if err != nil {
+		return err
+	}
+	return s.log.Append(append(records, more...)...)
+}
+
+// stage puts an entry at the end of the log without writing it: until it is
+// synced the member must not count itself among those that hold it.
+func (s *storage) stage(e Entry) error {
+	if err := s.place(e); err != nil {
+		return err
+	}
+	s.staged = append(s.staged, e)
+	return nil
+}
+
+// takeStaged hands out what is staged, to be written.
+func (s *storage) takeStaged() []Entry {
+	batch := s.staged
+	s.staged = nil
+	return batch
+}
+
+// noteSynced notes that a batch of staged entries is on the disk. Entries that
+// another leader has replaced meanwhile are not among those that are held.
+func (s *storage) noteSynced(batch []Entry) {
+	last := batch[len(batch)-1]
+	if term, ok := s.term(last.Index); ok && term == last.Term {
+		s.synced = max(s.synced, last.Index)
+	}
+}
+
+func encodeEntries(es []Entry) ([][]byte, error) {
 	records := make([][]byte, 0, len(es))
 	for i := range es {
 		record, err := encodeRecord(stored{Entry: &es[i]})
 		if err != nil {
-			return err
+			return nil, err
 		}
 		records = append(records, record)
 	}
-	if err := s.log.Append(records...); err != nil {
+	return records, nil
+}
+
+// saveEntries syncs entries, each in place of what stood from its index on.
+func (s *storage) saveEntries(es []Entry) error {
+	records, err := encodeEntries(es)
+	if err != nil {
+		return err
+	}
+	if err := s.write(records...); err != nil {
 		return err
 	}
 	for _, e := range es {
@@ -198,6 +271,7 @@
 			return err
 		}
 	}
+	s.synced = s.lastIndex()
 	return nil
 }
 
@@ -219,10 +293,14 @@
 		}
 		records = append(records, record)
 	}
+	s.disk.Lock()
+	defer s.disk.Unlock()
 	if err := s.log.Replace(records...); err != nil {
 		return err
 	}
 	s.snapshot = snap
 	s.entries = kept
+	s.staged = nil // they are among those kept, or replaced
+	s.synced = s.lastIndex()
 	return nil
 }
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -115,6 +115,7 @@
 // VoteArgs asks for a vote, or with Pre whether one would be given.
 type VoteArgs struct {
 	Pre       bool
+	Transfer  bool // the leader hands over to the candidate: that it lives is no reason to refuse
 	Term      uint64
 	Candidate walnutramp.NodeName
 	Identity  Identity // of the candidate
--- a/control/model_site_test.go
+++ b/control/model_site_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -129,7 +132,7 @@
 		consensus.WithCompaction(6000), consensus.WithCommitNotes(),
 	}
 	if m.seed%3 == 0 {
-		opts = append(opts, consensus.WithCallBytes(modelCallBytes))
+		opts = append(opts, consensus.WithCallBytes(m.callBytes()))
 	}
 	if m.defect == swapsTwoMembers {
 		opts = append(opts, consensus.WithUncheckedChanges())
@@ -315,6 +318,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delay := time.Duration(m.rng.IntN(4000)+200) * time.Microsecond
+	if m.regions() && regionOf(from) != regionOf(to) {
+		delay += regionDelay
+	}
 	if m.cut[[2]walnutramp.NodeName{from, to}] || m.rng.IntN(400) == 0 {
 		return nil, delay, false
 	}
@@ -326,6 +332,23 @@
 	return now, delay, true
 }
 
+// callBytes is as many times more between regions as a call takes longer.
+func (m *model) callBytes() int {
+	if m.regions() {
+		return farCallBytes
+	}
+	return modelCallBytes
+}
+
+// regions reports whether the machines are in several regions.
+func (m *model) regions() bool { return m.seed%5 == 0 }
+
+// regionOf spreads the machines over the regions.
+func regionOf(name walnutramp.NodeName) int {
+	n, _ := strconv.Atoi(strings.TrimPrefix(string(name), "n"))
+	return n % modelRegions
+}
+
 func (m *model) deliver(n *modelNode, method string, args, reply any) error {
 	switch method {
 	case consensus.Service + ".Vote":
@@ -333,6 +356,9 @@
 		if m.defect == replacedCounts {
 			a.To = n.identity
 		}
+		if m.defect == handsToBehind && a.Transfer {
+			a.LastTerm, a.LastIndex = math.MaxUint64, math.MaxUint64
+		}
 		return n.member.Handler().Vote(a, reply.(*consensus.VoteReply))
 	case consensus.Service + ".Append":
 		a := args.(consensus.AppendArgs)
@@ -340,6 +366,8 @@
 			a.To = n.identity
 		}
 		return n.member.Handler().Append(a, reply.(*consensus.AppendReply))
+	case consensus.Service + ".TimeoutNow":
+		return n.member.Handler().TimeoutNow(args.(consensus.TimeoutNowArgs), reply.(*consensus.TimeoutNowReply))
 	case Service + ".Newest":
 		return n.server.Newest(args.(NewestArgs), reply.(*NewestReply))
 	case Service + ".Piece":
--- a/control/model_test.go
+++ b/control/model_test.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/consensus"
 )
 
 // The model check runs the group's own code, members, keeper, joiner and
@@ -31,6 +32,7 @@
 	readsAnywhere          // a read is answered without confirmation
 	swapsTwoMembers        // one change removes a voter and counts a newcomer
 	replacedCounts         // a newcomer answers in the name of whom it replaced
+	handsToBehind          // the leadership is handed to whom lacks what is committed
 )
 
 // On every third seed a call between members carries so little that snapshots
@@ -38,14 +40,21 @@
 // does not catch up before the schedule takes the next disk.
 const (
 	modelCallBytes    = 512
+	farCallBytes      = 4 * modelCallBytes
 	modelLongDocument = 1500 // bytes, of one document in eight
 )
 
+// On every fifth seed the machines are in three regions.
+const (
+	modelRegions = 3
+	regionDelay  = 12 * time.Millisecond // one way between two regions
+)
+
 // episode is one trouble with its end; machines have their time to come up to
 // date behind it.
 func (m *model) episode() {
 	victim := m.any()
-	switch m.intn(11) {
+	switch m.intn(13) {
 	case 0:
 		m.kill(victim, true)
 		time.Sleep(m.between(300*time.Millisecond, 2*time.Second))
@@ -87,6 +96,8 @@
 		}
 	case 9, 10:
 		m.behind(victim)
+	case 11, 12:
+		m.handOvers(victim)
 	}
 	time.Sleep(6 * time.Second)
 }
@@ -110,6 +121,51 @@
 	}
 }
 
+// handOvers has whoever leads hand over again and again, while a member that
+// misses changes by a cut comes back.
+func (m *model) handOvers(victim walnutramp.NodeName) {
+	m.partition([]walnutramp.NodeName{victim}, true, m.intn(3) == 0)
+	time.Sleep(m.between(500*time.Millisecond, 2*time.Second))
+	m.heal()
+	for range 2 + m.intn(4) {
+		if m.defect == handsToBehind {
+			m.orderToLead(victim)
+		} else {
+			m.handOver()
+		}
+		time.Sleep(m.between(10*time.Millisecond, 700*time.Millisecond))
+	}
+}
+
+// handOver has the members that lead hand over.
+func (m *model) handOver() {
+	for _, name := range m.live() {
+		m.member(name).HandOver(context.Background())
+	}
+}
+
+// orderToLead is a hand-over with the mistake: it does not wait until the next
+// leader holds the log.
+func (m *model) orderToLead(name walnutramp.NodeName) {
+	for _, other := range m.live() {
+		leads := m.member(other)
+		if !leads.Leads() || other == name {
+			continue
+		}
+		m.mu.Lock()
+		to := m.nodes[name].identity
+		m.mu.Unlock()
+		args := consensus.TimeoutNowArgs{Term: leads.Status().Term, Leader: other, To: to}
+		m.member(name).Handler().TimeoutNow(args, &consensus.TimeoutNowReply{})
+	}
+}
+
+func (m *model) member(name walnutramp.NodeName) *consensus.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.nodes[name].member
+}
+
 var errSilent = errors.New("silent")
 
 type modelInput struct {
@@ -257,7 +313,7 @@
 func TestModelSeesMistakes(t *testing.T) {
 	for name, d := range map[string]defect{
 		"votes as its old self": votesAsOldSelf, "acknowledges before the sync": acksBeforeSync, "reads without confirmation": readsAnywhere,
-		"swaps two members at once": swapsTwoMembers, "counts a replaced voter": replacedCounts,
+		"swaps two members at once": swapsTwoMembers, "counts a replaced voter": replacedCounts, "hands over to one that is behind": handsToBehind,
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -128,6 +128,9 @@
 func (r *replica) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), replicaFinish)
 	defer cancel()
+	if r.member != nil {
+		r.member.HandOver(ctx) // while it still answers, so that nobody waits for an election
+	}
 	r.operator.Shutdown(ctx)
 	if r.member != nil {
 		r.member.Close()
