Duties: the holder, its grants in the group's log, and the two calls in the platform's words

Cause: two sites have calls to the platform that one process at a time may make, with a fencing token that rises; there was no holder, no token and no client for them. Change: package duty has the record that the group agrees on, the lease by the holder's steady clock and a gate of what came of calls; control.DutyHolder takes grants as the group's leader, paces calls, releases on a planned stop, and hands leadership over where the platform is silent to it alone; platform makes POST /usage and POST /scale on connections that take bytes while the permission lasts only. Outcomes Unreachable and Conflict are new; callers of Do never see Conflict.

--- a/control/state.go
+++ b/control/state.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/duty"
 	"github.com/walnutramp/walnutramp/internal/pack"
 	"github.com/walnutramp/walnutramp/rollout"
 	"k8s.io/klog/v2"
@@ -25,6 +26,9 @@
 	Known   *KnownVersions `msgpack:"v,omitempty"`
 	Rollout *RolloutOrder  `msgpack:"r,omitempty"`
 	Step    *RolloutStep   `msgpack:"p,omitempty"`
+
+	Grant   *duty.Grant   `msgpack:"g,omitempty"`
+	Release *duty.Release `msgpack:"l,omitempty"`
 }
 
 // Submit offers a bundle that was signed and checked.
@@ -111,6 +115,7 @@
 	changed chan struct{} // closed when a bundle is accepted, or the view of versions changes
 
 	rollouts rollouts
+	duty     duty.Record
 }
 
 // NewState returns the state of a new group, before its first bundle.
@@ -140,6 +145,8 @@
 		return encode(s.claim(c.Claim, c.Now))
 	case c.Settle != nil:
 		return encode(s.settle(c.Settle, c.Now))
+	case c.Grant != nil, c.Release != nil:
+		return encode(s.applyDuty(index, &c))
 	}
 	return encode(s.applyRollout(index, &c))
 }
@@ -254,13 +261,14 @@
 	Entries []Entry
 
 	Versions rollout.View
+	Duty     duty.Record
 }
 
 // Snapshot implements consensus.StateMachine.
 func (s *State) Snapshot() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	img := stateImage{Doc: s.doc, History: s.history, Deltas: s.deltas, Versions: s.rollouts.copyView()}
+	img := stateImage{Doc: s.doc, History: s.history, Deltas: s.deltas, Versions: s.rollouts.copyView(), Duty: s.duty}
 	for i, rec := range img.Versions.Records {
 		img.Versions.Records[i].Elapsed = s.rollouts.elapsed(rec)
 	}
@@ -285,6 +293,7 @@
 		s.ledger[k] = img.Entries[i]
 	}
 	s.restoreRollouts(img.Versions)
+	s.duty = img.Duty
 	s.wake()
 	return nil
 }
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -43,8 +43,22 @@
 	Unclear
 	// NotSent says that nothing was sent, for want of the duty or of time.
 	NotSent
+	// Unreachable says that nothing was sent, since no connection to the
+	// platform came about.
+	Unreachable
+	// Conflict says that the call was Fenced or Rejected, and the answer does
+	// not tell which. A Caller finds out; its callers never see it.
+	Conflict
 )
 
+var outcomeNames = [...]string{
+	Done: "done", Fenced: "fenced", Rejected: "rejected", Busy: "busy", Unclear: "unclear", NotSent: "not sent",
+	Unreachable: "unreachable", Conflict: "conflict",
+}
+
+// String names the outcome, for logs.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // Call is one call to the platform.
 type Call struct {
 	Subject Subject
--- /dev/null
+++ b/duty/record_test.go
@@ -0,0 +1,94 @@
+package duty
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	a  = Holder{Node: "a", Life: 1}
+	a2 = Holder{Node: "a", Life: 2} // a's process, restarted
+	b  = Holder{Node: "b", Life: 3}
+	c  = Holder{Node: "c", Life: 4}
+)
+
+func granted(r Record, token Token, h Holder) Record { return r.Granted(token, Grant{Holder: h}) }
+
+func released(r Record) Record { return r.AfterRelease(Release{Token: r.Token}) }
+
+func TestFirstHolderWaitsForNobody(t *testing.T) {
+	r := granted(Record{}, 5, a)
+	require.Equal(t, Record{Token: 5, First: 5, Holder: a, Recent: []string{"a"}}, r)
+}
+
+func TestNextHolderWaits(t *testing.T) {
+	r := granted(granted(Record{}, 5, a), 7, b)
+	require.True(t, r.Waits)
+	require.Equal(t, a, r.Before)
+	require.Equal(t, []string{"a", "b"}, r.Recent)
+
+	r = r.Granted(9, Grant{Holder: b, Waited: 7})
+	require.False(t, r.Waits)
+	require.Equal(t, []string{"b"}, r.Recent)
+	require.Equal(t, Token(9), r.Token)
+	require.Equal(t, Token(7), r.First)
+	require.Equal(t, a, r.Before)
+}
+
+func TestNextHolderNeedNotWaitAfterARelease(t *testing.T) {
+	r := granted(released(granted(Record{}, 5, a)), 7, b)
+	require.False(t, r.Waits)
+	require.False(t, r.Released)
+	require.Equal(t, []string{"a", "b"}, r.Recent, "a acted lately")
+}
+
+func TestHoldersDoNotActInTurn(t *testing.T) {
+	r := granted(released(granted(Record{}, 5, a)), 7, b)
+	require.True(t, granted(released(r), 9, a).Waits, "a, b, a")
+	require.False(t, granted(released(r), 9, c).Waits, "a, b, c")
+
+	r = r.Granted(8, Grant{Holder: b, Waited: 7})
+	require.False(t, granted(released(r), 9, a).Waits, "a acted a lease ago")
+}
+
+// One that waits and gives up leaves its successor the wait.
+func TestWaitIsHandedOn(t *testing.T) {
+	r := granted(released(granted(granted(Record{}, 5, a), 7, b)), 9, c)
+	require.True(t, r.Waits)
+}
+
+func TestRestartedHolderWaitsForOthersOnly(t *testing.T) {
+	r := granted(granted(Record{}, 5, a), 7, a2)
+	require.False(t, r.Waits)
+	require.Equal(t, Token(7), r.First, "a restarted process begins anew")
+
+	waiting := granted(granted(Record{}, 5, b), 7, a)
+	require.True(t, granted(waiting, 9, a2).Waits, "b may act yet")
+}
+
+func TestWaitOfAnEarlierGrantDoesNotCount(t *testing.T) {
+	r := granted(granted(granted(Record{}, 5, a), 7, b), 9, c)
+	require.True(t, r.Granted(11, Grant{Holder: b, Waited: 7}).Waits)
+	r = granted(granted(Record{}, 5, b), 7, a)
+	require.True(t, r.Granted(9, Grant{Holder: a2, Waited: 7}).Waits, "another process has waited")
+	require.True(t, r.Granted(9, Grant{Holder: a}).Waits, "nobody has waited")
+}
+
+func TestReleaseWithAPendingCallSparesNoWait(t *testing.T) {
+	r := granted(Record{}, 5, a).AfterRelease(Release{Token: 5, Pending: true})
+	require.True(t, granted(r, 7, b).Waits)
+}
+
+func TestReleaseOfAnEarlierGrantChangesNothing(t *testing.T) {
+	r := granted(granted(Record{}, 5, a), 7, a)
+	require.Equal(t, r, r.AfterRelease(Release{Token: 5}))
+}
+
+func TestMachinesThatCanNotReachThePlatformAreRemembered(t *testing.T) {
+	r := granted(Record{}, 5, a).AfterRelease(Release{Token: 5, Unreachable: true})
+	r = granted(r, 7, b)
+	require.Equal(t, []string{"a"}, r.Unreachable)
+	r = r.Granted(9, Grant{Holder: b, Reached: true})
+	require.Empty(t, r.Unreachable)
+}
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -98,4 +98,7 @@
 	fmt.Fprintf(w, "walnutramp_control_commit_index %d\n", s.Commit)
 	fmt.Fprintf(w, "walnutramp_control_voters %d\n", s.Group.Counted())
 	fmt.Fprintf(w, "walnutramp_control_members %d\n", len(s.Group.Voters))
+	if r.duties != nil {
+		r.duties.WriteMetrics(w)
+	}
 }
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -35,6 +35,7 @@
 	member   *consensus.Member // nil for a proxy
 	server   *peer.Server
 	operator *http.Server
+	duties   *control.DutyHolder // nil where there are none
 }
 
 // startProxy serves operators without being a member: a machine without a
@@ -102,7 +103,7 @@
 	go relay.Run(p.ctx)
 	go control.NewIntroducer(p.peers, member, p.client).Run(p.ctx)
 	go control.NewJoiner(p.peers, self.Node, identity, member, p.client).Run(p.ctx)
-	p.replica = &replica{member: member, server: server}
+	p.replica = &replica{member: member, server: server, duties: p.startDuties(self, member, answers)}
 	p.replica.operator, err = listen(s.OperatorAddr, p.adapter.Operator(&documents{client: p.client, member: member, limit: s.OperatorIn}))
 	return err
 }
@@ -126,6 +127,7 @@
 }
 
 func (r *replica) stop() {
+	r.releaseDuties()
 	ctx, cancel := context.WithTimeout(context.Background(), replicaFinish)
 	defer cancel()
 	r.operator.Shutdown(ctx)
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -85,6 +85,8 @@
 	Operator(d Documents) http.Handler
 	// Ready answers the balancer.
 	Ready(ready func() bool) http.Handler
+	// Platform makes the site's calls that one process at a time may make.
+	Platform() (Platform, error)
 }
 
 // Documents is what an operator's calls change and read.
