Duties: a model check of the holder

Cause: nothing showed that two holders never act in turn, or that a call carried out late undoes none.

--- a/control/model_rollout_test.go
+++ b/control/model_rollout_test.go
@@ -103,7 +103,7 @@
 func playRollouts(t *testing.T, seed uint64, d defect, episodes int) *rolloutHistory {
 	h := &rolloutHistory{}
 	synctest.Test(t, func(*testing.T) {
-		m := newModelOf(seed, d, true)
+		m := newModel(seed, d, func(m *model) { m.rollouts = true })
 		time.Sleep(3 * time.Second)
 		ctx, stop := context.WithCancel(context.Background())
 		var operators sync.WaitGroup
--- a/control/model_site_test.go
+++ b/control/model_site_test.go
@@ -31,7 +31,8 @@
 	began   time.Time
 	next    int // number of the next new node
 
-	rollouts bool // the site has roll-outs
+	rollouts bool      // the site has roll-outs
+	duty     *dutySite // what the site's duty is called for; nil where it has none
 }
 
 type modelNode struct {
@@ -42,6 +43,7 @@
 	state    *State
 	server   *Server
 	client   *Client
+	duty     *DutyHolder // nil where the site has none
 	cancel   context.CancelFunc
 	tasks    sync.WaitGroup
 	up       bool
@@ -65,13 +67,14 @@
 	return lyingFile{f}, err
 }
 
-func newModel(seed uint64, d defect) *model { return newModelOf(seed, d, false) }
-
-func newModelOf(seed uint64, d defect, rollouts bool) *model {
+func newModel(seed uint64, d defect, opts ...func(*model)) *model {
 	m := &model{
-		defect: d, seed: seed, rollouts: rollouts, rng: rand.New(rand.NewPCG(seed, 99)), nodes: map[walnutramp.NodeName]*modelNode{},
+		defect: d, seed: seed, rng: rand.New(rand.NewPCG(seed, 99)), nodes: map[walnutramp.NodeName]*modelNode{},
 		cut: map[[2]walnutramp.NodeName]bool{}, began: time.Now(), names: []walnutramp.NodeName{"n1", "n2", "n3"}, next: 4,
 	}
+	for _, opt := range opts {
+		opt(m)
+	}
 	for _, name := range m.names {
 		m.nodes[name] = &modelNode{name: name, disk: memfs.New()}
 		m.start(name, true)
@@ -157,6 +160,9 @@
 		controller := NewRolloutController(n.member, n.server, rollout.Bounds{Share: 0.1, Slack: 50})
 		n.tasks.Go(func() { controller.Run(ctx) })
 	}
+	if m.duty != nil {
+		m.duty.start(ctx, n)
+	}
 	n.tasks.Go(func() { NewJoiner(peers, name, identity, n.member, client).Run(ctx) })
 }
 
