--- a/internal/dutycheck/dutycheck.go
+++ b/internal/dutycheck/dutycheck.go
@@ -30,9 +30,20 @@
 	carried map[duty.Subject][]*Call // in the order in which they took effect
 	highest map[duty.Subject]duty.Token
 	refused map[place]duty.Token // that the machine was told
+	behind  map[shown]int        // calls under a token below the highest
 	bad     []string
 }
 
+// fencedCalls is how many calls under a refused token a platform bears on a
+// subject: a holder may miss an answer.
+const fencedCalls = 3
+
+// shown is a token as a machine showed it.
+type shown struct {
+	place
+	token duty.Token
+}
+
 // place is a machine's calls on a subject.
 type place struct {
 	node    string
@@ -41,7 +52,7 @@
 
 // NewPlatform returns a platform that has seen no call.
 func NewPlatform() *Platform {
-	return &Platform{carried: map[duty.Subject][]*Call{}, highest: map[duty.Subject]duty.Token{}, refused: map[place]duty.Token{}}
+	return &Platform{carried: map[duty.Subject][]*Call{}, highest: map[duty.Subject]duty.Token{}, refused: map[place]duty.Token{}, behind: map[shown]int{}}
 }
 
 // Write notes that a call was written, and finds one under a token that its
@@ -50,7 +61,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls = append(p.calls, c)
-	if told, ok := p.refused[place{c.Node, c.Subject}]; ok && c.Token <= told {
+	at := place{c.Node, c.Subject}
+	if c.Token < p.highest[c.Subject] {
+		p.behind[shown{at, c.Token}]++
+	}
+	if n := p.behind[shown{at, c.Token}]; n > fencedCalls {
+		p.bad = append(p.bad, fmt.Sprintf("%s made %d calls under token %d after a higher one", c.Node, n, c.Token))
+	}
+	if told, ok := p.refused[at]; ok && c.Token <= told {
 		p.bad = append(p.bad, fmt.Sprintf("%s calls under token %d, of which it was told that it is refused", c.Node, c.Token))
 	}
 }
--- a/internal/dutycheck/dutycheck_test.go
+++ b/internal/dutycheck/dutycheck_test.go
@@ -81,3 +81,10 @@
 	p.Write(at(200, "a", 5, "x"))
 	require.NotEmpty(t, p.Wrong(lease))
 }
+
+func TestManyCallsUnderARefusedToken(t *testing.T) {
+	p := seen(at(0, "a", 5, "x"), at(100, "b", 6, "x"), at(200, "a", 5, "x"), at(300, "a", 5, "x"), at(400, "a", 5, "x"))
+	require.Empty(t, p.Wrong(lease))
+	p.Write(at(500, "a", 5, "x"))
+	require.NotEmpty(t, p.Wrong(lease))
+}
