--- a/cmd/walnutramp/explain.go
+++ b/cmd/walnutramp/explain.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp/explain"
@@ -11,7 +12,7 @@
 type explainCommand struct {
 	*program
 	Positional struct {
-		Request string   `positional-arg-name:"ID" required:"true" description:"the request's id, or a service whose roll-out is to be explained"`
+		Request string   `positional-arg-name:"ID" required:"true" description:"the request's id, a service whose roll-out is to be explained, or token=N for a fencing token"`
 		Files   []string `positional-arg-name:"FILE" description:"log files of nodes; standard input if there is none"`
 	} `positional-args:"true"`
 }
@@ -22,6 +23,9 @@
 	if err != nil {
 		return err
 	}
+	if number, ok := strings.CutPrefix(c.Positional.Request, explain.TokenPrefix); ok {
+		return c.tellToken(lines, number)
+	}
 	story, ok := explain.Tell(lines, c.Positional.Request)
 	if ok {
 		story.Write(c.out)
@@ -35,6 +39,15 @@
 	return nil
 }
 
+func (c *explainCommand) tellToken(lines []explain.Line, number string) error {
+	token, ok := explain.TellToken(lines, number)
+	if !ok {
+		return errors.Newf("no log line names token %s", number)
+	}
+	token.Write(c.out)
+	return nil
+}
+
 func (c *explainCommand) read() ([]explain.Line, error) {
 	if len(c.Positional.Files) == 0 {
 		return explain.Read(os.Stdin, "standard input")
