--- a/control/duty_holder.go
+++ b/control/duty_holder.go
@@ -32,11 +32,15 @@
 	// mostPatience bounds it where several have tried in vain: the platform is
 	// down for all, and each move costs a change of leader.
 	mostPatience = 64 * time.Second
-	keptEvery    = 10 * time.Second // between two lines about a duty that is kept
-	drainEvery   = 10 * time.Millisecond
+	keptEvery    = 10 * time.Second                 // between two lines about a duty that is kept
+	drainEvery   = 10 * time.Millisecond            // between two looks for calls under way
 	drainLimit   = callLimit + 500*time.Millisecond // for calls under way, before the duty is released
 )
 
+// loggedContent bounds how much of a call's content a log line holds, in bytes:
+// the counts of 10,000 accounts would fill the queue of lines.
+const loggedContent = 80
+
 // paceShare is the part of the platform's bound on calls that a holder uses:
 // two holders that follow each other within a second stay within it.
 const paceShare = 0.5
@@ -240,8 +244,12 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	before := h.lease.Record().First
 	h.lease.Learn(h.group.Record(), time.Now())
 	r := h.lease.Record()
+	if r.First != before {
+		h.gate.ForgetAnswers() // what an earlier time as holder saw
+	}
 	klog.InfoS("Duty granted", "why", why, "token", r.Token, "waits", r.Waits, "before", r.Before.Node, "recent", r.Recent)
 	return true
 }
@@ -354,7 +362,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.draining = on
-	h.gate.ForgetSilence()
+	h.gate.ForgetAnswers()
 }
 
 // Do implements duty.Caller. It makes one try, and NotSent is its answer where
@@ -457,7 +465,7 @@
 		h.mu.Unlock()
 	}
 	h.metrics.GetOrCreateCounter(fmt.Sprintf("walnutramp_duty_calls_total{outcome=%q}", outcome)).Inc()
-	klog.InfoS("Duty call", "subject", c.Subject, "content", c.Content, "token", p.Token, "outcome", outcome, "ms", time.Since(sent).Milliseconds())
+	klog.InfoS("Duty call", "subject", c.Subject, "content", c.Content[:min(len(c.Content), loggedContent)], "token", p.Token, "outcome", outcome, "ms", time.Since(sent).Milliseconds())
 	return outcome
 }
 
--- a/duty/gate.go
+++ b/duty/gate.go
@@ -63,8 +63,8 @@
 // Reached reports whether the platform answered the newest call.
 func (g *Gate) Reached() bool { return g.reached }
 
-// ForgetSilence has the gate count anew how long the platform is silent.
-func (g *Gate) ForgetSilence() { g.silent = 0 }
+// ForgetAnswers has the gate find out anew whether the platform answers.
+func (g *Gate) ForgetAnswers() { g.silent, g.reached = 0, false }
 
 // Pending reports whether a call may be carried out that ended unclear within a
 // time.
--- a/duty/gate_test.go
+++ b/duty/gate_test.go
@@ -71,6 +71,8 @@
 	noted(g, "s", "x", 5, Busy, at(2000))
 	require.Zero(t, g.Silent(at(3000)), "a refusal is an answer")
 	require.True(t, g.Reached())
+	g.ForgetAnswers()
+	require.False(t, g.Reached())
 }
 
 func TestPendingCalls(t *testing.T) {
