Duties: the holder's tests look between its steps

Cause: TestRefusedTokenIsNotShownAgain failed in 1 of 3 to 10 runs: in virtual time the test and the holder's step fell on the same moment, so that the new grant was there already. The test's fault.

--- a/control/duty_holder_test.go
+++ b/control/duty_holder_test.go
@@ -121,7 +121,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		var run sync.WaitGroup
 		run.Go(func() { h.Run(ctx) })
-		time.Sleep(time.Second)
+		time.Sleep(time.Second + dutyEvery/2) // tests look between two steps of the holder
 		test(t, h, g)
 		cancel()
 		run.Wait()
