--- a/metering/metering.go
+++ b/metering/metering.go
@@ -42,3 +42,9 @@
 
 // Enabled reports whether the site meters requests at all.
 func (c Config) Enabled() bool { return c.Span > 0 }
+
+// Window returns the window that a time lies in.
+func (c Config) Window(t time.Time) Window { return Window(t.UnixNano() / int64(c.Span)) }
+
+// End returns when a window ends, in true time.
+func (c Config) End(w Window) time.Time { return time.Unix(0, int64(w+1)*int64(c.Span)).UTC() }
