Metering in the control group: the time, reports, windows that are closed once

Cause: nothing brought counts of nodes to the leader, closed a window, or knew the time where clocks were set.

Reports takes what nodes tell (Tell), hands it to the leader (Pass), and everything again to a new one; a demand of services goes the same way. Close is a command that settles the next window with its counts; UsageController gives it on the leader and tells the platform in order, what is in the log alone. A site without metering sends nothing more.

--- a/control/client.go
+++ b/control/client.go
@@ -11,7 +11,9 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/discovery"
+	"github.com/walnutramp/walnutramp/groupclock"
 	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/metering"
 	"github.com/walnutramp/walnutramp/rollout"
 	"k8s.io/klog/v2"
 )
@@ -54,7 +56,10 @@
 	fast        bool // nodes of the group come and go, so silence is given up on early
 	whole       bool // the change to the newest document did not fit: the whole is asked for
 	contact     contact
-	agent       *rollout.Agent // of roll-outs; nil for none
+	agent       *rollout.Agent       // of roll-outs; nil for none
+	clock       *groupclock.Follower // of the group's time; nil for none
+	usage       *metering.Counter    // of requests; nil for none
+	demand      DemandSource         // of services; nil for none
 
 	mu     sync.Mutex
 	seeds  []walnutramp.NodeName // always asked, whoever the members are
@@ -63,8 +68,9 @@
 	missed walnutramp.NodeName   // who was asked in vain last
 	doc    []byte
 	have   uint64
-	until  time.Time // end of the lease
-	hall   string    // data hall of this node
+	until  time.Time           // end of the lease
+	hall   string              // data hall of this node
+	near   walnutramp.NodeName // member that takes this node's reports; empty for any
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -114,10 +120,12 @@
 		defer c.tasks.Done()
 		c.renewAlways()
 	}()
-	if c.agent == nil {
-		return
+	if c.agent != nil {
+		c.tasks.Go(c.reportAlways)
+	}
+	if c.tells() {
+		c.tasks.Go(c.tellAlways)
 	}
-	c.tasks.Go(c.reportAlways)
 }
 
 // Close ends renewing and every side job.
@@ -177,6 +185,7 @@
 		return false
 	}
 	c.LearnGroup(reply.Group)
+	c.takeTime(reply.Time, asked)
 	c.takeEntries(&reply)
 	if reply.Code != walnutramp.CodeOK {
 		c.contact.failed(node, args.Have, asked, errors.Newf("answered with %v", reply.Code))
@@ -184,6 +193,7 @@
 		return false
 	}
 	c.contact.heard(node, reply.Version)
+	c.takeNear(reply.Near)
 	c.takeVersions(reply.Versions)
 	if err := reply.Roster.readWhole(c.ctx, c.peers, node, reply.Source); err != nil {
 		klog.ErrorS(err, "List of targets not read", "asked", node)
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -14,8 +14,10 @@
 	"github.com/walnutramp/walnutramp/consensus"
 	"github.com/walnutramp/walnutramp/control"
 	"github.com/walnutramp/walnutramp/discovery"
+	"github.com/walnutramp/walnutramp/groupclock"
 	"github.com/walnutramp/walnutramp/internal/memfs"
 	"github.com/walnutramp/walnutramp/internal/memnet"
+	"github.com/walnutramp/walnutramp/metering"
 	"github.com/walnutramp/walnutramp/peer"
 	"github.com/walnutramp/walnutramp/rollout"
 )
@@ -32,6 +34,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
+
+	platform *usagePlatform // takes the counts of metered requests; nil for none
 }
 
 type fleetMember struct {
@@ -43,12 +47,16 @@
 	server *peer.Server
 	client *control.Client // of operators' calls
 	cancel context.CancelFunc
+
+	timekeeper *control.Timekeeper
 }
 
 type fleetEntry struct {
 	peers   *peer.Client
 	client  *control.Client
 	agent   *rollout.Agent
+	counter *metering.Counter
+	clock   *groupclock.Follower
 	traffic *peer.Traffic
 
 	mu      sync.Mutex
@@ -74,8 +82,14 @@
 
 // inFleet runs f in a bubble of virtual time on a fleet that has a leader.
 func inFleet(t *testing.T, members, entries int, f func(*testing.T, *fleet)) {
+	inFleetOf(t, members, entries, nil, f)
+}
+
+// inFleetOf is inFleet on a site whose platform wants to know of usage, unless
+// it is nil.
+func inFleetOf(t *testing.T, members, entries int, platform *usagePlatform, f func(*testing.T, *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		fl := &fleet{t: t, net: memnet.New()}
+		fl := &fleet{t: t, net: memnet.New(), platform: platform}
 		fl.ctx, fl.cancel = context.WithCancel(context.Background())
 		fl.net.Delay = func(string, string) time.Duration { return hostDelay }
 		fl.net.Rate = linkOf
@@ -150,7 +164,11 @@
 	var ctx context.Context
 	ctx, m.cancel = context.WithCancel(fl.ctx)
 	controller := control.NewRolloutController(raft, answers, fleetBounds)
-	for _, run := range []func(context.Context){keeper.Run, relay.Run, joiner.Run, controller.Run} {
+	tasks := []func(context.Context){keeper.Run, relay.Run, joiner.Run, controller.Run}
+	if fl.platform != nil {
+		tasks = append(tasks, fl.meter(m, peers, answers)...)
+	}
+	for _, run := range tasks {
 		fl.spawn(func(context.Context) { run(ctx) })
 	}
 	fl.members = append(fl.members, m)
@@ -185,6 +203,12 @@
 			e.targets = len(list)
 		}
 	})
+	if fl.platform != nil {
+		e.clock = groupclock.NewFollower(groupclock.NewSteady())
+		e.counter = metering.NewCounter(usageConfig, e.clock)
+		e.client.WithClock(e.clock)
+		e.client.WithUsage(e.counter)
+	}
 	e.client.Start()
 	fl.entries = append(fl.entries, e)
 	return e
--- a/control/guide.go
+++ b/control/guide.go
@@ -55,6 +55,12 @@
 	return nil
 }
 
+// Tell implements the RPC by which a node tells what it has counted.
+func (g *Guide) Tell(_ TellArgs, reply *TellReply) error {
+	g.refer(&reply.Code, &reply.Leader)
+	return nil
+}
+
 // refer answers that this process does not lead, and who does as far as is
 // known. It returns the members as last heard.
 func (g *Guide) refer(code *walnutramp.Code, leader *walnutramp.NodeName) []walnutramp.NodeName {
--- a/control/messages.go
+++ b/control/messages.go
@@ -7,6 +7,9 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/consensus"
+	"github.com/walnutramp/walnutramp/fleet"
+	"github.com/walnutramp/walnutramp/groupclock"
+	"github.com/walnutramp/walnutramp/metering"
 	"github.com/walnutramp/walnutramp/rollout"
 )
 
@@ -71,6 +74,52 @@
 	// Relay is whom an entry should ask from now on: a member of its data
 	// hall that relays the leader's word. Empty for the leader itself.
 	Relay walnutramp.NodeName
+	// Time is the group's, read as the answer was given; nil where it is not
+	// known.
+	Time *groupclock.Stamp
+	// Near is a member of the asker's data hall that takes its reports; empty
+	// for the leader itself.
+	Near walnutramp.NodeName
+}
+
+// TimeArgs asks a member for its time of day.
+type TimeArgs struct{}
+
+// TimeReply holds it, since the start of 1970.
+type TimeReply struct {
+	Unix time.Duration
+}
+
+// TellArgs tells a member what a node has counted since its process started.
+type TellArgs struct {
+	Node   string
+	Life   uint64 // names the node's process
+	To     uint64 // who had the reports before; 0 for nobody
+	Usage  []metering.Row
+	Demand []fleet.Demand
+}
+
+// PassArgs hands the leader what a member heard from nodes.
+type PassArgs struct {
+	To      uint64 // who had them before; 0 for nobody
+	Reports []NodeReport
+}
+
+// NodeReport is what a node told a member.
+type NodeReport struct {
+	Node   string
+	Life   uint64
+	Usage  []metering.Row
+	Demand []fleet.Demand
+}
+
+// TellReply answers a report.
+type TellReply struct {
+	Code   walnutramp.Code
+	Leader walnutramp.NodeName
+	To     uint64 // who has the reports now
+	// Closed is the newest window of which the counts are settled.
+	Closed metering.Window
 }
 
 // DoArgs hands over a command.
--- a/control/relay.go
+++ b/control/relay.go
@@ -124,6 +124,7 @@
 	if err := r.peers.Call(ctx, leader, Service+".Newest", args, &reply); err != nil || reply.Code != walnutramp.CodeOK || reply.Unconfirmed {
 		return false
 	}
+	r.server.timekeeper.hear(reply.Time, asked)
 	if err := reply.Roster.readWhole(ctx, r.peers, leader, ""); err != nil {
 		klog.ErrorS(err, "List of targets not read", "leader", leader)
 		return false
@@ -199,6 +200,9 @@
 	s.fill(args, reply)
 	reply.Age = time.Since(r.asked)
 	reply.Relay = r.node
+	if s.reports != nil {
+		reply.Near = r.node
+	}
 	reply.Leader = ""
 	if s.roster != nil {
 		reply.Roster = s.roster.told(args.Roster)
--- a/control/server.go
+++ b/control/server.go
@@ -19,19 +19,21 @@
 
 // Server answers nodes on a member of the control group.
 type Server struct {
-	member    *consensus.Member
-	state     *State
-	updates   *updates
-	feed      *rate.Limiter      // of pieces of updates
-	offers    singleflight.Group // by version and digest
-	operators bundle.Operators
-	keeper    *Keeper // nil where members are changed by hand
-	entries   entries
-	roster    *Roster            // nil where nodes read the list themselves
-	relays    relays             // members that relay this one's word, while it leads
-	relay     *Relay             // relays the leader's word, while another leads; nil for none
-	rollouts  *RolloutController // nil where there are no roll-outs
-	patience  time.Duration      // in which an operator sends an order again whose answer was lost
+	member     *consensus.Member
+	state      *State
+	updates    *updates
+	feed       *rate.Limiter      // of pieces of updates
+	offers     singleflight.Group // by version and digest
+	operators  bundle.Operators
+	keeper     *Keeper // nil where members are changed by hand
+	entries    entries
+	roster     *Roster            // nil where nodes read the list themselves
+	relays     relays             // members that relay this one's word, while it leads
+	relay      *Relay             // relays the leader's word, while another leads; nil for none
+	rollouts   *RolloutController // nil where there are no roll-outs
+	reports    *Reports           // of what nodes count; nil where they count nothing
+	timekeeper *Timekeeper        // of the group's time; nil where nobody needs it
+	patience   time.Duration      // in which an operator sends an order again whose answer was lost
 }
 
 // ServerOption sets how a Server works.
@@ -75,6 +77,7 @@
 func (s *Server) Newest(args NewestArgs, reply *NewestReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), args.Wait+confirmLimit)
 	defer cancel()
+	defer s.stamp(reply, time.Now())
 	if s.keeper != nil {
 		reply.Group = s.member.Status().Group.Nodes()
 	}
@@ -104,10 +107,22 @@
 	}
 	if args.Entry != "" {
 		s.refer(args, reply)
+		reply.Near = s.near(args)
 	}
 	return nil
 }
 
+// near names the member of an entry's data hall that takes its reports.
+func (s *Server) near(args NewestArgs) walnutramp.NodeName {
+	if s.reports == nil {
+		return ""
+	}
+	if s.relay != nil && s.relay.hall == args.DataHall {
+		return s.relay.node
+	}
+	return s.relays.of(args.DataHall, args.Entry)
+}
+
 // refer names an entry the member of its data hall that it should ask from now
 // on, on a site of many entries, and that has long contents for it.
 func (s *Server) refer(args NewestArgs, reply *NewestReply) {
--- a/control/state.go
+++ b/control/state.go
@@ -25,6 +25,8 @@
 	Known   *KnownVersions `msgpack:"v,omitempty"`
 	Rollout *RolloutOrder  `msgpack:"r,omitempty"`
 	Step    *RolloutStep   `msgpack:"p,omitempty"`
+
+	Close *CloseWindow `msgpack:"w,omitempty"`
 }
 
 // Submit offers a bundle that was signed and checked.
@@ -111,6 +113,7 @@
 	changed chan struct{} // closed when a bundle is accepted, or the view of versions changes
 
 	rollouts rollouts
+	windows  windows
 }
 
 // NewState returns the state of a new group, before its first bundle.
@@ -140,6 +143,8 @@
 		return encode(s.claim(c.Claim, c.Now))
 	case c.Settle != nil:
 		return encode(s.settle(c.Settle, c.Now))
+	case c.Close != nil:
+		return encode(s.windows.close(c.Close))
 	}
 	return encode(s.applyRollout(index, &c))
 }
@@ -254,13 +259,14 @@
 	Entries []Entry
 
 	Versions rollout.View
+	Windows  *windows // nil where metering has not begun
 }
 
 // Snapshot implements consensus.StateMachine.
 func (s *State) Snapshot() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	img := stateImage{Doc: s.doc, History: s.history, Deltas: s.deltas, Versions: s.rollouts.copyView()}
+	img := stateImage{Doc: s.doc, History: s.history, Deltas: s.deltas, Versions: s.rollouts.copyView(), Windows: s.windows.image()}
 	for i, rec := range img.Versions.Records {
 		img.Versions.Records[i].Elapsed = s.rollouts.elapsed(rec)
 	}
@@ -285,6 +291,10 @@
 		s.ledger[k] = img.Entries[i]
 	}
 	s.restoreRollouts(img.Versions)
+	s.windows = windows{}
+	if img.Windows != nil {
+		s.windows = *img.Windows
+	}
 	s.wake()
 	return nil
 }
