Entries meter requests that begin; members keep time and counts

Cause: gateway and processes did not use metering yet.

Change: the gateway counts a stream at its first event and a plain request at its answer less the time at work, once a call. Processes wire counter, clock and reports where the settings ask for it, with metrics.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -48,6 +48,7 @@
 	noRoom   bool                     // there are targets, but none has room
 	prepaid  bool                     // a repeat was paid for that has not arrived yet
 	watched  *rollout.Request         // the newest try, while its service has a roll-out
+	metered  bool                     // it was counted for its account
 }
 
 // open reads and checks a request.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/metering"
 	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
 )
@@ -48,6 +49,9 @@
 	// Rollouts says which versions of targets requests go to; nil for any.
 	Rollouts *rollout.Agent
 
+	// Metering counts the requests of each account; nil for none.
+	Metering *metering.Counter
+
 	// Find learns of runs of a key that other nodes had, where this node does
 	// not know them anyway; nil if it always does.
 	Find func(ctx context.Context, key string)
@@ -107,7 +111,8 @@
 
 	startOnce sync.Once
 
-	pending pendingRuns
+	pending   pendingRuns
+	exchanges exchanges
 
 	budgets *balance.Budgets
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -92,6 +92,7 @@
 	defer func() { c.watched.Dropped() }() // unless its end is noted
 	run := t.Begin(balance.Work{}, balance.Trace{})
 	defer run.End(balance.RunEnd{Whole: true})
+	sent := time.Now()
 	answer, err := g.pool.Do(tryCtx, endpoint(t), g.request(c, t))
 	if err != nil {
 		g.noteFailure(ctx, c, t, err)
@@ -104,6 +105,7 @@
 		return nil, true
 	}
 	c.ran(t)
+	g.meterAnswer(c, sent)
 	if answer.Header.Get("Content-Encoding") != "" {
 		answer.Close()
 		g.noteLost(c, t)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -265,6 +265,7 @@
 			r.noteFirst()
 			r.begun = time.Now()
 			c.watched.First()
+			g.meterFirst(c)
 		}
 		if r.events == paceEvents {
 			c.watched.Pace(time.Since(r.begun) / (paceEvents - 1))
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -13,6 +13,7 @@
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/gateway"
 	"github.com/walnutramp/walnutramp/loadshare"
+	"github.com/walnutramp/walnutramp/metering"
 	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
 	"k8s.io/klog/v2"
@@ -59,7 +60,8 @@
 	sharer  *loadshare.Sharer
 	front   *http.Server
 	ready   *http.Server
-	agent   *rollout.Agent // of roll-outs; nil where there are none
+	agent   *rollout.Agent    // of roll-outs; nil where there are none
+	counter *metering.Counter // of requests; nil where nothing is metered
 }
 
 func (p *Process) startEntry() error {
@@ -89,7 +91,6 @@
 		agent = rollout.NewAgent(rand.Uint64())
 		options = append(options, gateway.WithRollouts(agent))
 	}
-	g = gateway.New(targets, pool, budgets, poller.Soon, options...)
 	adopt := func(version uint64, doc []byte) error {
 		table, err := p.adapter.Table(doc)
 		if err == nil {
@@ -101,7 +102,10 @@
 	if agent != nil {
 		p.client.WithRollouts(agent)
 	}
-	p.entry = &entry{gateway: g, pool: pool, agent: agent}
+	counter := p.meterEntry()
+	options = append(options, gateway.WithMetering(counter))
+	g = gateway.New(targets, pool, budgets, poller.Soon, options...)
+	p.entry = &entry{gateway: g, pool: pool, agent: agent, counter: counter}
 	conn, err := net.ListenPacket("udp", s.PeerListen)
 	if err != nil {
 		return err
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -45,6 +45,7 @@
 		if p.entry.agent != nil {
 			writeVersions(w, p.entry.agent)
 		}
+		writeCounter(w, p.entry.counter)
 	}
 	if p.replica != nil && p.replica.member != nil {
 		p.replica.writeMetrics(w)
@@ -98,4 +99,5 @@
 	fmt.Fprintf(w, "walnutramp_control_commit_index %d\n", s.Commit)
 	fmt.Fprintf(w, "walnutramp_control_voters %d\n", s.Group.Counted())
 	fmt.Fprintf(w, "walnutramp_control_members %d\n", len(s.Group.Voters))
+	r.usage.writeMetrics(w)
 }
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -35,6 +35,7 @@
 	member   *consensus.Member // nil for a proxy
 	server   *peer.Server
 	operator *http.Server
+	usage    *usage // nil where nothing is metered
 }
 
 // startProxy serves operators without being a member: a machine without a
@@ -81,6 +82,7 @@
 	server := peer.NewServer(self, &p.traffic)
 	answers := control.NewOpenServer(member, state, keeper, roster, control.WithLink(s.LinkMbps*bytesPerMbit), control.WithOrderPatience(s.OrderPatience))
 	relay := control.NewRelay(p.peers, self.Node, s.DataHall, member, answers)
+	metered := p.meterReplica(self, member, answers)
 	if s.Rollouts.Enabled() {
 		go control.NewRolloutController(member, answers, s.Rollouts).Run(p.ctx)
 	}
@@ -102,7 +104,7 @@
 	go relay.Run(p.ctx)
 	go control.NewIntroducer(p.peers, member, p.client).Run(p.ctx)
 	go control.NewJoiner(p.peers, self.Node, identity, member, p.client).Run(p.ctx)
-	p.replica = &replica{member: member, server: server}
+	p.replica = &replica{member: member, server: server, usage: metered}
 	p.replica.operator, err = listen(s.OperatorAddr, p.adapter.Operator(&documents{client: p.client, member: member, limit: s.OperatorIn}))
 	return err
 }
