explain tells the story of a window of usage

Cause: an operator asks why a window's report was late or off; its lines lie in the logs of several members.

--- a/cmd/walnutramp/explain.go
+++ b/cmd/walnutramp/explain.go
@@ -11,7 +11,7 @@
 type explainCommand struct {
 	*program
 	Positional struct {
-		Request string   `positional-arg-name:"ID" required:"true" description:"the request's id, or a service whose roll-out is to be explained"`
+		Request string   `positional-arg-name:"ID" required:"true" description:"the request's id, a service whose roll-out is to be explained, or the number of a window of usage"`
 		Files   []string `positional-arg-name:"FILE" description:"log files of nodes; standard input if there is none"`
 	} `positional-args:"true"`
 }
@@ -28,10 +28,15 @@
 		return nil
 	}
 	rollout, ok := explain.TellRollout(lines, c.Positional.Request)
+	if ok {
+		rollout.Write(c.out)
+		return nil
+	}
+	window, ok := explain.TellWindow(lines, c.Positional.Request)
 	if !ok {
-		return errors.Newf("no log line names request %s, or a roll-out of a service of that name", c.Positional.Request)
+		return errors.Newf("no log line names request %s, a roll-out of a service or a window of usage of that name", c.Positional.Request)
 	}
-	rollout.Write(c.out)
+	window.Write(c.out)
 	return nil
 }
 
