Windows are summed only once they may be closed

Cause: the leader summed all rows of the next window ten times a second. Change: it looks at the time first. Measured: go test ./control -run 'Usage|CutOffDelivers|Window' green.

--- a/control/usage_controller.go
+++ b/control/usage_controller.go
@@ -124,9 +124,12 @@
 		return c.begin(ctx, c.cfg.Window(now))
 	}
 	ago := now.Sub(c.cfg.End(w.Next))
+	if ago < closeDelay {
+		return c.noteTold(ctx, &w)
+	}
 	standing := c.server.reports.standing(w.Next, ago)
 	if !c.complete(standing, ago) {
-		return c.noteTold(ctx, &w)
+		return false
 	}
 	if !c.agree(ctx, CloseWindow{Window: w.Next, Counts: standing.Counts, Told: c.toldHere()}) {
 		return false
@@ -138,12 +141,10 @@
 }
 
 // complete reports whether a window that ended a while ago is closed with what
-// is known.
+// is known here.
 func (c *UsageController) complete(s standing, ago time.Duration) bool {
-	if ago < closeDelay || s.Led < retellTime {
-		return false
-	}
-	return s.Silent == 0 || ago >= time.Duration(silenceShare*float64(c.cfg.Due))
+	waited := ago >= time.Duration(silenceShare*float64(c.cfg.Due))
+	return s.Led >= retellTime && (s.Silent == 0 || waited)
 }
 
 // lastWord is how old the newest word of a window's nodes is; -1 if there was
