--- a/control/state.go
+++ b/control/state.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/duty"
 	"github.com/walnutramp/walnutramp/internal/pack"
 	"github.com/walnutramp/walnutramp/rollout"
 	"k8s.io/klog/v2"
@@ -26,6 +27,9 @@
 	Rollout *RolloutOrder  `msgpack:"r,omitempty"`
 	Step    *RolloutStep   `msgpack:"p,omitempty"`
 
+	Grant   *duty.Grant   `msgpack:"g,omitempty"`
+	Release *duty.Release `msgpack:"l,omitempty"`
+
 	Close *CloseWindow `msgpack:"w,omitempty"`
 }
 
@@ -114,6 +118,7 @@
 
 	rollouts rollouts
 	windows  windows
+	duty     duty.Record
 }
 
 // NewState returns the state of a new group, before its first bundle.
@@ -145,6 +150,8 @@
 		return encode(s.settle(c.Settle, c.Now))
 	case c.Close != nil:
 		return encode(s.windows.close(c.Close))
+	case c.Grant != nil, c.Release != nil:
+		return encode(s.applyDuty(index, &c))
 	}
 	return encode(s.applyRollout(index, &c))
 }
@@ -260,13 +267,16 @@
 
 	Versions rollout.View
 	Windows  *windows // nil where metering has not begun
+	Duty     duty.Record
 }
 
 // Snapshot implements consensus.StateMachine.
 func (s *State) Snapshot() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	img := stateImage{Doc: s.doc, History: s.history, Deltas: s.deltas, Versions: s.rollouts.copyView(), Windows: s.windows.image()}
+	img := stateImage{
+		Doc: s.doc, History: s.history, Deltas: s.deltas, Versions: s.rollouts.copyView(), Duty: s.duty, Windows: s.windows.image(),
+	}
 	for i, rec := range img.Versions.Records {
 		img.Versions.Records[i].Elapsed = s.rollouts.elapsed(rec)
 	}
@@ -295,6 +305,7 @@
 	if img.Windows != nil {
 		s.windows = *img.Windows
 	}
+	s.duty = img.Duty
 	s.wake()
 	return nil
 }
--- a/control/usage_controller.go
+++ b/control/usage_controller.go
@@ -39,11 +39,9 @@
 	// is not noted.
 	noteDelay = 10 * time.Second
 
-	// firstRepeat and lastRepeat bound the pause after a call that was not
-	// known to be carried out: at least five tries fit in before the counts
-	// are due.
-	firstRepeat = 100 * time.Millisecond
-	lastRepeat  = 1 * time.Second
+	// callEvery is between two looks for a window to tell; the holder of the
+	// duty paces what is sent.
+	callEvery = 100 * time.Millisecond
 	// mostRejected is how often the platform may reject a window before it is
 	// given up for those behind it.
 	mostRejected = 3
@@ -201,11 +199,10 @@
 // tellAlways tells the platform of closed windows, in order. A window is told
 // again until the platform has it; the counts are those in the log.
 func (c *UsageController) tellAlways(ctx context.Context) {
-	wait, rejected := firstRepeat, 0
-	for pause.For(ctx, wait) {
+	rejected := 0
+	for pause.For(ctx, callEvery) {
 		next, ok := c.nextUntold()
-		if !ok || !c.member.Leads() || !c.caller.Held() {
-			wait = firstRepeat
+		if !ok || !c.caller.Held() {
 			continue
 		}
 		outcome := c.tell(ctx, next)
@@ -214,11 +211,10 @@
 		}
 		if outcome == duty.Done || rejected >= mostRejected {
 			c.noteTelling(next.Window, outcome)
-			wait, rejected = firstRepeat, 0
+			rejected = 0
 			continue
 		}
 		c.noteFailure(outcome)
-		wait = min(2*wait, lastRepeat)
 	}
 }
 
--- a/explain/window.go
+++ b/explain/window.go
@@ -16,7 +16,7 @@
 )
 
 // doneOutcome is the outcome of a call that the platform has carried out.
-const doneOutcome = "0"
+const doneOutcome = "done"
 
 // Window is what the logs tell of one window of usage.
 type Window struct {
--- a/serve/metering.go
+++ b/serve/metering.go
@@ -47,6 +47,21 @@
 	return u
 }
 
+// reportUsage has the member close windows, and report them while it holds the
+// duty.
+func (p *Process) reportUsage(u *usage, m *consensus.Member, answers *control.Server, holder *control.DutyHolder) error {
+	if holder == nil || !p.settings.Metering.Enabled() {
+		return nil
+	}
+	platform, err := p.adapter.Platform()
+	if err != nil {
+		return err
+	}
+	u.controller = control.NewUsageController(m, answers, holder, platform, p.settings.Metering)
+	go u.controller.Run(p.ctx)
+	return nil
+}
+
 // writeMetrics writes what a member knows of metering.
 func (u *usage) writeMetrics(w io.Writer) {
 	if u == nil {
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -100,4 +100,7 @@
 	fmt.Fprintf(w, "walnutramp_control_voters %d\n", s.Group.Counted())
 	fmt.Fprintf(w, "walnutramp_control_members %d\n", len(s.Group.Voters))
 	r.usage.writeMetrics(w)
+	if r.duties != nil {
+		r.duties.WriteMetrics(w)
+	}
 }
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -35,7 +35,8 @@
 	member   *consensus.Member // nil for a proxy
 	server   *peer.Server
 	operator *http.Server
-	usage    *usage // nil where nothing is metered
+	usage    *usage              // nil where nothing is metered
+	duties   *control.DutyHolder // nil where there are none
 }
 
 // startProxy serves operators without being a member: a machine without a
@@ -104,7 +105,11 @@
 	go relay.Run(p.ctx)
 	go control.NewIntroducer(p.peers, member, p.client).Run(p.ctx)
 	go control.NewJoiner(p.peers, self.Node, identity, member, p.client).Run(p.ctx)
-	p.replica = &replica{member: member, server: server, usage: metered}
+	duties := p.startDuties(self, member, answers)
+	if err := p.reportUsage(metered, member, answers, duties); err != nil {
+		return err
+	}
+	p.replica = &replica{member: member, server: server, duties: duties, usage: metered}
 	p.replica.operator, err = listen(s.OperatorAddr, p.adapter.Operator(&documents{client: p.client, member: member, limit: s.OperatorIn}))
 	return err
 }
@@ -128,8 +133,12 @@
 }
 
 func (r *replica) stop() {
+	r.releaseDuties()
 	ctx, cancel := context.WithTimeout(context.Background(), replicaFinish)
 	defer cancel()
+	if r.member != nil {
+		r.member.HandOver(ctx) // while it still answers, so that nobody waits for an election
+	}
 	r.operator.Shutdown(ctx)
 	if r.member != nil {
 		r.member.Close()
