--- a/control/state.go
+++ b/control/state.go
@@ -29,6 +29,8 @@
 
 	Grant   *duty.Grant   `msgpack:"g,omitempty"`
 	Release *duty.Release `msgpack:"l,omitempty"`
+
+	Close *CloseWindow `msgpack:"w,omitempty"`
 }
 
 // Submit offers a bundle that was signed and checked.
@@ -115,6 +117,7 @@
 	changed chan struct{} // closed when a bundle is accepted, or the view of versions changes
 
 	rollouts rollouts
+	windows  windows
 	duty     duty.Record
 }
 
@@ -145,6 +148,8 @@
 		return encode(s.claim(c.Claim, c.Now))
 	case c.Settle != nil:
 		return encode(s.settle(c.Settle, c.Now))
+	case c.Close != nil:
+		return encode(s.windows.close(c.Close))
 	case c.Grant != nil, c.Release != nil:
 		return encode(s.applyDuty(index, &c))
 	}
@@ -261,6 +266,7 @@
 	Entries []Entry
 
 	Versions rollout.View
+	Windows  *windows // nil where metering has not begun
 	Duty     duty.Record
 }
 
@@ -268,7 +274,9 @@
 func (s *State) Snapshot() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	img := stateImage{Doc: s.doc, History: s.history, Deltas: s.deltas, Versions: s.rollouts.copyView(), Duty: s.duty}
+	img := stateImage{
+		Doc: s.doc, History: s.history, Deltas: s.deltas, Versions: s.rollouts.copyView(), Duty: s.duty, Windows: s.windows.image(),
+	}
 	for i, rec := range img.Versions.Records {
 		img.Versions.Records[i].Elapsed = s.rollouts.elapsed(rec)
 	}
@@ -293,6 +301,10 @@
 		s.ledger[k] = img.Entries[i]
 	}
 	s.restoreRollouts(img.Versions)
+	s.windows = windows{}
+	if img.Windows != nil {
+		s.windows = *img.Windows
+	}
 	s.duty = img.Duty
 	s.wake()
 	return nil
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -35,6 +35,7 @@
 	member   *consensus.Member // nil for a proxy
 	server   *peer.Server
 	operator *http.Server
+	usage    *usage              // nil where nothing is metered
 	duties   *control.DutyHolder // nil where there are none
 }
 
@@ -82,6 +83,7 @@
 	server := peer.NewServer(self, &p.traffic)
 	answers := control.NewOpenServer(member, state, keeper, roster, control.WithLink(s.LinkMbps*bytesPerMbit), control.WithOrderPatience(s.OrderPatience))
 	relay := control.NewRelay(p.peers, self.Node, s.DataHall, member, answers)
+	metered := p.meterReplica(self, member, answers)
 	if s.Rollouts.Enabled() {
 		go control.NewRolloutController(member, answers, s.Rollouts).Run(p.ctx)
 	}
@@ -103,7 +105,11 @@
 	go relay.Run(p.ctx)
 	go control.NewIntroducer(p.peers, member, p.client).Run(p.ctx)
 	go control.NewJoiner(p.peers, self.Node, identity, member, p.client).Run(p.ctx)
-	p.replica = &replica{member: member, server: server, duties: p.startDuties(self, member, answers)}
+	duties := p.startDuties(self, member, answers)
+	if err := p.reportUsage(metered, member, answers, duties); err != nil {
+		return err
+	}
+	p.replica = &replica{member: member, server: server, duties: duties, usage: metered}
 	p.replica.operator, err = listen(s.OperatorAddr, p.adapter.Operator(&documents{client: p.client, member: member, limit: s.OperatorIn}))
 	return err
 }
