--- a/duty/gate.go
+++ b/duty/gate.go
@@ -86,7 +86,7 @@
 	case Conflict, Fenced:
 		g.unclear[c.Subject] = attempt{content: c.Content, token: p.Token, refused: true}
 	}
-	if o == Done || o == Rejected {
+	if o == Done || o == Rejected || o == Conflict {
 		g.failed = 0
 		return
 	}
--- a/duty/lease.go
+++ b/duty/lease.go
@@ -122,5 +122,5 @@
 	return ReasonTakenOver
 }
 
-// Renew returns a grant to this process again, for a higher token.
-func (l *Lease) Renew() Grant { return Grant{Holder: l.self} }
+// Regrant returns a grant to this process once more, for a higher token.
+func (l *Lease) Regrant() Grant { return Grant{Holder: l.self} }
