The leader hands the demand of services to a sink that is set later

Cause: what decides on targets is made after the reports, and is told of the demand by them; the tests had no demand at all.

Change: OnDemand in place of an argument; a new leader's sink is told everything. Each node of the tests of usage tells a demand.

--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/walnutramp/walnutramp/consensus"
 	"github.com/walnutramp/walnutramp/control"
 	"github.com/walnutramp/walnutramp/discovery"
+	fleetpkg "github.com/walnutramp/walnutramp/fleet"
 	"github.com/walnutramp/walnutramp/groupclock"
 	"github.com/walnutramp/walnutramp/internal/memfs"
 	"github.com/walnutramp/walnutramp/internal/memnet"
@@ -208,6 +209,7 @@
 		e.counter = metering.NewCounter(usageConfig, e.clock)
 		e.client.WithClock(e.clock)
 		e.client.WithUsage(e.counter)
+		e.client.WithDemand(func() []fleetpkg.Demand { return []fleetpkg.Demand{{Service: fleetService, Requests: 1}} })
 	}
 	e.client.Start()
 	fl.entries = append(fl.entries, e)
--- a/control/reports.go
+++ b/control/reports.go
@@ -46,9 +46,9 @@
 	member *consensus.Member
 	state  *State
 	id     uint64 // names this process
-	sink   DemandFunc
 
 	mu      sync.Mutex
+	sink    DemandFunc // is told the demand on the leader; nil for none
 	tally   *metering.Tally
 	demands map[metering.Source]*demand
 	leads   bool      // as last seen
@@ -67,16 +67,23 @@
 }
 
 // NewReports returns what a member's server takes reports with from then on.
-// The sink is told the demand on the leader; nil for none.
-func NewReports(peers Peers, m *consensus.Member, s *Server, sink DemandFunc) *Reports {
+func NewReports(peers Peers, m *consensus.Member, s *Server) *Reports {
 	r := &Reports{
-		peers: peers, member: m, state: s.state, id: rand.Uint64() | 1, sink: sink,
+		peers: peers, member: m, state: s.state, id: rand.Uint64() | 1,
 		tally: metering.NewTally(), demands: map[metering.Source]*demand{},
 	}
 	s.reports = r
 	return r
 }
 
+// OnDemand has the demand told to a sink while this member leads. It is called
+// before Run.
+func (r *Reports) OnDemand(sink DemandFunc) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sink = sink
+}
+
 // Tell implements the RPC by which a node tells what it has counted.
 func (s *Server) Tell(args TellArgs, reply *TellReply) error {
 	if s.reports == nil {
@@ -102,17 +109,31 @@
 
 // take keeps what nodes told. The leader's sink gets the demand at once.
 func (r *Reports) take(reports []NodeReport) {
-	now := time.Now()
-	leads := r.member.Leads()
+	r.takeAll(reports, time.Now())
+	if r.member.Leads() {
+		r.tellSink(reports)
+	}
+}
+
+func (r *Reports) takeAll(reports []NodeReport, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tally.Closed(r.state.newestClosed())
 	for _, report := range reports {
 		from := metering.Source{Node: report.Node, Life: report.Life}
-		r.mu.Lock()
-		r.tally.Closed(r.state.newestClosed())
 		r.tally.Take(from, report.Usage, now)
 		r.takeDemand(from, report.Demand, now)
-		r.mu.Unlock()
-		if leads && r.sink != nil && len(report.Demand) > 0 {
-			r.sink(report.Node, report.Life, report.Demand)
+	}
+}
+
+// tellSink hands the demand in reports to the sink.
+func (r *Reports) tellSink(reports []NodeReport) {
+	r.mu.Lock()
+	sink := r.sink
+	r.mu.Unlock()
+	for _, report := range reports {
+		if sink != nil && len(report.Demand) > 0 {
+			sink(report.Node, report.Life, report.Demand)
 		}
 	}
 }
@@ -165,23 +186,17 @@
 func (r *Reports) noteLeads(leads bool) {
 	r.mu.Lock()
 	begins := leads && !r.leads
-	if begins {
-		r.ledFrom = time.Now()
-	}
 	if leads != r.leads {
 		r.to = 0
 	}
 	r.leads = leads
 	var reports []NodeReport
-	if begins && r.sink != nil {
+	if begins {
+		r.ledFrom = time.Now()
 		reports = r.changes(true)
 	}
 	r.mu.Unlock()
-	for _, report := range reports {
-		if len(report.Demand) > 0 {
-			r.sink(report.Node, report.Life, report.Demand)
-		}
-	}
+	r.tellSink(reports)
 }
 
 // changes returns what nodes told since the last call, or everything. The
--- a/control/usage_fleet_test.go
+++ b/control/usage_fleet_test.go
@@ -13,6 +13,7 @@
 	"github.com/walnutramp/walnutramp/consensus"
 	"github.com/walnutramp/walnutramp/control"
 	"github.com/walnutramp/walnutramp/duty"
+	fleetpkg "github.com/walnutramp/walnutramp/fleet"
 	"github.com/walnutramp/walnutramp/metering"
 	"github.com/walnutramp/walnutramp/peer"
 )
@@ -33,18 +34,15 @@
 	calls    int
 	down     bool
 	noAnswer func(metering.Window) bool // the answer to a call is lost; nil for none
-	onCall   func(metering.Window)      // before a call is carried out; nil for nothing
+	demand   map[string]uint64          // as the leader was told, by node
 }
 
 func newUsagePlatform(steps ...time.Duration) *usagePlatform {
-	return &usagePlatform{steps: steps, told: map[metering.Window]metering.Counts{}, at: map[metering.Window]time.Time{}}
+	return &usagePlatform{steps: steps, told: map[metering.Window]metering.Counts{}, at: map[metering.Window]time.Time{}, demand: map[string]uint64{}}
 }
 
 // ReportUsage implements metering.Reporter.
 func (p *usagePlatform) ReportUsage(_ context.Context, _ duty.Permission, w metering.Window, c metering.Counts) duty.Outcome {
-	if p.onCall != nil {
-		p.onCall(w)
-	}
 	time.Sleep(2 * time.Millisecond)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -92,11 +90,21 @@
 	}
 	wall := func() time.Time { return time.Now().Add(step) }
 	m.timekeeper = control.NewTimekeeper(peers, m.name, m.raft, answers, control.WithTimeOfDay(wall))
-	reports := control.NewReports(peers, m.raft, answers, nil)
+	reports := control.NewReports(peers, m.raft, answers)
 	controller := control.NewUsageController(m.raft, answers, leaderCalls{m.raft}, fl.platform, usageConfig)
+	reports.OnDemand(func(node string, _ uint64, rows []fleetpkg.Demand) { fl.platform.noteDemand(node, rows) })
 	return []func(context.Context){m.timekeeper.Run, reports.Run, controller.Run}
 }
 
+// noteDemand notes what the leader was told of a node's demand.
+func (p *usagePlatform) noteDemand(node string, rows []fleetpkg.Demand) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, row := range rows {
+		p.demand[node] = row.Requests
+	}
+}
+
 // usage is what entries have counted in truth.
 type usage struct {
 	mu     sync.Mutex
@@ -377,6 +385,26 @@
 	})
 }
 
+// The demand of every node reaches the leader, and the next one.
+func TestDemandReachesEachLeader(t *testing.T) {
+	p := newUsagePlatform()
+	inUse(t, p, func(fl *fleet, u *usage) {
+		demanded := func() int {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return len(p.demand)
+		}
+		time.Sleep(time.Second)
+		require.Equal(t, len(fl.entries), demanded())
+		fl.leave(fl.leader())
+		p.mu.Lock()
+		clear(p.demand)
+		p.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		require.Equal(t, len(fl.entries), demanded(), "though none has changed")
+	})
+}
+
 // What metering may cost a node, in bytes a second beside what the control
 // group costs it anyway.
 const (
--- a/serve/metering.go
+++ b/serve/metering.go
@@ -40,7 +40,7 @@
 	}
 	u := &usage{
 		timekeeper: control.NewTimekeeper(p.peers, self.Node, m, answers),
-		reports:    control.NewReports(p.peers, m, answers, nil),
+		reports:    control.NewReports(p.peers, m, answers),
 	}
 	go u.timekeeper.Run(p.ctx)
 	go u.reports.Run(p.ctx)
