Reports name only who has them now

Cause: Tell and Pass carried a field that nobody read; whoever tells decides by the answer what to tell again. Change: the field is gone. Measured: go test ./control -run 'Usage|Demand|ReportsAreSmall|MemberPasses|NodeTells' green.

--- a/control/messages.go
+++ b/control/messages.go
@@ -94,14 +94,12 @@
 type TellArgs struct {
 	Node   string
 	Life   uint64 // names the node's process
-	To     uint64 // who had the reports before; 0 for nobody
 	Usage  []metering.Row
 	Demand []fleet.Demand
 }
 
 // PassArgs hands the leader what a member heard from nodes.
 type PassArgs struct {
-	To      uint64 // who had them before; 0 for nobody
 	Reports []NodeReport
 }
 
@@ -117,7 +115,7 @@
 type TellReply struct {
 	Code   walnutramp.Code
 	Leader walnutramp.NodeName
-	To     uint64 // who has the reports now
+	To     uint64 // who has the reports now, as its process names itself
 	// Closed is the newest window of which the counts are settled.
 	Closed metering.Window
 }
--- a/control/reports.go
+++ b/control/reports.go
@@ -240,7 +240,7 @@
 	ctx, cancel := context.WithTimeout(ctx, passLimit)
 	defer cancel()
 	var reply TellReply
-	err := r.peers.Call(ctx, leader, Service+".Pass", PassArgs{To: r.to, Reports: reports}, &reply)
+	err := r.peers.Call(ctx, leader, Service+".Pass", PassArgs{Reports: reports}, &reply)
 	r.passedAt = time.Now()
 	if err != nil || reply.Code != walnutramp.CodeOK {
 		klog.V(1).InfoS("Reports not passed on", "leader", leader, "reports", len(reports), "code", int(reply.Code), "err", err)
