Word of another region comes in through one relay; traces stay in their region

Cause: relays subscribed to a relay of every other data hall, wherever it was, so word of each hall entered each region four times on a site of three regions with two halls each; traces of runs went to keepers anywhere.

Change: relays of a region subscribe to each other's halls as before. Of another region, one relay (the importer, named by rendezvous hash, a second at hand) takes the whole region in, gathered for 50 ms, and the other relays subscribe to it. Word of a region is told on only while that region is heard, by a relay that has it from there. Traces are kept within the region of their run; a request whose client has part of the answer asks all regions. A relay's feed of a region has its own notes of who was silent. Sites of one region have the same layout (test).

Two faults of the standing code, met by the new tests: of two feeds from one source only one was asked for at a time; and runs of a hall of which no relay was heard were kept for as long as its relays took turns in being asked.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp/discovery"
+	"github.com/walnutramp/walnutramp/topology"
 )
 
 // Load is what a target told of itself in an answer.
@@ -35,6 +36,7 @@
 type Config struct {
 	Policy        Policy
 	DataHall      string        // of this node
+	Topology      topology.Map  // which data halls are in which region
 	FarCost       float64       // of an engine in another data hall, in milliseconds of wait
 	FarSlotCost   float64       // the same of a plain service's target
 	LoadHalfLife  time.Duration // after which a told load counts half
@@ -54,6 +56,9 @@
 // WithDataHall names the data hall of this node.
 func WithDataHall(hall string) Option { return func(c *Config) { c.DataHall = hall } }
 
+// WithTopology tells which data halls are in which region.
+func WithTopology(m topology.Map) Option { return func(c *Config) { c.Topology = m } }
+
 // WithFarCost sets what a target in another data hall is held to be worse by,
 // in milliseconds of wait: an engine, and a plain service's target.
 func WithFarCost(engine, slot float64) Option {
@@ -98,10 +103,13 @@
 	nodes   []string               // that choose among the targets, sorted
 	farLag  time.Duration          // by which word of nodes in other halls is older
 	newsLag time.Duration          // until most nodes know what one began
-	changed func()                 // own runs changed
-	silence func()                 // a target fell silent
-	turn    uint64                 // of RoundRobin
-	rng     *rand.Rand
+	// regionLag is by which word of nodes in other regions is older than that of
+	// nodes in other data halls of the own one.
+	regionLag time.Duration
+	changed   func() // own runs changed
+	silence   func() // a target fell silent
+	turn      uint64 // of RoundRobin
+	rng       *rand.Rand
 
 	remembered time.Time     // when memory was taken
 	memoryAge  time.Duration // how old it was then
--- a/balance/rivals.go
+++ b/balance/rivals.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/walnutramp/walnutramp/topology"
 )
 
 // Nodes that know the same and choose at the same moment choose the same engine:
@@ -29,6 +31,8 @@
 	score  float64
 }
 
+func byScore(a, b candidate) int { return cmp.Compare(a.score, b.score) }
+
 // SetNewsLag says how long it takes until most nodes know what one has begun.
 func (t *Tracker) SetNewsLag(lag time.Duration) {
 	t.mu.Lock()
@@ -39,8 +43,10 @@
 // rivals is how many other choices are made, most likely, until this one is
 // known: as many as runs begin in that time, and, where a data hall failed the
 // request, as many as wait there for their first event and must go elsewhere,
-// too. Those that have begun go on from their copies. The caller holds the mutex.
-func (t *Tracker) rivals(c *Choice, taken map[*Target]*occupancy) float64 {
+// too. Those that have begun go on from their copies. Where the best candidate is
+// in another region, its own nodes hear of the choice that much later. The caller
+// holds the mutex.
+func (t *Tracker) rivals(c *Choice, taken map[*Target]*occupancy, candidates []candidate) float64 {
 	runs, displaced := 0, 0
 	for target, o := range taken {
 		runs += len(o.runs)
@@ -48,7 +54,11 @@
 			displaced += unread(o.runs)
 		}
 	}
-	wholeRuns := float64(t.newsLag.Milliseconds()) / max(shortestRunMS, t.paceOf(c.Service).wholeMS.value)
+	lag := t.newsLag
+	if len(candidates) > 0 && t.distance(slices.MinFunc(candidates, byScore).target) == topology.OtherRegion {
+		lag += t.regionLag
+	}
+	wholeRuns := float64(lag.Milliseconds()) / max(shortestRunMS, t.paceOf(c.Service).wholeMS.value)
 	return float64(runs)*wholeRuns + float64(displaced)
 }
 
@@ -70,7 +80,6 @@
 	if len(candidates) == 0 {
 		return nil
 	}
-	byScore := func(a, b candidate) int { return cmp.Compare(a.score, b.score) }
 	if rivals <= fewRivals || t.cfg.Policy != Predicted {
 		return slices.MinFunc(candidates, byScore).target // of those alike the first listed
 	}
--- a/balance/score.go
+++ b/balance/score.go
@@ -8,6 +8,7 @@
 
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/internal/rendezvous"
+	"github.com/walnutramp/walnutramp/topology"
 )
 
 // Choice says what a target is wanted for.
@@ -85,6 +86,7 @@
 		return nil
 	}
 	c.usualHold = usualHold(&c, taken)
+	lending := t.lendingRegions(&c, taken, now)
 	var candidates []candidate
 	for _, target := range t.service[c.Service] {
 		if !target.open(now) || c.Exclude != nil && c.Exclude(target) {
@@ -93,7 +95,7 @@
 		o := taken[target]
 		if o != nil {
 			o.backlog = target.backlog(o.runs, now)
-			if !target.fits(&c, o, now) {
+			if !target.fits(&c, o, now) || t.keptForOwn(target, lending) {
 				continue
 			}
 		}
@@ -104,7 +106,7 @@
 		}
 		candidates = append(candidates, candidate{target: target, score: s})
 	}
-	best := t.draw(candidates, t.rivals(&c, taken), t.readMS(c.Service, c.Work.Read))
+	best := t.draw(candidates, t.rivals(&c, taken, candidates), t.readMS(c.Service, c.Work.Read))
 	if best != nil {
 		t.turn++
 		best.turn = t.turn
@@ -170,7 +172,10 @@
 // between halls lose packets now and then, and every event that is sent anew
 // comes late. Besides, what other nodes have just begun there is known later
 // than what they began in the own hall.
-func (t *Tracker) farCost(choice *Choice) float64 {
+func (t *Tracker) farCost(choice *Choice, target *Target) float64 {
+	if t.distance(target) == topology.OtherRegion {
+		return t.regionCost(choice)
+	}
 	if choice.Work == (Work{}) {
 		return t.cfg.FarSlotCost
 	}
@@ -203,7 +208,7 @@
 		score += t.engineWait(c, o, tie, now)
 	}
 	if t.DataHall != cfg.DataHall {
-		score += t.tracker.farCost(c)
+		score += t.tracker.farCost(c, t)
 	}
 	return t.rest(c, now, score)
 }
@@ -215,6 +220,9 @@
 	if c.OtherHall != "" && t.DataHall == c.OtherHall {
 		score += sameHallCost
 	}
+	if c.Copy && t.tracker.cfg.Topology.Between(c.OtherHall, t.DataHall) == topology.OtherRegion {
+		score += copyRegionCost
+	}
 	if t.suspect(now) || c.Copy && t.unheard(now) {
 		score += suspectCost(c)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,8 +49,9 @@
 	Rollouts *rollout.Agent
 
 	// Find learns of runs of a key that other nodes had, where this node does
-	// not know them anyway; nil if it always does.
-	Find func(ctx context.Context, key string)
+	// not know them anyway; nil if it always does. Again says that the client has part
+	// of the answer: there was such a run.
+	Find func(ctx context.Context, key string, again bool)
 }
 
 // Option sets a field of Config.
@@ -79,7 +80,7 @@
 func WithCopies(on bool) Option { return func(c *Config) { c.Copies = on } }
 
 // WithFind sets what learns of runs of a key that other nodes had.
-func WithFind(find func(ctx context.Context, key string)) Option {
+func WithFind(find func(ctx context.Context, key string, again bool)) Option {
 	return func(c *Config) { c.Find = find }
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -50,7 +50,7 @@
 func (g *Gateway) stream(ctx context.Context, w http.ResponseWriter, c *call) {
 	r := &relay{gateway: g, call: c, w: w, flush: http.NewResponseController(w)}
 	if g.cfg.Find != nil {
-		g.cfg.Find(ctx, c.key)
+		g.cfg.Find(ctx, c.key, c.again)
 	}
 	if c.again {
 		if at, name := g.targets.FindCopy(c.key); at != nil {
--- a/loadshare/feed.go
+++ b/loadshare/feed.go
@@ -27,7 +27,8 @@
 // feed is what one relay tells this node.
 type feed struct {
 	scope  scope
-	hall   string // of the relay
+	hall   string // of the relay; empty for a region's
+	region string // that scopeRegion tells of
 	source string // its address, empty while there is none
 
 	asked  time.Time // when it was asked last
@@ -40,6 +41,9 @@
 	part   int       // of those that tell everything: how many came
 	nodes  map[uint32]bool
 	fresh  map[uint32]bool // told so far of everything
+	// missed notes when a source fell silent, by address. A relay that can't tell
+	// of one region may be sound for all else, so a region's feed has its own notes.
+	missed map[string]time.Time
 	counts map[string]balance.Count
 }
 
@@ -47,6 +51,16 @@
 	return &feed{scope: s, hall: hall, nodes: map[uint32]bool{}}
 }
 
+// newRegionFeed returns the feed that tells of a region.
+func newRegionFeed(region string) *feed {
+	f := newFeed(scopeRegion, "")
+	f.region, f.missed = region, map[string]time.Time{}
+	return f
+}
+
+// current reports whether all that the source tells is known.
+func (f *feed) current(now time.Time) bool { return f.synced && now.Sub(f.heard) <= feedSilence }
+
 // choose takes the first of the sources that did not fall silent lately, and
 // reports whether that is another one than before.
 func (f *feed) choose(sources []string, missed map[string]time.Time, now time.Time) bool {
@@ -110,7 +124,7 @@
 // question returns what the source is asked now.
 func (f *feed) question(now time.Time) subscribe {
 	f.asked = now
-	q := subscribe{Scope: f.scope, Whole: !f.synced}
+	q := subscribe{Scope: f.scope, Region: f.region, Whole: !f.synced}
 	if f.synced && !f.lacks.IsZero() {
 		q.From = f.number + 1
 		f.asks++
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -16,6 +16,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/topology"
 	"k8s.io/klog/v2"
 )
 
@@ -24,7 +25,8 @@
 	conn     net.PacketConn
 	tracker  *balance.Tracker
 	budgets  *balance.Budgets
-	place    place     // of this node
+	place    place // of this node
+	regions  topology.Map
 	short    uint32    // its name in feeds
 	near     *audience // of the own data hall, told directly
 	far      *audience // of the others, told directly
@@ -57,6 +59,9 @@
 // WithDataHall names the data hall of this node.
 func WithDataHall(hall string) Option { return func(s *Sharer) { s.place.dataHall = hall } }
 
+// WithTopology tells which data halls are in which region.
+func WithTopology(m topology.Map) Option { return func(s *Sharer) { s.regions = m } }
+
 // New returns a sharer that sends and receives on conn.
 func New(conn net.PacketConn, tracker *balance.Tracker, budgets *balance.Budgets, opts ...Option) *Sharer {
 	s := &Sharer{
@@ -71,6 +76,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.relay.addRegions(s.regions)
 	tracker.OnChange(s.Changed)
 	if s.file != "" {
 		s.place.disk = true
@@ -125,6 +131,7 @@
 	s.tracker.SetNodes(own, slices.Collect(maps.Keys(peers)))
 	s.tracker.SetFarLag(s.farLag(len(peers)))
 	s.tracker.SetNewsLag(s.newsLag(len(peers)))
+	s.tracker.SetRegionLag(s.regionLag(len(peers)))
 }
 
 // farLag is by how much word of other data halls comes later than that of the
@@ -175,7 +182,7 @@
 	for _, a := range []*audience{s.near, s.far, s.up} {
 		tasks.Go(func() { s.tell(ctx, a) })
 	}
-	for _, p := range []*publisher{s.relay.hall, s.relay.site} {
+	for _, p := range s.relay.publishers() {
 		tasks.Go(func() { s.publish(ctx, p) })
 	}
 	tasks.Go(func() { s.tend(ctx) })
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -50,13 +50,15 @@
 type scope int
 
 const (
-	scopeHall scope = iota + 1 // nodes of the relay's data hall
-	scopeSite                  // all nodes
+	scopeHall   scope = iota + 1 // nodes of the relay's data hall
+	scopeSite                    // all nodes
+	scopeRegion                  // nodes of one region, which is named besides
 )
 
 // subscribe asks a relay for a feed. It is sent again and again.
 type subscribe struct {
-	Scope scope `msgpack:"s"`
+	Scope  scope  `msgpack:"s"`
+	Region string `msgpack:"r,omitempty"` // of scopeRegion
 	// Whole wants everything told: nothing is known, or too much was lost.
 	Whole bool `msgpack:"w,omitempty"`
 	// From is the number of the first datagram that was lost; 0 for none.
@@ -68,6 +70,7 @@
 // carry the number of the newest change and count their own parts.
 type feedPart struct {
 	Scope  scope  `msgpack:"s"`
+	Region string `msgpack:"r,omitempty"` // of scopeRegion
 	Number uint64 `msgpack:"n"`
 	// Beat says that nothing has changed since that number.
 	Beat  bool `msgpack:"h,omitempty"`
--- a/loadshare/publisher.go
+++ b/loadshare/publisher.go
@@ -13,6 +13,11 @@
 	// it bounds a feed to 400 datagrams a second.
 	perSubscriber = 2500 * time.Microsecond
 	leastGather   = 10 * time.Millisecond
+	// regionGather is the shortest time in which news is gathered for another
+	// region: bytes between regions cost several times those between data halls,
+	// and a datagram's head is as long as a run's word. A choice that would need
+	// word that new stays in its region.
+	regionGather = 50 * time.Millisecond
 	// urgentShare is the part of that time in which urgent news is gathered: it
 	// comes in bursts, as when a data hall of engines ends.
 	urgentShare = 0.5
@@ -40,6 +45,8 @@
 // publisher tells the subscribers of a feed what changes.
 type publisher struct {
 	scope       scope
+	region      string        // of scopeRegion
+	least       time.Duration // shortest time in which news is gathered
 	changed     chan struct{}
 	number      uint64     // of the newest datagram of changes
 	kept        []feedPart // the newest datagrams of changes
@@ -56,7 +63,29 @@
 }
 
 func newPublisher(s scope) *publisher {
-	return &publisher{scope: s, changed: make(chan struct{}, 1), told: map[newsKey]time.Time{}, subscribers: map[string]*subscriber{}}
+	return &publisher{scope: s, least: leastGather, changed: make(chan struct{}, 1), told: map[newsKey]time.Time{}, subscribers: map[string]*subscriber{}}
+}
+
+// newRegionPublisher returns the publisher of a region: the own one, of which
+// other regions are told, or another one, of which the own region is told.
+func newRegionPublisher(region string, own bool) *publisher {
+	p := newPublisher(scopeRegion)
+	p.region = region
+	if own {
+		p.least = regionGather
+	}
+	return p
+}
+
+// covers reports whether a node's runs are told.
+func (p *publisher) covers(o *origin) bool {
+	switch p.scope {
+	case scopeHall:
+		return o.local
+	case scopeRegion:
+		return o.region == p.region
+	}
+	return true
 }
 
 func (p *publisher) wake() {
@@ -160,7 +189,7 @@
 
 // gather is how long changes are gathered before they are told.
 func (p *publisher) gather() time.Duration {
-	all := time.Duration(len(p.subscribers)) * perSubscriber
+	all := max(p.least, time.Duration(len(p.subscribers))*perSubscriber)
 	if !p.news.empty() {
 		all = time.Duration(urgentShare * float64(all))
 	}
@@ -173,7 +202,7 @@
 // flush returns the datagrams that tell what has changed, those who are told
 // them, and the newcomers that are told everything.
 func (p *publisher) flush(r *relay, counts map[string]balance.Count, now time.Time) (changes []feedPart, told, newcomers []string) {
-	first := feedPart{Scope: p.scope, Ended: p.news.ended, Suspects: p.news.suspects, Silent: p.news.silent}
+	first := feedPart{Scope: p.scope, Region: p.region, Ended: p.news.ended, Suspects: p.news.suspects, Silent: p.news.silent}
 	if p.countsDue(now) {
 		p.countsAt, first.Counts = now, counts
 	}
@@ -190,7 +219,7 @@
 	}
 	p.forget()
 	for address, s := range p.subscribers {
-		if s.whole && r.mayTellWhole(p.scope, now) {
+		if s.whole && r.mayTellWhole(p, now) {
 			s.whole = false
 			newcomers = append(newcomers, address)
 			continue
@@ -206,7 +235,7 @@
 // everything returns the datagrams that tell a new subscriber all there is,
 // the urgent news of late included.
 func (p *publisher) everything(r *relay, counts map[string]balance.Count, now time.Time) []feedPart {
-	first := feedPart{Scope: p.scope, Counts: counts}
+	first := feedPart{Scope: p.scope, Region: p.region, Counts: counts}
 	for key := range p.told {
 		switch key.kind {
 		case newsEnded:
@@ -217,7 +246,7 @@
 			first.Silent = append(first.Silent, key.target)
 		}
 	}
-	parts := p.parts(first, r.whole(p.scope, now))
+	parts := p.parts(first, r.whole(p, now))
 	for i := range parts {
 		parts[i].Number, parts[i].Part, parts[i].Parts = p.number, i, len(parts)
 	}
@@ -231,7 +260,7 @@
 	for _, s := range sections {
 		n := 1 + len(s.Runs) + len(s.Over)/2
 		if size > 0 && size+n > maxShortRuns {
-			parts = append(parts, feedPart{Scope: p.scope})
+			parts = append(parts, feedPart{Scope: p.scope, Region: p.region})
 			size = 0
 		}
 		last := &parts[len(parts)-1]
--- a/loadshare/relay.go
+++ b/loadshare/relay.go
@@ -1,9 +1,12 @@
 package loadshare
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/topology"
 )
 
 // Times and bounds of what a relay knows.
@@ -22,6 +25,7 @@
 // origin is a node whose runs a relay knows.
 type origin struct {
 	local  bool      // of the own data hall: it reports here itself
+	region string    // its region; empty on a site of one
 	heard  time.Time // when it last reported
 	runs   map[uint64]originRun
 	counts map[string]balance.Count
@@ -54,22 +58,41 @@
 	filled  time.Time  // when the budget was worked out
 	hall    *publisher // tells other halls of the own one
 	site    *publisher // tells the own hall of all
+	// regions tell other regions of the own one, and other relays of the own
+	// region of the others; none on a site of one region.
+	regions map[string]*publisher
 }
 
 func newRelay() *relay {
-	return &relay{origins: map[uint32]*origin{}, hall: newPublisher(scopeHall), site: newPublisher(scopeSite)}
+	return &relay{origins: map[uint32]*origin{}, hall: newPublisher(scopeHall), site: newPublisher(scopeSite),
+		regions: map[string]*publisher{}}
 }
 
-// mayTellWhole takes what telling everything of a scope costs from the budget;
-// false if there is none left.
-func (r *relay) mayTellWhole(s scope, now time.Time) bool {
+// addRegions has all regions told of.
+func (r *relay) addRegions(m topology.Map) {
+	if !m.Several() {
+		return
+	}
+	for _, region := range m.Regions() {
+		r.regions[region] = newRegionPublisher(region, region == m.OwnRegion())
+	}
+}
+
+// publishers returns all publishers.
+func (r *relay) publishers() []*publisher {
+	return append([]*publisher{r.hall, r.site}, slices.Collect(maps.Values(r.regions))...)
+}
+
+// mayTellWhole takes what telling everything a publisher tells costs from the
+// budget; false if there is none left.
+func (r *relay) mayTellWhole(p *publisher, now time.Time) bool {
 	r.budget = min(wholeBudgetMost, r.budget+now.Sub(r.filled).Seconds()*wholePerSecond)
 	r.filled = now
 	if r.budget <= 0 {
 		return false
 	}
 	for _, o := range r.origins {
-		if s == scopeSite || o.local {
+		if p.covers(o) {
 			r.budget -= float64(1 + len(o.runs))
 		}
 	}
@@ -77,23 +100,35 @@
 }
 
 // publisherOf returns the publisher of a scope, nil for none.
-func (r *relay) publisherOf(s scope) *publisher {
+func (r *relay) publisherOf(s scope, region string) *publisher {
 	switch s {
 	case scopeHall:
 		return r.hall
 	case scopeSite:
 		return r.site
+	case scopeRegion:
+		return r.regions[region]
 	}
 	return nil
 }
 
-// change brings the runs of a node up to date and passes the change on.
-func (r *relay) change(s section, local bool, now time.Time) {
+// addUrgent passes on news that was heard by reports and feeds of the own region,
+// or by the feed of another one.
+func (r *relay) addUrgent(u urgent, region string, now time.Time) {
+	r.site.addUrgent(u, now)
+	if p := r.regions[region]; p != nil {
+		p.addUrgent(u, now)
+	}
+}
+
+// change brings the runs of a node of a region up to date and passes the change
+// on.
+func (r *relay) change(s section, local bool, region string, now time.Time) {
 	o := r.origins[s.Node]
 	if s.Gone {
 		if o != nil {
 			delete(r.origins, s.Node)
-			r.publish(s, o.local)
+			r.publish(s, o)
 		}
 		return
 	}
@@ -101,23 +136,25 @@
 		o = &origin{runs: map[uint64]originRun{}}
 		r.origins[s.Node] = o
 	}
-	o.local, o.heard = local, now
+	o.local, o.region, o.heard = local, region, now
 	for _, run := range s.Runs {
 		o.runs[run.Number] = originRun{shortRun: run, at: now}
 	}
 	for _, number := range s.Over {
 		delete(o.runs, number)
 	}
-	r.publish(s, local)
+	r.publish(s, o)
 }
 
-func (r *relay) publish(s section, local bool) {
+// publish passes on what changed of a node's runs.
+func (r *relay) publish(s section, of *origin) {
 	if len(s.Runs)+len(s.Over) == 0 && !s.Gone {
 		return
 	}
-	r.site.add(s)
-	if local {
-		r.hall.add(s)
+	for _, p := range r.publishers() {
+		if p.covers(of) {
+			p.add(s)
+		}
 	}
 }
 
@@ -191,16 +228,16 @@
 		}
 	}
 	for _, node := range gone {
-		r.change(section{Node: node, Gone: true}, true, now)
+		r.change(section{Node: node, Gone: true}, true, r.origins[node].region, now)
 	}
 	return gone
 }
 
-// whole returns the runs of all nodes of a scope.
-func (r *relay) whole(s scope, now time.Time) []section {
+// whole returns the runs of all nodes that a publisher tells of.
+func (r *relay) whole(p *publisher, now time.Time) []section {
 	var all []section
 	for node, o := range r.origins {
-		if s == scopeHall && !o.local {
+		if !p.covers(o) {
 			continue
 		}
 		one := section{Node: node}
--- a/loadshare/relaying.go
+++ b/loadshare/relaying.go
@@ -26,7 +26,7 @@
 				places[address] = heard.place
 			}
 		}
-		s.layout = newLayout(own, places)
+		s.layout = newLayout(own, places, s.regions)
 	}
 	return s.layout
 }
@@ -77,11 +77,12 @@
 	s.relayMu.Lock()
 	defer s.relayMu.Unlock()
 	node := balance.ShortName(from)
-	s.relay.change(s.relay.difference(node, shortRuns(runs)), true, now)
+	region := s.ownRegion()
+	s.relay.change(s.relay.difference(node, shortRuns(runs)), true, region, now)
 	if len(counts) > 0 {
 		s.relay.origins[node].counts = counts
 	}
-	s.relay.site.addUrgent(u, now)
+	s.relay.addUrgent(u, region, now)
 	s.relay.hall.addUrgent(u, now)
 }
 
@@ -89,7 +90,7 @@
 func (s *Sharer) takeFeed(from string, p *feedPart) {
 	now := time.Now()
 	s.relayMu.Lock()
-	f := s.feedFrom(from, p.Scope)
+	f := s.feedFrom(from, p)
 	if f == nil {
 		s.relayMu.Unlock()
 		return
@@ -101,8 +102,8 @@
 	if ask {
 		f.asked = time.Time{}
 	}
-	changed := s.applySections(sections, now)
-	s.relay.site.addUrgent(urgent{ended: p.Ended, suspects: p.Suspects, silent: p.Silent}, now)
+	changed := s.applySections(f, sections, now)
+	s.relay.addUrgent(urgent{ended: p.Ended, suspects: p.Suspects, silent: p.Silent}, s.regionOf(f), now)
 	s.relayMu.Unlock()
 	s.handOn(changed)
 	s.tracker.SetEnded(p.Ended)
@@ -113,11 +114,11 @@
 	}
 }
 
-// feedFrom returns the feed of a source, nil if there is none. The caller
-// holds relayMu.
-func (s *Sharer) feedFrom(source string, of scope) *feed {
+// feedFrom returns the feed of a source that a datagram is of, nil if there is
+// none. The caller holds relayMu.
+func (s *Sharer) feedFrom(source string, p *feedPart) *feed {
 	for _, f := range s.feeds {
-		if f.source == source && f.scope == of {
+		if f.source == source && f.scope == p.Scope && f.region == p.Region {
 			return f
 		}
 	}
@@ -133,13 +134,13 @@
 
 // applySections applies what a feed told, and returns the nodes whose runs it
 // changed as they stand now. The caller holds relayMu.
-func (s *Sharer) applySections(sections []section, now time.Time) map[uint32][]shortRun {
+func (s *Sharer) applySections(f *feed, sections []section, now time.Time) map[uint32][]shortRun {
 	changed := map[uint32][]shortRun{}
 	for _, one := range sections {
 		if one.Node == s.short || s.relay.hears(one.Node, now) {
 			continue
 		}
-		s.relay.change(one, false, now)
+		s.relay.change(one, false, s.regionOf(f), now)
 		changed[one.Node] = nil
 	}
 	for node := range changed {
@@ -180,7 +181,7 @@
 func (s *Sharer) takeSubscribe(from string, q *subscribe) {
 	s.relayMu.Lock()
 	var again []feedPart
-	if p := s.relay.publisherOf(q.Scope); p != nil {
+	if p := s.relay.publisherOf(q.Scope, q.Region); p != nil {
 		again = p.subscribe(from, q, time.Now())
 	}
 	s.relayMu.Unlock()
@@ -213,20 +214,25 @@
 // flush sends what there is to tell.
 func (s *Sharer) flush(p *publisher) {
 	now := time.Now()
+	l := s.layoutNow()
 	s.relayMu.Lock()
 	if len(p.subscribers) == 0 {
 		p.forget()
 		s.relayMu.Unlock()
 		return
 	}
+	if !s.knowsFor(p, l, now) {
+		s.relayMu.Unlock()
+		return
+	}
 	var counts map[string]balance.Count
 	if p.countsDue(now) {
-		counts = s.countsOf(p.scope)
+		counts = s.countsOf(p)
 	}
 	changes, told, newcomers := p.flush(s.relay, counts, now)
 	var everything []feedPart
 	if len(newcomers) > 0 {
-		everything = p.everything(s.relay, s.countsOf(p.scope), now)
+		everything = p.everything(s.relay, s.countsOf(p), now)
 		s.count.whole.Add(int64(len(newcomers)))
 	}
 	s.relayMu.Unlock()
@@ -244,11 +250,15 @@
 	}
 }
 
-// countsOf sums the counts of the nodes of a scope. The caller holds relayMu.
-func (s *Sharer) countsOf(of scope) map[string]balance.Count {
-	sum := s.relay.counts()
-	if of == scopeSite {
-		for _, f := range s.feeds {
+// countsOf sums the counts of the nodes that a publisher tells of. The caller
+// holds relayMu.
+func (s *Sharer) countsOf(p *publisher) map[string]balance.Count {
+	sum := map[string]balance.Count{}
+	if p.scope != scopeRegion || p.region == s.ownRegion() {
+		sum = s.relay.counts()
+	}
+	for _, f := range s.feeds {
+		if p.scope == scopeSite || p.scope == scopeRegion && s.regionOf(f) == p.region {
 			addCounts(sum, f.counts)
 		}
 	}
--- a/loadshare/site_test.go
+++ b/loadshare/site_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/discovery"
+	"github.com/walnutramp/walnutramp/topology"
 )
 
 // datagramNet carries datagrams between the nodes of a test, in virtual time.
@@ -22,8 +23,11 @@
 	drop  func(from, to string) bool
 	sent  map[string]int // datagrams, by sender
 	bytes map[string]int // received, by receiver
-	got   map[string]int
-	out   map[string]int // bytes sent, by sender
+	delay func(from, to string) time.Duration
+
+	crossed int // bytes sent over links slower than those within a region
+	got     map[string]int
+	out     map[string]int // bytes sent, by sender
 
 	rate  float64            // bytes a second that a node's link passes; 0 for all
 	queue float64            // bytes that may wait there
@@ -68,7 +72,8 @@
 
 func newDatagramNet() *datagramNet {
 	return &datagramNet{conns: map[string]*datagramConn{}, drop: func(string, string) bool { return false },
-		sent: map[string]int{}, bytes: map[string]int{}, got: map[string]int{}, out: map[string]int{}}
+		delay: func(string, string) time.Duration { return datagramDelay },
+		sent:  map[string]int{}, bytes: map[string]int{}, got: map[string]int{}, out: map[string]int{}}
 }
 
 type datagram struct {
@@ -137,6 +142,9 @@
 	defer n.mu.Unlock()
 	n.sent[c.address]++
 	n.out[c.address] += len(p)
+	if n.delay(c.address, to.String()) > datagramDelay {
+		n.crossed += len(p)
+	}
 	target := n.conns[to.String()]
 	if target == nil || n.drop(c.address, to.String()) || n.full(c.address, len(p)) {
 		return len(p), nil
@@ -144,7 +152,7 @@
 	n.bytes[to.String()] += len(p)
 	n.got[to.String()]++
 	data := slices.Clone(p)
-	time.AfterFunc(datagramDelay, func() {
+	time.AfterFunc(n.delay(c.address, to.String()), func() {
 		select {
 		case target.in <- datagram{from: c.address, data: data}:
 		default: // its buffer is full
@@ -169,6 +177,7 @@
 	t       *testing.T
 	network *datagramNet
 	nodes   []*siteNode
+	regions map[string]string // by data hall; nil on a site of one
 }
 
 type siteNode struct {
@@ -196,6 +205,9 @@
 	n := &siteNode{conn: s.network.listen(addressOf(i)), tracker: balance.NewTracker(balance.WithSeed(uint64(i)))}
 	n.tracker.Update(engines(halls))
 	opts := []Option{WithDataHall(fmt.Sprint("hall-", i%halls))}
+	if s.regions != nil {
+		opts = append(opts, WithTopology(topology.New(fmt.Sprint("hall-", i%halls), s.regions)))
+	}
 	if i%10 == 0 {
 		opts = append(opts, WithMemory(s.t.TempDir()+"/traces"))
 	}
--- a/loadshare/stats.go
+++ b/loadshare/stats.go
@@ -31,7 +31,9 @@
 	st.Nodes = len(s.peers)
 	s.mu.Unlock()
 	s.relayMu.Lock()
-	st.Subscribers = len(s.relay.hall.subscribers) + len(s.relay.site.subscribers)
+	for _, p := range s.relay.publishers() {
+		st.Subscribers += len(p.subscribers)
+	}
 	s.relayMu.Unlock()
 	return st
 }
--- a/loadshare/subscriptions.go
+++ b/loadshare/subscriptions.go
@@ -70,8 +70,8 @@
 	}
 	s.relayMu.Unlock()
 	s.handOn(changed)
-	for source, q := range asks {
-		s.sendTo(s.addressesOf([]string{source}), s.signed(message{Subscribe: &q}))
+	for _, a := range asks {
+		s.sendTo(s.addressesOf([]string{a.source}), s.signed(message{Subscribe: &a.question}))
 	}
 	s.budgets.SetOther(siteCounts, others)
 	s.tracker.StillThere(there)
@@ -90,29 +90,33 @@
 }
 
 // wantFeeds has a feed for each that this node needs: a relay one of each other
-// data hall, any other node that of its relay. It returns the nodes that only a
+// data hall of its region and of each other region, any other node that of its
+// relay. It returns the nodes that only a
 // feed told of that is not wanted any more. The caller holds relayMu.
 func (s *Sharer) wantFeeds(l *layout, now time.Time) map[uint32][]shortRun {
 	wanted := map[feedKey]bool{}
 	if l.isRelay() {
 		for hall := range l.relays {
-			if hall != l.hall {
+			if hall != l.hall && l.regionOf(hall) == l.region {
 				wanted[feedKey{scopeHall, hall}] = true
 			}
 		}
+		for _, region := range l.otherRegions() {
+			wanted[feedKey{scopeRegion, region}] = true
+		}
 	} else {
 		wanted[feedKey{scopeSite, l.hall}] = true
 	}
 	for key := range wanted {
 		if s.feeds[key] == nil {
-			s.feeds[key] = newFeed(key.scope, key.hall)
+			s.feeds[key] = key.feed()
 		}
 	}
 	gone := map[uint32][]shortRun{}
 	for key, f := range s.feeds {
 		if !wanted[key] {
 			delete(s.feeds, key)
-			maps.Copy(gone, s.applySections(f.drop(), now))
+			maps.Copy(gone, s.applySections(f, f.drop(), now))
 		}
 	}
 	return gone
@@ -121,7 +125,15 @@
 // feedKey names a feed.
 type feedKey struct {
 	scope scope
-	hall  string
+	of    string // data hall, or region
+}
+
+// feed returns a feed of that name.
+func (k feedKey) feed() *feed {
+	if k.scope == scopeRegion {
+		return newRegionFeed(k.of)
+	}
+	return newFeed(k.scope, k.of)
 }
 
 // expire forgets nodes and subscribers that are not heard any more, and returns
@@ -132,11 +144,13 @@
 		gone[node] = nil
 		s.resyncFor(node)
 	}
-	s.relay.site.expire(now)
-	s.relay.hall.expire(now)
+	for _, p := range s.relay.publishers() {
+		p.expire(now)
+	}
 	for _, f := range s.feeds {
-		if now.Sub(later(f.heard, f.since)) > originLife {
-			maps.Copy(gone, s.applySections(f.drop(), now))
+		// Not since its source was chosen: where none is heard, they take turns.
+		if now.Sub(f.heard) > originLife {
+			maps.Copy(gone, s.applySections(f, f.drop(), now))
 		}
 	}
 	return gone
@@ -152,30 +166,49 @@
 	}
 }
 
+// ask is a question to the source of a feed. A relay may be the source of several.
+type ask struct {
+	source   string
+	question subscribe
+}
+
 // askFeeds chooses the sources of the feeds, and returns the questions that
-// are due by source. The caller holds relayMu.
-func (s *Sharer) askFeeds(l *layout, now time.Time) map[string]subscribe {
-	asks := map[string]subscribe{}
+// are due. The caller holds relayMu.
+func (s *Sharer) askFeeds(l *layout, now time.Time) []ask {
+	var asks []ask
 	for _, f := range s.feeds {
-		before := f.source
-		if f.choose(without(l.sources(f.hall), l.own), s.missed, now) && s.missed[before].Equal(now) {
+		before, missed := f.source, s.missed
+		if f.missed != nil {
+			missed = f.missed
+		}
+		if f.choose(s.sourcesOf(f, l), missed, now) && missed[before].Equal(now) {
 			s.count.silent.Add(1)
-			klog.InfoS("Relay is silent, another is asked", "dataHall", f.hall, "silent", before, "asked", f.source)
+			klog.InfoS("Relay is silent, another is asked", "dataHall", f.hall, "region", f.region, "silent", before, "asked", f.source)
 		}
 		if f.due(now) {
-			asks[f.source] = f.question(now)
+			asks = append(asks, ask{source: f.source, question: f.question(now)})
 		}
 	}
 	return asks
 }
 
+// sourcesOf returns whom a feed may be asked of, in this order. The caller holds
+// relayMu.
+func (s *Sharer) sourcesOf(f *feed, l *layout) []string {
+	if f.scope != scopeRegion {
+		return without(l.sources(f.hall), l.own)
+	}
+	p := s.relay.regions[f.region]
+	return l.regionSources(f.region, p != nil && len(p.subscribers) > 0)
+}
+
 // countsOfOthers sums the counts of all other nodes. The caller holds relayMu.
 func (s *Sharer) countsOfOthers() map[string]balance.Count {
 	sum := map[string]balance.Count{}
 	relayed := false
 	for _, f := range s.feeds {
 		addCounts(sum, f.counts)
-		relayed = relayed || f.scope == scopeHall
+		relayed = relayed || f.scope != scopeSite
 	}
 	if relayed {
 		addCounts(sum, s.relay.counts())
--- a/loadshare/traces.go
+++ b/loadshare/traces.go
@@ -20,6 +20,9 @@
 	// findWait bounds the wait for an answer: many times the way to another
 	// data hall, and little beside the reading of a prompt.
 	findWait = 30 * time.Millisecond
+	// findFarWait is the same where other regions are asked: twice the way there
+	// and back on a long link.
+	findFarWait = 80 * time.Millisecond
 	// maxTraces bounds a datagram of traces, of some 80 bytes each.
 	maxTraces = 100
 )
@@ -103,17 +106,33 @@
 // that may have come before. Where every node knows all runs it does nothing.
 func (s *Sharer) Find(ctx context.Context, key string) {
 	l := s.layoutNow()
+	s.find(ctx, l, key, l.holders(key), findWait)
+}
+
+// FindAnywhere does what Find does, and asks the nodes of other regions as well:
+// for a request that did come before, maybe to another region.
+func (s *Sharer) FindAnywhere(ctx context.Context, key string) {
+	l := s.layoutNow()
+	wait := findWait
+	if l.region != "" {
+		wait = findFarWait
+	}
+	s.find(ctx, l, key, l.holdersAnywhere(key), wait)
+}
+
+// find asks keepers for the trace of a key, for so long.
+func (s *Sharer) find(ctx context.Context, l *layout, key string, keepers []string, wait time.Duration) {
 	if !l.relayed || key == "" {
 		return
 	}
 	if trace, _ := s.tracker.TraceOf(key); trace.Copy != "" {
 		return
 	}
-	keepers := without(l.holders(key), l.own)
+	keepers = without(keepers, l.own)
 	id, answers := s.awaitFound(len(keepers))
 	defer s.forgetFound(id)
 	s.sendTo(s.addressesOf(keepers), message{Lookup: &lookup{ID: id, Key: key}})
-	timer := time.NewTimer(findWait)
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for range keepers {
 		select {
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -64,7 +64,7 @@
 
 func (p *Process) startEntry() error {
 	names := p.adapter.Names()
-	weigh := []balance.Option{balance.WithDataHall(p.settings.DataHall)}
+	weigh := []balance.Option{balance.WithDataHall(p.settings.DataHall), balance.WithTopology(p.settings.Topology)}
 	if p.settings.Policy != "" {
 		weigh = append(weigh, balance.WithPolicy(p.settings.Policy))
 	}
@@ -82,7 +82,13 @@
 		Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow, Nodes: nodesAssumed,
 	})
 	var sharer *loadshare.Sharer
-	find := func(ctx context.Context, key string) { sharer.Find(ctx, key) }
+	find := func(ctx context.Context, key string, again bool) {
+		if again {
+			sharer.FindAnywhere(ctx, key)
+		} else {
+			sharer.Find(ctx, key)
+		}
+	}
 	options := []gateway.Option{gateway.WithNames(names), gateway.WithLease(p.lease()), gateway.WithFind(find)}
 	var agent *rollout.Agent
 	if s.Rollouts.Enabled() {
@@ -106,7 +112,7 @@
 	if err != nil {
 		return err
 	}
-	sharing := []loadshare.Option{loadshare.WithDataHall(s.DataHall)}
+	sharing := []loadshare.Option{loadshare.WithDataHall(s.DataHall), loadshare.WithTopology(s.Topology)}
 	if s.DataDir != "" {
 		sharing = append(sharing, loadshare.WithMemory(filepath.Join(s.DataDir, tracesFile)))
 	}
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -33,17 +33,24 @@
 
 // Distance returns how far a data hall is from the own one. A hall whose
 // region is not known is held to be in the own region.
-func (m Map) Distance(hall string) Distance {
-	own, other := m.regions[m.hall], m.regions[hall]
+func (m Map) Distance(hall string) Distance { return m.Between(m.hall, hall) }
+
+// Between returns how far two data halls are from each other. Where a region is
+// not known, they are held to be in the same one.
+func (m Map) Between(a, b string) Distance {
+	in, other := m.regions[a], m.regions[b]
 	switch {
-	case hall == m.hall:
+	case a == b:
 		return SameHall
-	case own == other || own == "" || other == "":
+	case in == other || in == "" || other == "":
 		return SameRegion
 	}
 	return OtherRegion
 }
 
+// OwnRegion returns the region of the own data hall, empty where it is not known.
+func (m Map) OwnRegion() string { return m.regions[m.hall] }
+
 // Regions returns the names of all regions, sorted.
 func (m Map) Regions() []string {
 	var names []string
