Choice of targets knows regions: half of the aim sooner, engines lent, copies near their run

Cause: all data halls but the own were alike to the choice, 12 ms away or 1.4.

A copy's distance counts from its run, so that it is kept in another hall of the same region. Sites of one region choose as before (test).

--- a/balance/regions.go
+++ b/balance/regions.go
@@ -14,18 +14,14 @@
 const (
 	// regionShare is the part of its aim by which a new stream must begin sooner
 	// in another region to be sent there.
-	regionShare = nearShare
+	regionShare = 0.5
 	// regionSlotCost is what a plain request's way to another region and back
 	// costs, in milliseconds: links between regions take some 10 ms each way.
-	regionSlotCost = 0.0
-	// copyRegionCost is what speaks against a copy in another region than its
-	// run, in milliseconds of waiting: each new event is copied over the link
-	// between them, and a run that goes on there is told from afar.
-	copyRegionCost = 0.0
+	regionSlotCost = 25.0
 	// lendShare is the part of a region's engines that may have prompts to read
 	// before it lends none to other regions: with the rest its own callers find
 	// an idle engine until word of what came from afar is there.
-	lendShare = 1.1
+	lendShare = 0.7
 )
 
 // SetRegionLag says by how much longer it takes until nodes of other regions
@@ -41,6 +37,16 @@
 	return t.cfg.Topology.Distance(target.DataHall)
 }
 
+// startOf returns the data hall from which a choice's distances count: that of
+// the run whose copy is to be kept, since it is copied from there; else the own
+// one, as on sites of one region for copies, too.
+func (t *Tracker) startOf(c *Choice) string {
+	if c.Copy && c.OtherHall != "" && t.cfg.Topology.Several() {
+		return c.OtherHall
+	}
+	return t.cfg.DataHall
+}
+
 // regionCost is what speaks against a target in another region. The caller holds
 // the mutex.
 func (t *Tracker) regionCost(c *Choice) float64 {
--- a/balance/score.go
+++ b/balance/score.go
@@ -172,8 +172,8 @@
 // between halls lose packets now and then, and every event that is sent anew
 // comes late. Besides, what other nodes have just begun there is known later
 // than what they began in the own hall.
-func (t *Tracker) farCost(choice *Choice, target *Target) float64 {
-	if t.distance(target) == topology.OtherRegion {
+func (t *Tracker) farCost(choice *Choice, far topology.Distance) float64 {
+	if far == topology.OtherRegion {
 		return t.regionCost(choice)
 	}
 	if choice.Work == (Work{}) {
@@ -207,8 +207,8 @@
 	} else {
 		score += t.engineWait(c, o, tie, now)
 	}
-	if t.DataHall != cfg.DataHall {
-		score += t.tracker.farCost(c, t)
+	if from := t.tracker.startOf(c); t.DataHall != from {
+		score += t.tracker.farCost(c, cfg.Topology.Between(from, t.DataHall))
 	}
 	return t.rest(c, now, score)
 }
@@ -220,9 +220,6 @@
 	if c.OtherHall != "" && t.DataHall == c.OtherHall {
 		score += sameHallCost
 	}
-	if c.Copy && t.tracker.cfg.Topology.Between(c.OtherHall, t.DataHall) == topology.OtherRegion {
-		score += copyRegionCost
-	}
 	if t.suspect(now) || c.Copy && t.unheard(now) {
 		score += suspectCost(c)
 	}
