Requests that leave their region are logged and counted; the way there is measured

Cause: nobody could see that a request left its region, nor why, and the way to another region was a constant.

Change: a log line and a count by pair of regions and reason (copy, no room, failed, sooner); copies that are kept in another region, and bytes told between entries, by pair. Opening a connection tells the way to a target's data hall and back; smoothed, forgotten after five minutes, it takes the place of the assumed 25 ms in the choice of plain services' targets.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -106,9 +106,10 @@
 	// regionLag is by which word of nodes in other regions is older than that of
 	// nodes in other data halls of the own one.
 	regionLag time.Duration
-	changed   func() // own runs changed
-	silence   func() // a target fell silent
-	turn      uint64 // of RoundRobin
+	trips     topology.RoundTrips // to targets' data halls
+	changed   func()              // own runs changed
+	silence   func()              // a target fell silent
+	turn      uint64              // of RoundRobin
 	rng       *rand.Rand
 
 	remembered time.Time     // when memory was taken
--- a/balance/regions.go
+++ b/balance/regions.go
@@ -15,9 +15,9 @@
 	// regionShare is the part of its aim by which a new stream must begin sooner
 	// in another region to be sent there.
 	regionShare = 0.5
-	// regionSlotCost is what a plain request's way to another region and back
-	// costs, in milliseconds: links between regions take some 10 ms each way.
-	regionSlotCost = 25.0
+	// assumedRoundTrip is the way to another region and back while none was
+	// measured, in milliseconds: links within a country take some 10 ms each way.
+	assumedRoundTrip = 25.0
 	// lendShare is the part of a region's engines that may have prompts to read
 	// before it lends none to other regions: with the rest its own callers find
 	// an idle engine until word of what came from afar is there.
@@ -47,11 +47,29 @@
 	return t.cfg.DataHall
 }
 
-// regionCost is what speaks against a target in another region. The caller holds
-// the mutex.
-func (t *Tracker) regionCost(c *Choice) float64 {
+// NoteRoundTrip takes how long the way to a target and back took.
+func (t *Tracker) NoteRoundTrip(id string, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if target := t.byID[id]; target != nil {
+		t.trips.Observe(target.DataHall, took, time.Now())
+	}
+}
+
+// roundTripMS is the way to a data hall of another region and back, in
+// milliseconds. The caller holds the mutex.
+func (t *Tracker) roundTripMS(hall string, now time.Time) float64 {
+	if took, known := t.trips.To(hall, now); known {
+		return float64(took) / float64(time.Millisecond)
+	}
+	return assumedRoundTrip
+}
+
+// regionCost is what speaks against a target in a data hall of another region.
+// The caller holds the mutex.
+func (t *Tracker) regionCost(c *Choice, hall string, now time.Time) float64 {
 	if c.Work == (Work{}) {
-		return t.cfg.FarSlotCost + regionSlotCost
+		return t.cfg.FarSlotCost + t.roundTripMS(hall, now)
 	}
 	known := t.cfg.FarCost + unseenCost*float64((t.farLag+t.regionLag).Milliseconds())
 	return max(known, regionShare*float64(c.Aim.Milliseconds()))
--- a/balance/regions_test.go
+++ b/balance/regions_test.go
@@ -96,6 +96,22 @@
 	require.False(t, leaves(18, 15))
 }
 
+func TestLongWayKeepsPlainRequestsAtHome(t *testing.T) {
+	tracker := regionTracker(1)
+	for range 18 {
+		tracker.byID["east-a-0"].Begin(Work{}, Trace{})
+		tracker.byID["east-b-0"].Begin(Work{}, Trace{})
+	}
+	for _, id := range []string{"mid-a-0", "mid-b-0", "west-a-0"} {
+		for range 20 {
+			tracker.NoteRoundTrip(id, 120*time.Millisecond)
+		}
+	}
+	require.Equal(t, "west-b", tracker.Pick(Choice{Service: "s"}).DataHall, "its way was not measured")
+	tracker.NoteRoundTrip("west-b-0", 120*time.Millisecond)
+	require.Equal(t, "east", tracker.region(tracker.Pick(Choice{Service: "s"})))
+}
+
 // A region whose own callers need its engines lends none; a stream that has
 // begun goes on there all the same.
 func TestBusyRegionLendsNoEngines(t *testing.T) {
--- a/balance/score.go
+++ b/balance/score.go
@@ -172,9 +172,9 @@
 // between halls lose packets now and then, and every event that is sent anew
 // comes late. Besides, what other nodes have just begun there is known later
 // than what they began in the own hall.
-func (t *Tracker) farCost(choice *Choice, far topology.Distance) float64 {
-	if far == topology.OtherRegion {
-		return t.regionCost(choice)
+func (t *Tracker) farCost(choice *Choice, from, to string, now time.Time) float64 {
+	if t.cfg.Topology.Between(from, to) == topology.OtherRegion {
+		return t.regionCost(choice, to, now)
 	}
 	if choice.Work == (Work{}) {
 		return t.cfg.FarSlotCost
@@ -208,7 +208,7 @@
 		score += t.engineWait(c, o, tie, now)
 	}
 	if from := t.tracker.startOf(c); t.DataHall != from {
-		score += t.tracker.farCost(c, cfg.Topology.Between(from, t.DataHall))
+		score += t.tracker.farCost(c, from, t.DataHall, now)
 	}
 	return t.rest(c, now, score)
 }
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -60,6 +60,9 @@
 	choice := c.choice()
 	choice.Exclude = func(t *balance.Target) bool { return c.tried[t] || c.turned[t] || leftOut != nil && leftOut(t) }
 	t := g.targets.Pick(choice)
+	if t != nil {
+		g.noteRegion(c, t, func() balance.Reason { return g.targets.WhyLeft(choice) })
+	}
 	c.noRoom = false
 	if t == nil && choice.Admission {
 		choice.Admission = false
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -96,10 +96,12 @@
 // pickHolder picks a target to keep a copy of a run at another one, or nil.
 func (r *relay) pickHolder(t *balance.Target) *balance.Target {
 	c := r.call
-	return r.gateway.targets.Pick(balance.Choice{
+	holder := r.gateway.targets.Pick(balance.Choice{
 		Service: c.service, OtherHall: t.DataHall, Copy: true, Work: balance.Work{Hold: c.work.Hold},
 		Exclude: func(o *balance.Target) bool { return o == t || c.tried[o] || o.Version != t.Version },
 	})
+	r.gateway.noteCopyRegion(t, holder)
+	return holder
 }
 
 // watch looks after the run's copy, at most once in a while: where its holder
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/targetconn"
+	"github.com/walnutramp/walnutramp/topology"
 )
 
 // testNames is a dialect of the tests' own.
@@ -158,7 +159,13 @@
 
 func newSite(t *testing.T, targets []*fakeTarget, opts ...Option) *site {
 	t.Helper()
-	tracker := balance.NewTracker(balance.WithSeed(1), balance.WithDataHall("north"), balance.WithFarCost(1000, 1000))
+	return newSiteOf(t, topology.Map{}, targets, opts...)
+}
+
+// newSiteOf returns a site whose data halls are in the regions of a map.
+func newSiteOf(t *testing.T, regions topology.Map, targets []*fakeTarget, opts ...Option) *site {
+	t.Helper()
+	tracker := balance.NewTracker(balance.WithSeed(1), balance.WithDataHall("north"), balance.WithFarCost(1000, 1000), balance.WithTopology(regions))
 	pool := targetconn.NewPool(targetconn.WithIdentityHeader("X-Id"))
 	t.Cleanup(pool.Close)
 	opts = append([]Option{WithNames(testNames)}, opts...)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -86,6 +86,7 @@
 	r.copy = nil
 	if from != nil && from.at.Usable() && r.gateway.mayGoOn(r.call, from.at) {
 		r.gateway.watch(r.call, from.at)
+		r.gateway.noteRegion(r.call, from.at, func() balance.Reason { return balance.ReasonCopy })
 		if end := r.run(ctx, from.at, from); end != endTurned {
 			return end
 		}
--- a/loadshare/layout.go
+++ b/loadshare/layout.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 
 	"github.com/walnutramp/walnutramp/internal/rendezvous"
@@ -52,6 +53,8 @@
 	keepers map[string][]string // nodes that keep traces, by region
 	unknown []string            // peers whose data hall is not known yet
 	regions topology.Map
+	// regionOfPeer is that of each node; nil on a site of one region.
+	regionOfPeer map[netip.AddrPort]string
 }
 
 // newLayout works the layout out from where this node and its peers stand.
@@ -73,6 +76,9 @@
 		}
 	}
 	maps.Copy(l.keepers, withDisk)
+	if l.region != "" {
+		l.regionOfPeer = l.regionsOfPeers(places)
+	}
 	for hall, nodes := range l.relays {
 		rendezvous.Sort(nodes, hall)
 		n := max(leastRelays, (len(nodes)+relaySpan-1)/relaySpan)
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -77,6 +77,7 @@
 		opt(s)
 	}
 	s.relay.addRegions(s.regions)
+	s.count.addRegions(s.regions)
 	tracker.OnChange(s.Changed)
 	if s.file != "" {
 		s.place.disk = true
@@ -272,6 +273,7 @@
 	for _, peer := range peers {
 		s.conn.WriteTo(datagram, peer)
 	}
+	s.countRegions(peers, len(datagram))
 	s.count.datagrams.Add(int64(len(peers)))
 	s.count.bytes.Add(int64(len(peers) * len(datagram)))
 }
--- a/loadshare/regions.go
+++ b/loadshare/regions.go
@@ -1,8 +1,13 @@
 package loadshare
 
 import (
+	"net"
+	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
+
+	"github.com/walnutramp/walnutramp/topology"
 )
 
 // regionDelay is what a datagram takes to another region, about: a link within a
@@ -52,3 +57,43 @@
 	f := s.feeds[feedKey{scopeRegion, p.region}]
 	return f != nil && f.current(now) && slices.Contains(l.relaysIn(p.region), f.source)
 }
+
+// addRegions has the bytes to each other region counted.
+func (c *counters) addRegions(m topology.Map) {
+	if !m.Several() {
+		return
+	}
+	c.regions = map[string]*atomic.Int64{}
+	for _, region := range m.Regions() {
+		if region != m.OwnRegion() {
+			c.regions[region] = &atomic.Int64{}
+		}
+	}
+}
+
+// countRegions counts a datagram to each of some peers by their region. Peers
+// whose data hall is not known yet are not counted.
+func (s *Sharer) countRegions(peers []*net.UDPAddr, size int) {
+	if s.count.regions == nil {
+		return
+	}
+	regions := s.layoutNow().regionOfPeer
+	for _, peer := range peers {
+		at := peer.AddrPort()
+		at = netip.AddrPortFrom(at.Addr().Unmap(), at.Port())
+		if bytes := s.count.regions[regions[at]]; bytes != nil {
+			bytes.Add(int64(size))
+		}
+	}
+}
+
+// regionsOfPeers returns the regions of nodes by address.
+func (l *layout) regionsOfPeers(places map[string]place) map[netip.AddrPort]string {
+	regions := make(map[netip.AddrPort]string, len(places))
+	for address, p := range places {
+		if at, err := netip.ParseAddrPort(address); err == nil && p.dataHall != "" {
+			regions[at] = l.regionOf(p.dataHall)
+		}
+	}
+	return regions
+}
--- a/loadshare/stats.go
+++ b/loadshare/stats.go
@@ -8,6 +8,9 @@
 	bytes     atomic.Int64
 	whole     atomic.Int64 // subscribers that were told everything
 	silent    atomic.Int64 // relays that were left since they fell silent
+	// regions counts the bytes sent to nodes of each other region; none on a site
+	// of one.
+	regions map[string]*atomic.Int64
 }
 
 // Stats are the figures of a sharer.
@@ -19,6 +22,9 @@
 	Bytes       int64 // sent
 	Whole       int64 // times that a subscriber was told everything
 	Silent      int64 // relays that were left since they fell silent
+
+	Region      string           // of this node; empty on a site of one
+	RegionBytes map[string]int64 // sent to nodes of each other region
 }
 
 // Stats returns the figures as they stand.
@@ -27,6 +33,10 @@
 		Relayed: s.layoutNow().relayed, Datagrams: s.count.datagrams.Load(), Bytes: s.count.bytes.Load(),
 		Whole: s.count.whole.Load(), Silent: s.count.silent.Load(),
 	}
+	st.Region, st.RegionBytes = s.ownRegion(), map[string]int64{}
+	for region, bytes := range s.count.regions {
+		st.RegionBytes[region] = bytes.Load()
+	}
 	s.mu.Lock()
 	st.Nodes = len(s.peers)
 	s.mu.Unlock()
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -69,7 +69,8 @@
 		weigh = append(weigh, balance.WithPolicy(p.settings.Policy))
 	}
 	targets := balance.NewTracker(weigh...)
-	pool := targetconn.NewPool(targetconn.WithIdentityHeader(names.Identity))
+	pool := targetconn.NewPool(targetconn.WithIdentityHeader(names.Identity), targetconn.WithDialed(
+		func(e targetconn.Endpoint, took time.Duration) { targets.NoteRoundTrip(e.ID, took) }))
 	var g *gateway.Gateway
 	poller := discovery.NewPoller(p.adapter.Source(true), func(list []discovery.Target) {
 		for _, id := range targets.Update(list) {
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -15,11 +15,12 @@
 type Config struct {
 	Dial           DialFunc
 	DialTimeout    time.Duration
-	IdleLimit      time.Duration // longest rest of a kept connection
-	IdleMargin     time.Duration // taken off the rest that the target announces
-	MaxIdle        int           // kept connections to one target
-	HeadLimit      int64         // bytes of an answer's head
-	IdentityHeader string        // repeats the request's identity in its answer
+	Dialed         func(e Endpoint, took time.Duration) // a connection was opened; nil for nobody
+	IdleLimit      time.Duration                        // longest rest of a kept connection
+	IdleMargin     time.Duration                        // taken off the rest that the target announces
+	MaxIdle        int                                  // kept connections to one target
+	HeadLimit      int64                                // bytes of an answer's head
+	IdentityHeader string                               // repeats the request's identity in its answer
 }
 
 // Option sets a field of Config.
@@ -28,6 +29,12 @@
 // WithDial sets how connections are opened.
 func WithDial(dial DialFunc) Option { return func(c *Config) { c.Dial = dial } }
 
+// WithDialed sets who is told how long a new connection took to open, which is the
+// way to the target and back.
+func WithDialed(dialed func(e Endpoint, took time.Duration)) Option {
+	return func(c *Config) { c.Dialed = dialed }
+}
+
 // WithIdentityHeader names the header that repeats a request's identity.
 func WithIdentityHeader(name string) Option { return func(c *Config) { c.IdentityHeader = name } }
 
@@ -147,9 +154,13 @@
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
 	defer cancel()
 	p.dialed.Add(1)
+	began := time.Now()
 	raw, err := p.cfg.Dial(ctx, "tcp", e.Address)
 	if err != nil {
 		return nil, err
 	}
+	if p.cfg.Dialed != nil {
+		p.cfg.Dialed(e, time.Since(began))
+	}
 	return newConn(p, e, raw), nil
 }
--- /dev/null
+++ b/topology/roundtrip_test.go
@@ -0,0 +1,32 @@
+package topology
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestRoundTripIsSmoothedAndAges(t *testing.T) {
+	var r RoundTrips
+	now := time.Now()
+	_, known := r.To("b1", now)
+	require.False(t, known)
+	for range 20 {
+		r.Observe("b1", 24*time.Millisecond, now)
+	}
+	r.Observe("b1", 2*time.Second, now) // sent again
+	took, known := r.To("b1", now)
+	require.True(t, known)
+	require.Less(t, took, 30*time.Millisecond)
+	for range 20 {
+		r.Observe("b1", 60*time.Millisecond, now)
+	}
+	took, _ = r.To("b1", now)
+	require.InDelta(t, 60, took.Milliseconds(), 2, "the link was changed")
+	_, known = r.To("b1", now.Add(roundTripLife+time.Second))
+	require.False(t, known)
+	r.Observe("b1", 10*time.Millisecond, now.Add(roundTripLife+time.Second))
+	took, _ = r.To("b1", now.Add(roundTripLife+time.Second))
+	require.Equal(t, 10*time.Millisecond, took, "what was measured long ago does not count")
+}
