--- a/balance/regions.go
+++ b/balance/regions.go
@@ -18,6 +18,11 @@
 	// assumedRoundTrip is the way to another region and back while none was
 	// measured, in milliseconds: links within a country take some 10 ms each way.
 	assumedRoundTrip = 25.0
+	// sharedFateCost is what speaks against a copy in the region of its run, in
+	// milliseconds of waiting: a region's engines may be lost together, and then a
+	// run without a copy elsewhere is silent for as long as its prompt is read. It
+	// outweighs a busy engine, not a full one.
+	sharedFateCost = 1000.0
 	// lendShare is the part of a region's engines that may have prompts to read
 	// before it lends none to other regions: with the rest its own callers find
 	// an idle engine until word of what came from afar is there.
@@ -37,14 +42,11 @@
 	return t.cfg.Topology.Distance(target.DataHall)
 }
 
-// startOf returns the data hall from which a choice's distances count: that of
-// the run whose copy is to be kept, since it is copied from there; else the own
-// one, as on sites of one region for copies, too.
-func (t *Tracker) startOf(c *Choice) string {
-	if c.Copy && c.OtherHall != "" && t.cfg.Topology.Several() {
-		return c.OtherHall
-	}
-	return t.cfg.DataHall
+// sharesFate reports whether a copy would be kept in the region of its run, on a
+// site of several.
+func (t *Tracker) sharesFate(c *Choice, holder *Target) bool {
+	return c.Copy && c.OtherHall != "" && t.cfg.Topology.Several() &&
+		t.cfg.Topology.Between(c.OtherHall, holder.DataHall) != topology.OtherRegion
 }
 
 // NoteRoundTrip takes how long the way to a target and back took.
@@ -71,10 +73,22 @@
 	if c.Work == (Work{}) {
 		return t.cfg.FarSlotCost + t.roundTripMS(hall, now)
 	}
+	if c.Copy {
+		return t.cfg.FarCost // nobody waits for a copy, however long its way
+	}
 	known := t.cfg.FarCost + unseenCost*float64((t.farLag+t.regionLag).Milliseconds())
 	return max(known, regionShare*float64(c.Aim.Milliseconds()))
 }
 
+// doubtCost is what speaks against a target in a data hall that is in doubt. Where
+// all halls of the region are, it must weigh more than the way out of the region.
+func (t *Tracker) doubtCost(c *Choice) float64 {
+	if !t.cfg.Topology.Several() {
+		return doubtCost
+	}
+	return doubtCost + regionShare*float64(c.Aim.Milliseconds())
+}
+
 // lendingRegions returns the regions that take new runs from others, by name: a
 // region lends while few of its engines have prompts to read. Nil where every
 // target may be taken. The caller holds the mutex.
--- a/balance/score.go
+++ b/balance/score.go
@@ -102,7 +102,7 @@
 		s := target.score(&c, o, affinity{home: target == home, keeps: target == keeper}, now)
 		if doubtful[target.DataHall] {
 			target.doubted = now
-			s += doubtCost
+			s += t.doubtCost(&c)
 		}
 		candidates = append(candidates, candidate{target: target, score: s})
 	}
@@ -172,9 +172,9 @@
 // between halls lose packets now and then, and every event that is sent anew
 // comes late. Besides, what other nodes have just begun there is known later
 // than what they began in the own hall.
-func (t *Tracker) farCost(choice *Choice, from, to string, now time.Time) float64 {
-	if t.cfg.Topology.Between(from, to) == topology.OtherRegion {
-		return t.regionCost(choice, to, now)
+func (t *Tracker) farCost(choice *Choice, hall string, now time.Time) float64 {
+	if t.cfg.Topology.Distance(hall) == topology.OtherRegion {
+		return t.regionCost(choice, hall, now)
 	}
 	if choice.Work == (Work{}) {
 		return t.cfg.FarSlotCost
@@ -207,8 +207,11 @@
 	} else {
 		score += t.engineWait(c, o, tie, now)
 	}
-	if from := t.tracker.startOf(c); t.DataHall != from {
-		score += t.tracker.farCost(c, from, t.DataHall, now)
+	if t.DataHall != cfg.DataHall {
+		score += t.tracker.farCost(c, t.DataHall, now)
+	}
+	if t.tracker.sharesFate(c, t) {
+		score += sharedFateCost
 	}
 	return t.rest(c, now, score)
 }
