--- a/control/relay.go
+++ b/control/relay.go
@@ -21,16 +21,12 @@
 
 // Bounds of relaying.
 const (
-	relayedFrom = 100 // entries: up to so many the leader answers itself
-	// relayedFarFrom is the same on a site of several regions: what members relay
-	// enters each data hall once, where bytes between regions cost several times
-	// those between halls.
-	relayedFarFrom = 30
-	relayFresh     = 1600 * time.Millisecond // how old the leader's word may be that is relayed
-	relayLife      = 5 * time.Second         // since a relay last asked the leader
-	relayPause     = 100 * time.Millisecond  // after a question in vain
-	relayRest      = 2 * time.Second         // between questions while nobody needs a relay
-	relayLag       = 300 * time.Millisecond  // by which a member may apply later than the leader
+	relayedFrom = 100                     // entries: up to so many the leader answers itself
+	relayFresh  = 1600 * time.Millisecond // how old the leader's word may be that is relayed
+	relayLife   = 5 * time.Second         // since a relay last asked the leader
+	relayPause  = 100 * time.Millisecond  // after a question in vain
+	relayRest   = 2 * time.Second         // between questions while nobody needs a relay
+	relayLag    = 300 * time.Millisecond  // by which a member may apply later than the leader
 )
 
 // relays are the members that relay the leader's word, by data hall.
@@ -115,7 +111,7 @@
 func (r *Relay) needed() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.everyone) > r.server.relayedFrom
+	return len(r.everyone) > relayedFrom
 }
 
 // ask asks the leader once, and waits for news there.
--- a/control/server.go
+++ b/control/server.go
@@ -31,9 +31,7 @@
 	relays    relays             // members that relay this one's word, while it leads
 	relay     *Relay             // relays the leader's word, while another leads; nil for none
 	rollouts  *RolloutController // nil where there are no roll-outs
-	// relayedFrom is from how many entries on members relay the leader's word.
-	relayedFrom int
-	patience    time.Duration // in which an operator sends an order again whose answer was lost
+	patience  time.Duration      // in which an operator sends an order again whose answer was lost
 }
 
 // ServerOption sets how a Server works.
@@ -45,11 +43,6 @@
 	return func(s *Server) { s.feed = newFeed(bytesPerSecond) }
 }
 
-// WithRegions tells that the site is in several regions.
-func WithRegions() ServerOption {
-	return func(s *Server) { s.relayedFrom = relayedFarFrom }
-}
-
 // WithOrderPatience tells for how long operators send an order of a roll-out
 // again whose answer was lost.
 func WithOrderPatience(d time.Duration) ServerOption {
@@ -75,9 +68,7 @@
 }
 
 func newServer(m *consensus.Member, s *State) *Server {
-	return &Server{
-		member: m, state: s, updates: &updates{state: s}, feed: newFeed(0), patience: orderPatience, relayedFrom: relayedFrom,
-	}
+	return &Server{member: m, state: s, updates: &updates{state: s}, feed: newFeed(0), patience: orderPatience}
 }
 
 // Newest implements the RPC behind each node's lease.
@@ -120,7 +111,7 @@
 // refer names an entry the member of its data hall that it should ask from now
 // on, on a site of many entries, and that has long contents for it.
 func (s *Server) refer(args NewestArgs, reply *NewestReply) {
-	relayed := s.entries.count() > s.relayedFrom
+	relayed := s.entries.count() > relayedFrom
 	long := reply.Update.Bytes > 0 || reply.Roster.Whole.Bytes > 0
 	if !relayed && !long {
 		return
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -79,11 +79,7 @@
 	roster := control.NewRoster()
 	poller := discovery.NewPoller(p.adapter.Source(false), roster.Set, discovery.WithOnly(member.Leads))
 	server := peer.NewServer(self, &p.traffic)
-	answering := []control.ServerOption{control.WithLink(s.LinkMbps * bytesPerMbit), control.WithOrderPatience(s.OrderPatience)}
-	if s.Topology.Several() {
-		answering = append(answering, control.WithRegions())
-	}
-	answers := control.NewOpenServer(member, state, keeper, roster, answering...)
+	answers := control.NewOpenServer(member, state, keeper, roster, control.WithLink(s.LinkMbps*bytesPerMbit), control.WithOrderPatience(s.OrderPatience))
 	relay := control.NewRelay(p.peers, self.Node, s.DataHall, member, answers)
 	if s.Rollouts.Enabled() {
 		go control.NewRolloutController(member, answers, s.Rollouts).Run(p.ctx)
