--- a/balance/regions.go
+++ b/balance/regions.go
@@ -37,9 +37,9 @@
 	t.regionLag = lag
 }
 
-// distance returns how far a target is from this node.
-func (t *Tracker) distance(target *Target) topology.Distance {
-	return t.cfg.Topology.Distance(target.DataHall)
+// afar reports whether a target is in another region than this node.
+func (t *Tracker) afar(target *Target) bool {
+	return t.cfg.Topology.Several() && t.cfg.Topology.Distance(target.DataHall) == topology.OtherRegion
 }
 
 // sharesFate reports whether a copy would be kept in the region of its run, on a
@@ -118,6 +118,5 @@
 
 // keptForOwn reports whether a target is kept for the callers of its own region.
 func (t *Tracker) keptForOwn(target *Target, lending map[string]bool) bool {
-	return lending != nil && t.distance(target) == topology.OtherRegion &&
-		!lending[t.cfg.Topology.Region(target.DataHall)]
+	return lending != nil && t.afar(target) && !lending[t.cfg.Topology.Region(target.DataHall)]
 }
--- a/balance/rivals.go
+++ b/balance/rivals.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/walnutramp/walnutramp/topology"
 )
 
 // Nodes that know the same and choose at the same moment choose the same engine:
@@ -55,7 +53,7 @@
 		}
 	}
 	lag := t.newsLag
-	if len(candidates) > 0 && t.distance(slices.MinFunc(candidates, byScore).target) == topology.OtherRegion {
+	if t.cfg.Topology.Several() && len(candidates) > 0 && t.afar(slices.MinFunc(candidates, byScore).target) {
 		lag += t.regionLag
 	}
 	wholeRuns := float64(lag.Milliseconds()) / max(shortestRunMS, t.paceOf(c.Service).wholeMS.value)
--- a/balance/score.go
+++ b/balance/score.go
@@ -8,7 +8,6 @@
 
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/internal/rendezvous"
-	"github.com/walnutramp/walnutramp/topology"
 )
 
 // Choice says what a target is wanted for.
@@ -172,9 +171,9 @@
 // between halls lose packets now and then, and every event that is sent anew
 // comes late. Besides, what other nodes have just begun there is known later
 // than what they began in the own hall.
-func (t *Tracker) farCost(choice *Choice, hall string, now time.Time) float64 {
-	if t.cfg.Topology.Distance(hall) == topology.OtherRegion {
-		return t.regionCost(choice, hall, now)
+func (t *Tracker) farCost(choice *Choice, target *Target, now time.Time) float64 {
+	if t.afar(target) {
+		return t.regionCost(choice, target.DataHall, now)
 	}
 	if choice.Work == (Work{}) {
 		return t.cfg.FarSlotCost
@@ -208,7 +207,7 @@
 		score += t.engineWait(c, o, tie, now)
 	}
 	if t.DataHall != cfg.DataHall {
-		score += t.tracker.farCost(c, t.DataHall, now)
+		score += t.tracker.farCost(c, t, now)
 	}
 	if t.tracker.sharesFate(c, t) {
 		score += sharedFateCost
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -20,10 +20,15 @@
 type Map struct {
 	hall    string
 	regions map[string]string // by data hall
+	several bool              // there is more than one region
 }
 
 // New returns the map of a data hall; regions names each hall's region.
-func New(hall string, regions map[string]string) Map { return Map{hall: hall, regions: regions} }
+func New(hall string, regions map[string]string) Map {
+	m := Map{hall: hall, regions: regions}
+	m.several = len(m.Regions()) > 1
+	return m
+}
 
 // Hall returns the own data hall.
 func (m Map) Hall() string { return m.hall }
@@ -64,4 +69,4 @@
 }
 
 // Several reports whether there is more than one region.
-func (m Map) Several() bool { return len(m.Regions()) > 1 }
+func (m Map) Several() bool { return m.several }
