--- a/serve/entry.go
+++ b/serve/entry.go
@@ -66,12 +66,13 @@
 
 func (p *Process) startEntry() error {
 	names := p.adapter.Names()
-	weigh := []balance.Option{balance.WithDataHall(p.settings.DataHall)}
+	weigh := []balance.Option{balance.WithDataHall(p.settings.DataHall), balance.WithTopology(p.settings.Topology)}
 	if p.settings.Policy != "" {
 		weigh = append(weigh, balance.WithPolicy(p.settings.Policy))
 	}
 	targets := balance.NewTracker(weigh...)
-	pool := targetconn.NewPool(targetconn.WithIdentityHeader(names.Identity))
+	pool := targetconn.NewPool(targetconn.WithIdentityHeader(names.Identity), targetconn.WithDialed(
+		func(e targetconn.Endpoint, took time.Duration) { targets.NoteRoundTrip(e.ID, took) }))
 	var g *gateway.Gateway
 	poller := discovery.NewPoller(p.adapter.Source(true), func(list []discovery.Target) {
 		for _, id := range targets.Update(list) {
@@ -84,7 +85,13 @@
 		Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow, Nodes: nodesAssumed,
 	})
 	var sharer *loadshare.Sharer
-	find := func(ctx context.Context, key string) { sharer.Find(ctx, key) }
+	find := func(ctx context.Context, key string, again bool) {
+		if again {
+			sharer.FindAnywhere(ctx, key)
+		} else {
+			sharer.Find(ctx, key)
+		}
+	}
 	options := []gateway.Option{gateway.WithNames(names), gateway.WithLease(p.lease()), gateway.WithFind(find)}
 	var agent *rollout.Agent
 	if s.Rollouts.Enabled() {
@@ -110,7 +117,7 @@
 	if err != nil {
 		return err
 	}
-	sharing := []loadshare.Option{loadshare.WithDataHall(s.DataHall)}
+	sharing := []loadshare.Option{loadshare.WithDataHall(s.DataHall), loadshare.WithTopology(s.Topology)}
 	if s.DataDir != "" {
 		sharing = append(sharing, loadshare.WithMemory(filepath.Join(s.DataDir, tracesFile)))
 	}
