--- /dev/null
+++ b/control/regions_test.go
@@ -0,0 +1,183 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/discovery"
+	"github.com/walnutramp/walnutramp/internal/memfs"
+	"github.com/walnutramp/walnutramp/internal/pause"
+)
+
+// A site of three regions, with two members in each.
+const (
+	siteRegions = 3
+	siteMembers = 6
+	regionDelay = 12 * time.Millisecond // one way between regions
+	startSpread = 300 * time.Millisecond
+	serveAgain  = 2 * time.Second         // after all processes are back
+	nextAck     = 1500 * time.Millisecond // after a member ended
+)
+
+// regionOfHost spreads the hosts over the regions by their numbers.
+func regionOfHost(host string) int {
+	n, _ := strconv.Atoi(host[1:])
+	return n % siteRegions
+}
+
+// inRegions runs f on a fleet in several regions.
+func inRegions(t *testing.T, entries int, f func(*testing.T, *fleet)) {
+	inFleet(t, siteMembers, 0, func(t *testing.T, fl *fleet) {
+		fl.net.Delay = func(a, b string) time.Duration {
+			if regionOfHost(a) != regionOfHost(b) {
+				return regionDelay
+			}
+			return hostDelay
+		}
+		for i := range entries {
+			fl.startEntry(i)
+		}
+		f(t, fl)
+	})
+}
+
+// keepList has whichever member leads hold the site's list of targets, as the
+// task does that reads it from the platform.
+func (fl *fleet) keepList(list []discovery.Target) {
+	fl.spawn(func(ctx context.Context) {
+		for pause.For(ctx, heartbeat) {
+			if leader := fl.leader(); leader != nil {
+				leader.roster.Set(list)
+			}
+		}
+	})
+}
+
+// siteList returns a list of targets.
+func siteList(n int) []discovery.Target {
+	list := make([]discovery.Target, 0, n)
+	for i := range n {
+		list = append(list, discovery.Target{
+			ID: fmt.Sprintf("i-%016x", uint64(i)*0x9e3779b97f4a7c15), Service: "engines", DataHall: hallOf(i),
+			Address: fmt.Sprintf("10.%d.%d.%d:8000", i%4, i/250, i%250), Slots: 24,
+		})
+	}
+	return list
+}
+
+// killAll ends all processes; the disks stay.
+func (fl *fleet) killAll() []*memfs.FS {
+	var disks []*memfs.FS
+	for _, m := range fl.members {
+		m.stop()
+		disks = append(disks, m.disk)
+	}
+	for _, e := range fl.entries {
+		e.client.Close()
+		e.peers.Close()
+	}
+	fl.members, fl.entries = nil, nil
+	return disks
+}
+
+// After all processes were killed at one moment, each entry can serve again two
+// seconds after they are back: it holds the document, the list of targets and
+// the word that both are the newest.
+func TestAllServeAgainAfterAllWereKilled(t *testing.T) {
+	const version = 3
+	for _, size := range []struct{ entries, targets int }{{30, 300}, {101, 1002}, {300, 3000}} {
+		t.Run(fmt.Sprint(size.entries), func(t *testing.T) {
+			inRegions(t, size.entries, func(t *testing.T, fl *fleet) {
+				fl.offer(version, routesDocument(version, 100))
+				fl.restart(size.entries, siteList(size.targets))
+				back := time.Now()
+				for fl.serving(version, size.targets) < size.entries {
+					require.Less(t, time.Since(back), serveAgain, "entries that can serve: %d", fl.serving(version, size.targets))
+					time.Sleep(10 * time.Millisecond)
+				}
+				t.Logf("%d entries and %d targets: all can serve %v after the last is back", size.entries, size.targets, time.Since(back))
+			})
+		})
+	}
+}
+
+// restart kills all processes and starts them anew, in any order.
+func (fl *fleet) restart(entries int, list []discovery.Target) {
+	disks := fl.killAll()
+	time.Sleep(time.Second)
+	starts := entries + len(disks)
+	for _, i := range rand.New(rand.NewPCG(1, 1)).Perm(starts) {
+		if i < entries {
+			fl.startEntry(i)
+		} else {
+			fl.startMember(memberName(i-entries), disks[i-entries])
+		}
+		time.Sleep(startSpread / time.Duration(starts))
+	}
+	fl.keepList(list)
+}
+
+// serving counts the entries that hold all they need.
+func (fl *fleet) serving(version uint64, targets int) int {
+	n := 0
+	for _, e := range fl.entries {
+		e.mu.Lock()
+		if e.client.InForce() && e.client.Version() == version && e.targets == targets {
+			n++
+		}
+		e.mu.Unlock()
+	}
+	return n
+}
+
+// An operator's next change is acknowledged soon after the leader was killed,
+// whichever member it is handed to.
+func TestNextChangeIsAcknowledgedAfterTheLeaderEnds(t *testing.T) {
+	inRegions(t, 12, func(t *testing.T, fl *fleet) {
+		version := uint64(1)
+		fl.offer(version, routesDocument(version, 40))
+		for range 2 {
+			old := fl.leader()
+			old.stop()
+			fl.members = without(fl.members, old)
+			ended := time.Now()
+			version++
+			fl.offer(version, routesDocument(version, 40))
+			require.Less(t, time.Since(ended), nextAck)
+			t.Logf("acknowledged %v after the leader's end", time.Since(ended))
+			time.Sleep(5 * time.Second)
+		}
+	})
+}
+
+// A planned stop of the leader keeps no change waiting for an election.
+func TestChangeDuringAHandOver(t *testing.T) {
+	const most = 300 * time.Millisecond
+	inRegions(t, 12, func(t *testing.T, fl *fleet) {
+		fl.offer(1, routesDocument(1, 40))
+		for version := uint64(2); version < 8; version++ {
+			leader := fl.leader()
+			fl.spawn(func(ctx context.Context) { leader.raft.HandOver(ctx) })
+			asked := time.Now()
+			fl.offer(version, routesDocument(version, 40))
+			require.Less(t, time.Since(asked), most)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
+// without returns a list without one of its elements.
+func without[T comparable](list []T, left T) []T {
+	var kept []T
+	for _, e := range list {
+		if e != left {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
