Control group: election timeout from measured round trips

Cause: 400 ms fitted to one region; members far from each other depose their leader over a lost heartbeat.

Change: a leader measures the round trips of its heartbeats, a candidate those of its pre-votes; the timeout is eight round trips to the nearest majority, at least as configured, at most 2 s, and the leader tells it with each heartbeat. Up to 50 ms there and back all is as before (TestNearMembersKeepTheConfiguredTimeout: 1.4 and 12 ms one way).

--- a/consensus/handover.go
+++ b/consensus/handover.go
@@ -46,7 +46,7 @@
 // meanwhile wait, and are then answered as not taken; what was taken before is
 // committed and answered first, so that no acknowledgement is lost.
 func (m *Member) HandOver(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, m.cfg.Election)
+	ctx, cancel := context.WithTimeout(ctx, m.electionTimeout())
 	defer cancel()
 	target, term, ok := m.beginHandOver()
 	if !ok {
@@ -83,10 +83,10 @@
 func (m *Member) nextLeader() walnutramp.NodeName {
 	var best *progress
 	for _, p := range m.follow {
-		if p.voter.Learner || time.Since(p.asked) > m.cfg.Election {
+		if p.voter.Learner || time.Since(p.asked) > m.electionTimeout() {
 			continue
 		}
-		if best == nil || p.precedes(best) {
+		if best == nil || m.precedes(p, best) {
 			best = p
 		}
 	}
@@ -96,13 +96,14 @@
 	return best.node
 }
 
-// precedes reports whether p is a better next leader than other.
-func (p *progress) precedes(other *progress) bool {
+// precedes reports whether p is a better next leader than other. The caller
+// holds the mutex.
+func (m *Member) precedes(p, other *progress) bool {
 	if p.match != other.match {
 		return p.match > other.match
 	}
-	if p.trip.mean != other.trip.mean {
-		return p.trip.mean < other.trip.mean
+	if trip, others := m.tripTo(p.node), m.tripTo(other.node); trip != others {
+		return trip < others
 	}
 	return p.node < other.node
 }
--- a/consensus/member.go
+++ b/consensus/member.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/walnutramp/walnutramp"
@@ -50,7 +51,9 @@
 	unsynced   chan struct{}       // wakes the task that syncs a leader's own entries
 	in         *incoming           // what a leader sends in parts
 	successor  walnutramp.NodeName // who is handed the leadership; empty for nobody
-	dead       error               // the disk failed
+	trips      map[walnutramp.NodeName]*tripTime
+	election   atomic.Int64 // election timeout in force, in nanoseconds
+	dead       error        // the disk failed
 	rng        *rand.Rand
 
 	ctx    context.Context
@@ -66,7 +69,6 @@
 	match uint64
 	asked time.Time // when the newest answered call was sent
 	round uint64    // confirmation round of the newest answered call
-	trip  tripTime  // of calls without entries
 	out   *outgoing // what goes in parts; nil where the last call took all
 	wake  chan struct{}
 	stop  context.CancelFunc
@@ -96,7 +98,7 @@
 	}
 	m := &Member{
 		cfg: cfg, node: node, identity: identity, peers: peers, machine: machine, store: store,
-		changed: make(chan struct{}), unsynced: make(chan struct{}, 1), follow: map[walnutramp.NodeName]*progress{}, waiting: map[uint64]*proposal{},
+		changed: make(chan struct{}), unsynced: make(chan struct{}, 1), follow: map[walnutramp.NodeName]*progress{}, waiting: map[uint64]*proposal{}, trips: map[walnutramp.NodeName]*tripTime{},
 		rng: rand.New(rand.NewPCG(cfg.Seed, 5)), heard: time.Now(),
 	}
 	if len(store.snapshot.State) > 0 {
@@ -104,6 +106,7 @@
 			return nil, err
 		}
 	}
+	m.setElectionTimeout(0)
 	m.commit = store.snapshot.Index
 	if cfg.NoteCommits {
 		m.commit = max(m.commit, store.notedCommit())
@@ -201,13 +204,14 @@
 // that hears no majority step down.
 func (m *Member) keepTimer() {
 	for {
-		wait := m.cfg.Election + m.draw(m.cfg.Election)
+		shortest := m.electionTimeout()
+		wait := shortest + m.draw(shortest)
 		if !pause.For(m.ctx, wait/4) {
 			return
 		}
 		m.mu.Lock()
 		due := m.role != leader && m.isVoter() && time.Since(m.heard) > wait
-		if m.role == leader && !m.hearsMajority(2*m.cfg.Election) {
+		if m.role == leader && !m.hearsMajority(2*shortest) {
 			klog.InfoS("Leader hears no majority", "node", m.node, "term", m.store.ballot.Term)
 			m.stepDown(m.store.ballot.Term, "")
 		}
@@ -305,7 +309,7 @@
 
 // collect asks every voter and reports whether a majority granted.
 func (m *Member) collect(args VoteArgs, group Group) bool {
-	ctx, cancel := context.WithTimeout(m.ctx, m.cfg.Election)
+	ctx, cancel := context.WithTimeout(m.ctx, m.electionTimeout())
 	defer cancel()
 	replies := make(chan VoteReply, len(group.Voters))
 	asked := 0
@@ -319,10 +323,16 @@
 		to.To = v.Identity
 		m.spawn(func() {
 			var r VoteReply
+			sent := time.Now()
 			if m.peers.Call(ctx, v.Node, Service+".Vote", to, &r) != nil {
 				replies <- VoteReply{}
 				return
 			}
+			if args.Pre { // a vote waits for the voter's disk
+				m.mu.Lock()
+				m.noteTrip(v.Node, sent)
+				m.mu.Unlock()
+			}
 			replies <- r
 		})
 	}
@@ -361,9 +371,9 @@
 	}
 	upToDate := args.LastTerm > m.store.lastTerm() ||
 		args.LastTerm == m.store.lastTerm() && args.LastIndex >= m.store.lastIndex()
-	leaderLives := !args.Transfer && (m.role == leader || m.leaderIs != "" && time.Since(m.heard) < m.cfg.Election)
+	leaderLives := !args.Transfer && (m.role == leader || m.leaderIs != "" && time.Since(m.heard) < m.electionTimeout())
 	if args.Pre {
-		electing := time.Since(m.voted) < m.cfg.Election // the one this member voted for may just have won
+		electing := time.Since(m.voted) < m.electionTimeout() // the one this member voted for may just have won
 		reply.Granted = upToDate && !leaderLives && !electing && args.Term > m.store.ballot.Term && m.endorse(args.Candidate)
 		return reply
 	}
@@ -394,7 +404,7 @@
 // this and 0.88 s with it (TestOneElectionFollowsALostLeader). The caller holds
 // the mutex.
 func (m *Member) endorse(candidate walnutramp.NodeName) bool {
-	if m.endorsed != candidate && time.Since(m.endorsedAt) < m.cfg.Election/endorseShare {
+	if m.endorsed != candidate && time.Since(m.endorsedAt) < m.electionTimeout()/endorseShare {
 		return false
 	}
 	m.endorsed, m.endorsedAt = candidate, time.Now()
--- a/consensus/propose.go
+++ b/consensus/propose.go
@@ -160,7 +160,7 @@
 // currentLeader returns the leader, if it was heard of lately. The caller
 // holds the mutex.
 func (m *Member) currentLeader() walnutramp.NodeName {
-	if m.role != leader && time.Since(m.heard) > 2*m.cfg.Election {
+	if m.role != leader && time.Since(m.heard) > 2*m.electionTimeout() {
 		return ""
 	}
 	return m.leaderIs
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -53,7 +53,7 @@
 			return
 		}
 		sent := time.Now()
-		callCtx, cancel := context.WithTimeout(ctx, m.cfg.Election)
+		callCtx, cancel := context.WithTimeout(ctx, m.electionTimeout())
 		var reply AppendReply
 		err := m.peers.Call(callCtx, p.node, Service+".Append", args, &reply)
 		cancel()
@@ -86,7 +86,8 @@
 	if m.role != leader {
 		return AppendArgs{}, 0, false
 	}
-	args := AppendArgs{Term: m.store.ballot.Term, Leader: m.node, To: p.voter.Identity, Commit: m.commit}
+	m.setElectionTimeout(electionTrips * m.quorumTrip())
+	args := AppendArgs{Term: m.store.ballot.Term, Leader: m.node, To: p.voter.Identity, Commit: m.commit, Election: m.electionTimeout()}
 	prevTerm, ok := m.store.term(p.next - 1)
 	if !ok {
 		args.Snapshot = m.snapshotFor(p)
@@ -114,8 +115,7 @@
 	}
 	p.asked = sent
 	if len(args.Entries) == 0 && args.Snapshot == nil && args.Part == nil {
-		now := time.Now()
-		p.trip.add(now.Sub(sent), now)
+		m.noteTrip(p.node, sent)
 	}
 	p.round = max(p.round, round)
 	if r.Partial {
@@ -184,6 +184,7 @@
 		m.stepDown(args.Term, args.Leader)
 	}
 	m.heard = time.Now()
+	m.setElectionTimeout(args.Election)
 	reply.Term = m.store.ballot.Term
 	if m.dead != nil {
 		return reply
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -139,8 +139,9 @@
 	PrevTerm  uint64
 	Entries   []Entry
 	Commit    uint64
-	Snapshot  *Snapshot // in place of entries that the leader no longer has
-	Part      *Part     // in place of entries or a snapshot that are too large for one call
+	Election  time.Duration // the shortest wait for a leader, by the distances that it measures
+	Snapshot  *Snapshot     // in place of entries that the leader no longer has
+	Part      *Part         // in place of entries or a snapshot that are too large for one call
 }
 
 // AppendReply answers AppendArgs.
