Control group: the member with the nearest majority comes to lead; figures of elections, hand-overs and round trips

Members that do not lead measure their distances every 5 s and tell the leader their round trip to a majority; it hands over to one that is clearly nearer for 30 s, at most every 5 min. In regions that are alike nothing moves.

--- a/consensus/cluster_test.go
+++ b/consensus/cluster_test.go
@@ -128,6 +128,8 @@
 		return h.Vote(args.(VoteArgs), reply.(*VoteReply))
 	case Service + ".Append":
 		return h.Append(args.(AppendArgs), reply.(*AppendReply))
+	case Service + ".Ping":
+		return h.Ping(args.(PingArgs), reply.(*PingReply))
 	case Service + ".TimeoutNow":
 		return h.TimeoutNow(args.(TimeoutNowArgs), reply.(*TimeoutNowReply))
 	}
--- a/consensus/handover.go
+++ b/consensus/handover.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -45,35 +46,39 @@
 // reports whether this member has stopped leading. Proposals that come
 // meanwhile wait, and are then answered as not taken; what was taken before is
 // committed and answered first, so that no acknowledgement is lost.
-func (m *Member) HandOver(ctx context.Context) bool {
+func (m *Member) HandOver(ctx context.Context) bool { return m.handOverTo(ctx, "") }
+
+// handOverTo is HandOver to a member; an empty name is any.
+func (m *Member) handOverTo(ctx context.Context, preferred walnutramp.NodeName) bool {
 	ctx, cancel := context.WithTimeout(ctx, m.electionTimeout())
 	defer cancel()
-	target, term, ok := m.beginHandOver()
+	target, term, ok := m.beginHandOver(preferred)
 	if !ok {
 		return false
 	}
-	defer m.endHandOver()
 	began := time.Now()
 	done := m.awaitCaughtUp(ctx, target) && m.sendTimeoutNow(ctx, target, term) && m.awaitSuccessor(ctx)
+	m.endHandOver(done, preferred != "")
 	klog.InfoS("Leadership handed over", "node", m.node, "to", target, "term", term, "done", done, "took", time.Since(began))
 	return done
 }
 
 // beginHandOver stops taking proposals and chooses who leads next.
-func (m *Member) beginHandOver() (target walnutramp.NodeName, term uint64, ok bool) {
+func (m *Member) beginHandOver(preferred walnutramp.NodeName) (target walnutramp.NodeName, term uint64, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.role != leader || m.successor != "" || m.dead != nil {
 		return "", 0, false
 	}
-	m.successor = m.nextLeader()
+	m.successor = cmp.Or(preferred, m.nextLeader())
 	return m.successor, m.store.ballot.Term, m.successor != ""
 }
 
 // endHandOver takes proposals again, or sends them elsewhere.
-func (m *Member) endHandOver() {
+func (m *Member) endHandOver(done, nearer bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.stats.noteHandOver(done, nearer)
 	m.successor = ""
 	m.notify()
 }
--- a/consensus/member.go
+++ b/consensus/member.go
@@ -53,7 +53,8 @@
 	successor  walnutramp.NodeName // who is handed the leadership; empty for nobody
 	trips      map[walnutramp.NodeName]*tripTime
 	election   atomic.Int64 // election timeout in force, in nanoseconds
-	dead       error        // the disk failed
+	stats      Stats
+	dead       error // the disk failed
 	rng        *rand.Rand
 
 	ctx    context.Context
@@ -63,15 +64,16 @@
 
 // progress is what a leader knows of one follower.
 type progress struct {
-	node  walnutramp.NodeName
-	voter Voter // as the newest group has it
-	next  uint64
-	match uint64
-	asked time.Time // when the newest answered call was sent
-	round uint64    // confirmation round of the newest answered call
-	out   *outgoing // what goes in parts; nil where the last call took all
-	wake  chan struct{}
-	stop  context.CancelFunc
+	node   walnutramp.NodeName
+	voter  Voter // as the newest group has it
+	next   uint64
+	match  uint64
+	asked  time.Time     // when the newest answered call was sent
+	round  uint64        // confirmation round of the newest answered call
+	quorum time.Duration // its round trip to the nearest majority; 0 where not known
+	out    *outgoing     // what goes in parts; nil where the last call took all
+	wake   chan struct{}
+	stop   context.CancelFunc
 }
 
 // proposal is a command on its way.
@@ -121,6 +123,8 @@
 	m.spawn(m.keepTimer)
 	m.spawn(m.apply)
 	m.spawn(m.syncOwn)
+	m.spawn(m.measureTrips)
+	m.spawn(m.keepPlace)
 	if m.cfg.NoteCommits {
 		m.spawn(m.noteCommits)
 	}
@@ -183,6 +187,9 @@
 // stepDown makes the member a follower. The caller holds the mutex.
 func (m *Member) stepDown(term uint64, leaderIs walnutramp.NodeName) {
 	if m.role == leader {
+		if m.successor == "" {
+			m.stats.Deposed++
+		}
 		for _, p := range m.follow {
 			p.stop()
 		}
@@ -428,6 +435,7 @@
 	}
 	m.role = leader
 	m.leaderIs = m.node
+	m.stats.Elected++
 	klog.InfoS("Leader elected", "node", m.node, "term", term, "last", m.store.lastIndex(), "group", m.store.group(m.store.lastIndex()).Nodes())
 	if _, ok := m.appendOwn(Entry{}); !ok {
 		return false
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -118,6 +118,7 @@
 		m.noteTrip(p.node, sent)
 	}
 	p.round = max(p.round, round)
+	p.quorum = r.Quorum
 	if r.Partial {
 		m.notify() // a confirmation may wait for this round
 		if p.out != nil {
@@ -185,7 +186,7 @@
 	}
 	m.heard = time.Now()
 	m.setElectionTimeout(args.Election)
-	reply.Term = m.store.ballot.Term
+	reply.Term, reply.Quorum = m.store.ballot.Term, m.quorumTrip()
 	if m.dead != nil {
 		return reply
 	}
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -146,11 +146,12 @@
 
 // AppendReply answers AppendArgs.
 type AppendReply struct {
-	Term  uint64
-	OK    bool
-	Match uint64 // last index that is the leader's, where OK
-	Hint  uint64 // where to go on, where not OK
-	Alien bool   // the receiver has another identity
+	Term   uint64
+	OK     bool
+	Match  uint64        // last index that is the leader's, where OK
+	Hint   uint64        // where to go on, where not OK
+	Quorum time.Duration // the receiver's round trip to its nearest majority; 0 where not known
+	Alien  bool          // the receiver has another identity
 	// Partial answers a Part: the receiver holds the first Held bytes of the
 	// whole, and nothing was changed yet.
 	Partial bool
--- a/control/model_site_test.go
+++ b/control/model_site_test.go
@@ -366,6 +366,8 @@
 			a.To = n.identity
 		}
 		return n.member.Handler().Append(a, reply.(*consensus.AppendReply))
+	case consensus.Service + ".Ping":
+		return n.member.Handler().Ping(args.(consensus.PingArgs), reply.(*consensus.PingReply))
 	case consensus.Service + ".TimeoutNow":
 		return n.member.Handler().TimeoutNow(args.(consensus.TimeoutNowArgs), reply.(*consensus.TimeoutNowReply))
 	case Service + ".Newest":
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -98,4 +98,13 @@
 	fmt.Fprintf(w, "walnutramp_control_commit_index %d\n", s.Commit)
 	fmt.Fprintf(w, "walnutramp_control_voters %d\n", s.Group.Counted())
 	fmt.Fprintf(w, "walnutramp_control_members %d\n", len(s.Group.Voters))
+	did := r.member.Stats()
+	fmt.Fprintf(w, "walnutramp_control_elected_total %d\n", did.Elected)
+	fmt.Fprintf(w, "walnutramp_control_deposed_total %d\n", did.Deposed)
+	fmt.Fprintf(w, "walnutramp_control_handed_over_total{why=\"asked\"} %d\n", did.HandedOver)
+	fmt.Fprintf(w, "walnutramp_control_handed_over_total{why=\"nearer\"} %d\n", did.HandedNearer)
+	fmt.Fprintf(w, "walnutramp_control_hand_overs_failed_total %d\n", did.HandOverFails)
+	for node, trip := range r.member.Trips() {
+		fmt.Fprintf(w, "walnutramp_control_round_trip_seconds{member=%q} %.6f\n", node, trip.Seconds())
+	}
 }
