--- a/control/regions_test.go
+++ b/control/regions_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/control"
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/internal/memfs"
 	"github.com/walnutramp/walnutramp/internal/pause"
@@ -171,6 +172,121 @@
 	})
 }
 
+// between cuts or joins every pair of hosts of which one is on the side.
+func (fl *fleet) between(side func(host string) bool, change func(a, b string)) {
+	var hosts []string
+	for _, m := range fl.members {
+		hosts = append(hosts, string(m.name))
+	}
+	for i := range fl.entries {
+		hosts = append(hosts, entryName(i))
+	}
+	for _, a := range hosts {
+		for _, b := range hosts {
+			if side(a) && !side(b) {
+				change(a, b)
+			}
+		}
+	}
+}
+
+// offerAt hands a document to a member, as an operator does.
+func (fl *fleet) offerAt(m *fleetMember, version uint64) error {
+	ctx, cancel := context.WithTimeout(fl.ctx, nextAck)
+	defer cancel()
+	_, err := m.client.Offer(ctx, version, routesDocument(version, 40))
+	return err
+}
+
+// Two members of different regions end at the same moment, the leader among
+// them.
+func TestTwoMembersOfDifferentRegionsEnd(t *testing.T) {
+	inRegions(t, 12, func(t *testing.T, fl *fleet) {
+		fl.offer(1, routesDocument(1, 40))
+		lost := []*fleetMember{fl.leader()}
+		for _, m := range fl.members {
+			if len(lost) == 1 && regionOfHost(string(m.name)) != regionOfHost(string(lost[0].name)) {
+				lost = append(lost, m)
+			}
+		}
+		for _, m := range lost {
+			m.stop()
+			fl.members = without(fl.members, m)
+		}
+		ended := time.Now()
+		fl.offer(2, routesDocument(2, 40))
+		require.Less(t, time.Since(ended), nextAck)
+		time.Sleep(inForceTime)
+		require.Zero(t, fl.late(2, ended.Add(nextAck)))
+	})
+}
+
+// The leader is cut off with one other member: the four others elect, and the
+// entries, which reach both sides, follow them.
+func TestSplitWithTheLeaderInTheSmallerHalf(t *testing.T) {
+	inRegions(t, 12, func(t *testing.T, fl *fleet) {
+		fl.offer(1, routesDocument(1, 40))
+		old := fl.leader()
+		others := without(fl.members, old)
+		small := func(host string) bool { return host == string(old.name) || host == string(others[0].name) }
+		members := func(change func(a, b string)) {
+			fl.between(small, func(a, b string) {
+				if b[0] == 'm' {
+					change(a, b)
+				}
+			})
+		}
+		members(fl.net.Cut)
+		cut := time.Now()
+		require.NoError(t, fl.offerAt(others[1], 2))
+		acknowledged := time.Now()
+		require.Less(t, acknowledged.Sub(cut), nextAck)
+		require.Error(t, fl.offerAt(old, 3), "the smaller half takes nothing")
+		time.Sleep(inForceTime)
+		require.Zero(t, fl.late(2, acknowledged))
+		members(fl.net.Heal)
+		healed := time.Now()
+		require.NoError(t, fl.offerAt(old, 4))
+		require.Less(t, time.Since(healed), nextAck)
+		time.Sleep(inForceTime)
+		require.Zero(t, fl.late(4, healed.Add(nextAck)))
+	})
+}
+
+// A region that is cut off keeps what it has, says that it can't confirm it,
+// and is right again soon after the cut.
+func TestRegionThatIsCutOff(t *testing.T) {
+	const region = 1
+	inRegions(t, 12, func(t *testing.T, fl *fleet) {
+		fl.offer(1, routesDocument(1, 40))
+		time.Sleep(inForceTime)
+		inside := func(host string) bool { return regionOfHost(host) == region }
+		fl.between(inside, fl.net.Cut)
+		time.Sleep(control.LeaseTime + time.Second)
+		rest := fl.members[1]
+		require.NotEqual(t, region, regionOfHost(string(rest.name)))
+		require.NoError(t, fl.offerAt(rest, 2))
+		time.Sleep(inForceTime)
+		for i, e := range fl.entries {
+			if regionOfHost(entryName(i)) == region {
+				require.Equal(t, uint64(1), e.client.Version())
+				require.False(t, e.client.InForce(), "it can't know what is the newest")
+				continue
+			}
+			require.Equal(t, uint64(2), e.client.Version())
+			require.True(t, e.client.InForce())
+		}
+		fl.between(inside, fl.net.Heal)
+		time.Sleep(inForceTime)
+		for _, e := range fl.entries {
+			require.Equal(t, uint64(2), e.client.Version())
+			require.True(t, e.client.InForce())
+		}
+	})
+}
+
+func entryName(i int) string { return fmt.Sprintf("e%d", i+1) }
+
 // without returns a list without one of its elements.
 func without[T comparable](list []T, left T) []T {
 	var kept []T
