--- a/consensus/types.go
+++ b/consensus/types.go
@@ -139,17 +139,19 @@
 	PrevTerm  uint64
 	Entries   []Entry
 	Commit    uint64
-	Snapshot  *Snapshot // in place of entries that the leader no longer has
-	Part      *Part     // in place of entries or a snapshot that are too large for one call
+	Election  time.Duration // the shortest wait for a leader, by the distances that it measures
+	Snapshot  *Snapshot     // in place of entries that the leader no longer has
+	Part      *Part         // in place of entries or a snapshot that are too large for one call
 }
 
 // AppendReply answers AppendArgs.
 type AppendReply struct {
-	Term  uint64
-	OK    bool
-	Match uint64 // last index that is the leader's, where OK
-	Hint  uint64 // where to go on, where not OK
-	Alien bool   // the receiver has another identity
+	Term   uint64
+	OK     bool
+	Match  uint64        // last index that is the leader's, where OK
+	Hint   uint64        // where to go on, where not OK
+	Quorum time.Duration // the receiver's round trip to its nearest majority; 0 where not known
+	Alien  bool          // the receiver has another identity
 	// Partial answers a Part: the receiver holds the first Held bytes of the
 	// whole, and nothing was changed yet.
 	Partial bool
