Size of the fleet: demand, plan, the way there, and the leader's controller that orders it

Cause: a service whose targets are billed by the second had a fixed fleet. Change: package fleet sums demand, works out what it needs, plans counts by hall and kind in two ways (a reserve for one hall; least expected cost) and leads there; control agrees on orders before the platform is told them.

--- /dev/null
+++ b/control/fleet_orders.go
@@ -0,0 +1,53 @@
+package control
+
+import (
+	"slices"
+
+	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/fleet"
+)
+
+// FleetOrders notes how many targets of a service are ordered, before the
+// platform is told: a new leader goes on from it.
+type FleetOrders struct {
+	Service string
+	Base    []fleet.HallCount // used where nothing is noted of the service yet
+	Orders  []fleet.Order
+	Load    *fleet.Load // what they are to be ready for; nil to leave it as it is
+}
+
+// orderFleet applies orders. The caller holds the mutex.
+func (s *State) orderFleet(c *FleetOrders) Result {
+	i := slices.IndexFunc(s.fleet, func(r fleet.Record) bool { return r.Service == c.Service })
+	s.fleet = slices.Clone(s.fleet)
+	if i < 0 {
+		i = len(s.fleet)
+		s.fleet = append(s.fleet, fleet.Record{Service: c.Service, Base: c.Base})
+	}
+	s.fleet[i].Put(c.Orders)
+	if c.Load != nil {
+		s.fleet[i].Load = c.Load
+	}
+	return Result{Code: walnutramp.CodeOK}
+}
+
+// fleetRecord returns what is agreed on about a service's targets; false if
+// there is nothing yet.
+func (s *State) fleetRecord(service string) (fleet.Record, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.fleet {
+		if r.Service == service {
+			return r, true
+		}
+	}
+	return fleet.Record{}, false
+}
+
+// newestDocument returns the newest document and its version, 0 before the
+// first.
+func (s *State) newestDocument() (version uint64, doc []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest().Version, s.doc
+}
--- a/control/state.go
+++ b/control/state.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/fleet"
 	"github.com/walnutramp/walnutramp/internal/pack"
 	"github.com/walnutramp/walnutramp/rollout"
 	"k8s.io/klog/v2"
@@ -25,6 +26,8 @@
 	Known   *KnownVersions `msgpack:"v,omitempty"`
 	Rollout *RolloutOrder  `msgpack:"r,omitempty"`
 	Step    *RolloutStep   `msgpack:"p,omitempty"`
+
+	Fleet *FleetOrders `msgpack:"f,omitempty"`
 }
 
 // Submit offers a bundle that was signed and checked.
@@ -111,6 +114,7 @@
 	changed chan struct{} // closed when a bundle is accepted, or the view of versions changes
 
 	rollouts rollouts
+	fleet    []fleet.Record // by service
 }
 
 // NewState returns the state of a new group, before its first bundle.
@@ -140,6 +144,8 @@
 		return encode(s.claim(c.Claim, c.Now))
 	case c.Settle != nil:
 		return encode(s.settle(c.Settle, c.Now))
+	case c.Fleet != nil:
+		return encode(s.orderFleet(c.Fleet))
 	}
 	return encode(s.applyRollout(index, &c))
 }
@@ -254,13 +260,14 @@
 	Entries []Entry
 
 	Versions rollout.View
+	Fleet    []fleet.Record
 }
 
 // Snapshot implements consensus.StateMachine.
 func (s *State) Snapshot() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	img := stateImage{Doc: s.doc, History: s.history, Deltas: s.deltas, Versions: s.rollouts.copyView()}
+	img := stateImage{Doc: s.doc, History: s.history, Deltas: s.deltas, Versions: s.rollouts.copyView(), Fleet: s.fleet}
 	for i, rec := range img.Versions.Records {
 		img.Versions.Records[i].Elapsed = s.rollouts.elapsed(rec)
 	}
@@ -285,6 +292,7 @@
 		s.ledger[k] = img.Entries[i]
 	}
 	s.restoreRollouts(img.Versions)
+	s.fleet = img.Fleet
 	s.wake()
 	return nil
 }
--- /dev/null
+++ b/fleet/cost.go
@@ -0,0 +1,157 @@
+package fleet
+
+import (
+	"maps"
+	"math"
+)
+
+// What callers lose, in prices of an on-demand target for the time that it is
+// missed.
+const (
+	// refusedWorth is what the answers of one target are worth to callers: an
+	// operator who sold them for little more than the targets cost would not
+	// run the service.
+	refusedWorth = 20.0
+	// lateWorth is what is lost where they come, but later, or without a copy
+	// to go on from.
+	lateWorth = 1.0
+	// burstSize is how many times the requests come in a burst.
+	burstSize = 2.0
+)
+
+// event is something that leaves fewer targets, with the part of the time in
+// which they are missed.
+type event struct {
+	share float64
+	left  func(Counts) int
+}
+
+// events lists what may be missing: nothing, all of a hall, the spot targets
+// of a hall, and one of each at once.
+func (s *Situation) events() []event {
+	halls := s.halls()
+	events := []event{{1, Counts.Total}}
+	if len(halls) < 2 {
+		halls = nil // no target elsewhere would make up for this hall
+	}
+	for _, lost := range halls {
+		events = append(events, event{s.Risks.HallLost, func(c Counts) int { return c.Total() - c.Hall(lost) }})
+	}
+	for _, taken := range halls {
+		spot := Place{taken, Spot}
+		events = append(events, event{s.Risks.Reclaim, func(c Counts) int { return c.Total() - c[spot] }})
+		for _, lost := range halls {
+			if lost == taken {
+				continue
+			}
+			events = append(events, event{s.Risks.Reclaim * s.Risks.HallLost, func(c Counts) int {
+				return c.Total() - c[spot] - c.Hall(lost)
+			}})
+		}
+	}
+	return events
+}
+
+// price returns the mean price of an on-demand target.
+func (s *Situation) price() float64 {
+	sum := 0.0
+	for _, hall := range s.halls() {
+		sum += s.Scaling.price(Place{hall, OnDemand})
+	}
+	return sum / float64(max(1, len(s.Base)))
+}
+
+// expected returns the expected cost of a second: what targets cost, and what
+// callers lose.
+func (s *Situation) expected(c Counts) float64 { return s.costs()(c) }
+
+// costs returns what expected works out, for many counts.
+func (s *Situation) costs() func(Counts) float64 {
+	usual, burst := s.Engine.needOf(*s.Load), s.Engine.needOf(s.Load.scaled(burstSize))
+	events, price := s.events(), s.price()
+	return func(c Counts) float64 {
+		lost := 0.0
+		for _, e := range events {
+			left := float64(e.left(c))
+			lost += e.share * ((1-s.Risks.Burst)*usual.loss(left) + s.Risks.Burst*burst.loss(left))
+		}
+		return s.Scaling.Cost(c) + price*lost
+	}
+}
+
+// loss is what callers lose with so many targets.
+func (n need) loss(targets float64) float64 {
+	return refusedWorth*math.Max(0, n.most-targets) + lateWorth*math.Max(0, n.comfort-targets)
+}
+
+// steps are by how many targets a search goes on, the large ones first.
+var steps = []int{16, 4, 1}
+
+// cheapest searches for the least expected cost, from a first guess on. The
+// cost is convex, so a search by single places and by all halls at once ends
+// near its least; what it finds is never dearer than the guess.
+func (s *Situation) cheapest(guess Counts) Counts {
+	cost := s.costs()
+	best, least := maps.Clone(guess), cost(guess)
+	for _, step := range steps {
+		for improved := true; improved; {
+			improved = false
+			for _, change := range s.changes(step) {
+				next, ok := s.changed(best, change)
+				if !ok {
+					continue
+				}
+				if c := cost(next); c < least-smallestGain {
+					best, least, improved = next, c, true
+				}
+			}
+		}
+	}
+	return best
+}
+
+// smallestGain, in prices of a target, ends a search that gains nothing.
+const smallestGain = 1e-6
+
+// changes lists the changes by a step: at one place, from one place to
+// another, and at all halls.
+func (s *Situation) changes(step int) []Counts {
+	var places []Place
+	kinds := []Kind{OnDemand}
+	if s.Scaling.SpotPrice > 0 {
+		kinds = append(kinds, Spot)
+	}
+	var changes []Counts
+	for _, kind := range kinds {
+		more, fewer := Counts{}, Counts{}
+		for _, hall := range s.halls() {
+			p := Place{hall, kind}
+			places = append(places, p)
+			more[p], fewer[p] = step, -step
+		}
+		changes = append(changes, more, fewer)
+	}
+	for _, from := range places {
+		changes = append(changes, Counts{from: step}, Counts{from: -step})
+		for _, to := range places {
+			if from != to {
+				changes = append(changes, Counts{from: -step, to: step})
+			}
+		}
+	}
+	return changes
+}
+
+// changed returns counts with a change made; false if they may not be so.
+func (s *Situation) changed(c, change Counts) (Counts, bool) {
+	next := maps.Clone(c)
+	for p, n := range change {
+		next[p] += n
+	}
+	for p := range change {
+		if next[p] < 0 || next[p] > s.most(next, p) || next.Hall(p.DataHall) < min(c.Hall(p.DataHall), s.Scaling.Min) {
+			return nil, false
+		}
+	}
+	return next, true
+}
--- /dev/null
+++ b/fleet/demand.go
@@ -0,0 +1,191 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Tally sums what nodes tell of demand. A node's rows are cumulative, so one
+// that is lost or told twice does no harm. What a process told first counts
+// for nothing: most of it came before this tally began.
+type Tally struct {
+	nodes map[string]*nodeDemand
+	total map[string]Demand // by service
+}
+
+// nodeDemand is what a node's newest process told last.
+type nodeDemand struct {
+	life uint64
+	rows map[string]Demand // by service
+}
+
+// NewTally returns a tally of nothing.
+func NewTally() *Tally {
+	return &Tally{nodes: map[string]*nodeDemand{}, total: map[string]Demand{}}
+}
+
+// Take takes a node's rows; life names its process.
+func (t *Tally) Take(node string, life uint64, rows []Demand) {
+	n := t.nodes[node]
+	if n == nil || n.life != life {
+		n = &nodeDemand{life: life, rows: map[string]Demand{}}
+		for _, row := range rows {
+			n.rows[row.Service] = row
+		}
+		t.nodes[node] = n
+	}
+	for _, row := range rows {
+		before := n.rows[row.Service]
+		if row.Requests < before.Requests {
+			continue // an older report that came late
+		}
+		n.rows[row.Service] = row
+		total := t.total[row.Service]
+		total.add(row.since(before))
+		total.Service = row.Service
+		t.total[row.Service] = total
+	}
+}
+
+// Total returns the sums, by service in order. They never fall.
+func (t *Tally) Total() []Demand {
+	total := make([]Demand, 0, len(t.total))
+	for _, service := range slices.Sorted(maps.Keys(t.total)) {
+		total = append(total, t.total[service])
+	}
+	return total
+}
+
+// Of returns the sum of a service; false if no node has told of it.
+func (t *Tally) Of(service string) (Demand, bool) {
+	d, known := t.total[service]
+	return d, known
+}
+
+func (d *Demand) add(o Demand) {
+	d.Requests += o.Requests
+	d.Refused += o.Refused
+	d.Read += o.Read
+	d.Write += o.Write
+	d.ReadMS += o.ReadMS
+	d.RunMS += o.RunMS
+	d.HoldMS += o.HoldMS
+}
+
+// since returns what has come since an earlier sum.
+func (d Demand) since(before Demand) Demand {
+	return Demand{
+		Service:  d.Service,
+		Requests: rise(before.Requests, d.Requests),
+		Refused:  rise(before.Refused, d.Refused),
+		Read:     rise(before.Read, d.Read),
+		Write:    rise(before.Write, d.Write),
+		ReadMS:   rise(before.ReadMS, d.ReadMS),
+		RunMS:    rise(before.RunMS, d.RunMS),
+		HoldMS:   rise(before.HoldMS, d.HoldMS),
+	}
+}
+
+func rise(from, to uint64) uint64 { return to - min(from, to) }
+
+// Load is what requests ask of targets at a time.
+type Load struct {
+	Requests float64 // a second
+	Reading  float64 // targets that are kept busy with prompts
+	Running  float64 // runs under way
+	Held     float64 // tokens of their memory
+}
+
+// scaled returns a load of so many times the requests.
+func (l Load) scaled(x float64) Load {
+	return Load{Requests: x * l.Requests, Reading: x * l.Reading, Running: x * l.Running, Held: x * l.Held}
+}
+
+// load returns the mean load within a time. By Little's law, the time that
+// requests take in all, over the time in which they came, is how many are
+// under way.
+func (d Demand) load(within time.Duration) Load {
+	ms := float64(within) / float64(time.Millisecond)
+	return Load{
+		Requests: float64(d.Requests) / within.Seconds(),
+		Reading:  float64(d.ReadMS) / ms,
+		Running:  float64(d.RunMS) / ms,
+		Held:     float64(d.HoldMS) / ms,
+	}
+}
+
+// Times of a forecast.
+const (
+	// loadSpan is over which a load is averaged: requests come in clumps, and
+	// a run lasts some seconds anyway.
+	loadSpan = 5 * time.Second
+	// crestSpan is for how long a crest is held to come again: callers who come
+	// in waves of a quarter of a minute find the targets of the crest before.
+	crestSpan = 30 * time.Second
+)
+
+// Forecast predicts a service's load: what came lately, or the highest of the
+// crests lately where that was more. A trend is not drawn on: over the time
+// that a target boots it is mostly noise (TestForecastIsNoWorseThanTrend).
+type Forecast struct {
+	samples []sample // oldest first
+	crests  []crest  // oldest first, each lower than the one before
+}
+
+// sample is the demand since the start, at a time.
+type sample struct {
+	at    time.Time
+	total Demand
+}
+
+// crest is a load that was not reached again since.
+type crest struct {
+	at   time.Time
+	load Load
+}
+
+// Observe takes the demand since the start as it is now.
+func (f *Forecast) Observe(now time.Time, total Demand) {
+	f.samples = append(f.samples, sample{now, total})
+	for len(f.samples) > 2 && now.Sub(f.samples[1].at) >= loadSpan {
+		f.samples = f.samples[1:]
+	}
+	load := f.Recent()
+	for len(f.crests) > 0 && f.crests[len(f.crests)-1].load.Requests <= load.Requests {
+		f.crests = f.crests[:len(f.crests)-1]
+	}
+	f.crests = append(f.crests, crest{now, load})
+	for now.Sub(f.crests[0].at) > crestSpan {
+		f.crests = f.crests[1:]
+	}
+}
+
+// Recent returns the load over the last seconds.
+func (f *Forecast) Recent() Load {
+	if len(f.samples) < 2 {
+		return Load{}
+	}
+	first, last := f.samples[0], f.samples[len(f.samples)-1]
+	within := last.at.Sub(first.at)
+	if within <= 0 {
+		return Load{}
+	}
+	return last.total.since(first.total).load(within)
+}
+
+// Known reports whether requests have come for long enough to tell their load.
+func (f *Forecast) Known() bool {
+	if len(f.samples) < 2 || f.samples[0].total.Requests == 0 {
+		return false
+	}
+	return f.samples[len(f.samples)-1].at.Sub(f.samples[0].at) >= loadSpan
+}
+
+// Expected returns the load to be ready for.
+func (f *Forecast) Expected() Load {
+	if len(f.crests) == 0 {
+		return Load{}
+	}
+	return f.crests[0].load
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -62,4 +62,59 @@
 	Refused  uint64 // for want of room
 	Read     uint64 // tokens of their prompts
 	Write    uint64 // tokens that they may put out, as their clients guess
+	ReadMS   uint64 // milliseconds that a target needs to read their prompts
+	RunMS    uint64 // milliseconds that their runs take, prompts included
+	HoldMS   uint64 // tokens that their runs hold, times milliseconds that they hold them
+}
+
+// Place is where targets of one kind are ordered.
+type Place struct {
+	DataHall string
+	Kind     Kind
+}
+
+// Counts are numbers of targets by place.
+type Counts map[Place]int
+
+// Hall returns the targets of a data hall, both kinds together.
+func (c Counts) Hall(hall string) int {
+	return c[Place{hall, OnDemand}] + c[Place{hall, Spot}]
+}
+
+// Total returns all targets.
+func (c Counts) Total() int {
+	total := 0
+	for _, n := range c {
+		total += n
+	}
+	return total
+}
+
+// price returns what a second of a target costs.
+func (s *Scaling) price(p Place) float64 {
+	price, known := s.Prices[p.DataHall]
+	if !known {
+		price = 1
+	}
+	if p.Kind == Spot {
+		price *= s.SpotPrice
+	}
+	return price
+}
+
+// Cost returns what a second of so many targets costs.
+func (s *Scaling) Cost(c Counts) float64 {
+	cost := 0.0
+	for p, n := range c {
+		cost += float64(n) * s.price(p)
+	}
+	return cost
+}
+
+// String returns the kind's name in logs.
+func (k Kind) String() string {
+	if k == Spot {
+		return "spot"
+	}
+	return "on-demand"
 }
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,263 @@
+package fleet_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/walnutramp/walnutramp/fleet"
+)
+
+// A fleet of the size that fixed on-demand targets cost for the time.
+func fixedCost(s *simulation, until time.Duration) float64 {
+	counts := fleet.Counts{}
+	for _, hall := range s.halls {
+		counts[fleet.Place{DataHall: hall}] = s.base
+	}
+	return s.scaling.Cost(counts) * until.Seconds()
+}
+
+// check fails unless callers were served and targets cost little beside a fixed
+// fleet.
+func (s *simulation) check(until time.Duration, served, cost float64) {
+	s.t.Helper()
+	part := s.cost / fixedCost(s, until)
+	s.t.Logf("served %.4f, cost %.3f of a fixed fleet's, %d calls, at least %d served", s.served(), part, s.calls, s.lowest)
+	if s.served() < served {
+		s.t.Errorf("served %.4f, want %.4f", s.served(), served)
+	}
+	if part > cost {
+		s.t.Errorf("cost %.3f of a fixed fleet's, want %.3f at most", part, cost)
+	}
+	if s.t.Failed() {
+		for _, o := range s.steps {
+			s.t.Logf("%v %+v", o.at, o.step)
+		}
+	}
+}
+
+const simTime = 60 * time.Second
+
+func TestWaveIsServedForLittle(t *testing.T) {
+	s := newSimulation(t, wave)
+	s.run(simTime)
+	s.check(simTime, 1, 0.35)
+	for i, a := range s.steps {
+		for _, b := range s.steps[i+1:] {
+			if a.step.Order.Place() != b.step.Order.Place() || a.step.Repeats() || b.step.Repeats() {
+				continue
+			}
+			if b.at-a.at < s.scaling.Boot {
+				t.Errorf("two changes of %v within a boot time, at %v and %v", a.step.Order.Place(), a.at, b.at)
+			}
+			if a.step.Order.Count < a.step.Before && b.step.Order.Count > b.step.Before && a.step.Order.Kind == fleet.Spot {
+				t.Errorf("see-saw of %v, at %v and %v", a.step.Order.Place(), a.at, b.at)
+			}
+		}
+	}
+}
+
+func TestKindsAreSwappedBeforeTheFirstRequest(t *testing.T) {
+	s := newSimulation(t, func(time.Duration) float64 { return 0 })
+	s.run(9 * time.Second)
+	for _, hall := range simHalls {
+		if n := s.count(fleet.Place{DataHall: hall, Kind: fleet.Spot}); n != 60 {
+			t.Errorf("%d spot targets in hall %s, want 60", n, hall)
+		}
+		if n := s.count(fleet.Place{DataHall: hall}); n != 0 {
+			t.Errorf("%d on-demand targets in hall %s, want none", n, hall)
+		}
+	}
+	for _, o := range s.steps {
+		if o.step.Order.Kind == fleet.OnDemand && o.at < s.scaling.Boot {
+			t.Errorf("on-demand targets ordered away at %v, before spot targets served", o.at)
+		}
+	}
+}
+
+func TestBurstIsServed(t *testing.T) {
+	s := newSimulation(t, func(at time.Duration) float64 {
+		if at >= 25*time.Second && at < 28*time.Second {
+			return 2 * wave(at)
+		}
+		return wave(at)
+	})
+	s.run(simTime)
+	s.check(simTime, 1, 0.4)
+}
+
+func TestBurstWhileTargetsBoot(t *testing.T) {
+	s := newSimulation(t, func(at time.Duration) float64 {
+		if at >= 9*time.Second && at < 13*time.Second {
+			return 1.8 * wave(at)
+		}
+		return wave(at)
+	})
+	s.run(simTime)
+	s.check(simTime, 1, 0.4)
+}
+
+func TestHallThatCrashes(t *testing.T) {
+	s := newSimulation(t, wave)
+	s.at(30*time.Second, func() {
+		for _, target := range s.targets {
+			if target.place.DataHall == "b" {
+				target.boots = s.now + time.Second
+			}
+		}
+	})
+	s.run(simTime)
+	s.check(simTime, 1, 0.35)
+}
+
+// reclaim takes all spot targets of a hall away; for a while there are none to
+// be had there.
+func (s *simulation) reclaim(at time.Duration, hall string, dry time.Duration) {
+	p := fleet.Place{DataHall: hall, Kind: fleet.Spot}
+	s.at(at, func() { s.take(p, s.count(p), simNotice) })
+	s.dry[p] = func(now time.Duration) bool { return now >= at && now < at+dry }
+}
+
+func TestReclaimOfAHall(t *testing.T) {
+	s := newSimulation(t, wave)
+	s.reclaim(30*time.Second, "b", 10*time.Second)
+	s.run(simTime)
+	s.check(simTime, 1, 0.4)
+	if n := s.count(fleet.Place{DataHall: "b", Kind: fleet.Spot}); n < 10 {
+		t.Errorf("%d spot targets in hall b 20 s after there are some again", n)
+	}
+}
+
+func TestNoSpotTargetsAnywhere(t *testing.T) {
+	s := newSimulation(t, wave)
+	for _, hall := range simHalls {
+		s.dry[fleet.Place{DataHall: hall, Kind: fleet.Spot}] = func(time.Duration) bool { return true }
+	}
+	s.run(simTime)
+	s.check(simTime, 1, 1)
+}
+
+func TestAllSpotTargetsAreReclaimed(t *testing.T) {
+	s := newSimulation(t, wave)
+	for i, hall := range simHalls {
+		s.reclaim(time.Duration(30+3*i)*time.Second, hall, 20*time.Second)
+	}
+	s.run(simTime)
+	s.check(simTime, 0.9, 0.7)
+}
+
+func TestPlatformIsDown(t *testing.T) {
+	s := newSimulation(t, wave)
+	s.down = func(at time.Duration) bool { return at >= 2*time.Second && at < 7*time.Second }
+	s.run(simTime)
+	s.check(simTime, 1, 0.4)
+	if s.calls > 40 {
+		t.Errorf("%d calls", s.calls)
+	}
+}
+
+func TestOrdersAreCarriedOutLate(t *testing.T) {
+	s := newSimulation(t, wave)
+	lost := 0
+	s.late = func(time.Duration) time.Duration {
+		if lost++; lost%3 == 0 {
+			return 2 * time.Second
+		}
+		return 0
+	}
+	s.run(simTime)
+	s.check(simTime, 1, 0.4)
+}
+
+func TestLeaderChanges(t *testing.T) {
+	s := newSimulation(t, wave)
+	s.leaders = []time.Duration{3 * time.Second, 5 * time.Second, 20 * time.Second, 33 * time.Second}
+	s.run(simTime)
+	s.check(simTime, 1, 0.4)
+	if s.calls > 40 {
+		t.Errorf("%d calls", s.calls)
+	}
+}
+
+func TestOneHall(t *testing.T) {
+	s := newSimulation(t, wave)
+	s.halls, s.base = []string{"a"}, 100
+	s.run(simTime)
+	s.check(simTime, 1, 0.9)
+}
+
+func TestMostTargetsReached(t *testing.T) {
+	s := newSimulation(t, func(at time.Duration) float64 { return 5 * wave(at) })
+	s.scaling.Max = 70
+	s.run(simTime)
+	s.check(simTime, 0.9, 1)
+}
+
+func TestFewestTargetsReached(t *testing.T) {
+	s := newSimulation(t, func(at time.Duration) float64 { return wave(at) / 100 })
+	s.scaling.Min = 10
+	s.run(2 * simTime)
+	s.check(2*simTime, 1, 0.2)
+	for _, hall := range simHalls {
+		sum := s.count(fleet.Place{DataHall: hall}) + s.count(fleet.Place{DataHall: hall, Kind: fleet.Spot})
+		if sum != 10 {
+			t.Errorf("%d targets in hall %s, want the fewest that it may have, 10", sum, hall)
+		}
+	}
+}
+
+// FuzzPlan checks that for any input the counts stay within their bounds and
+// don't fall below what the load needs, as far as targets are to be had.
+func FuzzPlan(f *testing.F) {
+	f.Add(1, 120, 0.15, 1.0, 0.8, 1.25, 41.0, 200.0, 2e6, uint8(0))
+	f.Add(0, 5, 0.0, 1.0, 1.0, 1.0, 4e3, 1e5, 1e9, uint8(3))
+	f.Add(3, 20, 1.0, 1e3, 1e-3, 1.0, 10.0, 10.0, 1e5, uint8(63))
+	f.Fuzz(func(t *testing.T, least, most int, spot, a, b, c, reading, running, held float64, stuck uint8) {
+		if least < 0 || most < least || most > 200 || !sane(spot, 0, 1) || !sane(a, 0, 1e4) || !sane(b, 0, 1e4) || !sane(c, 0, 1e4) ||
+			!sane(reading, 0, 1e6) || !sane(running, 0, 1e6) || !sane(held, 0, 1e12) {
+			t.Skip()
+		}
+		s := fleet.Situation{
+			Scaling: fleet.Scaling{Min: least, Max: most, Boot: time.Second, SpotPrice: spot, Prices: map[string]float64{"a": a, "b": b, "c": c}},
+			Engine:  simEngine(), Risks: fleet.AssumedRisks(time.Second), Base: map[string]int{"a": 1, "b": 2, "c": 3},
+			Load:  &fleet.Load{Requests: reading, Reading: reading, Running: running, Held: held},
+			Stuck: fleet.Counts{},
+		}
+		room := 0
+		for i, hall := range simHalls {
+			free := false
+			for kind := range 2 {
+				if stuck>>(2*i+kind)&1 == 1 {
+					s.Stuck[fleet.Place{DataHall: hall, Kind: fleet.Kind(kind)}] = 0
+				} else if fleet.Kind(kind) == fleet.OnDemand || spot > 0 {
+					free = true
+				}
+			}
+			if free {
+				room += most
+			}
+		}
+		for _, load := range []*fleet.Load{nil, s.Load} {
+			s.Load = load
+			plan := s.Plan()
+			checkPlan(t, &s, plan.Wanted, room)
+		}
+	})
+}
+
+func sane(x, least, most float64) bool { return !math.IsNaN(x) && x >= least && x <= most }
+
+func checkPlan(t *testing.T, s *fleet.Situation, wanted fleet.Counts, room int) {
+	t.Helper()
+	for p, n := range wanted {
+		if n < 0 || wanted.Hall(p.DataHall) > s.Scaling.Max {
+			t.Errorf("%d of %v, more than %d in its hall", n, p, s.Scaling.Max)
+		}
+		if there, stuck := s.Stuck[p]; stuck && n > there {
+			t.Errorf("%d of %v, where no more than %d are to be had", n, p, there)
+		}
+	}
+	if s.Load != nil && wanted.Total() < min(s.Least(), room) {
+		t.Errorf("%d targets, the load can't do with fewer than %d", wanted.Total(), s.Least())
+	}
+}
