Entries count the demand for services whose targets can be ordered; copies stay out of the run's spot targets

Cause: the fleet's size had no demand to go by, and a reclaim takes a run and a copy that is kept in the same hall's spot targets. Change: the gateway counts requests with what they take of targets; a holder is no spot target of the run's own hall; tests of the leader's controller.

--- a/control/fleet_controller.go
+++ b/control/fleet_controller.go
@@ -200,6 +200,9 @@
 	if told {
 		f.Observe(time.Now(), demand)
 	}
+	if !c.scalable[service].Engine.Known() {
+		return nil
+	}
 	if !f.Known() {
 		return record.Load
 	}
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -43,6 +43,8 @@
 	server *peer.Server
 	client *control.Client // of operators' calls
 	cancel context.CancelFunc
+
+	answers *control.Server
 }
 
 type fleetEntry struct {
@@ -137,6 +139,7 @@
 	keeper := control.NewKeeper(name, raft)
 	m := &fleetMember{name: name, disk: disk, peers: peers, raft: raft, roster: control.NewRoster(), server: peer.NewServer(self, traffic)}
 	answers := control.NewOpenServer(raft, state, keeper, m.roster, control.WithLink(memberLink))
+	m.answers = answers
 	hall := hallOf(len(fl.members))
 	relay := control.NewRelay(peers, name, hall, raft, answers)
 	require.NoError(fl.t, m.server.Register(consensus.Service, raft.Handler()))
--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -42,8 +42,7 @@
 		}
 		n.rows[row.Service] = row
 		total := t.total[row.Service]
-		total.add(row.since(before))
-		total.Service = row.Service
+		total.Add(row.since(before))
 		t.total[row.Service] = total
 	}
 }
@@ -63,7 +62,9 @@
 	return d, known
 }
 
-func (d *Demand) add(o Demand) {
+// Add adds another demand for the same service.
+func (d *Demand) Add(o Demand) {
+	d.Service = o.Service
 	d.Requests += o.Requests
 	d.Refused += o.Refused
 	d.Read += o.Read
--- a/fleet/need.go
+++ b/fleet/need.go
@@ -13,6 +13,9 @@
 	Copies bool // each run is kept at another target as well
 }
 
+// Known reports whether the configuration says what a target can do.
+func (e Engine) Known() bool { return e.Slots > 0 || e.Memory > 0 }
+
 // Shares of a target that may be used before callers notice.
 const (
 	// comfortReading is how much of the time a target reads prompts: entries
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -39,7 +39,8 @@
 	// Base is how many targets each data hall had before any was ordered. Its
 	// halls are those of the service.
 	Base map[string]int
-	// Load is what to be ready for; nil while it is not known.
+	// Load is what to be ready for; nil while it is not known, and for a
+	// service of which nobody knows what its targets can do.
 	Load *Load
 	// Stuck are the places where no more are to be had now, with how many are
 	// there.
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -93,12 +93,17 @@
 	return &copyOf{at: holder, name: n.CopyHandle(holder.Address, c.id)}
 }
 
-// pickHolder picks a target to keep a copy of a run at another one, or nil.
+// pickHolder picks a target to keep a copy of a run at another one, or nil. The
+// spot targets of a data hall are taken away together, so none of them keeps
+// copies for another.
 func (r *relay) pickHolder(t *balance.Target) *balance.Target {
 	c := r.call
 	return r.gateway.targets.Pick(balance.Choice{
 		Service: c.service, OtherHall: t.DataHall, Copy: true, Work: balance.Work{Hold: c.work.Hold},
-		Exclude: func(o *balance.Target) bool { return o == t || c.tried[o] || o.Version != t.Version },
+		Exclude: func(o *balance.Target) bool {
+			reclaimed := t.Spot && o.Spot && o.DataHall == t.DataHall
+			return o == t || c.tried[o] || o.Version != t.Version || reclaimed
+		},
 	})
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,6 +108,7 @@
 	startOnce sync.Once
 
 	pending pendingRuns
+	demands demands
 
 	budgets *balance.Budgets
 }
@@ -245,6 +246,7 @@
 	}
 	defer g.buffered.Add(-int64(len(c.body)))
 	g.budgets.Of(c.service).Earn()
+	g.noteDemand(c)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	if c.route.Kind == Stream {
