The targets that there were are noted once the list has settled

Change: the base is noted when the list has been the same for 2 s, and as long as nothing is ordered.

--- a/control/fleet_controller.go
+++ b/control/fleet_controller.go
@@ -20,6 +20,11 @@
 const (
 	fleetEvery = 200 * time.Millisecond // between two looks; the list is read once a second
 	scaleLimit = 3 * time.Second        // of one order, the wait for its turn included
+	// settleTime is how long a list of targets must have been the same before
+	// it is taken for the targets that there are: at the start of a site they
+	// appear on it over some seconds.
+	settleTime = 2 * time.Second
+	seenEvery  = 1 * time.Second // bounds the lines about what the list shows
 )
 
 // FleetServices reads from a document which services' targets can be ordered.
@@ -42,6 +47,8 @@
 	movers    map[string]*fleet.Mover // by service
 	forecasts map[string]*fleet.Forecast
 	calls     sync.WaitGroup
+	settled   map[string]*settling // by service
+	seenAt    time.Time            // when what the list shows was told
 
 	mu    sync.Mutex
 	tally *fleet.Tally
@@ -49,6 +56,12 @@
 	busy  map[string]map[string]bool // data halls with a call under way, by service
 }
 
+// settling is a total that a list shows, and since when.
+type settling struct {
+	total int
+	since time.Time
+}
+
 // endedCall is a call that an outcome is known of.
 type endedCall struct {
 	began   time.Time
@@ -87,7 +100,7 @@
 
 // forget drops what this member saw as the leader.
 func (c *FleetController) forget() {
-	c.movers, c.forecasts = map[string]*fleet.Mover{}, map[string]*fleet.Forecast{}
+	c.movers, c.forecasts, c.settled = map[string]*fleet.Mover{}, map[string]*fleet.Forecast{}, map[string]*settling{}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tally = fleet.NewTally()
@@ -115,9 +128,8 @@
 		return
 	}
 	serving, leaving := countTargets(list, service)
-	record, known := c.state.fleetRecord(service)
-	if !known {
-		c.note(ctx, service, serving)
+	record, _ := c.state.fleetRecord(service)
+	if len(record.Orders) == 0 && !c.note(ctx, service, &record, serving) {
 		return
 	}
 	load := c.observe(service, record)
@@ -149,18 +161,38 @@
 }
 
 // note has the group agree on the targets that a service has before any is
-// ordered.
-func (c *FleetController) note(ctx context.Context, service string, serving fleet.Counts) {
-	if serving.Total() == 0 {
-		return
+// ordered. It reports whether it has; the record is what was agreed on.
+func (c *FleetController) note(ctx context.Context, service string, record *fleet.Record, serving fleet.Counts) bool {
+	if !c.hasSettled(service, serving.Total()) {
+		return false
+	}
+	orders := baseOf(service, serving)
+	if slices.Equal(orders.Base, record.Base) {
+		return true
+	}
+	agreed := c.agree(ctx, orders)
+	klog.InfoS("Targets noted before any is ordered", "service", service, "base", orders.Base, "agreed", agreed)
+	*record, _ = c.state.fleetRecord(service)
+	return agreed
+}
+
+// hasSettled reports whether a service has had as many targets for a while,
+// and any at all.
+func (c *FleetController) hasSettled(service string, total int) bool {
+	s := c.settled[service]
+	if s == nil || s.total != total {
+		c.settled[service] = &settling{total: total, since: time.Now()}
+		return false
 	}
+	return total > 0 && time.Since(s.since) >= settleTime
+}
+
+// baseOf returns the targets that are there as a command. Spot targets among
+// them count as ordered.
+func baseOf(service string, serving fleet.Counts) FleetOrders {
 	orders := FleetOrders{Service: service}
 	var halls []string
-	for p, n := range serving {
-		if p.Kind == fleet.Spot {
-			orders.Orders = append(orders.Orders, fleet.Order{Service: service, DataHall: p.DataHall, Kind: fleet.Spot, Count: n},
-				fleet.Order{Service: service, DataHall: p.DataHall, Kind: fleet.OnDemand, Count: serving[fleet.Place{DataHall: p.DataHall}]})
-		}
+	for p := range serving {
 		if !slices.Contains(halls, p.DataHall) {
 			halls = append(halls, p.DataHall)
 		}
@@ -168,9 +200,15 @@
 	slices.Sort(halls)
 	for _, hall := range halls {
 		orders.Base = append(orders.Base, fleet.HallCount{DataHall: hall, Count: serving.Hall(hall)})
+		spot := serving[fleet.Place{DataHall: hall, Kind: fleet.Spot}]
+		if spot == 0 {
+			continue
+		}
+		orders.Orders = append(orders.Orders,
+			fleet.Order{Service: service, DataHall: hall, Kind: fleet.Spot, Count: spot},
+			fleet.Order{Service: service, DataHall: hall, Kind: fleet.OnDemand, Count: serving.Hall(hall) - spot})
 	}
-	agreed := c.agree(ctx, orders)
-	klog.InfoS("Targets noted before any is ordered", "service", service, "base", orders.Base, "agreed", agreed)
+	return orders
 }
 
 // agree has the group agree on orders; false if that is not known to have come
@@ -239,6 +277,7 @@
 		Base: record.BaseCounts(), Load: load, Stuck: stuck,
 	}
 	plan := situation.Plan()
+	c.logSeen(service, &view, load)
 	view.Wanted, view.Least = plan.Wanted, situation.Least()
 	return decision{service: service, load: load, plan: plan, view: view, stuck: stuck, steps: mover.Next(now, &view)}
 }
@@ -338,3 +377,13 @@
 		"costPerSecond", d.view.Scaling.Cost(d.plan.Wanted), "expectedCost", d.plan.Cost,
 		"other", d.plan.Other, "otherWanted", d.plan.OtherWanted, "otherCost", d.plan.OtherCost, "idle", d.view.Idle)
 }
+
+// logSeen tells what the list shows, beside what is ordered, every now and
+// then.
+func (c *FleetController) logSeen(service string, view *fleet.View, load *fleet.Load) {
+	if time.Since(c.seenAt) < seenEvery {
+		return
+	}
+	c.seenAt = time.Now()
+	klog.InfoS("Fleet seen", "service", service, "ordered", view.Ordered, "serving", view.Serving, "leaving", view.Leaving, "load", load)
+}
--- a/control/fleet_orders.go
+++ b/control/fleet_orders.go
@@ -11,7 +11,7 @@
 // platform is told: a new leader goes on from it.
 type FleetOrders struct {
 	Service string
-	Base    []fleet.HallCount // used where nothing is noted of the service yet
+	Base    []fleet.HallCount // used where nothing is ordered of the service yet
 	Orders  []fleet.Order
 	Load    *fleet.Load // what they are to be ready for; nil to leave it as it is
 }
@@ -22,7 +22,10 @@
 	s.fleet = slices.Clone(s.fleet)
 	if i < 0 {
 		i = len(s.fleet)
-		s.fleet = append(s.fleet, fleet.Record{Service: c.Service, Base: c.Base})
+		s.fleet = append(s.fleet, fleet.Record{Service: c.Service})
+	}
+	if len(s.fleet[i].Orders) == 0 && c.Base != nil {
+		s.fleet[i].Base = c.Base
 	}
 	s.fleet[i].Put(c.Orders)
 	if c.Load != nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -5,6 +5,9 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/walnutramp/walnutramp/duty"
@@ -90,6 +93,18 @@
 	return total
 }
 
+// String lists the counts by place, for logs.
+func (c Counts) String() string {
+	var parts []string
+	for p, n := range c {
+		if n != 0 {
+			parts = append(parts, fmt.Sprintf("%s/%v:%d", p.DataHall, p.Kind, n))
+		}
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
+
 // price returns what a second of a target costs.
 func (s *Scaling) price(p Place) float64 {
 	price, known := s.Prices[p.DataHall]
--- a/fleet/mover.go
+++ b/fleet/mover.go
@@ -18,8 +18,10 @@
 	retryFirst   = 500 * time.Millisecond
 	retryLongest = 8 * time.Second
 	// stuckLongest bounds the pause, in boot times, after which a place where
-	// no target was to be had is tried again. It doubles with each refusal.
-	stuckLongest = 8
+	// no target was to be had is tried again. It grows with each refusal; a
+	// place that is tried rarely stays empty for long after it could be had.
+	stuckLongest = 2
+	stuckGrowth  = 1.3
 	// shrinkShare is the part of a data hall's targets that one change orders
 	// away: their runs go on elsewhere, which has to take them in.
 	shrinkShare = 0.25
@@ -127,7 +129,7 @@
 // refused notes that no more targets are to be had, and holds that for a
 // while that grows.
 func (s *placeState) refused(now time.Time, boot time.Duration) {
-	s.stuckFor = min(max(2*s.stuckFor, boot), stuckLongest*boot)
+	s.stuckFor = min(max(time.Duration(stuckGrowth*float64(s.stuckFor)), boot), stuckLongest*boot)
 	s.stuck = now.Add(s.stuckFor)
 }
 
