--- a/control/fleet_controller.go
+++ b/control/fleet_controller.go
@@ -23,7 +23,7 @@
 	// settleTime is how long a list of targets must have been the same before
 	// it is taken for the targets that there are: at the start of a site they
 	// appear on it over some seconds.
-	settleTime = 2 * time.Second
+	settleTime = 1200 * time.Millisecond
 	seenEvery  = 1 * time.Second // bounds the lines about what the list shows
 )
 
@@ -273,7 +273,7 @@
 	}
 	stuck := mover.Stuck(now, serving)
 	situation := fleet.Situation{
-		Scaling: scalable.Scaling, Engine: scalable.Engine, Risks: fleet.AssumedRisks(scalable.Scaling.Boot),
+		Scaling: scalable.Scaling, Engine: scalable.Engine, Risks: fleet.AssumedRisks(),
 		Base: record.BaseCounts(), Load: load, Stuck: stuck,
 	}
 	plan := situation.Plan()
--- a/fleet/cost.go
+++ b/fleet/cost.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 )
 
 // What callers lose, in prices of an on-demand target for the time that it is
@@ -20,33 +21,44 @@
 )
 
 // event is something that leaves fewer targets, with the part of the time in
-// which they are missed.
+// which it is so.
 type event struct {
 	share float64
-	left  func(Counts) int
+	taken []Place // of spot targets
+	lost  string  // a data hall; empty for none
 }
 
-// events lists what may be missing: nothing, all of a hall, the spot targets
-// of a hall, and one of each at once.
+// left returns how many targets an event leaves.
+func (e *event) left(c Counts) int {
+	left := c.Total() - c.Hall(e.lost)
+	for _, p := range e.taken {
+		if p.DataHall != e.lost {
+			left -= c[p]
+		}
+	}
+	return left
+}
+
+// events lists what may be missing: the spot targets of any halls, and all
+// targets of one hall at the same time.
 func (s *Situation) events() []event {
 	halls := s.halls()
-	events := []event{{1, Counts.Total}}
-	if len(halls) < 2 {
-		halls = nil // no target elsewhere would make up for this hall
+	events := []event{{share: 1}}
+	for _, hall := range halls {
+		for _, e := range events[:len(events):len(events)] {
+			with := event{share: e.share * s.Risks.Reclaim, taken: append(slices.Clone(e.taken), Place{hall, Spot})}
+			events = append(events, with)
+		}
+		for i := range events[:len(events)/2] {
+			events[i].share *= 1 - s.Risks.Reclaim
+		}
 	}
-	for _, lost := range halls {
-		events = append(events, event{s.Risks.HallLost, func(c Counts) int { return c.Total() - c.Hall(lost) }})
+	if len(halls) < 2 {
+		return events // no target elsewhere would make up for a hall
 	}
-	for _, taken := range halls {
-		spot := Place{taken, Spot}
-		events = append(events, event{s.Risks.Reclaim, func(c Counts) int { return c.Total() - c[spot] }})
-		for _, lost := range halls {
-			if lost == taken {
-				continue
-			}
-			events = append(events, event{s.Risks.Reclaim * s.Risks.HallLost, func(c Counts) int {
-				return c.Total() - c[spot] - c.Hall(lost)
-			}})
+	for _, e := range slices.Clone(events) {
+		for _, hall := range halls {
+			events = append(events, event{share: e.share * s.Risks.HallLost, taken: e.taken, lost: hall})
 		}
 	}
 	return events
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -219,7 +219,7 @@
 		}
 		s := fleet.Situation{
 			Scaling: fleet.Scaling{Min: least, Max: most, Boot: time.Second, SpotPrice: spot, Prices: map[string]float64{"a": a, "b": b, "c": c}},
-			Engine:  simEngine(), Risks: fleet.AssumedRisks(time.Second), Base: map[string]int{"a": 1, "b": 2, "c": 3},
+			Engine:  simEngine(), Risks: fleet.AssumedRisks(), Base: map[string]int{"a": 1, "b": 2, "c": 3},
 			Load:  &fleet.Load{Requests: reading, Reading: reading, Running: running, Held: held},
 			Stuck: fleet.Counts{},
 		}
--- a/fleet/need.go
+++ b/fleet/need.go
@@ -1,9 +1,6 @@
 package fleet
 
-import (
-	"math"
-	"time"
-)
+import "math"
 
 // Engine is what one target of a service can do, as the configuration says; 0
 // for what it does not say.
@@ -68,27 +65,23 @@
 	Burst    float64 // half as many requests again and more
 }
 
-// Assumed intervals, of a site of which nothing else is known.
+// Assumed parts of the time, of a site of which nothing else is known.
 const (
-	// hallLostEvery is between two losses of a data hall's targets. Halls are
-	// lost more rarely, but a fleet that bears one loss bears the wrong
-	// guesses, too, of load, of speed and of what other targets just failed.
-	hallLostEvery = 4 * time.Minute
-	// reclaimEvery is between two reclaims of a hall's spot targets: who sells
-	// them promises nothing.
-	reclaimEvery = 4 * time.Minute
-	// burstEvery is between two bursts that nothing announces.
-	burstEvery = 1 * time.Minute
-	// noticeTime is until a change is seen: the platform's list lags by about a
-	// second, and is read once a second.
-	noticeTime = 2 * time.Second
+	// assumedLost is rather the part of the time in which a hall's targets have
+	// just been lost and their work is being made up for elsewhere.
+	assumedLost = 0.1
+	// assumedReclaimed is the part in which a hall has no spot targets: who
+	// sells them promises nothing, and when one buyer loses them, none are to be
+	// had for a while.
+	assumedReclaimed = 0.1
+	// assumedBurst is the part in which half as many requests again and more
+	// come, without notice.
+	assumedBurst = 0.1
 )
 
-// AssumedRisks returns the risks of a site whose targets take a time to boot.
-func AssumedRisks(boot time.Duration) Risks {
-	short := boot + noticeTime
-	share := func(every time.Duration) float64 { return min(1, short.Seconds()/every.Seconds()) }
-	return Risks{HallLost: share(hallLostEvery), Reclaim: share(reclaimEvery), Burst: share(burstEvery)}
+// AssumedRisks returns the risks of a site of which nothing is known.
+func AssumedRisks() Risks {
+	return Risks{HallLost: assumedLost, Reclaim: assumedReclaimed, Burst: assumedBurst}
 }
 
 // idleShare is the part of the targets that there were which has to stay while
--- a/fleet/simulation_test.go
+++ b/fleet/simulation_test.go
@@ -185,7 +185,7 @@
 	}
 	s.mover.Look(s.clock(), &view)
 	situation := fleet.Situation{
-		Scaling: s.scaling, Engine: simEngine(), Risks: fleet.AssumedRisks(s.scaling.Boot), Base: s.record.BaseCounts(), Load: load,
+		Scaling: s.scaling, Engine: simEngine(), Risks: fleet.AssumedRisks(), Base: s.record.BaseCounts(), Load: load,
 		Stuck: s.mover.Stuck(s.clock(), listed.serving),
 	}
 	view.Wanted, view.Least = situation.Plan().Wanted, situation.Least()
