--- a/control/fleet_controller.go
+++ b/control/fleet_controller.go
@@ -20,9 +20,9 @@
 const (
 	fleetEvery = 200 * time.Millisecond // between two looks; the list is read once a second
 	scaleLimit = 3 * time.Second        // of one order, the wait for its turn included
-	// settleTime is how long a list of targets must have been the same before
-	// it is taken for the targets that there are: at the start of a site they
-	// appear on it over some seconds.
+	// settleTime is how long the list must have shown no more on-demand targets
+	// before any is ordered away: at the start of a site they appear over some
+	// seconds.
 	settleTime = 1200 * time.Millisecond
 	seenEvery  = 1 * time.Second // bounds the lines about what the list shows
 )
@@ -47,7 +47,7 @@
 	movers    map[string]*fleet.Mover // by service
 	forecasts map[string]*fleet.Forecast
 	calls     sync.WaitGroup
-	settled   map[string]*settling // by service
+	settling  map[string]time.Time // by service, when the list last showed more targets than were known
 	seenAt    time.Time            // when what the list shows was told
 
 	mu    sync.Mutex
@@ -56,12 +56,6 @@
 	busy  map[string]map[string]bool // data halls with a call under way, by service
 }
 
-// settling is a total that a list shows, and since when.
-type settling struct {
-	total int
-	since time.Time
-}
-
 // endedCall is a call that an outcome is known of.
 type endedCall struct {
 	began   time.Time
@@ -100,7 +94,7 @@
 
 // forget drops what this member saw as the leader.
 func (c *FleetController) forget() {
-	c.movers, c.forecasts, c.settled = map[string]*fleet.Mover{}, map[string]*fleet.Forecast{}, map[string]*settling{}
+	c.movers, c.forecasts, c.settling = map[string]*fleet.Mover{}, map[string]*fleet.Forecast{}, map[string]time.Time{}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tally = fleet.NewTally()
@@ -129,7 +123,7 @@
 	}
 	serving, leaving := countTargets(list, service)
 	record, _ := c.state.fleetRecord(service)
-	if len(record.Orders) == 0 && !c.note(ctx, service, &record, serving) {
+	if record.Untouched() && !c.note(ctx, service, &record, serving) {
 		return
 	}
 	load := c.observe(service, record)
@@ -161,52 +155,60 @@
 }
 
 // note has the group agree on the targets that a service has before any is
-// ordered. It reports whether it has; the record is what was agreed on.
+// ordered, and on more as they appear. It reports whether any are known; the
+// record is what was agreed on.
 func (c *FleetController) note(ctx context.Context, service string, record *fleet.Record, serving fleet.Counts) bool {
-	if !c.hasSettled(service, serving.Total()) {
-		return false
+	orders := FleetOrders{Service: service, Base: record.Base}
+	if len(record.Orders) == 0 {
+		orders.Orders = listedOrders(service, serving)
 	}
-	orders := baseOf(service, serving)
-	if slices.Equal(orders.Base, record.Base) {
-		return true
+	more := false
+	for _, p := range serving.Places() {
+		count := serving[p]
+		if p.Kind == fleet.Spot {
+			if len(orders.Orders) == 0 {
+				continue
+			}
+			count = serving.Hall(p.DataHall)
+		}
+		more = orders.raise(p.DataHall, count) || more
 	}
+	if !more && len(orders.Orders) == 0 {
+		return len(record.Base) > 0
+	}
+	c.settling[service] = time.Now()
 	agreed := c.agree(ctx, orders)
-	klog.InfoS("Targets noted before any is ordered", "service", service, "base", orders.Base, "agreed", agreed)
+	klog.InfoS("Targets noted that were not ordered", "service", service, "base", orders.Base, "agreed", agreed)
 	*record, _ = c.state.fleetRecord(service)
 	return agreed
 }
 
-// hasSettled reports whether a service has had as many targets for a while,
-// and any at all.
-func (c *FleetController) hasSettled(service string, total int) bool {
-	s := c.settled[service]
-	if s == nil || s.total != total {
-		c.settled[service] = &settling{total: total, since: time.Now()}
+// raise notes that a data hall has as many targets at least; false if that is
+// known.
+func (c *FleetOrders) raise(hall string, count int) bool {
+	i := slices.IndexFunc(c.Base, func(b fleet.HallCount) bool { return b.DataHall == hall })
+	if i >= 0 && c.Base[i].Count >= count {
 		return false
 	}
-	return total > 0 && time.Since(s.since) >= settleTime
+	c.Base = slices.Clone(c.Base)
+	if i < 0 {
+		i = len(c.Base)
+		c.Base = append(c.Base, fleet.HallCount{DataHall: hall})
+	}
+	c.Base[i].Count = count
+	return true
 }
 
-// baseOf returns the targets that are there as a command. Spot targets among
-// them count as ordered.
-func baseOf(service string, serving fleet.Counts) FleetOrders {
-	orders := FleetOrders{Service: service}
-	var halls []string
-	for p := range serving {
-		if !slices.Contains(halls, p.DataHall) {
-			halls = append(halls, p.DataHall)
-		}
-	}
-	slices.Sort(halls)
-	for _, hall := range halls {
-		orders.Base = append(orders.Base, fleet.HallCount{DataHall: hall, Count: serving.Hall(hall)})
-		spot := serving[fleet.Place{DataHall: hall, Kind: fleet.Spot}]
-		if spot == 0 {
-			continue
+// listedOrders returns what a list shows of data halls with spot targets as
+// orders: they were ordered before what was agreed on was lost.
+func listedOrders(service string, serving fleet.Counts) []fleet.Order {
+	var orders []fleet.Order
+	for _, p := range serving.Places() {
+		if p.Kind == fleet.Spot {
+			orders = append(orders,
+				fleet.Order{Service: service, DataHall: p.DataHall, Kind: fleet.Spot, Count: serving[p]},
+				fleet.Order{Service: service, DataHall: p.DataHall, Kind: fleet.OnDemand, Count: serving.Hall(p.DataHall) - serving[p]})
 		}
-		orders.Orders = append(orders.Orders,
-			fleet.Order{Service: service, DataHall: hall, Kind: fleet.Spot, Count: spot},
-			fleet.Order{Service: service, DataHall: hall, Kind: fleet.OnDemand, Count: serving.Hall(hall) - spot})
 	}
 	return orders
 }
@@ -266,7 +268,9 @@
 	c.takeEnded(mover, service, scalable.Scaling.Boot)
 	view := fleet.View{
 		Scaling: scalable.Scaling, Ordered: record.Ordered(), Given: record.Given(), Serving: serving, Leaving: leaving,
-		Busy: c.busyHalls(service), Idle: load == nil && !c.requested(service),
+		Busy:    c.busyHalls(service),
+		Idle:    load == nil && !c.requested(service),
+		Filling: time.Since(c.settling[service]) < settleTime,
 	}
 	for _, p := range mover.Look(now, &view) {
 		klog.InfoS("Spot targets are taken away", "service", service, "dataHall", p.DataHall, "leaving", leaving[p], "serving", serving[p])
--- a/control/fleet_orders.go
+++ b/control/fleet_orders.go
@@ -11,7 +11,7 @@
 // platform is told: a new leader goes on from it.
 type FleetOrders struct {
 	Service string
-	Base    []fleet.HallCount // used where nothing is ordered of the service yet
+	Base    []fleet.HallCount // nil to leave it as it is
 	Orders  []fleet.Order
 	Load    *fleet.Load // what they are to be ready for; nil to leave it as it is
 }
@@ -24,7 +24,7 @@
 		i = len(s.fleet)
 		s.fleet = append(s.fleet, fleet.Record{Service: c.Service})
 	}
-	if len(s.fleet[i].Orders) == 0 && c.Base != nil {
+	if c.Base != nil {
 		s.fleet[i].Base = c.Base
 	}
 	s.fleet[i].Put(c.Orders)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -84,6 +85,20 @@
 	return c[Place{hall, OnDemand}] + c[Place{hall, Spot}]
 }
 
+// Places returns the places with targets, in order.
+func (c Counts) Places() []Place {
+	var places []Place
+	for p, n := range c {
+		if n != 0 {
+			places = append(places, p)
+		}
+	}
+	slices.SortFunc(places, func(a, b Place) int {
+		return cmp.Or(cmp.Compare(a.DataHall, b.DataHall), cmp.Compare(a.Kind, b.Kind))
+	})
+	return places
+}
+
 // Total returns all targets.
 func (c Counts) Total() int {
 	total := 0
@@ -96,12 +111,9 @@
 // String lists the counts by place, for logs.
 func (c Counts) String() string {
 	var parts []string
-	for p, n := range c {
-		if n != 0 {
-			parts = append(parts, fmt.Sprintf("%s/%v:%d", p.DataHall, p.Kind, n))
-		}
+	for _, p := range c.Places() {
+		parts = append(parts, fmt.Sprintf("%s/%v:%d", p.DataHall, p.Kind, c[p]))
 	}
-	slices.Sort(parts)
 	return strings.Join(parts, " ")
 }
 
--- a/fleet/mover.go
+++ b/fleet/mover.go
@@ -50,6 +50,9 @@
 	Least   int    // the fewest targets that the load can do with
 	// Busy are the data halls for which a call is under way.
 	Busy map[string]bool
+	// Filling says that the list does not show all targets yet, as at the start
+	// of a site: nothing is ordered away then.
+	Filling bool
 	// Idle says that no request has come yet, so that nothing is lost when
 	// many targets change at once.
 	Idle bool
@@ -260,7 +263,7 @@
 // give. Spare is how many targets of all halls are there beyond those wanted;
 // what the order takes is taken from it.
 func (m *Mover) shrink(now time.Time, v *View, hall string, spare *int, stay Counts) (Step, bool) {
-	if at := m.shrunk[hall]; !at.IsZero() && now.Sub(at) < v.Scaling.Boot {
+	if at := m.shrunk[hall]; v.Filling || !at.IsZero() && now.Sub(at) < v.Scaling.Boot {
 		return Step{}, false
 	}
 	for _, kind := range []Kind{OnDemand, Spot} {
@@ -335,7 +338,7 @@
 		return now.Sub(s.sent) >= min(retryFirst<<min(s.retries-1, 8), retryLongest)
 	case s.differs.IsZero():
 		return false
-	case s.sent.IsZero():
+	case s.sent.IsZero(), s.stuckFor > 0:
 		return true
 	}
 	settle := (v.Scaling.Boot + listLag) << min(s.repeats, 3)
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -22,6 +22,12 @@
 	Load *Load
 }
 
+// Untouched reports whether no on-demand target has been ordered, so that all
+// that there are belong to Base.
+func (r *Record) Untouched() bool {
+	return !slices.ContainsFunc(r.Orders, func(o Order) bool { return o.Kind == OnDemand })
+}
+
 // HallCount is a number of targets in a data hall.
 type HallCount struct {
 	DataHall string
