--- a/fleet/mover.go
+++ b/fleet/mover.go
@@ -250,7 +250,7 @@
 		if count <= before || m.inDoubt(p) || now.Before(m.at(p).stuck) || v.small(count-before, hall) {
 			continue
 		}
-		booting := now.Sub(m.at(p).grown) < v.Scaling.Boot
+		booting := !v.Idle && now.Sub(m.at(p).grown) < v.Scaling.Boot
 		if booting && float64(count-before) < growAgain*float64(v.Ordered.Hall(hall)) {
 			continue
 		}
@@ -263,7 +263,7 @@
 // give. Spare is how many targets of all halls are there beyond those wanted;
 // what the order takes is taken from it.
 func (m *Mover) shrink(now time.Time, v *View, hall string, spare *int, stay Counts) (Step, bool) {
-	if at := m.shrunk[hall]; v.Filling || !at.IsZero() && now.Sub(at) < v.Scaling.Boot {
+	if at := m.shrunk[hall]; v.Filling || !v.Idle && !at.IsZero() && now.Sub(at) < v.Scaling.Boot {
 		return Step{}, false
 	}
 	for _, kind := range []Kind{OnDemand, Spot} {
