--- a/control/fleet_controller.go
+++ b/control/fleet_controller.go
@@ -354,7 +354,7 @@
 		began := time.Now()
 		outcome := c.call(ctx, step)
 		klog.InfoS("Targets ordered", "service", o.Service, "dataHall", o.DataHall, "kind", o.Kind, "count", o.Count, "before", step.Before,
-			"outcome", int(outcome), "ms", time.Since(began).Milliseconds())
+			"outcome", outcome, "ms", time.Since(began).Milliseconds())
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.ended = append(c.ended, endedCall{began: began, step: step, outcome: outcome})
--- a/control/state.go
+++ b/control/state.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/duty"
 	"github.com/walnutramp/walnutramp/fleet"
 	"github.com/walnutramp/walnutramp/internal/pack"
 	"github.com/walnutramp/walnutramp/rollout"
@@ -27,7 +28,9 @@
 	Rollout *RolloutOrder  `msgpack:"r,omitempty"`
 	Step    *RolloutStep   `msgpack:"p,omitempty"`
 
-	Fleet *FleetOrders `msgpack:"f,omitempty"`
+	Fleet   *FleetOrders  `msgpack:"f,omitempty"`
+	Grant   *duty.Grant   `msgpack:"g,omitempty"`
+	Release *duty.Release `msgpack:"l,omitempty"`
 }
 
 // Submit offers a bundle that was signed and checked.
@@ -115,6 +118,7 @@
 
 	rollouts rollouts
 	fleet    []fleet.Record // by service
+	duty     duty.Record
 }
 
 // NewState returns the state of a new group, before its first bundle.
@@ -146,6 +150,8 @@
 		return encode(s.settle(c.Settle, c.Now))
 	case c.Fleet != nil:
 		return encode(s.orderFleet(c.Fleet))
+	case c.Grant != nil, c.Release != nil:
+		return encode(s.applyDuty(index, &c))
 	}
 	return encode(s.applyRollout(index, &c))
 }
@@ -261,13 +267,14 @@
 
 	Versions rollout.View
 	Fleet    []fleet.Record
+	Duty     duty.Record
 }
 
 // Snapshot implements consensus.StateMachine.
 func (s *State) Snapshot() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	img := stateImage{Doc: s.doc, History: s.history, Deltas: s.deltas, Versions: s.rollouts.copyView(), Fleet: s.fleet}
+	img := stateImage{Doc: s.doc, History: s.history, Deltas: s.deltas, Versions: s.rollouts.copyView(), Fleet: s.fleet, Duty: s.duty}
 	for i, rec := range img.Versions.Records {
 		img.Versions.Records[i].Elapsed = s.rollouts.elapsed(rec)
 	}
@@ -293,6 +300,7 @@
 	}
 	s.restoreRollouts(img.Versions)
 	s.fleet = img.Fleet
+	s.duty = img.Duty
 	s.wake()
 	return nil
 }
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -35,6 +35,7 @@
 	member   *consensus.Member // nil for a proxy
 	server   *peer.Server
 	operator *http.Server
+	duties   *control.DutyHolder // nil where there are none
 }
 
 // startProxy serves operators without being a member: a machine without a
@@ -102,7 +103,11 @@
 	go relay.Run(p.ctx)
 	go control.NewIntroducer(p.peers, member, p.client).Run(p.ctx)
 	go control.NewJoiner(p.peers, self.Node, identity, member, p.client).Run(p.ctx)
-	p.replica = &replica{member: member, server: server}
+	duties := p.startDuties(self, member, answers)
+	if _, err := p.startFleet(member, answers, duties); err != nil {
+		return err
+	}
+	p.replica = &replica{member: member, server: server, duties: duties}
 	p.replica.operator, err = listen(s.OperatorAddr, p.adapter.Operator(&documents{client: p.client, member: member, limit: s.OperatorIn}))
 	return err
 }
@@ -126,8 +131,12 @@
 }
 
 func (r *replica) stop() {
+	r.releaseDuties()
 	ctx, cancel := context.WithTimeout(context.Background(), replicaFinish)
 	defer cancel()
+	if r.member != nil {
+		r.member.HandOver(ctx) // while it still answers, so that nobody waits for an election
+	}
 	r.operator.Shutdown(ctx)
 	if r.member != nil {
 		r.member.Close()
