--- a/control/fleet_controller.go
+++ b/control/fleet_controller.go
@@ -54,6 +54,8 @@
 	tally *fleet.Tally
 	ended []endedCall
 	busy  map[string]map[string]bool // data halls with a call under way, by service
+
+	figures map[string]*fleetFigures // by service
 }
 
 // endedCall is a call that an outcome is known of.
@@ -98,7 +100,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tally = fleet.NewTally()
-	c.ended, c.busy = nil, map[string]map[string]bool{}
+	c.ended, c.busy, c.figures = nil, map[string]map[string]bool{}, map[string]*fleetFigures{}
 }
 
 // readDocument learns which services' targets can be ordered.
@@ -283,6 +285,7 @@
 	plan := situation.Plan()
 	c.logSeen(service, &view, load)
 	view.Wanted, view.Least = plan.Wanted, situation.Least()
+	c.keepFigures(service, &view, plan.Method, load)
 	return decision{service: service, load: load, plan: plan, view: view, stuck: stuck, steps: mover.Next(now, &view)}
 }
 
@@ -316,6 +319,7 @@
 			return false
 		}
 		mover.Sent(e.began, e.step, e.outcome, boot)
+		c.figuresOf(service).count(e.outcome)
 		delete(c.busy[service], e.step.Order.DataHall)
 		return true
 	})
--- /dev/null
+++ b/control/fleet_metrics.go
@@ -0,0 +1,87 @@
+package control
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/walnutramp/walnutramp/duty"
+	"github.com/walnutramp/walnutramp/fleet"
+)
+
+// fleetFigures are what the newest look at a service's targets showed.
+type fleetFigures struct {
+	view     fleet.View
+	method   fleet.Method
+	load     *fleet.Load // to be ready for
+	recent   fleet.Load  // as it came over the last seconds
+	refused  uint64      // orders, for want of targets
+	unclear  uint64      // orders, without a clear answer
+	requests fleet.Demand
+}
+
+// WriteMetrics writes what the leader knows of the fleet in the Prometheus text
+// form; nothing on other members.
+func (c *FleetController) WriteMetrics(w io.Writer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for service, f := range c.figures {
+		f.write(w, service)
+	}
+}
+
+func (f *fleetFigures) write(w io.Writer, service string) {
+	label := fmt.Sprintf("service=%q", service)
+	writeCounts(w, "walnutramp_fleet_wanted", service, f.view.Wanted)
+	writeCounts(w, "walnutramp_fleet_ordered", service, f.view.Ordered)
+	writeCounts(w, "walnutramp_fleet_serving", service, f.view.Serving)
+	writeCounts(w, "walnutramp_fleet_leaving", service, f.view.Leaving)
+	for _, p := range f.view.Ordered.Places() {
+		booting := max(0, f.view.Ordered[p]-f.view.Serving[p])
+		fmt.Fprintf(w, "walnutramp_fleet_missing{%s,data_hall=%q,kind=%q} %d\n", label, p.DataHall, p.Kind, booting)
+		cost := f.view.Scaling.Cost(fleet.Counts{p: f.view.Serving[p] + f.view.Leaving[p]})
+		fmt.Fprintf(w, "walnutramp_fleet_cost_per_second{%s,data_hall=%q,kind=%q} %g\n", label, p.DataHall, p.Kind, cost)
+	}
+	fmt.Fprintf(w, "walnutramp_fleet_method{%s,method=%q} 1\n", label, f.method)
+	fmt.Fprintf(w, "walnutramp_fleet_orders_refused_total{%s} %d\n", label, f.refused)
+	fmt.Fprintf(w, "walnutramp_fleet_orders_unclear_total{%s} %d\n", label, f.unclear)
+	fmt.Fprintf(w, "walnutramp_fleet_requests_total{%s} %d\n", label, f.requests.Requests)
+	fmt.Fprintf(w, "walnutramp_fleet_requests_without_room_total{%s} %d\n", label, f.requests.Refused)
+	fmt.Fprintf(w, "walnutramp_fleet_load_came{%s} %g\n", label, f.recent.Reading)
+	if f.load != nil {
+		fmt.Fprintf(w, "walnutramp_fleet_load_expected{%s} %g\n", label, f.load.Reading)
+	}
+}
+
+func writeCounts(w io.Writer, name, service string, counts fleet.Counts) {
+	for _, p := range counts.Places() {
+		fmt.Fprintf(w, "%s{service=%q,data_hall=%q,kind=%q} %d\n", name, service, p.DataHall, p.Kind, counts[p])
+	}
+}
+
+// figuresOf returns the figures of a service. The caller holds the mutex.
+func (c *FleetController) figuresOf(service string) *fleetFigures {
+	if c.figures[service] == nil {
+		c.figures[service] = &fleetFigures{}
+	}
+	return c.figures[service]
+}
+
+// count counts what came of an order.
+func (f *fleetFigures) count(outcome duty.Outcome) {
+	switch outcome {
+	case duty.Rejected:
+		f.refused++
+	case duty.Unclear:
+		f.unclear++
+	}
+}
+
+// keepFigures keeps what a look showed.
+func (c *FleetController) keepFigures(service string, view *fleet.View, method fleet.Method, load *fleet.Load) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f := c.figuresOf(service)
+	f.view, f.method, f.load = *view, method, load
+	f.recent = c.forecasts[service].Recent()
+	f.requests, _ = c.tally.Of(service)
+}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -164,11 +164,7 @@
 	opts = append([]Option{WithNames(testNames)}, opts...)
 	budgets := balance.NewBudgets(balance.BudgetConfig{Ratio: 1, Slack: 200, Window: 10 * time.Second, Nodes: 1})
 	g := New(tracker, pool, budgets, func() {}, opts...)
-	var list []discovery.Target
-	for _, f := range targets {
-		list = append(list, f.listed())
-	}
-	tracker.Update(list)
+	tracker.Update(listed(targets))
 	g.SetTable(testTable())
 	s := &site{gateway: g, tracker: tracker, server: httptest.NewServer(g)}
 	t.Cleanup(s.server.Close)
@@ -187,3 +183,12 @@
 	}
 	return r
 }
+
+// listed returns targets as the site's list has them.
+func listed(targets []*fakeTarget) []discovery.Target {
+	var list []discovery.Target
+	for _, f := range targets {
+		list = append(list, f.listed())
+	}
+	return list
+}
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -101,4 +101,7 @@
 	if r.duties != nil {
 		r.duties.WriteMetrics(w)
 	}
+	if r.fleet != nil {
+		r.fleet.WriteMetrics(w)
+	}
 }
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -35,7 +35,8 @@
 	member   *consensus.Member // nil for a proxy
 	server   *peer.Server
 	operator *http.Server
-	duties   *control.DutyHolder // nil where there are none
+	duties   *control.DutyHolder      // nil where there are none
+	fleet    *control.FleetController // nil where no targets can be ordered
 }
 
 // startProxy serves operators without being a member: a machine without a
@@ -104,10 +105,11 @@
 	go control.NewIntroducer(p.peers, member, p.client).Run(p.ctx)
 	go control.NewJoiner(p.peers, self.Node, identity, member, p.client).Run(p.ctx)
 	duties := p.startDuties(self, member, answers)
-	if _, err := p.startFleet(member, answers, duties); err != nil {
+	fleet, err := p.startFleet(member, answers, duties)
+	if err != nil {
 		return err
 	}
-	p.replica = &replica{member: member, server: server, duties: duties}
+	p.replica = &replica{member: member, server: server, duties: duties, fleet: fleet}
 	p.replica.operator, err = listen(s.OperatorAddr, p.adapter.Operator(&documents{client: p.client, member: member, limit: s.OperatorIn}))
 	return err
 }
