--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -90,26 +90,39 @@
 	return most
 }
 
-// keep wants as many targets as there were, of the cheaper kind. What can't be
-// had in a hall is wanted in the others, of the cheaper kind as far as that
-// goes.
+// keep wants as many targets as there were in each hall. The kinds are those
+// of the load that these could bear. What can't be had in a hall is wanted in
+// the others.
 func (s *Situation) keep() Counts {
-	wanted := Counts{}
+	borne := *s
+	borne.Load = s.borne()
+	wanted := borne.cheapest(borne.reserve())
 	missing := 0
-	kind := s.cheapKind()
 	for _, hall := range s.halls() {
-		p := Place{hall, kind}
-		base := min(max(s.Base[hall], s.Scaling.Min), s.Scaling.Max)
-		wanted[p] = min(base, s.most(wanted, p))
-		missing += base - wanted[p]
+		p := Place{hall, s.cheapKind()}
+		short := max(0, min(s.Base[hall], s.Scaling.Max)-wanted.Hall(hall))
+		more := max(0, min(short, s.most(wanted, p)-wanted[p]))
+		wanted[p] += more
+		missing += short - more
 	}
-	for _, kind := range []Kind{kind, 1 - kind} {
+	for _, kind := range []Kind{s.cheapKind(), 1 - s.cheapKind()} {
 		missing -= s.spread(wanted, kind, missing)
 	}
 	s.fillUp(wanted)
 	return wanted
 }
 
+// borne returns the load that the targets there were could bear in a burst
+// after the loss of a hall: an operator who fixed their number had to see to
+// that.
+func (s *Situation) borne() *Load {
+	there := Counts{}
+	for hall, n := range s.Base {
+		there[Place{hall, OnDemand}] = n
+	}
+	return &Load{Reading: mostReading * float64(s.afterLoss(there)) / burstSize}
+}
+
 // spread adds up to n targets of a kind, each where there are fewest, and
 // returns how many it added.
 func (s *Situation) spread(wanted Counts, kind Kind, n int) int {
