--- a/cmd/walnutramp/explain.go
+++ b/cmd/walnutramp/explain.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp/explain"
@@ -11,7 +12,7 @@
 type explainCommand struct {
 	*program
 	Positional struct {
-		Request string   `positional-arg-name:"ID" required:"true" description:"the request's id, or a service whose roll-out is to be explained"`
+		Request string   `positional-arg-name:"ID" required:"true" description:"the request's id, a service whose roll-out is to be explained, token=N for a fencing token, or the number of a window of usage"`
 		Files   []string `positional-arg-name:"FILE" description:"log files of nodes; standard input if there is none"`
 	} `positional-args:"true"`
 }
@@ -22,16 +23,33 @@
 	if err != nil {
 		return err
 	}
+	if number, ok := strings.CutPrefix(c.Positional.Request, explain.TokenPrefix); ok {
+		return c.tellToken(lines, number)
+	}
 	story, ok := explain.Tell(lines, c.Positional.Request)
 	if ok {
 		story.Write(c.out)
 		return nil
 	}
 	rollout, ok := explain.TellRollout(lines, c.Positional.Request)
+	if ok {
+		rollout.Write(c.out)
+		return nil
+	}
+	window, ok := explain.TellWindow(lines, c.Positional.Request)
+	if !ok {
+		return errors.Newf("no log line names request %s, a roll-out of a service or a window of usage of that name", c.Positional.Request)
+	}
+	window.Write(c.out)
+	return nil
+}
+
+func (c *explainCommand) tellToken(lines []explain.Line, number string) error {
+	token, ok := explain.TellToken(lines, number)
 	if !ok {
-		return errors.Newf("no log line names request %s, or a roll-out of a service of that name", c.Positional.Request)
+		return errors.Newf("no log line names token %s", number)
 	}
-	rollout.Write(c.out)
+	token.Write(c.out)
 	return nil
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -31,6 +31,8 @@
 	Fleet   *FleetOrders  `msgpack:"f,omitempty"`
 	Grant   *duty.Grant   `msgpack:"g,omitempty"`
 	Release *duty.Release `msgpack:"l,omitempty"`
+
+	Close *CloseWindow `msgpack:"w,omitempty"`
 }
 
 // Submit offers a bundle that was signed and checked.
@@ -118,6 +120,7 @@
 
 	rollouts rollouts
 	fleet    []fleet.Record // by service
+	windows  windows
 	duty     duty.Record
 }
 
@@ -150,6 +153,8 @@
 		return encode(s.settle(c.Settle, c.Now))
 	case c.Fleet != nil:
 		return encode(s.orderFleet(c.Fleet))
+	case c.Close != nil:
+		return encode(s.windows.close(c.Close))
 	case c.Grant != nil, c.Release != nil:
 		return encode(s.applyDuty(index, &c))
 	}
@@ -267,6 +272,7 @@
 
 	Versions rollout.View
 	Fleet    []fleet.Record
+	Windows  *windows // nil where metering has not begun
 	Duty     duty.Record
 }
 
@@ -274,7 +280,10 @@
 func (s *State) Snapshot() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	img := stateImage{Doc: s.doc, History: s.history, Deltas: s.deltas, Versions: s.rollouts.copyView(), Fleet: s.fleet, Duty: s.duty}
+	img := stateImage{
+		Doc: s.doc, History: s.history, Deltas: s.deltas, Versions: s.rollouts.copyView(), Fleet: s.fleet, Duty: s.duty,
+		Windows: s.windows.image(),
+	}
 	for i, rec := range img.Versions.Records {
 		img.Versions.Records[i].Elapsed = s.rollouts.elapsed(rec)
 	}
@@ -300,6 +309,10 @@
 	}
 	s.restoreRollouts(img.Versions)
 	s.fleet = img.Fleet
+	s.windows = windows{}
+	if img.Windows != nil {
+		s.windows = *img.Windows
+	}
 	s.duty = img.Duty
 	s.wake()
 	return nil
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -37,6 +37,7 @@
 	operator *http.Server
 	duties   *control.DutyHolder      // nil where there are none
 	fleet    *control.FleetController // nil where no targets can be ordered
+	usage    *usage                   // nil where nothing is metered
 }
 
 // startProxy serves operators without being a member: a machine without a
@@ -83,6 +84,7 @@
 	server := peer.NewServer(self, &p.traffic)
 	answers := control.NewOpenServer(member, state, keeper, roster, control.WithLink(s.LinkMbps*bytesPerMbit), control.WithOrderPatience(s.OrderPatience))
 	relay := control.NewRelay(p.peers, self.Node, s.DataHall, member, answers)
+	metered := p.meterReplica(self, member, answers)
 	if s.Rollouts.Enabled() {
 		go control.NewRolloutController(member, answers, s.Rollouts).Run(p.ctx)
 	}
@@ -109,7 +111,13 @@
 	if err != nil {
 		return err
 	}
-	p.replica = &replica{member: member, server: server, duties: duties, fleet: fleet}
+	if err := p.reportUsage(metered, member, answers, duties); err != nil {
+		return err
+	}
+	if fleet != nil && metered != nil {
+		metered.reports.OnDemand(fleet.Take)
+	}
+	p.replica = &replica{member: member, server: server, duties: duties, usage: metered, fleet: fleet}
 	p.replica.operator, err = listen(s.OperatorAddr, p.adapter.Operator(&documents{client: p.client, member: member, limit: s.OperatorIn}))
 	return err
 }
