--- a/fleet/cost.go
+++ b/fleet/cost.go
@@ -24,32 +24,38 @@
 // which it is so.
 type event struct {
 	share float64
-	taken []Place // of spot targets
-	lost  string  // a data hall; empty for none
+	taken []string // data halls without spot targets
+	lost  bool     // all targets of the hall that is missed most
 }
 
-// left returns how many targets an event leaves.
-func (e *event) left(c Counts) int {
-	left := c.Total() - c.Hall(e.lost)
-	for _, p := range e.taken {
-		if p.DataHall != e.lost {
-			left -= c[p]
+// left returns how many targets an event leaves of some in data halls.
+func (e *event) left(halls []string, c Counts) int {
+	left, largest := 0, 0
+	for _, hall := range halls {
+		there := c.Hall(hall)
+		if slices.Contains(e.taken, hall) {
+			there = c[Place{hall, OnDemand}]
 		}
+		left += there
+		largest = max(largest, there)
+	}
+	if e.lost {
+		left -= largest
 	}
 	return left
 }
 
 // events lists what may be missing: the spot targets of any halls, and all
-// targets of one hall at the same time.
+// targets of one hall at the same time. Any hall may be lost; the one that is
+// missed most is counted, so that no hall holds much more than another.
 func (s *Situation) events() []event {
 	halls := s.halls()
 	events := []event{{share: 1}}
 	for _, hall := range halls {
-		for _, e := range events[:len(events):len(events)] {
-			with := event{share: e.share * s.Risks.Reclaim, taken: append(slices.Clone(e.taken), Place{hall, Spot})}
-			events = append(events, with)
-		}
-		for i := range events[:len(events)/2] {
+		for i := range events {
+			e := &events[i]
+			taken := append(slices.Clone(e.taken), hall)
+			events = append(events, event{share: e.share * s.Risks.Reclaim, taken: taken})
 			events[i].share *= 1 - s.Risks.Reclaim
 		}
 	}
@@ -57,9 +63,7 @@
 		return events // no target elsewhere would make up for a hall
 	}
 	for _, e := range slices.Clone(events) {
-		for _, hall := range halls {
-			events = append(events, event{share: e.share * s.Risks.HallLost, taken: e.taken, lost: hall})
-		}
+		events = append(events, event{share: e.share * min(1, s.Risks.HallLost*float64(len(halls))), taken: e.taken, lost: true})
 	}
 	return events
 }
@@ -80,11 +84,11 @@
 // costs returns what expected works out, for many counts.
 func (s *Situation) costs() func(Counts) float64 {
 	usual, burst := s.Engine.needOf(*s.Load), s.Engine.needOf(s.Load.scaled(burstSize))
-	events, price := s.events(), s.price()
+	halls, events, price := s.halls(), s.events(), s.price()
 	return func(c Counts) float64 {
 		lost := 0.0
 		for _, e := range events {
-			left := float64(e.left(c))
+			left := float64(e.left(halls, c))
 			lost += e.share * ((1-s.Risks.Burst)*usual.loss(left) + s.Risks.Burst*burst.loss(left))
 		}
 		return s.Scaling.Cost(c) + price*lost
--- a/fleet/mover.go
+++ b/fleet/mover.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -34,9 +35,12 @@
 	// shrinkPatience, in boot times, is for how long fewer targets must have
 	// been wanted: one that is ordered away and missed then boots anew.
 	shrinkPatience = 2
-	// reclaimedShare is below which part of the ordered spot targets still
-	// there the others were taken away, and did not just end.
-	reclaimedShare = 0.25
+	// backShare is the part of the ordered spot targets from which on they are
+	// held to be there again after they were taken away.
+	backShare = 0.75
+	// drainTime is for how long targets that were ordered away may be on the
+	// list as leaving.
+	drainTime = 20 * time.Second
 )
 
 // View is what a Mover goes by.
@@ -93,6 +97,8 @@
 	stuck     time.Time // until when no more are to be had
 	stuckFor  time.Duration
 	reclaimed bool // its spot targets are being taken away
+	lowered   int  // targets that were ordered away lately
+	loweredAt time.Time
 }
 
 // NewMover returns a mover of a service's targets that has ordered nothing.
@@ -108,27 +114,44 @@
 }
 
 // Look takes what the list shows beside what is ordered. It returns where
-// spot targets have begun to be taken away.
+// spot targets have begun to be taken away. All of a place are taken together:
+// those that the list still shows as serving there have crashed or will leave,
+// so the view counts them no more.
 func (m *Mover) Look(now time.Time, v *View) (reclaimed []Place) {
+	v.Serving = maps.Clone(v.Serving)
 	for p, ordered := range v.Ordered {
 		s := m.at(p)
-		if v.Serving[p] == ordered {
-			s.differs, s.repeats, s.reclaimed = time.Time{}, 0, false
-			continue
-		}
-		if s.differs.IsZero() {
-			s.differs = now
-		}
-		gone := float64(v.Serving[p]) < reclaimedShare*float64(ordered) && v.Leaving[p] > 0
-		if p.Kind == Spot && gone && !s.reclaimed {
+		if s.takenAway(now, p, v) && !s.reclaimed {
 			s.reclaimed = true
 			s.refused(now, v.Scaling.Boot)
 			reclaimed = append(reclaimed, p)
 		}
+		if s.reclaimed && v.Leaving[p] == 0 && float64(v.Serving[p]) >= backShare*float64(ordered) {
+			s.reclaimed = false
+		}
+		if s.reclaimed {
+			delete(v.Serving, p)
+		}
+		switch {
+		case v.Serving[p] == ordered:
+			s.differs, s.repeats = time.Time{}, 0
+		case s.differs.IsZero():
+			s.differs = now
+		}
 	}
 	return reclaimed
 }
 
+// takenAway reports whether more spot targets of a place leave than were
+// ordered away.
+func (s *placeState) takenAway(now time.Time, p Place, v *View) bool {
+	lowered := 0
+	if now.Sub(s.loweredAt) < drainTime {
+		lowered = s.lowered
+	}
+	return p.Kind == Spot && v.Leaving[p] > lowered && v.Serving[p] < v.Ordered[p]
+}
+
 // refused notes that no more targets are to be had, and holds that for a
 // while that grows.
 func (s *placeState) refused(now time.Time, boot time.Duration) {
@@ -163,6 +186,7 @@
 		}
 		if step.Order.Count < step.Before {
 			m.shrunk[step.Order.DataHall] = at
+			s.lower(at, step.Before-step.Order.Count)
 		}
 	case duty.Rejected:
 		s.retries = 0
@@ -172,6 +196,15 @@
 	}
 }
 
+// lower notes that targets were ordered away.
+func (s *placeState) lower(at time.Time, n int) {
+	if at.Sub(s.loweredAt) >= drainTime {
+		s.lowered = 0
+	}
+	s.lowered += n
+	s.loweredAt = at
+}
+
 // Next returns the orders to be given now, one for each data hall at most.
 func (m *Mover) Next(now time.Time, v *View) []Step {
 	stay := v.staying()
@@ -205,11 +238,11 @@
 	}
 }
 
-// mostWanted returns the most targets that were wanted in a place lately.
-func (m *Mover) mostWanted(p Place) int {
+// mostWanted returns the most targets that were wanted in a data hall lately.
+func (m *Mover) mostWanted(hall string) int {
 	most := 0
 	for _, w := range m.wanted {
-		most = max(most, w.counts[p])
+		most = max(most, w.counts.Hall(hall))
 	}
 	return most
 }
@@ -270,9 +303,6 @@
 		p, other := Place{hall, kind}, Place{hall, 1 - kind}
 		before := v.Ordered[p]
 		over := before - v.Wanted[p]
-		if !v.Idle {
-			over = before - m.mostWanted(p)
-		}
 		if over <= 0 || m.inDoubt(p) || m.inDoubt(other) || now.Before(m.at(p).stuck) {
 			continue
 		}
@@ -285,7 +315,7 @@
 			may = min(stay.Total()-v.Least, v.part(hall))
 		}
 		if !v.Idle {
-			may = min(may, v.part(hall))
+			may = min(may, v.part(hall), v.Ordered.Hall(hall)-m.mostWanted(hall))
 		}
 		may = min(may, v.Ordered.Hall(hall)-v.Scaling.Min)
 		over = min(over, may)
