--- a/fleet/cost.go
+++ b/fleet/cost.go
@@ -16,6 +16,10 @@
 	// lateWorth is what is lost where they come, but later, or without a copy
 	// to go on from.
 	lateWorth = 1.0
+	// evenShare is how many times the mean of the halls one of them may have. A
+	// larger one takes more runs down with it, and the others have no room for
+	// the copies that these go on from.
+	evenShare = 1.2
 	// burstSize is how many times the requests come in a burst.
 	burstSize = 2.0
 )
@@ -25,29 +29,26 @@
 type event struct {
 	share float64
 	taken []string // data halls without spot targets
-	lost  bool     // all targets of the hall that is missed most
+	lost  string   // a data hall without any; empty for none
 }
 
 // left returns how many targets an event leaves of some in data halls.
 func (e *event) left(halls []string, c Counts) int {
-	left, largest := 0, 0
+	left := 0
 	for _, hall := range halls {
-		there := c.Hall(hall)
-		if slices.Contains(e.taken, hall) {
-			there = c[Place{hall, OnDemand}]
+		switch {
+		case hall == e.lost:
+		case slices.Contains(e.taken, hall):
+			left += c[Place{hall, OnDemand}]
+		default:
+			left += c.Hall(hall)
 		}
-		left += there
-		largest = max(largest, there)
-	}
-	if e.lost {
-		left -= largest
 	}
 	return left
 }
 
 // events lists what may be missing: the spot targets of any halls, and all
-// targets of one hall at the same time. Any hall may be lost; the one that is
-// missed most is counted, so that no hall holds much more than another.
+// targets of one hall at the same time.
 func (s *Situation) events() []event {
 	halls := s.halls()
 	events := []event{{share: 1}}
@@ -63,11 +64,23 @@
 		return events // no target elsewhere would make up for a hall
 	}
 	for _, e := range slices.Clone(events) {
-		events = append(events, event{share: e.share * min(1, s.Risks.HallLost*float64(len(halls))), taken: e.taken, lost: true})
+		for _, hall := range halls {
+			events = append(events, event{share: e.share * s.Risks.HallLost, taken: e.taken, lost: hall})
+		}
 	}
 	return events
 }
 
+// uneven returns by how many targets halls are larger than evenShare allows.
+func uneven(halls []string, c Counts) float64 {
+	bound := evenShare * float64(c.Total()) / float64(len(halls))
+	excess := 0.0
+	for _, hall := range halls {
+		excess += math.Max(0, float64(c.Hall(hall))-bound)
+	}
+	return excess
+}
+
 // price returns the mean price of an on-demand target.
 func (s *Situation) price() float64 {
 	sum := 0.0
@@ -91,7 +104,7 @@
 			left := float64(e.left(halls, c))
 			lost += e.share * ((1-s.Risks.Burst)*usual.loss(left) + s.Risks.Burst*burst.loss(left))
 		}
-		return s.Scaling.Cost(c) + price*lost
+		return s.Scaling.Cost(c) + price*(lost+lateWorth*uneven(halls, c))
 	}
 }
 
--- a/fleet/need.go
+++ b/fleet/need.go
@@ -74,7 +74,7 @@
 	// sells them promises nothing; where they were taken away there are none for
 	// a while, and the next hall may follow before these are back, also while the
 	// control group can't order others.
-	assumedReclaimed = 0.2
+	assumedReclaimed = 0.25
 	// assumedBurst is the part in which half as many requests again and more
 	// come, without notice.
 	assumedBurst = 0.1
