--- a/fleet/mover.go
+++ b/fleet/mover.go
@@ -303,7 +303,8 @@
 		p, other := Place{hall, kind}, Place{hall, 1 - kind}
 		before := v.Ordered[p]
 		over := before - v.Wanted[p]
-		if over <= 0 || m.inDoubt(p) || m.inDoubt(other) || now.Before(m.at(p).stuck) {
+		grows := !v.Idle && now.Sub(m.at(p).grown) < v.Scaling.Boot
+		if over <= 0 || grows || m.inDoubt(p) || m.inDoubt(other) || now.Before(m.at(p).stuck) {
 			continue
 		}
 		if v.Wanted[p] > 0 && v.small(over, hall) {
