--- a/fleet/mover.go
+++ b/fleet/mover.go
@@ -278,7 +278,8 @@
 	for _, kind := range kinds {
 		p := Place{hall, kind}
 		before := v.Ordered[p]
-		room := v.Scaling.Max - v.Ordered[Place{hall, 1 - kind}]
+		other := Place{hall, 1 - kind}
+		room := v.Scaling.Max - max(v.Ordered[other], v.Serving[other]) // one ordered away late still counts
 		count := min(v.Wanted[p], room)
 		if count <= before || m.inDoubt(p) || now.Before(m.at(p).stuck) || v.small(count-before, hall) {
 			continue
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -90,22 +90,24 @@
 	return most
 }
 
-// keep wants as many targets as there were in each hall. The kinds are those
-// of the load that these could bear. What can't be had in a hall is wanted in
-// the others.
+// keep wants as many targets as there were in each hall, of the kinds that
+// suit the load that these could bear. What can't be had in a hall is wanted
+// in the others.
 func (s *Situation) keep() Counts {
 	borne := *s
 	borne.Load = s.borne()
-	wanted := borne.cheapest(borne.reserve())
+	kinds := borne.cheapest(borne.reserve())
+	wanted := Counts{}
 	missing := 0
+	cheap := s.cheapKind()
 	for _, hall := range s.halls() {
-		p := Place{hall, s.cheapKind()}
-		short := max(0, min(s.Base[hall], s.Scaling.Max)-wanted.Hall(hall))
-		more := max(0, min(short, s.most(wanted, p)-wanted[p]))
-		wanted[p] += more
-		missing += short - more
+		p, other := Place{hall, cheap}, Place{hall, 1 - cheap}
+		base := min(max(s.Base[hall], s.Scaling.Min), s.Scaling.Max)
+		wanted[other] = min(base, kinds[other])
+		wanted[p] = min(base-wanted[other], s.most(wanted, p))
+		missing += base - wanted.Hall(hall)
 	}
-	for _, kind := range []Kind{s.cheapKind(), 1 - s.cheapKind()} {
+	for _, kind := range []Kind{cheap, 1 - cheap} {
 		missing -= s.spread(wanted, kind, missing)
 	}
 	s.fillUp(wanted)
