--- a/control/fleet_controller.go
+++ b/control/fleet_controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -48,6 +49,7 @@
 	forecasts map[string]*fleet.Forecast
 	calls     sync.WaitGroup
 	settling  map[string]time.Time // by service, when the list last showed more targets than were known
+	plans     map[string]planned   // by service
 	seenAt    time.Time            // when what the list shows was told
 
 	mu    sync.Mutex
@@ -97,6 +99,7 @@
 // forget drops what this member saw as the leader.
 func (c *FleetController) forget() {
 	c.movers, c.forecasts, c.settling = map[string]*fleet.Mover{}, map[string]*fleet.Forecast{}, map[string]time.Time{}
+	c.plans = map[string]planned{}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tally = fleet.NewTally()
@@ -282,13 +285,30 @@
 		Scaling: scalable.Scaling, Engine: scalable.Engine, Risks: fleet.AssumedRisks(),
 		Base: record.BaseCounts(), Load: load, Stuck: stuck,
 	}
-	plan := situation.Plan()
+	plan := c.plan(service, situation)
 	c.logSeen(service, &view, load)
 	view.Wanted, view.Least = plan.Wanted, situation.Least()
 	c.keepFigures(service, &view, plan.Method, load)
 	return decision{service: service, load: load, plan: plan, view: view, stuck: stuck, steps: mover.Next(now, &view)}
 }
 
+// planned is a plan with what it went by.
+type planned struct {
+	situation fleet.Situation
+	plan      fleet.Plan
+}
+
+// plan returns the plan for a situation. It is worked out anew only when that
+// has changed: the search takes some milliseconds, many times a second.
+func (c *FleetController) plan(service string, s fleet.Situation) fleet.Plan {
+	last, known := c.plans[service]
+	if !known || !reflect.DeepEqual(last.situation, s) {
+		last = planned{situation: s, plan: s.Plan()}
+		c.plans[service] = last
+	}
+	return last.plan
+}
+
 func (c *FleetController) mover(service string) *fleet.Mover {
 	if c.movers[service] == nil {
 		c.movers[service] = fleet.NewMover(service)
