--- a/fleet/cost.go
+++ b/fleet/cost.go
@@ -120,13 +120,13 @@
 // cost is convex, so a search by single places and by all halls at once ends
 // near its least; what it finds is never dearer than the guess.
 func (s *Situation) cheapest(guess Counts) Counts {
-	cost := s.costs()
+	cost, base := s.costs(), s.base()
 	best, least := maps.Clone(guess), cost(guess)
 	for _, step := range steps {
 		for improved := true; improved; {
 			improved = false
 			for _, change := range s.changes(step) {
-				next, ok := s.changed(best, change)
+				next, ok := s.changed(best, change, base)
 				if !ok {
 					continue
 				}
@@ -172,13 +172,13 @@
 }
 
 // changed returns counts with a change made; false if they may not be so.
-func (s *Situation) changed(c, change Counts) (Counts, bool) {
+func (s *Situation) changed(c, change, base Counts) (Counts, bool) {
 	next := maps.Clone(c)
 	for p, n := range change {
 		next[p] += n
 	}
 	for p := range change {
-		if next[p] < 0 || next[p] > s.most(next, p) || next.Hall(p.DataHall) < min(c.Hall(p.DataHall), s.Scaling.Min) {
+		if next[p] < base[p] || next[p] > s.most(next, p) || next.Hall(p.DataHall) < min(c.Hall(p.DataHall), s.Scaling.Min) {
 			return nil, false
 		}
 	}
--- a/fleet/need.go
+++ b/fleet/need.go
@@ -70,11 +70,10 @@
 	// assumedLost is rather the part of the time in which a hall's targets have
 	// just been lost and their work is being made up for elsewhere.
 	assumedLost = 0.1
-	// assumedReclaimed is the part in which a hall has no spot targets. Who
-	// sells them promises nothing; where they were taken away there are none for
-	// a while, and the next hall may follow before these are back, also while the
-	// control group can't order others.
-	assumedReclaimed = 0.25
+	// assumedReclaimed is the part in which a hall has no spot targets: who
+	// sells them promises nothing, and where they were taken away there are none
+	// for a while.
+	assumedReclaimed = 0.1
 	// assumedBurst is the part in which half as many requests again and more
 	// come, without notice.
 	assumedBurst = 0.1
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -165,7 +165,7 @@
 // reserve wants comfortable room for the load after the loss of any one hall,
 // of the cheaper kind as far as that goes.
 func (s *Situation) reserve() Counts {
-	wanted := Counts{}
+	wanted := s.base()
 	s.fillUp(wanted)
 	comfort := int(math.Ceil(s.Engine.needOf(*s.Load).comfort))
 	for _, kind := range []Kind{s.cheapKind(), 1 - s.cheapKind()} {
@@ -176,6 +176,24 @@
 	return wanted
 }
 
+// base returns the on-demand targets that each hall has at least where there
+// are spot ones: so many that they serve the load alone, without any to spare,
+// when all spot targets are gone and a hall is lost. One hall after the other may
+// lose its spot targets while the control group can't order others.
+func (s *Situation) base() Counts {
+	base := Counts{}
+	if s.cheapKind() == OnDemand {
+		return base
+	}
+	halls := s.halls()
+	each := int(math.Ceil(s.Load.Reading / float64(max(1, len(halls)-1))))
+	for _, hall := range halls {
+		p := Place{hall, OnDemand}
+		base[p] = min(each, s.most(base, p))
+	}
+	return base
+}
+
 // bear adds what the load can't do without.
 func (s *Situation) bear(wanted Counts) {
 	missing := s.Engine.Least(*s.Load) - wanted.Total()
