--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -50,6 +50,7 @@
 	bytes  *peer.Traffic
 	cancel context.CancelFunc
 
+	answers    *control.Server
 	timekeeper *control.Timekeeper
 }
 
@@ -153,6 +154,7 @@
 	keeper := control.NewKeeper(name, raft)
 	m := &fleetMember{name: name, disk: disk, peers: peers, raft: raft, roster: control.NewRoster(), server: peer.NewServer(self, traffic), bytes: traffic}
 	answers := control.NewOpenServer(raft, state, keeper, m.roster, control.WithLink(memberLink))
+	m.answers = answers
 	hall := hallOf(len(fl.members))
 	relay := control.NewRelay(peers, name, hall, raft, answers)
 	require.NoError(fl.t, m.server.Register(consensus.Service, raft.Handler()))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,6 +112,7 @@
 
 	startOnce sync.Once
 
+	demands   demands
 	pending   pendingRuns
 	exchanges exchanges
 
@@ -251,6 +252,7 @@
 	}
 	defer g.buffered.Add(-int64(len(c.body)))
 	g.budgets.Of(c.service).Earn()
+	g.noteDemand(c)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	if c.route.Kind == Stream {
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -113,6 +113,9 @@
 	options = append(options, gateway.WithMetering(counter))
 	g = gateway.New(targets, pool, budgets, poller.Soon, options...)
 	p.entry = &entry{gateway: g, pool: pool, agent: agent, counter: counter}
+	if s.Scales {
+		p.client.WithDemand(g.Demand)
+	}
 	conn, err := net.ListenPacket("udp", s.PeerListen)
 	if err != nil {
 		return err
