A vote that reaches a member after Close is no fault of its disk

Cause: the successor's call for votes meets a member that is just closing; its log is closed, the write failed, and the process was ended with the code of a faulty disk in the middle of its planned stop. Test fails first: TestClosedMemberDoesNotReportAFaultyDisk (log write: file already closed). Also: a report is converted, not copied field by field (staticcheck).

--- a/consensus/commit_test.go
+++ b/consensus/commit_test.go
@@ -56,6 +56,25 @@
 	}
 }
 
+// A member that has been closed takes no vote; its log is closed, too, which is
+// no fault of the disk.
+func TestClosedMemberDoesNotReportAFaultyDisk(t *testing.T) {
+	group := Group{Voters: []Voter{{Node: "a", Identity: Founder}, {Node: "b", Identity: Founder}}}
+	fatal := make(chan error, 1)
+	m, err := New("a", Founder, memfs.New(), group, nobody{}, &recorder{}, WithOnFatal(func(err error) { fatal <- err }))
+	require.NoError(t, err)
+	m.Start()
+	m.Close()
+	var reply VoteReply
+	require.NoError(t, m.Handler().Vote(VoteArgs{Term: 9, Candidate: "b", Identity: Founder, To: Founder}, &reply))
+	require.False(t, reply.Granted)
+	select {
+	case err := <-fatal:
+		t.Fatal(err)
+	case <-time.After(50 * time.Millisecond):
+	}
+}
+
 func TestDamagedCommitNoteIsPassedOver(t *testing.T) {
 	fs := memfs.New()
 	store, err := openStorage(fs, Group{})
--- a/consensus/member.go
+++ b/consensus/member.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/wal"
@@ -138,6 +139,9 @@
 	}()
 }
 
+// errClosed is why a closed member takes nothing any more.
+var errClosed = errors.New("member closed")
+
 // Close ends the member at once, as a crash would.
 func (m *Member) Close() {
 	m.cancel()
@@ -145,6 +149,11 @@
 	m.stepDown(m.store.ballot.Term, "")
 	m.mu.Unlock()
 	m.tasks.Wait()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.dead == nil {
+		m.dead = errClosed // calls that come now must not reach the closed log
+	}
 	m.store.log.Close()
 }
 
--- a/control/reports.go
+++ b/control/reports.go
@@ -90,8 +90,7 @@
 		reply.Code, reply.Leader = walnutramp.CodeNoLeader, s.member.Leader()
 		return nil
 	}
-	report := NodeReport{Node: args.Node, Life: args.Life, Usage: args.Usage, Demand: args.Demand}
-	s.reports.take([]NodeReport{report})
+	s.reports.take([]NodeReport{NodeReport(args)})
 	reply.Code, reply.To, reply.Closed = walnutramp.CodeOK, s.reports.id, s.state.newestClosed()
 	return nil
 }
