--- a/balance/leaving.go
+++ b/balance/leaving.go
@@ -36,7 +36,7 @@
 func (t *Tracker) WhyLeft(c Choice) Reason {
 	excluded := c.Exclude
 	c.Exclude = func(target *Target) bool {
-		return t.afar(target) || excluded != nil && excluded(target)
+		return t.inOtherRegion(target) || excluded != nil && excluded(target)
 	}
 	switch {
 	case t.Pick(c) == nil:
--- a/balance/regions.go
+++ b/balance/regions.go
@@ -8,8 +8,8 @@
 
 // Between regions a request takes longer, each event is at the mercy of a long
 // link, and what the nodes there have begun is known later. So a request leaves
-// its region only where that lets it begin well sooner, and another region lends
-// engines only while its own callers don't need them.
+// its region only where that lets it begin well sooner, and another region takes
+// what spills over only while its own callers don't need its engines.
 
 const (
 	// regionShare is the part of its aim by which a new stream must begin sooner
@@ -18,15 +18,15 @@
 	// assumedRoundTrip is the way to another region and back while none was
 	// measured, in milliseconds: links within a country take some 10 ms each way.
 	assumedRoundTrip = 25.0
-	// sharedFateCost is what speaks against a copy in the region of its run, in
+	// sameRegionCost is what speaks against a copy in the region of its run, in
 	// milliseconds of waiting: a region's engines may be lost together, and then a
 	// run without a copy elsewhere is silent for as long as its prompt is read. It
 	// outweighs a busy engine, not a full one.
-	sharedFateCost = 1000.0
-	// lendShare is the part of a region's engines that may have prompts to read
-	// before it lends none to other regions: with the rest its own callers find
-	// an idle engine until word of what came from afar is there.
-	lendShare = 0.7
+	sameRegionCost = 1000.0
+	// spillShare is the part of a region's engines that may have prompts to read
+	// before it takes no new streams of other regions: at the rest its own callers
+	// find an idle engine while word of what came from elsewhere is on its way.
+	spillShare = 0.7
 )
 
 // SetRegionLag says by how much longer it takes until nodes of other regions
@@ -37,14 +37,14 @@
 	t.regionLag = lag
 }
 
-// afar reports whether a target is in another region than this node.
-func (t *Tracker) afar(target *Target) bool {
+// inOtherRegion reports whether a target is in another region than this node.
+func (t *Tracker) inOtherRegion(target *Target) bool {
 	return t.cfg.Topology.Several() && t.cfg.Topology.Distance(target.DataHall) == topology.OtherRegion
 }
 
-// sharesFate reports whether a copy would be kept in the region of its run, on a
+// inRegionOfRun reports whether a copy would be kept in the region of its run, on a
 // site of several.
-func (t *Tracker) sharesFate(c *Choice, holder *Target) bool {
+func (t *Tracker) inRegionOfRun(c *Choice, holder *Target) bool {
 	return c.Copy && c.OtherHall != "" && t.cfg.Topology.Several() &&
 		t.cfg.Topology.Between(c.OtherHall, holder.DataHall) != topology.OtherRegion
 }
@@ -91,10 +91,10 @@
 	return doubtCost + regionShare*float64(c.Aim.Milliseconds())
 }
 
-// lendingRegions returns the regions that take new runs from others, by name: a
-// region lends while few of its engines have prompts to read. Nil where every
-// target may be taken. The caller holds the mutex.
-func (t *Tracker) lendingRegions(c *Choice, taken map[*Target]*occupancy, now time.Time) map[string]bool {
+// spillRegions returns the regions that take new runs from others, by name: those
+// few of whose engines have prompts to read. Nil where every target may be taken.
+// The caller holds the mutex.
+func (t *Tracker) spillRegions(c *Choice, taken map[*Target]*occupancy, now time.Time) map[string]bool {
 	if !c.Admission || !t.cfg.Topology.Several() {
 		return nil
 	}
@@ -109,14 +109,14 @@
 			reading[region]++
 		}
 	}
-	lending := map[string]bool{}
+	taking := map[string]bool{}
 	for region, n := range engines {
-		lending[region] = float64(reading[region]) < lendShare*float64(n)
+		taking[region] = float64(reading[region]) < spillShare*float64(n)
 	}
-	return lending
+	return taking
 }
 
-// keptForOwn reports whether a target is kept for the callers of its own region.
-func (t *Tracker) keptForOwn(target *Target, lending map[string]bool) bool {
-	return lending != nil && t.afar(target) && !lending[t.cfg.Topology.Region(target.DataHall)]
+// reserved reports whether a target is kept for the callers of its own region.
+func (t *Tracker) reserved(target *Target, taking map[string]bool) bool {
+	return taking != nil && t.inOtherRegion(target) && !taking[t.cfg.Topology.Region(target.DataHall)]
 }
--- a/balance/regions_test.go
+++ b/balance/regions_test.go
@@ -114,9 +114,9 @@
 	require.Equal(t, "east", tracker.region(tracker.Pick(Choice{Service: "s"})))
 }
 
-// A region whose own callers need its engines lends none; a stream that has
-// begun goes on there all the same.
-func TestBusyRegionLendsNoEngines(t *testing.T) {
+// A region whose own callers need its engines takes no new streams of others; one
+// that has begun goes on there all the same.
+func TestBusyRegionTakesNoSpill(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tracker := regionTracker(4)
 		tracker.fill("east-a", 4, 4)
@@ -128,7 +128,7 @@
 		}
 		tracker.fill("west-a", 4, 1)
 		tracker.fill("west-b", 4, 1)
-		require.Equal(t, "east", tracker.region(tracker.Pick(regionDraft())), "nobody lends: it waits at home")
+		require.Equal(t, "east", tracker.region(tracker.Pick(regionDraft())), "no region takes it: it waits in its own")
 		resumed := regionDraft()
 		resumed.Admission = false
 		resumed.FailedHalls = map[string]int{"east-a": 1}
--- a/balance/rivals.go
+++ b/balance/rivals.go
@@ -53,7 +53,7 @@
 		}
 	}
 	lag := t.newsLag
-	if t.cfg.Topology.Several() && len(candidates) > 0 && t.afar(slices.MinFunc(candidates, byScore).target) {
+	if t.cfg.Topology.Several() && len(candidates) > 0 && t.inOtherRegion(slices.MinFunc(candidates, byScore).target) {
 		lag += t.regionLag
 	}
 	wholeRuns := float64(lag.Milliseconds()) / max(shortestRunMS, t.paceOf(c.Service).wholeMS.value)
--- a/balance/score.go
+++ b/balance/score.go
@@ -85,7 +85,7 @@
 		return nil
 	}
 	c.usualHold = usualHold(&c, taken)
-	lending := t.lendingRegions(&c, taken, now)
+	taking := t.spillRegions(&c, taken, now)
 	var candidates []candidate
 	for _, target := range t.service[c.Service] {
 		if !target.open(now) || c.Exclude != nil && c.Exclude(target) {
@@ -94,7 +94,7 @@
 		o := taken[target]
 		if o != nil {
 			o.backlog = target.backlog(o.runs, now)
-			if !target.fits(&c, o, now) || t.keptForOwn(target, lending) {
+			if !target.fits(&c, o, now) || t.reserved(target, taking) {
 				continue
 			}
 		}
@@ -172,7 +172,7 @@
 // comes late. Besides, what other nodes have just begun there is known later
 // than what they began in the own hall.
 func (t *Tracker) farCost(choice *Choice, target *Target, now time.Time) float64 {
-	if t.afar(target) {
+	if t.inOtherRegion(target) {
 		return t.regionCost(choice, target.DataHall, now)
 	}
 	if choice.Work == (Work{}) {
@@ -209,8 +209,8 @@
 	if t.DataHall != cfg.DataHall {
 		score += t.tracker.farCost(c, t, now)
 	}
-	if t.tracker.sharesFate(c, t) {
-		score += sharedFateCost
+	if t.tracker.inRegionOfRun(c, t) {
+		score += sameRegionCost
 	}
 	return t.rest(c, now, score)
 }
