--- a/balance/regions.go
+++ b/balance/regions.go
@@ -71,9 +71,7 @@
 // The caller holds the mutex.
 func (t *Tracker) regionCost(c *Choice, hall string, now time.Time) float64 {
 	if c.Work == (Work{}) {
-		// In the measure of slotWait, where slotCost stands for a whole request.
-		requests := t.roundTripMS(hall, now) / max(shortestRunMS, t.paceOf(c.Service).wholeMS.value)
-		return t.cfg.FarSlotCost + slotCost*requests
+		return t.cfg.FarSlotCost + t.roundTripMS(hall, now)
 	}
 	if c.Copy {
 		return t.cfg.FarCost // nobody waits for a copy, however long its way
