--- a/balance/regions_test.go
+++ b/balance/regions_test.go
@@ -79,7 +79,7 @@
 	lookup := Choice{Service: "s"}
 	leaves := func(near, far int) bool {
 		tracker := regionTracker(1)
-			for range near {
+		for range near {
 			tracker.byID["east-a-0"].Begin(Work{}, Trace{})
 			tracker.byID["east-b-0"].Begin(Work{}, Trace{})
 		}
