--- a/balance/score.go
+++ b/balance/score.go
@@ -85,6 +85,7 @@
 		return nil
 	}
 	c.usualHold = usualHold(&c, taken)
+	lending := t.lendingRegions(&c, taken, now)
 	var candidates []candidate
 	for _, target := range t.service[c.Service] {
 		if !target.open(now) || c.Exclude != nil && c.Exclude(target) {
@@ -93,18 +94,18 @@
 		o := taken[target]
 		if o != nil {
 			o.backlog = target.backlog(o.runs, now)
-			if !target.fits(&c, o, now) {
+			if !target.fits(&c, o, now) || t.keptForOwn(target, lending) {
 				continue
 			}
 		}
 		s := target.score(&c, o, affinity{home: target == home, keeps: target == keeper}, now)
 		if doubtful[target.DataHall] {
 			target.doubted = now
-			s += doubtCost
+			s += t.doubtCost(&c)
 		}
 		candidates = append(candidates, candidate{target: target, score: s})
 	}
-	best := t.draw(candidates, t.rivals(&c, taken), t.readMS(c.Service, c.Work.Read))
+	best := t.draw(candidates, t.rivals(&c, taken, candidates), t.readMS(c.Service, c.Work.Read))
 	if best != nil {
 		t.turn++
 		best.turn = t.turn
@@ -170,7 +171,10 @@
 // between halls lose packets now and then, and every event that is sent anew
 // comes late. Besides, what other nodes have just begun there is known later
 // than what they began in the own hall.
-func (t *Tracker) farCost(choice *Choice) float64 {
+func (t *Tracker) farCost(choice *Choice, target *Target, now time.Time) float64 {
+	if t.afar(target) {
+		return t.regionCost(choice, target.DataHall, now)
+	}
 	if choice.Work == (Work{}) {
 		return t.cfg.FarSlotCost
 	}
@@ -203,7 +207,10 @@
 		score += t.engineWait(c, o, tie, now)
 	}
 	if t.DataHall != cfg.DataHall {
-		score += t.tracker.farCost(c)
+		score += t.tracker.farCost(c, t, now)
+	}
+	if t.tracker.sharesFate(c, t) {
+		score += sharedFateCost
 	}
 	return t.rest(c, now, score)
 }
--- a/control/state.go
+++ b/control/state.go
@@ -11,6 +11,7 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/duty"
+	"github.com/walnutramp/walnutramp/fleet"
 	"github.com/walnutramp/walnutramp/internal/pack"
 	"github.com/walnutramp/walnutramp/rollout"
 	"k8s.io/klog/v2"
@@ -27,6 +28,7 @@
 	Rollout *RolloutOrder  `msgpack:"r,omitempty"`
 	Step    *RolloutStep   `msgpack:"p,omitempty"`
 
+	Fleet   *FleetOrders  `msgpack:"f,omitempty"`
 	Grant   *duty.Grant   `msgpack:"g,omitempty"`
 	Release *duty.Release `msgpack:"l,omitempty"`
 
@@ -117,6 +119,7 @@
 	changed chan struct{} // closed when a bundle is accepted, or the view of versions changes
 
 	rollouts rollouts
+	fleet    []fleet.Record // by service
 	windows  windows
 	duty     duty.Record
 }
@@ -148,6 +151,8 @@
 		return encode(s.claim(c.Claim, c.Now))
 	case c.Settle != nil:
 		return encode(s.settle(c.Settle, c.Now))
+	case c.Fleet != nil:
+		return encode(s.orderFleet(c.Fleet))
 	case c.Close != nil:
 		return encode(s.windows.close(c.Close))
 	case c.Grant != nil, c.Release != nil:
@@ -266,6 +271,7 @@
 	Entries []Entry
 
 	Versions rollout.View
+	Fleet    []fleet.Record
 	Windows  *windows // nil where metering has not begun
 	Duty     duty.Record
 }
@@ -275,7 +281,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	img := stateImage{
-		Doc: s.doc, History: s.history, Deltas: s.deltas, Versions: s.rollouts.copyView(), Duty: s.duty, Windows: s.windows.image(),
+		Doc: s.doc, History: s.history, Deltas: s.deltas, Versions: s.rollouts.copyView(), Fleet: s.fleet, Duty: s.duty,
+		Windows: s.windows.image(),
 	}
 	for i, rec := range img.Versions.Records {
 		img.Versions.Records[i].Elapsed = s.rollouts.elapsed(rec)
@@ -301,6 +308,7 @@
 		s.ledger[k] = img.Entries[i]
 	}
 	s.restoreRollouts(img.Versions)
+	s.fleet = img.Fleet
 	s.windows = windows{}
 	if img.Windows != nil {
 		s.windows = *img.Windows
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,8 +53,9 @@
 	Metering *metering.Counter
 
 	// Find learns of runs of a key that other nodes had, where this node does
-	// not know them anyway; nil if it always does.
-	Find func(ctx context.Context, key string)
+	// not know them anyway; nil if it always does. Again says that the client has part
+	// of the answer: there was such a run.
+	Find func(ctx context.Context, key string, again bool)
 }
 
 // Option sets a field of Config.
@@ -83,7 +84,7 @@
 func WithCopies(on bool) Option { return func(c *Config) { c.Copies = on } }
 
 // WithFind sets what learns of runs of a key that other nodes had.
-func WithFind(find func(ctx context.Context, key string)) Option {
+func WithFind(find func(ctx context.Context, key string, again bool)) Option {
 	return func(c *Config) { c.Find = find }
 }
 
@@ -111,6 +112,7 @@
 
 	startOnce sync.Once
 
+	demands   demands
 	pending   pendingRuns
 	exchanges exchanges
 
@@ -250,6 +252,7 @@
 	}
 	defer g.buffered.Add(-int64(len(c.body)))
 	g.budgets.Of(c.service).Earn()
+	g.noteDemand(c)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	if c.route.Kind == Stream {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/targetconn"
+	"github.com/walnutramp/walnutramp/topology"
 )
 
 // testNames is a dialect of the tests' own.
@@ -158,17 +159,19 @@
 
 func newSite(t *testing.T, targets []*fakeTarget, opts ...Option) *site {
 	t.Helper()
-	tracker := balance.NewTracker(balance.WithSeed(1), balance.WithDataHall("north"), balance.WithFarCost(1000, 1000))
+	return newSiteOf(t, topology.Map{}, targets, opts...)
+}
+
+// newSiteOf returns a site whose data halls are in the regions of a map.
+func newSiteOf(t *testing.T, regions topology.Map, targets []*fakeTarget, opts ...Option) *site {
+	t.Helper()
+	tracker := balance.NewTracker(balance.WithSeed(1), balance.WithDataHall("north"), balance.WithFarCost(1000, 1000), balance.WithTopology(regions))
 	pool := targetconn.NewPool(targetconn.WithIdentityHeader("X-Id"))
 	t.Cleanup(pool.Close)
 	opts = append([]Option{WithNames(testNames)}, opts...)
 	budgets := balance.NewBudgets(balance.BudgetConfig{Ratio: 1, Slack: 200, Window: 10 * time.Second, Nodes: 1})
 	g := New(tracker, pool, budgets, func() {}, opts...)
-	var list []discovery.Target
-	for _, f := range targets {
-		list = append(list, f.listed())
-	}
-	tracker.Update(list)
+	tracker.Update(listed(targets))
 	g.SetTable(testTable())
 	s := &site{gateway: g, tracker: tracker, server: httptest.NewServer(g)}
 	t.Cleanup(s.server.Close)
@@ -187,3 +190,12 @@
 	}
 	return r
 }
+
+// listed returns targets as the site's list has them.
+func listed(targets []*fakeTarget) []discovery.Target {
+	var list []discovery.Target
+	for _, f := range targets {
+		list = append(list, f.listed())
+	}
+	return list
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -50,7 +50,7 @@
 func (g *Gateway) stream(ctx context.Context, w http.ResponseWriter, c *call) {
 	r := &relay{gateway: g, call: c, w: w, flush: http.NewResponseController(w)}
 	if g.cfg.Find != nil {
-		g.cfg.Find(ctx, c.key)
+		g.cfg.Find(ctx, c.key, c.again)
 	}
 	if c.again {
 		if at, name := g.targets.FindCopy(c.key); at != nil {
@@ -86,6 +86,7 @@
 	r.copy = nil
 	if from != nil && from.at.Usable() && r.gateway.mayGoOn(r.call, from.at) {
 		r.gateway.watch(r.call, from.at)
+		r.gateway.noteRegion(r.call, from.at, func() balance.Reason { return balance.ReasonCopy })
 		if end := r.run(ctx, from.at, from); end != endTurned {
 			return end
 		}
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -85,6 +85,9 @@
 	fmt.Fprintf(w, "walnutramp_sharing_sent_bytes_total %d\n", s.Bytes)
 	fmt.Fprintf(w, "walnutramp_sharing_told_whole_total %d\n", s.Whole)
 	fmt.Fprintf(w, "walnutramp_sharing_relays_left_total %d\n", s.Silent)
+	for region, bytes := range s.RegionBytes {
+		fmt.Fprintf(w, "walnutramp_sharing_region_sent_bytes_total{from=%q,to=%q} %d\n", s.Region, region, bytes)
+	}
 }
 
 func (r *replica) writeMetrics(w io.Writer) {
@@ -99,8 +102,20 @@
 	fmt.Fprintf(w, "walnutramp_control_commit_index %d\n", s.Commit)
 	fmt.Fprintf(w, "walnutramp_control_voters %d\n", s.Group.Counted())
 	fmt.Fprintf(w, "walnutramp_control_members %d\n", len(s.Group.Voters))
+	did := r.member.Stats()
+	fmt.Fprintf(w, "walnutramp_control_elected_total %d\n", did.Elected)
+	fmt.Fprintf(w, "walnutramp_control_deposed_total %d\n", did.Deposed)
+	fmt.Fprintf(w, "walnutramp_control_handed_over_total{why=\"asked\"} %d\n", did.HandedOver)
+	fmt.Fprintf(w, "walnutramp_control_handed_over_total{why=\"nearer\"} %d\n", did.HandedNearer)
+	fmt.Fprintf(w, "walnutramp_control_hand_overs_failed_total %d\n", did.HandOverFails)
+	for node, trip := range r.member.Trips() {
+		fmt.Fprintf(w, "walnutramp_control_round_trip_seconds{member=%q} %.6f\n", node, trip.Seconds())
+	}
 	r.usage.writeMetrics(w)
 	if r.duties != nil {
 		r.duties.WriteMetrics(w)
 	}
+	if r.fleet != nil {
+		r.fleet.WriteMetrics(w)
+	}
 }
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -35,8 +35,9 @@
 	member   *consensus.Member // nil for a proxy
 	server   *peer.Server
 	operator *http.Server
-	usage    *usage              // nil where nothing is metered
-	duties   *control.DutyHolder // nil where there are none
+	duties   *control.DutyHolder      // nil where there are none
+	fleet    *control.FleetController // nil where no targets can be ordered
+	usage    *usage                   // nil where nothing is metered
 }
 
 // startProxy serves operators without being a member: a machine without a
@@ -106,10 +107,17 @@
 	go control.NewIntroducer(p.peers, member, p.client).Run(p.ctx)
 	go control.NewJoiner(p.peers, self.Node, identity, member, p.client).Run(p.ctx)
 	duties := p.startDuties(self, member, answers)
+	fleet, err := p.startFleet(member, answers, duties)
+	if err != nil {
+		return err
+	}
 	if err := p.reportUsage(metered, member, answers, duties); err != nil {
 		return err
 	}
-	p.replica = &replica{member: member, server: server, duties: duties, usage: metered}
+	if fleet != nil && metered != nil {
+		metered.reports.OnDemand(fleet.Take)
+	}
+	p.replica = &replica{member: member, server: server, duties: duties, usage: metered, fleet: fleet}
 	p.replica.operator, err = listen(s.OperatorAddr, p.adapter.Operator(&documents{client: p.client, member: member, limit: s.OperatorIn}))
 	return err
 }
--- a/topology/topology.go
+++ b/topology/topology.go
@@ -20,10 +20,15 @@
 type Map struct {
 	hall    string
 	regions map[string]string // by data hall
+	several bool              // there is more than one region
 }
 
 // New returns the map of a data hall; regions names each hall's region.
-func New(hall string, regions map[string]string) Map { return Map{hall: hall, regions: regions} }
+func New(hall string, regions map[string]string) Map {
+	m := Map{hall: hall, regions: regions}
+	m.several = len(m.Regions()) > 1
+	return m
+}
 
 // Hall returns the own data hall.
 func (m Map) Hall() string { return m.hall }
@@ -33,17 +38,24 @@
 
 // Distance returns how far a data hall is from the own one. A hall whose
 // region is not known is held to be in the own region.
-func (m Map) Distance(hall string) Distance {
-	own, other := m.regions[m.hall], m.regions[hall]
+func (m Map) Distance(hall string) Distance { return m.Between(m.hall, hall) }
+
+// Between returns how far two data halls are from each other. Where a region is
+// not known, they are held to be in the same one.
+func (m Map) Between(a, b string) Distance {
+	in, other := m.regions[a], m.regions[b]
 	switch {
-	case hall == m.hall:
+	case a == b:
 		return SameHall
-	case own == other || own == "" || other == "":
+	case in == other || in == "" || other == "":
 		return SameRegion
 	}
 	return OtherRegion
 }
 
+// OwnRegion returns the region of the own data hall, empty where it is not known.
+func (m Map) OwnRegion() string { return m.regions[m.hall] }
+
 // Regions returns the names of all regions, sorted.
 func (m Map) Regions() []string {
 	var names []string
@@ -57,4 +69,4 @@
 }
 
 // Several reports whether there is more than one region.
-func (m Map) Several() bool { return len(m.Regions()) > 1 }
+func (m Map) Several() bool { return m.several }
