--- a/fleet/cost.go
+++ b/fleet/cost.go
@@ -116,9 +116,9 @@
 // steps are by how many targets a search goes on, the large ones first.
 var steps = []int{16, 4, 1}
 
-// cheapest searches for the least expected cost, from a first guess on. The
-// cost is convex, so a search by single places and by all halls at once ends
-// near its least; what it finds is never dearer than the guess.
+// cheapest searches for the least expected cost, from a first guess on, by
+// single places, by pairs and by all halls at once. What it finds is never
+// dearer than the guess.
 func (s *Situation) cheapest(guess Counts) Counts {
 	cost, base := s.costs(), s.base()
 	best, least := maps.Clone(guess), cost(guess)
