--- a/duty/gate.go
+++ b/duty/gate.go
@@ -8,7 +8,7 @@
 // Pauses after calls that the platform did not take or answer. They double from
 // the first to the longest, and a part of each is drawn.
 const (
-	firstPause   = 100 * time.Millisecond // a lost answer delays a call hardly
+	firstPause   = 100 * time.Millisecond // one lost answer hardly delays the next call
 	longestPause = 2 * time.Second        // calls are paid for; due times are seconds away
 )
 
