Read through by someone new: an idle node holds no window up, a planned stop's release has its time, rejections belong to one window

Cause, each found by reading: a node whose last rows were closed told nothing, so the next window waited for it (TestIdleNodeIsNotSilent fails before); the wait for a call without an answer took all of a stop's time (TestReleaseLeavesTimeForItsWord fails before); rejections of one window counted for the next, and a window given up counted as told; what explain looked for was never logged so; the reason of a request that leaves its region was worked out by a choice that changed later ones; a leader that hands over preferred members whose distance is not known. Also one agree in place of four, one search of lines in place of two, an unused method out, terms in their table.

--- a/balance/leaving.go
+++ b/balance/leaving.go
@@ -1,6 +1,10 @@
 package balance
 
-import "github.com/walnutramp/walnutramp/topology"
+import (
+	"time"
+
+	"github.com/walnutramp/walnutramp/topology"
+)
 
 // Reason says why a request leaves its region.
 type Reason string
@@ -32,6 +36,22 @@
 	return m.Region(a), m.Region(b), true
 }
 
+// takes reports whether any target takes a request. It changes nothing that
+// later choices go by.
+func (t *Tracker) takes(c Choice) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	taken := t.occupancies(&c, now)
+	taking := t.spillRegions(&c, taken, now)
+	for _, target := range t.service[c.Service] {
+		if t.mayTake(target, &c, taken[target], taking, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // WhyLeft says why a choice fell on a target in another region.
 func (t *Tracker) WhyLeft(c Choice) Reason {
 	excluded := c.Exclude
@@ -39,7 +59,7 @@
 		return t.inOtherRegion(target) || excluded != nil && excluded(target)
 	}
 	switch {
-	case t.Pick(c) == nil:
+	case !t.takes(c):
 		return ReasonNoRoom
 	case len(c.FailedHalls) > 0:
 		return ReasonFailed
--- a/balance/score.go
+++ b/balance/score.go
@@ -88,15 +88,9 @@
 	taking := t.spillRegions(&c, taken, now)
 	var candidates []candidate
 	for _, target := range t.service[c.Service] {
-		if !target.open(now) || c.Exclude != nil && c.Exclude(target) {
-			continue
-		}
 		o := taken[target]
-		if o != nil {
-			o.backlog = target.backlog(o.runs, now)
-			if !target.fits(&c, o, now) || t.reserved(target, taking) {
-				continue
-			}
+		if !t.mayTake(target, &c, o, taking, now) {
+			continue
 		}
 		s := target.score(&c, o, affinity{home: target == home, keeps: target == keeper}, now)
 		if doubtful[target.DataHall] {
@@ -113,6 +107,19 @@
 	return best
 }
 
+// mayTake reports whether a target may be given the request: it is open, has
+// room, and is not kept for its own region. The caller holds the mutex.
+func (t *Tracker) mayTake(target *Target, c *Choice, o *occupancy, taking map[string]bool, now time.Time) bool {
+	if !target.open(now) || c.Exclude != nil && c.Exclude(target) {
+		return false
+	}
+	if o == nil {
+		return true
+	}
+	o.backlog = target.backlog(o.runs, now)
+	return target.fits(c, o, now) && !t.reserved(target, taking)
+}
+
 // Expected predicts the time to the first event at a target, for whoever
 // compares it with what came.
 func (t *Tracker) Expected(c Choice, at *Target) time.Duration {
--- a/consensus/handover.go
+++ b/consensus/handover.go
@@ -107,8 +107,9 @@
 	if p.match != other.match {
 		return p.match > other.match
 	}
-	if trip, others := m.tripTo(p.node), m.tripTo(other.node); trip != others {
-		return trip < others
+	trip, others := m.tripTo(p.node), m.tripTo(other.node)
+	if trip != others {
+		return others == 0 || trip != 0 && trip < others // 0 is not known
 	}
 	return p.node < other.node
 }
--- a/consensus/placement.go
+++ b/consensus/placement.go
@@ -16,7 +16,7 @@
 
 // Bounds of hand-overs to a better placed member.
 const (
-	pingEvery     = 5 * time.Second // six members: 6 calls a second in all
+	pingEvery     = 5 * time.Second // six members: 5 calls a second in all
 	placeEvery    = time.Second
 	betterShare   = 0.7                  // of the leader's own round trip to a majority that another's must be below
 	betterBy      = 3 * time.Millisecond // and by so much: halls of one region differ by less
--- a/consensus/trip.go
+++ b/consensus/trip.go
@@ -13,8 +13,8 @@
 	// heartbeats a second the mean follows a change of the way within a second,
 	// and one lost packet does not move it much.
 	tripWeight = 0.125
-	// tripLife is how long a mean counts without a newer round trip: members
-	// that do not lead measure only when they ask for votes.
+	// tripLife is how long a mean counts without a newer round trip: a member
+	// that was out of reach for so long may come back by another way.
 	tripLife = time.Minute
 	// electionTrips is how many round trips to a majority an election timeout
 	// lasts at least. A heartbeat takes one, its repetition by TCP after a loss
--- a/control/duty_holder_test.go
+++ b/control/duty_holder_test.go
@@ -47,10 +47,10 @@
 	return ok
 }
 
-func (g *fakeGroup) Agree(_ context.Context, c Command) bool {
+func (g *fakeGroup) Agree(ctx context.Context, c Command) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.leads || g.silent {
+	if !g.leads || g.silent || ctx.Err() != nil {
 		return false
 	}
 	g.index++
@@ -273,6 +273,21 @@
 	}
 }
 
+// A planned stop has little time: a call without an answer must not take all of
+// it, so that the group learns of the release.
+func TestReleaseLeavesTimeForItsWord(t *testing.T) {
+	playDuty(t, false, func(t *testing.T, h *DutyHolder, g *fakeGroup) {
+		p := &fakePlatform{outcomes: []duty.Outcome{duty.Unclear}, takes: callLimit}
+		go h.Do(t.Context(), p.call("s", "x"))
+		time.Sleep(100 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		h.Release(ctx)
+		require.Equal(t, []duty.Release{{Token: 1, Pending: true}}, g.released)
+		time.Sleep(callLimit)
+	})
+}
+
 // The way to the platform is cut, the way to the group is not: the duty moves,
 // and less often the more members can't reach the platform.
 func TestHolderThatCanNotReachThePlatformHandsOver(t *testing.T) {
--- a/control/duty_release.go
+++ b/control/duty_release.go
@@ -28,7 +28,11 @@
 	h.mu.Lock()
 	h.stopped = true
 	h.mu.Unlock()
-	h.steps <- struct{}{}
+	select {
+	case h.steps <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
 	defer func() { <-h.steps }()
 	if !h.group.Leads() {
 		return
@@ -59,9 +63,14 @@
 	klog.InfoS("Duty released", "token", token, "pending", pending, "unreachable", unreachable, "agreed", ok)
 }
 
-// drain waits until no call is under way.
+// drain waits until no call is under way. Half of the time that the caller has
+// is left for the word to the group.
 func (h *DutyHolder) drain(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, drainLimit)
+	limit := drainLimit
+	if end, ok := ctx.Deadline(); ok {
+		limit = min(limit, time.Until(end)/2)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for h.underWay() > 0 {
 		if !pause.For(ctx, drainEvery) {
--- a/control/fleet_controller.go
+++ b/control/fleet_controller.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/consensus"
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/duty"
@@ -50,7 +49,7 @@
 	calls     sync.WaitGroup
 	settling  map[string]time.Time // by service, when the list last showed more targets than were known
 	plans     map[string]planned   // by service
-	seenAt    time.Time            // when what the list shows was told
+	seenAt    map[string]time.Time // when what the list shows was logged, by service
 
 	mu    sync.Mutex
 	tally *fleet.Tally
@@ -99,7 +98,7 @@
 // forget drops what this member saw as the leader.
 func (c *FleetController) forget() {
 	c.movers, c.forecasts, c.settling = map[string]*fleet.Mover{}, map[string]*fleet.Forecast{}, map[string]time.Time{}
-	c.plans = map[string]planned{}
+	c.plans, c.seenAt = map[string]planned{}, map[string]time.Time{}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tally = fleet.NewTally()
@@ -162,17 +161,10 @@
 	return serving, leaving
 }
 
-// agree has the group agree on orders; false if that is not known to have come
-// about.
+// agree has the group agree on orders.
 func (c *FleetController) agree(ctx context.Context, orders FleetOrders) bool {
-	ctx, cancel := context.WithTimeout(ctx, stepLimit)
-	defer cancel()
-	var reply DoReply
-	if err := c.server.propose(ctx, Command{Fleet: &orders}, &reply); err != nil {
-		klog.ErrorS(err, "Orders of targets not handed to the group")
-		return false
-	}
-	return reply.Code == walnutramp.CodeOK
+	_, ok := c.server.agree(ctx, Command{Fleet: &orders})
+	return ok
 }
 
 // observe returns the load to be ready for: as nodes tell it or, before they
@@ -337,7 +329,8 @@
 	if outcome == duty.Rejected && !step.Repeats() {
 		before := step.Order
 		before.Count = step.Before
-		c.agree(ctx, FleetOrders{Service: before.Service, Orders: []fleet.Order{before}})
+		taken := c.agree(ctx, FleetOrders{Service: before.Service, Orders: []fleet.Order{before}})
+		klog.InfoS("Order of targets taken back", "service", before.Service, "dataHall", before.DataHall, "kind", before.Kind, "agreed", taken)
 	}
 	return outcome
 }
@@ -353,9 +346,9 @@
 // logSeen tells what the list shows, beside what is ordered, every now and
 // then.
 func (c *FleetController) logSeen(service string, view *fleet.View, load *fleet.Load) {
-	if time.Since(c.seenAt) < seenEvery {
+	if time.Since(c.seenAt[service]) < seenEvery {
 		return
 	}
-	c.seenAt = time.Now()
+	c.seenAt[service] = time.Now()
 	klog.InfoS("Fleet seen", "service", service, "ordered", view.Ordered, "serving", view.Serving, "leaving", view.Leaving, "load", load)
 }
--- a/control/report_client.go
+++ b/control/report_client.go
@@ -55,6 +55,7 @@
 	life   uint64 // names this process
 	to     uint64 // who had the reports last, as it named itself
 	toldAt time.Time
+	openAt time.Time               // when there were last rows of open windows; zero for never
 	demand map[string]fleet.Demand // as last told
 	sent   []fleet.Demand          // in the report under way
 	asked  walnutramp.NodeName     // who was told last
@@ -88,11 +89,21 @@
 	news, open := len(t.newDemand()) > 0, false
 	if u := t.client.usage; u != nil {
 		newRows, openRows := u.Waiting()
-		news, open = news || newRows, openRows
+		news, open = news || newRows, t.metered(openRows)
 	}
 	return news || open && (t.to == 0 || time.Since(t.toldAt) >= tellAnyway)
 }
 
+// metered reports whether there are rows of open windows, or were within the
+// time for which the members wait for a node that falls silent: one that merely
+// has no requests goes on telling, so that no window is held up by it.
+func (t *teller) metered(open bool) bool {
+	if open {
+		t.openAt = time.Now()
+	}
+	return open || !t.openAt.IsZero() && time.Since(t.openAt) < silentFor
+}
+
 // newDemand returns the demand that has changed since it was told.
 func (t *teller) newDemand() []fleet.Demand {
 	if t.client.demand == nil {
--- a/control/reports_test.go
+++ b/control/reports_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -79,6 +81,27 @@
 	require.Equal(t, rows, told.Demand)
 }
 
+// A node that merely has no requests goes on telling for as long as a silent one
+// is waited for, so that it holds no window up.
+func TestIdleNodeIsNotSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &taker{id: 1}
+		teller, counter := newTestTeller(p, nil)
+		counter.Count("a", time.Now())
+		teller.tell(t.Context(), time.Second)
+		counter.Closed(math.MaxUint32)
+		calls := len(p.asked)
+		for range 10 {
+			time.Sleep(tellAnyway)
+			teller.tell(t.Context(), time.Second)
+		}
+		require.Equal(t, calls+10, len(p.asked))
+		time.Sleep(silentFor)
+		teller.tell(t.Context(), time.Second)
+		require.Equal(t, calls+10, len(p.asked), "nobody waits for it any more")
+	})
+}
+
 func TestNodeTellsAnotherMemberWhereOneIsSilent(t *testing.T) {
 	p := &taker{id: 1, down: true}
 	teller, counter := newTestTeller(p, nil)
--- a/control/rollout_controller.go
+++ b/control/rollout_controller.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/consensus"
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/internal/pause"
@@ -143,7 +142,7 @@
 		if _, known := view.Of(service); known {
 			continue
 		}
-		_, ok := c.agree(ctx, Command{Known: &KnownVersions{Service: service, Versions: versions}})
+		_, ok := c.server.agree(ctx, Command{Known: &KnownVersions{Service: service, Versions: versions}})
 		klog.InfoS("Versions noted", "service", service, "versions", versions, "agreed", ok)
 		complete = complete && ok
 	}
@@ -167,19 +166,6 @@
 	return versions
 }
 
-// agree has the group agree on a command; false if that is not known to have
-// come about.
-func (c *RolloutController) agree(ctx context.Context, command Command) (Result, bool) {
-	ctx, cancel := context.WithTimeout(ctx, stepLimit)
-	defer cancel()
-	var reply DoReply
-	if err := c.server.propose(ctx, command, &reply); err != nil {
-		klog.ErrorS(err, "Command not handed to the group")
-		return Result{}, false
-	}
-	return reply.Result, reply.Code == walnutramp.CodeOK
-}
-
 // controlAll takes every running roll-out a step further.
 func (c *RolloutController) controlAll(ctx context.Context, view rollout.View) {
 	for _, rec := range view.Records {
@@ -191,7 +177,7 @@
 			continue
 		}
 		command := RolloutStep{Service: rec.Service, Number: rec.Number, State: step.State, Stage: step.Stage, Elapsed: elapsed, Reason: step.Reason}
-		if r, ok := c.agree(ctx, Command{Step: &command}); ok {
+		if r, ok := c.server.agree(ctx, Command{Step: &command}); ok {
 			c.agreed(rec, r.Rollout)
 		}
 	}
--- a/control/server.go
+++ b/control/server.go
@@ -256,6 +256,19 @@
 	return nil
 }
 
+// agree has the group agree on a command of the leader's own; false if that is
+// not known to have come about.
+func (s *Server) agree(ctx context.Context, c Command) (Result, bool) {
+	ctx, cancel := context.WithTimeout(ctx, stepLimit)
+	defer cancel()
+	var reply DoReply
+	if err := s.propose(ctx, c, &reply); err != nil {
+		klog.ErrorS(err, "Command not handed to the group")
+		return Result{}, false
+	}
+	return reply.Result, reply.Code == walnutramp.CodeOK
+}
+
 // History implements the RPC for the accepted bundles.
 func (s *Server) History(_ HistoryArgs, reply *HistoryReply) error {
 	reply.Accepted = s.state.History()
--- a/control/usage_controller.go
+++ b/control/usage_controller.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/consensus"
 	"github.com/walnutramp/walnutramp/duty"
 	"github.com/walnutramp/walnutramp/groupclock"
@@ -70,6 +69,7 @@
 type UsageStats struct {
 	Closed   uint64 // windows that this member has closed
 	Told     uint64 // windows that this member has told the platform of
+	GivenUp  uint64 // windows that the platform rejected again and again
 	Failures uint64 // calls that were not known to be carried out
 	Untold   int    // windows that the platform was not told of, as far as is noted
 	Oldest   metering.Window
@@ -183,50 +183,60 @@
 	c.stats.Closed++
 }
 
-// agree has the group agree on a command; false if that is not known to have
-// come about.
+// agree has the group agree on a command about windows.
 func (c *UsageController) agree(ctx context.Context, command CloseWindow) bool {
-	ctx, cancel := context.WithTimeout(ctx, stepLimit)
-	defer cancel()
-	var reply DoReply
-	if err := c.server.propose(ctx, Command{Close: &command}, &reply); err != nil {
-		klog.ErrorS(err, "Command not handed to the group")
-		return false
-	}
-	return reply.Code == walnutramp.CodeOK
+	_, ok := c.server.agree(ctx, Command{Close: &command})
+	return ok
 }
 
 // tellAlways tells the platform of closed windows, in order. A window is told
 // again until the platform has it; the counts are those in the log.
 func (c *UsageController) tellAlways(ctx context.Context) {
-	rejected := 0
+	var rejected rejections
 	for pause.For(ctx, callEvery) {
 		next, ok := c.nextUntold()
 		if !ok || !c.caller.Held() {
 			continue
 		}
 		outcome := c.tell(ctx, next)
-		if outcome == duty.Rejected {
-			rejected++
-		}
-		if outcome == duty.Done || rejected >= mostRejected {
-			c.noteTelling(next.Window, outcome)
-			rejected = 0
-			continue
+		switch {
+		case outcome == duty.Done:
+			c.noteEnded(next.Window, true)
+		case outcome == duty.Rejected && rejected.of(next.Window) >= mostRejected:
+			klog.InfoS("Window given up", "window", next.Window, "why", "the platform rejects it")
+			c.noteEnded(next.Window, false)
+		default:
+			c.noteFailure(outcome)
 		}
-		c.noteFailure(outcome)
 	}
 }
 
-// noteTelling notes that a window is not told again by this member.
-func (c *UsageController) noteTelling(w metering.Window, o duty.Outcome) {
-	if o == duty.Rejected {
-		klog.InfoS("Window given up: the platform rejects it", "window", w)
+// rejections count how often the platform has rejected a window.
+type rejections struct {
+	window metering.Window
+	times  int
+}
+
+// of counts one more rejection of a window and returns how many there were.
+func (r *rejections) of(w metering.Window) int {
+	if r.window != w {
+		*r = rejections{window: w}
 	}
+	r.times++
+	return r.times
+}
+
+// noteEnded notes that a window is not told again by this member: the platform
+// has it, or it is given up.
+func (c *UsageController) noteEnded(w metering.Window, told bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.told = w
-	c.stats.Told++
+	if told {
+		c.stats.Told++
+	} else {
+		c.stats.GivenUp++
+	}
 }
 
 func (c *UsageController) noteFailure(o duty.Outcome) {
--- a/control/windows.go
+++ b/control/windows.go
@@ -58,7 +58,7 @@
 	}
 	if len(w.Untold) > mostUntold {
 		oldest := w.Untold[0].Window
-		klog.InfoS("Window given up: too many wait for the platform", "window", oldest)
+		klog.InfoS("Window given up", "window", oldest, "why", "too many wait for the platform")
 		w.forget(oldest)
 	}
 	return Result{Code: walnutramp.CodeOK}
--- a/duty/lease.go
+++ b/duty/lease.go
@@ -64,9 +64,6 @@
 // Until is when the lease ends, before another's call by Slack.
 func (l *Lease) Until() time.Time { return l.asked.Add(l.cfg.Lease - l.cfg.Slack) }
 
-// Asked is when the lease was last confirmed.
-func (l *Lease) Asked() time.Time { return l.asked }
-
 // Granted reports whether the newest grant is this process's.
 func (l *Lease) Granted() bool {
 	return l.record.Token != 0 && l.record.Holder == l.self && !l.record.Released
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -86,20 +86,27 @@
 // Tell tells the story of a request; false if no line names it.
 func Tell(lines []Line, request string) (Story, bool) {
 	story := Story{Request: request}
-	for _, l := range lines {
-		if l.Fields["request"] == request {
-			story.Lines = append(story.Lines, l)
-		}
-	}
+	story.Lines = linesOf(lines, "request", request)
 	if len(story.Lines) == 0 {
 		return story, false
 	}
-	inOrder(story.Lines)
 	story.Context = context(lines, story.Lines)
 	story.Cause, story.Advice = cause(&story)
 	return story, true
 }
 
+// linesOf returns the lines whose field has a value, in order of time.
+func linesOf(lines []Line, field, value string) []Line {
+	var found []Line
+	for _, l := range lines {
+		if l.Fields[field] == value {
+			found = append(found, l)
+		}
+	}
+	inOrder(found)
+	return found
+}
+
 func inOrder(lines []Line) {
 	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time < lines[j].Time })
 }
--- a/explain/window.go
+++ b/explain/window.go
@@ -30,15 +30,10 @@
 // platform; false if no line names it.
 func TellWindow(lines []Line, window string) (Window, bool) {
 	w := Window{Window: window}
-	for _, l := range lines {
-		if l.Fields["window"] == window {
-			w.Lines = append(w.Lines, l)
-		}
-	}
+	w.Lines = linesOf(lines, "window", window)
 	if len(w.Lines) == 0 {
 		return w, false
 	}
-	inOrder(w.Lines)
 	w.Context = w.context(lines)
 	w.Cause = w.cause()
 	return w, true
@@ -75,7 +70,7 @@
 		case windowClosed:
 			parts = append(parts, closing(l))
 		case windowLost:
-			parts = append(parts, "given up")
+			parts = append(parts, "given up: "+l.Fields["why"])
 		case windowTold:
 			if l.Fields["outcome"] != doneOutcome {
 				failed++
--- a/explain/window_test.go
+++ b/explain/window_test.go
@@ -36,4 +36,11 @@
 	require.NotContains(t, text.String(), "window=8")
 	_, ok = TellWindow(lines, "9")
 	require.False(t, ok)
+
+	lost, err := Read(strings.NewReader(`I0807 10:00:06.000000 1 x.go:1] "Window given up" window=9 why="the platform rejects it"
+`), "member-2")
+	require.NoError(t, err)
+	w, ok = TellWindow(lost, "9")
+	require.True(t, ok)
+	require.Contains(t, w.Cause, "given up: the platform rejects it")
 }
--- a/fleet/need.go
+++ b/fleet/need.go
@@ -62,7 +62,7 @@
 type Risks struct {
 	HallLost float64 // the targets of a given data hall
 	Reclaim  float64 // the spot targets of a given data hall
-	Burst    float64 // half as many requests again and more
+	Burst    float64 // burstSize times the requests
 }
 
 // Assumed parts of the time, of a site of which nothing else is known.
--- a/gateway/demand.go
+++ b/gateway/demand.go
@@ -58,9 +58,10 @@
 
 func whole(d time.Duration) uint64 { return uint64(max(0, d.Milliseconds())) }
 
-// noteNoRoom counts a call that was refused because no engine had room.
+// noteNoRoom counts a call, as noteDemand does, that was refused because no
+// engine had room.
 func (g *Gateway) noteNoRoom(c *call) {
-	if c.engine.Scaling != nil {
+	if c.engine.Scaling != nil && !c.hasLast {
 		g.demands.add(fleet.Demand{Service: c.service, Refused: 1})
 	}
 }
--- a/serve/metering.go
+++ b/serve/metering.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"time"
@@ -32,8 +33,8 @@
 	controller *control.UsageController
 }
 
-// meterReplica has a member keep the group's time and take what nodes count.
-// It returns nil on a site that needs neither.
+// meterReplica returns what has a member keep the group's time and take what
+// nodes count, once it runs; nil on a site that needs neither.
 func (p *Process) meterReplica(self peer.Identity, m *consensus.Member, answers *control.Server) *usage {
 	if !p.settings.Metering.Enabled() && !p.settings.Scales {
 		return nil
@@ -42,11 +43,18 @@
 		timekeeper: control.NewTimekeeper(p.peers, self.Node, m, answers),
 		reports:    control.NewReports(p.peers, m, answers),
 	}
-	go u.timekeeper.Run(p.ctx)
-	go u.reports.Run(p.ctx)
 	return u
 }
 
+// run starts keeping the time and passing reports on.
+func (u *usage) run(ctx context.Context) {
+	if u == nil {
+		return
+	}
+	go u.timekeeper.Run(ctx)
+	go u.reports.Run(ctx)
+}
+
 // reportUsage has the member close windows, and report them while it holds the
 // duty.
 func (p *Process) reportUsage(u *usage, m *consensus.Member, answers *control.Server, holder *control.DutyHolder) error {
@@ -77,6 +85,7 @@
 	s := u.controller.Stats()
 	fmt.Fprintf(w, "walnutramp_usage_windows_closed_total %d\n", s.Closed)
 	fmt.Fprintf(w, "walnutramp_usage_windows_told_total %d\n", s.Told)
+	fmt.Fprintf(w, "walnutramp_usage_windows_given_up_total %d\n", s.GivenUp)
 	fmt.Fprintf(w, "walnutramp_usage_calls_failed_total %d\n", s.Failures)
 	fmt.Fprintf(w, "walnutramp_usage_windows_untold %d\n", s.Untold)
 	fmt.Fprintf(w, "walnutramp_usage_oldest_untold_window %d\n", s.Oldest)
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -111,12 +111,13 @@
 	if err != nil {
 		return err
 	}
-	if err := p.reportUsage(metered, member, answers, duties); err != nil {
-		return err
-	}
 	if fleet != nil && metered != nil {
 		metered.reports.OnDemand(fleet.Take)
 	}
+	metered.run(p.ctx)
+	if err := p.reportUsage(metered, member, answers, duties); err != nil {
+		return err
+	}
 	p.replica = &replica{member: member, server: server, duties: duties, usage: metered, fleet: fleet}
 	p.replica.operator, err = listen(s.OperatorAddr, p.adapter.Operator(&documents{client: p.client, member: member, limit: s.OperatorIn}))
 	return err
