--- a/control/duty_release.go
+++ b/control/duty_release.go
@@ -87,7 +87,7 @@
 }
 
 // silence returns for how long the platform has not answered, and after how
-// long the duty moves. The patience doubles with each machine that gave the
+// long the duty moves. The patience doubles with each node that gave the
 // duty up in vain, so that leadership does not wander while the platform is
 // down for all.
 func (h *DutyHolder) silence() (patience, silent time.Duration) {
--- a/duty/record.go
+++ b/duty/record.go
@@ -4,7 +4,7 @@
 
 // Holder is a process that holds the duty, or held it.
 type Holder struct {
-	Node string // the machine's address among the nodes
+	Node string // its address among the nodes
 	Life uint64 // names the process: a restarted one is another holder
 }
 
@@ -39,10 +39,10 @@
 	// Waits says that an earlier holder may act yet, so that this one must not
 	// before it has waited for a lease.
 	Waits bool
-	// Recent are the machines that may have acted since a holder last waited
+	// Recent are the nodes that may have acted since a holder last waited
 	// for a lease, the holder's own among them.
 	Recent []string
-	// Unreachable are the machines that gave the duty up since the platform
+	// Unreachable are the nodes that gave the duty up since the platform
 	// last answered anyone.
 	Unreachable []string
 }
@@ -66,7 +66,7 @@
 	return next
 }
 
-// mustWait reports whether a machine that is granted the duty next has to wait
+// mustWait reports whether a node that is granted the duty next has to wait
 // until nobody else can act. One that acted lately has to though the holder has
 // released the duty: the two would act in turn, A, B, A.
 func (r Record) mustWait(node string) bool {
--- a/serve/metering.go
+++ b/serve/metering.go
@@ -92,7 +92,7 @@
 }
 
 // writeClock writes by how much the group's clock may be off here, and how far
-// ahead of it the machine's own is; nothing while the time is not known.
+// ahead of it the host's own is; nothing while the time is not known.
 func writeClock(w io.Writer, c groupclock.Clock) {
 	now, within, known := c.Now()
 	if !known {
