--- a/consensus/election.go
+++ b/consensus/election.go
@@ -175,7 +175,7 @@
 	}
 }
 
-// Vote answers a candidate.
+// vote answers a candidate.
 func (m *Member) vote(args VoteArgs) VoteReply {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/control/fleet_controller.go
+++ b/control/fleet_controller.go
@@ -129,8 +129,8 @@
 	record, _ := c.state.fleetRecord(service)
 	// Once requests come, the list may show crashed targets beside those that
 	// took their place.
-	counts := len(record.Base) == 0 || record.Untouched() && !c.requested(service)
-	if counts && !c.note(ctx, service, &record, serving) {
+	noteBase := len(record.Base) == 0 || record.Untouched() && !c.requested(service)
+	if noteBase && !c.note(ctx, service, &record, serving) {
 		return
 	}
 	load := c.observe(service, record)
--- a/control/reports.go
+++ b/control/reports.go
@@ -76,9 +76,9 @@
 	return r
 }
 
-// OnDemand has the demand told to a sink while this member leads. It is called
+// SetDemandSink has the demand told to a sink while this member leads. It is called
 // before Run.
-func (r *Reports) OnDemand(sink DemandFunc) {
+func (r *Reports) SetDemandSink(sink DemandFunc) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sink = sink
--- a/control/usage_controller.go
+++ b/control/usage_controller.go
@@ -33,10 +33,10 @@
 	// again.
 	retellTime = 800 * time.Millisecond
 	closeEvery = 100 * time.Millisecond // between two looks at the time
-	// noteDelay is how long the note that a window was told may wait for the
-	// next window, with which it goes into the log. A new leader repeats what
-	// is not noted.
-	noteDelay = 10 * time.Second
+	// longWindow is from which length of windows on a note that one was told goes
+	// into the log by itself: of shorter ones it goes with the next window's
+	// counts. A new leader repeats what is not noted.
+	longWindow = 10 * time.Second
 
 	// callEvery is between two looks for a window to tell; the holder of the
 	// duty paces what is sent.
@@ -165,7 +165,7 @@
 // has waited for the next window for long.
 func (c *UsageController) noteTold(ctx context.Context, w *windows) bool {
 	told := c.toldHere()
-	if told <= w.Told || c.cfg.Span <= noteDelay {
+	if told <= w.Told || c.cfg.Span <= longWindow {
 		return false
 	}
 	return c.agree(ctx, CloseWindow{Told: told})
--- a/control/usage_fleet_test.go
+++ b/control/usage_fleet_test.go
@@ -92,7 +92,7 @@
 	m.timekeeper = control.NewTimekeeper(peers, m.name, m.raft, answers, control.WithTimeOfDay(wall))
 	reports := control.NewReports(peers, m.raft, answers)
 	controller := control.NewUsageController(m.raft, answers, leaderCalls{m.raft}, fl.platform, usageConfig)
-	reports.OnDemand(func(node string, _ uint64, rows []fleetpkg.Demand) { fl.platform.noteDemand(node, rows) })
+	reports.SetDemandSink(func(node string, _ uint64, rows []fleetpkg.Demand) { fl.platform.noteDemand(node, rows) })
 	return []func(context.Context){m.timekeeper.Run, reports.Run, controller.Run}
 }
 
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -67,9 +67,9 @@
 	least := s.cheapest(reserve)
 	s.fillUp(least)
 	s.bear(least)
-	first := Plan{Wanted: least, Method: LeastCost, Cost: s.expected(least)}
-	first.Other, first.OtherWanted, first.OtherCost = HallReserve, reserve, s.expected(reserve)
-	return first
+	plan := Plan{Wanted: least, Method: LeastCost, Cost: s.expected(least)}
+	plan.Other, plan.OtherWanted, plan.OtherCost = HallReserve, reserve, s.expected(reserve)
+	return plan
 }
 
 // cheapKind returns the kind that costs less.
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -112,7 +112,7 @@
 		return err
 	}
 	if fleet != nil && metered != nil {
-		metered.reports.OnDemand(fleet.Take)
+		metered.reports.SetDemandSink(fleet.Take)
 	}
 	metered.run(p.ctx)
 	if err := p.reportUsage(metered, member, answers, duties); err != nil {
