--- a/control/fleet_orders.go
+++ b/control/fleet_orders.go
@@ -46,11 +46,3 @@
 	}
 	return fleet.Record{}, false
 }
-
-// newestDocument returns the newest document and its version, 0 before the
-// first.
-func (s *State) newestDocument() (version uint64, doc []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.newest().Version, s.doc
-}
--- a/control/state.go
+++ b/control/state.go
@@ -369,3 +369,18 @@
 	defer s.mu.Unlock()
 	return append([]Accepted(nil), s.history...)
 }
+
+// inForce reports whether there has been a document.
+func (s *State) inForce() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest().Version > 0
+}
+
+// newestDocument returns the newest document and its version, 0 before the
+// first.
+func (s *State) newestDocument() (version uint64, doc []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest().Version, s.doc
+}
--- a/control/windows.go
+++ b/control/windows.go
@@ -95,10 +95,3 @@
 	defer s.mu.Unlock()
 	return s.windows.newest()
 }
-
-// inForce reports whether there has been a document.
-func (s *State) inForce() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.newest().Version > 0
-}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -65,14 +65,17 @@
 }
 
 func (p *Process) startEntry() error {
-	names := p.adapter.Names()
-	weigh := []balance.Option{balance.WithDataHall(p.settings.DataHall), balance.WithTopology(p.settings.Topology)}
-	if p.settings.Policy != "" {
-		weigh = append(weigh, balance.WithPolicy(p.settings.Policy))
-	}
-	targets := balance.NewTracker(weigh...)
+	s, names := p.settings, p.adapter.Names()
+	targets := p.newTracker()
 	pool := targetconn.NewPool(targetconn.WithIdentityHeader(names.Identity), targetconn.WithDialed(
 		func(e targetconn.Endpoint, took time.Duration) { targets.NoteRoundTrip(e.ID, took) }))
+	budgets := balance.NewBudgets(balance.BudgetConfig{
+		Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow, Nodes: nodesAssumed,
+	})
+	sharer, err := p.newSharer(targets, budgets)
+	if err != nil {
+		return err
+	}
 	var g *gateway.Gateway
 	poller := discovery.NewPoller(p.adapter.Source(true), func(list []discovery.Target) {
 		for _, id := range targets.Update(list) {
@@ -80,24 +83,6 @@
 		}
 		g.Started()
 	})
-	s := p.settings
-	budgets := balance.NewBudgets(balance.BudgetConfig{
-		Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow, Nodes: nodesAssumed,
-	})
-	var sharer *loadshare.Sharer
-	find := func(ctx context.Context, key string, again bool) {
-		if again {
-			sharer.FindAnywhere(ctx, key)
-		} else {
-			sharer.Find(ctx, key)
-		}
-	}
-	options := []gateway.Option{gateway.WithNames(names), gateway.WithLease(p.lease()), gateway.WithFind(find)}
-	var agent *rollout.Agent
-	if s.Rollouts.Enabled() {
-		agent = rollout.NewAgent(rand.Uint64())
-		options = append(options, gateway.WithRollouts(agent))
-	}
 	adopt := func(version uint64, doc []byte) error {
 		table, err := p.adapter.Table(doc)
 		if err == nil {
@@ -106,42 +91,76 @@
 		return err
 	}
 	p.client = control.NewDocumentClient(p.peers, s.Seeds, adopt)
-	if agent != nil {
+	options := []gateway.Option{gateway.WithNames(names), gateway.WithLease(p.lease()), gateway.WithFind(findBy(sharer))}
+	var agent *rollout.Agent
+	if s.Rollouts.Enabled() {
+		agent = rollout.NewAgent(rand.Uint64())
+		options = append(options, gateway.WithRollouts(agent))
 		p.client.WithRollouts(agent)
 	}
 	counter := p.meterEntry()
 	options = append(options, gateway.WithMetering(counter))
 	g = gateway.New(targets, pool, budgets, poller.Soon, options...)
-	p.entry = &entry{gateway: g, pool: pool, agent: agent, counter: counter}
 	if s.Scales {
 		p.client.WithDemand(g.Demand)
 	}
+	p.client.AsEntry(s.PeerListen, s.DataHall, sharer.SetPeers)
+	p.client.FeedTargets(poller.Fed)
+	p.entry = &entry{gateway: g, pool: pool, agent: agent, counter: counter, sharer: sharer}
+	if err := p.listenEntry(g); err != nil {
+		return err
+	}
+	p.client.Start()
+	go poller.Run(p.ctx)
+	go sharer.Run(p.ctx)
+	return nil
+}
+
+// newTracker returns the tracker of targets.
+func (p *Process) newTracker() *balance.Tracker {
+	options := []balance.Option{balance.WithDataHall(p.settings.DataHall), balance.WithTopology(p.settings.Topology)}
+	if p.settings.Policy != "" {
+		options = append(options, balance.WithPolicy(p.settings.Policy))
+	}
+	return balance.NewTracker(options...)
+}
+
+// newSharer returns what tells other entries of this one's runs.
+func (p *Process) newSharer(targets *balance.Tracker, budgets *balance.Budgets) (*loadshare.Sharer, error) {
+	s := p.settings
 	conn, err := net.ListenPacket("udp", s.PeerListen)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	sharing := []loadshare.Option{loadshare.WithDataHall(s.DataHall), loadshare.WithTopology(s.Topology)}
+	options := []loadshare.Option{loadshare.WithDataHall(s.DataHall), loadshare.WithTopology(s.Topology)}
 	if s.DataDir != "" {
-		sharing = append(sharing, loadshare.WithMemory(filepath.Join(s.DataDir, tracesFile)))
+		options = append(options, loadshare.WithMemory(filepath.Join(s.DataDir, tracesFile)))
 	}
-	sharer = loadshare.New(conn, targets, budgets, sharing...)
-	p.entry.sharer = sharer
-	p.client.AsEntry(s.PeerListen, s.DataHall, sharer.SetPeers)
-	p.client.FeedTargets(poller.Fed)
-	clients, err := net.Listen("tcp", s.EntryListen)
+	return loadshare.New(conn, targets, budgets, options...), nil
+}
+
+// findBy returns what learns of runs of a key that other nodes had. A request
+// that comes again may have run in any region.
+func findBy(sharer *loadshare.Sharer) func(ctx context.Context, key string, again bool) {
+	return func(ctx context.Context, key string, again bool) {
+		if again {
+			sharer.FindAnywhere(ctx, key)
+		} else {
+			sharer.Find(ctx, key)
+		}
+	}
+}
+
+// listenEntry answers clients and the balancer.
+func (p *Process) listenEntry(g *gateway.Gateway) error {
+	clients, err := net.Listen("tcp", p.settings.EntryListen)
 	if err != nil {
 		return err
 	}
 	p.entry.front = newServer(g)
 	serveOn(p.entry.front, &boundedListener{Listener: clients, limits: g.Limits})
-	p.entry.ready, err = listen(s.ReadyListen, p.adapter.Ready(g.Ready))
-	if err != nil {
-		return err
-	}
-	p.client.Start()
-	go poller.Run(p.ctx)
-	go sharer.Run(p.ctx)
-	return nil
+	p.entry.ready, err = listen(p.settings.ReadyListen, p.adapter.Ready(g.Ready))
+	return err
 }
 
 // lease says whether new work may be taken: always, unless the site wants
