--- a/serve/metering.go
+++ b/serve/metering.go
@@ -83,12 +83,12 @@
 		return
 	}
 	s := u.controller.Stats()
-	fmt.Fprintf(w, "walnutramp_usage_windows_closed_total %d\n", s.Closed)
-	fmt.Fprintf(w, "walnutramp_usage_windows_told_total %d\n", s.Told)
-	fmt.Fprintf(w, "walnutramp_usage_windows_given_up_total %d\n", s.GivenUp)
-	fmt.Fprintf(w, "walnutramp_usage_calls_failed_total %d\n", s.Failures)
-	fmt.Fprintf(w, "walnutramp_usage_windows_untold %d\n", s.Untold)
-	fmt.Fprintf(w, "walnutramp_usage_oldest_untold_window %d\n", s.Oldest)
+	fmt.Fprintf(w, "walnutramp_metering_windows_closed_total %d\n", s.Closed)
+	fmt.Fprintf(w, "walnutramp_metering_windows_told_total %d\n", s.Told)
+	fmt.Fprintf(w, "walnutramp_metering_windows_given_up_total %d\n", s.GivenUp)
+	fmt.Fprintf(w, "walnutramp_metering_calls_failed_total %d\n", s.Failures)
+	fmt.Fprintf(w, "walnutramp_metering_windows_untold %d\n", s.Untold)
+	fmt.Fprintf(w, "walnutramp_metering_oldest_untold_window %d\n", s.Oldest)
 }
 
 // writeClock writes by how much the group's clock may be off here, and how far
