Duties: a holder is alone only after two leases: the one before may have acted for nearly a lease after its grant

Hand-overs on release made it likely. Change: waiting for a lease permits calls; only two leases take the others off the record. Tests fail first: TestHolderThatActedAfterAnothersGrantWaits; three tests that held the earlier record to be right now ask for the longer one and for the end of it after two leases.

--- a/control/duty_holder_test.go
+++ b/control/duty_holder_test.go
@@ -171,7 +171,10 @@
 		time.Sleep(time.Second)
 		require.True(t, h.Held())
 		require.Greater(t, g.Record().Token, taken.Token)
+		require.ElementsMatch(t, []string{"n1", "n2"}, g.Record().Recent)
+		time.Sleep(dutyConfig.Lease)
 		require.Equal(t, []string{"n1"}, g.Record().Recent)
+		require.True(t, h.Held())
 	})
 }
 
--- a/duty/lease.go
+++ b/duty/lease.go
@@ -14,6 +14,7 @@
 	ReasonRestarted  Reason = "this process is new"
 	ReasonEnded      Reason = "the last token was refused or given up"
 	ReasonWaited     Reason = "a lease has passed since the first grant"
+	ReasonAlone      Reason = "two leases have passed since the first grant"
 	ReasonReached    Reason = "the platform answers again"
 	ReasonNewContent Reason = "an earlier call may be carried out yet"
 )
@@ -96,9 +97,12 @@
 		return g, l.missing()
 	case l.record.Token <= l.ended:
 		return g, ReasonEnded
-	case len(l.record.Recent) > 1 && now.Sub(l.since) >= l.cfg.Lease:
+	case l.record.Waits && now.Sub(l.since) >= l.cfg.Lease:
 		g.Waited = l.record.First
 		return g, ReasonWaited
+	case len(l.record.Recent) > 1 && now.Sub(l.since) >= 2*l.cfg.Lease:
+		g.Waited, g.Alone = l.record.First, true
+		return g, ReasonAlone
 	case reached && len(l.record.Unreachable) > 0:
 		g.Reached = true
 		return g, ReasonReached
--- a/duty/lease_test.go
+++ b/duty/lease_test.go
@@ -89,6 +89,12 @@
 	l.Confirm(at(2900))
 	l.Learn(l.Record().Granted(9, g), at(3010))
 	require.True(t, permitted(l, at(3010)))
+
+	_, why = l.Next(at(5999), false)
+	require.Equal(t, ReasonNone, why)
+	g, why = l.Next(at(6000), false)
+	require.Equal(t, ReasonAlone, why)
+	require.Equal(t, Grant{Holder: a, Waited: 7, Alone: true}, g)
 }
 
 // The wait of an earlier time as holder does not count for this one.
--- a/duty/record.go
+++ b/duty/record.go
@@ -15,6 +15,10 @@
 	// Waited is the first token of the holder's own grants in a row, where a
 	// whole lease has passed since the holder learned of it; 0 otherwise.
 	Waited Token
+	// Alone says that two leases have passed since then. One holder before may
+	// have acted for nearly a lease after this one's first grant, so only now has
+	// it not acted for a lease.
+	Alone bool
 	// Reached says that the platform has answered this holder.
 	Reached bool
 }
@@ -39,7 +43,7 @@
 	// Waits says that an earlier holder may act yet, so that this one must not
 	// before it has waited for a lease.
 	Waits bool
-	// Recent are the nodes that may have acted since a holder last waited
+	// Recent are the nodes that may have acted since a holder last was alone
 	// for a lease, the holder's own among them.
 	Recent []string
 	// Unreachable are the nodes that gave the duty up since the platform
@@ -56,13 +60,13 @@
 	if g.Reached {
 		next.Unreachable = nil
 	}
-	alone := r.Token == 0 || g.Waited != 0 && g.Waited == r.First && g.Holder == r.Holder && !r.Released
-	if alone {
+	waited := g.Waited != 0 && g.Waited == r.First && g.Holder == r.Holder && !r.Released
+	if r.Token == 0 || waited && g.Alone {
 		next.Recent = []string{g.Holder.Node}
 		return next
 	}
 	next.Recent = with(r.Recent, g.Holder.Node)
-	next.Waits = r.mustWait(g.Holder.Node)
+	next.Waits = !waited && r.mustWait(g.Holder.Node)
 	return next
 }
 
--- a/duty/record_test.go
+++ b/duty/record_test.go
@@ -30,7 +30,7 @@
 
 	r = r.Granted(9, Grant{Holder: b, Waited: 7})
 	require.False(t, r.Waits)
-	require.Equal(t, []string{"b"}, r.Recent)
+	require.Equal(t, []string{"a", "b"}, r.Recent, "a may have acted for nearly a lease after b's grant")
 	require.Equal(t, Token(9), r.Token)
 	require.Equal(t, Token(7), r.First)
 	require.Equal(t, a, r.Before)
@@ -49,7 +49,10 @@
 	require.False(t, granted(released(r), 9, c).Waits, "a, b, c")
 
 	r = r.Granted(8, Grant{Holder: b, Waited: 7})
-	require.False(t, granted(released(r), 9, a).Waits, "a acted a lease ago")
+	require.True(t, granted(released(r), 9, a).Waits, "a may have acted less than a lease ago")
+	r = r.Granted(9, Grant{Holder: b, Waited: 7, Alone: true})
+	require.Equal(t, []string{"b"}, r.Recent)
+	require.False(t, granted(released(r), 10, a).Waits, "a acted a lease ago at least")
 }
 
 // One that waits and gives up leaves its successor the wait.
@@ -92,3 +95,21 @@
 	r = r.Granted(9, Grant{Holder: b, Reached: true})
 	require.Empty(t, r.Unreachable)
 }
+
+// A holder acts for nearly a lease after another's grant. That one waits for a
+// lease, acts, and releases the duty: the first must wait still, as else the two
+// act in turn, A, B, A, within a lease.
+func TestHolderThatActedAfterAnothersGrantWaits(t *testing.T) {
+	a, b := Holder{Node: "a", Life: 1}, Holder{Node: "b", Life: 2}
+	r := Record{}.Granted(1, Grant{Holder: a})
+	r = r.Granted(2, Grant{Holder: b})
+	require.True(t, r.Waits)
+	r = r.Granted(3, Grant{Holder: b, Waited: 2})
+	require.False(t, r.Waits)
+	released := r.AfterRelease(Release{Token: 3})
+	require.True(t, released.Granted(4, Grant{Holder: a}).Waits)
+
+	r = r.Granted(4, Grant{Holder: b, Waited: 2, Alone: true})
+	released = r.AfterRelease(Release{Token: 4})
+	require.False(t, released.Granted(5, Grant{Holder: a}).Waits, "two leases have passed")
+}
