Sight: logs name the content of a request, how far its run had come, and whether the target's process ended

A fingerprint of account, host, method, path and body goes into the lines of runs; after a connection broke off under a run that had not gone on for a while, one look at the target's address tells whether its process ended.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
 )
@@ -49,6 +50,7 @@
 	prepaid  bool                     // a repeat was paid for that has not arrived yet
 	watched  *rollout.Request         // the newest try, while its service has a roll-out
 	metered  bool                     // it was counted for its account
+	content  quarantine.Fingerprint   // the same whenever the client sends it again
 }
 
 // open reads and checks a request.
@@ -94,6 +96,7 @@
 		c.lastID, c.hasLast = id, true
 	}
 	g.readWork(c, r.Header)
+	c.content = quarantine.FingerprintOf(c.body, c.account.Name, c.host, c.method, c.uri)
 	return c, nil
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
 	"k8s.io/klog/v2"
@@ -39,7 +40,7 @@
 		}
 	}
 	if last != nil {
-		klog.InfoS("Request served", "request", c.id, "route", c.route.Name, "version", c.version, "target", last.target,
+		klog.InfoS("Request served", "request", c.id, "content", c.content, "route", c.route.Name, "version", c.version, "target", last.target,
 			"status", last.status, "sent", c.sent, "asked", c.turns, "ms", time.Since(c.arrived).Milliseconds())
 		g.passWhole(w, c, last)
 		return
@@ -118,6 +119,7 @@
 		klog.InfoS("Answer broke off", "request", c.id, "target", t.ID, "status", answer.Status, "err", err)
 		if ctx.Err() == nil {
 			g.noteLost(c, t)
+			g.noteBreak(c, t, quarantine.Begun)
 		}
 		t.Broke()
 		return nil, true
@@ -255,6 +257,9 @@
 	}
 	klog.InfoS("Target did not answer", "request", c.id, "target", t.ID, "address", t.Address, "err", err,
 		"ms", time.Since(c.arrived).Milliseconds())
+	if brokeOff(err) {
+		g.noteBreak(c, t, c.waiting())
+	}
 }
 
 // noteLoad takes the load that an answer tells.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -132,7 +132,7 @@
 		request: g.request(c, t), work: g.targets.Kept(choice, t), expected: g.targets.Expected(choice, t),
 		trace: balance.Trace{Key: c.key},
 	}
-	klog.InfoS("Run begins", "request", c.id, "route", c.route.Name, "version", c.version, "target", t.ID, "again", c.again, "last", c.lastID,
+	klog.InfoS("Run begins", "request", c.id, "content", c.content, "key", c.key, "route", c.route.Name, "version", c.version, "target", t.ID, "again", c.again, "last", c.lastID,
 		"read", c.work.Read, "expectedRead", o.work.Read, "expected_ms", o.expected.Milliseconds(),
 		"fromCopy", from != nil, "run", r.runs)
 	if from != nil {
@@ -337,6 +337,7 @@
 		t.FellSilent(false) // it may only have put this run back
 	} else {
 		t.Broke()
+		g.noteBreak(c, t, r.standing())
 	}
 	klog.InfoS("Stream broke off", "request", c.id, "target", t.ID, "last", c.lastID, "err", err,
 		"silent_ms", time.Since(r.newest).Milliseconds())
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -5,7 +5,10 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // DialFunc opens a connection; net.Dialer.DialContext is one.
@@ -149,6 +152,16 @@
 	}
 }
 
+// Refuses reports whether the target's machine says that nobody listens at its
+// address: the target's process has ended.
+func (p *Pool) Refuses(ctx context.Context, e Endpoint) bool {
+	c, err := p.open(ctx, e)
+	if err == nil {
+		c.close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // open dials a new connection.
 func (p *Pool) open(ctx context.Context, e Endpoint) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.DialTimeout)
