Requests under which targets end are held back, by every entry and every way they take

Cause: a failed run counted against its target and its attempt alone; nothing was kept of what the content of a request did. So neither the same attempt, nor the client's next one, nor another entry learned that it ends whatever runs it.

Package quarantine keeps, by fingerprint of account, host, method, path and body, under which runs targets' processes ended (nobody listens at their address any more). Three ends hold a content back for an hour, unless another one that was at the same ends explains them (it had come further, or was at more of them), and a run that goes on well clears it. Entries tell each other; nodes with a disk keep it over a restart. A held request is refused at once as not run with when to come back (3007); one under way ends with 5006 and is sent to no other target, and its runs elsewhere are given up.

--- a/balance/health.go
+++ b/balance/health.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/walnutramp/walnutramp/discovery"
+)
 
 // Told takes a load that an answer brought.
 func (t *Target) Told(l Load) {
@@ -212,6 +216,13 @@
 	t.avoid = time.Now().Add(t.tracker.cfg.AvoidFirst / 2)
 }
 
+// Leaves reports whether the site's list says that the target is to end.
+func (t *Target) Leaves() bool {
+	t.tracker.mu.Lock()
+	defer t.tracker.mu.Unlock()
+	return t.State == discovery.TargetDraining
+}
+
 // Usable reports whether the target may be asked.
 func (t *Target) Usable() bool {
 	t.tracker.mu.Lock()
--- a/code.go
+++ b/code.go
@@ -30,6 +30,7 @@
 	CodeQueueDeadline Code = 3004
 	CodeStopping      Code = 3005
 	CodeNotInForce    Code = 3006
+	CodeHeldBack      Code = 3007
 
 	CodeGenerationUnknown Code = 4001
 	CodeNotProvable       Code = 4002
@@ -43,6 +44,7 @@
 	CodeTargetFailed   Code = 5003
 	CodeLedgerAway     Code = 5004
 	CodeTargetSlow     Code = 5005
+	CodeEndsTargets    Code = 5006
 
 	CodeStaleEpoch       Code = 6001
 	CodeWrongIncarnation Code = 6002
@@ -101,6 +103,7 @@
 	{CodeQueueDeadline, "queue-deadline", 503, "The request waited as long as it may and was not started."},
 	{CodeStopping, "stopping", 503, "This node is stopping; another node will take the request."},
 	{CodeNotInForce, "not-in-force", 503, "This node cannot tell whether its bundle is the newest and takes no new work."},
+	{CodeHeldBack, "held-back", 503, "Targets end when they run this request, so it is kept from them; come back after Retry-After."},
 	{CodeGenerationUnknown, "generation-unknown", 404, "No reachable node holds that generation."},
 	{CodeNotProvable, "not-provable", 503, "Too few replicas answer to prove where the generation stands."},
 	{CodeMoved, "moved", 503, "Another node now owns the generation; reconnect with Last-Event-ID."},
@@ -112,6 +115,7 @@
 	{CodeTargetFailed, "target-failed", 502, "The target failed before it answered."},
 	{CodeLedgerAway, "ledger-away", 503, "The ledger cannot be reached, so the request was not started."},
 	{CodeTargetSlow, "target-slow", 504, "The target did not answer in the time that the request may take."},
+	{CodeEndsTargets, "ends-targets", 502, "Targets ended when they ran this request; it is not sent to another."},
 	{CodeStaleEpoch, "stale-epoch", 409, "A newer epoch holds the generation."},
 	{CodeWrongIncarnation, "wrong-incarnation", 409, "The node restarted since and knows nothing of this."},
 	{CodeNotHeld, "not-held", 404, "This node does not hold the generation, or what a piece was asked of."},
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -51,6 +51,8 @@
 	watched  *rollout.Request         // the newest try, while its service has a roll-out
 	metered  bool                     // it was counted for its account
 	content  quarantine.Fingerprint   // the same whenever the client sends it again
+	sentAt   time.Time                // when the newest try was sent
+	looked   chan struct{}            // closed once it is known whether the target that broke off has ended
 }
 
 // open reads and checks a request.
--- a/gateway/ends.go
+++ b/gateway/ends.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/targetconn"
 	"k8s.io/klog/v2"
@@ -29,6 +31,10 @@
 	onset = 500 * time.Millisecond
 )
 
+// errHeldBack is why a run that has not begun is given up when its content is
+// held back.
+var errHeldBack = errors.New("targets end when they run this request")
+
 // standing says how far the newest run had come at its target.
 func (r *relay) standing() quarantine.Standing {
 	if r.events > 0 && time.Since(r.begun) >= onset {
@@ -37,6 +43,15 @@
 	return quarantine.Begun
 }
 
+// noteSettled notes that a run has gone on for a while.
+func (r *relay) noteSettled() {
+	if r.settled || time.Since(r.begun) < onset {
+		return
+	}
+	r.settled = true
+	r.gateway.cfg.Quarantine.Sound(r.call.content)
+}
+
 // waiting says how far a call had come at a target that did not answer it. A
 // plain request begins when it is sent; a stream may still have waited.
 func (c *call) waiting() quarantine.Standing {
@@ -46,17 +61,26 @@
 	return quarantine.Begun
 }
 
-// noteBreak looks whether a target whose connection broke off has ended.
+// noteBreak looks whether a target whose connection broke off under a call has
+// ended. One that was to end anyway says nothing of the call.
 func (g *Gateway) noteBreak(c *call, t *balance.Target, s quarantine.Standing) {
-	if s == quarantine.Settled {
+	if s == quarantine.Settled || t.Leaves() {
 		return
 	}
-	began := time.Now()
-	content, id := c.content, c.id
+	broke := uptime.Now()
+	note := quarantine.Note{Content: c.content, Target: balance.ShortName(t.ID), Standing: s, Ran: time.Since(c.sentAt)}
+	id, looked := c.id, make(chan struct{})
+	c.looked = looked
 	go func() {
+		defer close(looked)
 		ended := g.hasEnded(t)
-		klog.InfoS("Looked at a target that broke off", "request", id, "content", content, "target", t.ID, "standing", s,
-			"ended", ended, "ms", time.Since(began).Milliseconds())
+		klog.InfoS("Looked at a target that broke off", "request", id, "content", note.Content, "target", t.ID, "standing", s,
+			"ended", ended, "ran_ms", note.Ran.Milliseconds())
+		if ended {
+			g.counters.ends.Inc()
+			note.Age = uptime.Since(broke)
+			g.cfg.Quarantine.Ended(note)
+		}
 	}()
 }
 
@@ -75,3 +99,25 @@
 	ownEnd := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 	return errors.As(err, &f) && f.Reached() && !ownEnd && !silence(err)
 }
+
+// heldBack returns the answer to a new call whose content is held back, nil for
+// none. It is refused at once, with the time from which on it may be tried
+// again: to come sooner is in vain.
+func (g *Gateway) heldBack(c *call) *walnutramp.Error {
+	left, held := g.cfg.Quarantine.Held(c.content)
+	if !held {
+		return nil
+	}
+	return walnutramp.NewError(walnutramp.CodeHeldBack, walnutramp.NotRun, "targets end when they run this request").WithRetryAfter(left)
+}
+
+// endsTargets reports whether a call that a target may have run is to go to no
+// other one. Where targets ended under its content before, what became of the
+// newest is waited for: a refused connection tells it in a round trip.
+func (g *Gateway) endsTargets(c *call) bool {
+	if c.looked != nil && g.cfg.Quarantine.Suspect(c.content) {
+		<-c.looked
+	}
+	_, held := g.cfg.Quarantine.Held(c.content)
+	return held
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/metering"
+	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
 )
@@ -49,6 +50,9 @@
 	// Rollouts says which versions of targets requests go to; nil for any.
 	Rollouts *rollout.Agent
 
+	// Quarantine knows which requests end the targets that run them.
+	Quarantine *quarantine.Ledger
+
 	// Metering counts the requests of each account; nil for none.
 	Metering *metering.Counter
 
@@ -80,6 +84,10 @@
 // told what came of it.
 func WithRollouts(a *rollout.Agent) Option { return func(c *Config) { c.Rollouts = a } }
 
+// WithQuarantine sets what knows which requests end the targets that run them,
+// where other nodes tell it, too.
+func WithQuarantine(l *quarantine.Ledger) Option { return func(c *Config) { c.Quarantine = l } }
+
 // WithCopies says whether engines keep copies of runs at each other.
 func WithCopies(on bool) Option { return func(c *Config) { c.Copies = on } }
 
@@ -126,9 +134,14 @@
 	for _, opt := range opts {
 		opt(&cfg)
 	}
+	if cfg.Quarantine == nil {
+		cfg.Quarantine = quarantine.New()
+	}
 	g := &Gateway{cfg: cfg, targets: targets, pool: pool, refresh: refresh, budgets: budgets, counters: newCounters(),
 		started: make(chan struct{}), pending: pendingRuns{runs: map[*pendingRun]struct{}{}}}
 	targets.OnSilence(g.pending.moveFromSilent)
+	cfg.Quarantine.OnHeld(g.pending.giveUp)
+	g.counters.set.NewGauge("walnutramp_quarantine_held_contents", func() float64 { return float64(cfg.Quarantine.HeldContents()) })
 	g.strip = map[string]bool{}
 	n := cfg.Names
 	for _, name := range append([]string{n.Key, n.Account, n.Expect, n.Priority, n.CopyTo, n.CopyFrom, n.Deadline}, n.System...) {
@@ -242,15 +255,20 @@
 		w.Header().Set("Connection", "close")
 	}
 	c, refused := g.open(w, r, arrived)
+	if c != nil {
+		defer g.buffered.Add(-int64(len(c.body)))
+	}
 	if refused == nil && (phase == phaseClosed || !g.fits(c)) {
 		w.Header().Set("Connection", "close")
 		refused = walnutramp.NewError(walnutramp.CodeStopping, walnutramp.NotRun, "this node is stopping").WithRetryAfter(retryOther)
 	}
+	if refused == nil {
+		refused = g.heldBack(c)
+	}
 	if refused != nil {
 		g.refuse(w, r, refused)
 		return
 	}
-	defer g.buffered.Add(-int64(len(c.body)))
 	g.budgets.Of(c.service).Earn()
 	g.noteDemand(c)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -53,6 +53,9 @@
 
 // mayRepeat reports whether another target may be asked, and pays for it.
 func (g *Gateway) mayRepeat(c *call) bool {
+	if g.endsTargets(c) {
+		return false
+	}
 	if c.reached && !c.route.Idempotent() {
 		return false
 	}
@@ -93,7 +96,7 @@
 	defer func() { c.watched.Dropped() }() // unless its end is noted
 	run := t.Begin(balance.Work{}, balance.Trace{})
 	defer run.End(balance.RunEnd{Whole: true})
-	sent := time.Now()
+	c.sentAt = time.Now()
 	answer, err := g.pool.Do(tryCtx, endpoint(t), g.request(c, t))
 	if err != nil {
 		g.noteFailure(ctx, c, t, err)
@@ -106,7 +109,7 @@
 		return nil, true
 	}
 	c.ran(t)
-	g.meterAnswer(c, sent)
+	g.meterAnswer(c, c.sentAt)
 	if answer.Header.Get("Content-Encoding") != "" {
 		answer.Close()
 		g.noteLost(c, t)
@@ -125,6 +128,7 @@
 		return nil, true
 	}
 	whole.target = t.ID
+	g.cfg.Quarantine.Sound(c.content)
 	c.watched.First()
 	if answer.Status >= http.StatusInternalServerError {
 		g.noteFailed(c, t)
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/quarantine"
 )
 
 // errTargetSilent is why a run that has not begun is given up when its target
@@ -31,20 +32,20 @@
 
 // pendingRun is a run that waits for its first event.
 type pendingRun struct {
-	set    *pendingRuns
-	target *balance.Target
-	began  time.Time
-	cancel context.CancelCauseFunc
+	set     *pendingRuns
+	target  *balance.Target
+	content quarantine.Fingerprint
+	mayMove bool // to another target
+	began   time.Time
+	cancel  context.CancelCauseFunc
 }
 
-// add notes a run that begins; one that may not move is not given up.
-func (u *pendingRuns) add(t *balance.Target, cancel context.CancelCauseFunc, mayMove bool) *pendingRun {
-	r := &pendingRun{set: u, target: t, began: time.Now(), cancel: cancel}
-	if mayMove {
-		u.mu.Lock()
-		u.runs[r] = struct{}{}
-		u.mu.Unlock()
-	}
+// add notes a run that begins.
+func (u *pendingRuns) add(c *call, t *balance.Target, cancel context.CancelCauseFunc) *pendingRun {
+	r := &pendingRun{set: u, target: t, content: c.content, mayMove: c.mayMove(), began: time.Now(), cancel: cancel}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.runs[r] = struct{}{}
 	return r
 }
 
@@ -61,9 +62,22 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for r := range u.runs {
-		if r.target.SilentSince(r.began) {
+		if r.mayMove && r.target.SilentSince(r.began) {
 			delete(u.runs, r)
 			r.cancel(errTargetSilent)
 		}
 	}
 }
+
+// giveUp gives up the runs of a content that is held back from now on, before
+// they end their targets, too.
+func (u *pendingRuns) giveUp(content quarantine.Fingerprint) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for r := range u.runs {
+		if r.content == content {
+			delete(u.runs, r)
+			r.cancel(errHeldBack)
+		}
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/eventstream"
+	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
 	"k8s.io/klog/v2"
@@ -30,6 +31,7 @@
 	longest time.Duration // pause between two events
 	runs    int
 	events  int       // of the newest run
+	settled bool      // the newest run has gone on for a while
 	begun   time.Time // when the newest run's first event came
 	copy    *copyOf   // of the run that broke off
 }
@@ -79,6 +81,20 @@
 	g.fail(w, c, g.giveUp(c, "no target answered"))
 }
 
+// givenUp reports whether a run was given up here before its first event, and
+// how it ended.
+func (g *Gateway) givenUp(runCtx context.Context, c *call, t *balance.Target) (ending, bool) {
+	switch cause := context.Cause(runCtx); {
+	case errors.Is(cause, errTargetSilent):
+		g.noteMoved(c, t)
+	case errors.Is(cause, errHeldBack):
+		c.ran(t)
+	default:
+		return endWhole, false
+	}
+	return endBroken, true
+}
+
 // next runs the request at one more target: at the copy of the broken run
 // where there is one, else at the best.
 func (r *relay) next(ctx context.Context) ending {
@@ -111,7 +127,7 @@
 // run passes one run on until it ends.
 func (r *relay) run(ctx context.Context, t *balance.Target, from *copyOf) ending {
 	r.runs++
-	r.events = 0
+	r.events, r.settled = 0, false
 	o := r.order(t, from)
 	under := t.Begin(o.work, o.trace)
 	kept := &runCopy{relay: r, target: t, run: under, copy: o.copy}
@@ -150,12 +166,12 @@
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	patience := time.AfterFunc(r.headWait(o), func() { cancel(nil) })
-	pending := g.pending.add(t, cancel, c.mayMove())
+	pending := g.pending.add(c, t, cancel)
 	defer pending.drop()
+	c.sentAt = time.Now()
 	answer, err := g.pool.Do(runCtx, endpoint(t), o.request)
-	if err != nil && errors.Is(context.Cause(runCtx), errTargetSilent) {
-		g.noteMoved(c, t)
-		return endBroken
+	if end, given := g.givenUp(runCtx, c, t); err != nil && given {
+		return end
 	}
 	if err != nil {
 		g.noteFailure(ctx, c, t, err)
@@ -234,8 +250,10 @@
 	}
 	whole, err := g.readWhole(a)
 	if err != nil {
+		g.noteBreak(c, t, quarantine.Begun)
 		return endBroken
 	}
+	g.cfg.Quarantine.Sound(c.content)
 	g.passWhole(r.w, c, whole)
 	return endOther
 }
@@ -271,6 +289,7 @@
 		if r.events == paceEvents {
 			c.watched.Pace(time.Since(r.begun) / (paceEvents - 1))
 		}
+		r.noteSettled()
 		kept.watch(ctx)
 		if e.HasID && c.hasLast && e.ID <= c.lastID {
 			continue // the client has it
@@ -322,6 +341,7 @@
 			return endLeft
 		}
 		c.watched.Ended(rollout.Served)
+		g.cfg.Quarantine.Sound(c.content)
 		return endWhole
 	}
 	if ctx.Err() != nil {
--- a/loadshare/audience.go
+++ b/loadshare/audience.go
@@ -41,6 +41,7 @@
 	ended    map[string]bool
 	suspects map[string]bool
 	silent   map[string]bool
+	noted    uint64 // number of the newest of this node's notes of ends
 }
 
 func newAudience(near bool, p pace) *audience {
@@ -83,6 +84,7 @@
 	suspects []string
 	silent   []string
 	counts   map[string]balance.Count
+	ends     []endNote
 }
 
 // compose returns the messages that bring the audience up to date: all there
@@ -98,7 +100,8 @@
 	suspects := unknownTo(a.suspects, n.suspects)
 	silent := unknownTo(a.silent, n.silent)
 	a.ended, a.suspects, a.silent = setOf(n.ended), setOf(n.suspects), setOf(n.silent)
-	if !full && len(runs)+len(over)+len(ended)+len(suspects)+len(silent) == 0 {
+	ends := n.ends
+	if !full && len(runs)+len(over)+len(ended)+len(suspects)+len(silent)+len(ends) == 0 {
 		return nil
 	}
 	first := message{Full: full, Counts: n.counts}
@@ -107,11 +110,13 @@
 	first.Silent, _ = cut(silent, maxTargets)
 	first.Runs, runs = cut(runs, maxRuns)
 	first.Over, over = cut(over, maxOver)
+	first.Ends, ends = cut(ends, maxEnds)
 	messages := []message{first}
-	for len(runs)+len(over) > 0 {
+	for len(runs)+len(over)+len(ends) > 0 {
 		var m message
 		m.Runs, runs = cut(runs, maxRuns)
 		m.Over, over = cut(over, maxOver)
+		m.Ends, ends = cut(ends, maxEnds)
 		messages = append(messages, m)
 	}
 	return messages
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -16,6 +16,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/topology"
 	"k8s.io/klog/v2"
 )
@@ -25,6 +26,7 @@
 	conn     net.PacketConn
 	tracker  *balance.Tracker
 	budgets  *balance.Budgets
+	ledger   *quarantine.Ledger
 	place    place // of this node
 	regions  topology.Map
 	short    uint32    // its name in feeds
@@ -62,6 +64,10 @@
 // WithTopology tells which data halls are in which region.
 func WithTopology(m topology.Map) Option { return func(s *Sharer) { s.regions = m } }
 
+// WithQuarantine sets which notes of targets that ended under requests nodes tell
+// each other.
+func WithQuarantine(l *quarantine.Ledger) Option { return func(s *Sharer) { s.ledger = l } }
+
 // New returns a sharer that sends and receives on conn.
 func New(conn net.PacketConn, tracker *balance.Tracker, budgets *balance.Budgets, opts ...Option) *Sharer {
 	s := &Sharer{
@@ -76,6 +82,10 @@
 	for _, opt := range opts {
 		opt(s)
 	}
+	if s.ledger == nil {
+		s.ledger = quarantine.New()
+	}
+	s.ledger.OnNews(s.Changed)
 	s.relay.addRegions(s.regions)
 	s.count.addRegions(s.regions)
 	tracker.OnChange(s.Changed)
@@ -221,14 +231,18 @@
 	}
 	n := news{runs: s.tracker.Runs(), ended: s.tracker.Ended(), suspects: s.tracker.Suspects(),
 		silent: s.tracker.SilentTargets(), counts: s.budgets.Counts()}
+	n.ends = s.newEnds(a)
 	if a.relays {
 		s.tellTraces(l, n.runs)
 		n.runs = untraced(n.runs)
-		s.passOn(l.own, n.runs, n.counts, urgent{ended: n.ended, suspects: n.suspects, silent: n.silent})
+		s.passOn(l.own, n.runs, n.counts, urgent{ended: n.ended, suspects: n.suspects, silent: n.silent, ends: n.ends})
 	}
 	peers := s.peersOf(a, l)
 	now := time.Now()
 	full = full || a.fullDue(now, len(peers))
+	if full {
+		n.ends = encodeEnds(s.ledger.Everything())
+	}
 	if full {
 		a.fullAt = now
 	}
@@ -243,6 +257,13 @@
 	}
 }
 
+// newEnds returns the notes of ends that an audience was not told.
+func (s *Sharer) newEnds(a *audience) []endNote {
+	notes, newest := s.ledger.News(a.noted)
+	a.noted = newest
+	return encodeEnds(notes)
+}
+
 // untraced returns the runs that hold anything, without how they are found
 // again: relays do not pass that on.
 func untraced(runs []balance.Shared) []balance.Shared {
@@ -347,8 +368,9 @@
 	if !ok {
 		return
 	}
+	ends := encodeEnds(s.ledger.Take(decodeEnds(m.Ends)))
 	if near && s.layoutNow().relayed {
-		s.passOn(from, runs, m.Counts, urgent{ended: m.Ended, suspects: m.Suspects, silent: m.Silent})
+		s.passOn(from, runs, m.Counts, urgent{ended: m.Ended, suspects: m.Suspects, silent: m.Silent, ends: ends})
 	} else if len(m.Counts) > 0 {
 		s.budgets.SetOther(from, m.Counts)
 	}
--- a/loadshare/memory.go
+++ b/loadshare/memory.go
@@ -21,6 +21,7 @@
 	At     int64 // unix nanoseconds
 	Peers  []string
 	Traces []balance.Trace
+	Ends   []endNote // of targets under requests, as old as they were then
 }
 
 const (
@@ -47,6 +48,7 @@
 // recall reads what this node left, the newer of its two files.
 func (s *Sharer) recall() {
 	m, age := newerMemory(readMemory(s.file), readMemory(s.file+syncedSuffix))
+	s.recallEnds(m, age)
 	if age < 0 || age > memoryLife {
 		return
 	}
@@ -56,6 +58,17 @@
 	s.Changed()
 }
 
+// recallEnds takes the notes of targets that ended under requests, which count
+// for longer than traces do. Where the time of day was set back meanwhile, they
+// are held to be newer than they are.
+func (s *Sharer) recallEnds(m memory, age time.Duration) {
+	notes := decodeEnds(m.Ends)
+	for i := range notes {
+		notes[i].Age += max(0, age)
+	}
+	s.ledger.Take(notes)
+}
+
 // newerMemory returns the newer of two memories and its age.
 func newerMemory(a, b memory) (memory, time.Duration) {
 	if b.At > a.At {
@@ -115,7 +128,7 @@
 
 // encodeMemory returns what this node knows.
 func (s *Sharer) encodeMemory() ([]byte, error) {
-	m := memory{At: time.Now().UnixNano(), Traces: s.tracker.Traces()}
+	m := memory{At: time.Now().UnixNano(), Traces: s.tracker.Traces(), Ends: encodeEnds(s.ledger.Everything())}
 	s.mu.Lock()
 	for address := range s.peers {
 		m.Peers = append(m.Peers, address)
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"math"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/quarantine"
 )
 
 // message is one datagram. A full one replaces all that its sender told
@@ -26,6 +28,8 @@
 	Silent []string `msgpack:"m,omitempty"`
 	// Counts are the sender's requests and repeats, by service.
 	Counts map[string]balance.Count `msgpack:"n,omitempty"`
+	// Ends are the sender's notes of targets that ended under requests.
+	Ends []endNote `msgpack:"z,omitempty"`
 
 	// Disk says that the sender keeps traces over a loss of power.
 	Disk bool `msgpack:"d,omitempty"`
@@ -84,6 +88,8 @@
 	Silent   []string `msgpack:"m,omitempty"`
 	// Counts are summed over the nodes of the scope.
 	Counts map[string]balance.Count `msgpack:"c,omitempty"`
+	// Ends are notes of targets that ended under requests.
+	Ends []endNote `msgpack:"z,omitempty"`
 }
 
 // section is what changed of one node's runs.
@@ -125,6 +131,41 @@
 	return balance.Trace{Key: n.Key, CopyName: n.CopyName, Copy: n.Copy, ReadAt: n.ReadAt}
 }
 
+// endNote is a note of package quarantine, in some 25 bytes.
+type endNote struct {
+	//lint:ignore U1000 msgpack reads it: the fields go without their names
+	_msgpack struct{} `msgpack:",as_array"`
+	Content  uint64
+	Target   uint32 // short name
+	Standing int
+	AgeMS    int64
+	RanMS    int64
+	Later    bool
+}
+
+func encodeEnds(notes []quarantine.Note) []endNote {
+	ends := make([]endNote, 0, len(notes))
+	for _, n := range notes {
+		ends = append(ends, endNote{Content: uint64(n.Content), Target: n.Target, Standing: int(n.Standing),
+			AgeMS: n.Age.Milliseconds(), RanMS: n.Ran.Milliseconds(), Later: n.Later})
+	}
+	return ends
+}
+
+func decodeEnds(ends []endNote) []quarantine.Note {
+	notes := make([]quarantine.Note, 0, len(ends))
+	for _, e := range ends {
+		notes = append(notes, quarantine.Note{Content: quarantine.Fingerprint(e.Content), Target: e.Target,
+			Standing: quarantine.Standing(e.Standing), Age: milliseconds(e.AgeMS), Ran: milliseconds(e.RanMS), Later: e.Later})
+	}
+	return notes
+}
+
+// milliseconds reads a time that another node told; one that can't be is none.
+func milliseconds(ms int64) time.Duration {
+	return time.Duration(min(max(0, ms), math.MaxInt64/int64(time.Millisecond))) * time.Millisecond
+}
+
 // lookup asks a keeper of traces for that of a key.
 type lookup struct {
 	ID  uint64 `msgpack:"i"` // names the question among the asker's
@@ -156,6 +197,7 @@
 	maxRuns     = 100
 	maxOver     = 300
 	maxTargets  = 80 // that ended, or are suspects
+	maxEnds     = 120
 )
 
 // decode reads a datagram. It is passed over once before, since its lists are
--- a/loadshare/publisher.go
+++ b/loadshare/publisher.go
@@ -33,14 +33,19 @@
 	againMost = 8
 	// maxShortRuns bounds a part of a feed, of some 25 bytes a run.
 	maxShortRuns = 400
+	// maxFeedEnds bounds the notes of ends in a datagram, of some 25 bytes each.
+	// More come only with a lost data hall, of which one end each is too little to
+	// hold any request back.
+	maxFeedEnds = 200
 )
 
 // urgent is news of targets that can't wait.
 type urgent struct {
 	ended, suspects, silent []string
+	ends                    []endNote // that nobody told before
 }
 
-func (u urgent) empty() bool { return len(u.ended)+len(u.suspects)+len(u.silent) == 0 }
+func (u urgent) empty() bool { return len(u.ended)+len(u.suspects)+len(u.silent)+len(u.ends) == 0 }
 
 // publisher tells the subscribers of a feed what changes.
 type publisher struct {
@@ -124,6 +129,7 @@
 	p.news.ended = append(p.news.ended, p.untold(newsEnded, u.ended, now)...)
 	p.news.suspects = append(p.news.suspects, p.untold(newsSuspect, u.suspects, now)...)
 	p.news.silent = append(p.news.silent, p.untold(newsSilent, u.silent, now)...)
+	p.news.ends = append(p.news.ends, u.ends...)
 	if !p.news.empty() {
 		p.wake()
 	}
@@ -203,6 +209,7 @@
 // them, and the newcomers that are told everything.
 func (p *publisher) flush(r *relay, counts map[string]balance.Count, now time.Time) (changes []feedPart, told, newcomers []string) {
 	first := feedPart{Scope: p.scope, Region: p.region, Ended: p.news.ended, Suspects: p.news.suspects, Silent: p.news.silent}
+	first.Ends, _ = cut(p.news.ends, maxFeedEnds)
 	if p.countsDue(now) {
 		p.countsAt, first.Counts = now, counts
 	}
@@ -234,8 +241,8 @@
 
 // everything returns the datagrams that tell a new subscriber all there is,
 // the urgent news of late included.
-func (p *publisher) everything(r *relay, counts map[string]balance.Count, now time.Time) []feedPart {
-	first := feedPart{Scope: p.scope, Region: p.region, Counts: counts}
+func (p *publisher) everything(r *relay, counts map[string]balance.Count, ends []endNote, now time.Time) []feedPart {
+	first := feedPart{Scope: p.scope, Region: p.region, Counts: counts, Ends: ends}
 	for key := range p.told {
 		switch key.kind {
 		case newsEnded:
--- a/loadshare/relaying.go
+++ b/loadshare/relaying.go
@@ -95,6 +95,7 @@
 		s.relayMu.Unlock()
 		return
 	}
+	ends := encodeEnds(s.ledger.Take(decodeEnds(p.Ends)))
 	sections, ask := f.take(p, now)
 	if p.Parts == 0 && s.lackWhole(sections, now) {
 		f.synced, ask = false, true
@@ -103,7 +104,7 @@
 		f.asked = time.Time{}
 	}
 	changed := s.applySections(f, sections, now)
-	s.relay.addUrgent(urgent{ended: p.Ended, suspects: p.Suspects, silent: p.Silent}, s.regionOf(f), now)
+	s.relay.addUrgent(urgent{ended: p.Ended, suspects: p.Suspects, silent: p.Silent, ends: ends}, s.regionOf(f), now)
 	s.relayMu.Unlock()
 	s.handOn(changed)
 	s.tracker.SetEnded(p.Ended)
@@ -232,7 +233,7 @@
 	changes, told, newcomers := p.flush(s.relay, counts, now)
 	var everything []feedPart
 	if len(newcomers) > 0 {
-		everything = p.everything(s.relay, s.countsOf(p), now)
+		everything = p.everything(s.relay, s.countsOf(p), encodeEnds(s.ledger.Everything()), now)
 		s.count.whole.Add(int64(len(newcomers)))
 	}
 	s.relayMu.Unlock()
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -1,5 +1,3 @@
-// Package quarantine keeps requests away from targets that end whenever they
-// run them.
 package quarantine
 
 import (
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -14,6 +14,7 @@
 	"github.com/walnutramp/walnutramp/gateway"
 	"github.com/walnutramp/walnutramp/loadshare"
 	"github.com/walnutramp/walnutramp/metering"
+	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
 	"k8s.io/klog/v2"
@@ -72,7 +73,8 @@
 	budgets := balance.NewBudgets(balance.BudgetConfig{
 		Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow, Nodes: nodesAssumed,
 	})
-	sharer, err := p.newSharer(targets, budgets)
+	ledger := quarantine.New()
+	sharer, err := p.newSharer(targets, budgets, ledger)
 	if err != nil {
 		return err
 	}
@@ -91,7 +93,8 @@
 		return err
 	}
 	p.client = control.NewDocumentClient(p.peers, s.Seeds, adopt)
-	options := []gateway.Option{gateway.WithNames(names), gateway.WithLease(p.lease()), gateway.WithFind(findBy(sharer))}
+	options := []gateway.Option{gateway.WithNames(names), gateway.WithLease(p.lease()), gateway.WithFind(findBy(sharer)),
+		gateway.WithQuarantine(ledger)}
 	var agent *rollout.Agent
 	if s.Rollouts.Enabled() {
 		agent = rollout.NewAgent(rand.Uint64())
@@ -126,13 +129,14 @@
 }
 
 // newSharer returns what tells other entries of this one's runs.
-func (p *Process) newSharer(targets *balance.Tracker, budgets *balance.Budgets) (*loadshare.Sharer, error) {
+func (p *Process) newSharer(targets *balance.Tracker, budgets *balance.Budgets, ledger *quarantine.Ledger) (*loadshare.Sharer, error) {
 	s := p.settings
 	conn, err := net.ListenPacket("udp", s.PeerListen)
 	if err != nil {
 		return nil, err
 	}
-	options := []loadshare.Option{loadshare.WithDataHall(s.DataHall), loadshare.WithTopology(s.Topology)}
+	options := []loadshare.Option{loadshare.WithDataHall(s.DataHall), loadshare.WithTopology(s.Topology),
+		loadshare.WithQuarantine(ledger)}
 	if s.DataDir != "" {
 		options = append(options, loadshare.WithMemory(filepath.Join(s.DataDir, tracesFile)))
 	}
