The same cause on the system's own dialect: drafts and calls under which targets end are held back there, too

A generation was resumed at one engine after the other for as long as any lived, and a call sent three times by each of its callers' tries. Both roads now share a Witness, which looks whether a target that broke off has ended, and a Ledger; nodes tell each other by an RPC. Also: an end counts after another one whose run was sent at the same instant.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp/discovery"
+	"github.com/walnutramp/walnutramp/internal/shortname"
 	"github.com/walnutramp/walnutramp/topology"
 )
 
@@ -88,7 +89,7 @@
 
 	mu      sync.Mutex
 	byID    map[string]*Target
-	byShort map[uint32]*Target // by ShortName of the ID
+	byShort map[uint32]*Target // by short name of the ID
 	service map[string][]*Target
 	listed  bool
 	others  map[string]*sharedRuns // by node
@@ -182,7 +183,7 @@
 		}
 		known.Target = entry
 		byID[entry.ID] = known
-		byShort[ShortName(entry.ID)] = known
+		byShort[shortname.Of(entry.ID)] = known
 		service[entry.Service] = append(service[entry.Service], known)
 		holder[entry.Address] = later(holder[entry.Address], known)
 	}
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -11,6 +11,7 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/generation"
+	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/route"
 	"github.com/walnutramp/walnutramp/target"
 )
@@ -60,6 +61,7 @@
 	Ledger      Ledger
 	Observe     Observer
 	Stopping    func() bool
+	Quarantine  *quarantine.Witness // knows which requests end the targets that run them
 	MaxBody     int64
 	BodyTime    time.Duration // for reading a request's body
 	ServiceTime time.Duration // for one call of a service
@@ -86,6 +88,9 @@
 // WithObserver gives who is told of answers and waits.
 func WithObserver(o Observer) Option { return func(c *Config) { c.Observe = o } }
 
+// WithQuarantine sets what knows which requests end the targets that run them.
+func WithQuarantine(w *quarantine.Witness) Option { return func(c *Config) { c.Quarantine = w } }
+
 // WithStopping gives the test for whether the node takes no new work.
 func WithStopping(f func() bool) Option { return func(c *Config) { c.Stopping = f } }
 
@@ -97,6 +102,7 @@
 	return Config{
 		Stopping:    func() bool { return false },
 		Observe:     ignore{},
+		Quarantine:  quarantine.NewWitness(quarantine.New(), nil),
 		MaxBody:     4 << 20,
 		BodyTime:    10 * time.Second,
 		ServiceTime: 15 * time.Second,
--- a/caller/complete.go
+++ b/caller/complete.go
@@ -72,6 +72,9 @@
 	if h.cfg.Stopping() {
 		return nil, walnutramp.NewError(walnutramp.CodeStopping, walnutramp.NotRun, "this node is stopping").WithRetryAfter(time.Second)
 	}
+	if err := h.heldBack(a.spec.Content); err != nil {
+		return nil, err
+	}
 	return h.cfg.Generations.Open(ctx, a.spec)
 }
 
--- a/caller/request.go
+++ b/caller/request.go
@@ -152,7 +152,7 @@
 	}
 	a := &ask{stream: f.Stream, includeUsage: f.StreamOptions.IncludeUsage}
 	a.spec = generation.Spec{
-		Account: account.Name, Key: key, BodyDigest: bundle.Digest(body),
+		Account: account.Name, Key: key, BodyDigest: bundle.Digest(body), Content: contentOf(body, account, string(f.Model)),
 		Chat: chat, Model: f.Model, Prompt: prompt, PromptKey: promptKey(prompt),
 		Priority: account.Priority, Weight: account.Weight, Options: passOn(all),
 	}
--- a/caller/service.go
+++ b/caller/service.go
@@ -9,6 +9,7 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/route"
 	"github.com/walnutramp/walnutramp/target"
 	"k8s.io/klog/v2"
@@ -58,7 +59,12 @@
 	if r.URL.RawQuery != "" {
 		call.Path += "?" + r.URL.RawQuery
 	}
-	s := &serviceCall{h: h, account: account, service: svc, call: call, key: r.Header.Get(headerKey)}
+	s := &serviceCall{h: h, account: account, service: svc, call: call, key: r.Header.Get(headerKey),
+		content: contentOf(body, account, svc.Name, call.Method, call.Path)}
+	if err := h.heldBack(s.content); err != nil {
+		h.refuse(w, walnutramp.AsError(err))
+		return
+	}
 	var a target.Answer
 	var err error
 	if svc.Repeatable(r.Method, "/"+r.PathValue("path")) {
@@ -102,6 +108,8 @@
 	service bundle.Service
 	call    target.Call
 	key     string
+	content quarantine.Fingerprint
+	look    *quarantine.Look // whether the target that broke off last has ended
 }
 
 func (s *serviceCall) pick(ctx context.Context, avoid []walnutramp.TargetName) (*route.Grant, error) {
@@ -120,8 +128,13 @@
 	var avoid []walnutramp.TargetName
 	var last error
 	for i := range attemptsPerCall {
-		if i > 0 && !s.h.cfg.Router.SpendRetry() {
-			break
+		if i > 0 {
+			if err := s.endsTargets(); err != nil {
+				return target.Answer{}, err
+			}
+			if !s.h.cfg.Router.SpendRetry() {
+				break
+			}
 		}
 		grant, err := s.pick(ctx, avoid)
 		if err != nil {
@@ -152,12 +165,17 @@
 func (s *serviceCall) send(ctx context.Context, grant *route.Grant, once bool) (target.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.h.cfg.ServiceTime)
 	defer cancel()
+	sent := time.Now()
 	a, err := s.h.cfg.Services.Service(grant.Target, once).Do(ctx, s.call)
 	if err != nil {
+		if ctx.Err() == nil && !notSent(err) {
+			s.noteBreak(grant, sent)
+		}
 		grant.Done(route.Broken)
 		return a, err
 	}
 	grant.Done(route.Finished)
+	s.h.cfg.Quarantine.Sound(s.content)
 	return a, nil
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -52,7 +52,7 @@
 	metered  bool                     // it was counted for its account
 	content  quarantine.Fingerprint   // the same whenever the client sends it again
 	sentAt   time.Time                // when the newest try was sent
-	looked   chan struct{}            // closed once it is known whether the target that broke off has ended
+	look     *quarantine.Look         // whether the target that broke off last has ended
 }
 
 // open reads and checks a request.
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -19,7 +19,6 @@
 	stalls  *metrics.Counter
 	broken  *metrics.Counter
 	moved   *metrics.Counter
-	ends    *metrics.Counter
 	whole   *metrics.Histogram
 	first   *metrics.Histogram
 	gap     *metrics.Histogram
@@ -36,7 +35,6 @@
 		stalls:  s.NewCounter("walnutramp_gateway_stalls_total"),
 		broken:  s.NewCounter("walnutramp_gateway_broken_answers_total"),
 		moved:   s.NewCounter("walnutramp_gateway_runs_moved_total"),
-		ends:    s.NewCounter("walnutramp_gateway_targets_ended_under_run_total"),
 		whole:   s.NewHistogram("walnutramp_gateway_answer_seconds"),
 		first:   s.NewHistogram("walnutramp_gateway_first_event_seconds"),
 		gap:     s.NewHistogram("walnutramp_gateway_resume_gap_seconds"),
--- a/gateway/ends.go
+++ b/gateway/ends.go
@@ -7,28 +7,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/balance"
-	"github.com/walnutramp/walnutramp/internal/pause"
-	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/targetconn"
-	"k8s.io/klog/v2"
-)
-
-// A connection that breaks off does not say why: an answer was lost, a link was
-// reset, or the target's process ended. Where nobody listens at its address
-// any more, it ended.
-
-// Times of the looks at a target whose connection broke off.
-const (
-	// lookPause is the wait before a second look: a process that ends closes
-	// its connections, and what it listens on, within milliseconds.
-	lookPause = 30 * time.Millisecond
-	// lookTime bounds a look. A target's machine refuses at once; one that says
-	// nothing was cut off or lost its power, which no request does.
-	lookTime = 250 * time.Millisecond
-	// onset is for how long after its first event a run counts as just begun:
-	// what a request does to a process shows in the first steps over it.
-	onset = 500 * time.Millisecond
 )
 
 // errHeldBack is why a run that has not begun is given up when its content is
@@ -37,7 +17,7 @@
 
 // standing says how far the newest run had come at its target.
 func (r *relay) standing() quarantine.Standing {
-	if r.events > 0 && time.Since(r.begun) >= onset {
+	if r.events > 0 && time.Since(r.begun) >= quarantine.Onset {
 		return quarantine.Settled
 	}
 	return quarantine.Begun
@@ -45,11 +25,11 @@
 
 // noteSettled notes that a run has gone on for a while.
 func (r *relay) noteSettled() {
-	if r.settled || time.Since(r.begun) < onset {
+	if r.settled || time.Since(r.begun) < quarantine.Onset {
 		return
 	}
 	r.settled = true
-	r.gateway.cfg.Quarantine.Sound(r.call.content)
+	r.gateway.witness.Sound(r.call.content)
 }
 
 // waiting says how far a call had come at a target that did not answer it. A
@@ -61,35 +41,15 @@
 	return quarantine.Begun
 }
 
-// noteBreak looks whether a target whose connection broke off under a call has
-// ended. One that was to end anyway says nothing of the call.
+// noteBreak notes that a target's connection broke off under a call. A target
+// that was to end anyway says nothing of the call.
 func (g *Gateway) noteBreak(c *call, t *balance.Target, s quarantine.Standing) {
-	if s == quarantine.Settled || t.Leaves() {
+	if t.Leaves() {
 		return
 	}
-	broke := uptime.Now()
-	note := quarantine.Note{Content: c.content, Target: balance.ShortName(t.ID), Standing: s, Ran: time.Since(c.sentAt)}
-	id, looked := c.id, make(chan struct{})
-	c.looked = looked
-	go func() {
-		defer close(looked)
-		ended := g.hasEnded(t)
-		klog.InfoS("Looked at a target that broke off", "request", id, "content", note.Content, "target", t.ID, "standing", s,
-			"ended", ended, "ran_ms", note.Ran.Milliseconds())
-		if ended {
-			g.counters.ends.Inc()
-			note.Age = uptime.Since(broke)
-			g.cfg.Quarantine.Ended(note)
-		}
-	}()
-}
-
-// hasEnded reports whether a target's process has ended, by looking whether
-// anybody listens at its address.
-func (g *Gateway) hasEnded(t *balance.Target) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*lookTime)
-	defer cancel()
-	return g.pool.Refuses(ctx, endpoint(t)) || pause.For(ctx, lookPause) && g.pool.Refuses(ctx, endpoint(t))
+	c.look = g.witness.Broke(quarantine.Break{
+		Request: c.id, Content: c.content, Target: t.ID, Address: t.Address, Standing: s, Sent: c.sentAt,
+	})
 }
 
 // brokeOff reports whether an exchange failed for the target's closing its
@@ -104,7 +64,7 @@
 // none. It is refused at once, with the time from which on it may be tried
 // again: to come sooner is in vain.
 func (g *Gateway) heldBack(c *call) *walnutramp.Error {
-	left, held := g.cfg.Quarantine.Held(c.content)
+	left, held := g.witness.Held(c.content)
 	if !held {
 		return nil
 	}
@@ -112,12 +72,8 @@
 }
 
 // endsTargets reports whether a call that a target may have run is to go to no
-// other one. Where targets ended under its content before, what became of the
-// newest is waited for: a refused connection tells it in a round trip.
+// other one.
 func (g *Gateway) endsTargets(c *call) bool {
-	if c.looked != nil && g.cfg.Quarantine.Suspect(c.content) {
-		<-c.looked
-	}
-	_, held := g.cfg.Quarantine.Held(c.content)
+	_, held := g.witness.HeldAfter(c.look, c.content)
 	return held
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -125,6 +125,7 @@
 	exchanges exchanges
 
 	budgets *balance.Budgets
+	witness *quarantine.Witness
 }
 
 // New returns a gateway without a table: it answers 503 until SetTable.
@@ -140,8 +141,10 @@
 	g := &Gateway{cfg: cfg, targets: targets, pool: pool, refresh: refresh, budgets: budgets, counters: newCounters(),
 		started: make(chan struct{}), pending: pendingRuns{runs: map[*pendingRun]struct{}{}}}
 	targets.OnSilence(g.pending.moveFromSilent)
-	cfg.Quarantine.OnHeld(g.pending.giveUp)
-	g.counters.set.NewGauge("walnutramp_quarantine_held_contents", func() float64 { return float64(cfg.Quarantine.HeldContents()) })
+	g.witness = quarantine.NewWitness(cfg.Quarantine, pool.Dial)
+	g.witness.OnHeld(g.pending.giveUp)
+	g.counters.set.NewGauge("walnutramp_quarantine_held_contents", func() float64 { return float64(g.witness.HeldContents()) })
+	g.counters.set.NewGauge("walnutramp_quarantine_suspect_contents", func() float64 { return float64(g.witness.SuspectContents()) })
 	g.strip = map[string]bool{}
 	n := cfg.Names
 	for _, name := range append([]string{n.Key, n.Account, n.Expect, n.Priority, n.CopyTo, n.CopyFrom, n.Deadline}, n.System...) {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -128,7 +128,7 @@
 		return nil, true
 	}
 	whole.target = t.ID
-	g.cfg.Quarantine.Sound(c.content)
+	g.witness.Sound(c.content)
 	c.watched.First()
 	if answer.Status >= http.StatusInternalServerError {
 		g.noteFailed(c, t)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -253,7 +253,7 @@
 		g.noteBreak(c, t, quarantine.Begun)
 		return endBroken
 	}
-	g.cfg.Quarantine.Sound(c.content)
+	g.witness.Sound(c.content)
 	g.passWhole(r.w, c, whole)
 	return endOther
 }
@@ -341,7 +341,7 @@
 			return endLeft
 		}
 		c.watched.Ended(rollout.Served)
-		g.cfg.Quarantine.Sound(c.content)
+		g.witness.Sound(c.content)
 		return endWhole
 	}
 	if ctx.Err() != nil {
--- a/generation/manager.go
+++ b/generation/manager.go
@@ -11,6 +11,7 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/internal/part"
+	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/route"
 	"github.com/walnutramp/walnutramp/target"
 )
@@ -65,6 +66,9 @@
 	Patience     time.Duration // how long a majority is waited for
 	Resumers     []Prioritized
 	Broken       BrokenRule // a safety rule that is broken on purpose
+
+	// Quarantine knows which requests end the engines that run them.
+	Quarantine *quarantine.Witness
 }
 
 // Observer takes counts of what happens to generations.
@@ -99,6 +103,9 @@
 // WithObserver gives who is told of resumes and takeovers.
 func WithObserver(o Observer) Option { return func(c *Config) { c.Observe = o } }
 
+// WithQuarantine sets what knows which requests end the engines that run them.
+func WithQuarantine(w *quarantine.Witness) Option { return func(c *Config) { c.Quarantine = w } }
+
 // WithResumer adds a way to resume; among equal forecasts the lower priority
 // number goes first.
 func WithResumer(r Resumer, priority int) Option {
@@ -134,6 +141,7 @@
 		ReplaceAfter: time.Second,
 		Retain:       2 * time.Minute,
 		Patience:     10 * time.Second,
+		Quarantine:   quarantine.NewWitness(quarantine.New(), nil),
 		Resumers: []Prioritized{
 			{Reattach{}, 100},
 			{ImportKV{}, 200},
--- a/generation/owner.go
+++ b/generation/owner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/quarantine"
 )
 
 // Generation is a generation this node owns. Its replicated state lives in
@@ -26,6 +27,7 @@
 	finalReleased bool
 	err           *walnutramp.Error // why nothing more is released here
 	sent          bool              // something went to an engine
+	look          *quarantine.Look  // whether the engine that broke off last has ended; the feeding task's
 	changed       chan struct{}     // closed at every change a follower may wait for
 
 	followers int
--- a/generation/resume.go
+++ b/generation/resume.go
@@ -64,6 +64,9 @@
 			"the stream ended and options %v can't be carried on by another engine", b.State.Spec.Bound)
 		var last error = err
 		for _, w := range g.m.ways(b) {
+			if held := g.heldBack(); held != nil {
+				return nil, held
+			}
 			a, err := w.resumer.Resume(ctx, b)
 			if err == nil {
 				g.m.cfg.Observe.Resumed(g.id, w.resumer.Name(), time.Since(began), w.forecast.Tokens)
--- a/generation/run.go
+++ b/generation/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/route"
 	"github.com/walnutramp/walnutramp/target"
 	"k8s.io/klog/v2"
@@ -21,6 +22,9 @@
 	release context.CancelFunc
 	next    walnutramp.Offset  // place in the stream of the token that comes next
 	pending []walnutramp.Token // tokens whose text the engine still holds back
+	sent    time.Time          // when it was sent to the engine
+	first   time.Time          // when its first token came
+	settled bool               // it has gone on for a while
 }
 
 // cause is why an attempt ended.
@@ -168,12 +172,16 @@
 func (g *Generation) openStream(ctx context.Context, a *attempt, limit time.Duration, open func(context.Context) (target.Stream, error)) (*attempt, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(limit, cancel)
+	a.sent = time.Now()
 	stream, err := open(ctx)
 	var unsent *target.NotSentError
 	if !errors.As(err, &unsent) {
 		g.noteSent()
 	}
 	if err != nil || !timer.Stop() {
+		if brokeOff(ctx, err) {
+			g.noteBreak(a, quarantine.Waiting)
+		}
 		cancel()
 		if err == nil {
 			stream.Close()
@@ -214,6 +222,7 @@
 		select {
 		case r := <-in:
 			if r.err != nil {
+				g.noteBreak(a, a.standing())
 				return causeClosed
 			}
 			took, finished, ok := g.take(a, r.chunk)
@@ -221,10 +230,12 @@
 				return causeClosed
 			}
 			if finished {
+				g.m.cfg.Quarantine.Sound(g.content())
 				return causeFinished
 			}
 			if took > 0 {
 				now := time.Now()
+				g.noteSettled(a, now)
 				if last.Equal(began) && a.source.Base > 0 {
 					g.noteGap(now.Sub(began))
 				}
--- a/generation/spec.go
+++ b/generation/spec.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/target"
 )
 
@@ -22,6 +23,7 @@
 	Weight     int
 	Options    json.RawMessage // passed on to engines unchanged
 	Bound      []string        // options that no other engine can carry on from
+	Content    quarantine.Fingerprint
 }
 
 // Source is the engine stream that now feeds a generation.
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -65,9 +66,13 @@
 func (n *Network) dial(host, address string) (net.Conn, error) {
 	n.mu.Lock()
 	l := n.listeners[address]
-	if l == nil || n.cut[pair(host, l.host)] {
+	if l == nil {
+		n.mu.Unlock()
+		return nil, errors.Wrapf(syscall.ECONNREFUSED, "dial %s", address)
+	}
+	if n.cut[pair(host, l.host)] {
 		n.mu.Unlock()
-		return nil, errors.Newf("dial %s: refused", address)
+		return nil, errors.Wrapf(syscall.EHOSTUNREACH, "dial %s", address)
 	}
 	a, b := net.Pipe()
 	if n.Delay != nil {
--- a/loadshare/failures_test.go
+++ b/loadshare/failures_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/internal/shortname"
 )
 
 // settleTime is how long nodes of a test that start together take to know each
@@ -218,7 +219,7 @@
 	f.source, f.heard = addressOf(1), now
 	s.feeds[feedKey{scopeSite, "a"}] = f
 	s.takeFeed(f.source, &feedPart{Scope: scopeSite, Parts: 1, Sections: []section{{
-		Node: 7, Runs: []shortRun{{Number: 1, Target: balance.ShortName("i-5"), Read: 90000, Hold: 8000}},
+		Node: 7, Runs: []shortRun{{Number: 1, Target: shortname.Of("i-5"), Read: 90000, Hold: 8000}},
 	}}})
 	n := &siteNode{Sharer: s, tracker: tracker}
 	require.True(t, n.sees("i-5"))
@@ -238,7 +239,7 @@
 		victim := s.plain()
 		liar := s.nodes[slices.IndexFunc(s.nodes, func(n *siteNode) bool { return n != victim && n != s.relayOf(victim) })]
 		lie := message{Feed: &feedPart{Scope: scopeSite, Parts: 1, Sections: []section{{
-			Node: 7, Runs: []shortRun{{Number: 1, Target: balance.ShortName("i-5"), Read: 1 << 40, Hold: -5}},
+			Node: 7, Runs: []shortRun{{Number: 1, Target: shortname.Of("i-5"), Read: 1 << 40, Hold: -5}},
 		}}}}
 		victim.take(liar.conn.address, lie)
 		require.False(t, victim.sees("i-5"))
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -16,6 +16,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/internal/shortname"
 	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/topology"
 	"k8s.io/klog/v2"
@@ -72,7 +73,7 @@
 func New(conn net.PacketConn, tracker *balance.Tracker, budgets *balance.Budgets, opts ...Option) *Sharer {
 	s := &Sharer{
 		conn: conn, tracker: tracker, budgets: budgets, near: newAudience(true, nearPace), far: newAudience(false, farPace),
-		up: newRelayAudience(), tendSoon: make(chan struct{}, 1), short: balance.ShortName(conn.LocalAddr().String()),
+		up: newRelayAudience(), tendSoon: make(chan struct{}, 1), short: shortname.Of(conn.LocalAddr().String()),
 		relay: newRelay(), feeds: map[feedKey]*feed{}, missed: map[string]time.Time{}, asked: map[uint64]chan *traceNote{},
 		news: make(chan struct{}, 1), started: time.Now(),
 		peers: map[string]*net.UDPAddr{}, named: map[string]time.Time{}, heard: map[string]*sender{},
@@ -377,7 +378,7 @@
 	s.tracker.SetEnded(m.Ended)
 	s.tracker.SetSuspects(m.Suspects)
 	s.tracker.SetSilent(m.Silent)
-	s.tracker.SetOthers(nodeName(balance.ShortName(from)), runs)
+	s.tracker.SetOthers(nodeName(shortname.Of(from)), runs)
 	s.note()
 }
 
--- a/loadshare/relaying.go
+++ b/loadshare/relaying.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/internal/shortname"
 )
 
 // nodeName names a node to the tracker.
@@ -61,9 +62,9 @@
 		if r.Broken {
 			continue
 		}
-		one := shortRun{Number: r.Number, Target: balance.ShortName(r.Target), Read: r.Read, Hold: r.Hold, AgeMS: r.Age.Milliseconds()}
+		one := shortRun{Number: r.Number, Target: shortname.Of(r.Target), Read: r.Read, Hold: r.Hold, AgeMS: r.Age.Milliseconds()}
 		if r.Trace.Copy != "" {
-			one.Copy = balance.ShortName(r.Trace.Copy)
+			one.Copy = shortname.Of(r.Trace.Copy)
 		}
 		short = append(short, one)
 	}
@@ -76,7 +77,7 @@
 	now := time.Now()
 	s.relayMu.Lock()
 	defer s.relayMu.Unlock()
-	node := balance.ShortName(from)
+	node := shortname.Of(from)
 	region := s.ownRegion()
 	s.relay.change(s.relay.difference(node, shortRuns(runs)), true, region, now)
 	if len(counts) > 0 {
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/walnutramp/walnutramp/operator"
 	"github.com/walnutramp/walnutramp/peer"
 	"github.com/walnutramp/walnutramp/placement"
+	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/route"
 	"github.com/walnutramp/walnutramp/target"
 	"github.com/walnutramp/walnutramp/wal"
@@ -172,7 +173,11 @@
 	voterState  *control.State
 	placer      *placement.Controller // gives orders while the voter leads
 	instances   *discovery.Watch      // nil for none
-	report      *reportKeeper         // nil on nodes without a disk
+	quarantine  *quarantine.Witness
+
+	quarantineNews chan struct{}      // there are notes to be told
+	quarantineStop context.CancelFunc // of the task that tells them
+	report         *reportKeeper      // nil on nodes without a disk
 
 	stopping atomic.Bool
 	tasks    sync.WaitGroup
@@ -191,6 +196,7 @@
 	n.bundle.Store(cfg.Bundle)
 	n.metrics = newMetricSet(n)
 	n.wirePeers()
+	n.wireQuarantine()
 	if err := n.wireControl(); err != nil {
 		return nil, err
 	}
@@ -243,6 +249,7 @@
 			func() bundle.Leaning { return n.bundle.Load().Resume.Leaning },
 		),
 		generation.WithObserver(n.metrics),
+		generation.WithQuarantine(n.quarantine),
 	}, n.cfg.GenerationOpt...)
 	n.generations = generation.NewManager(opts...)
 }
@@ -253,6 +260,7 @@
 		caller.WithGenerations(n.generations),
 		caller.WithServices(n.router, n.pool),
 		caller.WithObserver(n.metrics),
+		caller.WithQuarantine(n.quarantine),
 		caller.WithStopping(n.stopping.Load),
 	}
 	mux := http.NewServeMux()
@@ -324,9 +332,15 @@
 	if err := n.peerServer.Register(member.Service, n.members.Handler()); err != nil {
 		return err
 	}
+	if err := n.peerServer.Register(quarantineName, &quarantineService{n.quarantine.Ledger}); err != nil {
+		return err
+	}
 	if err := n.registerControl(); err != nil {
 		return err
 	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.quarantineStop = stop
+	n.task(part.Control, func() { n.tellQuarantine(ctx) })
 	n.task(part.Guard, func() { n.peerServer.Serve(peers) })
 	n.task(part.Callers, func() { n.http.Serve(callers) })
 	part.Do(part.Control, func() {
@@ -389,6 +403,9 @@
 // Close ends the node at once, as a crash would.
 func (n *Node) Close() {
 	n.stopping.Store(true)
+	if n.quarantineStop != nil {
+		n.quarantineStop()
+	}
 	n.http.Close()
 	n.closeControl()
 	n.closeDiscovery()
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -62,7 +62,7 @@
 	if e.later {
 		sentAfter = sentAfter.Add(-blur)
 	}
-	return e.sent.After(sentAfter) || e.at.Sub(other.at) >= oneCause
+	return !e.sent.Before(sentAfter) || e.at.Sub(other.at) >= oneCause
 }
 
 // rival says how another content that was at an end stands to one.
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -80,7 +80,7 @@
 // content. The caller holds the mutex.
 func (l *Ledger) isLater(n Note, now time.Time) bool {
 	r := l.records[n.Content]
-	return r == nil || len(r.ends) == 0 || r.ends[len(r.ends)-1].at.Before(now.Add(-n.Age-n.Ran))
+	return r == nil || len(r.ends) == 0 || !r.ends[len(r.ends)-1].at.After(now.Add(-n.Age-n.Ran))
 }
 
 // Sound notes that a run of a content went on well: what ended targets before
@@ -161,6 +161,19 @@
 	return n
 }
 
+// SuspectContents returns how many contents targets have ended under.
+func (l *Ledger) SuspectContents() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, r := range l.records {
+		if len(r.ends) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // apply brings the records up to date, and reports whether a note told anything
 // new. The caller holds the mutex, as for the methods below.
 func (l *Ledger) apply(n Note, now time.Time) bool {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -30,6 +30,10 @@
 // String names the standing.
 func (s Standing) String() string { return standingNames[s] }
 
+// Onset is for how long after its first output a run counts as just begun: what
+// a request does to a process shows in the first steps over it.
+const Onset = 500 * time.Millisecond
+
 // What ends count.
 const (
 	begunWeight = 2
--- /dev/null
+++ b/quarantine/witness.go
@@ -0,0 +1,102 @@
+package quarantine
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/internal/shortname"
+	"github.com/walnutramp/walnutramp/internal/uptime"
+	"k8s.io/klog/v2"
+)
+
+// Times of the looks at a target whose connection broke off.
+const (
+	// lookPause is the wait before a second look: a process that ends closes
+	// its connections, and what it listens on, within milliseconds.
+	lookPause = 30 * time.Millisecond
+	// lookTime bounds both looks. A target's machine refuses at once; one that says
+	// nothing was cut off or lost its power, which no request does.
+	lookTime = 500 * time.Millisecond
+)
+
+// DialFunc opens a connection; net.Dialer.DialContext is one.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Witness finds out whether targets ended under runs, and has a Ledger keep it.
+// A connection that breaks off does not say why: an answer was lost, a link was
+// reset, or the target's process ended. Where nobody listens at its address any
+// more, it ended.
+type Witness struct {
+	*Ledger
+	dial DialFunc
+}
+
+// NewWitness returns a witness that looks at targets' addresses by dial; without
+// one it finds nothing out.
+func NewWitness(l *Ledger, dial DialFunc) *Witness { return &Witness{Ledger: l, dial: dial} }
+
+// Break is a connection to a target that broke off under a run.
+type Break struct {
+	Request  string // its identity, for logs
+	Content  Fingerprint
+	Target   string
+	Address  string // numeric host:port of the target
+	Standing Standing
+	Sent     time.Time // when the request was sent to the target
+}
+
+// Look is what is still to be found out about a Break; nil for nothing.
+type Look struct{ done chan struct{} }
+
+// Broke looks whether the target of a break has ended.
+func (w *Witness) Broke(b Break) *Look {
+	if b.Standing == Settled {
+		return nil
+	}
+	broke := uptime.Now()
+	note := Note{Content: b.Content, Target: shortname.Of(b.Target), Standing: b.Standing, Ran: time.Since(b.Sent)}
+	look := &Look{done: make(chan struct{})}
+	go func() {
+		defer close(look.done)
+		ended := w.hasEnded(b.Address)
+		klog.InfoS("Looked at a target that broke off", "request", b.Request, "content", b.Content, "target", b.Target,
+			"standing", b.Standing, "ended", ended, "ran_ms", note.Ran.Milliseconds())
+		if ended {
+			note.Age = uptime.Since(broke)
+			w.Ended(note)
+		}
+	}()
+	return look
+}
+
+// HeldAfter reports what Held does. Where targets ended under the content
+// before, what came of the newest is waited for: a refused connection tells it
+// in a round trip.
+func (w *Witness) HeldAfter(l *Look, content Fingerprint) (left time.Duration, held bool) {
+	if l != nil && w.Suspect(content) {
+		<-l.done
+	}
+	return w.Held(content)
+}
+
+// hasEnded reports whether nobody listens at a target's address any more.
+func (w *Witness) hasEnded(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), lookTime)
+	defer cancel()
+	return w.refuses(ctx, address) || pause.For(ctx, lookPause) && w.refuses(ctx, address)
+}
+
+func (w *Witness) refuses(ctx context.Context, address string) bool {
+	if w.dial == nil {
+		return false
+	}
+	c, err := w.dial(ctx, "tcp", address)
+	if err == nil {
+		c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -25,7 +25,8 @@
 	HoldEvery      int           // hold back the text of every n-th token until the next; 0 never
 	ReportLag      time.Duration // how old a load report is when it is given
 	Seed           uint64
-	WithoutTokenID bool // speak the plain dialect, without token IDs
+	WithoutTokenID bool   // speak the plain dialect, without token IDs
+	FatalPrompt    string // ends the engine that begins to run it; empty for none
 }
 
 // EngineOption sets a field of EngineConfig.
@@ -160,6 +161,12 @@
 	KVTransfer *target.KVHandle     `json:"kv_transfer_params"`
 }
 
+// isFatal reports whether a request's prompt is one that ends its engine.
+func (r *engineRequest) isFatal(prompt string) bool {
+	var text string
+	return prompt != "" && json.Unmarshal(r.Prompt, &text) == nil && text == prompt
+}
+
 func (r *engineRequest) promptTokens() ([]walnutramp.TokenID, error) {
 	if r.Messages != nil {
 		return Tokenize(RenderChat(r.Messages)), nil
--- a/standin/service.go
+++ b/standin/service.go
@@ -11,7 +11,8 @@
 
 // ServiceConfig sets how the stand-in service behaves.
 type ServiceConfig struct {
-	Delay time.Duration // before each answer
+	Delay     time.Duration // before each answer
+	FatalBody string        // ends the service that runs it; empty for none
 }
 
 // Service is a fake plain service that counts how often each key ran.
@@ -91,6 +92,10 @@
 	if cut {
 		panic(http.ErrAbortHandler)
 	}
+	if s.cfg.FatalBody != "" && string(body) == s.cfg.FatalBody {
+		s.Close()
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(ServiceAnswer{Path: r.URL.Path, Key: key, Run: run, Echo: string(body)})
 }
--- a/standin/stream.go
+++ b/standin/stream.go
@@ -24,6 +24,7 @@
 	chat     bool
 	nonce    int
 	imported bool
+	fatal    bool // its run ends the engine
 	stop     []string
 
 	ctx    context.Context
@@ -52,6 +53,7 @@
 	}
 	s.ctx, s.cancel = context.WithCancel(e.ctx)
 	s.imported = req.KVTransfer != nil
+	s.fatal = req.isFatal(e.cfg.FatalPrompt)
 	e.counts.Streams++
 	e.streams[id] = s
 	e.queue = append(e.queue, s)
@@ -118,6 +120,10 @@
 	if !s.prefill() {
 		return
 	}
+	if s.fatal {
+		go e.Close()
+		return
+	}
 	s.decode()
 }
 
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -5,10 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // DialFunc opens a connection; net.Dialer.DialContext is one.
@@ -152,14 +149,10 @@
 	}
 }
 
-// Refuses reports whether the target's machine says that nobody listens at its
-// address: the target's process has ended.
-func (p *Pool) Refuses(ctx context.Context, e Endpoint) bool {
-	c, err := p.open(ctx, e)
-	if err == nil {
-		c.close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+// Dial opens a connection to an address as the pool does, for others to use.
+func (p *Pool) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	p.dialed.Add(1)
+	return p.cfg.Dial(ctx, network, address)
 }
 
 // open dials a new connection.
