--- a/balance/balance.go
+++ b/balance/balance.go
@@ -9,6 +9,7 @@
 
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/internal/shortname"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/topology"
 )
 
@@ -165,7 +166,7 @@
 func (t *Tracker) Update(list []discovery.Target) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
+	now := uptime.Now()
 	byID := make(map[string]*Target, len(list))
 	byShort := make(map[uint32]*Target, len(list))
 	service := map[string][]*Target{}
@@ -201,7 +202,7 @@
 func (t *Tracker) OpenIDs(service string, wanted func(*Target) bool) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
+	now := uptime.Now()
 	var ids []string
 	for _, target := range t.service[service] {
 		if target.open(now) && wanted(target) {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/walnutramp/walnutramp/discovery"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 func listed(service, hall string, ids ...string) []discovery.Target {
@@ -52,6 +53,25 @@
 	})
 }
 
+func TestOthersWordIsOldAfterASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker(listed("s", "north", "1", "2")...)
+		tracker.SetOthers("n2", []Shared{{Target: "1", Read: 30000, Hold: 30000}})
+		tracker.Pick(draft(8000)).Begin(Work{Read: 8000, Hold: 8000}, Trace{})
+		require.Equal(t, "2", tracker.Pick(draft(8000)).ID)
+		t.Cleanup(uptime.Pretend(sharedLife + time.Second))
+		require.Equal(t, "1", tracker.Pick(draft(8000)).ID)
+	})
+}
+
+func TestBudgetsWindowGoesOnWhileTheMachineIsSuspended(t *testing.T) {
+	b := NewBudget(BudgetConfig{Ratio: 0.8, Slack: 160, Window: 10 * time.Second, Nodes: 16})
+	for b.Spend() {
+	}
+	t.Cleanup(uptime.Pretend(11 * time.Second))
+	require.True(t, b.Spend())
+}
+
 func TestReadPromptsWeighLess(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		tracker := newTracker(listed("s", "north", "1", "2")...)
--- a/balance/budget.go
+++ b/balance/budget.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 // Count is how many requests and repeats there were within a window.
@@ -35,6 +37,7 @@
 type Budget struct {
 	cfg BudgetConfig
 
+	began  time.Time // from which on buckets are numbered
 	mu     sync.Mutex
 	own    [buckets]Count
 	newest int64 // number of the newest bucket
@@ -48,21 +51,21 @@
 
 // NewBudget returns a budget of which nothing is spent.
 func NewBudget(cfg BudgetConfig) *Budget {
-	return &Budget{cfg: cfg, others: map[string]toldCount{}}
+	return &Budget{cfg: cfg, began: uptime.Now(), others: map[string]toldCount{}}
 }
 
 // Earn counts a client's request in.
 func (b *Budget) Earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.bucket(time.Now()).Requests++
+	b.bucket(uptime.Now()).Requests++
 }
 
 // Spend takes one repeat; false if there is none left.
 func (b *Budget) Spend() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
+	now := uptime.Now()
 	current := b.bucket(now)
 	own := b.total()
 	if !b.inOwnShare(own) && !b.inSiteBound(own, now) {
@@ -99,7 +102,7 @@
 func (b *Budget) Site() (total Count, heard int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := time.Now()
+	now := uptime.Now()
 	b.bucket(now)
 	return b.site(b.total(), now)
 }
@@ -119,9 +122,10 @@
 	return total, heard
 }
 
-// bucket returns the bucket of a time, and clears those that are too old.
+// bucket returns the bucket of a time, and clears those that are too old. The
+// time of day may be set, which must not clear any.
 func (b *Budget) bucket(now time.Time) *Count {
-	number := now.UnixNano() / int64(b.cfg.Window/buckets)
+	number := int64(now.Sub(b.began) / (b.cfg.Window / buckets))
 	for n := max(b.newest+1, number-buckets+1); n <= number; n++ {
 		b.own[n%buckets] = Count{}
 	}
@@ -143,7 +147,7 @@
 func (b *Budget) Count() Count {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.bucket(time.Now())
+	b.bucket(uptime.Now())
 	return b.total()
 }
 
@@ -151,7 +155,7 @@
 func (b *Budget) SetOther(node string, c Count) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.others[node] = toldCount{count: c, at: time.Now()}
+	b.others[node] = toldCount{count: c, at: uptime.Now()}
 }
 
 // Budgets are the budgets of a site's services.
--- a/balance/health.go
+++ b/balance/health.go
@@ -4,13 +4,14 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp/discovery"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 // Told takes a load that an answer brought.
 func (t *Target) Told(l Load) {
 	t.tracker.mu.Lock()
 	defer t.tracker.mu.Unlock()
-	t.told, t.toldAt, t.own = l, time.Now(), len(t.runs)
+	t.told, t.toldAt, t.own = l, uptime.Now(), len(t.runs)
 	t.heard = t.toldAt
 }
 
@@ -24,7 +25,7 @@
 	t.row = 0
 	t.avoid = time.Time{}
 	t.broke, t.rumour = time.Time{}, time.Time{}
-	t.heard = time.Now()
+	t.heard = uptime.Now()
 	t.errors *= 1 - errorMemory
 }
 
@@ -36,7 +37,7 @@
 	cfg := &t.tracker.cfg
 	pause := min(cfg.AvoidFirst<<min(t.row, 5), cfg.AvoidLongest)
 	t.row++
-	now := time.Now()
+	now := uptime.Now()
 	t.avoid = now.Add(pause)
 	t.broke = now
 	t.tracker.mu.Unlock()
@@ -65,7 +66,7 @@
 func (t *Target) Lost() bool {
 	t.tracker.mu.Lock()
 	defer t.tracker.mu.Unlock()
-	now := time.Now()
+	now := uptime.Now()
 	if !t.open(now) || t.suspect(now) || t.unheard(now) {
 		return true
 	}
@@ -77,16 +78,17 @@
 func (t *Tracker) HallInDoubt(of *Target) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.doubtful(of.Service, time.Now())[of.DataHall]
+	return t.doubtful(of.Service, uptime.Now())[of.DataHall]
 }
 
 // Suspects returns the targets that lately broke off to this node.
 func (t *Tracker) Suspects() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := uptime.Now()
 	var ids []string
 	for id, target := range t.byID {
-		if time.Since(target.broke) < suspectLife/2 {
+		if now.Sub(target.broke) < suspectLife/2 {
 			ids = append(ids, id)
 		}
 	}
@@ -97,7 +99,7 @@
 func (t *Tracker) SetSuspects(ids []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
+	now := uptime.Now()
 	for _, id := range ids {
 		if target := t.byID[id]; target != nil && now.Sub(target.rumour) > suspectLife {
 			target.rumour = now
@@ -140,7 +142,7 @@
 	defer t.tracker.mu.Unlock()
 	t.errors += errorMemory * (1 - t.errors)
 	if t.errors > t.tracker.peerErrors(t)+t.tracker.cfg.ErrorTolerate {
-		t.avoid = time.Now().Add(t.tracker.cfg.ErrorAvoid)
+		t.avoid = uptime.Now().Add(t.tracker.cfg.ErrorAvoid)
 		t.errors /= 2
 	}
 }
@@ -174,7 +176,7 @@
 // many connections is asked again after a while.
 func (t *Target) Refused() {
 	t.tracker.mu.Lock()
-	t.refused = time.Now()
+	t.refused = uptime.Now()
 	t.tracker.mu.Unlock()
 	t.tracker.changed()
 }
@@ -183,9 +185,10 @@
 func (t *Tracker) Ended() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := uptime.Now()
 	var ended []string
 	for id, target := range t.byID {
-		if target.gone || time.Since(target.refused) < refusedLife/2 {
+		if target.gone || now.Sub(target.refused) < refusedLife/2 {
 			ended = append(ended, id)
 		}
 	}
@@ -197,7 +200,7 @@
 func (t *Tracker) SetEnded(ids []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	told := time.Now().Add(-refusedLife / 2)
+	told := uptime.Now().Add(-refusedLife / 2)
 	for _, id := range ids {
 		if target := t.byID[id]; target != nil && target.refused.Before(told) {
 			target.refused = told
@@ -213,7 +216,7 @@
 func (t *Target) Full() {
 	t.tracker.mu.Lock()
 	defer t.tracker.mu.Unlock()
-	t.avoid = time.Now().Add(t.tracker.cfg.AvoidFirst / 2)
+	t.avoid = uptime.Now().Add(t.tracker.cfg.AvoidFirst / 2)
 }
 
 // Leaves reports whether the site's list says that the target is to end.
@@ -227,5 +230,5 @@
 func (t *Target) Usable() bool {
 	t.tracker.mu.Lock()
 	defer t.tracker.mu.Unlock()
-	return t.open(time.Now()) && time.Now().After(t.avoid)
+	return t.open(uptime.Now()) && uptime.Now().After(t.avoid)
 }
--- a/balance/leaving.go
+++ b/balance/leaving.go
@@ -1,8 +1,7 @@
 package balance
 
 import (
-	"time"
-
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/topology"
 )
 
@@ -41,7 +40,7 @@
 func (t *Tracker) takes(c Choice) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
+	now := uptime.Now()
 	taken := t.occupancies(&c, now)
 	taking := t.spillRegions(&c, taken, now)
 	for _, target := range t.service[c.Service] {
--- a/balance/regions.go
+++ b/balance/regions.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/topology"
 )
 
@@ -54,7 +55,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if target := t.byID[id]; target != nil {
-		t.trips.Observe(target.DataHall, took, time.Now())
+		t.trips.Observe(target.DataHall, took, uptime.Now())
 	}
 }
 
--- a/balance/run.go
+++ b/balance/run.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 // Work is what one request asks of a target.
@@ -37,7 +39,7 @@
 
 // Begin counts a request in.
 func (t *Target) Begin(w Work, trace Trace) *Run {
-	r := &Run{target: t, work: w, trace: trace, began: time.Now()}
+	r := &Run{target: t, work: w, trace: trace, began: uptime.Now()}
 	t.tracker.mu.Lock()
 	r.number = t.tracker.nextNumber()
 	r.alone = w != (Work{}) && !w.Cached && t.backlog(t.underWay(r.began), r.began) == 0
@@ -52,7 +54,7 @@
 // FirstEvent notes that the target has read the prompt.
 func (r *Run) FirstEvent() {
 	r.target.tracker.mu.Lock()
-	r.first, r.firstAt = true, time.Now()
+	r.first, r.firstAt = true, uptime.Now()
 	if r.alone {
 		r.target.learnReading(r.work.Read, r.firstAt.Sub(r.began), r.firstAt)
 	}
@@ -92,11 +94,11 @@
 	delete(r.target.runs, r)
 	fromStart := r.work.Read > 0 || r.work == (Work{}) // and not from a copy
 	if how.Whole && fromStart {
-		r.learnWhole(time.Now(), how.Tokens)
+		r.learnWhole(uptime.Now(), how.Tokens)
 	}
-	tracker.forgetBroken(time.Now())
+	tracker.forgetBroken(uptime.Now())
 	if !how.Whole && r.trace.Key != "" && r.first {
-		r.broke = time.Now()
+		r.broke = uptime.Now()
 		tracker.broken = append(tracker.broken, r)
 	}
 	tracker.mu.Unlock()
@@ -149,19 +151,20 @@
 func (t *Tracker) Runs() []Shared {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := uptime.Now()
 	var all []Shared
 	for id, target := range t.byID {
 		for r := range target.runs {
 			if r.work != (Work{}) {
-				all = append(all, r.shared(id))
+				all = append(all, r.shared(id, now))
 			}
 		}
 	}
-	t.forgetBroken(time.Now())
+	t.forgetBroken(now)
 	for _, r := range t.broken {
 		all = append(all, Shared{Number: r.number, Target: r.target.ID, Trace: r.trace, Broken: true})
 	}
-	if time.Since(t.remembered) < copyLife {
+	if now.Sub(t.remembered) < copyLife {
 		for _, m := range t.memory {
 			all = append(all, Shared{Number: m.number, Target: m.trace.ReadAt, Trace: m.trace, Broken: true})
 		}
@@ -203,7 +206,7 @@
 func (t *Tracker) NoteTrace(trace Trace) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
+	now := uptime.Now()
 	for key, n := range t.named {
 		if now.Sub(n.at) > copyLife {
 			delete(t.named, key)
@@ -229,7 +232,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	trace := Trace{Key: key, ReadAt: t.read.of(key)}
-	now := time.Now()
+	now := uptime.Now()
 	if n, ok := t.named[key]; ok && now.Sub(n.at) <= copyLife {
 		trace.Copy, trace.CopyName = n.trace.Copy, n.trace.CopyName
 	} else if m, ok := t.memory[key]; ok && now.Sub(t.remembered)+t.memoryAge < copyLife {
@@ -243,7 +246,7 @@
 func (t *Tracker) Remember(traces []Trace, age time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.memory, t.remembered, t.memoryAge = map[string]memory{}, time.Now(), age
+	t.memory, t.remembered, t.memoryAge = map[string]memory{}, uptime.Now(), age
 	for _, trace := range traces {
 		if age > copyLife {
 			trace.Copy = ""
@@ -262,7 +265,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
+	now := uptime.Now()
 	t.forgetBroken(now)
 	for _, r := range t.broken {
 		if r.trace.Key == key && r.trace.Copy != "" {
@@ -289,8 +292,8 @@
 	return at, name
 }
 
-func (r *Run) shared(id string) Shared {
-	s := Shared{Number: r.number, Target: id, Read: r.work.Read, Hold: r.work.Hold, Age: time.Since(r.began), Trace: r.trace}
+func (r *Run) shared(id string, now time.Time) Shared {
+	s := Shared{Number: r.number, Target: id, Read: r.work.Read, Hold: r.work.Hold, Age: now.Sub(r.began), Trace: r.trace}
 	if r.first {
 		s.Read, s.Age = 0, r.firstAt.Sub(r.began)
 	}
@@ -312,7 +315,7 @@
 // SetOthers takes another node's runs in place of what it told before.
 func (t *Tracker) SetOthers(node string, runs []Shared) {
 	byTarget := map[string][]Shared{}
-	now := time.Now()
+	now := uptime.Now()
 	told := &sharedRuns{at: now, heard: now, traces: map[string]Trace{}}
 	for _, s := range runs {
 		if s.Trace.Key != "" {
@@ -348,7 +351,7 @@
 func (t *Tracker) StillThere(nodes []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
+	now := uptime.Now()
 	for _, node := range nodes {
 		if o := t.others[node]; o != nil {
 			o.heard = now
@@ -372,7 +375,7 @@
 func (t *Target) underWay(now time.Time) []Shared {
 	all := make([]Shared, 0, len(t.runs)+len(t.others))
 	for r := range t.runs {
-		all = append(all, r.shared(t.ID))
+		all = append(all, r.shared(t.ID, now))
 	}
 	for _, o := range t.others {
 		if now.Sub(o.told.heard) > sharedLife {
--- a/balance/score.go
+++ b/balance/score.go
@@ -8,6 +8,7 @@
 
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/internal/rendezvous"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 // Choice says what a target is wanted for.
@@ -77,7 +78,7 @@
 func (t *Tracker) Pick(c Choice) *Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
+	now := uptime.Now()
 	home, keeper := t.home(c, now), t.keeper(c, now)
 	doubtful := t.doubtful(c.Service, now)
 	taken := t.occupancies(&c, now)
@@ -125,7 +126,7 @@
 func (t *Tracker) Expected(c Choice, at *Target) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
+	now := uptime.Now()
 	read := at.readMS(c.Work.Read, now)
 	if t.keeper(c, now) == at {
 		read *= keptRead
@@ -139,7 +140,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	work := c.Work
-	if t.keeper(c, time.Now()) == at {
+	if t.keeper(c, uptime.Now()) == at {
 		work.Read = int(float64(work.Read) * keptRead)
 		work.Cached = true
 	}
--- a/balance/silence.go
+++ b/balance/silence.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/walnutramp/walnutramp/internal/uptime"
+)
 
 // A target that loses power or is cut off answers nothing any more. Runs whose
 // events come show it within half a second; runs that wait for their first
@@ -13,7 +17,7 @@
 // nothing at all; a run whose events stop may only have been put back.
 func (t *Target) FellSilent(dark bool) {
 	t.tracker.mu.Lock()
-	t.mute = time.Now()
+	t.mute = uptime.Now()
 	t.silent = t.mute
 	if dark {
 		t.dark = t.mute
@@ -27,9 +31,10 @@
 func (t *Tracker) SilentTargets() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := uptime.Now()
 	var ids []string
 	for id, target := range t.byID {
-		if time.Since(target.mute) < hallDoubtTime {
+		if now.Sub(target.mute) < hallDoubtTime {
 			ids = append(ids, id)
 		}
 	}
@@ -42,7 +47,7 @@
 		return
 	}
 	t.mu.Lock()
-	now := time.Now()
+	now := uptime.Now()
 	for _, id := range ids {
 		if target := t.byID[id]; target != nil && now.Sub(target.silent) > hallDoubtTime {
 			target.silent = now
--- a/caller/service.go
+++ b/caller/service.go
@@ -9,6 +9,7 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/route"
 	"github.com/walnutramp/walnutramp/target"
@@ -165,7 +166,7 @@
 func (s *serviceCall) send(ctx context.Context, grant *route.Grant, once bool) (target.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.h.cfg.ServiceTime)
 	defer cancel()
-	sent := time.Now()
+	sent := uptime.Now()
 	a, err := s.h.cfg.Services.Service(grant.Target, once).Do(ctx, s.call)
 	if err != nil {
 		if ctx.Err() == nil && !notSent(err) {
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -6,6 +6,7 @@
 
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"k8s.io/klog/v2"
 )
 
@@ -15,18 +16,23 @@
 const endorseShare = 4
 
 // keepTimer starts an election when no leader is heard of, and makes a leader
-// that hears no majority step down.
+// that hears no majority step down. A leader whose machine was suspended heard
+// none meanwhile. The silence of others is measured without that time: nobody
+// could have been heard in it.
 func (m *Member) keepTimer() {
+	slept := uptime.Suspended()
 	for {
 		shortest := m.electionTimeout()
 		wait := shortest + m.draw(shortest)
 		if !pause.For(m.ctx, wait/4) {
 			return
 		}
+		before := slept
+		slept = uptime.Suspended()
 		m.mu.Lock()
 		due := m.role != leader && m.isVoter() && time.Since(m.heard) > wait
-		if m.role == leader && !m.hearsMajority(2*shortest) {
-			klog.InfoS("Leader hears no majority", "node", m.node, "term", m.store.ballot.Term)
+		if m.role == leader && (slept-before > 2*shortest || !m.hearsMajority(2*shortest)) {
+			klog.InfoS("Leader hears no majority", "node", m.node, "term", m.store.ballot.Term, "suspended", slept-before)
 			m.stepDown(m.store.ballot.Term, "")
 		}
 		m.mu.Unlock()
--- a/consensus/election_test.go
+++ b/consensus/election_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 // Members 12 ms apart often campaign at the same moment. One that had asked
@@ -40,3 +41,16 @@
 	require.Less(t, longest, patient)
 	require.LessOrEqual(t, float64(terms)/trials, 1.05, "terms for each lost leader")
 }
+
+// A leader whose machine was suspended takes itself for one no longer when it
+// wakes, before it has heard of the next.
+func TestLeaderStepsDownAfterASuspension(t *testing.T) {
+	inCluster(t, 3, 1, time.Millisecond, func(t *testing.T, c *cluster) {
+		old := c.awaitLeader()
+		term := old.Status().Term
+		t.Cleanup(uptime.Pretend(5 * time.Second))
+		time.Sleep(old.electionTimeout())
+		require.False(t, old.Leads() && old.Status().Term == term)
+		c.awaitLeader()
+	})
+}
--- a/control/client.go
+++ b/control/client.go
@@ -13,6 +13,7 @@
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/groupclock"
 	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/metering"
 	"github.com/walnutramp/walnutramp/rollout"
 	"k8s.io/klog/v2"
@@ -138,7 +139,7 @@
 func (c *Client) InForce() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Now().Before(c.until)
+	return uptime.Now().Before(c.until)
 }
 
 // Version returns the version in force here; 0 before the first.
@@ -175,7 +176,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, limit)
 	defer cancel()
-	asked := time.Now()
+	asked := uptime.Now()
 	var reply NewestReply
 	args := c.question(wait)
 	node := c.target()
--- a/control/clock.go
+++ b/control/clock.go
@@ -9,6 +9,7 @@
 	"github.com/walnutramp/walnutramp/consensus"
 	"github.com/walnutramp/walnutramp/groupclock"
 	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"k8s.io/klog/v2"
 )
 
@@ -150,7 +151,7 @@
 // stamp puts the group's time on an answer to a question that came at a time.
 func (s *Server) stamp(reply *NewestReply, came time.Time) {
 	if s.timekeeper != nil {
-		reply.Time = s.timekeeper.follower.Stamp(time.Since(came))
+		reply.Time = s.timekeeper.follower.Stamp(uptime.Since(came))
 	}
 }
 
@@ -178,7 +179,7 @@
 		return
 	}
 	_, _, known := f.Now()
-	f.Heard(*told, f.Steady()-time.Since(asked))
+	f.Heard(*told, f.Steady()-uptime.Since(asked))
 	if !known {
 		_, within, _ := f.Now()
 		klog.InfoS("The group's time is known", "within_us", within.Microseconds())
--- a/control/contact.go
+++ b/control/contact.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"k8s.io/klog/v2"
 )
 
@@ -34,7 +35,7 @@
 		return
 	}
 	c.lost = asked
-	klog.InfoS("Control group not heard", "asked", node, "waited", time.Since(asked), "version", version, "err", why)
+	klog.InfoS("Control group not heard", "asked", node, "waited", uptime.Since(asked), "version", version, "err", why)
 }
 
 // heard notes an answer.
@@ -45,7 +46,7 @@
 	if c.lost.IsZero() {
 		return
 	}
-	klog.InfoS("Control group heard again", "asked", node, "after", time.Since(c.lost), "tries", c.tries, "version", version)
+	klog.InfoS("Control group heard again", "asked", node, "after", uptime.Since(c.lost), "tries", c.tries, "version", version)
 	c.lost, c.tries = time.Time{}, 0
 }
 
--- a/control/duty_calls.go
+++ b/control/duty_calls.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp/duty"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"k8s.io/klog/v2"
 )
 
@@ -73,7 +74,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.gate.Pause(time.Now()) == 0
+	return h.gate.Pause(uptime.Now()) == 0
 }
 
 // permissionFor returns what a call may be made under, with a new grant where
@@ -83,7 +84,7 @@
 		return duty.Permission{}, false
 	}
 	p, ok := h.permission()
-	if !ok || time.Until(p.Until) > callLimit {
+	if !ok || uptime.Until(p.Until) > callLimit {
 		return p, ok
 	}
 	h.renew(ctx)
@@ -99,12 +100,12 @@
 // send makes the call. Where no answer came it is given up before another
 // member may act, so that what the network still holds of it is dropped.
 func (h *DutyHolder) send(ctx context.Context, c duty.Call, p duty.Permission) duty.Outcome {
-	sent := time.Now()
+	sent := uptime.Now()
 	end := sent.Add(callLimit)
 	if last := p.Until.Add(h.cfg.Slack); last.Before(end) {
 		end = last
 	}
-	callCtx, cancel := context.WithDeadline(ctx, end)
+	callCtx, cancel := context.WithTimeout(ctx, uptime.Until(end))
 	outcome := c.Send(callCtx, p)
 	cancel()
 	h.note(c, p, outcome, sent)
@@ -117,7 +118,7 @@
 		h.mu.Unlock()
 	}
 	h.metrics.GetOrCreateCounter(fmt.Sprintf("walnutramp_duty_calls_total{outcome=%q}", outcome)).Inc()
-	klog.InfoS("Duty call", "subject", c.Subject, "content", c.Content[:min(len(c.Content), loggedContent)], "token", p.Token, "outcome", outcome, "ms", time.Since(sent).Milliseconds())
+	klog.InfoS("Duty call", "subject", c.Subject, "content", c.Content[:min(len(c.Content), loggedContent)], "token", p.Token, "outcome", outcome, "ms", uptime.Since(sent).Milliseconds())
 	return outcome
 }
 
@@ -125,7 +126,7 @@
 func (h *DutyHolder) note(c duty.Call, p duty.Permission, o duty.Outcome, sent time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.gate.Note(c, p, o, sent, time.Now())
+	h.gate.Note(c, p, o, sent, uptime.Now())
 }
 
 // resolve says what a Conflict was. While a majority says that this member
--- a/control/duty_holder.go
+++ b/control/duty_holder.go
@@ -12,6 +12,7 @@
 	"github.com/walnutramp/walnutramp/consensus"
 	"github.com/walnutramp/walnutramp/duty"
 	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 )
@@ -131,7 +132,7 @@
 		if !ok {
 			return 0
 		}
-		return time.Until(p.Until).Seconds()
+		return uptime.Until(p.Until).Seconds()
 	})
 }
 
@@ -154,7 +155,7 @@
 	if h.draining || h.stopped {
 		return duty.Permission{}, false
 	}
-	return h.lease.Permission(time.Now())
+	return h.lease.Permission(uptime.Now())
 }
 
 // Run takes and keeps the duty while this member leads, until ctx ends.
@@ -192,7 +193,7 @@
 func (h *DutyHolder) renewalDue() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.lease.Due(time.Now(), h.cfg.Lease/dutyRenewals)
+	return h.lease.Due(uptime.Now(), h.cfg.Lease/dutyRenewals)
 }
 
 // renew has a majority confirm that this member leads, and learns what was
@@ -200,13 +201,13 @@
 func (h *DutyHolder) renew(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, confirmTime)
 	defer cancel()
-	asked := time.Now()
+	asked := uptime.Now()
 	if !h.group.Confirm(ctx) {
 		return false
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.lease.Learn(h.group.Record(), time.Now())
+	h.lease.Learn(h.group.Record(), uptime.Now())
 	h.lease.Confirm(asked)
 	return true
 }
@@ -215,7 +216,7 @@
 func (h *DutyHolder) next() (duty.Grant, duty.Reason) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.lease.Next(time.Now(), h.gate.Reached())
+	return h.lease.Next(uptime.Now(), h.gate.Reached())
 }
 
 // take has the group agree on a grant to this process.
@@ -229,7 +230,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	before := h.lease.Record().First
-	h.lease.Learn(h.group.Record(), time.Now())
+	h.lease.Learn(h.group.Record(), uptime.Now())
 	r := h.lease.Record()
 	if r.First != before {
 		h.gate.ForgetAnswers() // what an earlier time as holder saw
@@ -244,11 +245,11 @@
 	held, leads := h.Held(), h.group.Leads()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if held == h.held && (!held || time.Since(h.logged) < keptEvery) {
+	if held == h.held && (!held || uptime.Since(h.logged) < keptEvery) {
 		return
 	}
 	r := h.lease.Record()
-	left := time.Until(h.lease.Until()).Milliseconds()
+	left := uptime.Until(h.lease.Until()).Milliseconds()
 	switch {
 	case held && h.held:
 		klog.InfoS("Duty kept", "token", r.Token, "left_ms", left)
@@ -257,5 +258,5 @@
 	default:
 		klog.InfoS("Duty lost", "token", r.Token, "leads", leads, "left_ms", left, "released", h.stopped || h.draining, "holder", r.Holder.Node)
 	}
-	h.held, h.logged = held, time.Now()
+	h.held, h.logged = held, uptime.Now()
 }
--- a/control/duty_release.go
+++ b/control/duty_release.go
@@ -6,6 +6,7 @@
 
 	"github.com/walnutramp/walnutramp/duty"
 	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"k8s.io/klog/v2"
 )
 
@@ -52,7 +53,7 @@
 	h.mu.Lock()
 	granted, token := h.lease.Granted(), h.lease.Record().Token
 	h.lease.End(token)
-	pending := !idle || h.gate.Pending(time.Now(), h.cfg.Lease)
+	pending := !idle || h.gate.Pending(uptime.Now(), h.cfg.Lease)
 	h.mu.Unlock()
 	if !granted {
 		return
@@ -97,7 +98,7 @@
 	for range h.lease.Record().Unreachable {
 		patience = min(2*patience, mostPatience)
 	}
-	return patience, h.gate.Silent(time.Now())
+	return patience, h.gate.Silent(uptime.Now())
 }
 
 // handOver makes another member the leader, as this one can't reach the
--- a/control/relay.go
+++ b/control/relay.go
@@ -10,6 +10,7 @@
 	"github.com/walnutramp/walnutramp/consensus"
 	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/internal/rendezvous"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"k8s.io/klog/v2"
 )
 
@@ -54,7 +55,7 @@
 		close(r.came)
 		r.came = nil
 	}
-	r.heard[hall][address] = time.Now()
+	r.heard[hall][address] = uptime.Now()
 }
 
 // await is of, and waits for a while where no relay of the hall has asked yet:
@@ -98,7 +99,7 @@
 	var best string
 	var highest uint64
 	for address, at := range r.heard[hall] {
-		if time.Since(at) > relayLife {
+		if uptime.Since(at) > relayLife {
 			delete(r.heard[hall], address)
 			continue
 		}
@@ -159,7 +160,7 @@
 	ctx, cancel := context.WithTimeout(ctx, renewWait+answerLimit)
 	defer cancel()
 	args := r.question()
-	asked := time.Now()
+	asked := uptime.Now()
 	var reply NewestReply
 	if err := r.peers.Call(ctx, leader, Service+".Newest", args, &reply); err != nil || reply.Code != walnutramp.CodeOK || reply.Unconfirmed {
 		return false
@@ -239,7 +240,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s.fill(args, reply)
-	reply.Age = time.Since(r.asked)
+	reply.Age = uptime.Since(r.asked)
 	reply.Relay = r.node
 	if s.reports != nil {
 		reply.Near = r.node
@@ -293,5 +294,5 @@
 // holds reports whether the word is new enough and confirms no more than this
 // member has applied. The caller holds the mutex.
 func (r *Relay) holds(applied uint64) bool {
-	return time.Since(r.asked) < relayFresh && applied >= r.version
+	return uptime.Since(r.asked) < relayFresh && applied >= r.version
 }
--- a/control/rollout_client.go
+++ b/control/rollout_client.go
@@ -7,6 +7,7 @@
 
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/rollout"
 	"k8s.io/klog/v2"
 )
@@ -59,7 +60,7 @@
 	if r.leader == "" {
 		r.leader = c.anyMember()
 	}
-	asked := time.Now()
+	asked := uptime.Now()
 	var reply ReportReply
 	args := ReportArgs{Node: c.entry, Life: r.life, Judge: r.judge, Cells: c.agent.Report(r.judge)}
 	err := c.peers.Call(ctx, r.leader, Service+".Report", args, &reply)
--- a/control/rollout_controller.go
+++ b/control/rollout_controller.go
@@ -10,6 +10,7 @@
 	"github.com/walnutramp/walnutramp/consensus"
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/rollout"
 	"k8s.io/klog/v2"
 )
@@ -101,7 +102,7 @@
 func (c *RolloutController) confirm(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, confirmTime)
 	defer cancel()
-	asked := time.Now()
+	asked := uptime.Now()
 	if !c.member.Confirm(ctx) {
 		return false
 	}
@@ -116,7 +117,7 @@
 // member leads. The caller holds the mutex.
 func (c *RolloutController) begin() {
 	if c.judge == 0 {
-		c.judge, c.began = rand.Uint64()|1, time.Now()
+		c.judge, c.began = rand.Uint64()|1, uptime.Now()
 		c.tally, c.evaluations = rollout.NewTally(), map[string]*evaluation{}
 	}
 }
@@ -126,7 +127,7 @@
 func (c *RolloutController) informed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Since(c.began) >= informTime
+	return uptime.Since(c.began) >= informTime
 }
 
 // noteVersions has the group agree on the versions that the targets of a
@@ -193,10 +194,10 @@
 	t.verdict, t.late = t.judge.Verdict(), t.judge.Late()
 	situation := c.situation(rec, t, elapsed)
 	t.step = c.bounds.Plan(situation)
-	changes = t.step.State != rollout.Running || t.step.Stage != rec.Stage || time.Since(t.notedAt) >= noteEvery
+	changes = t.step.State != rollout.Running || t.step.Stage != rec.Stage || uptime.Since(t.notedAt) >= noteEvery
 	t.permits = t.step.State == rollout.Running && t.step.Stage == rec.Stage
 	if changes {
-		t.notedAt = time.Now()
+		t.notedAt = uptime.Now()
 	}
 	t.log(rec, situation)
 	return t.step, changes, elapsed
@@ -207,7 +208,7 @@
 func (c *RolloutController) evaluationOf(rec rollout.Record, elapsed time.Duration) *evaluation {
 	t := c.evaluations[rec.Service]
 	if t == nil || t.number != rec.Number {
-		t = &evaluation{number: rec.Number, judge: rollout.NewJudge(c.policy, rec.Duration), notedAt: time.Now()}
+		t = &evaluation{number: rec.Number, judge: rollout.NewJudge(c.policy, rec.Duration), notedAt: uptime.Now()}
 		if rec.Stage == rollout.StageShift {
 			t.shifted = elapsed // a new leader: at the latest now
 		}
@@ -259,10 +260,10 @@
 const logEvery = 1 * time.Second
 
 func (t *evaluation) log(rec rollout.Record, s rollout.Situation) {
-	if time.Since(t.loggedAt) < logEvery {
+	if uptime.Since(t.loggedAt) < logEvery {
 		return
 	}
-	t.loggedAt = time.Now()
+	t.loggedAt = uptime.Now()
 	klog.InfoS("Roll-out weighed", "service", rec.Service, "number", rec.Number, "version", rec.Target, "stage", rec.Stage,
 		"elapsed_ms", s.Elapsed.Milliseconds(), "duration_ms", rec.Duration.Milliseconds(), "newPlaces", s.NewPlaces, "oldPlaces", s.OldPlaces,
 		"answers", t.verdict.Answers, "excess", t.verdict.Excess, "score", t.verdict.Score, "evidence", t.verdict.Evidence)
@@ -281,7 +282,7 @@
 		args.Cells = nil
 	}
 	news := c.tally.Take(args.Node, args.Life, args.Cells)
-	life := rollout.PermitLife - time.Since(c.confirmed)
+	life := rollout.PermitLife - uptime.Since(c.confirmed)
 	for _, rec := range view.Records {
 		if rec.State != rollout.Running {
 			continue
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/rollout"
 )
 
@@ -68,7 +69,7 @@
 		r.noted = map[string]time.Time{}
 	}
 	late := time.Duration(time.Now().UnixMilli()-given) * time.Millisecond
-	r.noted[service] = time.Now().Add(-min(max(0, late), longestOutage))
+	r.noted[service] = uptime.Now().Add(-min(max(0, late), longestOutage))
 }
 
 // elapsed returns how long ago the roll-out of a record was ordered.
@@ -77,7 +78,7 @@
 	if !ok {
 		return rec.Elapsed
 	}
-	return rec.Elapsed + time.Since(noted)
+	return rec.Elapsed + uptime.Since(noted)
 }
 
 // know notes versions that were there before any roll-out.
--- a/control/roster.go
+++ b/control/roster.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/discovery"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 // Roster is the leader's newest reading of the site's list of targets. Entries
@@ -64,7 +65,7 @@
 	next := rosterVersion{version: max(1, xxhash.Sum64(encoded)), list: list, encoded: encoded}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.read = time.Now()
+	r.read = uptime.Now()
 	if next.version == r.newest().version {
 		return
 	}
@@ -170,14 +171,14 @@
 func (r *Roster) readBefore(age time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.read = time.Now().Add(-age)
+	r.read = uptime.Now().Add(-age)
 }
 
 // reply returns what leads from a version to the newest reading, with the whole
 // list as it is. The caller holds the mutex.
 func (r *Roster) reply(version uint64) RosterReply {
 	newest := r.newest()
-	reply := RosterReply{Version: newest.version, Age: time.Since(r.read)}
+	reply := RosterReply{Version: newest.version, Age: uptime.Since(r.read)}
 	if version == newest.version {
 		return reply
 	}
--- a/control/server.go
+++ b/control/server.go
@@ -9,6 +9,7 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/consensus"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
@@ -77,7 +78,7 @@
 func (s *Server) Newest(args NewestArgs, reply *NewestReply) error {
 	ctx, cancel := context.WithTimeout(context.Background(), args.Wait+confirmLimit)
 	defer cancel()
-	defer s.stamp(reply, time.Now())
+	defer s.stamp(reply, uptime.Now())
 	if s.keeper != nil {
 		reply.Group = s.member.Status().Group.Nodes()
 	}
--- a/discovery/poller.go
+++ b/discovery/poller.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"k8s.io/klog/v2"
 )
 
@@ -66,13 +67,13 @@
 // Fed takes another node's reading in place of an own one: a list, or the
 // word that the one taken last is still the same.
 func (p *Poller) Fed(list []Target, same bool, age time.Duration) {
-	read := time.Now().Add(-age)
+	read := uptime.Now().Add(-age)
 	p.mu.Lock()
 	newer := read.After(p.read)
 	if newer {
 		p.read = read
 	}
-	p.last, p.age = time.Now(), age
+	p.last, p.age = uptime.Now(), age
 	p.mu.Unlock()
 	if newer && !same {
 		p.take(list)
@@ -83,7 +84,7 @@
 func (p *Poller) fresh() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return time.Since(p.last) < p.cfg.Trust && p.age < p.cfg.Trust
+	return uptime.Since(p.last) < p.cfg.Trust && p.age < p.cfg.Trust
 }
 
 // due reports whether it is time to read. A node that another one reads for
@@ -120,7 +121,7 @@
 func (p *Poller) readOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.Timeout)
 	defer cancel()
-	began := time.Now()
+	began := uptime.Now()
 	list, err := p.source.Targets(ctx)
 	if err != nil {
 		return err
--- a/discovery/poller_test.go
+++ b/discovery/poller_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 type countingSource struct {
@@ -130,3 +131,11 @@
 		require.Greater(t, s.reads.Load(), int64(3))
 	})
 }
+
+func TestFedListIsOldAfterASuspension(t *testing.T) {
+	p := NewPoller(&countingSource{}, func([]Target) {})
+	p.Fed([]Target{{ID: "fed"}}, false, 0)
+	require.False(t, p.due())
+	t.Cleanup(uptime.Pretend(5 * time.Second))
+	require.True(t, p.due())
+}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -146,7 +146,7 @@
 		}
 	}
 	byConfiguration := decidedByConfiguration(own[len(own)-1])
-	found := restarts(all, own[len(own)-1])
+	found := append(restarts(all, own[len(own)-1]), ofContent(all, own[len(own)-1])...)
 	for _, l := range all {
 		if l.Time < first || l.Time > last || l.Fields["request"] == own[0].Fields["request"] {
 			continue
@@ -306,6 +306,9 @@
 		return what, "the node had no configuration yet; look at its start and at the control group's leader"
 	case walnutramp.CodeUnknownPath, walnutramp.CodeBadKey:
 		return what, "compare the configuration in force on the node at that time (version in its log) with the client's request"
+	case walnutramp.CodeHeldBack, walnutramp.CodeEndsTargets:
+		return fmt.Sprintf("targets end when they run content %s: %s", last.Fields["content"], s.endsOf(last.Fields["content"])),
+			"look at the targets' own logs of these moments; the client is told when the request may be tried again"
 	case walnutramp.CodeNoTarget:
 		return what, "no target of the service could be asked: look at its list of targets and at what turned the request away"
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
@@ -238,7 +239,7 @@
 	for name, values := range c.header {
 		h[name] = values
 	}
-	left := max(time.Until(c.deadline).Milliseconds(), 1)
+	left := max(uptime.Until(c.deadline).Milliseconds(), 1)
 	h.Set(n.Deadline, strconv.FormatInt(left, 10))
 	h.Set(n.Expect, t.ID)
 	h.Set(n.Priority, strconv.Itoa(min(max(c.priority, 0), lowestPriority)))
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -6,6 +6,7 @@
 
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 // Bounds of the search for a target.
@@ -27,15 +28,15 @@
 func (g *Gateway) next(ctx context.Context, c *call) *balance.Target {
 	until := c.arrived.Add(min(time.Duration(float64(c.route.Aim)*patience), longestPause))
 	for {
-		if c.turns > mostTurned {
-			return nil
+		if c.turns > mostTurned || !uptime.Now().Before(c.deadline) {
+			return nil // the time may be over before its timer says so: the machine was suspended
 		}
 		if t := g.choose(c); t != nil {
 			c.turns++
 			g.watch(c, t)
 			return t
 		}
-		if c.noRoom || c.reached || !time.Now().Before(until) || !pause.For(ctx, lookAgain) {
+		if c.noRoom || c.reached || !uptime.Now().Before(until) || !pause.For(ctx, lookAgain) {
 			return nil
 		}
 		clear(c.turned)
@@ -88,7 +89,7 @@
 		choice.Admission = true
 		choice.Aim = c.route.Aim
 		choice.Rank = c.rank
-		choice.Within = time.Until(c.beginBy())
+		choice.Within = uptime.Until(c.beginBy())
 	}
 	return choice
 }
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/targetconn"
 	"k8s.io/klog/v2"
 )
@@ -118,7 +119,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now := time.Now()
+	now := uptime.Now()
 	if k.ordered || now.Before(k.next) {
 		return
 	}
@@ -163,12 +164,12 @@
 	defer k.mu.Unlock()
 	k.ordered = false
 	if err != nil {
-		k.next = time.Now().Add(copyRetry)
+		k.next = uptime.Now().Add(copyRetry)
 		return // a copy that was to be renewed may live for a while
 	}
 	k.copy = &copyOf{at: holder, name: g.cfg.Names.CopyHandle(k.target.Address, handle)}
 	k.handle = handle
-	k.renew = time.Now().Add(time.Duration(copyRenewShare * float64(c.engine.CopyLife)))
+	k.renew = uptime.Now().Add(time.Duration(copyRenewShare * float64(c.engine.CopyLife)))
 	k.run.SetCopy(holder.ID, k.copy.name)
 	g.counters.ordered.Inc()
 }
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 // counters are the gateway's metrics.
@@ -45,7 +46,7 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("walnutramp_gateway_own_answers_total{code=%q}", fmt.Sprint(int(code)))).Inc()
 }
 
-func (c *counters) answered(since time.Time) { c.whole.UpdateDuration(since) }
+func (c *counters) answered(since time.Time) { c.whole.Update(uptime.Since(since).Seconds()) }
 
 // WriteMetrics writes the gateway's metrics in the Prometheus text form.
 func (g *Gateway) WriteMetrics(w io.Writer) { g.counters.set.WritePrometheus(w) }
--- a/gateway/ends.go
+++ b/gateway/ends.go
@@ -29,7 +29,7 @@
 		return
 	}
 	r.settled = true
-	r.gateway.witness.Sound(r.call.content)
+	r.gateway.cfg.Quarantine.Sound(r.call.content)
 }
 
 // waiting says how far a call had come at a target that did not answer it. A
@@ -47,7 +47,7 @@
 	if t.Leaves() {
 		return
 	}
-	c.look = g.witness.Broke(quarantine.Break{
+	c.look = g.cfg.Quarantine.Broke(quarantine.Break{
 		Request: c.id, Content: c.content, Target: t.ID, Address: t.Address, Standing: s, Sent: c.sentAt,
 	})
 }
@@ -64,7 +64,7 @@
 // none. It is refused at once, with the time from which on it may be tried
 // again: to come sooner is in vain.
 func (g *Gateway) heldBack(c *call) *walnutramp.Error {
-	left, held := g.witness.Held(c.content)
+	left, held := g.cfg.Quarantine.Held(c.content)
 	if !held {
 		return nil
 	}
@@ -74,6 +74,6 @@
 // endsTargets reports whether a call that a target may have run is to go to no
 // other one.
 func (g *Gateway) endsTargets(c *call) bool {
-	_, held := g.witness.HeldAfter(c.look, c.content)
+	_, held := g.cfg.Quarantine.HeldAfter(c.look, c.content)
 	return held
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/metering"
 	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/rollout"
@@ -51,7 +52,7 @@
 	Rollouts *rollout.Agent
 
 	// Quarantine knows which requests end the targets that run them.
-	Quarantine *quarantine.Ledger
+	Quarantine *quarantine.Witness
 
 	// Metering counts the requests of each account; nil for none.
 	Metering *metering.Counter
@@ -84,9 +85,8 @@
 // told what came of it.
 func WithRollouts(a *rollout.Agent) Option { return func(c *Config) { c.Rollouts = a } }
 
-// WithQuarantine sets what knows which requests end the targets that run them,
-// where other nodes tell it, too.
-func WithQuarantine(l *quarantine.Ledger) Option { return func(c *Config) { c.Quarantine = l } }
+// WithQuarantine sets what knows which requests end the targets that run them.
+func WithQuarantine(w *quarantine.Witness) Option { return func(c *Config) { c.Quarantine = w } }
 
 // WithCopies says whether engines keep copies of runs at each other.
 func WithCopies(on bool) Option { return func(c *Config) { c.Copies = on } }
@@ -125,7 +125,6 @@
 	exchanges exchanges
 
 	budgets *balance.Budgets
-	witness *quarantine.Witness
 }
 
 // New returns a gateway without a table: it answers 503 until SetTable.
@@ -136,15 +135,14 @@
 		opt(&cfg)
 	}
 	if cfg.Quarantine == nil {
-		cfg.Quarantine = quarantine.New()
+		cfg.Quarantine = quarantine.NewWitness(quarantine.New(), pool.Dial)
 	}
 	g := &Gateway{cfg: cfg, targets: targets, pool: pool, refresh: refresh, budgets: budgets, counters: newCounters(),
 		started: make(chan struct{}), pending: pendingRuns{runs: map[*pendingRun]struct{}{}}}
 	targets.OnSilence(g.pending.moveFromSilent)
-	g.witness = quarantine.NewWitness(cfg.Quarantine, pool.Dial)
-	g.witness.OnHeld(g.pending.giveUp)
-	g.counters.set.NewGauge("walnutramp_quarantine_held_contents", func() float64 { return float64(g.witness.HeldContents()) })
-	g.counters.set.NewGauge("walnutramp_quarantine_suspect_contents", func() float64 { return float64(g.witness.SuspectContents()) })
+	cfg.Quarantine.OnHeld(g.pending.giveUp)
+	g.counters.set.NewGauge("walnutramp_quarantine_held_contents", func() float64 { return float64(cfg.Quarantine.HeldContents()) })
+	g.counters.set.NewGauge("walnutramp_quarantine_suspect_contents", func() float64 { return float64(cfg.Quarantine.SuspectContents()) })
 	g.strip = map[string]bool{}
 	n := cfg.Names
 	for _, name := range append([]string{n.Key, n.Account, n.Expect, n.Priority, n.CopyTo, n.CopyFrom, n.Deadline}, n.System...) {
@@ -232,7 +230,7 @@
 	if by == nil || c.route.Kind != Stream {
 		return true
 	}
-	return time.Now().Add(startMargin + g.streamTime(c)).Before(*by)
+	return uptime.Now().Add(startMargin + g.streamTime(c)).Before(*by)
 }
 
 // streamTime predicts how long a stream takes once it has a place.
@@ -251,7 +249,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
+	arrived := uptime.Now()
 	g.awaitStart(r.Context())
 	phase := g.stopping.Load()
 	if phase >= phaseClosing {
@@ -265,16 +263,17 @@
 		w.Header().Set("Connection", "close")
 		refused = walnutramp.NewError(walnutramp.CodeStopping, walnutramp.NotRun, "this node is stopping").WithRetryAfter(retryOther)
 	}
-	if refused == nil {
-		refused = g.heldBack(c)
-	}
 	if refused != nil {
 		g.refuse(w, r, refused)
 		return
 	}
+	if held := g.heldBack(c); held != nil {
+		g.fail(w, c, held)
+		return
+	}
 	g.budgets.Of(c.service).Earn()
 	g.noteDemand(c)
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, cancel := context.WithTimeout(r.Context(), uptime.Until(c.deadline))
 	defer cancel()
 	if c.route.Kind == Stream {
 		g.stream(ctx, w, c)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 func do(t *testing.T, r *http.Request) (*http.Response, string, error) {
@@ -379,3 +380,21 @@
 	table.setRanks()
 	require.Equal(t, map[int]int{2: 0, 4: 1, 7: 2}, table.ranks)
 }
+
+// A request whose time passed while the machine was suspended is not sent to
+// another target, though no timer has fired yet.
+func TestRequestWhoseTimePassedInASuspensionIsNotSent(t *testing.T) {
+	f := newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		t.Cleanup(uptime.Pretend(5 * time.Second))
+		c.Close()
+	})
+	g := newFakeTarget(t, "i-2", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		t.Cleanup(uptime.Pretend(5 * time.Second))
+		c.Close()
+	})
+	s := newSite(t, []*fakeTarget{f, g})
+	resp, _, err := do(t, s.request(t, "GET", "/safe/x", ""))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode)
+	require.Len(t, append(f.seen(), g.seen()...), 1)
+}
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/metering"
 )
 
@@ -43,7 +44,7 @@
 // the answer has begun before.
 func (g *Gateway) meterFirst(c *call) {
 	if !c.hasLast {
-		g.meter(c, time.Now())
+		g.meter(c, uptime.Now())
 	}
 }
 
@@ -53,7 +54,7 @@
 	if g.cfg.Metering == nil {
 		return
 	}
-	answered := time.Now()
+	answered := uptime.Now()
 	g.meter(c, answered.Add(-g.exchanges.working(c.route.Name, answered.Sub(sent))))
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
@@ -27,7 +28,7 @@
 
 // plain serves a request whose answer is not an event stream.
 func (g *Gateway) plain(ctx context.Context, w http.ResponseWriter, c *call) {
-	ctx, cancel := context.WithDeadline(ctx, c.deadline.Add(-deadlineMargin))
+	ctx, cancel := context.WithTimeout(ctx, uptime.Until(c.deadline)-deadlineMargin)
 	defer cancel()
 	var last *wholeAnswer
 	for t := g.next(ctx, c); t != nil; t = g.next(ctx, c) {
@@ -41,7 +42,7 @@
 	}
 	if last != nil {
 		klog.InfoS("Request served", "request", c.id, "content", c.content, "route", c.route.Name, "version", c.version, "target", last.target,
-			"status", last.status, "sent", c.sent, "asked", c.turns, "ms", time.Since(c.arrived).Milliseconds())
+			"status", last.status, "sent", c.sent, "asked", c.turns, "ms", uptime.Since(c.arrived).Milliseconds())
 		g.passWhole(w, c, last)
 		return
 	}
@@ -96,7 +97,7 @@
 	defer func() { c.watched.Dropped() }() // unless its end is noted
 	run := t.Begin(balance.Work{}, balance.Trace{})
 	defer run.End(balance.RunEnd{Whole: true})
-	c.sentAt = time.Now()
+	c.sentAt = uptime.Now()
 	answer, err := g.pool.Do(tryCtx, endpoint(t), g.request(c, t))
 	if err != nil {
 		g.noteFailure(ctx, c, t, err)
@@ -128,7 +129,7 @@
 		return nil, true
 	}
 	whole.target = t.ID
-	g.witness.Sound(c.content)
+	g.cfg.Quarantine.Sound(c.content)
 	c.watched.First()
 	if answer.Status >= http.StatusInternalServerError {
 		g.noteFailed(c, t)
@@ -143,7 +144,7 @@
 // limitTry ends a try that takes so long that a safe request had better be
 // sent to another target.
 func (g *Gateway) limitTry(c *call, cancel context.CancelFunc) *time.Timer {
-	limit := time.Until(c.deadline)
+	limit := uptime.Until(c.deadline)
 	if c.route.Kind == Safe && c.sent+1 < c.route.MaxAttempts {
 		limit = max(shortestTry, tryAims*c.route.Aim)
 	}
@@ -260,7 +261,7 @@
 		t.Broke()
 	}
 	klog.InfoS("Target did not answer", "request", c.id, "target", t.ID, "address", t.Address, "err", err,
-		"ms", time.Since(c.arrived).Milliseconds())
+		"ms", uptime.Since(c.arrived).Milliseconds())
 	if brokeOff(err) {
 		g.noteBreak(c, t, c.waiting())
 	}
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"k8s.io/klog/v2"
 )
 
@@ -39,8 +40,8 @@
 
 // fail ends a call with this system's own answer.
 func (g *Gateway) fail(w http.ResponseWriter, c *call, e *walnutramp.Error) {
-	klog.InfoS("Request ended here", "request", c.id, "route", c.route.Name, "code", int(e.Code), "outcome", e.Outcome,
-		"sent", c.sent, "read", c.work.Read, "priority", c.priority, "ms", time.Since(c.arrived).Milliseconds(), "why", e.Message)
+	klog.InfoS("Request ended here", "request", c.id, "content", c.content, "route", c.route.Name, "code", int(e.Code), "outcome", e.Outcome,
+		"sent", c.sent, "read", c.work.Read, "priority", c.priority, "ms", uptime.Since(c.arrived).Milliseconds(), "why", e.Message)
 	g.writeError(w, e)
 }
 
@@ -89,7 +90,7 @@
 	if !c.reached {
 		return walnutramp.NewError(walnutramp.CodeNoTarget, walnutramp.NotRun, "%s", why).WithRetryAfter(retryBusy)
 	}
-	if time.Until(c.deadline) <= deadlineMargin {
+	if uptime.Until(c.deadline) <= deadlineMargin {
 		return walnutramp.NewError(walnutramp.CodeTargetSlow, walnutramp.Unknown, "%s", why)
 	}
 	return walnutramp.NewError(walnutramp.CodeTargetFailed, walnutramp.Unknown, "%s", why)
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/quarantine"
 )
 
@@ -42,7 +43,7 @@
 
 // add notes a run that begins.
 func (u *pendingRuns) add(c *call, t *balance.Target, cancel context.CancelCauseFunc) *pendingRun {
-	r := &pendingRun{set: u, target: t, content: c.content, mayMove: c.mayMove(), began: time.Now(), cancel: cancel}
+	r := &pendingRun{set: u, target: t, content: c.content, mayMove: c.mayMove(), began: uptime.Now(), cancel: cancel}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.runs[r] = struct{}{}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/eventstream"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
@@ -66,7 +67,7 @@
 			g.counters.answered(c.arrived)
 			klog.InfoS("Stream served", "request", c.id, "route", c.route.Name, "first_ms", r.first.Milliseconds(),
 				"longest_pause_ms", r.longest.Milliseconds(), "last", c.lastID, "runs", r.runs,
-				"ms", time.Since(c.arrived).Milliseconds())
+				"ms", uptime.Since(c.arrived).Milliseconds())
 			return
 		}
 		if ctx.Err() != nil || end == endNone || end == endLeft || end == endBroken && !c.route.Idempotent() && c.reached || !g.mayRepeat(c) {
@@ -168,7 +169,7 @@
 	patience := time.AfterFunc(r.headWait(o), func() { cancel(nil) })
 	pending := g.pending.add(c, t, cancel)
 	defer pending.drop()
-	c.sentAt = time.Now()
+	c.sentAt = uptime.Now()
 	answer, err := g.pool.Do(runCtx, endpoint(t), o.request)
 	if end, given := g.givenUp(runCtx, c, t); err != nil && given {
 		return end
@@ -206,7 +207,7 @@
 	c.failed[t.DataHall]++
 	g.noteLost(c, t)
 	g.counters.moved.Inc()
-	klog.InfoS("Run moved: its target is silent to others", "request", c.id, "target", t.ID, "ms", time.Since(c.arrived).Milliseconds())
+	klog.InfoS("Run moved: its target is silent to others", "request", c.id, "target", t.ID, "ms", uptime.Since(c.arrived).Milliseconds())
 }
 
 // overdue is how many times its predicted wait a run must have been silent
@@ -221,10 +222,10 @@
 func (r *relay) headWait(o order) time.Duration {
 	g, c := r.gateway, r.call
 	if !c.mayMove() {
-		return time.Until(c.deadline)
+		return uptime.Until(c.deadline)
 	}
 	read := g.targets.RunTime(c.service, c.work.Read, 0)
-	if latest := time.Until(c.beginBy()) - read; !r.started && latest > overdue*o.expected {
+	if latest := uptime.Until(c.beginBy()) - read; !r.started && latest > overdue*o.expected {
 		return latest
 	}
 	return g.cfg.FirstEvent + read
@@ -253,7 +254,7 @@
 		g.noteBreak(c, t, quarantine.Begun)
 		return endBroken
 	}
-	g.witness.Sound(c.content)
+	g.cfg.Quarantine.Sound(c.content)
 	g.passWhole(r.w, c, whole)
 	return endOther
 }
@@ -325,7 +326,7 @@
 // noteFirst measures the wait for a run's first event.
 func (r *relay) noteFirst() {
 	if !r.started {
-		r.gateway.counters.first.UpdateDuration(r.call.arrived)
+		r.gateway.counters.first.Update(uptime.Since(r.call.arrived).Seconds())
 		return
 	}
 	gap := time.Since(r.newest)
@@ -341,7 +342,7 @@
 			return endLeft
 		}
 		c.watched.Ended(rollout.Served)
-		g.witness.Sound(c.content)
+		g.cfg.Quarantine.Sound(c.content)
 		return endWhole
 	}
 	if ctx.Err() != nil {
@@ -381,7 +382,7 @@
 	}
 	now := time.Now()
 	if r.first == 0 {
-		r.first = now.Sub(r.call.arrived)
+		r.first = uptime.Since(r.call.arrived)
 	} else {
 		r.longest = max(r.longest, now.Sub(r.newest))
 	}
--- a/generation/ends.go
+++ b/generation/ends.go
@@ -25,9 +25,10 @@
 	return quarantine.Begun
 }
 
-// noteSettled notes that tokens came now, and with that whether the engine can
-// run the request.
-func (g *Generation) noteSettled(a *attempt, now time.Time) {
+// noteSettled notes that tokens came, and with that whether the engine can run
+// the request.
+func (g *Generation) noteSettled(a *attempt) {
+	now := time.Now()
 	if a.first.IsZero() {
 		a.first = now
 	}
--- a/generation/run.go
+++ b/generation/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/route"
 	"github.com/walnutramp/walnutramp/target"
@@ -172,7 +173,7 @@
 func (g *Generation) openStream(ctx context.Context, a *attempt, limit time.Duration, open func(context.Context) (target.Stream, error)) (*attempt, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(limit, cancel)
-	a.sent = time.Now()
+	a.sent = uptime.Now()
 	stream, err := open(ctx)
 	var unsent *target.NotSentError
 	if !errors.As(err, &unsent) {
@@ -235,7 +236,7 @@
 			}
 			if took > 0 {
 				now := time.Now()
-				g.noteSettled(a, now)
+				g.noteSettled(a)
 				if last.Equal(began) && a.source.Base > 0 {
 					g.noteGap(now.Sub(began))
 				}
--- a/groupclock/follower.go
+++ b/groupclock/follower.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 // Steady reads a clock that is never set: the time since any fixed moment.
@@ -10,8 +12,8 @@
 
 // NewSteady returns the steady clock of this process.
 func NewSteady() Steady {
-	began := time.Now()
-	return func() time.Duration { return time.Since(began) }
+	began := uptime.Now()
+	return func() time.Duration { return uptime.Since(began) }
 }
 
 // Stamp is the group's time as an answer carries it.
--- a/internal/uptime/uptime.go
+++ b/internal/uptime/uptime.go
@@ -11,8 +11,8 @@
 )
 
 // Now returns the time to measure leases, deadlines and ages by. Only the
-// difference of two such times means anything: the time of day in it is off by
-// what the machine was suspended.
+// difference of two such times means anything: the time of day in it is ahead
+// by what the machine was suspended since the process began.
 func Now() time.Time { return time.Now().Add(Suspended()) }
 
 // Since returns how long ago a time of Now was.
@@ -21,11 +21,50 @@
 // Until returns how long it is until a time of Now.
 func Until(t time.Time) time.Duration { return t.Sub(Now()) }
 
-// noise is what two readings of the same suspension may differ by.
+// noise is what readings are rounded to: they differ by microseconds anyway.
 const noise = time.Millisecond
 
-// suspended is the newest reading, in nanoseconds.
-var suspended atomic.Int64
+// Both in nanoseconds.
+var (
+	before    atomic.Int64 // what the machine had been suspended when the process began
+	suspended atomic.Int64 // the most that was read since
+)
+
+func init() {
+	if read, err := readSuspended(); err == nil {
+		before.Store(int64(read))
+	}
+}
+
+// Suspended returns for how long the machine has been suspended since the
+// process began, to a millisecond. Where the system can't tell, that is what it last could.
+func Suspended() time.Duration {
+	read, err := readSuspended()
+	now := (read - time.Duration(before.Load())).Round(noise)
+	for {
+		known := suspended.Load()
+		if err != nil || int64(now) <= known {
+			return time.Duration(known)
+		}
+		if suspended.CompareAndSwap(known, int64(now)) {
+			return now
+		}
+	}
+}
+
+// pretended is what tests add to the suspension.
+var pretended atomic.Int64
+
+// Pretend has the machine seem to have been suspended for a while just now, until
+// the function that it returns undoes it. It is for tests only.
+func Pretend(d time.Duration) (undo func()) {
+	pretended.Add(int64(d))
+	Suspended()
+	return func() {
+		pretended.Add(-int64(d))
+		suspended.Add(-int64(d))
+	}
+}
 
 // clock reads a clock of the system; tests put another one in its place.
 var clock = systemClock
@@ -36,32 +75,14 @@
 	return time.Duration(t.Nano()), err
 }
 
-// Suspended returns for how long the machine has been suspended since its
-// start, in milliseconds' precision. Where the system can't tell, that is what
-// it last could.
-func Suspended() time.Duration {
-	before := time.Duration(suspended.Load())
-	least, most, err := readSuspended()
-	if err != nil || before >= least-noise && before <= most+noise {
-		return before // the same as ever, else times taken in turn could go backwards
-	}
-	now := min(max(before, least), most)
-	suspended.Store(int64(now))
-	return now
-}
-
-// readSuspended compares the clock that goes on with the one that does not. What
-// passes between two readings, while the system may run something else, is left
-// open.
-func readSuspended() (least, most time.Duration, err error) {
-	steady, err := clock(unix.CLOCK_MONOTONIC)
-	if err != nil {
-		return 0, 0, err
-	}
+// readSuspended compares the clock that goes on with the one that does not. The
+// latter is read last: what passes between the two, while the system runs
+// something else, makes the difference too small, and never a suspension.
+func readSuspended() (time.Duration, error) {
 	on, err := clock(unix.CLOCK_BOOTTIME)
 	if err != nil {
-		return 0, 0, err
+		return 0, err
 	}
-	after, err := clock(unix.CLOCK_MONOTONIC)
-	return on - after, on - steady, err
+	steady, err := clock(unix.CLOCK_MONOTONIC)
+	return on - steady + time.Duration(pretended.Load()), err
 }
--- a/internal/uptime/uptime_test.go
+++ b/internal/uptime/uptime_test.go
@@ -25,10 +25,15 @@
 
 func useClocks(t *testing.T, f *fakeClocks) {
 	t.Helper()
-	real, before := clock, suspended.Load()
+	real, read, began := clock, suspended.Load(), before.Load()
 	clock = f.read
 	suspended.Store(0)
-	t.Cleanup(func() { clock = real; suspended.Store(before) })
+	before.Store(0)
+	t.Cleanup(func() {
+		clock = real
+		suspended.Store(read)
+		before.Store(began)
+	})
 }
 
 // A machine that sleeps for 20 s makes a time taken before 20 s older, though
@@ -36,39 +41,42 @@
 func TestTimeGoesOnWhileTheMachineIsSuspended(t *testing.T) {
 	clocks := &fakeClocks{steady: time.Hour, reading: time.Microsecond}
 	useClocks(t, clocks)
-	before := Now()
-	require.Less(t, Since(before), time.Second)
+	noted := Now()
+	require.Less(t, Since(noted), time.Second)
 	clocks.slept = 20 * time.Second
-	require.InDelta(t, 20, Since(before).Seconds(), 1)
-	require.InDelta(t, -20, Until(before).Seconds(), 1)
+	require.InDelta(t, 20, Since(noted).Seconds(), 1)
+	require.InDelta(t, -20, Until(noted).Seconds(), 1)
 }
 
-// What is read between the two clocks is no suspension, and small differences
-// do not make times go backwards.
+// What passes between the readings of two clocks is no suspension, and never
+// makes a time come before an earlier one.
 func TestSlowReadingsAreNoSuspension(t *testing.T) {
 	clocks := &fakeClocks{reading: 50 * time.Millisecond}
 	useClocks(t, clocks)
 	require.Zero(t, Suspended())
 	clocks.slept = 10 * time.Second
-	require.InDelta(t, 10, Suspended().Seconds(), 0.11)
-	clocks.reading = 20 * time.Microsecond
-	first := Suspended()
-	for range 10 {
-		require.Equal(t, first, Suspended())
+	require.InDelta(t, 10, Suspended().Seconds(), 0.06)
+	known := Suspended()
+	for n := range 20 {
+		clocks.reading = 20 * time.Microsecond
+		if n%2 == 0 {
+			clocks.reading = 50 * time.Millisecond
+		}
+		require.GreaterOrEqual(t, Suspended(), known)
+		known = Suspended()
 	}
+	require.InDelta(t, 10, known.Seconds(), 0.01)
 }
 
 func TestClocksThatCantBeReadChangeNothing(t *testing.T) {
 	clocks := &fakeClocks{slept: 3 * time.Second}
 	useClocks(t, clocks)
-	known := Suspended()
-	require.InDelta(t, 3, known.Seconds(), 0.01)
+	require.Equal(t, 3*time.Second, Suspended())
 	clocks.err = errors.New("not supported")
-	require.Equal(t, known, Suspended())
+	require.Equal(t, 3*time.Second, Suspended())
 }
 
 func TestSystemClocksAreThere(t *testing.T) {
-	least, most, err := readSuspended()
+	_, err := readSuspended()
 	require.NoError(t, err)
-	require.LessOrEqual(t, least, most)
 }
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -17,6 +17,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/internal/shortname"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/topology"
 	"k8s.io/klog/v2"
@@ -75,7 +76,7 @@
 		conn: conn, tracker: tracker, budgets: budgets, near: newAudience(true, nearPace), far: newAudience(false, farPace),
 		up: newRelayAudience(), tendSoon: make(chan struct{}, 1), short: shortname.Of(conn.LocalAddr().String()),
 		relay: newRelay(), feeds: map[feedKey]*feed{}, missed: map[string]time.Time{}, asked: map[uint64]chan *traceNote{},
-		news: make(chan struct{}, 1), started: time.Now(),
+		news: make(chan struct{}, 1), started: uptime.Now(),
 		peers: map[string]*net.UDPAddr{}, named: map[string]time.Time{}, heard: map[string]*sender{},
 	}
 	// A sender that restarts begins at a later time, and so higher.
@@ -116,7 +117,7 @@
 // SetPeers names the nodes that are there, by numeric host:port.
 func (s *Sharer) SetPeers(addresses []string) {
 	own := s.conn.LocalAddr().String()
-	now := time.Now()
+	now := uptime.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	peers := make(map[string]*net.UDPAddr, len(addresses))
@@ -239,7 +240,7 @@
 		s.passOn(l.own, n.runs, n.counts, urgent{ended: n.ended, suspects: n.suspects, silent: n.silent, ends: n.ends})
 	}
 	peers := s.peersOf(a, l)
-	now := time.Now()
+	now := uptime.Now()
 	full = full || a.fullDue(now, len(peers))
 	if full {
 		n.ends = encodeEnds(s.ledger.Everything())
@@ -350,7 +351,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, known := s.peers[from]
-	if !known && time.Since(s.started) >= strangerTime {
+	if !known && uptime.Since(s.started) >= strangerTime {
 		return nil
 	}
 	heard := s.heard[from]
@@ -390,5 +391,5 @@
 	if m.Sequence <= heard.sequence {
 		return nil, false, false
 	}
-	return heard.take(m, time.Now()), heard.place.dataHall == s.place.dataHall, true
+	return heard.take(m, uptime.Now()), heard.place.dataHall == s.place.dataHall, true
 }
--- a/loadshare/relaying.go
+++ b/loadshare/relaying.go
@@ -9,6 +9,7 @@
 
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/internal/shortname"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 // nodeName names a node to the tracker.
@@ -74,7 +75,7 @@
 // passOn takes the report of a node of the own data hall, or of this one, for
 // those that are told by this node.
 func (s *Sharer) passOn(from string, runs []balance.Shared, counts map[string]balance.Count, u urgent) {
-	now := time.Now()
+	now := uptime.Now()
 	s.relayMu.Lock()
 	defer s.relayMu.Unlock()
 	node := shortname.Of(from)
@@ -89,7 +90,7 @@
 
 // takeFeed takes part of a feed that this node subscribed to.
 func (s *Sharer) takeFeed(from string, p *feedPart) {
-	now := time.Now()
+	now := uptime.Now()
 	s.relayMu.Lock()
 	f := s.feedFrom(from, p)
 	if f == nil {
@@ -184,7 +185,7 @@
 	s.relayMu.Lock()
 	var again []feedPart
 	if p := s.relay.publisherOf(q.Scope, q.Region); p != nil {
-		again = p.subscribe(from, q, time.Now())
+		again = p.subscribe(from, q, uptime.Now())
 	}
 	s.relayMu.Unlock()
 	s.sendParts([]string{from}, again)
@@ -215,7 +216,7 @@
 
 // flush sends what there is to tell.
 func (s *Sharer) flush(p *publisher) {
-	now := time.Now()
+	now := uptime.Now()
 	l := s.layoutNow()
 	s.relayMu.Lock()
 	if len(p.subscribers) == 0 {
--- a/loadshare/subscriptions.go
+++ b/loadshare/subscriptions.go
@@ -9,6 +9,7 @@
 
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/internal/rendezvous"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"k8s.io/klog/v2"
 )
 
@@ -48,7 +49,7 @@
 		l := s.layoutNow()
 		next := tendDirect
 		if l.relayed {
-			s.tendRelayed(l, time.Now())
+			s.tendRelayed(l, uptime.Now())
 			next = tendEvery
 		}
 		timer.Reset(next)
--- a/loadshare/traces.go
+++ b/loadshare/traces.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 // Where words pass through relays, traces do not: they are long, and few nodes
@@ -75,7 +76,7 @@
 
 // tellTraces tells keepers the traces of this node's runs.
 func (s *Sharer) tellTraces(l *layout, runs []balance.Shared) {
-	for keeper, notes := range s.traces.news(runs, l.holders, time.Now()) {
+	for keeper, notes := range s.traces.news(runs, l.holders, uptime.Now()) {
 		if keeper == l.own {
 			continue
 		}
--- a/metering/counter.go
+++ b/metering/counter.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp/groupclock"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"k8s.io/klog/v2"
 )
 
@@ -75,7 +76,7 @@
 
 // place counts a request in its window. The caller holds the mutex.
 func (c *Counter) place(now time.Time, b begun) {
-	k := key{window: c.cfg.Window(now.Add(-time.Since(b.at))), account: b.account}
+	k := key{window: c.cfg.Window(now.Add(-uptime.Since(b.at))), account: b.account}
 	if k.window <= c.closed {
 		c.drop("its window is closed")
 		return
--- a/node/node.go
+++ b/node/node.go
@@ -413,6 +413,7 @@
 	n.members.Close()
 	n.watch.Close()
 	n.generations.Close()
+	n.quarantine.Close()
 	n.peers.Close()
 	n.peerServer.Close()
 	n.pool.Close()
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -317,7 +317,7 @@
 // call tells what changed, without the mutex.
 func (l *Ledger) call(held []Fingerprint, own bool) {
 	for _, content := range held {
-		klog.InfoS("Content held back: targets end when they run it", "content", content)
+		klog.InfoS("Content held back", "content", content, "ownFinding", own)
 		l.cfg.OnHeld(content)
 	}
 	if own {
--- a/quarantine/witness.go
+++ b/quarantine/witness.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -32,12 +33,31 @@
 // more, it ended.
 type Witness struct {
 	*Ledger
-	dial DialFunc
+	dial   DialFunc
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu     sync.Mutex
+	closed bool
+	looks  sync.WaitGroup
 }
 
 // NewWitness returns a witness that looks at targets' addresses by dial; without
 // one it finds nothing out.
-func NewWitness(l *Ledger, dial DialFunc) *Witness { return &Witness{Ledger: l, dial: dial} }
+func NewWitness(l *Ledger, dial DialFunc) *Witness {
+	w := &Witness{Ledger: l, dial: dial}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
+	return w
+}
+
+// Close ends all looks under way, which find nothing out then.
+func (w *Witness) Close() {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
+	w.cancel()
+	w.looks.Wait()
+}
 
 // Break is a connection to a target that broke off under a run.
 type Break struct {
@@ -54,13 +74,15 @@
 
 // Broke looks whether the target of a break has ended.
 func (w *Witness) Broke(b Break) *Look {
-	if b.Standing == Settled {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if b.Standing == Settled || w.closed {
 		return nil
 	}
 	broke := uptime.Now()
-	note := Note{Content: b.Content, Target: shortname.Of(b.Target), Standing: b.Standing, Ran: time.Since(b.Sent)}
+	note := Note{Content: b.Content, Target: shortname.Of(b.Target), Standing: b.Standing, Ran: uptime.Since(b.Sent)}
 	look := &Look{done: make(chan struct{})}
-	go func() {
+	w.looks.Go(func() {
 		defer close(look.done)
 		ended := w.hasEnded(b.Address)
 		klog.InfoS("Looked at a target that broke off", "request", b.Request, "content", b.Content, "target", b.Target,
@@ -69,7 +91,7 @@
 			note.Age = uptime.Since(broke)
 			w.Ended(note)
 		}
-	}()
+	})
 	return look
 }
 
@@ -85,7 +107,7 @@
 
 // hasEnded reports whether nobody listens at a target's address any more.
 func (w *Witness) hasEnded(address string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), lookTime)
+	ctx, cancel := context.WithTimeout(w.ctx, lookTime)
 	defer cancel()
 	return w.refuses(ctx, address) || pause.For(ctx, lookPause) && w.refuses(ctx, address)
 }
--- a/rollout/agent.go
+++ b/rollout/agent.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 // Agent is a node's part in roll-outs: which versions its requests go to, and
@@ -37,7 +39,7 @@
 
 // NewAgent returns an agent that knows of no versions.
 func NewAgent(seed uint64, opts ...AgentOption) *Agent {
-	a := &Agent{services: map[string]*service{}, rng: rand.New(rand.NewPCG(seed, 17)), now: time.Now}
+	a := &Agent{services: map[string]*service{}, rng: rand.New(rand.NewPCG(seed, 17)), now: uptime.Now}
 	for _, opt := range opts {
 		opt(a)
 	}
--- a/rollout/agent_test.go
+++ b/rollout/agent_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 // node is an agent with a clock of its own.
@@ -172,3 +173,14 @@
 	r.Ended(Lost)
 	r.Dropped()
 }
+
+// A node whose machine was suspended sends nothing to the new version after it
+// wakes: others may have taken it back meanwhile.
+func TestPermitEndsWhileTheMachineIsSuspended(t *testing.T) {
+	a := NewAgent(1)
+	a.SetView(running(1))
+	a.SetPermits(permit(1), uptime.Now())
+	require.True(t, a.MayUse("s", "v2"))
+	t.Cleanup(uptime.Pretend(PermitLife + time.Second))
+	require.False(t, a.MayUse("s", "v2"))
+}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -12,6 +12,7 @@
 	"github.com/walnutramp/walnutramp/control"
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/gateway"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/loadshare"
 	"github.com/walnutramp/walnutramp/metering"
 	"github.com/walnutramp/walnutramp/quarantine"
@@ -63,6 +64,7 @@
 	ready   *http.Server
 	agent   *rollout.Agent    // of roll-outs; nil where there are none
 	counter *metering.Counter // of requests; nil where nothing is metered
+	witness *quarantine.Witness
 }
 
 func (p *Process) startEntry() error {
@@ -73,8 +75,8 @@
 	budgets := balance.NewBudgets(balance.BudgetConfig{
 		Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow, Nodes: nodesAssumed,
 	})
-	ledger := quarantine.New()
-	sharer, err := p.newSharer(targets, budgets, ledger)
+	witness := quarantine.NewWitness(quarantine.New(), pool.Dial)
+	sharer, err := p.newSharer(targets, budgets, witness.Ledger)
 	if err != nil {
 		return err
 	}
@@ -94,7 +96,7 @@
 	}
 	p.client = control.NewDocumentClient(p.peers, s.Seeds, adopt)
 	options := []gateway.Option{gateway.WithNames(names), gateway.WithLease(p.lease()), gateway.WithFind(findBy(sharer)),
-		gateway.WithQuarantine(ledger)}
+		gateway.WithQuarantine(witness)}
 	var agent *rollout.Agent
 	if s.Rollouts.Enabled() {
 		agent = rollout.NewAgent(rand.Uint64())
@@ -109,7 +111,7 @@
 	}
 	p.client.AsEntry(s.PeerListen, s.DataHall, sharer.SetPeers)
 	p.client.FeedTargets(poller.Fed)
-	p.entry = &entry{gateway: g, pool: pool, agent: agent, counter: counter, sharer: sharer}
+	p.entry = &entry{gateway: g, pool: pool, agent: agent, counter: counter, sharer: sharer, witness: witness}
 	if err := p.listenEntry(g); err != nil {
 		return err
 	}
@@ -203,18 +205,19 @@
 // and finishes what is under way.
 func (e *entry) stop(grace time.Duration) {
 	times := stopTimesOf(grace)
-	end := time.Now().Add(times.end)
+	end := uptime.Now().Add(times.end)
 	e.gateway.Leave(end)
 	time.Sleep(times.closing)
 	e.gateway.CloseConnections()
 	time.Sleep(times.refuse - times.closing)
 	e.gateway.Refuse()
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithTimeout(context.Background(), uptime.Until(end))
 	defer cancel()
 	if err := e.front.Shutdown(ctx); err != nil {
 		klog.InfoS("Requests are cut off at the end of the grace", "err", err)
 		e.front.Close()
 	}
 	e.ready.Close()
+	e.witness.Close()
 	e.pool.Close()
 }
--- a/targetconn/conn.go
+++ b/targetconn/conn.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 const readBuffer = 4 << 10
@@ -96,7 +98,7 @@
 	}
 	c.mu.Lock()
 	c.resting = true
-	c.expires = time.Now().Add(c.limit)
+	c.expires = uptime.Now().Add(c.limit)
 	c.mu.Unlock()
 	c.again <- struct{}{}
 	return true
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 // DialFunc opens a connection; net.Dialer.DialContext is one.
@@ -118,7 +120,7 @@
 		}
 		c := conns[len(conns)-1]
 		p.idle[id] = conns[:len(conns)-1]
-		if c.begin(time.Now()) {
+		if c.begin(uptime.Now()) {
 			return c
 		}
 		c.close()
--- a/targetconn/targetconn_test.go
+++ b/targetconn/targetconn_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 // script is what a target does with each request; n counts the requests of a
@@ -251,6 +252,18 @@
 	require.EqualValues(t, 2, p.Dialed())
 }
 
+// A target closes connections that rest too long, and a machine that wakes may
+// not have heard of it yet: what is sent then is lost, whether it ran or not.
+func TestKeptConnectionAgesWhileTheMachineIsSuspended(t *testing.T) {
+	e, _ := serve(t, func(c net.Conn, r *http.Request, _ int) { io.WriteString(c, ok(r.Header.Get("X-Request-Id"), "x")) })
+	p := NewPool()
+	defer p.Close()
+	outcome(p, e, request("one"))
+	t.Cleanup(uptime.Pretend(defaultConfig().IdleLimit + time.Second))
+	outcome(p, e, request("two"))
+	require.EqualValues(t, 2, p.Dialed())
+}
+
 // FuzzAnswer gives whatever a target may send; an answer must repeat the
 // identity, and nothing must hang or panic.
 func FuzzAnswer(f *testing.F) {
