--- a/loadshare/ends_test.go
+++ b/loadshare/ends_test.go
@@ -66,6 +66,21 @@
 	}
 }
 
+// Nodes of each region see one end each.
+func TestEndsAreKnownInAllRegions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRegionSite(t)
+		defer s.close()
+		time.Sleep(4 * time.Second)
+		for i, region := range []string{"region-0", "region-1", "region-2"} {
+			s.nodeIn(region).ledger.Ended(endAt(engines(regionHalls)[i].ID))
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(500 * time.Millisecond)
+		require.Equal(t, len(s.nodes), s.held())
+	})
+}
+
 // A node that starts is told what is held back, and one with a disk knows it
 // though all have started at the same time.
 func TestHeldContentOutlivesRestarts(t *testing.T) {
@@ -82,9 +97,9 @@
 		s.nodes[5].kill()
 		s.nodes[5] = s.start(5, 4)
 		s.setPeers()
-		time.Sleep(2 * time.Second)
+		time.Sleep(10 * time.Millisecond)
 		_, held := s.nodes[5].ledger.Held(fatal)
-		require.True(t, held, "it is told")
+		require.True(t, held, "it asks, and is told")
 
 		text, err := s.nodes[0].encodeMemory()
 		require.NoError(t, err)
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -116,6 +117,14 @@
 
 // SetPeers names the nodes that are there, by numeric host:port.
 func (s *Sharer) SetPeers(addresses []string) {
+	if s.setPeers(addresses) {
+		s.askForEnds(addresses)
+	}
+}
+
+// setPeers takes the nodes that are there, and reports whether they are the
+// first that this one is told of.
+func (s *Sharer) setPeers(addresses []string) (first bool) {
 	own := s.conn.LocalAddr().String()
 	now := uptime.Now()
 	s.mu.Lock()
@@ -139,12 +148,27 @@
 	if len(peers) > len(s.peers) {
 		s.Changed()
 	}
+	first = len(s.peers) == 0 && len(peers) > 0
 	s.peers, s.layout = peers, nil
 	s.budgets.SetNodes(len(peers) + 1)
 	s.tracker.SetNodes(own, slices.Collect(maps.Keys(peers)))
 	s.tracker.SetFarLag(s.farLag(len(peers)))
 	s.tracker.SetNewsLag(s.newsLag(len(peers)))
 	s.tracker.SetRegionLag(s.regionLag(len(peers)))
+	return first
+}
+
+// startAsks is how many peers a node that starts asks what it missed: one may
+// have just started, too, and one may be cut off.
+const startAsks = 3
+
+// askForEnds asks peers under which requests targets ended: such a request may
+// be the first that comes. Without it a node that was started again learned of
+// it after a second, and two targets ended meanwhile.
+func (s *Sharer) askForEnds(addresses []string) {
+	some := without(addresses, s.conn.LocalAddr().String())
+	rand.Shuffle(len(some), func(i, j int) { some[i], some[j] = some[j], some[i] })
+	s.sendTo(s.addressesOf(some[:min(startAsks, len(some))]), message{AsksEnds: true})
 }
 
 // farLag is by how much word of other data halls comes later than that of the
@@ -326,6 +350,12 @@
 	if m.Asks {
 		s.sendTo(s.addressesOf([]string{from}), s.signed(message{}))
 	}
+	if m.AsksEnds {
+		s.sendTo(s.addressesOf([]string{from}), message{Ends: encodeEnds(s.ledger.Everything())})
+	}
+	if len(m.Ends) > 0 && !m.report() {
+		s.ledger.Take(decodeEnds(m.Ends))
+	}
 	if m.report() {
 		s.takeReport(from, heard, m)
 	}
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -33,6 +33,10 @@
 
 	// Disk says that the sender keeps traces over a loss of power.
 	Disk bool `msgpack:"d,omitempty"`
+	// AsksEnds wants to be told the ends that the receiver knows of. It says nothing
+	// of where its sender stands, nor does the answer: nodes that start together
+	// would hold what few of them told for the whole layout.
+	AsksEnds bool `msgpack:"y,omitempty"`
 	// Asks wants to be told the receiver's data hall.
 	Asks bool `msgpack:"a,omitempty"`
 	// Subscribe asks the receiver for its feed.
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// judge reports whether a content is held back, and since when it is by ends
-// that still count: it is no longer once the end of that time is forgotten. The
-// caller holds the mutex, as for the methods below.
-func (l *Ledger) judge(content Fingerprint, r *record, now time.Time) (since time.Time, held bool) {
+// judge reports whether a content is held back by ends of an age or more, and
+// since when it is by ends that still count: it is no longer once the end of that
+// time is forgotten. The caller holds the mutex, as for the methods below.
+func (l *Ledger) judge(content Fingerprint, r *record, now time.Time, age time.Duration) (since time.Time, held bool) {
 	counted := r.counted(now)
 	own := weightOf(counted)
 	if own < heldWeight {
@@ -16,6 +16,9 @@
 	}
 	proven, tied := 0, 0
 	for _, e := range slices.Backward(counted) {
+		if now.Sub(e.at) < age {
+			continue
+		}
 		switch l.rivalOf(content, e, own, now) {
 		case rivalNone:
 			proven += weights[e.standing]
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -36,6 +36,7 @@
 	atTarget map[uint32][]Fingerprint // contents that were under way when it ended
 	news     []numbered               // own notes, oldest first
 	number   uint64                   // of the newest
+	relooks  bool                     // contents are judged again soon
 }
 
 // numbered is an own note.
@@ -47,7 +48,7 @@
 
 // New returns a ledger that knows nothing.
 func New(opts ...Option) *Ledger {
-	cfg := Config{Now: uptime.Now, OnNews: func() {}, OnHeld: func(Fingerprint) {}}
+	cfg := Config{Now: uptime.Now, OnNews: func() {}, OnHeld: func(Fingerprint) {}, Hear: hearTime}
 	for _, opt := range opts {
 		opt(&cfg)
 	}
@@ -140,13 +141,29 @@
 		return 0, false
 	}
 	now := l.cfg.Now()
-	since, held := l.judge(content, r, now)
+	since, held := l.judge(content, r, now, l.cfg.Hear)
 	if !held {
 		return 0, false
 	}
 	return max(since.Add(memoryTime).Sub(now), time.Second), true
 }
 
+// Undecided returns for how long a content that would be held back is not yet,
+// since other nodes may know better; 0 for any other content.
+func (l *Ledger) Undecided(content Fingerprint) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.records[content]
+	if r == nil || len(r.ends) == 0 {
+		return 0
+	}
+	now := l.cfg.Now()
+	if _, held := l.judge(content, r, now, 0); !held {
+		return 0
+	}
+	return max(0, l.cfg.Hear-now.Sub(r.ends[len(r.ends)-1].at))
+}
+
 // HeldContents returns how many contents are held back.
 func (l *Ledger) HeldContents() int {
 	l.mu.Lock()
@@ -154,7 +171,7 @@
 	now := l.cfg.Now()
 	n := 0
 	for content, r := range l.records {
-		if _, held := l.judge(content, r, now); held {
+		if _, held := l.judge(content, r, now, l.cfg.Hear); held {
 			n++
 		}
 	}
@@ -302,10 +319,13 @@
 		if len(r.ends) < leastEnds && !r.held {
 			continue
 		}
-		_, held := l.judge(content, r, now)
+		_, held := l.judge(content, r, now, l.cfg.Hear)
 		if held && !r.held {
 			newly = append(newly, content)
 		}
+		if _, soon := l.judge(content, r, now, 0); soon && !held {
+			l.lookAgain()
+		}
 		if r.held && !held {
 			klog.InfoS("Content no longer held back", "content", content, "ends", len(r.ends))
 		}
@@ -314,6 +334,21 @@
 	return newly
 }
 
+// lookAgain has contents judged once more when their newest ends are old enough.
+func (l *Ledger) lookAgain() {
+	if l.relooks {
+		return
+	}
+	l.relooks = true
+	time.AfterFunc(l.cfg.Hear, func() {
+		l.mu.Lock()
+		l.relooks = false
+		held := l.look(l.cfg.Now())
+		l.mu.Unlock()
+		l.call(held, false)
+	})
+}
+
 // call tells what changed, without the mutex.
 func (l *Ledger) call(held []Fingerprint, own bool) {
 	for _, content := range held {
--- a/quarantine/ledger_test.go
+++ b/quarantine/ledger_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -16,7 +17,7 @@
 func (f *fakeTime) read() time.Time        { return f.now }
 func (f *fakeTime) pass(d time.Duration)   { f.now = f.now.Add(d) }
 func newTime() *fakeTime                   { return &fakeTime{now: time.Unix(1e9, 0)} }
-func newLedger(clock *fakeTime) *Ledger    { return New(WithNow(clock.read)) }
+func newLedger(clock *fakeTime) *Ledger    { return New(WithNow(clock.read), WithHear(0)) }
 func isHeld(l *Ledger, f Fingerprint) bool { _, held := l.Held(f); return held }
 func content(n int) Fingerprint            { return Fingerprint(1000 + n) }
 func target(n int) uint32                  { return uint32(n) }
@@ -311,3 +312,36 @@
 		}
 	}
 }
+
+// A node sees its own request lose three targets. It waits for what others say
+// of these ends before it holds the request back; nothing else speaks against
+// the request then.
+func TestContentIsHeldOnceOthersWereHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		heard, alone := New(), New()
+		var held []Fingerprint
+		alone.OnHeld(func(f Fingerprint) { held = append(held, f) })
+		for n := range 3 {
+			time.Sleep(time.Second)
+			for _, l := range []*Ledger{heard, alone} {
+				l.Ended(Note{Content: other, Target: target(n), Standing: Begun, Ran: time.Second})
+			}
+		}
+		time.Sleep(hearTime / 2)
+		require.False(t, isHeld(heard, other))
+		require.False(t, isHeld(alone, other))
+		require.Equal(t, hearTime/2, heard.Undecided(other))
+		var word []Note
+		for n := range 4 { // it was at one more before
+			word = append(word, Note{Content: fatal, Target: target(n - 1), Standing: Begun, Age: time.Duration(3-n)*time.Second + hearTime/2, Ran: time.Second})
+		}
+		heard.Take(word)
+		require.Zero(t, heard.Undecided(other))
+		time.Sleep(hearTime)
+		require.False(t, isHeld(heard, other))
+		require.True(t, isHeld(heard, fatal))
+		require.True(t, isHeld(alone, other))
+		require.Equal(t, []Fingerprint{other}, held)
+		require.Zero(t, alone.Undecided(other))
+	})
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -68,6 +68,11 @@
 	// blur is by what times that two nodes told may be off against each other: what
 	// their datagrams were held up by.
 	blur = 20 * time.Millisecond
+	// hearTime is how old an end must be to hold a content back: by then a node has
+	// heard of the others that were there, through relays and from other regions.
+	// Without it a request that had shared three targets with one that ended them
+	// was refused by the node that had seen its own part only.
+	hearTime = 250 * time.Millisecond
 )
 
 // Bounds of what is kept.
@@ -96,10 +101,14 @@
 	Now    func() time.Time  // a clock that goes on while the machine is suspended
 	OnNews func()            // there are own notes to be told
 	OnHeld func(Fingerprint) // a content is held back from now on
+	Hear   time.Duration     // how old an end must be to hold a content back
 }
 
 // Option sets a field of Config.
 type Option func(*Config)
 
+// WithHear sets how old an end must be to hold a content back.
+func WithHear(d time.Duration) Option { return func(c *Config) { c.Hear = d } }
+
 // WithNow sets the clock.
 func WithNow(now func() time.Time) Option { return func(c *Config) { c.Now = now } }
--- a/quarantine/witness.go
+++ b/quarantine/witness.go
@@ -97,10 +97,11 @@
 
 // HeldAfter reports what Held does. Where targets ended under the content
 // before, what came of the newest is waited for: a refused connection tells it
-// in a round trip.
+// in a round trip. Where that decides, so is what other nodes know.
 func (w *Witness) HeldAfter(l *Look, content Fingerprint) (left time.Duration, held bool) {
 	if l != nil && w.Suspect(content) {
 		<-l.done
+		pause.For(w.ctx, w.Undecided(content))
 	}
 	return w.Held(content)
 }
