Targets that start again under their ID; list entries of another writer (part of the issue)

Through relays, ends of held contents are told again every 2 s: with one datagram in five lost, the nodes of a hall did not learn of one (TestEndsAreKnownEverywhere, 100 of 120 nodes).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -89,8 +89,9 @@
 	cfg Config
 
 	mu      sync.Mutex
-	byID    map[string]*Target
-	byShort map[uint32]*Target // by short name of the ID
+	byID    map[string]*Target // newest life of each
+	byLife  map[string]*Target
+	byShort map[uint32]*Target // by short name of the life
 	service map[string][]*Target
 	listed  bool
 	others  map[string]*sharedRuns // by node
@@ -122,6 +123,7 @@
 type Target struct {
 	discovery.Target
 	tracker *Tracker
+	life    string    // names this start of it
 	since   time.Time // when it was first listed
 
 	turn    uint64    // of RoundRobin, when it was chosen last
@@ -154,47 +156,44 @@
 		opt(&cfg)
 	}
 	return &Tracker{
-		cfg: cfg, byID: map[string]*Target{}, service: map[string][]*Target{}, others: map[string]*sharedRuns{},
+		cfg: cfg, byID: map[string]*Target{}, byLife: map[string]*Target{}, service: map[string][]*Target{}, others: map[string]*sharedRuns{},
 		named: map[string]namedTrace{}, paces: map[string]*pace{},
 		changed: func() {}, silence: func() {}, rng: rand.New(rand.NewPCG(cfg.Seed, 11)),
 	}
 }
 
-// Update takes a new list. It returns the IDs of targets that are no longer
-// on it. Of two that are listed under one address, the one listed later has
+// Update takes a new list. It returns the lives of targets that are over or no
+// longer on it. Of two that are listed under one address, the one listed later has
 // it: the other has ended, though the list lags behind.
-func (t *Tracker) Update(list []discovery.Target) []string {
+func (t *Tracker) Update(list []discovery.Target) (removed []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := uptime.Now()
 	byID := make(map[string]*Target, len(list))
+	for _, entry := range list {
+		byID[entry.ID] = t.lifeOf(entry, now)
+		t.byID[entry.ID] = byID[entry.ID] // of two lives on one list the newer counts
+	}
+	byLife := make(map[string]*Target, len(list))
 	byShort := make(map[uint32]*Target, len(list))
 	service := map[string][]*Target{}
 	holder := map[string]*Target{}
 	for _, entry := range list {
-		known := t.byID[entry.ID]
-		if known == nil {
-			known = &Target{
-				tracker: t, since: now, gain: t.ownershipGain(entry.ID),
-				runs: map[*Run]struct{}{}, others: map[string]otherRuns{},
-			}
-		}
-		if known.State == discovery.TargetDraining {
-			entry.State = discovery.TargetDraining // a target that leaves does not come back
+		known := byID[entry.ID]
+		if byLife[known.life] != nil {
+			continue
 		}
-		known.Target = entry
-		byID[entry.ID] = known
-		byShort[shortname.Of(entry.ID)] = known
-		service[entry.Service] = append(service[entry.Service], known)
-		holder[entry.Address] = later(holder[entry.Address], known)
+		byLife[known.life] = known
+		byShort[shortname.Of(known.life)] = known
+		service[known.Service] = append(service[known.Service], known)
+		holder[known.Address] = later(holder[known.Address], known)
 	}
-	var removed []string
-	for id := range t.byID {
-		if byID[id] == nil {
-			removed = append(removed, id)
+	for life := range t.byLife {
+		if byLife[life] == nil {
+			removed = append(removed, life)
 		}
 	}
-	t.byID, t.byShort, t.service, t.listed = byID, byShort, service, true
+	t.byID, t.byLife, t.byShort, t.service, t.listed = byID, byLife, byShort, service, true
 	return removed
 }
 
--- a/balance/health.go
+++ b/balance/health.go
@@ -81,15 +81,15 @@
 	return t.doubtful(of.Service, uptime.Now())[of.DataHall]
 }
 
-// Suspects returns the targets that lately broke off to this node.
+// Suspects returns the lives of targets that lately broke off to this node.
 func (t *Tracker) Suspects() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := uptime.Now()
 	var ids []string
-	for id, target := range t.byID {
+	for life, target := range t.byLife {
 		if now.Sub(target.broke) < suspectLife/2 {
-			ids = append(ids, id)
+			ids = append(ids, life)
 		}
 	}
 	return ids
@@ -101,7 +101,7 @@
 	defer t.mu.Unlock()
 	now := uptime.Now()
 	for _, id := range ids {
-		if target := t.byID[id]; target != nil && now.Sub(target.rumour) > suspectLife {
+		if target := t.byLife[id]; target != nil && now.Sub(target.rumour) > suspectLife {
 			target.rumour = now
 		}
 	}
@@ -181,13 +181,13 @@
 	t.tracker.changed()
 }
 
-// Ended returns the targets that this node lately found to have ended.
+// Ended returns the lives of targets that this node lately found to have ended.
 func (t *Tracker) Ended() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := uptime.Now()
 	var ended []string
-	for id, target := range t.byID {
+	for id, target := range t.byLife {
 		if target.gone || now.Sub(target.refused) < refusedLife/2 {
 			ended = append(ended, id)
 		}
@@ -202,7 +202,7 @@
 	defer t.mu.Unlock()
 	told := uptime.Now().Add(-refusedLife / 2)
 	for _, id := range ids {
-		if target := t.byID[id]; target != nil && target.refused.Before(told) {
+		if target := t.byLife[id]; target != nil && target.refused.Before(told) {
 			target.refused = told
 		}
 	}
--- /dev/null
+++ b/balance/life.go
@@ -0,0 +1,63 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/walnutramp/walnutramp/discovery"
+	"k8s.io/klog/v2"
+)
+
+// A target may start again under its ID. Everything that is kept of a target, and
+// all that nodes tell each other of one, is of one life of it: runs, copies,
+// prompts that it read, what it answered, that it ended. So nothing is carried
+// over, but for flapRow.
+
+// flapTime is how long ago a target must have broken off for its next life to
+// start without its failures in a row: one that ends again and again is avoided
+// for longer each time, as if it had not started anew.
+const flapTime = 10 * time.Second
+
+// Life names the target's start among all that it had.
+func (t *Target) Life() string { return t.life }
+
+// lifeOf returns the target that an entry of a list is of: a known one, or a new
+// one where it is new or was started again. Which of two lives is newer says the
+// site's word of when they were started; a list that names the older one is old.
+// The caller holds the mutex.
+func (t *Tracker) lifeOf(entry discovery.Target, now time.Time) *Target {
+	known := t.byID[entry.ID]
+	switch {
+	case known == nil:
+		known = t.newTarget(entry, now)
+	case entry.Born == 0:
+		entry.Born = known.Born
+	case entry.Born < known.Born:
+		return known
+	case known.Born != 0 && entry.Born > known.Born:
+		known = t.nextLife(known, entry, now)
+	}
+	if known.State == discovery.TargetDraining {
+		entry.State = discovery.TargetDraining // a target that leaves does not come back
+	}
+	known.Target, known.life = entry, entry.Life()
+	return known
+}
+
+func (t *Tracker) newTarget(entry discovery.Target, now time.Time) *Target {
+	return &Target{
+		Target: entry, tracker: t, since: now, gain: t.ownershipGain(entry.ID),
+		runs: map[*Run]struct{}{}, others: map[string]otherRuns{},
+	}
+}
+
+// nextLife returns the target that an older life of it has become. The caller
+// holds the mutex.
+func (t *Tracker) nextLife(before *Target, entry discovery.Target, now time.Time) *Target {
+	before.gone = true
+	next := t.newTarget(entry, now)
+	if now.Sub(before.broke) < flapTime {
+		next.row = before.row
+	}
+	klog.InfoS("Target started again", "target", entry.ID, "born", entry.Born, "before", before.Born, "runs", len(before.runs), "failedInARow", next.row)
+	return next
+}
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -134,7 +134,7 @@
 		}
 	}
 	for _, s := range runs {
-		target := t.byID[s.Target]
+		target := t.byLife[s.Target]
 		if target == nil || s.Broken {
 			continue
 		}
--- a/balance/readplaces.go
+++ b/balance/readplaces.go
@@ -47,7 +47,7 @@
 // readPlace returns the target that has read a choice's prompt and still takes
 // work, nil if none is known. The caller holds the mutex.
 func (t *Tracker) readPlace(c Choice, now time.Time) *Target {
-	target := t.byID[t.read.of(c.Key)]
+	target := t.byLife[t.read.of(c.Key)]
 	if target == nil || target.Service != c.Service || !target.open(now) || target.suspect(now) {
 		return nil
 	}
--- a/balance/regions.go
+++ b/balance/regions.go
@@ -54,7 +54,7 @@
 func (t *Tracker) NoteRoundTrip(id string, took time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if target := t.byID[id]; target != nil {
+	if target := t.byLife[id]; target != nil {
 		t.trips.Observe(target.DataHall, took, uptime.Now())
 	}
 }
--- a/balance/room.go
+++ b/balance/room.go
@@ -97,7 +97,7 @@
 	for _, o := range all {
 		for _, r := range o.runs {
 			o.held += r.Hold
-			if holder := all[t.byID[r.Trace.Copy]]; holder != nil {
+			if holder := all[t.byLife[r.Trace.Copy]]; holder != nil {
 				holder.copies += r.Hold
 			}
 		}
--- a/balance/run.go
+++ b/balance/run.go
@@ -19,9 +19,9 @@
 // Trace is how a run is found again after it broke off.
 type Trace struct {
 	Key      string // names the request, however often it comes
-	Copy     string // target that keeps a copy of the run's memory; empty for none
+	Copy     string // life of the target that keeps a copy of the run's memory; empty for none
 	CopyName string // by which that target is told to go on from the copy
-	ReadAt   string // target that has read the prompt; empty until one has
+	ReadAt   string // life of the target that has read the prompt; empty until one has
 }
 
 // Run is one request of this node under way at a target.
@@ -58,8 +58,8 @@
 	if r.alone {
 		r.target.learnReading(r.work.Read, r.firstAt.Sub(r.began), r.firstAt)
 	}
-	r.trace.ReadAt = r.target.ID
-	r.target.tracker.read.note(r.trace.Key, r.target.ID, r.firstAt)
+	r.trace.ReadAt = r.target.life
+	r.target.tracker.read.note(r.trace.Key, r.target.life, r.firstAt)
 	r.target.tracker.mu.Unlock()
 	r.target.tracker.changed()
 }
@@ -117,8 +117,8 @@
 
 // Shared is what nodes tell each other of a run.
 type Shared struct {
-	Number uint64 // names the run among those of its node
-	Target string
+	Number uint64        // names the run among those of its node
+	Target string        // its life
 	Read   int           // tokens still to be read when it began; 0 once the first event has come
 	Hold   int           // tokens of memory
 	Age    time.Duration // since it began; once the first event has come, how long that took
@@ -153,7 +153,7 @@
 	defer t.mu.Unlock()
 	now := uptime.Now()
 	var all []Shared
-	for id, target := range t.byID {
+	for id, target := range t.byLife {
 		for r := range target.runs {
 			if r.work != (Work{}) {
 				all = append(all, r.shared(id, now))
@@ -162,7 +162,7 @@
 	}
 	t.forgetBroken(now)
 	for _, r := range t.broken {
-		all = append(all, Shared{Number: r.number, Target: r.target.ID, Trace: r.trace, Broken: true})
+		all = append(all, Shared{Number: r.number, Target: r.target.life, Trace: r.trace, Broken: true})
 	}
 	if now.Sub(t.remembered) < copyLife {
 		for _, m := range t.memory {
@@ -269,7 +269,7 @@
 	t.forgetBroken(now)
 	for _, r := range t.broken {
 		if r.trace.Key == key && r.trace.Copy != "" {
-			at, name = t.byID[r.trace.Copy], r.trace.CopyName
+			at, name = t.byLife[r.trace.Copy], r.trace.CopyName
 		}
 	}
 	for _, o := range t.others {
@@ -277,14 +277,14 @@
 			continue
 		}
 		if trace, ok := o.traces[key]; ok && at == nil && trace.Copy != "" {
-			at, name = t.byID[trace.Copy], trace.CopyName
+			at, name = t.byLife[trace.Copy], trace.CopyName
 		}
 	}
 	if n, ok := t.named[key]; ok && at == nil && n.trace.Copy != "" && now.Sub(n.at) <= copyLife {
-		at, name = t.byID[n.trace.Copy], n.trace.CopyName
+		at, name = t.byLife[n.trace.Copy], n.trace.CopyName
 	}
 	if m, ok := t.memory[key]; ok && at == nil && m.trace.Copy != "" && now.Sub(t.remembered)+t.memoryAge < copyLife {
-		at, name = t.byID[m.trace.Copy], m.trace.CopyName
+		at, name = t.byLife[m.trace.Copy], m.trace.CopyName
 	}
 	if at == nil || !at.open(now) || at.suspect(now) {
 		return nil, ""
@@ -340,7 +340,7 @@
 		t.read.note(key, trace.ReadAt, told.at)
 	}
 	for id, of := range byTarget {
-		if target := t.byID[id]; target != nil {
+		if target := t.byLife[id]; target != nil {
 			target.others[node] = otherRuns{told: told, runs: of}
 			told.targets = append(told.targets, target)
 		}
@@ -375,7 +375,7 @@
 func (t *Target) underWay(now time.Time) []Shared {
 	all := make([]Shared, 0, len(t.runs)+len(t.others))
 	for r := range t.runs {
-		all = append(all, r.shared(t.ID, now))
+		all = append(all, r.shared(t.life, now))
 	}
 	for _, o := range t.others {
 		if now.Sub(o.told.heard) > sharedLife {
--- a/balance/silence.go
+++ b/balance/silence.go
@@ -27,13 +27,13 @@
 	t.tracker.silence()
 }
 
-// SilentTargets returns the targets that lately fell silent to this node.
+// SilentTargets returns the lives of the targets that lately fell silent to this node.
 func (t *Tracker) SilentTargets() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := uptime.Now()
 	var ids []string
-	for id, target := range t.byID {
+	for id, target := range t.byLife {
 		if now.Sub(target.mute) < hallDoubtTime {
 			ids = append(ids, id)
 		}
@@ -49,7 +49,7 @@
 	t.mu.Lock()
 	now := uptime.Now()
 	for _, id := range ids {
-		if target := t.byID[id]; target != nil && now.Sub(target.silent) > hallDoubtTime {
+		if target := t.byLife[id]; target != nil && now.Sub(target.silent) > hallDoubtTime {
 			target.silent = now
 		}
 	}
--- a/discovery/target.go
+++ b/discovery/target.go
@@ -1,5 +1,7 @@
 package discovery
 
+import "strconv"
+
 // State of a target as the site's list has it.
 type TargetState int
 
@@ -20,4 +22,17 @@
 	State    TargetState
 	Spot     bool   // it may be taken away at short notice, with all such of its data hall
 	Version  string // of what the target runs; empty if it is not told
+	// Born is when the target was started, in Unix milliseconds by the site's word;
+	// 0 if it is not told. A target may start again under its ID, and holds and
+	// knows nothing of before then.
+	Born int64
+}
+
+// Life names this start of the target: what is known of another life of it says
+// nothing of this one.
+func (t *Target) Life() string {
+	if t.Born == 0 {
+		return t.ID
+	}
+	return t.ID + "@" + strconv.FormatInt(t.Born, 10)
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -257,5 +257,5 @@
 const lowestPriority = 9
 
 func endpoint(t *balance.Target) targetconn.Endpoint {
-	return targetconn.Endpoint{ID: t.ID, Address: t.Address}
+	return targetconn.Endpoint{ID: t.Life(), Address: t.Address}
 }
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -170,7 +170,7 @@
 	k.copy = &copyOf{at: holder, name: g.cfg.Names.CopyHandle(k.target.Address, handle)}
 	k.handle = handle
 	k.renew = uptime.Now().Add(time.Duration(copyRenewShare * float64(c.engine.CopyLife)))
-	k.run.SetCopy(holder.ID, k.copy.name)
+	k.run.SetCopy(holder.Life(), k.copy.name)
 	g.counters.ordered.Inc()
 }
 
--- a/gateway/ends.go
+++ b/gateway/ends.go
@@ -48,7 +48,7 @@
 		return
 	}
 	c.look = g.cfg.Quarantine.Broke(quarantine.Break{
-		Request: c.id, Content: c.content, Target: t.ID, Address: t.Address, Standing: s, Sent: c.sentAt,
+		Request: c.id, Content: c.content, Target: t.Life(), Address: t.Address, Standing: s, Sent: c.sentAt,
 	})
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -231,7 +231,7 @@
 	c.turned[t] = true
 	if a.Status == http.StatusMisdirectedRequest {
 		t.Gone()
-		g.pool.Forget(t.ID)
+		g.pool.Forget(t.Life())
 		g.refresh()
 		return
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -149,14 +149,14 @@
 		request: g.request(c, t), work: g.targets.Kept(choice, t), expected: g.targets.Expected(choice, t),
 		trace: balance.Trace{Key: c.key},
 	}
-	klog.InfoS("Run begins", "request", c.id, "content", c.content, "key", c.key, "route", c.route.Name, "version", c.version, "target", t.ID, "again", c.again, "last", c.lastID,
+	klog.InfoS("Run begins", "request", c.id, "content", c.content, "key", c.key, "route", c.route.Name, "version", c.version, "target", t.ID, "born", t.Born, "again", c.again, "last", c.lastID,
 		"read", c.work.Read, "expectedRead", o.work.Read, "expected_ms", o.expected.Milliseconds(),
 		"fromCopy", from != nil, "run", r.runs)
 	if from != nil {
 		o.work.Read = 0
 	}
 	if o.copy = r.askForCopy(o.request, t, from); o.copy != nil {
-		o.trace.Copy, o.trace.CopyName = o.copy.at.ID, o.copy.name
+		o.trace.Copy, o.trace.CopyName = o.copy.at.Life(), o.copy.name
 	}
 	return o
 }
--- a/loadshare/publisher.go
+++ b/loadshare/publisher.go
@@ -59,6 +59,7 @@
 	news        urgent
 	told        map[newsKey]time.Time  // urgent news: when it was told on
 	countsAt    time.Time              // when the counts were told last
+	gravesAt    time.Time              // when the ends of contents that are held back were
 	subscribers map[string]*subscriber // by address
 }
 
@@ -205,6 +206,21 @@
 // countsDue reports whether the counts are to be told now.
 func (p *publisher) countsDue(now time.Time) bool { return now.Sub(p.countsAt) >= countsEvery }
 
+// gravesEvery is how often the ends of contents that are held back, or nearly are,
+// are told again with the counts. Who was told everything before the second of them
+// came knows nothing of the first: with one datagram in five lost, the nodes of a
+// data hall did not learn of it otherwise.
+const gravesEvery = 2 * time.Second
+
+// gravesDue reports whether these ends are to be told now.
+func (p *publisher) gravesDue(now time.Time) bool {
+	if !p.countsDue(now) || now.Sub(p.gravesAt) < gravesEvery {
+		return false
+	}
+	p.gravesAt = now
+	return true
+}
+
 // flush returns the datagrams that tell what has changed, those who are told
 // them, and the newcomers that are told everything.
 func (p *publisher) flush(r *relay, counts map[string]balance.Count, now time.Time) (changes []feedPart, told, newcomers []string) {
--- a/loadshare/relaying.go
+++ b/loadshare/relaying.go
@@ -166,7 +166,7 @@
 	for _, r := range short {
 		names = append(names, r.Target, r.Copy)
 	}
-	ids := s.tracker.IDs(names)
+	ids := s.tracker.Lives(names)
 	var runs []balance.Shared
 	for i, r := range short {
 		if ids[2*i] == "" {
@@ -228,6 +228,9 @@
 		s.relayMu.Unlock()
 		return
 	}
+	if p.gravesDue(now) {
+		p.news.ends = append(p.news.ends, encodeEnds(s.ledger.Grave())...)
+	}
 	var counts map[string]balance.Count
 	if p.countsDue(now) {
 		counts = s.countsOf(p)
--- a/quarantine/news.go
+++ b/quarantine/news.go
@@ -58,6 +58,13 @@
 	return append(notes, l.grave(now)...)
 }
 
+// Grave returns the ends of contents that are held back or nearly are.
+func (l *Ledger) Grave() []Note {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.grave(l.cfg.Now())
+}
+
 // grave returns the ends of contents that are held back or nearly are, those of
 // the newest ends where there are too many. The caller holds the mutex.
 func (l *Ledger) grave(now time.Time) []Note {
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -27,6 +27,7 @@
 
 func (p *Process) writeMetrics(w io.Writer) {
 	metrics.WriteProcessMetrics(w)
+	fmt.Fprintf(w, "walnutramp_list_entries_passed_over_total %d\n", p.adapter.PassedOver())
 	fmt.Fprintf(w, "walnutramp_peer_sent_bytes_total %d\n", p.traffic.Sent.Load())
 	fmt.Fprintf(w, "walnutramp_peer_received_bytes_total %d\n", p.traffic.Received.Load())
 	if p.dropped != nil {
