--- a/balance/life.go
+++ b/balance/life.go
@@ -10,10 +10,10 @@
 // A target may start again under its ID. Everything that is kept of a target, and
 // all that nodes tell each other of one, is of one life of it: runs, copies,
 // prompts that it read, what it answered, that it ended. So nothing is carried
-// over, but for flapRow.
+// over, but for its failures in a row.
 
 // flapTime is how long ago a target must have broken off for its next life to
-// start without its failures in a row: one that ends again and again is avoided
+// start without its failures: one that ends again and again is avoided
 // for longer each time, as if it had not started anew.
 const flapTime = 10 * time.Second
 
