--- a/balance/health.go
+++ b/balance/health.go
@@ -230,5 +230,6 @@
 func (t *Target) Usable() bool {
 	t.tracker.mu.Lock()
 	defer t.tracker.mu.Unlock()
-	return t.open(uptime.Now()) && uptime.Now().After(t.avoid)
+	now := uptime.Now()
+	return t.open(now) && now.After(t.avoid)
 }
--- a/balance/run.go
+++ b/balance/run.go
@@ -153,10 +153,10 @@
 	defer t.mu.Unlock()
 	now := uptime.Now()
 	var all []Shared
-	for id, target := range t.byLife {
+	for _, target := range t.byLife {
 		for r := range target.runs {
 			if r.work != (Work{}) {
-				all = append(all, r.shared(id, now))
+				all = append(all, r.shared(now))
 			}
 		}
 	}
@@ -292,8 +292,8 @@
 	return at, name
 }
 
-func (r *Run) shared(id string, now time.Time) Shared {
-	s := Shared{Number: r.number, Target: id, Read: r.work.Read, Hold: r.work.Hold, Age: now.Sub(r.began), Trace: r.trace}
+func (r *Run) shared(now time.Time) Shared {
+	s := Shared{Number: r.number, Target: r.target.life, Read: r.work.Read, Hold: r.work.Hold, Age: now.Sub(r.began), Trace: r.trace}
 	if r.first {
 		s.Read, s.Age = 0, r.firstAt.Sub(r.began)
 	}
@@ -375,7 +375,7 @@
 func (t *Target) underWay(now time.Time) []Shared {
 	all := make([]Shared, 0, len(t.runs)+len(t.others))
 	for r := range t.runs {
-		all = append(all, r.shared(t.life, now))
+		all = append(all, r.shared(now))
 	}
 	for _, o := range t.others {
 		if now.Sub(o.told.heard) > sharedLife {
--- a/explain/ends.go
+++ b/explain/ends.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 
 	"github.com/walnutramp/walnutramp"
@@ -18,8 +17,7 @@
 // heldContent returns the content for which a request ended as it did; empty
 // where that was for something else.
 func heldContent(last Line) string {
-	number, _ := strconv.Atoi(last.Fields["code"])
-	switch walnutramp.Code(number) {
+	switch last.code() {
 	case walnutramp.CodeHeldBack, walnutramp.CodeEndsTargets:
 		return last.Fields["content"]
 	}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -25,6 +25,15 @@
 	order   int
 }
 
+// code returns the result code that a line tells of, 0 for none.
+func (l Line) code() walnutramp.Code {
+	number, err := strconv.Atoi(l.Fields["code"])
+	if err != nil {
+		return 0
+	}
+	return walnutramp.Code(number)
+}
+
 // A klog line, with or without a clock and a process name in front of it.
 var linePattern = regexp.MustCompile(`^\s*(?:(-?[0-9.]+)\s+(\S+)\s+)?[IWEF]\d{4} (\d\d):(\d\d):(\d\d\.\d+)\s+\S+\s+(?:\S+:\d+\]\s+)?"((?:[^"\\]|\\.)*)"(.*)$`)
 
@@ -127,8 +136,7 @@
 // decidedByConfiguration reports whether a request ended as it did because of
 // the configuration in force.
 func decidedByConfiguration(last Line) bool {
-	number, _ := strconv.Atoi(last.Fields["code"])
-	switch walnutramp.Code(number) {
+	switch last.code() {
 	case walnutramp.CodeUnknownPath, walnutramp.CodeBadKey, walnutramp.CodeNotInForce:
 		return true
 	}
@@ -296,8 +304,7 @@
 }
 
 func ownAnswerCause(s *Story, last Line) (cause, advice string) {
-	number, _ := strconv.Atoi(last.Fields["code"])
-	code := walnutramp.Code(number)
+	code := last.code()
 	what := fmt.Sprintf("answered here with code %v (%s, outcome %s): %s", code, code.Info().Text, last.Fields["outcome"], s.breaks())
 	switch code {
 	case walnutramp.CodeStopping:
--- a/gateway/meter.go
+++ b/gateway/meter.go
@@ -50,12 +50,12 @@
 
 // meterAnswer counts a request whose answer came now. It may have waited at
 // its target first.
-func (g *Gateway) meterAnswer(c *call, sent time.Time) {
+func (g *Gateway) meterAnswer(c *call) {
 	if g.cfg.Metering == nil {
 		return
 	}
 	answered := uptime.Now()
-	g.meter(c, answered.Add(-g.exchanges.working(c.route.Name, answered.Sub(sent))))
+	g.meter(c, answered.Add(-g.exchanges.working(c.route.Name, answered.Sub(c.sentAt))))
 }
 
 // meter counts a request once, however many targets run it.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -110,7 +110,7 @@
 		return nil, true
 	}
 	c.ran(t)
-	g.meterAnswer(c, c.sentAt)
+	g.meterAnswer(c)
 	if answer.Header.Get("Content-Encoding") != "" {
 		answer.Close()
 		g.noteLost(c, t)
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -60,25 +60,23 @@
 // moveFromSilent gives up the runs whose targets have fallen silent since the
 // runs began.
 func (u *pendingRuns) moveFromSilent() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for r := range u.runs {
-		if r.mayMove && r.target.SilentSince(r.began) {
-			delete(u.runs, r)
-			r.cancel(errTargetSilent)
-		}
-	}
+	u.end(errTargetSilent, func(r *pendingRun) bool { return r.mayMove && r.target.SilentSince(r.began) })
 }
 
 // giveUp gives up the runs of a content that is held back from now on, before
 // they end their targets, too.
 func (u *pendingRuns) giveUp(content quarantine.Fingerprint) {
+	u.end(errHeldBack, func(r *pendingRun) bool { return r.content == content })
+}
+
+// end gives up the runs that are to end, for a cause.
+func (u *pendingRuns) end(cause error, ends func(*pendingRun) bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for r := range u.runs {
-		if r.content == content {
+		if ends(r) {
 			delete(u.runs, r)
-			r.cancel(errHeldBack)
+			r.cancel(cause)
 		}
 	}
 }
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -266,9 +266,6 @@
 	peers := s.peersOf(a, l)
 	now := uptime.Now()
 	full = full || a.fullDue(now, len(peers))
-	if full {
-		n.ends = encodeEnds(s.ledger.Everything())
-	}
 	if full {
 		a.fullAt = now
 	}
@@ -276,6 +273,9 @@
 	if len(peers) == 0 {
 		return
 	}
+	if full {
+		n.ends = s.allEnds()
+	}
 	for _, m := range a.compose(n, full) {
 		m = s.signed(m)
 		m.Sequence = s.sequence.Add(1)
@@ -290,6 +290,14 @@
 	return encodeEnds(notes)
 }
 
+// allEnds returns the notes of ends that a node which missed some has to be told.
+func (s *Sharer) allEnds() []endNote { return encodeEnds(s.ledger.Everything()) }
+
+// takeEnds takes another node's notes of ends, and returns those that are new.
+func (s *Sharer) takeEnds(ends []endNote) []endNote {
+	return encodeEnds(s.ledger.Take(decodeEnds(ends)))
+}
+
 // untraced returns the runs that hold anything, without how they are found
 // again: relays do not pass that on.
 func untraced(runs []balance.Shared) []balance.Shared {
@@ -351,10 +359,10 @@
 		s.sendTo(s.addressesOf([]string{from}), s.signed(message{}))
 	}
 	if m.AsksEnds {
-		s.sendTo(s.addressesOf([]string{from}), message{Ends: encodeEnds(s.ledger.Everything())})
+		s.sendTo(s.addressesOf([]string{from}), message{Ends: s.allEnds()})
 	}
 	if len(m.Ends) > 0 && !m.report() {
-		s.ledger.Take(decodeEnds(m.Ends))
+		s.takeEnds(m.Ends)
 	}
 	if m.report() {
 		s.takeReport(from, heard, m)
@@ -400,7 +408,7 @@
 	if !ok {
 		return
 	}
-	ends := encodeEnds(s.ledger.Take(decodeEnds(m.Ends)))
+	ends := s.takeEnds(m.Ends)
 	if near && s.layoutNow().relayed {
 		s.passOn(from, runs, m.Counts, urgent{ended: m.Ended, suspects: m.Suspects, silent: m.Silent, ends: ends})
 	} else if len(m.Counts) > 0 {
--- a/loadshare/memory.go
+++ b/loadshare/memory.go
@@ -128,7 +128,7 @@
 
 // encodeMemory returns what this node knows.
 func (s *Sharer) encodeMemory() ([]byte, error) {
-	m := memory{At: time.Now().UnixNano(), Traces: s.tracker.Traces(), Ends: encodeEnds(s.ledger.Everything())}
+	m := memory{At: time.Now().UnixNano(), Traces: s.tracker.Traces(), Ends: s.allEnds()}
 	s.mu.Lock()
 	for address := range s.peers {
 		m.Peers = append(m.Peers, address)
--- a/loadshare/relaying.go
+++ b/loadshare/relaying.go
@@ -97,7 +97,7 @@
 		s.relayMu.Unlock()
 		return
 	}
-	ends := encodeEnds(s.ledger.Take(decodeEnds(p.Ends)))
+	ends := s.takeEnds(p.Ends)
 	sections, ask := f.take(p, now)
 	if p.Parts == 0 && s.lackWhole(sections, now) {
 		f.synced, ask = false, true
@@ -238,7 +238,7 @@
 	changes, told, newcomers := p.flush(s.relay, counts, now)
 	var everything []feedPart
 	if len(newcomers) > 0 {
-		everything = p.everything(s.relay, s.countsOf(p), encodeEnds(s.ledger.Everything()), now)
+		everything = p.everything(s.relay, s.countsOf(p), s.allEnds(), now)
 		s.count.whole.Add(int64(len(newcomers)))
 	}
 	s.relayMu.Unlock()
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -324,13 +324,16 @@
 		if held && !r.held {
 			newly = append(newly, content)
 		}
-		if _, soon := l.judge(content, r, now, 0); soon && !held {
-			l.lookAgain()
-		}
 		if r.held && !held {
 			klog.InfoS("Content no longer held back", "content", content, "ends", len(r.ends))
 		}
 		r.held = held
+		if held {
+			continue
+		}
+		if _, soon := l.judge(content, r, now, 0); soon {
+			l.lookAgain()
+		}
 	}
 	return newly
 }
