--- a/balance/balance.go
+++ b/balance/balance.go
@@ -147,6 +147,8 @@
 	row     int // failures in a row
 	avoid   time.Time
 	errors  float64 // decayed share of failed answers
+
+	restUntil time.Time // until when it wants nothing from this node
 }
 
 // NewTracker returns a tracker that knows no target.
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -20,6 +20,7 @@
 	stalls  *metrics.Counter
 	broken  *metrics.Counter
 	moved   *metrics.Counter
+	rests   *metrics.Counter
 	whole   *metrics.Histogram
 	first   *metrics.Histogram
 	gap     *metrics.Histogram
@@ -36,6 +37,7 @@
 		stalls:  s.NewCounter("walnutramp_gateway_stalls_total"),
 		broken:  s.NewCounter("walnutramp_gateway_broken_answers_total"),
 		moved:   s.NewCounter("walnutramp_gateway_runs_moved_total"),
+		rests:   s.NewCounter("walnutramp_gateway_rests_asked_total"),
 		whole:   s.NewHistogram("walnutramp_gateway_answer_seconds"),
 		first:   s.NewHistogram("walnutramp_gateway_first_event_seconds"),
 		gap:     s.NewHistogram("walnutramp_gateway_resume_gap_seconds"),
@@ -46,6 +48,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("walnutramp_gateway_own_answers_total{code=%q}", fmt.Sprint(int(code)))).Inc()
 }
 
+// sentToResting counts what was sent to targets that had asked for rest.
+func (c *counters) sentToResting(e errand) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("walnutramp_gateway_sent_to_resting_total{errand=%q}", e)).Inc()
+}
+
 func (c *counters) answered(since time.Time) { c.whole.Update(uptime.Since(since).Seconds()) }
 
 // WriteMetrics writes the gateway's metrics in the Prometheus text form.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,7 @@
 	CopyHandle func(address, identity string) string
 	CopyOrders CopyOrders
 	ParseLoad  func(header string) (balance.Load, bool)
+	ParseSigns func(status int, answer http.Header) Signs
 	ParseUsage func(header string) (prompt, out int)
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -98,12 +98,11 @@
 	run := t.Begin(balance.Work{}, balance.Trace{})
 	defer run.End(balance.RunEnd{Whole: true})
 	c.sentAt = uptime.Now()
-	answer, err := g.pool.Do(tryCtx, endpoint(t), g.request(c, t))
+	answer, err := g.ask(tryCtx, t, c.errand(), g.request(c, t))
 	if err != nil {
 		g.noteFailure(ctx, c, t, err)
 		return nil, true
 	}
-	g.noteLoad(t, answer.Header)
 	if g.notRun(answer) {
 		g.noteNotRun(c, t, answer)
 		answer.Close()
@@ -267,17 +266,6 @@
 	}
 }
 
-// noteLoad takes the load that an answer tells.
-func (g *Gateway) noteLoad(t *balance.Target, h http.Header) {
-	value := h.Get(g.cfg.Names.Load)
-	if value == "" || g.cfg.Names.ParseLoad == nil {
-		return
-	}
-	if l, ok := g.cfg.Names.ParseLoad(value); ok {
-		t.Told(l)
-	}
-}
-
 // outcomeOf says what is known of a call that got no answer.
 func (c *call) outcomeOf() walnutramp.Outcome {
 	if c.reached {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -170,7 +170,7 @@
 	pending := g.pending.add(c, t, cancel)
 	defer pending.drop()
 	c.sentAt = uptime.Now()
-	answer, err := g.pool.Do(runCtx, endpoint(t), o.request)
+	answer, err := g.ask(runCtx, t, c.errand(), o.request)
 	if end, given := g.givenUp(runCtx, c, t); err != nil && given {
 		return end
 	}
@@ -179,7 +179,6 @@
 		return endBroken
 	}
 	defer answer.Close()
-	g.noteLoad(t, answer.Header)
 	if g.notRun(answer) {
 		g.noteNotRun(c, t, answer)
 		return endTurned
