--- a/caller/service.go
+++ b/caller/service.go
@@ -172,7 +172,11 @@
 		if ctx.Err() == nil && !notSent(err) {
 			s.noteBreak(grant, sent)
 		}
-		grant.Done(route.Broken)
+		if target.Rests(err) {
+			grant.Done(route.Unused)
+		} else {
+			grant.Done(route.Broken)
+		}
 		return a, err
 	}
 	grant.Done(route.Finished)
--- a/node/node.go
+++ b/node/node.go
@@ -230,13 +230,14 @@
 func (a addresses) Address(name walnutramp.NodeName) (string, bool) { return a.n.members.Address(name) }
 
 func (n *Node) wireTargets() {
+	n.pool = target.NewPool(n.cfg.Dial)
 	opts := append([]route.Option{
 		route.WithNode(n.cfg.Name, n.cfg.DataHall),
 		route.WithSeed(n.cfg.Seed),
 		route.WithInForce(n.inForce),
+		route.WithRestLeft(n.pool.RestLeft),
 	}, n.cfg.RouteOpt...)
 	n.router = route.New(opts...)
-	n.pool = target.NewPool(n.cfg.Dial)
 	n.watch = target.NewWatch(n.pool, n.router, n.cfg.LoadInterval, n.cfg.Seed)
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -28,7 +28,8 @@
 	ResumeRoom   int           // resumed prefills under way per target from this node
 	Choices      int           // random candidates compared
 	Seed         uint64
-	InForce      func() bool // whether the node may take new work; nil means always
+	InForce      func() bool                       // whether the node may take new work; nil means always
+	RestLeft     func(bundle.Target) time.Duration // for how long a target wants nothing from this node; nil for none
 	Policy       Policy
 	SilenceFloor time.Duration
 	SilenceCap   time.Duration
@@ -56,6 +57,11 @@
 // WithInForce gives the test for whether new work may be taken.
 func WithInForce(f func() bool) Option { return func(c *Config) { c.InForce = f } }
 
+// WithRestLeft tells for how long a target wants nothing from this node.
+func WithRestLeft(f func(bundle.Target) time.Duration) Option {
+	return func(c *Config) { c.RestLeft = f }
+}
+
 // WithChoices sets how many random candidates are compared.
 func WithChoices(n int) Option { return func(c *Config) { c.Choices = n } }
 
@@ -232,8 +238,7 @@
 			"this node can't confirm its bundle now").WithRetryAfter(retryAfterNoTarget)
 	}
 	if len(r.live(req.Model, time.Now())) == 0 {
-		return nil, nil, walnutramp.NewError(walnutramp.CodeNoTarget, walnutramp.NotRun,
-			"no live target serves model %s", req.Model).WithRetryAfter(retryAfterNoTarget)
+		return nil, nil, r.noTarget(req.Model)
 	}
 	if err := r.admit(req); err != nil {
 		return nil, nil, err
@@ -342,8 +347,7 @@
 }
 
 func (r *Router) failLane(l *lane, m walnutramp.ModelName) {
-	err := walnutramp.NewError(walnutramp.CodeNoTarget, walnutramp.NotRun,
-		"no live target serves model %s", m).WithRetryAfter(retryAfterNoTarget)
+	err := r.noTarget(m)
 	for _, resumes := range []bool{true, false} {
 		for w := l.peek(resumes); w != nil; w = l.peek(resumes) {
 			l.remove(w)
@@ -353,5 +357,19 @@
 	}
 }
 
+// noTarget is the answer where no target of a model takes requests now.
+func (r *Router) noTarget(m walnutramp.ModelName) *walnutramp.Error {
+	if left := r.restOfModel(m, time.Now()); left > 0 {
+		return walnutramp.NewError(walnutramp.CodeTargetsRest, walnutramp.NotRun,
+			"the targets of model %s asked for rest", m).WithRetryAfter(time.Duration((1 + restSpread*r.rng.Float64()) * float64(left)))
+	}
+	return walnutramp.NewError(walnutramp.CodeNoTarget, walnutramp.NotRun,
+		"no live target serves model %s", m).WithRetryAfter(retryAfterNoTarget)
+}
+
+// restSpread is the part of a rest by which requests that wait for its end are
+// spread behind it, so that the target does not meet them all at once.
+const restSpread = 0.25
+
 // SpendRetry reports whether something may be sent again now.
 func (r *Router) SpendRetry() bool { return r.budget.spend(time.Now()) }
--- a/route/target.go
+++ b/route/target.go
@@ -127,13 +127,39 @@
 func (r *Router) live(m walnutramp.ModelName, now time.Time) []*state {
 	var live []*state
 	for _, s := range r.byModel[m] {
-		if s.up(now) && !s.leaving && !s.draining && !r.leaving[s.spec.Name] {
+		if r.takesWork(s, now) && r.restLeft(s) <= 0 {
 			live = append(live, s)
 		}
 	}
 	return live
 }
 
+// takesWork reports whether a target may get new work, if not at this moment.
+func (r *Router) takesWork(s *state, now time.Time) bool {
+	return s.up(now) && !s.leaving && !s.draining && !r.leaving[s.spec.Name]
+}
+
+// restLeft returns for how long a target wants nothing from this node.
+func (r *Router) restLeft(s *state) time.Duration {
+	if r.cfg.RestLeft == nil {
+		return 0
+	}
+	return r.cfg.RestLeft(s.spec)
+}
+
+// restOfModel returns how long it takes until the first of a model's targets, which
+// all rest, takes work again; 0 if there are none.
+func (r *Router) restOfModel(m walnutramp.ModelName, now time.Time) time.Duration {
+	var least time.Duration
+	for _, s := range r.byModel[m] {
+		left := r.restLeft(s)
+		if r.takesWork(s, now) && left > 0 && (least == 0 || left < least) {
+			least = left
+		}
+	}
+	return least
+}
+
 // grant finds a place for req now, or returns nil.
 func (r *Router) grant(req Request) *Grant {
 	live := r.live(req.Model, time.Now())
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -67,6 +67,7 @@
 	cache    *prefixCache
 	prefill  chan struct{} // one prefill at a time
 	faults   faults
+	overload overload
 	Book     *OrderBook // what the engine has loaded
 	reports  []timedReport
 	counts   EngineCounts
@@ -148,7 +149,7 @@
 	mux.HandleFunc("GET /load", e.serveLoad)
 	mux.HandleFunc("GET /counts", e.serveCounts)
 	mux.HandleFunc("POST /fault", e.serveFault)
-	return e.faults.gate(mux)
+	return e.faults.gate(e.overload.gate(mux))
 }
 
 type engineRequest struct {
--- a/standin/service.go
+++ b/standin/service.go
@@ -20,6 +20,8 @@
 	cfg    ServiceConfig
 	server *http.Server
 
+	overload overload
+
 	mu      sync.Mutex
 	runs    map[string]int
 	cutNext int // answers still to be cut off after the run
@@ -39,7 +41,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /runs", s.serveRuns)
 	mux.HandleFunc("/", s.serveCall)
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	s.server = &http.Server{Handler: s.overload.gate(mux), ReadHeaderTimeout: 5 * time.Second}
 	return s
 }
 
--- a/target/openai.go
+++ b/target/openai.go
@@ -26,13 +26,18 @@
 // Client is what adapters send requests with.
 type Client struct {
 	rest *resty.Client
+	ends *resty.Client // for calls that only end work
 }
 
-// NewClient returns a Client over rt. It never retries: what is sent again
-// is the caller's decision.
-func NewClient(rt http.RoundTripper) *Client {
-	rest := resty.New().SetTransport(rt).SetRetryCount(0).SetLogger(quiet{})
-	return &Client{rest: rest}
+// NewClient returns a Client that sends over rt, and calls that only end work over
+// ends: a target that rests still takes those, they take load off it. It never
+// retries: what is sent again is the caller's decision.
+func NewClient(rt, ends http.RoundTripper) *Client {
+	return &Client{rest: newResty(rt), ends: newResty(ends)}
+}
+
+func newResty(rt http.RoundTripper) *resty.Client {
+	return resty.New().SetTransport(rt).SetRetryCount(0).SetLogger(quiet{})
 }
 
 // quiet drops resty's own log lines; errors are returned and logged once.
@@ -83,7 +88,7 @@
 func (e *OpenAI) Cancel(ctx context.Context, streamID string) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	resp, err := e.client.rest.R().SetContext(ctx).Delete(e.base + "/v1/streams/" + streamID)
+	resp, err := e.client.ends.R().SetContext(ctx).Delete(e.base + "/v1/streams/" + streamID)
 	if err != nil {
 		return err
 	}
--- a/target/pool.go
+++ b/target/pool.go
@@ -25,6 +25,7 @@
 	shared *http.Transport // for engines and calls that may be repeated
 	single *http.Transport // a connection for each call
 	client *Client
+	rests  *rests
 
 	mu      sync.Mutex
 	engines map[string]Engine
@@ -48,9 +49,17 @@
 		DisableCompression:  true,
 	}
 	single := &http.Transport{DialContext: bounded, DisableKeepAlives: true, DisableCompression: true}
-	return &Pool{shared: shared, single: single, client: NewClient(shared), engines: map[string]Engine{}}
+	kept := &rests{until: map[string]time.Time{}}
+	return &Pool{
+		shared: shared, single: single, rests: kept,
+		client: NewClient(considerate{shared, kept}, shared), engines: map[string]Engine{},
+	}
 }
 
+// RestLeft returns for how long a target still wants nothing from this node, 0 or
+// less for one that wants requests.
+func (p *Pool) RestLeft(t bundle.Target) time.Duration { return p.rests.left(t.Address) }
+
 // Engine returns the adapter of an engine target.
 func (p *Pool) Engine(t bundle.Target) Engine {
 	p.mu.Lock()
@@ -70,9 +79,9 @@
 // may not be repeated.
 func (p *Pool) Service(t bundle.Target, once bool) *Service {
 	if once {
-		return NewService(p.single, t.Address)
+		return NewService(considerate{p.single, p.rests}, t.Address)
 	}
-	return NewService(p.shared, t.Address)
+	return NewService(considerate{p.shared, p.rests}, t.Address)
 }
 
 // Close drops idle connections.
--- a/target/watch.go
+++ b/target/watch.go
@@ -121,7 +121,7 @@
 		return
 	}
 	r, err := w.pool.Engine(t).Load(ctx)
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || Rests(err) {
 		return
 	}
 	if err != nil {
