--- a/explain/explain.go
+++ b/explain/explain.go
@@ -161,7 +161,7 @@
 		}
 		ofProcess := processes[l.Process] && (processMessages[l.Message] || byConfiguration && l.Message == configured)
 		again := l.Fields["run"] == own[0].Fields["request"]
-		ofTarget := targets[l.Fields["target"]] && (l.Message == "Target did not answer" || l.Message == "Stream broke off" || l.Message == "Target turned the request away")
+		ofTarget := targets[l.Fields["target"]] && targetMessages[l.Message]
 		if ofProcess || ofTarget || again {
 			found = append(found, l)
 		}
@@ -170,6 +170,13 @@
 	return found
 }
 
+// targetMessages are those that tell what befell a target, or what it said of itself,
+// under other requests.
+var targetMessages = map[string]bool{
+	"Target did not answer": true, "Stream broke off": true, "Target turned the request away": true,
+	"Target asks for rest": true, "Target says that it leaves": true,
+}
+
 // restarts returns the first start of a process behind a line of it, however
 // late, unless the process said before that it ends.
 func restarts(all []Line, after Line) []Line {
@@ -272,6 +279,8 @@
 			parts = append(parts, fmt.Sprintf("target %s: %s", l.Fields["target"], plain(l.Fields["err"])))
 		case "Run moved: its target is silent to others":
 			parts = append(parts, fmt.Sprintf("target %s: its data hall fell silent before the first event", l.Fields["target"]))
+		case "Target asks for rest":
+			parts = append(parts, fmt.Sprintf("target %s asked for %s ms of rest", l.Fields["target"], l.Fields["rest_ms"]))
 		case "Target turned the request away":
 			parts = append(parts, fmt.Sprintf("target %s turned it away with %s", l.Fields["target"], l.Fields["status"]))
 		}
@@ -316,6 +325,8 @@
 	case walnutramp.CodeHeldBack, walnutramp.CodeEndsTargets:
 		return fmt.Sprintf("targets end when they run content %s: %s", last.Fields["content"], s.endsOf(last.Fields["content"])),
 			"look at the targets' own logs of these moments; the client is told when the request may be tried again"
+	case walnutramp.CodeTargetsRest:
+		return what, "all targets of the service had asked this node for rest: look at the lines in which they did; the client is told when the first has rested"
 	case walnutramp.CodeNoTarget:
 		return what, "no target of the service could be asked: look at its list of targets and at what turned the request away"
 	}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -53,6 +53,23 @@
 	require.False(t, ok)
 }
 
+// Why a request was refused is told by another one's line: the target that served it
+// asked for rest before.
+func TestRequestWhoseTargetsRest(t *testing.T) {
+	const text = `I0807 10:00:01.100000   13212 ask.go:90] "Target asks for rest" request="a0" target="i-1" status=503 rest_ms=3000
+I0807 10:00:01.100100   13212 plain.go:99] "Target turned the request away" request="a1" target="i-1" status=503
+I0807 10:00:01.100050   13212 ask.go:90] "Target asks for rest" request="a1" target="i-1" status=503 rest_ms=3000
+I0807 10:00:01.101000   13212 refuse.go:99] "Request ended here" request="a1" code=3008 outcome="not-run" why="all targets asked for rest"
+`
+	lines, err := Read(strings.NewReader(text), "node-1.log")
+	require.NoError(t, err)
+	story, ok := Tell(lines, "a1")
+	require.True(t, ok)
+	require.Contains(t, story.Cause, "target i-1 asked for 3000 ms of rest")
+	require.Contains(t, story.Advice, "had asked this node for rest")
+	require.Len(t, story.Context, 1)
+}
+
 func TestClientThatLeft(t *testing.T) {
 	const begun = `I0807 10:00:01.500000   13212 stream.go:10] "Run begins" request="a1" target="i-1" run=1
 I0807 10:00:02.250000   13212 stream.go:99] "Client left" request="a1" route="r" last=9 err="broken pipe"
