Feeds that are to tell everything again tell changes meanwhile

Cause, by a dump of the feeds of the nodes that did not know: nodes that start together report to others as relays for a moment; 3 s later these reports run out, the feed that tells of them was taken for not synced, asked for everything only up to a second later, and dropped all changes until then. Ruled out: late changes of relays (none in the failing plays), lost or reordered datagrams (numbers are in order). The new unit test failed first.

--- a/loadshare/feed.go
+++ b/loadshare/feed.go
@@ -35,6 +35,7 @@
 	heard  time.Time // when it was heard last
 	since  time.Time // when this source was chosen
 	synced bool      // everything was told, and since then all changes up to number
+	stale  bool      // everything is to be told again; changes still hold
 	lacks  time.Time // since when a datagram is missing; zero for none
 	asks   int       // for what is missing
 	number uint64    // of its newest datagram
@@ -110,7 +111,7 @@
 	}
 	pause := renewEvery
 	switch {
-	case !f.synced:
+	case !f.synced || f.stale:
 		pause = askWhole
 	case !f.lacks.IsZero():
 		pause = askLost << min(f.asks, longestBackoff)
@@ -124,8 +125,8 @@
 // question returns what the source is asked now.
 func (f *feed) question(now time.Time) subscribe {
 	f.asked = now
-	q := subscribe{Scope: f.scope, Region: f.region, Whole: !f.synced}
-	if f.synced && !f.lacks.IsZero() {
+	q := subscribe{Scope: f.scope, Region: f.region, Whole: !f.synced || f.stale}
+	if !q.Whole && !f.lacks.IsZero() {
 		q.From = f.number + 1
 		f.asks++
 	}
@@ -188,7 +189,7 @@
 				sections = append(sections, section{Node: node, Gone: true})
 			}
 		}
-		f.nodes, f.fresh, f.synced, f.lacks, f.asks = f.fresh, nil, true, time.Time{}, 0
+		f.nodes, f.fresh, f.synced, f.stale, f.lacks, f.asks = f.fresh, nil, true, false, time.Time{}, 0
 	}
 	return sections
 }
--- a/loadshare/subscriptions.go
+++ b/loadshare/subscriptions.go
@@ -158,11 +158,13 @@
 }
 
 // resyncFor has a feed that tells of a node tell everything: the node reported
-// here until now. The caller holds relayMu.
+// here until now. Until that is told, which may be a second later, changes are taken
+// all the same: else this node would know of no run that begins in it, and a relay
+// would have nothing to tell. The caller holds relayMu.
 func (s *Sharer) resyncFor(node uint32) {
 	for _, f := range s.feeds {
 		if f.nodes[node] {
-			f.synced = false
+			f.stale = true
 		}
 	}
 }
