--- a/control/calls.go
+++ b/control/calls.go
@@ -21,6 +21,13 @@
 
 // doWithin is do with the time of one try.
 func (c *Client) doWithin(ctx context.Context, try time.Duration, method string, args any) (Result, *walnutramp.Error) {
+	r, _, err := c.doRepeating(ctx, try, method, args)
+	return r, err
+}
+
+// doRepeating is doWithin, and reports whether a try brought no answer before: what
+// was answered at last may be to a repeat of what was done by then.
+func (c *Client) doRepeating(ctx context.Context, try time.Duration, method string, args any) (r Result, repeated bool, _ *walnutramp.Error) {
 	ctx, cancel := context.WithTimeout(ctx, commandTime)
 	defer cancel()
 	for {
@@ -31,15 +38,16 @@
 		switch {
 		case err != nil:
 			c.forgetLeader("")
+			repeated = true
 		case reply.Code == walnutramp.CodeOK:
-			return reply.Result, nil
+			return reply.Result, repeated, nil
 		case reply.Code.Final():
-			return Result{}, walnutramp.NewError(reply.Code, walnutramp.NotRun, "%s", reply.Code.Info().Text)
+			return Result{}, repeated, walnutramp.NewError(reply.Code, walnutramp.NotRun, "%s", reply.Code.Info().Text)
 		default:
 			c.forgetLeader(reply.Leader)
 		}
 		if !pause.For(ctx, tryPause) {
-			return Result{}, walnutramp.NewError(walnutramp.CodeLedgerAway, walnutramp.NotRun,
+			return Result{}, repeated, walnutramp.NewError(walnutramp.CodeLedgerAway, walnutramp.NotRun,
 				"the control group did not answer in %v", commandTime).WithRetryAfter(time.Second)
 		}
 	}
--- a/control/rollout_fleet_test.go
+++ b/control/rollout_fleet_test.go
@@ -1,6 +1,8 @@
 package control_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -9,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/control"
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/rollout"
 )
@@ -318,6 +321,45 @@
 	})
 }
 
+// losingFirst loses the answer to the first order that it passes on.
+type losingFirst struct {
+	control.Peers
+	lost bool
+}
+
+// Call implements control.Peers.
+func (p *losingFirst) Call(ctx context.Context, node walnutramp.NodeName, method string, args, reply any) error {
+	err := p.Peers.Call(ctx, node, method, args, reply)
+	done, ok := reply.(*control.DoReply)
+	if ok && method == control.Service+".Order" && err == nil && done.Code == walnutramp.CodeOK && !p.lost {
+		p.lost = true
+		return errors.New("the connection broke off")
+	}
+	return err
+}
+
+// A node's own call to the leader broke off after the order was taken, and it asked
+// again: the operator was told that another roll-out is under way, and that its own did
+// not begin.
+func TestOrderThatANodeRepeatsIsNotRefused(t *testing.T) {
+	inFleet(t, 3, 1, func(t *testing.T, fl *fleet) {
+		fl.list("v1")
+		time.Sleep(time.Second)
+		_, peers, _ := fl.peersOf("o1")
+		defer peers.Close()
+		losing := &losingFirst{Peers: peers}
+		client := control.NewDocumentClient(losing, fl.seeds, func(uint64, []byte) error { return nil })
+		rec, err := client.StartRollout(fl.ctx, fleetService, "v2", 10*time.Second)
+		require.NoError(t, err)
+		require.True(t, losing.lost)
+		require.Equal(t, "v2", rec.Target)
+		require.Equal(t, rollout.Running, rec.State)
+		losing.lost = false
+		_, err = client.StartRollout(fl.ctx, fleetService, "v3", 10*time.Second)
+		require.True(t, walnutramp.HasCode(err, walnutramp.CodeRolloutUnderWay), "another's")
+	})
+}
+
 // An operator whose answer was lost sends its order again: what it began is not
 // begun a second time, though it has ended meanwhile.
 func TestRepeatedOrderBeginsNothing(t *testing.T) {
