--- a/caller/service.go
+++ b/caller/service.go
@@ -172,11 +172,7 @@
 		if ctx.Err() == nil && !notSent(err) {
 			s.noteBreak(grant, sent)
 		}
-		if target.Rests(err) {
-			grant.Done(route.Unused)
-		} else {
-			grant.Done(route.Broken)
-		}
+		grant.Done(route.NoAnswer(err))
 		return a, err
 	}
 	grant.Done(route.Finished)
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"k8s.io/klog/v2"
 )
@@ -75,16 +76,6 @@
 	return time.Duration(mean * (0.5 + rand.Float64()))
 }
 
-// restSpread is the part of a rest by which requests that wait for its end are
-// spread behind it: the target would not be served by meeting them all at once.
-const restSpread = 0.25
-
-// afterRest says when a request whose targets all rest should come back: not
-// before, at whichever node, since a target that has too much to do asks them all.
-func afterRest(left time.Duration) time.Duration {
-	return time.Duration((1 + restSpread*rand.Float64()) * float64(left))
-}
-
 // giveUp returns the final answer of a call that no target answered.
 func (g *Gateway) giveUp(c *call, why string) *walnutramp.Error {
 	if held := g.cfg.Quarantine.Refuse(c.content); held != nil && !c.reached {
@@ -98,7 +89,9 @@
 		return walnutramp.NewError(walnutramp.CodeOverloaded, walnutramp.NotRun, "no engine has room").WithRetryAfter(g.comeBack(c))
 	}
 	if !c.reached && c.restLeft > 0 {
-		return walnutramp.NewError(walnutramp.CodeTargetsRest, walnutramp.NotRun, "all targets asked for rest").WithRetryAfter(afterRest(c.restLeft))
+		// Not before, at whichever node: a target that has too much to do asks them all.
+		after := pause.Behind(c.restLeft, rand.Float64())
+		return walnutramp.NewError(walnutramp.CodeTargetsRest, walnutramp.NotRun, "all targets asked for rest").WithRetryAfter(after)
 	}
 	if !c.reached {
 		return walnutramp.NewError(walnutramp.CodeNoTarget, walnutramp.NotRun, "%s", why).WithRetryAfter(retryBusy)
--- a/generation/run.go
+++ b/generation/run.go
@@ -188,7 +188,7 @@
 			stream.Close()
 			err = errors.New("no answer in time")
 		}
-		a.grant.Done(notOpened(err))
+		a.grant.Done(route.NoAnswer(err))
 		klog.V(1).InfoS("Attempt not opened", "generation", g.id, "target", a.source.Target, "err", err)
 		return nil, err
 	}
@@ -197,15 +197,6 @@
 	return a, nil
 }
 
-// notOpened says what an attempt that was not opened says of its target: nothing, if
-// that had asked for rest.
-func notOpened(err error) route.Result {
-	if target.Rests(err) {
-		return route.Unused
-	}
-	return route.Broken
-}
-
 func (g *Generation) noteGap(gap time.Duration) {
 	g.rec.mu.Lock()
 	account, model := g.rec.state.Spec.Account, g.rec.state.Spec.Model
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -17,3 +17,13 @@
 		return false
 	}
 }
+
+// spread is the part of a wait by which those that wait for the same end are spread
+// behind it: what they wait for would not be served by meeting them all at once.
+const spread = 0.25
+
+// Behind returns when to come back for what is to be had after a while: somewhat later,
+// by a draw from 0 to 1.
+func Behind(left time.Duration, draw float64) time.Duration {
+	return time.Duration((1 + spread*draw) * float64(left))
+}
--- a/route/grant.go
+++ b/route/grant.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/target"
 )
 
 // Result says how the use of a place ended.
@@ -22,6 +23,15 @@
 	Left                   // this side ended it
 )
 
+// NoAnswer is the result of a request that brought no answer: it says nothing of its
+// target, if nothing was sent there since that had asked for rest.
+func NoAnswer(err error) Result {
+	if target.Rests(err) {
+		return Unused
+	}
+	return Broken
+}
+
 // Grant is a place at a target. Its holder calls Done once.
 type Grant struct {
 	Target bundle.Target
--- a/route/route.go
+++ b/route/route.go
@@ -12,6 +12,7 @@
 
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/target"
 )
 
@@ -361,15 +362,11 @@
 func (r *Router) noTarget(m walnutramp.ModelName) *walnutramp.Error {
 	if left := r.restOfModel(m, time.Now()); left > 0 {
 		return walnutramp.NewError(walnutramp.CodeTargetsRest, walnutramp.NotRun,
-			"the targets of model %s asked for rest", m).WithRetryAfter(time.Duration((1 + restSpread*r.rng.Float64()) * float64(left)))
+			"the targets of model %s asked for rest", m).WithRetryAfter(pause.Behind(left, r.rng.Float64()))
 	}
 	return walnutramp.NewError(walnutramp.CodeNoTarget, walnutramp.NotRun,
 		"no live target serves model %s", m).WithRetryAfter(retryAfterNoTarget)
 }
 
-// restSpread is the part of a rest by which requests that wait for its end are
-// spread behind it, so that the target does not meet them all at once.
-const restSpread = 0.25
-
 // SpendRetry reports whether something may be sent again now.
 func (r *Router) SpendRetry() bool { return r.budget.spend(time.Now()) }
