--- a/gateway/ask.go
+++ b/gateway/ask.go
@@ -23,26 +23,26 @@
 // errNotWanted is why a request is not sent to a target that was chosen.
 var errNotWanted = errors.New("the target wants no request now")
 
-// errand says what a target is asked for.
-type errand string
+// purpose says what a target is asked for.
+type purpose string
 
-// The errands.
+// The purposes.
 const (
-	errandFirst  errand = "first"  // a client's request that reached no target yet
-	errandRepeat errand = "repeat" // one that targets turned away or failed
-	errandResume errand = "resume" // the rest of a stream
-	errandCopy   errand = "copy"   // an order that concerns a run's copy
+	purposeFirst  purpose = "first"  // a client's request that reached no target yet
+	purposeRepeat purpose = "repeat" // one that targets turned away or failed
+	purposeResume purpose = "resume" // the rest of a stream
+	purposeCopy   purpose = "copy"   // an order that concerns a run's copy
 )
 
-// errand says what the next target is asked for.
-func (c *call) errand() errand {
+// purpose says what the next target is asked for.
+func (c *call) purpose() purpose {
 	switch {
 	case c.hasLast:
-		return errandResume
+		return purposeResume
 	case c.asked:
-		return errandRepeat
+		return purposeRepeat
 	}
-	return errandFirst
+	return purposeFirst
 }
 
 // ask sends a request to a target, if that wants it, and takes what the head of the
@@ -51,13 +51,13 @@
 // under load, a node sent one 6 first requests, 15 repeats and 7 runs meanwhile, and
 // 40 to one that is its service's only one; none since
 // (TestTargetThatAskedForRestIsLeftAlone).
-func (g *Gateway) ask(ctx context.Context, t *balance.Target, e errand, r *targetconn.Request) (*targetconn.Answer, error) {
+func (g *Gateway) ask(ctx context.Context, t *balance.Target, why purpose, r *targetconn.Request) (*targetconn.Answer, error) {
 	wanted := t.Admit
-	if e == errandCopy {
+	if why == purposeCopy {
 		wanted = func() bool { return !t.Rests() } // a run is copied away from a target that leaves
 	}
 	if !wanted() {
-		g.counters.notSent(e)
+		g.counters.notSent(why)
 		return nil, errNotWanted
 	}
 	r.Gate = func() error {
@@ -68,7 +68,7 @@
 	}
 	answer, err := g.pool.Do(ctx, endpoint(t), r)
 	if errors.Is(err, errNotWanted) {
-		g.counters.notSent(e)
+		g.counters.notSent(why)
 	}
 	if err != nil {
 		return nil, err
--- a/gateway/ask_test.go
+++ b/gateway/ask_test.go
@@ -15,15 +15,15 @@
 	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
-// tired turns requests away with a word on the rest that it wants, in seconds,
+// overloaded turns requests away with a word on the rest that it wants, in seconds,
 // while it has too much to do; else it answers by a script.
-type tired struct {
+type overloaded struct {
 	rest   atomic.Int64
 	leaves atomic.Bool
 	script func(*fakeTarget, *http.Request, net.Conn)
 }
 
-func (d *tired) answer(f *fakeTarget, r *http.Request, c net.Conn) {
+func (d *overloaded) answer(f *fakeTarget, r *http.Request, c net.Conn) {
 	if rest := d.rest.Load(); rest > 0 {
 		reply(c, r.Header.Get("X-Id"), 503, "", "X-Not-Run: 1", fmt.Sprintf("X-Rest: %d", rest))
 		return
@@ -39,8 +39,8 @@
 	reply(c, r.Header.Get("X-Id"), 200, "ok")
 }
 
-func newTired(seconds int64) *tired {
-	d := &tired{}
+func newOverloaded(seconds int64) *overloaded {
+	d := &overloaded{}
 	d.rest.Store(seconds)
 	return d
 }
@@ -66,10 +66,10 @@
 
 func TestTargetThatAskedForRestGetsNothing(t *testing.T) {
 	for _, path := range []string{"/safe/", "/once/"} {
-		busy := newTired(60)
+		busy := newOverloaded(60)
 		targets := []*fakeTarget{
 			newFakeTarget(t, "i-1", "lookup", "north", busy.answer),
-			newFakeTarget(t, "i-2", "lookup", "north", newTired(0).answer),
+			newFakeTarget(t, "i-2", "lookup", "north", newOverloaded(0).answer),
 		}
 		s := newSite(t, targets)
 		for range 30 {
@@ -96,7 +96,7 @@
 		if path == "/draft/" {
 			service = "draft"
 		}
-		f := newFakeTarget(t, "i-1", service, "north", newTired(40).answer)
+		f := newFakeTarget(t, "i-1", service, "north", newOverloaded(40).answer)
 		s := newSite(t, []*fakeTarget{f})
 		began := time.Now()
 		after := map[string]bool{}
@@ -119,7 +119,7 @@
 
 // A rest that ends within what a request may wait is waited for.
 func TestShortRestIsWaitedFor(t *testing.T) {
-	busy := newTired(60)
+	busy := newOverloaded(60)
 	f := newFakeTarget(t, "i-1", "lookup", "north", busy.answer)
 	s := newSite(t, []*fakeTarget{f})
 	status, _ := s.ask(t, "/safe/")
@@ -133,7 +133,7 @@
 
 // All targets rest, then none: each gets one request first.
 func TestWhenAllTargetsRest(t *testing.T) {
-	busy := newTired(60)
+	busy := newOverloaded(60)
 	targets := []*fakeTarget{
 		newFakeTarget(t, "i-1", "lookup", "north", busy.answer), newFakeTarget(t, "i-2", "lookup", "north", busy.answer),
 	}
@@ -155,7 +155,7 @@
 // A target alone still has too much to do when its rest is over: of all that come
 // then, it has to turn one away.
 func TestTargetThatIsNotRestedTurnsOneRequestAway(t *testing.T) {
-	busy := newTired(60)
+	busy := newOverloaded(60)
 	slow := busy.answer
 	f := newFakeTarget(t, "i-1", "lookup", "north", func(f *fakeTarget, r *http.Request, c net.Conn) {
 		time.Sleep(50 * time.Millisecond) // all others have come by then
@@ -174,10 +174,10 @@
 }
 
 func TestTargetThatSaysItLeavesGetsNoMore(t *testing.T) {
-	leaver := newTired(0)
+	leaver := newOverloaded(0)
 	leaver.leaves.Store(true)
 	targets := []*fakeTarget{
-		newFakeTarget(t, "i-1", "lookup", "north", leaver.answer), newFakeTarget(t, "i-2", "lookup", "north", newTired(0).answer),
+		newFakeTarget(t, "i-1", "lookup", "north", leaver.answer), newFakeTarget(t, "i-2", "lookup", "north", newOverloaded(0).answer),
 	}
 	s := newSite(t, targets)
 	for range 30 {
@@ -248,12 +248,12 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFakeTarget(t, "i-1", "draft", "north", newTired(0).answer)
+			f := newFakeTarget(t, "i-1", "draft", "north", newOverloaded(0).answer)
 			s := newSite(t, []*fakeTarget{f})
 			target := s.target("i-1")
 			word(target)
 			c := &call{id: "a", header: http.Header{"X-Id": {"a"}}, method: "GET", uri: "/", host: "a.example", deadline: uptime.Now()}
-			answer, err := s.gateway.ask(t.Context(), target, errandFirst, s.gateway.request(c, target))
+			answer, err := s.gateway.ask(t.Context(), target, purposeFirst, s.gateway.request(c, target))
 			if err == nil {
 				answer.Close()
 			}
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -203,7 +203,7 @@
 	if len(o.Body) > 0 {
 		h.Set("Content-Type", "application/json")
 	}
-	answer, err := g.ask(ctx, t, errandCopy, &targetconn.Request{
+	answer, err := g.ask(ctx, t, purposeCopy, &targetconn.Request{
 		Method: o.Method, URI: o.URI, Host: t.Address, Header: h, Body: o.Body, HasBody: len(o.Body) > 0,
 	})
 	if err != nil {
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -50,8 +50,8 @@
 
 // notSent counts what was kept from a target at the last moment, since it had just
 // said that it wants no more.
-func (c *counters) notSent(e errand) {
-	c.set.GetOrCreateCounter(fmt.Sprintf("walnutramp_gateway_not_sent_total{errand=%q}", e)).Inc()
+func (c *counters) notSent(why purpose) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("walnutramp_gateway_not_sent_total{purpose=%q}", why)).Inc()
 }
 
 func (c *counters) answered(since time.Time) { c.whole.Update(uptime.Since(since).Seconds()) }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -98,7 +98,7 @@
 	run := t.Begin(balance.Work{}, balance.Trace{})
 	defer run.End(balance.RunEnd{Whole: true})
 	c.sentAt = uptime.Now()
-	answer, err := g.ask(tryCtx, t, c.errand(), g.request(c, t))
+	answer, err := g.ask(tryCtx, t, c.purpose(), g.request(c, t))
 	if errors.Is(err, errNotWanted) {
 		g.noteNotSent(c, t)
 		return nil, true
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -170,7 +170,7 @@
 	pending := g.pending.add(c, t, cancel)
 	defer pending.drop()
 	c.sentAt = uptime.Now()
-	answer, err := g.ask(runCtx, t, c.errand(), o.request)
+	answer, err := g.ask(runCtx, t, c.purpose(), o.request)
 	if errors.Is(err, errNotWanted) {
 		g.noteNotSent(c, t)
 		return endTurned
--- a/target/pool.go
+++ b/target/pool.go
@@ -52,7 +52,7 @@
 	kept := &rests{until: map[string]time.Time{}}
 	return &Pool{
 		shared: shared, single: single, rests: kept,
-		client: NewClient(considerate{shared, kept}, shared), engines: map[string]Engine{},
+		client: NewClient(restTransport{shared, kept}, shared), engines: map[string]Engine{},
 	}
 }
 
@@ -79,9 +79,9 @@
 // may not be repeated.
 func (p *Pool) Service(t bundle.Target, once bool) *Service {
 	if once {
-		return NewService(considerate{p.single, p.rests}, t.Address)
+		return NewService(restTransport{p.single, p.rests}, t.Address)
 	}
-	return NewService(considerate{p.shared, p.rests}, t.Address)
+	return NewService(restTransport{p.shared, p.rests}, t.Address)
 }
 
 // Close drops idle connections.
--- a/target/rest.go
+++ b/target/rest.go
@@ -73,17 +73,17 @@
 	}
 }
 
-// considerate is a transport by which targets that asked for rest get nothing,
-// whatever the errand: of 8 s of requests, with an engine that wants 3 s of rest each
+// restTransport is a transport by which targets that asked for rest get nothing,
+// whatever its purpose: of 8 s of requests, with an engine that wants 3 s of rest each
 // time for 4 s, 8 came within its rests before, and 19 of calls to a plain service;
 // none now (TestEngineThatAskedForRestIsLeftAlone, TestServiceThatAskedForRestIsLeftAlone).
-type considerate struct {
+type restTransport struct {
 	next  http.RoundTripper
 	rests *rests
 }
 
 // RoundTrip implements http.RoundTripper.
-func (t considerate) RoundTrip(r *http.Request) (*http.Response, error) {
+func (t restTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	address := r.URL.Host
 	if left := t.rests.left(address); left > 0 {
 		if r.Body != nil {
