A run that is given up as the head of its answer comes counts once

Found by reading: follow asked whether a run was given up also where it had an answer, and that question notes the target as one that may have run the request, and as failed. The run then counted twice against its route's most attempts: three targets were asked where five are allowed. TestRunThatIsGivenUpAsItsAnswerComesCountsOnce failed first.

--- a/gateway/ask_test.go
+++ b/gateway/ask_test.go
@@ -262,3 +262,30 @@
 		})
 	}
 }
+
+// A run is given up at the moment at which the head of its answer is there: it counts
+// as one that its target may have begun, once, and not as moved besides. All five
+// targets that the route allows are asked, where three were.
+func TestRunThatIsGivenUpAsItsAnswerComesCountsOnce(t *testing.T) {
+	var s *site
+	names := testNames
+	names.ParseLoad = func(string) (balance.Load, bool) {
+		s.gateway.pending.end(errTargetSilent, func(*pendingRun) bool { return true })
+		return balance.Load{}, false
+	}
+	var targets []*fakeTarget
+	for n := range 6 {
+		targets = append(targets, newFakeTarget(t, fmt.Sprint("i-", n), "draft", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Load: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("X-Id"))
+		}))
+	}
+	s = newSite(t, targets, WithNames(names))
+	resp, err := http.DefaultTransport.RoundTrip(s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000", "X-Usage", "100,60"))
+	require.NoError(t, err)
+	resp.Body.Close()
+	asked := 0
+	for _, f := range targets {
+		asked += len(f.seen())
+	}
+	require.Equal(t, 5, asked)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -82,18 +82,18 @@
 	g.fail(w, c, g.giveUp(c, "no target answered"))
 }
 
-// givenUp reports whether a run was given up here before its first event, and
-// how it ended.
-func (g *Gateway) givenUp(runCtx context.Context, c *call, t *balance.Target) (ending, bool) {
+// givenUp reports whether a run that brought no answer was given up here, and notes
+// that if so.
+func (g *Gateway) givenUp(runCtx context.Context, c *call, t *balance.Target) bool {
 	switch cause := context.Cause(runCtx); {
 	case errors.Is(cause, errTargetSilent):
 		g.noteMoved(c, t)
 	case errors.Is(cause, errHeldBack):
 		c.ran(t)
 	default:
-		return endWhole, false
+		return false
 	}
-	return endBroken, true
+	return true
 }
 
 // next runs the request at one more target: at the copy of the broken run
@@ -175,11 +175,10 @@
 		g.noteNotSent(c, t)
 		return endTurned
 	}
-	if end, given := g.givenUp(runCtx, c, t); err != nil && given {
-		return end
-	}
 	if err != nil {
-		g.noteFailure(ctx, c, t, err)
+		if !g.givenUp(runCtx, c, t) {
+			g.noteFailure(ctx, c, t, err)
+		}
 		return endBroken
 	}
 	defer answer.Close()
