A request to a target that never asked for rest reads no clock for it

Each of the three questions that a request asks about a target's rest read the clock that goes on in a suspension: two calls to the system each.

--- a/balance/health.go
+++ b/balance/health.go
@@ -219,7 +219,7 @@
 	t.avoid = uptime.Now().Add(t.tracker.cfg.AvoidFirst / 2)
 }
 
-// Leaves reports whether the site's list says that the target is to end.
+// Leaves reports whether the target is to end, by the site's list or its own word.
 func (t *Target) Leaves() bool {
 	t.tracker.mu.Lock()
 	defer t.tracker.mu.Unlock()
--- a/balance/rest.go
+++ b/balance/rest.go
@@ -24,13 +24,17 @@
 	triedAt time.Time // when the first request after it was sent
 }
 
+// none reports whether the target never asked, or has taken requests since. Most never
+// do, and need no reading of the clock: it is two calls to the system.
+func (r *rest) none() bool { return r.until.IsZero() }
+
 // left returns for how long the target still rests, 0 or less once that is over.
 func (r *rest) left(now time.Time) time.Duration { return r.until.Sub(now) }
 
 // holds reports whether the target is to be left alone: it rests, or the first
 // request after its rest has just been sent.
 func (r *rest) holds(now time.Time) bool {
-	if r.until.IsZero() {
+	if r.none() {
 		return false
 	}
 	return r.left(now) > 0 || now.Sub(r.triedAt) < trialTime
@@ -50,7 +54,7 @@
 func (t *Target) Answered() {
 	t.tracker.mu.Lock()
 	defer t.tracker.mu.Unlock()
-	if t.rest.left(uptime.Now()) <= 0 {
+	if !t.rest.none() && t.rest.left(uptime.Now()) <= 0 {
 		t.rest = rest{}
 	}
 }
@@ -68,13 +72,17 @@
 func (t *Target) Admit() bool {
 	t.tracker.mu.Lock()
 	defer t.tracker.mu.Unlock()
-	now := uptime.Now()
-	if t.State == discovery.TargetDraining || t.rest.holds(now) {
+	if t.State == discovery.TargetDraining {
 		return false
 	}
-	if !t.rest.until.IsZero() {
-		t.rest.triedAt = now
+	if t.rest.none() {
+		return true
+	}
+	now := uptime.Now()
+	if t.rest.holds(now) {
+		return false
 	}
+	t.rest.triedAt = now
 	return true
 }
 
@@ -82,7 +90,7 @@
 func (t *Target) Rests() bool {
 	t.tracker.mu.Lock()
 	defer t.tracker.mu.Unlock()
-	return t.rest.left(uptime.Now()) > 0
+	return !t.rest.none() && t.rest.left(uptime.Now()) > 0
 }
 
 // RestLeft returns how long it takes until the first of a service's targets wants
