Read once more: one piece in place of two

- Retry-After is read in one place for both dialects (internal/retryafter), with one bound.
- Whether an order led to a roll-out is asked of the record, by the leader and by a node that repeats its own call.
- Stand-ins embed what turns requests away, in place of four methods that passed it on.
- How long all targets rest is worked out only where it can decide: not for a request that finds no room, nor for one that a target may have run.

--- a/control/rollout_client.go
+++ b/control/rollout_client.go
@@ -85,12 +85,11 @@
 // StartRollout orders a service to be brought to a version, and returns the
 // record of its roll-out.
 func (c *Client) StartRollout(ctx context.Context, service, version string, duration time.Duration) (rollout.Record, error) {
-	order := OrderArgs{Service: service, Version: version, Duration: duration}
-	r, repeated, err := c.doRepeating(ctx, tryTime, ".Order", order)
+	r, repeated, err := c.doRepeating(ctx, tryTime, ".Order", OrderArgs{Service: service, Version: version, Duration: duration})
 	if err != nil {
 		return rollout.Record{}, err
 	}
-	if r.Code == walnutramp.CodeRolloutUnderWay && repeated && order.began(&r.Rollout) {
+	if r.Code == walnutramp.CodeRolloutUnderWay && repeated && r.Rollout.OrderedAs(version, duration) {
 		return r.Rollout, nil // an earlier try of this call began it
 	}
 	if r.Code != walnutramp.CodeOK {
@@ -99,11 +98,6 @@
 	return r.Rollout, nil
 }
 
-// began reports whether a roll-out may be the one that an order asks for.
-func (a *OrderArgs) began(rec *rollout.Record) bool {
-	return rec.Target == a.Version && rec.Duration == a.Duration
-}
-
 // Rollout returns the newest roll-out of a service, as the leader had it
 // confirmed by a majority after this call.
 func (c *Client) Rollout(ctx context.Context, service string) (RolloutReply, error) {
--- a/control/rollout_server.go
+++ b/control/rollout_server.go
@@ -34,7 +34,7 @@
 	rec, known := view.Of(args.Service)
 	switch {
 	case known:
-		order.Repeat = order.repeats(&rec) && s.state.rolloutElapsed(rec) < s.patience+repeatMargin
+		order.Repeat = rec.OrderedAs(args.Version, args.Duration) && s.state.rolloutElapsed(rec) < s.patience+repeatMargin
 	case listed == 0:
 		reply.Code = walnutramp.CodeNoLeader // it has not read the list of targets yet
 		return nil
--- a/control/rollouts.go
+++ b/control/rollouts.go
@@ -91,18 +91,13 @@
 	return Result{Code: walnutramp.CodeOK}
 }
 
-// repeats reports whether the order is the one that led to a record.
-func (c *RolloutOrder) repeats(rec *rollout.Record) bool {
-	return rec.Number != 0 && rec.Target == c.Version && rec.Duration == c.Duration
-}
-
 // order begins a roll-out. A repeated order changes nothing.
 func (r *rollouts) order(index uint64, c *RolloutOrder, now int64) Result {
 	rec := r.find(c.Service)
 	if rec.State == rollout.Running {
 		return Result{Code: walnutramp.CodeRolloutUnderWay, Rollout: *rec}
 	}
-	if c.Repeat && c.repeats(rec) {
+	if c.Repeat && rec.OrderedAs(c.Version, c.Duration) {
 		return Result{Code: walnutramp.CodeOK, Rollout: *rec}
 	}
 	before := rec.InForce
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -36,8 +36,11 @@
 			g.watch(c, t)
 			return t
 		}
+		if c.noRoom || c.reached {
+			return nil
+		}
 		c.restLeft = g.restLeft(c)
-		if c.noRoom || c.reached || !uptime.Now().Add(c.restLeft).Before(until) || !pause.For(ctx, lookAgain) {
+		if !uptime.Now().Add(c.restLeft).Before(until) || !pause.For(ctx, lookAgain) {
 			return nil
 		}
 		clear(c.turned)
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -1,4 +1,5 @@
-// Package pause holds a task up until a time has passed or its context ends.
+// Package pause holds a task up until a time has passed or its context ends, and says
+// when who is not held up had better come back.
 package pause
 
 import (
--- /dev/null
+++ b/node/formats_test.go
@@ -0,0 +1,11 @@
+package node_test
+
+import (
+	"testing"
+
+	"github.com/walnutramp/walnutramp/internal/schema"
+	"github.com/walnutramp/walnutramp/node"
+)
+
+// What is sent.
+func TestFormats(t *testing.T) { schema.Check(t, node.Told{}, node.TellReply{}) }
--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -44,6 +44,12 @@
 	Reason   string        // why it ended
 }
 
+// OrderedAs reports whether an order of a version, to be reached within a time, is the
+// one that led to the record, or the same again.
+func (r *Record) OrderedAs(version string, duration time.Duration) bool {
+	return r.Number != 0 && r.Target == version && r.Duration == duration
+}
+
 // View is every record, as of a revision.
 type View struct {
 	Revision uint64 // grows with each change that nodes need to know
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -55,6 +55,8 @@
 // a prefix cache, priorities, streams that can be taken up again, and KV
 // export. Its tokens let Check find any that is missing, repeated or mixed.
 type Engine struct {
+	overload
+
 	cfg EngineConfig
 
 	mu       sync.Mutex
@@ -67,7 +69,6 @@
 	cache    *prefixCache
 	prefill  chan struct{} // one prefill at a time
 	faults   faults
-	overload overload
 	Book     *OrderBook // what the engine has loaded
 	reports  []timedReport
 	counts   EngineCounts
@@ -149,7 +150,7 @@
 	mux.HandleFunc("GET /load", e.serveLoad)
 	mux.HandleFunc("GET /counts", e.serveCounts)
 	mux.HandleFunc("POST /fault", e.serveFault)
-	return e.faults.gate(e.overload.gate(mux))
+	return e.faults.gate(e.turnAway(mux))
 }
 
 type engineRequest struct {
--- a/standin/rest.go
+++ b/standin/rest.go
@@ -13,7 +13,7 @@
 const restGrace = 500 * time.Millisecond
 
 // overload turns requests away while a stand-in has too much to do, and asks for
-// rest: whoever sent one had better send nothing for that long.
+// rest: whoever sent one had better send nothing for that long. Stand-ins embed it.
 type overload struct {
 	mu       sync.Mutex
 	until    time.Time // it has too much to do until then
@@ -22,17 +22,17 @@
 	disturbs int
 }
 
-// begin has the stand-in turn all requests away for a while, each with a word on
+// Overload has the stand-in turn all requests away for a while, each with a word on
 // the rest that it wants.
-func (o *overload) begin(busy, rest time.Duration) {
+func (o *overload) Overload(busy, rest time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.until, o.rest = time.Now().Add(busy), rest
 }
 
-// disturbances counts the requests that came within a rest that was asked for. The
+// Disturbances counts the requests that came within a rest that was asked for. The
 // stand-in can't tell nodes apart, so it counts right where there is one.
-func (o *overload) disturbances() int {
+func (o *overload) Disturbances() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.disturbs
@@ -53,9 +53,9 @@
 	return o.rest, true
 }
 
-// gate turns requests away while the stand-in has too much to do, except those by
+// turnAway turns requests away while the stand-in has too much to do, except those by
 // which a test sets faults or reads counts, and those that end work.
-func (o *overload) gate(next http.Handler) http.Handler {
+func (o *overload) turnAway(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if spared(r) {
 			next.ServeHTTP(w, r)
@@ -74,19 +74,3 @@
 func spared(r *http.Request) bool {
 	return strings.HasPrefix(r.URL.Path, "/fault") || r.URL.Path == "/runs" || r.Method == http.MethodDelete
 }
-
-// Overload has the engine turn all requests away for a while, each with a word on
-// the rest that it wants.
-func (e *Engine) Overload(busy, rest time.Duration) { e.overload.begin(busy, rest) }
-
-// Disturbances counts the requests that came within a rest that the engine had asked
-// for.
-func (e *Engine) Disturbances() int { return e.overload.disturbances() }
-
-// Overload has the service turn all requests away for a while, each with a word on
-// the rest that it wants.
-func (s *Service) Overload(busy, rest time.Duration) { s.overload.begin(busy, rest) }
-
-// Disturbances counts the requests that came within a rest that the service had asked
-// for.
-func (s *Service) Disturbances() int { return s.overload.disturbances() }
--- a/standin/service.go
+++ b/standin/service.go
@@ -17,11 +17,11 @@
 
 // Service is a fake plain service that counts how often each key ran.
 type Service struct {
+	overload
+
 	cfg    ServiceConfig
 	server *http.Server
 
-	overload overload
-
 	mu      sync.Mutex
 	runs    map[string]int
 	cutNext int // answers still to be cut off after the run
@@ -41,7 +41,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /runs", s.serveRuns)
 	mux.HandleFunc("/", s.serveCall)
-	s.server = &http.Server{Handler: s.overload.gate(mux), ReadHeaderTimeout: 5 * time.Second}
+	s.server = &http.Server{Handler: s.turnAway(mux), ReadHeaderTimeout: 5 * time.Second}
 	return s
 }
 
--- a/target/rest.go
+++ b/target/rest.go
@@ -2,24 +2,15 @@
 
 import (
 	"fmt"
-	"math"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/walnutramp/walnutramp/internal/retryafter"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
-// headerRest is how a target that turns a request away says for how many seconds it
-// wants nothing from this node.
-const headerRest = "Retry-After"
-
-// longestRest bounds what a target may ask for: one that wants nothing for a day is
-// taken out of the bundle.
-const longestRest = 24 * time.Hour
-
 // RestError says that nothing was sent to a target, which had asked for rest.
 type RestError struct {
 	Left time.Duration // until the target wants requests again
@@ -58,14 +49,11 @@
 
 // note takes what an answer says of its target's wishes.
 func (r *rests) note(address string, answer *http.Response) {
-	if answer.StatusCode != http.StatusServiceUnavailable {
-		return
-	}
-	seconds, err := strconv.ParseFloat(answer.Header.Get(headerRest), 64)
-	if err != nil || math.IsNaN(seconds) || seconds <= 0 {
+	rest := retryafter.Of(answer.StatusCode, answer.Header)
+	if rest == 0 {
 		return
 	}
-	until := uptime.Now().Add(time.Duration(min(seconds, longestRest.Seconds()) * float64(time.Second)))
+	until := uptime.Now().Add(rest)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if until.After(r.until[address]) {
