--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -7,6 +7,7 @@
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/internal/uptime"
+	"k8s.io/klog/v2"
 )
 
 // Bounds of the search for a target.
@@ -113,6 +114,9 @@
 // arrive notes that a target was reached. What never arrives, such as a
 // connection that is refused, is no repeat.
 func (c *call) arrive() {
+	if c.asked && !c.prepaid {
+		klog.InfoS("Repeat that was not paid for", "request", c.id, "service", c.service, "sent", c.sent)
+	}
 	c.asked = true
 	c.prepaid = false
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -63,14 +63,26 @@
 	if c.sent >= max(1, c.route.MaxAttempts) {
 		return false
 	}
-	if !c.payRepeat(g.budgets.Of(c.service)) {
-		seen, heard := g.budgets.Of(c.service).Site()
-		klog.InfoS("Not repeated: the budget is spent", "request", c.id, "service", c.service, "requests", seen.Requests,
-			"repeats", seen.Repeats, "nodesHeard", heard)
-		return false
+	budget := g.budgets.Of(c.service)
+	paid := c.payRepeat(budget)
+	g.logRepeat(c, budget, paid)
+	if paid {
+		g.counters.retries.Inc()
+	}
+	return paid
+}
+
+// logRepeat tells what a repeat was decided by: what this node counted within the
+// window, and what it was told of all.
+func (g *Gateway) logRepeat(c *call, b *balance.Budget, paid bool) {
+	what := "Repeated"
+	if !paid {
+		what = "Not repeated: the budget is spent"
 	}
-	g.counters.retries.Inc()
-	return true
+	own := b.Count()
+	site, heard := b.Site()
+	klog.InfoS(what, "request", c.id, "service", c.service, "sent", c.sent, "ownRequests", own.Requests, "ownRepeats", own.Repeats,
+		"requests", site.Requests, "repeats", site.Repeats, "nodesHeard", heard)
 }
 
 // wholeAnswer is an answer that is passed on in one piece, or, where it is
