Repeats keep to own requests and to a part of the slack that the group agrees on, in any window

Cause: each entry decided by the counts that all had told, or by its own share, whichever left room. Counts are late where processors are short, are forgotten 3 s after an entry is killed, and cover 9 to 10 of 10 s; and what few took as the site's room others still held as their own.

Repair: a node decides by what it alone knows (balance/history.go) and by its part of the slack (package quota; the set of entries is in the group's log).

--- a/balance/budget.go
+++ b/balance/budget.go
@@ -19,29 +19,30 @@
 	Ratio  float64
 	Slack  float64
 	Window time.Duration
-	Nodes  int // that are held to share the bound where nothing is heard of them
+	// Part returns the share of Slack, from 0 to 1, that this node may have used
+	// within the last TakenWithin; nil for all of it, where the node is the only one.
+	Part func() float64
 }
 
-// Parts of the bound that are used.
-const (
-	// ratioUsed and slackUsed leave room for what other nodes have spent and
-	// not told yet.
-	ratioUsed = 0.8
-	slackUsed = 0.5
-	buckets   = 10
-)
+// TakenWithin is the time within which repeats were taken that arrive within one window.
+func (c *BudgetConfig) TakenWithin() time.Duration {
+	return c.Window * (slotsInWindow + transitSlots) / slotsInWindow
+}
 
-// Budget bounds the repeats to one service over all nodes without asking any
-// of them: nodes tell each other their counts. A node that hears of no other
-// keeps to its own share of the bound.
+// Transit is how long after it was taken a repeat counts as on its way. One that has
+// not been sent by then is to be taken anew.
+func (c *BudgetConfig) Transit() time.Duration { return c.Window * transitSlots / slotsInWindow }
+
+// Budget bounds the repeats to one service over all nodes, by what this node alone
+// knows: a repeat is within the node's own requests, or within its part of the slack.
+// Nodes that went by each other's counts passed the bound by up to half, since counts
+// are late, and forgotten with the node that told them.
 type Budget struct {
 	cfg BudgetConfig
 
-	began  time.Time // from which on buckets are numbered
 	mu     sync.Mutex
-	own    [buckets]Count
-	newest int64 // number of the newest bucket
-	others map[string]toldCount
+	own    history
+	others map[string]toldCount // for operators to see; nothing is decided by them
 }
 
 type toldCount struct {
@@ -51,51 +52,43 @@
 
 // NewBudget returns a budget of which nothing is spent.
 func NewBudget(cfg BudgetConfig) *Budget {
-	return &Budget{cfg: cfg, began: uptime.Now(), others: map[string]toldCount{}}
+	if cfg.Part == nil {
+		cfg.Part = func() float64 { return 1 }
+	}
+	return &Budget{cfg: cfg, own: newHistory(cfg.Window), others: map[string]toldCount{}}
 }
 
 // Earn counts a client's request in.
 func (b *Budget) Earn() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.bucket(uptime.Now()).Requests++
+	b.own.add(uptime.Now(), Count{Requests: 1})
 }
 
 // Spend takes one repeat; false if there is none left.
-func (b *Budget) Spend() bool {
+func (b *Budget) Spend() bool { return b.take(1) }
+
+// Left reports whether one could be taken.
+func (b *Budget) Left() bool { return b.take(0) }
+
+// take takes a repeat, or none, if there is one left.
+func (b *Budget) take(repeats int) bool {
+	slack := b.cfg.Slack * b.cfg.Part()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := uptime.Now()
-	current := b.bucket(now)
-	own := b.total()
-	if !b.inOwnShare(own) && !b.inSiteBound(own, now) {
+	if !b.own.allows(now, b.cfg.Ratio, slack) {
 		return false
 	}
-	current.Repeats++
+	b.own.add(now, Count{Repeats: repeats})
 	return true
 }
 
-// setNodes says how many nodes share the bound. A lower count than before is
-// not taken: nodes that are not heard may spend all the same.
-func (b *Budget) setNodes(n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.cfg.Nodes = max(b.cfg.Nodes, n)
-}
-
-// inOwnShare reports whether a repeat is within this node's share. The caller
-// holds the mutex, as for the methods below.
-func (b *Budget) inOwnShare(own Count) bool {
-	share := b.cfg.Slack * slackUsed / float64(max(1, b.cfg.Nodes))
-	return float64(own.Repeats) < ratioUsed*b.cfg.Ratio*float64(own.Requests)+share
-}
+// Part returns the share of the slack that this node may use now.
+func (b *Budget) Part() float64 { return b.cfg.Part() }
 
-// inSiteBound reports whether a repeat is within the bound of all nodes, as
-// far as they told.
-func (b *Budget) inSiteBound(own Count, now time.Time) bool {
-	site, heard := b.site(own, now)
-	return heard > 0 && float64(site.Repeats) < ratioUsed*b.cfg.Ratio*float64(site.Requests)+slackUsed*b.cfg.Slack
-}
+// Transit is how long a repeat that was taken counts as on its way.
+func (b *Budget) Transit() time.Duration { return b.cfg.Transit() }
 
 // Site returns what this node and the others told within the window, and how
 // many others were heard lately.
@@ -103,13 +96,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := uptime.Now()
-	b.bucket(now)
-	return b.site(b.total(), now)
-}
-
-// site adds what others told to the own count. The caller holds the mutex.
-func (b *Budget) site(own Count, now time.Time) (total Count, heard int) {
-	total = own
+	total = b.own.within(now)
 	for node, o := range b.others {
 		if now.Sub(o.at) > sharedLife {
 			delete(b.others, node)
@@ -122,33 +109,11 @@
 	return total, heard
 }
 
-// bucket returns the bucket of a time, and clears those that are too old. The
-// time of day may be set, which must not clear any.
-func (b *Budget) bucket(now time.Time) *Count {
-	number := int64(now.Sub(b.began) / (b.cfg.Window / buckets))
-	for n := max(b.newest+1, number-buckets+1); n <= number; n++ {
-		b.own[n%buckets] = Count{}
-	}
-	b.newest = max(b.newest, number)
-	return &b.own[b.newest%buckets]
-}
-
-// total sums the buckets up.
-func (b *Budget) total() Count {
-	var sum Count
-	for _, c := range b.own {
-		sum.Requests += c.Requests
-		sum.Repeats += c.Repeats
-	}
-	return sum
-}
-
 // Count returns this node's own count within the window.
 func (b *Budget) Count() Count {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.bucket(uptime.Now())
-	return b.total()
+	return b.own.within(uptime.Now())
 }
 
 // SetOther takes another node's count.
@@ -183,16 +148,6 @@
 	return budget
 }
 
-// SetNodes says how many nodes are there to share each bound.
-func (b *Budgets) SetNodes(n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.cfg.Nodes = max(b.cfg.Nodes, n)
-	for _, budget := range b.byName {
-		budget.setNodes(n)
-	}
-}
-
 // Counts returns this node's counts by service, as far as there is any.
 func (b *Budgets) Counts() map[string]Count {
 	b.mu.Lock()
--- a/control/client.go
+++ b/control/client.go
@@ -15,6 +15,7 @@
 	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/metering"
+	"github.com/walnutramp/walnutramp/quota"
 	"github.com/walnutramp/walnutramp/rollout"
 	"k8s.io/klog/v2"
 )
@@ -61,6 +62,8 @@
 	clock       *groupclock.Follower // of the group's time; nil for none
 	usage       *metering.Counter    // of requests; nil for none
 	demand      DemandSource         // of services; nil for none
+	quota       *quota.Holder        // of this node's part of the bound on repeats; nil for none
+	life        uint64               // names this process
 
 	mu     sync.Mutex
 	seeds  []walnutramp.NodeName // always asked, whoever the members are
@@ -102,7 +105,7 @@
 }
 
 func newClient(peers Peers, seeds []walnutramp.NodeName, adopt AdoptFunc) *Client {
-	c := &Client{peers: peers, seeds: seeds, adopt: adopt}
+	c := &Client{peers: peers, seeds: seeds, adopt: adopt, life: rand.Uint64() | 1}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
@@ -195,6 +198,7 @@
 	}
 	c.contact.heard(node, reply.Version)
 	c.takeNear(reply.Near)
+	c.takeShare(reply.Share, asked)
 	c.takeVersions(reply.Versions)
 	if err := reply.Roster.readWhole(c.ctx, c.peers, node, reply.Source); err != nil {
 		klog.ErrorS(err, "List of targets not read", "asked", node)
@@ -217,7 +221,7 @@
 	have := c.Version()
 	args := NewestArgs{
 		Have: have, Wait: wait, Unconfirmed: c.fast && have == 0,
-		Entry: c.entry, Entries: c.entriesHeld, Roster: c.held, DataHall: c.hall,
+		Entry: c.entry, Life: c.life, Entries: c.entriesHeld, Roster: c.held, DataHall: c.hall,
 	}
 	if c.whole {
 		args.Have = 0
--- a/control/messages.go
+++ b/control/messages.go
@@ -10,6 +10,7 @@
 	"github.com/walnutramp/walnutramp/fleet"
 	"github.com/walnutramp/walnutramp/groupclock"
 	"github.com/walnutramp/walnutramp/metering"
+	"github.com/walnutramp/walnutramp/quota"
 	"github.com/walnutramp/walnutramp/rollout"
 )
 
@@ -29,6 +30,8 @@
 	// Entry is the address at which the asker hears other entries; empty if it
 	// is none.
 	Entry string
+	// Life names the asker's process, where it is an entry.
+	Life uint64
 	// Entries is the version of the entries' addresses that the asker holds.
 	Entries uint64
 	// Versions is the revision of the view of versions that the asker holds;
@@ -80,6 +83,8 @@
 	// Near is a member of the asker's data hall that takes its reports; empty
 	// for the leader itself.
 	Near walnutramp.NodeName
+	// Share is the word on the asker's part of the site's bound on repeats.
+	Share quota.Word
 }
 
 // TimeArgs asks a member for its time of day.
--- a/control/relay.go
+++ b/control/relay.go
@@ -124,6 +124,7 @@
 	whole    bool          // the whole list of targets is needed
 	entries  uint64        // version of the entries that it named
 	everyone []string      // these entries
+	share    passedWord    // on the entries that this member answers
 	told     chan struct{} // closed when a newer word is there
 }
 
@@ -171,6 +172,7 @@
 		return false
 	}
 	r.take(reply, asked)
+	r.passWord(args, reply.Share, asked)
 	return true
 }
 
@@ -233,6 +235,7 @@
 	if r == nil || !r.needed() || !r.fresh() {
 		return false
 	}
+	came := uptime.Now()
 	s.await(ctx, args)
 	if !r.awaitFresh() {
 		return false
@@ -242,6 +245,7 @@
 	s.fill(args, reply)
 	reply.Age = uptime.Since(r.asked)
 	reply.Relay = r.node
+	reply.Share = r.share.to(args.Entry, came)
 	if s.reports != nil {
 		reply.Near = r.node
 	}
--- a/control/report_client.go
+++ b/control/report_client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/walnutramp/walnutramp"
@@ -42,7 +41,7 @@
 
 // tellAlways tells what is new, until the client is closed.
 func (c *Client) tellAlways() {
-	t := teller{client: c, life: rand.Uint64(), demand: map[string]fleet.Demand{}}
+	t := teller{client: c, life: c.life, demand: map[string]fleet.Demand{}}
 	for pause.For(c.ctx, tellEvery) {
 		t.tell(c.ctx, tellLimit)
 	}
--- a/control/server.go
+++ b/control/server.go
@@ -34,6 +34,7 @@
 	rollouts   *RolloutController // nil where there are no roll-outs
 	reports    *Reports           // of what nodes count; nil where they count nothing
 	timekeeper *Timekeeper        // of the group's time; nil where nobody needs it
+	sharing    *Sharing           // of the bound on repeats; nil where nobody shares it
 	patience   time.Duration      // in which an operator sends an order again whose answer was lost
 }
 
@@ -103,6 +104,7 @@
 		return nil
 	}
 	s.fill(args, reply)
+	reply.Share = s.sharing.word(args)
 	if s.roster != nil && args.wantsRoster() {
 		reply.Roster = s.roster.told(args.Roster)
 	}
@@ -155,6 +157,7 @@
 		s.entries.note(entry)
 	}
 	s.relays.note(args.DataHall, args.Relay)
+	s.sharing.note(args)
 }
 
 // fill answers with what this member has applied.
@@ -177,6 +180,7 @@
 	// logged once more each time.
 	name := fmt.Sprint(args.Submit.Version, " ", args.Submit.Digest)
 	answer, err, _ := s.offers.Do(name, func() (any, error) {
+		s.sharing.openBefore(context.Background())
 		var first DoReply
 		err := s.propose(context.Background(), Command{Submit: &args.Submit}, &first)
 		s.logAccepted(&args.Submit, &first)
--- a/control/state.go
+++ b/control/state.go
@@ -13,6 +13,7 @@
 	"github.com/walnutramp/walnutramp/duty"
 	"github.com/walnutramp/walnutramp/fleet"
 	"github.com/walnutramp/walnutramp/internal/pack"
+	"github.com/walnutramp/walnutramp/quota"
 	"github.com/walnutramp/walnutramp/rollout"
 	"k8s.io/klog/v2"
 )
@@ -33,6 +34,8 @@
 	Release *duty.Release `msgpack:"l,omitempty"`
 
 	Close *CloseWindow `msgpack:"w,omitempty"`
+
+	Sharers *quota.Change `msgpack:"q,omitempty"`
 }
 
 // Submit offers a bundle that was signed and checked.
@@ -122,6 +125,7 @@
 	fleet    []fleet.Record // by service
 	windows  windows
 	duty     duty.Record
+	sharing  quota.Set // entries that share the bound on repeats
 }
 
 // NewState returns the state of a new group, before its first bundle.
@@ -155,6 +159,8 @@
 		return encode(s.orderFleet(c.Fleet))
 	case c.Close != nil:
 		return encode(s.windows.close(c.Close))
+	case c.Sharers != nil:
+		return encode(s.share(c.Sharers))
 	case c.Grant != nil, c.Release != nil:
 		return encode(s.applyDuty(index, &c))
 	}
@@ -274,6 +280,7 @@
 	Fleet    []fleet.Record
 	Windows  *windows // nil where metering has not begun
 	Duty     duty.Record
+	Sharing  quota.Set
 }
 
 // Snapshot implements consensus.StateMachine.
@@ -282,7 +289,7 @@
 	defer s.mu.Unlock()
 	img := stateImage{
 		Doc: s.doc, History: s.history, Deltas: s.deltas, Versions: s.rollouts.copyView(), Fleet: s.fleet, Duty: s.duty,
-		Windows: s.windows.image(),
+		Windows: s.windows.image(), Sharing: s.sharing,
 	}
 	for i, rec := range img.Versions.Records {
 		img.Versions.Records[i].Elapsed = s.rollouts.elapsed(rec)
@@ -314,6 +321,7 @@
 		s.windows = *img.Windows
 	}
 	s.duty = img.Duty
+	s.sharing = img.Sharing
 	s.wake()
 	return nil
 }
--- a/gateway/ask.go
+++ b/gateway/ask.go
@@ -20,8 +20,26 @@
 	Leaves bool
 }
 
-// errNotWanted is why a request is not sent to a target that was chosen.
-var errNotWanted = errors.New("the target wants no request now")
+// Why a request is not sent to a target that was chosen.
+var (
+	errNotWanted   = errors.New("the target wants no request now")
+	errBudgetSpent = errors.New("the budget for repeats is spent")
+)
+
+// notSent reports whether an error says that a request was kept back at the last moment.
+func notSent(err error) bool { return errors.Is(err, errNotWanted) || errors.Is(err, errBudgetSpent) }
+
+// payAtSend has a repeat paid for as it is sent: each arrival counts when it comes, by
+// whichever way, however long the request was held before.
+func (g *Gateway) payAtSend(c *call) error {
+	if !c.payRepeat(g.budgets.Of(c.service)) {
+		return errBudgetSpent
+	}
+	if c.asked {
+		g.counters.retries.Inc()
+	}
+	return nil
+}
 
 // purpose says what a target is asked for.
 type purpose string
@@ -60,10 +78,14 @@
 		g.counters.notSent(why)
 		return nil, errNotWanted
 	}
+	pay := r.Gate
 	r.Gate = func() error {
 		if t.Rests() {
 			return errNotWanted
 		}
+		if pay != nil {
+			return pay()
+		}
 		return nil
 	}
 	answer, err := g.pool.Do(ctx, endpoint(t), r)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -49,7 +49,7 @@
 	failed   map[string]int           // targets that failed it, by data hall
 	noRoom   bool                     // there are targets, but none has room
 	restLeft time.Duration            // how long all targets rest; 0 if one does not
-	prepaid  bool                     // a repeat was paid for that has not arrived yet
+	paidAt   time.Time                // when a repeat was paid for that has not arrived yet; zero for none
 	watched  *rollout.Request         // the newest try, while its service has a roll-out
 	metered  bool                     // it was counted for its account
 	content  quarantine.Fingerprint   // the same whenever the client sends it again
@@ -252,6 +252,7 @@
 	}
 	return &targetconn.Request{
 		Method: c.method, URI: c.uri, Host: c.host, Header: h, Body: c.body, HasBody: c.hasBody, Identity: c.id,
+		Gate: func() error { return g.payAtSend(c) },
 	}
 }
 
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -114,20 +114,24 @@
 // arrive notes that a target was reached. What never arrives, such as a
 // connection that is refused, is no repeat.
 func (c *call) arrive() {
-	if c.asked && !c.prepaid {
+	if c.asked && c.paidAt.IsZero() {
 		klog.InfoS("Repeat that was not paid for", "request", c.id, "service", c.service, "sent", c.sent)
 	}
 	c.asked = true
-	c.prepaid = false
+	c.paidAt = time.Time{}
 }
 
 // payRepeat takes what one more arrival costs from the budget; false if it is
-// spent.
+// spent. What was paid for a send that came to nothing holds while the next one is sure to
+// arrive in time, half of which the way to the target may take.
 func (c *call) payRepeat(b *balance.Budget) bool {
-	if c.asked && !c.prepaid {
-		c.prepaid = b.Spend()
-		return c.prepaid
+	if !c.asked || !c.paidAt.IsZero() && uptime.Since(c.paidAt) < b.Transit()/2 {
+		return true
 	}
+	if !b.Spend() {
+		return false
+	}
+	c.paidAt = uptime.Now()
 	return true
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -52,7 +52,7 @@
 	g.fail(w, c, g.giveUp(c, "no target answered"))
 }
 
-// mayRepeat reports whether another target may be asked, and pays for it.
+// mayRepeat reports whether another target may be asked. It is paid for as it is.
 func (g *Gateway) mayRepeat(c *call) bool {
 	if g.cfg.Quarantine.Stop(c.look, c.content) != nil {
 		return false
@@ -64,25 +64,22 @@
 		return false
 	}
 	budget := g.budgets.Of(c.service)
-	paid := c.payRepeat(budget)
-	g.logRepeat(c, budget, paid)
-	if paid {
-		g.counters.retries.Inc()
-	}
-	return paid
+	left := !c.asked || budget.Left()
+	g.logRepeat(c, budget, left)
+	return left
 }
 
-// logRepeat tells what a repeat was decided by: what this node counted within the
-// window, and what it was told of all.
-func (g *Gateway) logRepeat(c *call, b *balance.Budget, paid bool) {
+// logRepeat tells what a repeat was decided by, what this node counted within the window,
+// and what it was told of all.
+func (g *Gateway) logRepeat(c *call, b *balance.Budget, left bool) {
 	what := "Repeated"
-	if !paid {
+	if !left {
 		what = "Not repeated: the budget is spent"
 	}
 	own := b.Count()
 	site, heard := b.Site()
 	klog.InfoS(what, "request", c.id, "service", c.service, "sent", c.sent, "ownRequests", own.Requests, "ownRepeats", own.Repeats,
-		"requests", site.Requests, "repeats", site.Repeats, "nodesHeard", heard)
+		"requests", site.Requests, "repeats", site.Repeats, "nodesHeard", heard, "part", b.Part())
 }
 
 // wholeAnswer is an answer that is passed on in one piece, or, where it is
@@ -111,7 +108,7 @@
 	defer run.End(balance.RunEnd{Whole: true})
 	c.sentAt = uptime.Now()
 	answer, err := g.ask(tryCtx, t, c.purpose(), g.request(c, t))
-	if errors.Is(err, errNotWanted) {
+	if notSent(err) {
 		g.noteNotSent(c, t)
 		return nil, true
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -171,7 +171,7 @@
 	defer pending.drop()
 	c.sentAt = uptime.Now()
 	answer, err := g.ask(runCtx, t, c.purpose(), o.request)
-	if errors.Is(err, errNotWanted) {
+	if notSent(err) {
 		g.noteNotSent(c, t)
 		return endTurned
 	}
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -150,7 +150,6 @@
 	}
 	first = len(s.peers) == 0 && len(peers) > 0
 	s.peers, s.layout = peers, nil
-	s.budgets.SetNodes(len(peers) + 1)
 	s.tracker.SetNodes(own, slices.Collect(maps.Keys(peers)))
 	s.tracker.SetFarLag(s.farLag(len(peers)))
 	s.tracker.SetNewsLag(s.newsLag(len(peers)))
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -16,6 +16,7 @@
 	"github.com/walnutramp/walnutramp/loadshare"
 	"github.com/walnutramp/walnutramp/metering"
 	"github.com/walnutramp/walnutramp/quarantine"
+	"github.com/walnutramp/walnutramp/quota"
 	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
 	"k8s.io/klog/v2"
@@ -49,7 +50,6 @@
 	headTimeout  = 10 * time.Second
 	idleTimeout  = 2 * time.Minute
 	maxHeadBytes = 64 << 10
-	nodesAssumed = 64 // that share the bound on repeats, until they are heard
 )
 
 // tracesFile keeps where the copies of runs are, over a kill.
@@ -72,9 +72,10 @@
 	targets := p.newTracker()
 	pool := targetconn.NewPool(targetconn.WithIdentityHeader(names.Identity), targetconn.WithDialed(
 		func(e targetconn.Endpoint, took time.Duration) { targets.NoteRoundTrip(e.ID, took) }))
-	budgets := balance.NewBudgets(balance.BudgetConfig{
-		Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow, Nodes: nodesAssumed,
-	})
+	bound := balance.BudgetConfig{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow}
+	part := quota.NewHolder(bound.TakenWithin())
+	bound.Part = part.Part
+	budgets := balance.NewBudgets(bound)
 	witness := quarantine.NewWitness(quarantine.New(), pool.Dial)
 	sharer, err := p.newSharer(targets, budgets, witness.Ledger)
 	if err != nil {
@@ -109,6 +110,7 @@
 	if s.Scales {
 		p.client.WithDemand(g.Demand)
 	}
+	p.client.WithQuota(part)
 	p.client.AsEntry(s.PeerListen, s.DataHall, sharer.SetPeers)
 	p.client.FeedTargets(poller.Fed)
 	p.entry = &entry{gateway: g, pool: pool, agent: agent, counter: counter, sharer: sharer, witness: witness}
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/consensus"
 	"github.com/walnutramp/walnutramp/control"
 	"github.com/walnutramp/walnutramp/discovery"
@@ -83,6 +84,8 @@
 	poller := discovery.NewPoller(p.adapter.Source(false), roster.Set, discovery.WithOnly(member.Leads))
 	server := peer.NewServer(self, &p.traffic)
 	answers := control.NewOpenServer(member, state, keeper, roster, control.WithLink(s.LinkMbps*bytesPerMbit), control.WithOrderPatience(s.OrderPatience))
+	bound := balance.BudgetConfig{Window: s.RepeatWindow}
+	sharing := control.NewSharing(member, answers, bound.TakenWithin())
 	relay := control.NewRelay(p.peers, self.Node, s.DataHall, member, answers)
 	metered := p.meterReplica(self, member, answers)
 	if s.Rollouts.Enabled() {
@@ -104,6 +107,7 @@
 	go keeper.Run(p.ctx)
 	go poller.Run(p.ctx)
 	go relay.Run(p.ctx)
+	go sharing.Run(p.ctx)
 	go control.NewIntroducer(p.peers, member, p.client).Run(p.ctx)
 	go control.NewJoiner(p.peers, self.Node, identity, member, p.client).Run(p.ctx)
 	duties := p.startDuties(self, member, answers)
