--- a/balance/budget_test.go
+++ b/balance/budget_test.go
@@ -86,11 +86,9 @@
 			s.register.Note(n.self)
 		}
 	}
-	if c, due := s.register.Change(s.set); due {
-		c.Epoch, c.Open = 1, true
-		s.set.Apply(c)
-		s.register.Agreed(c)
-	}
+	s.set, _, _ = s.register.Next(s.set)
+	s.set.Open = true
+	s.register.Agreed(s.set)
 	for i, n := range s.nodes {
 		if s.reaches(i) {
 			n.part.Take(s.register.Word(s.set, n.self), uptime.Now().Add(-s.lag))
--- a/control/sharing.go
+++ b/control/sharing.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"sync"
 	"time"
 
-	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/consensus"
 	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/internal/uptime"
@@ -28,6 +27,9 @@
 	server   *Server
 	state    *State
 	register *quota.Register
+
+	mu     sync.Mutex // held by one change at a time
+	opened bool       // opening the set was proposed, whatever came of it
 }
 
 // NewSharing returns what a member's server tells entries of their parts from then on.
@@ -63,20 +65,29 @@
 	sh.update(ctx, true)
 }
 
-// update has the group agree on what has changed, and opens the set.
+// update has the group agree on the entries there are now, and opens the set.
 func (sh *Sharing) update(ctx context.Context, open bool) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
 	set := sh.state.sharers()
-	change, due := sh.register.Change(set)
-	change.Open = open && !set.Open
-	if !due && !change.Open {
+	if _, in, out := sh.register.Next(set); len(in)+len(out) == 0 && (set.Open || !open) {
 		return
 	}
-	change.Epoch = rand.Uint64() | 1
-	if _, ok := sh.server.agree(ctx, Command{Sharers: &change}); !ok {
+	ctx, cancel := context.WithTimeout(ctx, stepLimit)
+	defer cancel()
+	if !sh.member.Confirm(ctx) {
+		return // the set may be an old one here
+	}
+	set = sh.state.sharers()
+	set.Open = set.Open || sh.opened
+	next, in, out := sh.register.Next(set)
+	next.Open = next.Open || open
+	sh.opened = next.Open
+	if _, ok := sh.server.agree(ctx, Command{Sharers: &next}); !ok {
 		return
 	}
-	sh.register.Agreed(change)
-	klog.InfoS("Entries share the bound on repeats", "added", len(change.Add), "removed", change.Remove, "now", len(sh.state.sharers().Lives))
+	sh.register.Agreed(next)
+	klog.InfoS("Entries share the bound on repeats", "in", len(in), "out", out, "entries", len(next.Lives), "open", next.Open)
 }
 
 // note notes that an entry asks, and those that a relay answers.
@@ -109,12 +120,6 @@
 	return sh.register.Word(sh.state.sharers(), args.sharers()...)
 }
 
-// share applies a change of the entries that share the bound on repeats.
-func (s *State) share(c *quota.Change) Result {
-	s.sharing.Apply(*c)
-	return Result{Code: walnutramp.CodeOK}
-}
-
 // sharers returns the entries that share the bound, as far as this member has applied
 // the log.
 func (s *State) sharers() quota.Set {
--- a/control/state.go
+++ b/control/state.go
@@ -35,7 +35,7 @@
 
 	Close *CloseWindow `msgpack:"w,omitempty"`
 
-	Sharers *quota.Change `msgpack:"q,omitempty"`
+	Sharers *quota.Set `msgpack:"q,omitempty"`
 }
 
 // Submit offers a bundle that was signed and checked.
@@ -160,7 +160,8 @@
 	case c.Close != nil:
 		return encode(s.windows.close(c.Close))
 	case c.Sharers != nil:
-		return encode(s.share(c.Sharers))
+		s.sharing = *c.Sharers
+		return encode(Result{Code: walnutramp.CodeOK})
 	case c.Grant != nil, c.Release != nil:
 		return encode(s.applyDuty(index, &c))
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -25,6 +25,7 @@
 	set     Set
 	leaders []*Register
 	leads   int
+	slow    time.Duration // that a question or an answer takes at most
 	nodes   []*modelNode
 	used    []use
 }
@@ -54,7 +55,7 @@
 }
 
 func newModel(seed uint64, nodes int) *model {
-	m := &model{rng: rand.New(rand.NewPCG(seed, 1))}
+	m := &model{rng: rand.New(rand.NewPCG(seed, 1)), slow: 1500 * time.Millisecond}
 	for range 3 {
 		m.leaders = append(m.leaders, NewRegister(testSpan))
 	}
@@ -84,8 +85,8 @@
 			continue
 		}
 		if len(n.asks) == 0 || now.Sub(n.asks[len(n.asks)-1].asked) > time.Second {
-			reaches := now.Add(m.upTo(1500 * time.Millisecond))
-			n.asks = append(n.asks, modelAsk{asked: now, reaches: reaches, answered: reaches.Add(m.upTo(1500 * time.Millisecond))})
+			reaches := now.Add(m.upTo(m.slow))
+			n.asks = append(n.asks, modelAsk{asked: now, reaches: reaches, answered: reaches.Add(m.upTo(m.slow))})
 		}
 		for i := range n.asks {
 			ask := &n.asks[i]
@@ -100,11 +101,16 @@
 			n.asks = n.asks[1:]
 		}
 	}
-	if c, due := r.Change(m.set); (due || open) && m.rng.IntN(3) > 0 {
-		c.Epoch, c.Open = 1, open
-		m.set.Apply(c)
-		if m.rng.IntN(5) > 0 { // else what came of it is not known
-			r.Agreed(c)
+	next, in, out := r.Next(m.set)
+	next.Open = next.Open || open
+	if len(in)+len(out) > 0 || next.Open != m.set.Open {
+		switch m.rng.IntN(6) {
+		case 0: // it came to nothing
+		case 1: // what came of it is not known
+			m.set = next
+		default:
+			m.set = next
+			r.Agreed(next)
 		}
 	}
 }
@@ -167,7 +173,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			m := newModel(seed, 4+int(seed%9))
 			for step := range 1500 {
-				m.step(step == 20)
+				m.step(step >= 20)
 				if step < 1200 && m.rng.IntN(25) == 0 {
 					m.befall()
 				}
@@ -195,15 +201,16 @@
 func TestNodesHaveTheirPartsInCalm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := newModel(3, 8)
+		m.slow = 200 * time.Millisecond
 		for i := range m.nodes {
 			m.start(i)
 		}
 		for step := range 30 {
-			m.step(step == 20)
+			m.step(step >= 20)
 		}
 		steps := func(n int) {
 			for range n {
-				m.step(false)
+				m.step(true)
 			}
 		}
 		steps(60)
--- a/quota/register.go
+++ b/quota/register.go
@@ -1,8 +1,7 @@
 package quota
 
 import (
-	"slices"
-	"strings"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -51,38 +50,41 @@
 	r.noted[n.Address] = notedNode{at: uptime.Now(), life: n.Life}
 }
 
-// Change returns the change of the set that is due; false if none is. It must be agreed
-// on, or Agreed not be called.
-func (r *Register) Change(set Set) (Change, bool) {
+// Next returns the set that the group should agree on next, by the one that it has, and
+// which nodes come in and go out with that; none of both where nothing is due.
+func (r *Register) Next(set Set) (next Set, in, out []string) {
 	now := uptime.Now()
+	next = set.Clone()
+	if next.Epoch == 0 {
+		next.Epoch = rand.Uint64() | 1
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var c Change
 	for address, n := range r.noted {
 		if now.Sub(n.at) > keepTime(r.span) {
 			delete(r.noted, address)
 		} else if !set.has(address) || r.removing[address] {
-			c.Add = append(c.Add, Node{Address: address, Life: n.life})
+			next.add(address, n.life)
+			in = append(in, address)
 		}
 	}
 	for address := range set.Lives {
 		_, heard := r.noted[address]
 		if !heard && now.Sub(r.began) > keepTime(r.span) {
-			c.Remove = append(c.Remove, address)
+			delete(next.Lives, address)
 			r.removing[address] = true
+			out = append(out, address)
 		}
 	}
-	slices.SortFunc(c.Add, func(a, b Node) int { return strings.Compare(a.Address, b.Address) })
-	slices.Sort(c.Remove)
-	return c, len(c.Add)+len(c.Remove) > 0
+	return next, in, out
 }
 
-// Agreed notes that the group has made a change.
-func (r *Register) Agreed(c Change) {
+// Agreed notes that the group has agreed on a set that Next returned.
+func (r *Register) Agreed(set Set) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, n := range c.Add {
-		delete(r.removing, n.Address)
+	for address := range set.Lives {
+		delete(r.removing, address)
 	}
 }
 
--- a/quota/set.go
+++ b/quota/set.go
@@ -1,10 +1,14 @@
 package quota
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
-// Set is the nodes that may hold a part, as the group agreed on them.
+// Set is the nodes that may hold a part, as the group agreed on them. A change of it is
+// the whole set as it is to be, so that members which missed one hold the same again.
 type Set struct {
-	Epoch uint64 // 0 before the first change
+	Epoch uint64 // 0 before there is one
 	// Open says that nodes may be told of their parts. None was before.
 	Open bool
 	// Lives are the nodes by address, each with the life of its process where that came
@@ -12,47 +16,27 @@
 	Lives map[string]uint64
 }
 
-// Change is a change of the set.
-type Change struct {
-	Epoch  uint64 // that a set without one gets
-	Add    []Node
-	Remove []string // addresses
-	Open   bool     // the set, with those that it has then
-}
-
 // Node is one life of a node.
 type Node struct {
 	Address string
-	Life    uint64 // names its process
+	Life    uint64 // names its process; 0 where that is not known
 }
 
-// Apply makes a change.
-func (s *Set) Apply(c Change) {
-	if s.Epoch == 0 {
-		s.Epoch = c.Epoch
-	}
-	for _, address := range c.Remove {
-		delete(s.Lives, address)
-	}
-	for _, n := range c.Add {
-		if s.Lives == nil {
-			s.Lives = map[string]uint64{}
-		}
-		if s.Open {
-			n.Life = 0
-		}
-		s.Lives[n.Address] = n.Life
+// Clone returns a copy.
+func (s Set) Clone() Set {
+	s.Lives = maps.Clone(s.Lives)
+	if s.Lives == nil {
+		s.Lives = map[string]uint64{}
 	}
-	s.Open = s.Open || c.Open
+	return s
 }
 
-// Clone returns a copy.
-func (s Set) Clone() Set {
-	lives := make(map[string]uint64, len(s.Lives))
-	for address, life := range s.Lives {
-		lives[address] = life
+// add adds a node, with its life where that is among the first.
+func (s *Set) add(address string, life uint64) {
+	if s.Open {
+		life = 0
 	}
-	return Set{Epoch: s.Epoch, Open: s.Open, Lives: lives}
+	s.Lives[address] = life
 }
 
 // has reports whether all addresses are in the set.
