Nodes lend each other repeats; a repeat that did not arrive is given back

Its log: 113 repeats refused at nodes that had taken one or two, with 126 requests and 2 repeats at their relay.

The one that lends takes it from its own; what it lent counts there whether it is used or not, and is used within half of the time for which it counts as on its way, or not at all. So the bound holds as without lending, whatever is lost, doubled or late (balance: "few spend what others lend them"; loadshare: TestNodesLendRepeats).

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -65,10 +65,10 @@
 
 func TestBudgetsWindowGoesOnWhileTheMachineIsSuspended(t *testing.T) {
 	b := NewBudget(BudgetConfig{Ratio: 0.8, Slack: 160, Window: 10 * time.Second, Part: aSixteenth})
-	for b.Spend() {
+	for spends(b) {
 	}
 	t.Cleanup(uptime.Pretend(12 * time.Second))
-	require.True(t, b.Spend())
+	require.True(t, spends(b))
 }
 
 func TestReadPromptsWeighLess(t *testing.T) {
--- a/balance/budget.go
+++ b/balance/budget.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -29,9 +30,8 @@
 	return c.Window * (slotsInWindow + transitSlots) / slotsInWindow
 }
 
-// Transit is how long after it was taken a repeat counts as on its way. One that has
-// not been sent by then is to be taken anew.
-func (c *BudgetConfig) Transit() time.Duration { return c.Window * transitSlots / slotsInWindow }
+// transit is how long after it was taken a repeat counts as on its way.
+func (c *BudgetConfig) transit() time.Duration { return c.Window * transitSlots / slotsInWindow }
 
 // Budget bounds the repeats to one service over all nodes, by what this node alone
 // knows: a repeat is within the node's own requests, or within its part of the slack.
@@ -42,6 +42,7 @@
 
 	mu     sync.Mutex
 	own    history
+	lent   []time.Time          // repeats of other nodes that may be taken here: from when on they count there
 	others map[string]toldCount // for operators to see; nothing is decided by them
 }
 
@@ -65,30 +66,91 @@
 	b.own.add(uptime.Now(), Count{Requests: 1})
 }
 
-// Spend takes one repeat; false if there is none left.
-func (b *Budget) Spend() bool { return b.take(1) }
+// Repeat is one repeat that was taken. The zero value is none.
+type Repeat struct {
+	At   time.Time // from when on it counts as on its way
+	lent bool
+}
 
-// Left reports whether one could be taken.
-func (b *Budget) Left() bool { return b.take(0) }
+// Taken reports whether it was taken at all.
+func (r Repeat) Taken() bool { return !r.At.IsZero() }
 
-// take takes a repeat, or none, if there is one left.
-func (b *Budget) take(repeats int) bool {
+// Spend takes one repeat, of this node's or one that another lent; false if there is none
+// left.
+func (b *Budget) Spend() (taken Repeat, ok bool) {
 	slack := b.cfg.Slack * b.cfg.Part()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := uptime.Now()
+	if b.takeOwn(now, slack) {
+		return Repeat{At: now}, true
+	}
+	b.dropLate(now)
+	if len(b.lent) == 0 {
+		return Repeat{}, false
+	}
+	taken = Repeat{At: b.lent[0], lent: true}
+	b.lent = b.lent[1:]
+	return taken, true
+}
+
+// Refund gives a repeat back that did not arrive and will not.
+func (b *Budget) Refund(r Repeat) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.lent {
+		b.lent = append(b.lent, r.At)
+		return
+	}
+	b.own.takeBack(uptime.Now(), r.At)
+}
+
+// Left reports whether one could be taken.
+func (b *Budget) Left() bool {
+	slack := b.cfg.Slack * b.cfg.Part()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := uptime.Now()
+	b.dropLate(now)
+	return len(b.lent) > 0 || b.own.allows(now, b.cfg.Ratio, slack)
+}
+
+// Lend takes one repeat of this node's for another one; false if there is none left. It
+// counts here, whether the other uses it or not.
+func (b *Budget) Lend() bool {
+	slack := b.cfg.Slack * b.cfg.Part()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.takeOwn(uptime.Now(), slack)
+}
+
+// Borrowed takes in a repeat that another node lent after it was asked at a time.
+func (b *Budget) Borrowed(asked time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lent = append(b.lent, asked)
+}
+
+// takeOwn takes one of this node's repeats. The caller holds the mutex, as for dropLate.
+func (b *Budget) takeOwn(now time.Time, slack float64) bool {
 	if !b.own.allows(now, b.cfg.Ratio, slack) {
 		return false
 	}
-	b.own.add(now, Count{Repeats: repeats})
+	b.own.add(now, Count{Repeats: 1})
 	return true
 }
 
+// dropLate drops what was lent too long ago to be sent in time.
+func (b *Budget) dropLate(now time.Time) {
+	b.lent = slices.DeleteFunc(b.lent, func(taken time.Time) bool { return now.Sub(taken) >= b.SendWithin() })
+}
+
 // Part returns the share of the slack that this node may use now.
 func (b *Budget) Part() float64 { return b.cfg.Part() }
 
-// Transit is how long a repeat that was taken counts as on its way.
-func (b *Budget) Transit() time.Duration { return b.cfg.Transit() }
+// SendWithin is how long after it was taken a repeat may be sent: half of the time for
+// which it counts as on its way, so that the way to the target may take the other half.
+func (b *Budget) SendWithin() time.Duration { return b.cfg.transit() / 2 }
 
 // Site returns what this node and the others told within the window, and how
 // many others were heard lately.
--- a/balance/budget_test.go
+++ b/balance/budget_test.go
@@ -108,12 +108,32 @@
 // spend has nodes repeat as often as they may, one after the other.
 func (s *repeatSite) spend(nodes ...int) {
 	for _, i := range nodes {
-		for s.nodes[i].Of("s").Spend() {
+		for spends(s.nodes[i].Of("s")) {
 			s.repeats = append(s.repeats, time.Now())
 		}
 	}
 }
 
+// spends takes a repeat of a budget, and reports whether there was one.
+func spends(b *Budget) bool {
+	_, ok := b.Spend()
+	return ok
+}
+
+// lend has a node take what some others have left, each repeat when it was asked for, and
+// use it as late as it may.
+func (s *repeatSite) lend(to int, from ...int) {
+	asked := uptime.Now()
+	borrower := s.nodes[to].Of("s")
+	for _, i := range from {
+		for s.nodes[i].Of("s").Lend() {
+			borrower.Borrowed(asked)
+		}
+	}
+	time.Sleep(borrower.SendWithin() - time.Millisecond)
+	s.spend(to)
+}
+
 // all are the numbers of all nodes.
 func (s *repeatSite) all() []int {
 	all := make([]int, len(s.nodes))
@@ -179,6 +199,15 @@
 			s.pass(2 * time.Second)
 			s.spend(s.all()...)
 		},
+		"few spend what others lend them": func(s *repeatSite) {
+			for range 3 {
+				s.lend(0, s.all()[10:]...)
+				s.pass(2 * time.Second)
+				s.lend(1, s.all()[40:]...)
+				s.restart(50)
+				s.pass(shortOfAWindow - 3*time.Second)
+			}
+		},
 		"words reach half of the nodes": func(s *repeatSite) {
 			s.reaches = func(node int) bool { return node%2 == 0 }
 			s.pass(5 * time.Second)
@@ -247,8 +276,8 @@
 		require.GreaterOrEqual(t, len(s.repeats), within(s.requests, last.Add(-siteBudget.Window))/3)
 		s.pass(2 * siteBudget.Window)
 		for i, n := range s.nodes {
-			require.True(t, n.Of("s").Spend(), "node %d", i)
-			require.True(t, n.Of("another service").Spend(), "node %d", i)
+			require.True(t, spends(n.Of("s")), "node %d", i)
+			require.True(t, spends(n.Of("another service")), "node %d", i)
 		}
 		s.pass(2 * siteBudget.Window)
 		s.repeats = nil
@@ -294,7 +323,7 @@
 					requests = append(requests, time.Now())
 				}
 				burst := tick%900 < 60
-				if burst && rng.IntN(4) == 0 && b.Of("s").Spend() {
+				if burst && rng.IntN(4) == 0 && spends(b.Of("s")) {
 					repeats = append(repeats, time.Now())
 				}
 			}
@@ -311,15 +340,59 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := NewBudget(BudgetConfig{Ratio: 0.8, Slack: 160, Window: 10 * time.Second, Part: aSixteenth})
 		spent := 0
-		for b.Spend() {
+		for spends(b) {
 			spent++
 		}
 		require.Equal(t, 10, spent, "a sixteenth of the slack")
 		b.SetOther("other", Count{})
-		require.False(t, b.Spend(), "what another node spent is its own")
+		require.False(t, b.Left())
+		require.False(t, spends(b), "what another node spent is its own")
 		time.Sleep(11 * time.Second)
-		require.False(t, b.Spend(), "a repeat may arrive up to a tenth of the window after it was taken")
+		require.False(t, spends(b), "a repeat may arrive up to a tenth of the window after it was taken")
 		time.Sleep(time.Second)
-		require.True(t, b.Spend(), "the window has passed")
+		require.True(t, spends(b), "the window has passed")
+	})
+}
+
+// What is lent counts where it comes from, whether it is used or not, and is used in time
+// or not at all.
+func TestLentRepeatIsUsedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bound := BudgetConfig{Slack: 16, Window: 10 * time.Second, Part: aSixteenth}
+		lender, borrower := NewBudget(bound), NewBudget(bound)
+		require.True(t, spends(borrower))
+		require.False(t, borrower.Left())
+		require.True(t, lender.Lend())
+		require.False(t, lender.Left(), "it was the lender's only one")
+		borrower.Borrowed(uptime.Now())
+		require.True(t, borrower.Left())
+		time.Sleep(400 * time.Millisecond)
+		taken, ok := borrower.Spend()
+		require.True(t, ok)
+		require.Equal(t, 400*time.Millisecond, uptime.Since(taken.At), "it counts from then on")
+		require.False(t, borrower.Left(), "it is used once")
+		borrower.Borrowed(uptime.Now())
+		time.Sleep(borrower.SendWithin())
+		require.False(t, spends(borrower), "it may not arrive while it counts")
+	})
+}
+
+// What did not arrive is given back where it came from.
+func TestRepeatThatDidNotArriveIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := NewBudget(BudgetConfig{Slack: 16, Window: 10 * time.Second, Part: aSixteenth})
+		own, ok := b.Spend()
+		require.True(t, ok)
+		require.False(t, b.Left())
+		time.Sleep(5 * time.Second)
+		b.Refund(own)
+		require.True(t, b.Left())
+		require.True(t, spends(b))
+		b.Borrowed(uptime.Now())
+		lent, ok := b.Spend()
+		require.True(t, ok)
+		b.Refund(lent)
+		require.True(t, spends(b), "what another node lent")
+		require.False(t, spends(b), "and once only")
 	})
 }
--- a/balance/history.go
+++ b/balance/history.go
@@ -43,6 +43,14 @@
 	slot.Repeats += c.Repeats
 }
 
+// takeBack takes a repeat of an earlier time out again.
+func (h *history) takeBack(now, at time.Time) {
+	newest := h.advance(now)
+	if n := int64(at.Sub(h.began) / h.slot); n > newest-slotsKept && n <= newest && h.slots[n%slotsKept].Repeats > 0 {
+		h.slots[n%slotsKept].Repeats--
+	}
+}
+
 // within counts the window that ends now.
 func (h *history) within(now time.Time) Count {
 	h.advance(now)
--- a/gateway/ask.go
+++ b/gateway/ask.go
@@ -29,8 +29,8 @@
 // notSent reports whether an error says that a request was kept back at the last moment.
 func notSent(err error) bool { return errors.Is(err, errNotWanted) || errors.Is(err, errBudgetSpent) }
 
-// payAtSend has a repeat paid for as it is sent: each arrival counts when it comes, by
-// whichever way, however long the request was held before.
+// payAtSend has a repeat paid for as it is sent, where that was not done when it was decided
+// on, or too long ago: each arrival counts when it comes, by whichever way.
 func (g *Gateway) payAtSend(c *call) error {
 	if !c.payRepeat(g.budgets.Of(c.service)) {
 		return errBudgetSpent
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -49,7 +49,7 @@
 	failed   map[string]int           // targets that failed it, by data hall
 	noRoom   bool                     // there are targets, but none has room
 	restLeft time.Duration            // how long all targets rest; 0 if one does not
-	paidAt   time.Time                // when a repeat was paid for that has not arrived yet; zero for none
+	paid     balance.Repeat           // that has not arrived yet
 	watched  *rollout.Request         // the newest try, while its service has a roll-out
 	metered  bool                     // it was counted for its account
 	content  quarantine.Fingerprint   // the same whenever the client sends it again
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -114,25 +114,31 @@
 // arrive notes that a target was reached. What never arrives, such as a
 // connection that is refused, is no repeat.
 func (c *call) arrive() {
-	if c.asked && c.paidAt.IsZero() {
+	if c.asked && !c.paid.Taken() {
 		klog.InfoS("Repeat that was not paid for", "request", c.id, "service", c.service, "sent", c.sent)
 	}
 	c.asked = true
-	c.paidAt = time.Time{}
+	c.paid = balance.Repeat{}
 }
 
 // payRepeat takes what one more arrival costs from the budget; false if it is
-// spent. What was paid for a send that came to nothing holds while the next one is sure to
-// arrive in time, half of which the way to the target may take.
+// spent. What was paid before and has not arrived holds while it may be sent.
 func (c *call) payRepeat(b *balance.Budget) bool {
-	if !c.asked || !c.paidAt.IsZero() && uptime.Since(c.paidAt) < b.Transit()/2 {
+	if !c.asked || c.paid.Taken() && uptime.Since(c.paid.At) < b.SendWithin() {
 		return true
 	}
-	if !b.Spend() {
-		return false
+	c.refund(b)
+	var paid bool
+	c.paid, paid = b.Spend()
+	return paid
+}
+
+// refund gives a repeat back that was paid for and has not arrived.
+func (c *call) refund(b *balance.Budget) {
+	if c.paid.Taken() {
+		b.Refund(c.paid)
 	}
-	c.paidAt = uptime.Now()
-	return true
+	c.paid = balance.Repeat{}
 }
 
 // ran notes that a target may have run the request.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -62,6 +62,8 @@
 	// not know them anyway; nil if it always does. Again says that the client has part
 	// of the answer: there was such a run.
 	Find func(ctx context.Context, key string, again bool)
+	// Borrow gets a repeat of a service from another node; nil where there is none.
+	Borrow func(ctx context.Context, service string) bool
 }
 
 // Option sets a field of Config.
@@ -97,6 +99,12 @@
 	return func(c *Config) { c.Find = find }
 }
 
+// WithBorrow sets what gets a repeat of a service from another node, where this one's
+// budget has none left, and reports whether there is one then.
+func WithBorrow(borrow func(ctx context.Context, service string) bool) Option {
+	return func(c *Config) { c.Borrow = borrow }
+}
+
 func defaultConfig() Config {
 	return Config{
 		MaxBuffered: 32 << 20, Stall: 450 * time.Millisecond, FirstEvent: 5 * time.Second,
@@ -273,7 +281,9 @@
 		g.fail(w, c, held)
 		return
 	}
-	g.budgets.Of(c.service).Earn()
+	budget := g.budgets.Of(c.service)
+	budget.Earn()
+	defer c.refund(budget)
 	g.noteDemand(c)
 	ctx, cancel := context.WithTimeout(r.Context(), uptime.Until(c.deadline))
 	defer cancel()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -36,7 +36,7 @@
 		if a != nil {
 			last = a
 		}
-		if !retry || ctx.Err() != nil || !g.mayRepeat(c) {
+		if !retry || ctx.Err() != nil || !g.mayRepeat(ctx, c) {
 			break
 		}
 	}
@@ -52,8 +52,8 @@
 	g.fail(w, c, g.giveUp(c, "no target answered"))
 }
 
-// mayRepeat reports whether another target may be asked. It is paid for as it is.
-func (g *Gateway) mayRepeat(c *call) bool {
+// mayRepeat reports whether another target may be asked, and pays for it.
+func (g *Gateway) mayRepeat(ctx context.Context, c *call) bool {
 	if g.cfg.Quarantine.Stop(c.look, c.content) != nil {
 		return false
 	}
@@ -64,16 +64,16 @@
 		return false
 	}
 	budget := g.budgets.Of(c.service)
-	left := !c.asked || budget.Left()
-	g.logRepeat(c, budget, left)
-	return left
+	paid := c.payRepeat(budget) || g.cfg.Borrow != nil && g.cfg.Borrow(ctx, c.service) && c.payRepeat(budget)
+	g.logRepeat(c, budget, paid)
+	return paid
 }
 
-// logRepeat tells what a repeat was decided by, what this node counted within the window,
+// logRepeat tells what a repeat was decided by: what this node counted within the window,
 // and what it was told of all.
-func (g *Gateway) logRepeat(c *call, b *balance.Budget, left bool) {
+func (g *Gateway) logRepeat(c *call, b *balance.Budget, paid bool) {
 	what := "Repeated"
-	if !left {
+	if !paid {
 		what = "Not repeated: the budget is spent"
 	}
 	own := b.Count()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -70,7 +70,7 @@
 				"ms", uptime.Since(c.arrived).Milliseconds())
 			return
 		}
-		if ctx.Err() != nil || end == endNone || end == endLeft || end == endBroken && !c.route.Idempotent() && c.reached || !g.mayRepeat(c) {
+		if ctx.Err() != nil || end == endNone || end == endLeft || end == endBroken && !c.route.Idempotent() && c.reached || !g.mayRepeat(ctx, c) {
 			break
 		}
 	}
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -52,6 +52,8 @@
 	lookups uint64                     // numbers lookups
 	asked   map[uint64]chan *traceNote // lookups that wait
 
+	borrows borrowing // of repeats
+
 	askedHalls time.Time // only used by the task that tends subscriptions
 
 	relayMu sync.Mutex
@@ -78,7 +80,8 @@
 		up: newRelayAudience(), tendSoon: make(chan struct{}, 1), short: shortname.Of(conn.LocalAddr().String()),
 		relay: newRelay(), feeds: map[feedKey]*feed{}, missed: map[string]time.Time{}, asked: map[uint64]chan *traceNote{},
 		news: make(chan struct{}, 1), started: uptime.Now(),
-		peers: map[string]*net.UDPAddr{}, named: map[string]time.Time{}, heard: map[string]*sender{},
+		borrows: borrowing{pending: map[uint64]*pendingBorrow{}, vain: map[string]time.Time{}},
+		peers:   map[string]*net.UDPAddr{}, named: map[string]time.Time{}, heard: map[string]*sender{},
 	}
 	// A sender that restarts begins at a later time, and so higher.
 	s.sequence.Store(uint64(time.Now().UnixNano()))
@@ -381,6 +384,12 @@
 	if m.Found != nil {
 		s.takeFound(m.Found)
 	}
+	if m.Borrow != nil {
+		s.lend(from, m.Borrow)
+	}
+	if m.Lent != nil {
+		s.takeLent(m.Lent)
+	}
 }
 
 // senderOf returns what is known of a message's sender, nil for a stranger.
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -48,6 +48,9 @@
 	// Lookup asks for a trace, Found answers.
 	Lookup *lookup `msgpack:"k,omitempty"`
 	Found  *found  `msgpack:"g,omitempty"`
+	// Borrow asks for a repeat of the receiver's, Lent answers.
+	Borrow *borrow `msgpack:"b,omitempty"`
+	Lent   *lent   `msgpack:"l,omitempty"`
 }
 
 // report says whether a message tells of its sender's runs. Only these are
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -96,7 +96,7 @@
 		return err
 	}
 	p.client = control.NewDocumentClient(p.peers, s.Seeds, adopt)
-	options := []gateway.Option{gateway.WithNames(names), gateway.WithLease(p.lease()), gateway.WithFind(findBy(sharer)),
+	options := []gateway.Option{gateway.WithNames(names), gateway.WithLease(p.lease()), gateway.WithFind(findBy(sharer)), gateway.WithBorrow(sharer.Borrow),
 		gateway.WithQuarantine(witness)}
 	var agent *rollout.Agent
 	if s.Rollouts.Enabled() {
