--- a/loadshare/lending.go
+++ b/loadshare/lending.go
@@ -20,6 +20,8 @@
 	// borrowRest is how long after nobody lent one no peer is asked again: in a site
 	// that has spent everything, each call would ask in vain.
 	borrowRest = 100 * time.Millisecond
+	// borrowLate is how long after the question an answer is of no use any more.
+	borrowLate = time.Second
 )
 
 // borrow asks a peer for a repeat of a service; lent answers.
@@ -111,7 +113,7 @@
 	defer s.mu.Unlock()
 	now := uptime.Now()
 	for id, p := range s.borrows.pending {
-		if now.Sub(p.asked) > time.Second {
+		if now.Sub(p.asked) > borrowLate {
 			delete(s.borrows.pending, id)
 		}
 	}
@@ -124,6 +126,9 @@
 // lend answers a peer that asks for a repeat.
 func (s *Sharer) lend(from string, b *borrow) {
 	ok := s.budgets.Of(b.Service).Lend()
+	if ok {
+		s.count.lent.Add(1)
+	}
 	s.sendTo(s.addressesOf([]string{from}), message{Lent: &lent{ID: b.ID, OK: ok}})
 }
 
@@ -143,6 +148,7 @@
 	}
 	if l.OK {
 		s.budgets.Of(p.service).Borrowed(p.asked)
+		s.count.borrowed.Add(1)
 	}
 	select {
 	case p.answered <- l.OK:
--- a/loadshare/stats.go
+++ b/loadshare/stats.go
@@ -8,6 +8,8 @@
 	bytes     atomic.Int64
 	whole     atomic.Int64 // subscribers that were told everything
 	silent    atomic.Int64 // relays that were left since they fell silent
+	borrowed  atomic.Int64 // repeats that peers lent
+	lent      atomic.Int64 // repeats that peers were lent
 	// regions counts the bytes sent to nodes of each other region; none on a site
 	// of one.
 	regions map[string]*atomic.Int64
@@ -22,6 +24,8 @@
 	Bytes       int64 // sent
 	Whole       int64 // times that a subscriber was told everything
 	Silent      int64 // relays that were left since they fell silent
+	Borrowed    int64 // repeats that peers lent this node
+	Lent        int64 // repeats that this node lent
 
 	Region      string           // of this node; empty on a site of one
 	RegionBytes map[string]int64 // sent to nodes of each other region
@@ -31,7 +35,7 @@
 func (s *Sharer) Stats() Stats {
 	st := Stats{
 		Relayed: s.layoutNow().relayed, Datagrams: s.count.datagrams.Load(), Bytes: s.count.bytes.Load(),
-		Whole: s.count.whole.Load(), Silent: s.count.silent.Load(),
+		Whole: s.count.whole.Load(), Silent: s.count.silent.Load(), Borrowed: s.count.borrowed.Load(), Lent: s.count.lent.Load(),
 	}
 	st.Region, st.RegionBytes = s.ownRegion(), map[string]int64{}
 	for region, bytes := range s.count.regions {
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -88,6 +88,8 @@
 	fmt.Fprintf(w, "walnutramp_sharing_sent_bytes_total %d\n", s.Bytes)
 	fmt.Fprintf(w, "walnutramp_sharing_told_whole_total %d\n", s.Whole)
 	fmt.Fprintf(w, "walnutramp_sharing_relays_left_total %d\n", s.Silent)
+	fmt.Fprintf(w, "walnutramp_repeats_borrowed_total %d\n", s.Borrowed)
+	fmt.Fprintf(w, "walnutramp_repeats_lent_total %d\n", s.Lent)
 	for region, bytes := range s.RegionBytes {
 		fmt.Fprintf(w, "walnutramp_sharing_region_sent_bytes_total{from=%q,to=%q} %d\n", s.Region, region, bytes)
 	}
