--- a/balance/balance.go
+++ b/balance/balance.go
@@ -101,25 +101,32 @@
 type Tracker struct {
 	cfg Config
 
-	mu      sync.Mutex
-	byID    map[string]*Target // newest life of each
-	byLife  map[string]*Target
-	byShort map[uint32]*Target // by short name of the life
-	service map[string][]*Target
-	absent  map[string]*Target // that the list no longer holds, by ID
-	listed  bool
-	others  map[string]*sharedRuns // by node
-	named   map[string]namedTrace  // traces that were told by themselves, by key
-	broken  []*Run                 // own runs that broke off, oldest first
-	memory  map[string]memory      // by key, from before this node's start
-	engines map[string]Engine      // by service, as the configuration says
-	paces   map[string]*pace       // by service
-	read    readPlaces             // of prompts
-	numbers uint64                 // of own runs
-	own     string                 // this node
-	nodes   []string               // that choose among the targets, sorted
-	farLag  time.Duration          // by which word of nodes in other halls is older
-	newsLag time.Duration          // until most nodes know what one began
+	mu           sync.Mutex
+	byID         map[string]*Target // newest life of each
+	byLife       map[string]*Target
+	byShort      map[uint32]*Target   // by short name of the life
+	pools        map[string]*pool     // by service
+	absent       map[string]*Target   // that the list no longer holds, by ID
+	holders      map[string]*Target   // by address; of two listed there the later one
+	failed       map[*Target]struct{} // that failed this node lately
+	reading      uint64               // counts lists
+	lastOrder    uint64               // of the target listed last
+	listed       bool
+	others       map[string]*sharedRuns // by node
+	named        map[string]namedTrace  // traces that were told by themselves, by key
+	running      map[*Run]struct{}      // own runs under way that ask anything of their targets
+	broken       []*Run                 // own runs that broke off, oldest first
+	memory       map[string]memory      // by key, from before this node's start
+	engines      map[string]Engine      // by service, as the configuration says
+	paces        map[string]*pace       // by service
+	read         readPlaces             // of prompts
+	numbers      uint64                 // of own runs
+	own          string                 // this node
+	nodes        []string               // that choose among the targets, sorted
+	nodesVersion uint64                 // counts changes of the nodes
+	silentAt     time.Time              // before which no other node's word runs out
+	farLag       time.Duration          // by which word of nodes in other halls is older
+	newsLag      time.Duration          // until most nodes know what one began
 	// regionLag is by which word of nodes in other regions is older than that of
 	// nodes in other data halls of the own one.
 	regionLag time.Duration
@@ -129,6 +136,10 @@
 	turn      uint64              // of RoundRobin
 	rng       *rand.Rand
 
+	looks      uint64      // counts choices
+	candidates []candidate // of the newest choice
+	unread     []Shared    // of the target looked at last
+
 	remembered time.Time     // when memory was taken
 	memoryAge  time.Duration // how old it was then
 }
@@ -136,9 +147,20 @@
 // Target is one target with what is known of it.
 type Target struct {
 	discovery.Target
-	tracker *Tracker
-	life    string    // names this start of it
-	since   time.Time // when it was first listed
+	tracker   *Tracker
+	entry     discovery.Target // as it was listed last
+	listed    uint64           // number of the list that held it last
+	order     uint64           // among all that were ever listed
+	pool      *pool            // nil while it is not listed
+	hall      *hallPool
+	level     int    // of the data hall's targets alike, those that it is among
+	place     int    // among these
+	looked    uint64 // number of the choice that looked at it last
+	taken     occupancy
+	inBroken  bool      // it is among those of its pool that broke off
+	life      string    // names this start of it
+	indexedAs string    // the life by which it is found
+	since     time.Time // when it was first listed
 
 	turn    uint64    // of RoundRobin, when it was chosen last
 	gone    bool      // it is known to have ended
@@ -153,6 +175,7 @@
 	runs    map[*Run]struct{}
 	others  map[string]otherRuns // by node
 	gain    float64              // because this node owns it
+	gainFor uint64               // version of the nodes that the gain is of
 	speed   estimate             // of reading, beside its peers
 	speedAt time.Time            // when that was learned
 	told    Load
@@ -173,55 +196,111 @@
 		opt(&cfg)
 	}
 	return &Tracker{
-		cfg: cfg, byID: map[string]*Target{}, byLife: map[string]*Target{}, service: map[string][]*Target{}, absent: map[string]*Target{}, others: map[string]*sharedRuns{},
-		named: map[string]namedTrace{}, paces: map[string]*pace{},
+		cfg: cfg, byID: map[string]*Target{}, byLife: map[string]*Target{}, byShort: map[uint32]*Target{}, pools: map[string]*pool{},
+		absent: map[string]*Target{}, holders: map[string]*Target{}, failed: map[*Target]struct{}{}, others: map[string]*sharedRuns{},
+		named: map[string]namedTrace{}, paces: map[string]*pace{}, running: map[*Run]struct{}{}, nodesVersion: 1,
 		changed: func() {}, silence: func() {}, rng: rand.New(rand.NewPCG(cfg.Seed, 11)),
 	}
 }
 
 // Update takes a new list. It returns the lives of targets that are over or no
 // longer on it. Of two that are listed under one address, the one listed later has
-// it: the other has ended, though the list lags behind.
+// it: the other has ended, though the list lags behind. What the list holds as before
+// costs a comparison.
 func (t *Tracker) Update(list []discovery.Target) (removed []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := uptime.Now()
-	byID := make(map[string]*Target, len(list))
-	for _, entry := range list {
-		byID[entry.ID] = t.lifeOf(entry, now)
-		t.byID[entry.ID] = byID[entry.ID] // of two lives on one list the newer counts
-	}
-	byLife := make(map[string]*Target, len(list))
-	byShort := make(map[uint32]*Target, len(list))
-	service := map[string][]*Target{}
-	holder := map[string]*Target{}
-	for _, entry := range list {
-		known := byID[entry.ID]
-		if byLife[known.life] != nil {
-			continue
+	t.reading++
+	listed := 0
+	for i := range list {
+		entry := &list[i]
+		known := t.byID[entry.ID]
+		if known == nil || known.entry != *entry {
+			known = t.put(entry, now, &removed)
+		}
+		if known.listed != t.reading {
+			known.listed = t.reading
+			listed++
 		}
-		byLife[known.life] = known
-		byShort[shortname.Of(known.life)] = known
-		service[known.Service] = append(service[known.Service], known)
-		holder[known.Address] = later(holder[known.Address], known)
 	}
-	for life := range t.byLife {
-		if byLife[life] == nil {
-			removed = append(removed, life)
+	if listed < len(t.byID) {
+		for _, target := range t.byID {
+			if target.listed != t.reading {
+				removed = append(removed, target.life)
+				t.drop(target, now)
+			}
 		}
 	}
-	t.keepAbsent(byID, now)
-	t.byID, t.byLife, t.byShort, t.service, t.listed = byID, byLife, byShort, service, true
+	t.forgetAbsent(now)
+	t.listed = true
 	return removed
 }
 
+// put takes an entry that is new or says something else than before, and returns its
+// target. The caller holds the mutex.
+func (t *Tracker) put(entry *discovery.Target, now time.Time, removed *[]string) *Target {
+	before := t.byID[entry.ID]
+	target := t.lifeOf(*entry, now)
+	target.entry = *entry
+	if before == target && target.life == target.indexedAs && target.pool != nil {
+		t.hold(target)
+		return target
+	}
+	if before != nil {
+		*removed = append(*removed, before.indexedAs)
+		t.unlist(before)
+	}
+	t.list(target)
+	return target
+}
+
+// list has choices find a target. The caller holds the mutex.
+func (t *Tracker) list(target *Target) {
+	target.indexedAs = target.life
+	t.lastOrder++
+	target.order = t.lastOrder
+	t.byID[target.ID], t.byLife[target.life] = target, target
+	t.byShort[shortname.Of(target.life)] = target
+	delete(t.absent, target.ID)
+	t.poolOf(target.Service).add(target)
+	t.hold(target)
+}
+
+// hold notes which target has an address. The caller holds the mutex.
+func (t *Tracker) hold(target *Target) {
+	if other := t.holders[target.Address]; other != target {
+		t.holders[target.Address] = later(other, target)
+	}
+}
+
+// unlist has choices find a target no more. The caller holds the mutex.
+func (t *Tracker) unlist(target *Target) {
+	target.pool.remove(target)
+	delete(t.byID, target.ID)
+	delete(t.byLife, target.indexedAs)
+	if short := shortname.Of(target.indexedAs); t.byShort[short] == target {
+		delete(t.byShort, short)
+	}
+	if t.holders[target.Address] == target {
+		delete(t.holders, target.Address)
+	}
+}
+
+// drop takes a target off that a new list does not hold. The caller holds the mutex.
+func (t *Tracker) drop(target *Target, now time.Time) {
+	t.unlist(target)
+	target.absentAt = now
+	t.absent[target.ID] = target
+}
+
 // OpenIDs returns the targets of a service that may be asked and are wanted.
 func (t *Tracker) OpenIDs(service string, wanted func(*Target) bool) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := uptime.Now()
 	var ids []string
-	for _, target := range t.service[service] {
+	for target := range t.poolOf(service).all() {
 		if target.open(now) && wanted(target) {
 			ids = append(ids, target.ID)
 		}
@@ -239,7 +318,7 @@
 		a, b = b, a
 	}
 	if b.since.After(a.since) {
-		a.gone = true
+		a.setGone()
 	}
 	return b
 }
--- a/balance/health.go
+++ b/balance/health.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/walnutramp/walnutramp/discovery"
@@ -26,7 +27,7 @@
 	t.avoid = time.Time{}
 	t.broke, t.rumour = time.Time{}, time.Time{}
 	t.heard = uptime.Now()
-	t.errors *= 1 - errorMemory
+	t.setErrors(t.errors * (1 - errorMemory))
 }
 
 // Broke notes that the target did not answer, or broke off: it is avoided for
@@ -40,6 +41,8 @@
 	now := uptime.Now()
 	t.avoid = now.Add(pause)
 	t.broke = now
+	t.noteBroken()
+	t.tracker.failed[t] = struct{}{}
 	t.tracker.mu.Unlock()
 	t.tracker.changed()
 }
@@ -70,7 +73,7 @@
 	if !t.there(now) || t.suspect(now) || t.unheard(now) {
 		return true
 	}
-	return t.tracker.doubtful(t.Service, now)[t.DataHall] && now.Sub(t.heard) > hallDoubtTime
+	return t.hallInDoubt(now) && now.Sub(t.heard) > hallDoubtTime
 }
 
 // HallInDoubt reports whether so many targets of a target's service and data
@@ -78,7 +81,16 @@
 func (t *Tracker) HallInDoubt(of *Target) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.doubtful(of.Service, uptime.Now())[of.DataHall]
+	return of.hallInDoubt(uptime.Now())
+}
+
+// hallInDoubt reports the same of the target's own data hall. The caller holds the mutex.
+func (t *Target) hallInDoubt(now time.Time) bool {
+	if t.hall == nil {
+		return false
+	}
+	t.pool.findDoubt(now)
+	return t.hall.inDoubt
 }
 
 // Suspects returns the lives of targets that lately broke off to this node.
@@ -87,11 +99,11 @@
 	defer t.mu.Unlock()
 	now := uptime.Now()
 	var ids []string
-	for life, target := range t.byLife {
+	t.eachFailed(now, func(target *Target) {
 		if now.Sub(target.broke) < suspectLife/2 {
-			ids = append(ids, life)
+			ids = append(ids, target.life)
 		}
-	}
+	})
 	return ids
 }
 
@@ -103,6 +115,7 @@
 	for _, id := range ids {
 		if target := t.byLife[id]; target != nil && now.Sub(target.rumour) > suspectLife {
 			target.rumour = now
+			target.noteBroken()
 		}
 	}
 }
@@ -115,58 +128,31 @@
 	hallDoubtLeast = 2
 )
 
-// doubtful returns the data halls where so many targets of a service broke
-// off just now that the others may have, too. The caller holds the mutex.
-func (t *Tracker) doubtful(service string, now time.Time) map[string]bool {
-	all, broken := map[string]int{}, map[string]int{}
-	for _, target := range t.service[service] {
-		if target.gone {
-			continue
-		}
-		all[target.DataHall]++
-		if now.Sub(target.broke) < hallDoubtTime || now.Sub(target.rumour) < hallDoubtTime {
-			broken[target.DataHall]++
-		}
-	}
-	halls := map[string]bool{}
-	for hall, n := range broken {
-		halls[hall] = n >= hallDoubtLeast && float64(n) >= hallDoubtShare*float64(all[hall])
-	}
-	return halls
-}
-
 // Erred notes an answer that tells of a failure. A target that fails far more
 // often than its peers is avoided for a while.
 func (t *Target) Erred() {
 	t.tracker.mu.Lock()
 	defer t.tracker.mu.Unlock()
-	t.errors += errorMemory * (1 - t.errors)
+	t.setErrors(t.errors + errorMemory*(1-t.errors))
 	if t.errors > t.tracker.peerErrors(t)+t.tracker.cfg.ErrorTolerate {
 		t.avoid = uptime.Now().Add(t.tracker.cfg.ErrorAvoid)
-		t.errors /= 2
+		t.setErrors(t.errors / 2)
 	}
 }
 
 // peerErrors is the mean share of failures of a target's peers. The caller
 // holds the mutex.
 func (t *Tracker) peerErrors(of *Target) float64 {
-	sum, n := 0.0, 0
-	for _, target := range t.service[of.Service] {
-		if target != of {
-			sum += target.errors
-			n++
-		}
-	}
-	if n == 0 {
+	if of.pool == nil || of.pool.size < 2 {
 		return 1
 	}
-	return sum / float64(n)
+	return max(0, of.pool.errors-of.errors) / float64(of.pool.size-1)
 }
 
 // Gone notes that the target has ended: its address is another's now.
 func (t *Target) Gone() {
 	t.tracker.mu.Lock()
-	t.gone = true
+	t.setGone()
 	t.tracker.mu.Unlock()
 	t.tracker.changed()
 }
@@ -177,21 +163,36 @@
 func (t *Target) Refused() {
 	t.tracker.mu.Lock()
 	t.refused = uptime.Now()
+	t.tracker.failed[t] = struct{}{}
 	t.tracker.mu.Unlock()
 	t.tracker.changed()
 }
 
+// eachFailed calls f for each listed target that failed this node lately, and forgets
+// the others. The caller holds the mutex.
+func (t *Tracker) eachFailed(now time.Time, f func(*Target)) {
+	for target := range t.failed {
+		newest := slices.MaxFunc([]time.Time{target.broke, target.refused, target.mute}, time.Time.Compare)
+		listed := target.hall != nil
+		if now.Sub(newest) > suspectLife && !(target.gone && listed) {
+			delete(t.failed, target)
+		} else if listed {
+			f(target)
+		}
+	}
+}
+
 // Ended returns the lives of targets that this node lately found to have ended.
 func (t *Tracker) Ended() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := uptime.Now()
 	var ended []string
-	for id, target := range t.byLife {
+	t.eachFailed(now, func(target *Target) {
 		if target.gone || now.Sub(target.refused) < refusedLife/2 {
-			ended = append(ended, id)
+			ended = append(ended, target.life)
 		}
-	}
+	})
 	return ended
 }
 
--- a/balance/leaving.go
+++ b/balance/leaving.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/topology"
 )
 
@@ -40,15 +39,7 @@
 func (t *Tracker) takes(c Choice) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := uptime.Now()
-	taken := t.occupancies(&c, now)
-	taking := t.spillRegions(&c, taken, now)
-	for _, target := range t.service[c.Service] {
-		if t.mayTake(target, &c, taken[target], taking, now) {
-			return true
-		}
-	}
-	return false
+	return t.lookFor(&c).any()
 }
 
 // WhyLeft says why a choice fell on a target in another region.
--- a/balance/life.go
+++ b/balance/life.go
@@ -39,16 +39,37 @@
 	case known.Born != 0 && entry.Born > known.Born:
 		known = t.nextLife(known, entry, now)
 	}
-	if known.State == discovery.TargetDraining {
-		entry.State = discovery.TargetDraining // a target that leaves does not come back
-	}
-	known.Target, known.life = entry, entry.Life()
+	known.take(entry)
 	return known
 }
 
+// take takes what an entry says of the target. Most entries that change say only that
+// it leaves: nothing else is written then, since other fields are read without the
+// mutex. A target that leaves does not come back. The caller holds the mutex.
+func (t *Target) take(entry discovery.Target) {
+	leaves := entry.State == discovery.TargetDraining
+	entry.State = t.State
+	if t.Target != entry {
+		p := t.pool
+		if p != nil {
+			p.remove(t)
+		}
+		if t.tracker.holders[t.Address] == t {
+			delete(t.tracker.holders, t.Address)
+		}
+		t.Target, t.life = entry, entry.Life()
+		if p != nil {
+			t.tracker.poolOf(t.Service).add(t)
+		}
+	}
+	if leaves {
+		t.setDraining()
+	}
+}
+
 func (t *Tracker) newTarget(entry discovery.Target, now time.Time) *Target {
 	return &Target{
-		Target: entry, tracker: t, since: now, gain: t.ownershipGain(entry.ID),
+		Target: entry, tracker: t, since: now, life: entry.Life(),
 		runs: map[*Run]struct{}{}, others: map[string]otherRuns{},
 	}
 }
@@ -56,7 +77,7 @@
 // nextLife returns the target that an older life of it has become. The caller
 // holds the mutex.
 func (t *Tracker) nextLife(before *Target, entry discovery.Target, now time.Time) *Target {
-	before.gone = true
+	before.setGone()
 	next := t.newTarget(entry, now)
 	if now.Sub(before.broke) < flapTime {
 		next.row = before.row
@@ -71,17 +92,10 @@
 // targets that leave take to end.
 const absentLife = 10 * time.Minute
 
-// keepAbsent keeps the targets that are not on a new list, for a while. The caller
-// holds the mutex.
-func (t *Tracker) keepAbsent(listed map[string]*Target, now time.Time) {
-	for id, target := range t.byID {
-		if listed[id] == nil {
-			target.absentAt = now
-			t.absent[id] = target
-		}
-	}
+// forgetAbsent forgets targets that are long off the list. The caller holds the mutex.
+func (t *Tracker) forgetAbsent(now time.Time) {
 	for id, target := range t.absent {
-		if listed[id] != nil || now.Sub(target.absentAt) > absentLife {
+		if now.Sub(target.absentAt) > absentLife {
 			delete(t.absent, id)
 		}
 	}
--- a/balance/life_test.go
+++ b/balance/life_test.go
@@ -38,7 +38,7 @@
 		require.False(t, now.Lost(), "no doubt is left over")
 		require.True(t, now.Usable(), "it gets work at once")
 		require.Empty(t, tracker.Suspects())
-		require.Empty(t, now.underWay(time.Now()))
+		require.Zero(t, now.taken)
 		require.Nil(t, tracker.readPlace(Choice{Service: "s", Key: "k"}, time.Now()), "it has not read that prompt")
 
 		// Word of the old life that comes late.
@@ -48,7 +48,7 @@
 		tracker.SetOthers("n2", []Shared{{Target: "1@1000", Read: 90000, Hold: 90000}})
 		require.True(t, now.Usable())
 		require.False(t, now.Lost())
-		require.Empty(t, now.underWay(time.Now()))
+		require.Zero(t, now.taken)
 		require.Equal(t, []string{""}, tracker.Lives([]uint32{tracker.shortOf("1@1000")}))
 
 		// And of the new one.
@@ -94,7 +94,7 @@
 	both := append(bornAt(map[string]int64{"1": 3000}), bornAt(map[string]int64{"1": 2000})...)
 	require.Contains(t, tracker.Update(both), "1@2000")
 	require.Equal(t, "1@3000", tracker.byID["1"].Life())
-	require.Len(t, tracker.service["s"], 2)
+	require.Equal(t, 2, tracker.pools["s"].size)
 }
 
 func TestTargetWhoseStartIsToldLaterIsTheSame(t *testing.T) {
--- a/balance/ownership.go
+++ b/balance/ownership.go
@@ -26,14 +26,64 @@
 		all = append(all, own)
 	}
 	slices.Sort(all)
+	if version, near := t.takeNodes(own, all); near != nil {
+		t.setOwned(version, near, gainsOf(own, all, near))
+	}
+}
+
+// takeNodes takes the nodes, and returns the targets of the own data hall, whose owners
+// are to be worked out under that version of the nodes; none if the nodes are the same.
+func (t *Tracker) takeNodes(own string, all []string) (version uint64, near []*Target) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.own == own && slices.Equal(all, t.nodes) {
-		return
+		return 0, nil
 	}
 	t.own, t.nodes = own, all
-	for _, target := range t.byID {
-		target.gain = t.ownershipGain(target.ID)
+	t.nodesVersion++
+	for _, p := range t.pools {
+		if h := p.halls[t.cfg.DataHall]; h != nil {
+			for _, at := range h.ring {
+				near = append(near, at.target)
+			}
+		}
+	}
+	return t.nodesVersion, near
+}
+
+// gainsOf works out what speaks for each of some targets, without the mutex: there may
+// be thousands of both targets and nodes.
+func gainsOf(own string, nodes []string, targets []*Target) []float64 {
+	gains := make([]float64, len(targets))
+	for i, target := range targets {
+		gains[i] = ownershipGain(own, nodes, target.ID)
+	}
+	return gains
+}
+
+// setOwned takes what speaks for targets, unless the nodes are others meanwhile.
+func (t *Tracker) setOwned(version uint64, near []*Target, gains []float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if version != t.nodesVersion {
+		return
+	}
+	for _, p := range t.pools {
+		if h := p.halls[t.cfg.DataHall]; h != nil {
+			h.owned = h.owned[:0]
+		}
+	}
+	for i, target := range near {
+		target.gain, target.gainFor = gains[i], version
+		target.noteOwned()
+	}
+}
+
+// noteOwned puts the target among those of its data hall that this node owns, if it
+// does. The caller holds the mutex.
+func (t *Target) noteOwned() {
+	if t.hall != nil && t.hall.name == t.tracker.cfg.DataHall && t.ownershipGain() > 0 {
+		t.hall.owned = append(t.hall.owned, t)
 	}
 }
 
@@ -45,16 +95,24 @@
 	t.farLag = lag
 }
 
-// ownershipGain returns what speaks for a target because this node owns it. The
+// ownershipGain returns what speaks for the target because this node owns it. The
 // caller holds the mutex.
-func (t *Tracker) ownershipGain(id string) float64 {
-	if t.own == "" {
+func (t *Target) ownershipGain() float64 {
+	if of := t.tracker; t.gainFor != of.nodesVersion {
+		t.gain, t.gainFor = ownershipGain(of.own, of.nodes, t.ID), of.nodesVersion
+	}
+	return t.gain
+}
+
+// ownershipGain returns what speaks for a target because a node owns it.
+func ownershipGain(own string, nodes []string, id string) float64 {
+	if own == "" {
 		return 0
 	}
-	mine := ownership(t.own, id)
+	mine := ownership(own, id)
 	ahead := 0
-	for _, node := range t.nodes {
-		if node != t.own && ownership(node, id) > mine {
+	for _, node := range nodes {
+		if node != own && ownership(node, id) > mine {
 			ahead++
 		}
 		if ahead > 1 {
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -149,7 +149,7 @@
 		case s.Read > 0 && known:
 			waiting[s.Number] = p
 		case s.Read > 0:
-			alone := unread[s.Target] == 1 && s.wholePrompt() && target.backlog(target.underWay(now), now) == 0
+			alone := unread[s.Target] == 1 && s.wholePrompt() && target.taken.unread == 0
 			waiting[s.Number] = prompt{alone: alone, read: s.Read}
 		}
 	}
--- a/balance/pick_bench_test.go
+++ b/balance/pick_bench_test.go
@@ -8,7 +8,7 @@
 // BenchmarkPick shows how a choice grows with a service's engines, with two
 // runs at each that another node told of.
 func BenchmarkPick(b *testing.B) {
-	for _, engines := range []int{20, 100, 500} {
+	for _, engines := range []int{20, 100, 500, 2000, 10000} {
 		b.Run(fmt.Sprint(engines), func(b *testing.B) {
 			var ids []string
 			var runs []Shared
@@ -20,6 +20,7 @@
 			}
 			tracker := newTracker(listed("s", "north", ids...)...)
 			tracker.SetOthers("n2", runs)
+			b.ReportAllocs()
 			for b.Loop() {
 				tracker.Pick(draft(5000))
 			}
--- /dev/null
+++ b/balance/pool_test.go
@@ -0,0 +1,176 @@
+package balance
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/discovery"
+)
+
+// counted works out what takes each target up from the runs that are known.
+func (t *Tracker) counted() map[string]occupancy {
+	all := map[string]occupancy{}
+	add := func(id string, o occupancy) {
+		sum := all[id]
+		sum.add(o, 1)
+		all[id] = sum
+	}
+	count := func(at string, s Shared, holder *Target) {
+		o := occupancy{runs: 1, held: s.Hold}
+		if s.Read > 0 {
+			o.unread = 1
+		}
+		add(at, o)
+		if holder != nil {
+			add(holder.ID, occupancy{copies: s.Hold})
+		}
+	}
+	for _, target := range slices.Concat(slices.Collect(maps.Values(t.byID)), slices.Collect(maps.Values(t.absent))) {
+		for r := range target.runs {
+			count(target.ID, r.shared(time.Now()), r.holder)
+		}
+		for _, o := range target.others {
+			for i, s := range o.runs {
+				if time.Since(o.told.heard) <= sharedLife {
+					count(target.ID, s, o.holders[i])
+				}
+			}
+		}
+	}
+	return all
+}
+
+// What is counted as runs begin, change and end, and as nodes tell of theirs and fall
+// silent, is what there is.
+func TestOccupancyFollowsTheRuns(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			var list []discovery.Target
+			for i := range 12 {
+				list = append(list, listed("s", fmt.Sprint("hall-", i%3), fmt.Sprint(i))...)
+			}
+			tracker := newTracker(list...)
+			var own []*Run
+			any := func() string { return fmt.Sprint(rng.IntN(14)) }
+			for step := range 300 {
+				switch rng.IntN(8) {
+				case 0, 1:
+					if target := tracker.byID[any()]; target != nil {
+						own = append(own, target.Begin(Work{Read: 100, Hold: 1 + rng.IntN(500)}, Trace{Copy: any()}))
+					}
+				case 2, 3:
+					if len(own) > 0 {
+						i := rng.IntN(len(own))
+						own[i].End(RunEnd{})
+						own = slices.Delete(own, i, i+1)
+					}
+				case 4:
+					if len(own) > 0 {
+						r := own[rng.IntN(len(own))]
+						r.FirstEvent()
+						r.SetCopy(any(), "name")
+					}
+				case 5:
+					var runs []Shared
+					for n := range rng.IntN(4) {
+						runs = append(runs, Shared{Number: uint64(n), Target: any(), Read: rng.IntN(2), Hold: rng.IntN(500), Trace: Trace{Copy: any()}})
+					}
+					tracker.SetOthers(fmt.Sprint("node-", rng.IntN(3)), runs)
+				case 6:
+					time.Sleep(time.Duration(rng.IntN(2000)) * time.Millisecond)
+					tracker.StillThere([]string{"node-1"})
+				case 7:
+					at := rng.IntN(len(list))
+					tracker.Update(slices.Concat(list[:at], list[min(len(list), at+2):]))
+				}
+				tracker.Pick(draft(100))
+				want, sum := tracker.counted(), occupancy{}
+				for id, target := range tracker.byID {
+					require.Equal(t, want[id], target.taken, "seed %d, step %d, target %s", seed, step, id)
+					require.Same(t, target, target.hall.byRuns[min(target.taken.runs, levels-1)][target.place])
+					sum.add(target.taken, 1)
+				}
+				require.Equal(t, sum, tracker.pools["s"].total())
+			}
+		})
+	}
+}
+
+// busySite returns a tracker of so many engines in six data halls, a share of which are
+// busy with one to three runs.
+func busySite(engines int, busy float64, seed uint64) *Tracker {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	var list []discovery.Target
+	var runs []Shared
+	for i := range engines {
+		id := fmt.Sprint(i)
+		list = append(list, listed("s", fmt.Sprint("hall-", i%6), id)...)
+		for n := range 3 {
+			if rng.Float64() < busy {
+				runs = append(runs, Shared{Number: uint64(3*i + n), Target: id, Read: 8000 * rng.IntN(2), Hold: 8400, Age: time.Duration(rng.IntN(900)) * time.Millisecond})
+			}
+		}
+	}
+	t := NewTracker(WithSeed(seed), WithDataHall("hall-0"))
+	t.Update(list)
+	t.SetOthers("n2", runs)
+	return t
+}
+
+// A choice looks at as many targets of ten thousand as of a few hundred, allocates next
+// to nothing, and finds what is hardly worse than the best of all.
+func TestChoiceAmongManyTargets(t *testing.T) {
+	for _, engines := range []int{20, 500, 10000} {
+		for _, busy := range []float64{0.05, 0.6, 1} {
+			tracker := busySite(engines, busy, uint64(engines))
+			c := draft(8000)
+			sampled, all := 0.0, 0.0
+			const choices = 40
+			for range choices {
+				l := tracker.lookFor(&c)
+				found := l.candidates()
+				require.LessOrEqual(t, len(found), lookNear+lookFar+lookOwned+2)
+				sampled += slices.MinFunc(found, byScore).score
+				tracker.looks++
+				tracker.candidates = tracker.candidates[:0]
+				for target := range l.pool.all() {
+					l.consider(target)
+				}
+				all += slices.MinFunc(tracker.candidates, byScore).score
+			}
+			require.Less(t, (sampled-all)/choices, crowdWeight*tracker.readMS("s", 8000)/2, "%d engines, %v busy: worse by half of what one more run costs", engines, busy)
+			require.LessOrEqual(t, testing.AllocsPerRun(20, func() { tracker.Pick(c) }), 20.0)
+		}
+	}
+}
+
+// Where only one of thousands is allowed, as in a roll-out, it is found.
+func TestChoiceFindsTheOnlyTargetAllowed(t *testing.T) {
+	tracker := busySite(2000, 0.5, 3)
+	c := draft(8000)
+	c.Exclude = func(target *Target) bool { return target.ID != "1234" }
+	require.Equal(t, "1234", tracker.Pick(c).ID)
+}
+
+// Each key has a home in the own data hall, and none is home to many more than others.
+func TestHomesAreSpread(t *testing.T) {
+	tracker := busySite(1200, 0, 4)
+	homes := map[*Target]int{}
+	for key := range 20000 {
+		home := tracker.home(Choice{Service: "s", Key: fmt.Sprint("key-", key)}, time.Now())
+		require.Equal(t, "hall-0", home.DataHall)
+		homes[home]++
+	}
+	most := 0
+	for _, n := range homes {
+		most = max(most, n)
+	}
+	require.Less(t, most, 4*20000/200, "at most four times the mean")
+}
--- a/balance/regions.go
+++ b/balance/regions.go
@@ -93,20 +93,15 @@
 // spillRegions returns the regions that take new runs from others, by name: those
 // few of whose engines have prompts to read. Nil where every target may be taken.
 // The caller holds the mutex.
-func (t *Tracker) spillRegions(c *Choice, taken map[*Target]*occupancy, now time.Time) map[string]bool {
-	if !c.Admission || !t.cfg.Topology.Several() {
+func (t *Tracker) spillRegions(c *Choice, p *pool) map[string]bool {
+	if !c.Admission || c.Work == (Work{}) || !t.cfg.Topology.Several() {
 		return nil
 	}
 	engines, reading := map[string]int{}, map[string]int{}
-	for target, o := range taken {
-		if !target.open(now) {
-			continue
-		}
-		region := t.cfg.Topology.Region(target.DataHall)
-		engines[region]++
-		if unread(o.runs) > 0 {
-			reading[region]++
-		}
+	for _, h := range p.order {
+		region := t.cfg.Topology.Region(h.name)
+		engines[region] += h.live
+		reading[region] += h.reading
 	}
 	taking := map[string]bool{}
 	for region, n := range engines {
--- a/balance/rest.go
+++ b/balance/rest.go
@@ -63,7 +63,7 @@
 func (t *Target) SaidLeaving() {
 	t.tracker.mu.Lock()
 	defer t.tracker.mu.Unlock()
-	t.State = discovery.TargetDraining
+	t.setDraining()
 }
 
 // Admit reports whether the target wants a new request now. It has to be asked
@@ -101,7 +101,7 @@
 	defer t.mu.Unlock()
 	now := uptime.Now()
 	var least time.Duration
-	for _, target := range t.service[service] {
+	for target := range t.poolOf(service).all() {
 		if !target.there(now) || excluded != nil && excluded(target) {
 			continue
 		}
--- a/balance/rivals.go
+++ b/balance/rivals.go
@@ -23,14 +23,11 @@
 	shortestRunMS = 1.0
 )
 
-// candidate is a target that may be chosen.
-type candidate struct {
-	target *Target
-	score  float64
+// byScore puts the best first, of those alike the one listed first.
+func byScore(a, b candidate) int {
+	return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.target.order, b.target.order))
 }
 
-func byScore(a, b candidate) int { return cmp.Compare(a.score, b.score) }
-
 // SetNewsLag says how long it takes until most nodes know what one has begun.
 func (t *Tracker) SetNewsLag(lag time.Duration) {
 	t.mu.Lock()
@@ -44,33 +41,22 @@
 // too. Those that have begun go on from their copies. Where the best candidate is
 // in another region, its own nodes hear of the choice that much later. The caller
 // holds the mutex.
-func (t *Tracker) rivals(c *Choice, taken map[*Target]*occupancy, candidates []candidate) float64 {
+func (t *Tracker) rivals(l *look, candidates []candidate) float64 {
 	runs, displaced := 0, 0
-	for target, o := range taken {
-		runs += len(o.runs)
-		if c.FailedHalls[target.DataHall] > 0 {
-			displaced += unread(o.runs)
+	for _, h := range l.pool.order {
+		runs += h.taken.runs
+		if l.choice.FailedHalls[h.name] > 0 {
+			displaced += h.taken.unread
 		}
 	}
 	lag := t.newsLag
 	if t.cfg.Topology.Several() && len(candidates) > 0 && t.inOtherRegion(slices.MinFunc(candidates, byScore).target) {
 		lag += t.regionLag
 	}
-	wholeRuns := float64(lag.Milliseconds()) / max(shortestRunMS, t.paceOf(c.Service).wholeMS.value)
+	wholeRuns := float64(lag.Milliseconds()) / max(shortestRunMS, t.paceOf(l.choice.Service).wholeMS.value)
 	return float64(runs)*wholeRuns + float64(displaced)
 }
 
-// unread counts the runs that wait for their first event.
-func unread(runs []Shared) int {
-	n := 0
-	for _, r := range runs {
-		if r.Read > 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // draw takes the best candidate, or, among many rivals, one of the best, of
 // which none is worse than the best by more than a time in milliseconds: that of
 // reading one more prompt, which is what meeting a rival would cost.
@@ -79,7 +65,7 @@
 		return nil
 	}
 	if rivals <= fewRivals || t.cfg.Policy != Predicted {
-		return slices.MinFunc(candidates, byScore).target // of those alike the first listed
+		return slices.MinFunc(candidates, byScore).target
 	}
 	slices.SortFunc(candidates, byScore)
 	n := min(len(candidates), 1+int(roomPerRival*rivals))
--- a/balance/room.go
+++ b/balance/room.go
@@ -31,25 +31,21 @@
 // size: large requests are not to be refused more often than small ones, which
 // would always find a gap. What is larger may take what is kept free, but not
 // more than there is. The caller holds the mutex.
-func (t *Target) roomForRun(c *Choice, o *occupancy) bool {
+func (t *Target) roomForRun(c *Choice) bool {
 	memory := float64(t.tracker.memoryOf(t.Service))
-	taken := float64(o.held + o.copies)
+	taken := float64(t.taken.held + t.taken.copies)
 	share := fullShare - rankReserve*float64(c.Rank)
 	return taken+c.usualHold <= share*memory && taken+float64(c.Work.Hold) <= memory
 }
 
 // usualHold is the mean of what the runs of a service take up, in tokens; where
 // there are none, what the choice itself does.
-func usualHold(c *Choice, all map[*Target]*occupancy) float64 {
-	runs, held := 0, 0
-	for _, o := range all {
-		runs += len(o.runs)
-		held += o.held
-	}
-	if runs == 0 {
+func (p *pool) usualHold(c *Choice) float64 {
+	taken := p.total()
+	if taken.runs == 0 {
 		return float64(c.Work.Hold)
 	}
-	return float64(held) / float64(runs)
+	return float64(taken.held) / float64(taken.runs)
 }
 
 // SetEngines takes what a configuration says of the engines, by service. What
@@ -74,68 +70,35 @@
 	return assumedMemory
 }
 
-// occupancy is what takes an engine up.
-type occupancy struct {
-	runs   []Shared
-	held   int // tokens of the runs
-	copies int // tokens of copies of other engines' runs
-	// backlog is how long it still reads, in milliseconds, once that is worked
-	// out.
-	backlog float64
-}
-
-// occupancies returns what is known to take up the engines of a service; none
-// for a request that asks nothing of engines. The caller holds the mutex.
-func (t *Tracker) occupancies(c *Choice, now time.Time) map[*Target]*occupancy {
-	if c.Work == (Work{}) {
-		return nil
-	}
-	all := make(map[*Target]*occupancy, len(t.service[c.Service]))
-	for _, target := range t.service[c.Service] {
-		all[target] = &occupancy{runs: target.underWay(now)}
-	}
-	for _, o := range all {
-		for _, r := range o.runs {
-			o.held += r.Hold
-			if holder := all[t.byLife[r.Trace.Copy]]; holder != nil {
-				holder.copies += r.Hold
-			}
-		}
-	}
-	return all
-}
-
 // roomForCopies reports whether one more copy leaves the runs of its service
 // the room that they may come to need. The caller holds the mutex.
-func (t *Tracker) roomForCopies(c *Choice, all map[*Target]*occupancy, now time.Time) bool {
-	memory, runs, copies := 0, 0, c.Work.Hold
-	for target, o := range all {
-		if target.there(now) {
-			memory += t.memoryOf(c.Service)
-			runs += o.held
-			copies += o.copies
-		}
+func (t *Tracker) roomForCopies(c *Choice, p *pool) bool {
+	memory := 0
+	for _, h := range p.order {
+		memory += h.live * t.memoryOf(c.Service)
 	}
-	return float64(copies)+runGrowth*float64(runs) <= fullShare*float64(memory)
+	taken := p.total()
+	return float64(taken.copies+c.Work.Hold)+runGrowth*float64(taken.held) <= fullShare*float64(memory)
 }
 
 // fits reports whether a choice finds room at a target that it takes up, and
-// would begin there in time. The caller holds the mutex.
-func (t *Target) fits(c *Choice, o *occupancy, now time.Time) bool {
+// would begin there in time, after what is still to be read there. The caller holds
+// the mutex.
+func (t *Target) fits(c *Choice, backlog float64, now time.Time) bool {
 	memory := float64(t.tracker.memoryOf(t.Service))
-	taken := float64(o.held + o.copies + c.Work.Hold)
+	taken := float64(t.taken.held + t.taken.copies + c.Work.Hold)
 	if c.Copy {
 		return taken <= fullShare*memory
 	}
 	if !c.Admission {
 		return true
 	}
-	if slots := t.tracker.engines[t.Service].Slots; slots > 0 && len(o.runs) >= slots {
+	if slots := t.tracker.engines[t.Service].Slots; slots > 0 && t.taken.runs >= slots {
 		return false
 	}
-	if len(o.runs) > 0 && !t.roomForRun(c, o) {
+	if t.taken.runs > 0 && !t.roomForRun(c) {
 		return false // an idle engine takes what is larger, too
 	}
-	begins := o.backlog + t.readMS(c.Work.Read, now)
+	begins := backlog + t.readMS(c.Work.Read, now)
 	return c.Within == 0 || begins <= float64(c.Within.Milliseconds())
 }
--- a/balance/run.go
+++ b/balance/run.go
@@ -34,6 +34,7 @@
 	alone   bool      // no other prompt was to be read when it began
 	first   bool      // its first event has come
 	firstAt time.Time // when that was
+	holder  *Target   // that was counted as keeping the copy
 	broke   time.Time // when it broke off, zero while it is under way
 }
 
@@ -42,8 +43,12 @@
 	r := &Run{target: t, work: w, trace: trace, began: uptime.Now()}
 	t.tracker.mu.Lock()
 	r.number = t.tracker.nextNumber()
-	r.alone = w != (Work{}) && !w.Cached && t.backlog(t.underWay(r.began), r.began) == 0
+	r.alone = w != (Work{}) && !w.Cached && t.taken.unread == 0
 	t.runs[r] = struct{}{}
+	if w != (Work{}) {
+		t.tracker.running[r] = struct{}{}
+	}
+	r.count(1)
 	t.tracker.mu.Unlock()
 	if w != (Work{}) {
 		t.tracker.changed()
@@ -51,10 +56,39 @@
 	return r
 }
 
+// count counts the run in at its target and at the one that keeps its copy, or out. The
+// caller holds the mutex.
+func (r *Run) count(sign int) {
+	if sign > 0 {
+		r.holder = r.target.tracker.byLife[r.trace.Copy]
+	}
+	o := occupancy{runs: 1, held: r.work.Hold}
+	if r.work.Read > 0 && !r.first {
+		o.unread = 1
+	}
+	r.target.occupy(o, sign)
+	r.target.countCopy(r.holder, r.work.Hold, sign)
+}
+
+// countCopy counts a copy of a run of the target in at its holder, or out. The caller
+// holds the mutex.
+func (t *Target) countCopy(holder *Target, hold, sign int) {
+	if holder != nil && holder.Service == t.Service {
+		holder.occupy(occupancy{copies: hold}, sign)
+	}
+}
+
+// alter changes what the run is counted by. The caller holds the mutex.
+func (r *Run) alter(change func()) {
+	r.count(-1)
+	change()
+	r.count(1)
+}
+
 // FirstEvent notes that the target has read the prompt.
 func (r *Run) FirstEvent() {
 	r.target.tracker.mu.Lock()
-	r.first, r.firstAt = true, uptime.Now()
+	r.alter(func() { r.first, r.firstAt = true, uptime.Now() })
 	if r.alone {
 		r.target.learnReading(r.work.Read, r.firstAt.Sub(r.began), r.firstAt)
 	}
@@ -68,7 +102,7 @@
 // which name.
 func (r *Run) SetCopy(target, name string) {
 	r.target.tracker.mu.Lock()
-	r.trace.Copy, r.trace.CopyName = target, name
+	r.alter(func() { r.trace.Copy, r.trace.CopyName = target, name })
 	r.target.tracker.mu.Unlock()
 	r.target.tracker.changed()
 }
@@ -91,7 +125,9 @@
 func (r *Run) End(how RunEnd) {
 	tracker := r.target.tracker
 	tracker.mu.Lock()
+	r.count(-1)
 	delete(r.target.runs, r)
+	delete(tracker.running, r)
 	fromStart := r.work.Read > 0 || r.work == (Work{}) // and not from a copy
 	if how.Whole && fromStart {
 		r.learnWhole(uptime.Now(), how.Tokens)
@@ -130,6 +166,7 @@
 type sharedRuns struct {
 	at      time.Time         // when it told them
 	heard   time.Time         // when it was last known to be there
+	counted bool              // its runs count at their targets
 	targets []*Target         // at which it has runs under way
 	traces  map[string]Trace  // of runs, by key
 	prompts map[uint64]prompt // of runs that have not begun
@@ -137,8 +174,73 @@
 
 // otherRuns are another node's runs at one target.
 type otherRuns struct {
-	told *sharedRuns
-	runs []Shared // their ages are as of told.at
+	told    *sharedRuns
+	runs    []Shared  // their ages are as of told.at
+	holders []*Target // that were counted as keeping their copies
+}
+
+// count counts the runs in at their target and at those that keep their copies, or out.
+// The caller holds the mutex.
+func (o *otherRuns) count(at *Target, sign int) {
+	var sum occupancy
+	for i, s := range o.runs {
+		one := occupancy{runs: 1, held: s.Hold}
+		if s.Read > 0 {
+			one.unread = 1
+		}
+		sum.add(one, 1)
+		at.countCopy(o.holders[i], s.Hold, sign)
+	}
+	at.occupy(sum, sign)
+}
+
+// count counts another node's runs in at their targets, or out. The caller holds the
+// mutex.
+func (t *Tracker) count(node string, told *sharedRuns, counted bool) {
+	if told.counted == counted {
+		return
+	}
+	told.counted = counted
+	sign := 1
+	if !counted {
+		sign = -1
+	}
+	for _, target := range told.targets {
+		if o, ok := target.others[node]; ok {
+			o.count(target, sign)
+		}
+	}
+}
+
+// forgetSilentNodes lets the runs of nodes that are silent for long count no more. The
+// caller holds the mutex.
+func (t *Tracker) forgetSilentNodes(now time.Time) {
+	if now.Before(t.silentAt) {
+		return
+	}
+	t.silentAt = now.Add(sharedLife)
+	for node, o := range t.others {
+		switch silent := now.Sub(o.heard); {
+		case silent > copyLife:
+			t.forgetOther(node)
+			continue
+		case silent > sharedLife:
+			t.count(node, o, false)
+		}
+		t.noteSilentAt(o)
+	}
+}
+
+// noteSilentAt has a node's word looked at again when it may have run out. The caller
+// holds the mutex.
+func (t *Tracker) noteSilentAt(o *sharedRuns) {
+	life := copyLife
+	if o.counted {
+		life = sharedLife
+	}
+	if at := o.heard.Add(life + 1); at.Before(t.silentAt) {
+		t.silentAt = at
+	}
 }
 
 // sharedLife is how long another node's word counts.
@@ -153,11 +255,9 @@
 	defer t.mu.Unlock()
 	now := uptime.Now()
 	var all []Shared
-	for _, target := range t.byLife {
-		for r := range target.runs {
-			if r.work != (Work{}) {
-				all = append(all, r.shared(now))
-			}
+	for r := range t.running {
+		if r.target.hall != nil {
+			all = append(all, r.shared(now))
 		}
 	}
 	t.forgetBroken(now)
@@ -330,21 +430,23 @@
 	before := t.others[node]
 	t.forgetOther(node)
 	told.prompts = t.learnFromOthers(before, runs, told.at)
-	for name, o := range t.others {
-		if now.Sub(o.heard) > copyLife {
-			t.forgetOther(name)
-		}
-	}
+	t.forgetSilentNodes(now)
 	t.others[node] = told
 	for key, trace := range told.traces {
 		t.read.note(key, trace.ReadAt, told.at)
 	}
 	for id, of := range byTarget {
 		if target := t.byLife[id]; target != nil {
-			target.others[node] = otherRuns{told: told, runs: of}
+			holders := make([]*Target, len(of))
+			for i := range of {
+				holders[i] = t.byLife[of[i].Trace.Copy]
+			}
+			target.others[node] = otherRuns{told: told, runs: of, holders: holders}
 			told.targets = append(told.targets, target)
 		}
 	}
+	t.count(node, told, true)
+	t.noteSilentAt(told)
 }
 
 // StillThere notes that nodes are there, whose runs are as they told last.
@@ -355,6 +457,7 @@
 	for _, node := range nodes {
 		if o := t.others[node]; o != nil {
 			o.heard = now
+			t.count(node, o, true)
 		}
 	}
 }
@@ -365,29 +468,31 @@
 	if o == nil {
 		return
 	}
+	t.count(node, o, false)
 	for _, target := range o.targets {
 		delete(target.others, node)
 	}
 	delete(t.others, node)
 }
 
-// underWay returns all runs known at a target. The caller holds the mutex.
-func (t *Target) underWay(now time.Time) []Shared {
-	all := make([]Shared, 0, len(t.runs)+len(t.others))
+// unreadRuns returns the runs known at a target whose prompts are still to be read. They
+// are valid until the next call. The caller holds the mutex.
+func (t *Target) unreadRuns(now time.Time) []Shared {
+	unread := t.tracker.unread[:0]
 	for r := range t.runs {
-		all = append(all, r.shared(now))
+		if s := r.shared(now); s.Read > 0 {
+			unread = append(unread, s)
+		}
 	}
 	for _, o := range t.others {
-		if now.Sub(o.told.heard) > sharedLife {
-			continue
-		}
 		age := now.Sub(o.told.at)
 		for _, s := range o.runs {
-			if s.Read > 0 {
+			if s.Read > 0 && o.told.counted {
 				s.Age += age
+				unread = append(unread, s)
 			}
-			all = append(all, s)
 		}
 	}
-	return all
+	t.tracker.unread = unread
+	return unread
 }
--- a/balance/score.go
+++ b/balance/score.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp/discovery"
-	"github.com/walnutramp/walnutramp/internal/rendezvous"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
@@ -78,29 +77,12 @@
 func (t *Tracker) Pick(c Choice) *Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := uptime.Now()
-	home, keeper := t.home(c, now), t.keeper(c, now)
-	doubtful := t.doubtful(c.Service, now)
-	taken := t.occupancies(&c, now)
-	if c.Copy && !t.roomForCopies(&c, taken, now) {
+	l := t.lookFor(&c)
+	if c.Copy && !t.roomForCopies(&c, l.pool) {
 		return nil
 	}
-	c.usualHold = usualHold(&c, taken)
-	taking := t.spillRegions(&c, taken, now)
-	var candidates []candidate
-	for _, target := range t.service[c.Service] {
-		o := taken[target]
-		if !t.mayTake(target, &c, o, taking, now) {
-			continue
-		}
-		s := target.score(&c, o, affinity{home: target == home, keeps: target == keeper}, now)
-		if doubtful[target.DataHall] {
-			target.doubted = now
-			s += t.doubtCost(&c)
-		}
-		candidates = append(candidates, candidate{target: target, score: s})
-	}
-	best := t.draw(candidates, t.rivals(&c, taken, candidates), t.readMS(c.Service, c.Work.Read))
+	candidates := l.candidates()
+	best := t.draw(candidates, t.rivals(l, candidates), t.readMS(c.Service, c.Work.Read))
 	if best != nil {
 		t.turn++
 		best.turn = t.turn
@@ -108,17 +90,15 @@
 	return best
 }
 
-// mayTake reports whether a target may be given the request: it is open, has
-// room, and is not kept for its own region. The caller holds the mutex.
-func (t *Tracker) mayTake(target *Target, c *Choice, o *occupancy, taking map[string]bool, now time.Time) bool {
-	if !target.open(now) || c.Exclude != nil && c.Exclude(target) {
-		return false
-	}
-	if o == nil {
-		return true
-	}
-	o.backlog = target.backlog(o.runs, now)
-	return target.fits(c, o, now) && !t.reserved(target, taking)
+// lookFor returns a look for a choice. The caller holds the mutex.
+func (t *Tracker) lookFor(c *Choice) *look {
+	now := uptime.Now()
+	t.forgetSilentNodes(now)
+	l := &look{tracker: t, choice: c, pool: t.poolOf(c.Service), now: now, home: t.home(*c, now), keeper: t.keeper(*c, now)}
+	l.pool.findDoubt(now)
+	c.usualHold = l.pool.usualHold(c)
+	l.taking = t.spillRegions(c, l.pool)
+	return l
 }
 
 // Expected predicts the time to the first event at a target, for whoever
@@ -131,7 +111,7 @@
 	if t.keeper(c, now) == at {
 		read *= keptRead
 	}
-	return time.Duration((at.backlog(at.underWay(now), now) + read) * float64(time.Millisecond))
+	return time.Duration((at.backlog(now) + read) * float64(time.Millisecond))
 }
 
 // Kept returns what a request asks of a target: where its prompt was read
@@ -156,29 +136,28 @@
 	return !t.gone && t.State != discovery.TargetDraining && now.Sub(t.refused) > refusedLife
 }
 
-// home returns the target that a key names, by rendezvous hash over those of
-// this node's data hall if it has any. The caller holds the mutex.
+// home returns the target that a key names, in this node's data hall if any there
+// takes work. The caller holds the mutex.
 func (t *Tracker) home(c Choice, now time.Time) *Target {
+	p := t.poolOf(c.Service)
 	if c.Key == "" {
 		return nil
 	}
+	if near := p.halls[t.cfg.DataHall]; near != nil {
+		if home, _ := near.home(c.Key, now); home != nil {
+			return home
+		}
+	}
 	var home *Target
 	highest := uint64(0)
-	for _, target := range t.service[c.Service] {
-		if !target.open(now) || home != nil && t.near(home) && !t.near(target) {
-			continue
-		}
-		h := rendezvous.Weight(c.Key, target.ID)
-		if home == nil || t.near(target) && !t.near(home) || h > highest {
-			home, highest = target, h
+	for _, h := range p.order {
+		if target, weight := h.home(c.Key, now); target != nil && (home == nil || weight > highest) {
+			home, highest = target, weight
 		}
 	}
 	return home
 }
 
-// near reports whether a target is in this node's data hall.
-func (t *Tracker) near(target *Target) bool { return target.DataHall == t.cfg.DataHall }
-
 // farCost is what speaks against a target in another data hall: the links
 // between halls lose packets now and then, and every event that is sent anew
 // comes late. Besides, what other nodes have just begun there is known later
@@ -194,16 +173,10 @@
 	return max(known, nearShare*float64(choice.Aim.Milliseconds()))
 }
 
-// affinity is what ties a request to a target.
-type affinity struct {
-	home  bool // its key names the target
-	keeps bool // the target most likely keeps its prompt in the cache
-}
-
-// score is the wait expected at a target, in milliseconds, with what else
-// speaks against it. The caller holds the mutex.
-func (t *Target) score(c *Choice, o *occupancy, tie affinity, now time.Time) float64 {
-	cfg := &t.tracker.cfg
+// score is the wait expected at a target that has so long to read, in milliseconds,
+// with what else speaks against it. The caller holds the mutex.
+func (t *Target) score(l *look, backlog float64) float64 {
+	cfg, c, now := &t.tracker.cfg, l.choice, l.now
 	score := t.tracker.rng.Float64() * noiseCost
 	switch cfg.Policy {
 	case Random:
@@ -213,10 +186,10 @@
 	case LeastReported:
 		return t.common(c, now, score+slotCost*float64(t.told.Running+t.told.Waiting))
 	}
-	if o == nil {
+	if c.Work == (Work{}) {
 		score += t.slotWait(now)
 	} else {
-		score += t.engineWait(c, o, tie, now)
+		score += t.engineWait(l, backlog)
 	}
 	if t.DataHall != cfg.DataHall {
 		score += t.tracker.farCost(c, t, now)
@@ -278,18 +251,19 @@
 
 // engineWait predicts the time to the first event of an engine, and what the
 // run would cost others there, in milliseconds.
-func (t *Target) engineWait(c *Choice, o *occupancy, tie affinity, now time.Time) float64 {
-	read := t.readMS(c.Work.Read, now)
-	if tie.keeps {
+func (t *Target) engineWait(l *look, backlog float64) float64 {
+	c := l.choice
+	read := t.readMS(c.Work.Read, l.now)
+	if t == l.keeper {
 		read *= keptRead
 	}
-	crowd := (requestCost + crowdWeight*read) * float64(len(o.runs))
-	if tie.home && !c.Again {
+	crowd := (requestCost + crowdWeight*read) * float64(t.taken.runs)
+	if t == l.home && !c.Again {
 		read -= homeGain
 	}
-	wait := o.backlog + read + crowd - t.gain
+	wait := backlog + read + crowd - t.ownershipGain()
 	comfort := comfortShare * float64(t.tracker.memoryOf(t.Service))
-	if over := float64(o.held+o.copies+c.Work.Hold) - comfort; over > 0 {
+	if over := float64(t.taken.held+t.taken.copies+c.Work.Hold) - comfort; over > 0 {
 		wait += memoryCost * over / 1000
 	}
 	return wait
@@ -298,13 +272,14 @@
 // backlog is how long an engine still reads the prompts that came before, in
 // milliseconds, if it reads them one after the other. The caller holds the
 // mutex.
-func (t *Target) backlog(runs []Shared, now time.Time) float64 {
+func (t *Target) backlog(now time.Time) float64 {
+	if t.taken.unread == 0 {
+		return 0
+	}
+	runs := t.unreadRuns(now)
 	slices.SortFunc(runs, func(a, b Shared) int { return cmp.Compare(b.Age, a.Age) })
 	finish := math.Inf(-1) // relative to now
 	for _, r := range runs {
-		if r.Read == 0 {
-			continue
-		}
 		start := -float64(r.Age.Milliseconds())
 		// A prompt whose time is over but that is not read yet is held to
 		// need a while longer.
--- a/balance/silence.go
+++ b/balance/silence.go
@@ -17,6 +17,7 @@
 // nothing at all; a run whose events stop may only have been put back.
 func (t *Target) FellSilent(dark bool) {
 	t.tracker.mu.Lock()
+	t.noteSilent()
 	t.mute = uptime.Now()
 	t.silent = t.mute
 	if dark {
@@ -33,11 +34,11 @@
 	defer t.mu.Unlock()
 	now := uptime.Now()
 	var ids []string
-	for id, target := range t.byLife {
+	t.eachFailed(now, func(target *Target) {
 		if now.Sub(target.mute) < hallDoubtTime {
-			ids = append(ids, id)
+			ids = append(ids, target.life)
 		}
-	}
+	})
 	return ids
 }
 
@@ -50,6 +51,7 @@
 	now := uptime.Now()
 	for _, id := range ids {
 		if target := t.byLife[id]; target != nil && now.Sub(target.silent) > hallDoubtTime {
+			target.noteSilent()
 			target.silent = now
 		}
 	}
@@ -72,15 +74,14 @@
 // data hall have fallen silent since then that the others have, too, most
 // likely. The caller holds the mutex.
 func (t *Tracker) hallSilent(of *Target, since time.Time) bool {
-	all, silent := 0, 0
-	for _, target := range t.service[of.Service] {
-		if target.gone || target.DataHall != of.DataHall {
-			continue
-		}
-		all++
-		if target.silent.After(since) {
+	if of.hall == nil {
+		return false
+	}
+	silent := 0
+	for _, target := range of.pool.silent {
+		if target.hall == of.hall && !target.gone && target.silent.After(since) {
 			silent++
 		}
 	}
-	return silent >= hallDoubtLeast && float64(silent) >= hallDoubtShare*float64(all)
+	return silent >= hallDoubtLeast && float64(silent) >= hallDoubtShare*float64(of.hall.present)
 }
--- /dev/null
+++ b/balance/update_bench_test.go
@@ -0,0 +1,26 @@
+package balance
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+// BenchmarkUpdate shows what a new list costs of which one target leaves.
+func BenchmarkUpdate(b *testing.B) {
+	for _, engines := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			var ids []string
+			for i := range engines {
+				ids = append(ids, fmt.Sprint("engine-", i))
+			}
+			list := listed("s", "north", ids...)
+			tracker := newTracker(list...)
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				at := n % engines
+				tracker.Update(slices.Concat(list[:at], list[at+1:]))
+			}
+		})
+	}
+}
--- a/gateway/ask_test.go
+++ b/gateway/ask_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -209,16 +210,17 @@
 // While a run is under way, its target says what it wants, and the copy is lost.
 func ordersAfter(t *testing.T, word func(*balance.Target)) []string {
 	s := &copySite{}
+	others := []*fakeTarget{newFakeTarget(t, "i-2", "draft", "south", draft(nil)), newFakeTarget(t, "i-3", "draft", "west", draft(nil)),
+		newFakeTarget(t, "i-4", "draft", "east", draft(nil))}
 	source := newFakeTarget(t, "i-1", "draft", "north", copying(http.StatusOK, draft(func(f *fakeTarget, c net.Conn, n int) bool {
 		if n == 3 {
 			word(s.target(f.id))
-			s.tracker.SetEnded([]string{"i-2", "i-3"}) // whichever keeps the copy
+			at := slices.IndexFunc(others, func(o *fakeTarget) bool { return o.l.Addr().String() == f.seen()[0].Header.Get("X-Copy-To") })
+			s.tracker.SetEnded([]string{others[at].id})
 		}
 		time.Sleep(copyWatch + 10*time.Millisecond)
 		return true
 	})))
-	others := []*fakeTarget{newFakeTarget(t, "i-2", "draft", "south", draft(nil)), newFakeTarget(t, "i-3", "draft", "west", draft(nil)),
-		newFakeTarget(t, "i-4", "draft", "east", draft(nil))}
 	s.site = newSite(t, append(others, source), WithStall(10*time.Second))
 	_, body, err := do(t, s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000", "X-Usage", "100,60", "X-Prefix", "part-1"))
 	require.NoError(t, err)
