Entries are told of each other by changes, with where they stand

Cause: each answer to an entry worked out all entries anew (sorted, joined, hashed), a change of one sent all addresses to all, and each answer, changed or not, had a node resolve all addresses and work its layout out again. Where peers stand was asked of each peer: with 984 nodes a million questions after a start of all, and a layout for each answer. Changes of the list of targets were worked out for each holder of an older one.

Now the control group keeps versions of the entries with data hall and disk, and tells changes, worked out once for each older version; relays pass them on. A node whose peers are the same only notes that they are still there. Names are ranked with one hash each. Older builds are told all addresses as before, and relays of older builds are understood.

Tests: TestEntriesFollowTheDirectory; the older tests of entries ask as older builds do.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -148,10 +148,9 @@
 type Target struct {
 	discovery.Target
 	tracker   *Tracker
-	entry     discovery.Target // as it was listed last
-	listed    uint64           // number of the list that held it last
-	order     uint64           // among all that were ever listed
-	pool      *pool            // nil while it is not listed
+	listed    uint64 // number of the list that held it last
+	order     uint64 // among all that were ever listed
+	pool      *pool  // nil while it is not listed
 	hall      *hallPool
 	level     int    // of the data hall's targets alike, those that it is among
 	place     int    // among these
@@ -216,7 +215,7 @@
 	for i := range list {
 		entry := &list[i]
 		known := t.byID[entry.ID]
-		if known == nil || known.entry != *entry {
+		if known == nil || !known.is(entry) {
 			known = t.put(entry, now, &removed)
 		}
 		if known.listed != t.reading {
@@ -242,7 +241,6 @@
 func (t *Tracker) put(entry *discovery.Target, now time.Time, removed *[]string) *Target {
 	before := t.byID[entry.ID]
 	target := t.lifeOf(*entry, now)
-	target.entry = *entry
 	if before == target && target.life == target.indexedAs && target.pool != nil {
 		t.hold(target)
 		return target
--- a/balance/life.go
+++ b/balance/life.go
@@ -43,9 +43,21 @@
 	return known
 }
 
+// is reports whether an entry says of the target what is known.
+func (t *Target) is(entry *discovery.Target) bool {
+	as := t.Target
+	if entry.State == discovery.TargetReady {
+		as.State = entry.State // a target that leaves does not come back
+	}
+	if entry.Born == 0 {
+		as.Born = 0
+	}
+	return as == *entry
+}
+
 // take takes what an entry says of the target. Most entries that change say only that
 // it leaves: nothing else is written then, since other fields are read without the
-// mutex. A target that leaves does not come back. The caller holds the mutex.
+// mutex. The caller holds the mutex.
 func (t *Target) take(entry discovery.Target) {
 	leaves := entry.State == discovery.TargetDraining
 	entry.State = t.State
@@ -68,10 +80,7 @@
 }
 
 func (t *Tracker) newTarget(entry discovery.Target, now time.Time) *Target {
-	return &Target{
-		Target: entry, tracker: t, since: now, life: entry.Life(),
-		runs: map[*Run]struct{}{}, others: map[string]otherRuns{},
-	}
+	return &Target{Target: entry, tracker: t, since: now, life: entry.Life()}
 }
 
 // nextLife returns the target that an older life of it has become. The caller
--- a/balance/run.go
+++ b/balance/run.go
@@ -44,6 +44,9 @@
 	t.tracker.mu.Lock()
 	r.number = t.tracker.nextNumber()
 	r.alone = w != (Work{}) && !w.Cached && t.taken.unread == 0
+	if t.runs == nil {
+		t.runs = map[*Run]struct{}{} // most of many targets never get one
+	}
 	t.runs[r] = struct{}{}
 	if w != (Work{}) {
 		t.tracker.running[r] = struct{}{}
@@ -441,6 +444,9 @@
 			for i := range of {
 				holders[i] = t.byLife[of[i].Trace.Copy]
 			}
+			if target.others == nil {
+				target.others = map[string]otherRuns{}
+			}
 			target.others[node] = otherRuns{told: told, runs: of, holders: holders}
 			told.targets = append(told.targets, target)
 		}
--- a/control/client.go
+++ b/control/client.go
@@ -48,12 +48,12 @@
 type Client struct {
 	peers       Peers
 	adopt       AdoptFunc
-	entry       string         // this node's address among the entries, empty if it is none
-	seen        func([]string) // is told the entries
-	entries     []string       // as last told
-	entriesHeld uint64         // their version
-	fed         FedFunc        // is told the leader's list of targets
-	held        uint64         // version of that list
+	entry       EntryPlace   // this node among the entries; without an address if it is none
+	seen        SeenFunc     // is told the entries
+	entries     []EntryPlace // as last told
+	entriesHeld uint64       // their version
+	fed         FedFunc      // is told the leader's list of targets
+	held        uint64       // version of that list
 	list        []discovery.Target
 	fast        bool // nodes of the group come and go, so silence is given up on early
 	whole       bool // the change to the newest document did not fit: the whole is asked for
@@ -221,7 +221,7 @@
 	have := c.Version()
 	args := NewestArgs{
 		Have: have, Wait: wait, Unconfirmed: c.fast && have == 0,
-		Entry: c.entry, Life: c.life, Entries: c.entriesHeld, Roster: c.held, DataHall: c.hall,
+		Entry: c.entry.Address, Life: c.life, Entries: c.entriesHeld, Directory: true, Disk: c.entry.Disk, Roster: c.held, DataHall: c.hall,
 	}
 	if c.whole {
 		args.Have = 0
--- a/control/feed.go
+++ b/control/feed.go
@@ -34,20 +34,34 @@
 	c.fed(list, false, r.Age)
 }
 
-// AsEntry makes the node known as an entry of a data hall at an address, and has
-// the addresses of all entries told to seen. It must be called before Start.
-func (c *Client) AsEntry(address, dataHall string, seen func([]string)) {
-	c.entry, c.hall, c.seen = address, dataHall, seen
+// SeenFunc takes the entries of the site; same says that they are those taken last, and
+// entries is nil then. It must not change them.
+type SeenFunc func(entries []EntryPlace, same bool)
+
+// AsEntry makes the node known as an entry, and has all entries told to seen. It must be
+// called before Start.
+func (c *Client) AsEntry(as EntryPlace, seen SeenFunc) {
+	c.entry, c.hall, c.seen = as, as.DataHall, seen
 }
 
-// takeEntries hands the addresses of all entries on. A reply without them says
-// that they are those that this node knows.
+// takeEntries hands the entries on that an answer tells of.
 func (c *Client) takeEntries(r *NewestReply) {
-	if c.seen == nil || r.EntriesVersion == 0 {
+	told := &r.Directory
+	if told.Version == 0 && r.EntriesVersion != 0 { // an older build's
+		told = &DirectoryReply{Version: r.EntriesVersion, Joined: placesOf(r.Entries)}
+	}
+	if c.seen == nil || told.Version == 0 {
 		return
 	}
-	if r.EntriesVersion != c.entriesHeld {
-		c.entriesHeld, c.entries = r.EntriesVersion, r.Entries
+	if told.Version == c.entriesHeld {
+		c.seen(nil, true)
+		return
+	}
+	entries, ok := told.apply(c.entriesHeld, c.entries)
+	if !ok {
+		c.entriesHeld = 0 // all are asked for next
+		return
 	}
-	c.seen(c.entries)
+	c.entriesHeld, c.entries = told.Version, entries
+	c.seen(entries, false)
 }
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -199,7 +199,7 @@
 	})
 	e.agent = rollout.NewAgent(uint64(i))
 	e.client.WithRollouts(e.agent)
-	e.client.AsEntry(host, hallOf(i), func([]string) {})
+	e.client.AsEntry(control.EntryPlace{Address: host, DataHall: hallOf(i)}, func([]control.EntryPlace, bool) {})
 	e.client.FeedTargets(func(list []discovery.Target, same bool, _ time.Duration) {
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- a/control/messages.go
+++ b/control/messages.go
@@ -32,8 +32,14 @@
 	Entry string
 	// Life names the asker's process, where it is an entry.
 	Life uint64
-	// Entries is the version of the entries' addresses that the asker holds.
+	// Entries is the version of the directory of entries that the asker holds.
 	Entries uint64
+	// Directory says that the asker takes changes of the directory, and places.
+	Directory bool
+	// Disk says that the entry keeps files over a loss of power; RelayedDisks names
+	// those of the relayed entries that do.
+	Disk         bool
+	RelayedDisks []string
 	// Versions is the revision of the view of versions that the asker holds;
 	// anyVersions where it needs none.
 	Versions uint64
@@ -63,10 +69,12 @@
 	Group []walnutramp.NodeName
 	// Unconfirmed says that a newer one may be in force.
 	Unconfirmed bool
-	// Entries are the addresses of entries that asked lately, where the asker
-	// holds another version of them. The version is 0 where none are told.
+	// Entries are the addresses of entries that asked lately, for an asker of an
+	// older build that holds another version of them; 0 where none are told.
 	Entries        []string
 	EntriesVersion uint64
+	// Directory tells of the entries in their place, where the asker takes that.
+	Directory DirectoryReply
 	// Roster is the leader's list of targets, where the asker holds another.
 	Roster RosterReply
 	// Versions is the view of the services' versions, where the asker holds an
--- a/control/relay.go
+++ b/control/relay.go
@@ -122,8 +122,7 @@
 	asked    time.Time     // when the newest word was asked for
 	version  uint64        // that it confirmed as the newest
 	whole    bool          // the whole list of targets is needed
-	entries  uint64        // version of the entries that it named
-	everyone []string      // these entries
+	everyone directory     // the entries, as it named them
 	share    passedWord    // on the entries that this member answers
 	told     chan struct{} // closed when a newer word is there
 }
@@ -153,7 +152,7 @@
 func (r *Relay) needed() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.everyone) > relayedFrom
+	return len(r.everyone.newest().entries) > relayedFrom
 }
 
 // ask asks the leader once, and waits for news there.
@@ -182,8 +181,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	args := NewestArgs{
-		Have: held.Version, Wait: renewWait, Entries: r.entries, Versions: anyVersions,
-		DataHall: r.hall, Relay: string(r.node), Relayed: r.server.entries.all(),
+		Have: held.Version, Wait: renewWait, Entries: r.everyone.newest().version, Directory: true, Versions: anyVersions,
+		DataHall: r.hall, Relay: string(r.node), Relayed: r.server.entries.all(), RelayedDisks: r.server.entries.disks(),
 	}
 	if r.server.roster != nil && !r.whole {
 		args.Roster, _ = r.server.roster.held()
@@ -201,9 +200,34 @@
 	r.asked, r.version = asked, reply.Version
 	close(r.told)
 	r.told = make(chan struct{})
-	if reply.EntriesVersion != 0 && reply.EntriesVersion != r.entries {
-		r.entries, r.everyone = reply.EntriesVersion, reply.Entries
+	r.takeDirectory(&reply)
+}
+
+// takeDirectory keeps the entries that the leader named. The caller holds the mutex.
+func (r *Relay) takeDirectory(reply *NewestReply) {
+	told, held := &reply.Directory, r.everyone.newest()
+	if told.Version == 0 && reply.EntriesVersion != 0 && reply.Entries != nil { // an older build's
+		told = &DirectoryReply{Version: reply.EntriesVersion, Joined: placesOf(reply.Entries)}
+	}
+	if told.Version == 0 || told.Version == held.version {
+		return
+	}
+	entries, ok := told.apply(held.version, held.entries)
+	if !ok {
+		r.everyone = directory{} // all are asked for next
+		return
 	}
+	slices.SortFunc(entries, byAddress)
+	r.everyone.add(directoryVersion{version: told.Version, entries: entries, changes: map[uint64]*DirectoryReply{}})
+}
+
+// placesOf returns entries of which only the addresses are known.
+func placesOf(addresses []string) []EntryPlace {
+	places := make([]EntryPlace, len(addresses))
+	for i, a := range addresses {
+		places[i].Address = a
+	}
+	return places
 }
 
 // takeRoster keeps the leader's list of targets; false if it does not fit. The
@@ -253,10 +277,7 @@
 	if s.roster != nil {
 		reply.Roster = s.roster.told(args.Roster)
 	}
-	reply.Entries, reply.EntriesVersion = slices.Clone(r.everyone), r.entries
-	if r.entries == args.Entries {
-		reply.Entries = nil
-	}
+	r.everyone.tell(args, reply)
 	return true
 }
 
--- a/control/relay_test.go
+++ b/control/relay_test.go
@@ -26,7 +26,7 @@
 	}
 	asked, answer := args.(NewestArgs), reply.(*NewestReply)
 	p.leader.noteAskers(asked)
-	answer.Entries, answer.EntriesVersion = p.leader.entries.told(asked)
+	p.leader.entries.tell(asked, answer)
 	p.leader.await(ctx, asked)
 	p.leader.fill(asked, answer)
 	answer.Roster = p.leader.roster.since(asked.Roster)
@@ -38,7 +38,7 @@
 	rule := WithRule(AcceptHighest)
 	peers := &leaderPeers{leader: NewOpenServer(nil, NewState(rule), nil, NewRoster())}
 	for i := range relayedFrom + 1 {
-		peers.leader.entries.note(fmt.Sprint("e", i))
+		peers.leader.entries.note(EntryPlace{Address: fmt.Sprint("e", i)})
 	}
 	member := NewOpenServer(nil, NewState(rule), nil, NewRoster())
 	return peers, member, NewRelay(peers, "relay", "north", nil, member)
@@ -172,11 +172,14 @@
 		require.True(t, relay.ask(t.Context(), "leader"))
 		require.Equal(t, relayedFrom+1, peers.leader.entries.count())
 		require.True(t, relay.needed())
-		peers.leader.entries.note("elsewhere")
+		peers.leader.entries.note(EntryPlace{Address: "elsewhere"})
 		require.True(t, relay.ask(t.Context(), "leader"))
 		reply, ok := askRelay(member, NewestArgs{Entry: "e1"})
 		require.True(t, ok)
 		require.Contains(t, reply.Entries, "elsewhere")
+		reply, ok = askRelay(member, NewestArgs{Entry: "e1", DataHall: "north", Directory: true})
+		require.True(t, ok)
+		require.Contains(t, reply.Directory.Joined, EntryPlace{Address: "elsewhere"})
 		peers.cut = true
 		require.False(t, relay.ask(t.Context(), "leader"))
 	})
--- a/control/report_client.go
+++ b/control/report_client.go
@@ -118,7 +118,7 @@
 }
 
 func (t *teller) report() TellArgs {
-	args := TellArgs{Node: t.client.entry, Life: t.life, Demand: t.newDemand()}
+	args := TellArgs{Node: t.client.entry.Address, Life: t.life, Demand: t.newDemand()}
 	if t.client.usage != nil {
 		args.Usage = t.client.usage.Report(t.to == 0)
 	}
--- a/control/rollout_client.go
+++ b/control/rollout_client.go
@@ -62,7 +62,7 @@
 	}
 	asked := uptime.Now()
 	var reply ReportReply
-	args := ReportArgs{Node: c.entry, Life: r.life, Judge: r.judge, Cells: c.agent.Report(r.judge)}
+	args := ReportArgs{Node: c.entry.Address, Life: r.life, Judge: r.judge, Cells: c.agent.Report(r.judge)}
 	err := c.peers.Call(ctx, r.leader, Service+".Report", args, &reply)
 	if err != nil || reply.Code != walnutramp.CodeOK {
 		klog.V(1).InfoS("Report not taken", "asked", r.leader, "code", int(reply.Code), "err", err)
--- a/control/roster.go
+++ b/control/roster.go
@@ -32,6 +32,9 @@
 	list    []discovery.Target
 	encoded []byte
 	packed  packed // made when it is first asked for
+	// changes lead here from older readings; each is worked out once, when it is
+	// first asked for.
+	changes map[uint64]*RosterChange
 }
 
 // keepRosters is how many past readings are kept to tell changes from.
@@ -57,12 +60,14 @@
 	Put     []discovery.Target // new or changed
 }
 
+func targetID(t discovery.Target) string { return t.ID }
+
 // Set takes a reading. The order of targets in it means nothing.
 func (r *Roster) Set(list []discovery.Target) {
 	list = slices.Clone(list)
 	slices.SortFunc(list, func(a, b discovery.Target) int { return cmp.Compare(a.ID, b.ID) })
 	encoded := encodeList(list)
-	next := rosterVersion{version: max(1, xxhash.Sum64(encoded)), list: list, encoded: encoded}
+	next := rosterVersion{version: max(1, xxhash.Sum64(encoded)), list: list, encoded: encoded, changes: map[uint64]*RosterChange{}}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.read = uptime.Now()
@@ -182,17 +187,31 @@
 	if version == newest.version {
 		return reply
 	}
-	for _, before := range r.past {
-		if before.version == version {
-			change := changeOf(before.list, newest.list)
-			reply.From, reply.Change = version, &change
-			return reply
-		}
+	if change := r.changeFrom(version); change != nil {
+		reply.From, reply.Change = version, change
+		return reply
 	}
 	reply.List = newest.encoded
 	return reply
 }
 
+// changeFrom returns what leads from a reading to the newest, nil where that one is not
+// kept. The caller holds the mutex.
+func (r *Roster) changeFrom(version uint64) *RosterChange {
+	newest := r.newest()
+	if change := newest.changes[version]; change != nil {
+		return change
+	}
+	at := slices.IndexFunc(r.past, func(v rosterVersion) bool { return v.version == version })
+	if at < 0 {
+		return nil
+	}
+	var change RosterChange
+	change.Removed, change.Put = difference(r.past[at].list, newest.list, targetID)
+	newest.changes[version] = &change
+	return &change
+}
+
 func (r *Roster) watch(version uint64) (changed <-chan struct{}, other bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -200,44 +219,6 @@
 	return r.changed, newest != 0 && newest != version
 }
 
-// changeOf returns what turns one list into another.
-func changeOf(from, to []discovery.Target) RosterChange {
-	var c RosterChange
-	before := make(map[string]discovery.Target, len(from))
-	for _, t := range from {
-		before[t.ID] = t
-	}
-	for _, t := range to {
-		if known, ok := before[t.ID]; !ok || known != t {
-			c.Put = append(c.Put, t)
-		}
-		delete(before, t.ID)
-	}
-	for id := range before {
-		c.Removed = append(c.Removed, id)
-	}
-	slices.Sort(c.Removed)
-	return c
-}
-
-// apply returns a list with a change made in it.
-func (c *RosterChange) apply(list []discovery.Target) []discovery.Target {
-	out := make(map[string]bool, len(c.Removed)+len(c.Put))
-	for _, id := range c.Removed {
-		out[id] = true
-	}
-	for _, t := range c.Put {
-		out[t.ID] = true
-	}
-	next := make([]discovery.Target, 0, len(list)+len(c.Put))
-	for _, t := range list {
-		if !out[t.ID] {
-			next = append(next, t)
-		}
-	}
-	return append(next, c.Put...)
-}
-
 // Targets returns the list that a reply tells of, by the one that the asker
 // holds under a version.
 func (r RosterReply) Targets(held uint64, list []discovery.Target) ([]discovery.Target, error) {
@@ -245,7 +226,7 @@
 		if r.From != held {
 			return nil, errors.Newf("the change is of list %x, %x is held", r.From, held)
 		}
-		return r.Change.apply(list), nil
+		return applied(list, r.Change.Removed, r.Change.Put, targetID), nil
 	}
 	var whole []discovery.Target
 	return whole, msgpack.Unmarshal(r.List, &whole)
--- a/control/roster_test.go
+++ b/control/roster_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -82,8 +84,10 @@
 func TestEntriesAreToldOnlyWhenTheyChange(t *testing.T) {
 	var e entries
 	asks := func(entry string, held uint64) ([]string, uint64) {
-		e.note(entry)
-		return e.told(NewestArgs{Entry: entry, Entries: held})
+		var reply NewestReply
+		e.note(EntryPlace{Address: entry})
+		e.tell(NewestArgs{Entry: entry, Entries: held}, &reply)
+		return reply.Entries, reply.EntriesVersion
 	}
 	first, version := asks("10.0.0.1:1", 0)
 	require.Equal(t, []string{"10.0.0.1:1"}, first)
@@ -97,3 +101,43 @@
 	require.Nil(t, none)
 	require.Zero(t, zero)
 }
+
+// An entry that asks now and then knows who is there and where, whatever it missed, and
+// is told changes only.
+func TestEntriesFollowTheDirectory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rng := rand.New(rand.NewPCG(1, 1))
+		var e entries
+		place := func(i int) EntryPlace {
+			return EntryPlace{Address: fmt.Sprintf("10.0.0.%03d:1", i), DataHall: fmt.Sprint("hall-", i%3), Disk: i%50 == 0}
+		}
+		for i := range 300 {
+			e.note(place(i))
+		}
+		asker := &Client{entry: place(0), seen: func([]EntryPlace, bool) {}}
+		told, asked := 0, 0
+		for range 400 {
+			time.Sleep(100 * time.Millisecond)
+			for i := range 300 {
+				if (i+asked)%97 > 2 { // some are silent for a while
+					e.note(place(i))
+				}
+			}
+			if rng.IntN(3) > 0 {
+				continue
+			}
+			e.note(asker.entry)
+			var reply NewestReply
+			e.tell(asker.question(0), &reply)
+			asker.takeEntries(&reply)
+			asked++
+			told += len(reply.Directory.Joined) + len(reply.Directory.Left)
+			have := slices.Clone(asker.entries)
+			slices.SortFunc(have, byAddress)
+			e.mu.Lock()
+			require.Equal(t, e.current().newest().entries, have)
+			e.mu.Unlock()
+		}
+		require.Less(t, told, 300+asked*30)
+	})
+}
--- a/control/server.go
+++ b/control/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -84,11 +85,11 @@
 		reply.Group = s.member.Status().Group.Nodes()
 	}
 	s.noteAskers(args)
-	reply.Entries, reply.EntriesVersion = s.entries.told(args)
 	leads := s.member.Leads()
 	if !leads && args.Entry != "" && s.relay.answer(ctx, s, args, reply) {
 		return nil
 	}
+	s.entries.tell(args, reply)
 	if !leads && args.Unconfirmed {
 		s.fill(args, reply)
 		reply.Unconfirmed, reply.Leader = true, s.member.Leader()
@@ -152,9 +153,9 @@
 
 // noteAskers notes who is there: the asker, and those it relays to.
 func (s *Server) noteAskers(args NewestArgs) {
-	s.entries.note(args.Entry)
+	s.entries.note(EntryPlace{Address: args.Entry, DataHall: args.DataHall, Disk: args.Disk})
 	for _, entry := range args.Relayed {
-		s.entries.note(entry)
+		s.entries.note(EntryPlace{Address: entry, DataHall: args.DataHall, Disk: slices.Contains(args.RelayedDisks, entry)})
 	}
 	s.relays.note(args.DataHall, args.Relay)
 	s.sharing.note(args)
--- a/control/sharing_site_test.go
+++ b/control/sharing_site_test.go
@@ -29,7 +29,7 @@
 func (g *group) startEntry(i int) *sharingEntry {
 	e := &sharingEntry{part: quota.NewHolder(sharedSpan)}
 	e.Client = control.NewDocumentClient(peers{g, "client"}, g.names, func(uint64, []byte) error { return nil })
-	e.AsEntry(fmt.Sprint("e", i), "hall", func([]string) {})
+	e.AsEntry(control.EntryPlace{Address: fmt.Sprint("e", i), DataHall: "hall"}, func([]control.EntryPlace, bool) {})
 	e.WithQuota(e.part)
 	e.Start()
 	return e
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -13,9 +13,22 @@
 // Weight returns how high a name ranks for a key.
 func Weight(key, name string) uint64 { return xxhash.Sum64String(key + "@" + name) }
 
+// ranked is a name with its weight for a key.
+type ranked struct {
+	name   string
+	weight uint64
+}
+
 // Sort puts names in order, the one that ranks highest for the key first.
 func Sort(names []string, key string) {
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(Weight(key, b), Weight(key, a)), cmp.Compare(a, b))
+	all := make([]ranked, len(names))
+	for i, name := range names {
+		all[i] = ranked{name: name, weight: Weight(key, name)}
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
 	})
+	for i, r := range all {
+		names[i] = r.name
+	}
 }
--- a/loadshare/ends_test.go
+++ b/loadshare/ends_test.go
@@ -120,7 +120,7 @@
 // What is wrong in a note that another node tells changes nothing else.
 func TestGarbledEndsChangeNothing(t *testing.T) {
 	s, _ := newNode(t)
-	s.SetPeers([]string{"127.0.0.1:9"})
+	s.SetPeers(peersAt([]string{"127.0.0.1:9"}))
 	s.take("127.0.0.1:9", message{Sequence: 5, Ends: []endNote{
 		{Content: uint64(fatal), Target: 1, Standing: 99, AgeMS: 1}, {Content: uint64(fatal), Target: 2, Standing: -1, AgeMS: -1 << 63, RanMS: 1<<63 - 1},
 		{Content: uint64(fatal), Target: 3, Standing: int(quarantine.Begun), AgeMS: 1<<63 - 1},
--- a/loadshare/failures_test.go
+++ b/loadshare/failures_test.go
@@ -291,7 +291,7 @@
 	s := New(network.listen(addressOf(0)), balance.NewTracker(balance.WithSeed(1)),
 		balance.NewBudgets(balance.BudgetConfig{Ratio: 1, Slack: 10, Window: time.Second}), WithDataHall("a"))
 	peer := addressOf(1)
-	s.SetPeers([]string{peer})
+	s.SetPeers(peersAt([]string{peer}))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		m, err := decode(text)
 		if err != nil {
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -46,7 +45,8 @@
 
 	mu      sync.Mutex
 	peers   map[string]*net.UDPAddr
-	named   map[string]time.Time       // when a peer was last named
+	namedAt time.Time                  // when the newest peers were named last
+	unnamed map[string]time.Time       // peers that the newest naming lacks: when they were named last
 	heard   map[string]*sender         // by address
 	layout  *layout                    // nil if it is to be worked out anew
 	lookups uint64                     // numbers lookups
@@ -81,7 +81,7 @@
 		relay: newRelay(), feeds: map[feedKey]*feed{}, missed: map[string]time.Time{}, asked: map[uint64]chan *traceNote{},
 		news: make(chan struct{}, 1), started: uptime.Now(),
 		borrows: borrowing{pending: map[uint64]*pendingBorrow{}, vain: map[string]time.Time{}},
-		peers:   map[string]*net.UDPAddr{}, named: map[string]time.Time{}, heard: map[string]*sender{},
+		peers:   map[string]*net.UDPAddr{}, unnamed: map[string]time.Time{}, heard: map[string]*sender{},
 	}
 	// A sender that restarts begins at a later time, and so higher.
 	s.sequence.Store(uint64(time.Now().UnixNano()))
@@ -118,46 +118,118 @@
 // else can name them.
 const strangerTime = 2 * time.Second
 
-// SetPeers names the nodes that are there, by numeric host:port.
-func (s *Sharer) SetPeers(addresses []string) {
-	if s.setPeers(addresses) {
-		s.askForEnds(addresses)
+// Peer is a node that is there.
+type Peer struct {
+	Address  string // numeric host:port
+	DataHall string // empty if it is not known: the peer is asked
+	Disk     bool   // it keeps traces over a loss of power
+}
+
+// SetPeers names the nodes that are there.
+func (s *Sharer) SetPeers(peers []Peer) {
+	if first, changed := s.setPeers(peers); changed {
+		s.peersChanged()
+		if first {
+			s.askForEnds()
+		}
+	}
+}
+
+// PeersStill says that those named last are still there.
+func (s *Sharer) PeersStill() {
+	if s.confirmPeers() {
+		s.peersChanged()
+	}
+}
+
+// confirmPeers notes that the newest peers are still there, and forgets those that were
+// not named for long. It reports whether there were any.
+func (s *Sharer) confirmPeers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.namedAt = uptime.Now()
+	return s.forgetUnnamed()
+}
+
+// forgetUnnamed drops the peers that were not named for long, and reports whether there
+// were any. The caller holds the mutex.
+func (s *Sharer) forgetUnnamed() (dropped bool) {
+	for a, named := range s.unnamed {
+		if uptime.Since(named) >= peerLife {
+			delete(s.unnamed, a)
+			delete(s.peers, a)
+			delete(s.heard, a)
+			dropped = true
+		}
 	}
+	return dropped
 }
 
-// setPeers takes the nodes that are there, and reports whether they are the
-// first that this one is told of.
-func (s *Sharer) setPeers(addresses []string) (first bool) {
+// setPeers takes the nodes that are there. It reports whether that changes anything, and
+// whether they are the first that this node is told of.
+func (s *Sharer) setPeers(named []Peer) (first, changed bool) {
 	own := s.conn.LocalAddr().String()
-	now := uptime.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	peers := make(map[string]*net.UDPAddr, len(addresses))
-	for _, a := range addresses {
-		addr, err := net.ResolveUDPAddr("udp", a)
-		if err == nil && a != own {
-			peers[a] = addr
-			s.named[a] = now
+	first = len(s.peers) == 0
+	before := s.namedAt
+	s.namedAt = uptime.Now()
+	now := make(map[string]bool, len(named))
+	for _, p := range named {
+		now[p.Address] = true
+		if p.Address != own && s.addPeer(p) {
+			changed = true
 		}
 	}
-	for a, addr := range s.peers {
-		if now.Sub(s.named[a]) < peerLife {
-			peers[a] = addr
-		} else if peers[a] == nil {
-			delete(s.named, a)
-			delete(s.heard, a)
+	for a := range s.peers {
+		if _, known := s.unnamed[a]; !known && !now[a] {
+			s.unnamed[a] = before
+		}
+	}
+	changed = s.forgetUnnamed() || changed
+	return first && len(s.peers) > 0, changed
+}
+
+// addPeer notes a peer and where it stands, and reports whether that is new. The caller
+// holds the mutex.
+func (s *Sharer) addPeer(p Peer) (changed bool) {
+	delete(s.unnamed, p.Address)
+	if s.peers[p.Address] == nil {
+		addr, err := net.ResolveUDPAddr("udp", p.Address)
+		if err != nil {
+			klog.ErrorS(err, "Peer not taken", "address", p.Address)
+			return false
 		}
+		s.peers[p.Address] = addr
+		changed = true
 	}
-	if len(peers) > len(s.peers) {
-		s.Changed()
+	if p.DataHall == "" {
+		return changed
 	}
-	first = len(s.peers) == 0 && len(peers) > 0
-	s.peers, s.layout = peers, nil
-	s.tracker.SetNodes(own, slices.Collect(maps.Keys(peers)))
-	s.tracker.SetFarLag(s.farLag(len(peers)))
-	s.tracker.SetNewsLag(s.newsLag(len(peers)))
-	s.tracker.SetRegionLag(s.regionLag(len(peers)))
-	return first
+	heard := s.heard[p.Address]
+	if heard == nil {
+		heard = &sender{}
+		s.heard[p.Address] = heard
+	}
+	if at := (place{dataHall: p.DataHall, disk: p.Disk}); heard.place != at {
+		heard.place = at
+		changed = true
+	}
+	return changed
+}
+
+// peersChanged has all go by the peers that there are now.
+func (s *Sharer) peersChanged() {
+	own := s.conn.LocalAddr().String()
+	s.mu.Lock()
+	s.layout = nil
+	nodes := slices.Collect(maps.Keys(s.peers))
+	s.mu.Unlock()
+	s.tracker.SetNodes(own, nodes)
+	s.tracker.SetFarLag(s.farLag(len(nodes)))
+	s.tracker.SetNewsLag(s.newsLag(len(nodes)))
+	s.tracker.SetRegionLag(s.regionLag(len(nodes)))
+	s.Changed()
 }
 
 // startAsks is how many peers a node that starts asks what it missed: one may
@@ -167,9 +239,10 @@
 // askForEnds asks peers under which requests targets ended: such a request may
 // be the first that comes. Without it a node that was started again learned of
 // it after a second, and two targets ended meanwhile.
-func (s *Sharer) askForEnds(addresses []string) {
-	some := without(addresses, s.conn.LocalAddr().String())
-	rand.Shuffle(len(some), func(i, j int) { some[i], some[j] = some[j], some[i] })
+func (s *Sharer) askForEnds() {
+	s.mu.Lock()
+	some := slices.Collect(maps.Keys(s.peers)) // in no order
+	s.mu.Unlock()
 	s.sendTo(s.addressesOf(some[:min(startAsks, len(some))]), message{AsksEnds: true})
 }
 
--- a/loadshare/loadshare_test.go
+++ b/loadshare/loadshare_test.go
@@ -33,8 +33,8 @@
 	here, hereTracker := newNode(t)
 	there, thereTracker := newNode(t)
 	both := []string{here.conn.LocalAddr().String(), there.conn.LocalAddr().String()}
-	here.SetPeers(both)
-	there.SetPeers(both)
+	here.SetPeers(peersAt(both))
+	there.SetPeers(peersAt(both))
 	choice := balance.Choice{Service: "s", Work: balance.Work{Read: 8000, Hold: 8000}}
 	hereTracker.Pick(choice).Begin(balance.Work{Read: 90000, Hold: 90000}, balance.Trace{})
 	taken := hereTracker.Runs()[0].Target
@@ -52,7 +52,7 @@
 func TestStrangersAndOldMessagesAreDropped(t *testing.T) {
 	s, tracker := newNode(t)
 	s.started = time.Now().Add(-strangerTime)
-	s.SetPeers([]string{"127.0.0.1:9"})
+	s.SetPeers(peersAt([]string{"127.0.0.1:9"}))
 	heavy := message{Sequence: 5, Runs: []run{{Number: 1, Target: "1", Read: 90000, Hold: 90000}, {Number: 2, Target: "2", Hold: 1, Read: -5}}}
 	choice := balance.Choice{Service: "s", Work: balance.Work{Read: 8000, Hold: 8000}}
 	expected := func(id string) time.Duration {
@@ -75,12 +75,12 @@
 
 func TestOldPeersAreForgotten(t *testing.T) {
 	s, _ := newNode(t)
-	s.SetPeers([]string{"127.0.0.1:9", "127.0.0.1:10", s.conn.LocalAddr().String(), "nonsense"})
+	s.SetPeers(peersAt([]string{"127.0.0.1:9", "127.0.0.1:10", s.conn.LocalAddr().String(), "nonsense"}))
 	require.Len(t, s.peers, 2, "itself and what is no address are left out")
-	s.SetPeers([]string{"127.0.0.1:9"})
+	s.SetPeers(peersAt([]string{"127.0.0.1:9"}))
 	require.Len(t, s.peers, 2, "a new leader may not know all yet")
-	s.named["127.0.0.1:10"] = time.Now().Add(-peerLife)
-	s.SetPeers([]string{"127.0.0.1:9"})
+	s.unnamed["127.0.0.1:10"] = time.Now().Add(-peerLife)
+	s.SetPeers(peersAt([]string{"127.0.0.1:9"}))
 	require.Len(t, s.peers, 1)
 }
 
@@ -108,8 +108,8 @@
 	addresses := []string{here.LocalAddr().String(), there.LocalAddr().String()}
 	withDisk, hereTracker, killHere := start(here, WithMemory(file))
 	without, thereTracker, killThere := start(there)
-	withDisk.SetPeers(addresses)
-	without.SetPeers(addresses)
+	withDisk.SetPeers(peersAt(addresses))
+	without.SetPeers(peersAt(addresses))
 	run := thereTracker.Pick(balance.Choice{Service: "s"}).Begin(balance.Work{Read: 1, Hold: 1}, balance.Trace{Key: "part-1", CopyName: "run-1", Copy: "2"})
 	run.FirstEvent()
 	require.Eventually(t, func() bool { at, _ := hereTracker.FindCopy("part-1"); return at != nil }, 5*time.Second, 5*time.Millisecond)
--- a/loadshare/memory.go
+++ b/loadshare/memory.go
@@ -53,11 +53,20 @@
 		return
 	}
 	klog.InfoS("Traces read", "runs", len(m.Traces), "age", age, "peers", len(m.Peers))
-	s.SetPeers(m.Peers)
+	s.SetPeers(peersAt(m.Peers))
 	s.tracker.Remember(m.Traces, age)
 	s.Changed()
 }
 
+// peersAt returns peers of which only the addresses are known.
+func peersAt(addresses []string) []Peer {
+	peers := make([]Peer, len(addresses))
+	for i, a := range addresses {
+		peers[i].Address = a
+	}
+	return peers
+}
+
 // recallEnds takes the notes of targets that ended under requests, which count
 // for longer than traces do. Where the time of day was set back meanwhile, they
 // are held to be newer than they are.
--- a/loadshare/relay.go
+++ b/loadshare/relay.go
@@ -15,6 +15,8 @@
 	originLife = 3 * time.Second
 	// reportLate is when a node's report is overdue: it comes every second.
 	reportLate = 1500 * time.Millisecond
+	// expireEvery is the pause between two looks for nodes that report no more.
+	expireEvery = 250 * time.Millisecond
 	// Repairs that fill a link lose more than they make good. So whoever is told
 	// everything takes from a budget, in runs and nodes of some 25 bytes: 0.2 MB a
 	// second of the 1.2 that the slowest links known of carry.
@@ -56,6 +58,7 @@
 	origins map[uint32]*origin
 	budget  float64    // for telling everything
 	filled  time.Time  // when the budget was worked out
+	expired time.Time  // when it was last looked for nodes that report no more
 	hall    *publisher // tells other halls of the own one
 	site    *publisher // tells the own hall of all
 	// regions tell other regions of the own one, and other relays of the own
@@ -222,6 +225,10 @@
 
 // expire drops the nodes of the own hall that report no more.
 func (r *relay) expire(now time.Time) (gone []uint32) {
+	if now.Sub(r.expired) < expireEvery {
+		return nil
+	}
+	r.expired = now
 	for node, o := range r.origins {
 		if o.local && now.Sub(o.heard) > originLife {
 			gone = append(gone, node)
--- a/loadshare/site_test.go
+++ b/loadshare/site_test.go
@@ -225,7 +225,7 @@
 		addresses = append(addresses, n.conn.address)
 	}
 	for _, n := range s.nodes {
-		n.SetPeers(addresses)
+		n.SetPeers(peersAt(addresses))
 	}
 }
 
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -111,7 +111,7 @@
 		p.client.WithDemand(g.Demand)
 	}
 	p.client.WithQuota(part)
-	p.client.AsEntry(s.PeerListen, s.DataHall, sharer.SetPeers)
+	p.client.AsEntry(control.EntryPlace{Address: s.PeerListen, DataHall: s.DataHall, Disk: s.DataDir != ""}, tellPeers(sharer))
 	p.client.FeedTargets(poller.Fed)
 	p.entry = &entry{gateway: g, pool: pool, agent: agent, counter: counter, sharer: sharer, witness: witness}
 	if err := p.listenEntry(g); err != nil {
@@ -147,6 +147,21 @@
 	return loadshare.New(conn, targets, budgets, options...), nil
 }
 
+// tellPeers returns what names the site's entries to a sharer.
+func tellPeers(sharer *loadshare.Sharer) control.SeenFunc {
+	return func(entries []control.EntryPlace, same bool) {
+		if same {
+			sharer.PeersStill()
+			return
+		}
+		peers := make([]loadshare.Peer, len(entries))
+		for i, e := range entries {
+			peers[i] = loadshare.Peer(e)
+		}
+		sharer.SetPeers(peers)
+	}
+}
+
 // findBy returns what learns of runs of a key that other nodes had. A request
 // that comes again may have run in any region.
 func findBy(sharer *loadshare.Sharer) func(ctx context.Context, key string, again bool) {
