After a start of all, nodes wait for the control group's list of targets; members share out only short ones

Cause: each node that started read the first page and its data hall's part of the platform's list itself, unless it was told the list before: 984 nodes make some 5,000 calls of the 320 a second that the platform gives, and the leader's own reading waits among them. A node that held no document asked 33 times a second.

Now a node is told the list with the document, also by members that do not lead, from what they read at their start if it has few pages (8 calls each at most); it reads for itself after 2 to 10 s without. A member reads as soon as it leads. A list of many pages is read each 1.5 s instead of each second. Who asks for a first document that is not there waits 0.3 s at the member.

--- a/control/client.go
+++ b/control/client.go
@@ -31,6 +31,7 @@
 	renewWait   = 1 * time.Second // how long the leader may wait for news
 	renewLimit  = 2500 * time.Millisecond
 	renewPause  = 100 * time.Millisecond
+	firstWait   = 300 * time.Millisecond // while the node holds nothing, and nobody else does
 	firstPause  = 30 * time.Millisecond  // while the node holds nothing
 	answerLimit = 600 * time.Millisecond // beyond the leader's wait, where members change
 	commandTime = 3 * time.Second        // until a command is given up
@@ -174,6 +175,9 @@
 	if !c.InForce() {
 		wait = 0
 	}
+	if c.fast && c.Version() == 0 {
+		wait = firstWait
+	}
 	if c.fast {
 		limit = wait + answerLimit
 	}
@@ -220,7 +224,7 @@
 func (c *Client) question(wait time.Duration) NewestArgs {
 	have := c.Version()
 	args := NewestArgs{
-		Have: have, Wait: wait, Unconfirmed: c.fast && have == 0,
+		Have: have, Wait: wait, Unconfirmed: c.fast && (have == 0 || c.lacksTargets()),
 		Entry: c.entry.Address, Life: c.life, Entries: c.entriesHeld, Directory: true, Disk: c.entry.Disk, Roster: c.held, DataHall: c.hall,
 	}
 	if c.whole {
@@ -233,6 +237,10 @@
 	return args
 }
 
+// lacksTargets reports whether the node was told no list of targets yet, where it is told
+// one.
+func (c *Client) lacksTargets() bool { return c.fed != nil && c.held == 0 }
+
 // askNext sets whom to ask from now on.
 func (c *Client) askNext(node walnutramp.NodeName) {
 	c.mu.Lock()
--- a/control/roster.go
+++ b/control/roster.go
@@ -80,6 +80,13 @@
 	r.changed = make(chan struct{})
 }
 
+// SetFirst takes a reading, unless there is one.
+func (r *Roster) SetFirst(list []discovery.Target) {
+	if version, _ := r.held(); version == 0 {
+		r.Set(list)
+	}
+}
+
 // encodeList encodes a list without the names of its fields.
 func encodeList(list []discovery.Target) []byte {
 	var text bytes.Buffer
--- a/control/server.go
+++ b/control/server.go
@@ -91,7 +91,9 @@
 	}
 	s.entries.tell(args, reply)
 	if !leads && args.Unconfirmed {
+		s.awaitFirst(ctx, args)
 		s.fill(args, reply)
+		s.fillRoster(args, reply)
 		reply.Unconfirmed, reply.Leader = true, s.member.Leader()
 		return nil
 	}
@@ -106,9 +108,7 @@
 	}
 	s.fill(args, reply)
 	reply.Share = s.sharing.word(args)
-	if s.roster != nil && args.wantsRoster() {
-		reply.Roster = s.roster.told(args.Roster)
-	}
+	s.fillRoster(args, reply)
 	if args.Entry != "" {
 		s.refer(ctx, args, reply)
 		reply.Near = s.near(args)
@@ -170,6 +170,13 @@
 	reply.Versions = s.state.versionsSince(args.Versions)
 }
 
+// fillRoster tells an asker that uses the list of targets what is new to it.
+func (s *Server) fillRoster(args NewestArgs, reply *NewestReply) {
+	if s.roster != nil && args.wantsRoster() {
+		reply.Roster = s.roster.told(args.Roster)
+	}
+}
+
 // Offer implements the RPC for an unsigned document.
 func (s *Server) Offer(args OfferArgs, reply *DoReply) error {
 	if s.keeper == nil {
@@ -229,6 +236,14 @@
 	}
 }
 
+// awaitFirst has an asker that holds nothing wait while there is nothing: before a site
+// has its first document, all nodes ask.
+func (s *Server) awaitFirst(ctx context.Context, args NewestArgs) {
+	if newest, _, _, _ := s.state.since(0); newest.Version == 0 && args.Have == 0 {
+		s.await(ctx, args)
+	}
+}
+
 // rosterChanged returns what is closed when the list of targets changes, and
 // whether the asker holds another one already.
 func (s *Server) rosterChanged(args NewestArgs) (changed <-chan struct{}, other bool) {
--- a/discovery/poller.go
+++ b/discovery/poller.go
@@ -23,6 +23,7 @@
 	take   func([]Target)
 	cfg    PollerConfig
 	soon   chan struct{}
+	from   time.Time // before which nothing is read
 
 	mu   sync.Mutex
 	read time.Time     // when the list in force was read, here or by another node
@@ -37,6 +38,9 @@
 	Timeout  time.Duration // of a whole reading, however many calls it is
 	Trust    time.Duration // how old another node's reading, and its word on it, may be
 	Only     func() bool   // reads only while this holds; nil for always
+	// Patience is how long after its start another node's reading is awaited before an
+	// own one.
+	Patience time.Duration
 }
 
 // PollerOption sets a field of PollerConfig.
@@ -47,13 +51,23 @@
 	return func(c *PollerConfig) { c.Only = condition }
 }
 
+// WithPatience has a poller await another node's reading for a while, before it reads
+// itself for the first time.
+func WithPatience(d time.Duration) PollerOption { return func(c *PollerConfig) { c.Patience = d } }
+
+// Paced is a source that wants longer pauses than usual between two readings.
+type Paced interface {
+	// Interval returns the least pause; 0 for the usual one.
+	Interval() time.Duration
+}
+
 // NewPoller returns a poller that hands every list it reads to take.
 func NewPoller(source Source, take func([]Target), opts ...PollerOption) *Poller {
 	cfg := PollerConfig{Interval: time.Second, Soonest: 300 * time.Millisecond, Timeout: 3 * time.Second, Trust: 1600 * time.Millisecond}
 	for _, opt := range opts {
 		opt(&cfg)
 	}
-	return &Poller{source: source, take: take, cfg: cfg, soon: make(chan struct{}, 1)}
+	return &Poller{source: source, take: take, cfg: cfg, soon: make(chan struct{}, 1), from: uptime.Now().Add(cfg.Patience)}
 }
 
 // Soon asks for a reading before the next one is due.
@@ -94,7 +108,7 @@
 	if p.cfg.Only != nil && !p.cfg.Only() {
 		return false
 	}
-	return !p.fresh()
+	return !p.fresh() && !uptime.Now().Before(p.from)
 }
 
 // Run reads until ctx ends.
@@ -133,10 +147,18 @@
 	return nil
 }
 
+// interval returns the pause between two readings.
+func (p *Poller) interval() time.Duration {
+	if paced, ok := p.source.(Paced); ok {
+		return max(p.cfg.Interval, paced.Interval())
+	}
+	return p.cfg.Interval
+}
+
 // wait waits for the next reading; the interval is drawn so that nodes
 // spread.
 func (p *Poller) wait(ctx context.Context) {
-	rest := p.cfg.Interval - p.cfg.Soonest
+	rest := p.interval() - p.cfg.Soonest
 	t := time.NewTimer(rest*9/10 + rand.N(rest/5+1))
 	defer t.Stop()
 	select {
--- a/discovery/poller_test.go
+++ b/discovery/poller_test.go
@@ -139,3 +139,35 @@
 	t.Cleanup(uptime.Pretend(5 * time.Second))
 	require.True(t, p.due())
 }
+
+// After a start of all a node waits for another one's reading, for a while.
+func TestPollerWaitsForAnothersReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &countingSource{}
+		p, taken := start(t, s, WithPatience(4*time.Second))
+		alone := &countingSource{}
+		start(t, alone, WithPatience(4*time.Second))
+		time.Sleep(3 * time.Second)
+		for range 5 {
+			p.Fed([]Target{{ID: "fed"}}, false, 0)
+			time.Sleep(time.Second)
+		}
+		require.Zero(t, s.reads.Load())
+		require.Equal(t, "fed", taken.Load())
+		require.Positive(t, alone.reads.Load(), "nobody reads for it")
+	})
+}
+
+// pacedSource wants long pauses.
+type pacedSource struct{ countingSource }
+
+func (*pacedSource) Interval() time.Duration { return 3 * time.Second }
+
+func TestSourceSetsItsPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &pacedSource{}
+		start(t, s)
+		time.Sleep(30 * time.Second)
+		require.InDelta(t, 10, s.reads.Load(), 2)
+	})
+}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -52,6 +52,13 @@
 	maxHeadBytes = 64 << 10
 )
 
+// A node is told the list of targets by the control group. One that is not told it reads
+// it itself, after a time drawn between these: of hundreds that start together few do.
+const (
+	leastListWait   = 2 * time.Second
+	longestListWait = 10 * time.Second
+)
+
 // tracesFile keeps where the copies of runs are, over a kill.
 const tracesFile = "traces"
 
@@ -87,7 +94,7 @@
 			pool.Forget(id)
 		}
 		g.Started()
-	})
+	}, discovery.WithPatience(leastListWait+rand.N(longestListWait-leastListWait)))
 	adopt := func(version uint64, doc []byte) error {
 		table, err := p.adapter.Table(doc)
 		if err == nil {
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -14,6 +14,7 @@
 	"github.com/walnutramp/walnutramp/consensus"
 	"github.com/walnutramp/walnutramp/control"
 	"github.com/walnutramp/walnutramp/discovery"
+	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/peer"
 	"github.com/walnutramp/walnutramp/wal"
 	"k8s.io/klog/v2"
@@ -106,6 +107,8 @@
 	p.client = control.NewDocumentClient(p.peers, s.Seeds, func(uint64, []byte) error { return nil })
 	go keeper.Run(p.ctx)
 	go poller.Run(p.ctx)
+	go p.readFirstList(roster)
+	go whenLeading(p.ctx, member, poller.Soon)
 	go relay.Run(p.ctx)
 	go sharing.Run(p.ctx)
 	go control.NewIntroducer(p.peers, member, p.client).Run(p.ctx)
@@ -127,6 +130,32 @@
 	return err
 }
 
+// readFirstList reads the list of targets for the entries that start together with this
+// member, before there is a leader; one that is long is left to the leader.
+func (p *Process) readFirstList(roster *control.Roster) {
+	list, err := p.adapter.ShortSource().Targets(p.ctx)
+	if err != nil {
+		klog.InfoS("List of targets is left to the leader", "err", err)
+		return
+	}
+	roster.SetFirst(list)
+}
+
+// leadingEvery is the pause between two looks at whether a member leads.
+const leadingEvery = 50 * time.Millisecond
+
+// whenLeading calls f each time a member has become the leader, until ctx ends.
+func whenLeading(ctx context.Context, m *consensus.Member, f func()) {
+	led := false
+	for pause.For(ctx, leadingEvery) {
+		leads := m.Leads()
+		if leads && !led {
+			f()
+		}
+		led = leads
+	}
+}
+
 // identity returns the disk's identity. A founder's empty disk is marked as
 // one; every other empty disk gets an identity that no group knows.
 func (p *Process) identity(disk wal.FS, self walnutramp.NodeName) (consensus.Identity, error) {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -82,6 +82,8 @@
 	// Source reads the site's list of targets. One that may rely on another
 	// node's reading leaves long lists to it.
 	Source(reliant bool) discovery.Source
+	// ShortSource reads the list once, if it has few pages.
+	ShortSource() discovery.Source
 	// PassedOver is how many entries of the list named no target to use so far.
 	PassedOver() uint64
 	// Operator answers operators.
