Changes of the list of targets are told on as changes: their cost follows the change

Now the tracker takes changes; a change of a list that is not the one in force, since the node read one itself, is refused and the whole asked for.

Tests: TestChangeOfAnotherListIsNotTaken, BenchmarkChange; TestEntryFollowsTheRoster makes the changes that it is told.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -107,6 +107,7 @@
 	byShort      map[uint32]*Target   // by short name of the life
 	pools        map[string]*pool     // by service
 	absent       map[string]*Target   // that the list no longer holds, by ID
+	absentAt     time.Time            // when it was last looked for those that are long absent
 	holders      map[string]*Target   // by address; of two listed there the later one
 	failed       map[*Target]struct{} // that failed this node lately
 	reading      uint64               // counts lists
@@ -236,6 +237,27 @@
 	return removed
 }
 
+// Change takes a change of the list that was taken last. It returns the lives of targets
+// that are over or no longer on the list.
+func (t *Tracker) Change(c discovery.Change) (removed []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := uptime.Now()
+	for i := range c.Put {
+		if known := t.byID[c.Put[i].ID]; known == nil || !known.is(&c.Put[i]) {
+			t.put(&c.Put[i], now, &removed)
+		}
+	}
+	for _, id := range c.Removed {
+		if target := t.byID[id]; target != nil {
+			removed = append(removed, target.life)
+			t.drop(target, now)
+		}
+	}
+	t.forgetAbsent(now)
+	return removed
+}
+
 // put takes an entry that is new or says something else than before, and returns its
 // target. The caller holds the mutex.
 func (t *Tracker) put(entry *discovery.Target, now time.Time, removed *[]string) *Target {
--- a/balance/life.go
+++ b/balance/life.go
@@ -101,8 +101,15 @@
 // targets that leave take to end.
 const absentLife = 10 * time.Minute
 
+// absentEvery is the pause between two looks for targets that are long off the list.
+const absentEvery = time.Minute
+
 // forgetAbsent forgets targets that are long off the list. The caller holds the mutex.
 func (t *Tracker) forgetAbsent(now time.Time) {
+	if now.Sub(t.absentAt) < absentEvery {
+		return
+	}
+	t.absentAt = now
 	for id, target := range t.absent {
 		if now.Sub(target.absentAt) > absentLife {
 			delete(t.absent, id)
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -111,7 +111,7 @@
 	p.size--
 	p.errors -= t.errors
 	t.leaveLevel()
-	h.ring = slices.DeleteFunc(h.ring, func(at ringPoint) bool { return at.target == t })
+	h.leaveRing(t)
 	h.countPresence(t, -1)
 	h.taken.add(t.taken, -1)
 	if t.taken.unread > 0 {
@@ -123,6 +123,15 @@
 	t.pool, t.hall = nil, nil
 }
 
+// leaveRing takes a target off the ring.
+func (h *hallPool) leaveRing(t *Target) {
+	i, _ := slices.BinarySearchFunc(h.ring, xxhash.Sum64String(t.ID), byHash)
+	for h.ring[i].target != t {
+		i++
+	}
+	h.ring = slices.Delete(h.ring, i, i+1)
+}
+
 func without(targets []*Target, left *Target) []*Target {
 	return slices.DeleteFunc(targets, func(t *Target) bool { return t == left })
 }
--- a/balance/update_bench_test.go
+++ b/balance/update_bench_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"testing"
+
+	"github.com/walnutramp/walnutramp/discovery"
 )
 
 // BenchmarkUpdate shows what a new list costs of which one target leaves.
@@ -24,3 +26,22 @@
 		})
 	}
 }
+
+// BenchmarkChange shows what one target of a long list costs that leaves and comes back.
+func BenchmarkChange(b *testing.B) {
+	for _, engines := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			var ids []string
+			for i := range engines {
+				ids = append(ids, fmt.Sprint("engine-", i))
+			}
+			list := listed("s", "north", ids...)
+			tracker := newTracker(list...)
+			for n := 0; b.Loop(); n++ {
+				at := n % engines
+				tracker.Change(discovery.Change{Removed: ids[at : at+1]})
+				tracker.Change(discovery.Change{Put: list[at : at+1]})
+			}
+		})
+	}
+}
--- a/control/client.go
+++ b/control/client.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
-	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/groupclock"
 	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/internal/uptime"
@@ -55,9 +54,8 @@
 	entriesHeld uint64       // their version
 	fed         FedFunc      // is told the leader's list of targets
 	held        uint64       // version of that list
-	list        []discovery.Target
-	fast        bool // nodes of the group come and go, so silence is given up on early
-	whole       bool // the change to the newest document did not fit: the whole is asked for
+	fast        bool         // nodes of the group come and go, so silence is given up on early
+	whole       bool         // the change to the newest document did not fit: the whole is asked for
 	contact     contact
 	agent       *rollout.Agent       // of roll-outs; nil for none
 	clock       *groupclock.Follower // of the group's time; nil for none
--- a/control/feed.go
+++ b/control/feed.go
@@ -1,15 +1,13 @@
 package control
 
 import (
-	"time"
-
 	"github.com/walnutramp/walnutramp/discovery"
 	"k8s.io/klog/v2"
 )
 
-// FedFunc takes the leader's list of targets, and how old it is; same says
-// that it is the one taken last, and list is nil then.
-type FedFunc func(list []discovery.Target, same bool, age time.Duration)
+// FedFunc takes the leader's word on the list of targets. It reports false for a change
+// that does not fit what was taken: the whole is asked for then.
+type FedFunc func(discovery.Feed) bool
 
 // FeedTargets has the leader's list of targets told to fed. It must be called
 // before Start.
@@ -20,18 +18,15 @@
 	if c.fed == nil || r.Version == 0 {
 		return
 	}
-	if r.Version == c.held {
-		c.fed(nil, true, r.Age)
-		return
-	}
-	list, err := r.Targets(c.held, c.list)
+	f, err := r.feed(c.held)
 	if err != nil {
 		klog.ErrorS(err, "List of targets not taken")
+	}
+	if err != nil || !c.fed(f) {
 		c.held = 0
 		return
 	}
-	c.held, c.list = r.Version, list
-	c.fed(list, false, r.Age)
+	c.held = r.Version
 }
 
 // SeenFunc takes the entries of the site; same says that they are those taken last, and
--- a/control/fleet_controller_test.go
+++ b/control/fleet_controller_test.go
@@ -171,7 +171,7 @@
 		platform := newScaledPlatform()
 		for _, m := range fl.members {
 			fl.spawn(control.NewFleetController(m.raft, m.answers, leaderCaller{m.raft}, platform, scalable).Run)
-			fl.spawn(discovery.NewPoller(platform, m.roster.Set, discovery.WithOnly(m.raft.Leads)).Run)
+			fl.spawn(discovery.NewPoller(platform, discovery.TakerFunc(m.roster.Set), discovery.WithOnly(m.raft.Leads)).Run)
 		}
 		fl.offer(1, routesDocument(1, 1))
 		f(t, fl, platform)
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -200,12 +200,13 @@
 	e.agent = rollout.NewAgent(uint64(i))
 	e.client.WithRollouts(e.agent)
 	e.client.AsEntry(control.EntryPlace{Address: host, DataHall: hallOf(i)}, func([]control.EntryPlace, bool) {})
-	e.client.FeedTargets(func(list []discovery.Target, same bool, _ time.Duration) {
+	e.client.FeedTargets(func(f discovery.Feed) bool {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		if !same {
-			e.targets = len(list)
+		if f.List != nil {
+			e.targets = len(f.List)
 		}
+		return true
 	})
 	if fl.platform != nil {
 		e.clock = groupclock.NewFollower(groupclock.NewSteady())
--- a/control/roster.go
+++ b/control/roster.go
@@ -226,15 +226,30 @@
 	return r.changed, newest != 0 && newest != version
 }
 
+// feed returns what a reply tells the holder of a version.
+func (r *RosterReply) feed(held uint64) (discovery.Feed, error) {
+	f := discovery.Feed{Age: r.Age}
+	if r.Version == held {
+		return f, nil
+	}
+	if r.Change == nil {
+		err := msgpack.Unmarshal(r.List, &f.List)
+		return f, err
+	}
+	if r.From != held {
+		return f, errors.Newf("the change is of list %x, %x is held", r.From, held)
+	}
+	change := discovery.Change(*r.Change)
+	f.Change = &change
+	return f, nil
+}
+
 // Targets returns the list that a reply tells of, by the one that the asker
 // holds under a version.
-func (r RosterReply) Targets(held uint64, list []discovery.Target) ([]discovery.Target, error) {
-	if r.Change != nil {
-		if r.From != held {
-			return nil, errors.Newf("the change is of list %x, %x is held", r.From, held)
-		}
-		return applied(list, r.Change.Removed, r.Change.Put, targetID), nil
+func (r *RosterReply) Targets(held uint64, list []discovery.Target) ([]discovery.Target, error) {
+	f, err := r.feed(held)
+	if f.Change != nil {
+		return applied(list, f.Change.Removed, f.Change.Put, targetID), err
 	}
-	var whole []discovery.Target
-	return whole, msgpack.Unmarshal(r.List, &whole)
+	return f.List, err
 }
--- a/control/roster_test.go
+++ b/control/roster_test.go
@@ -36,10 +36,13 @@
 	var taken []discovery.Target
 	c := NewDocumentClient(nil, nil, nil)
 	defer c.Close()
-	c.FeedTargets(func(list []discovery.Target, same bool, _ time.Duration) {
-		if !same {
-			taken = list
+	c.FeedTargets(func(f discovery.Feed) bool {
+		if f.Change != nil {
+			taken = applied(taken, f.Change.Removed, f.Change.Put, targetID)
+		} else if f.List != nil {
+			taken = f.List
 		}
+		return true
 	})
 	list := targetsNamed(0, 280)
 	for step := range 300 {
@@ -54,7 +57,7 @@
 			require.ElementsMatch(t, list, taken)
 		}
 		if step == 100 {
-			c.held, c.list = 77, nil // a version that the leader does not know
+			c.held = 77 // a version that the leader does not know
 		}
 	}
 }
@@ -77,7 +80,7 @@
 	shuffled = append(targetsNamed(900, 1), shuffled...)
 	r.Set(shuffled)
 	require.Equal(t, reply.Version, r.since(0).Version, "the order means nothing")
-	_, err = reply.Targets(5, nil)
+	_, err = reply.feed(5)
 	require.Error(t, err, "a change of another list")
 }
 
--- a/discovery/poller.go
+++ b/discovery/poller.go
@@ -17,10 +17,41 @@
 	Targets(ctx context.Context) ([]Target, error)
 }
 
+// Change turns one list of targets into another.
+type Change struct {
+	Removed []string // IDs
+	Put     []Target // new or changed
+}
+
+// Feed is another node's word on the list. Where it has neither a list nor a change, the
+// list is the one that it told last.
+type Feed struct {
+	List   []Target // the whole
+	Change *Change  // of what it told last
+	Age    time.Duration
+}
+
+// Taker takes lists of targets.
+type Taker interface {
+	// TakeList takes the whole list.
+	TakeList(list []Target)
+	// TakeChange changes the list that was taken last.
+	TakeChange(c Change)
+}
+
+// TakerFunc takes the lists of a node that nobody tells of changes.
+type TakerFunc func(list []Target)
+
+// TakeList implements Taker.
+func (f TakerFunc) TakeList(list []Target) { f(list) }
+
+// TakeChange implements Taker.
+func (f TakerFunc) TakeChange(Change) {}
+
 // Poller reads a source again and again.
 type Poller struct {
 	source Source
-	take   func([]Target)
+	taker  Taker
 	cfg    PollerConfig
 	soon   chan struct{}
 	from   time.Time // before which nothing is read
@@ -29,6 +60,7 @@
 	read time.Time     // when the list in force was read, here or by another node
 	last time.Time     // when another node's word on it came
 	age  time.Duration // how old that node's reading was then
+	own  bool          // the list in force is not what the other node told last
 }
 
 // PollerConfig sets how often a Poller reads.
@@ -61,13 +93,13 @@
 	Interval() time.Duration
 }
 
-// NewPoller returns a poller that hands every list it reads to take.
-func NewPoller(source Source, take func([]Target), opts ...PollerOption) *Poller {
+// NewPoller returns a poller that hands every list it reads to a taker.
+func NewPoller(source Source, taker Taker, opts ...PollerOption) *Poller {
 	cfg := PollerConfig{Interval: time.Second, Soonest: 300 * time.Millisecond, Timeout: 3 * time.Second, Trust: 1600 * time.Millisecond}
 	for _, opt := range opts {
 		opt(&cfg)
 	}
-	return &Poller{source: source, take: take, cfg: cfg, soon: make(chan struct{}, 1), from: uptime.Now().Add(cfg.Patience)}
+	return &Poller{source: source, taker: taker, cfg: cfg, soon: make(chan struct{}, 1), from: uptime.Now().Add(cfg.Patience)}
 }
 
 // Soon asks for a reading before the next one is due.
@@ -78,20 +110,37 @@
 	}
 }
 
-// Fed takes another node's reading in place of an own one: a list, or the
-// word that the one taken last is still the same.
-func (p *Poller) Fed(list []Target, same bool, age time.Duration) {
-	read := uptime.Now().Add(-age)
+// Fed takes another node's word in place of an own reading. It reports false for a change
+// that can't be made, since the list in force is another one: the whole is needed.
+func (p *Poller) Fed(f Feed) bool {
 	p.mu.Lock()
-	newer := read.After(p.read)
+	defer p.mu.Unlock()
+	if f.Change != nil && p.own {
+		return false
+	}
+	newer := p.noteFed(f)
+	switch {
+	case f.Change != nil:
+		p.taker.TakeChange(*f.Change)
+	case f.List != nil && newer:
+		p.own = false
+		p.taker.TakeList(f.List)
+	case f.List != nil:
+		p.own = true
+	}
+	return true
+}
+
+// noteFed notes when another node's word came, and reports whether its reading is newer
+// than the one in force. The caller holds the mutex.
+func (p *Poller) noteFed(f Feed) (newer bool) {
+	read := uptime.Now().Add(-f.Age)
+	newer = read.After(p.read)
 	if newer {
 		p.read = read
 	}
-	p.last, p.age = uptime.Now(), age
-	p.mu.Unlock()
-	if newer && !same {
-		p.take(list)
-	}
+	p.last, p.age = uptime.Now(), f.Age
+	return newer
 }
 
 // fresh reports whether another node's reading makes an own one needless.
@@ -141,9 +190,9 @@
 		return err
 	}
 	p.mu.Lock()
-	p.read = began
-	p.mu.Unlock()
-	p.take(list)
+	defer p.mu.Unlock()
+	p.read, p.own = began, true
+	p.taker.TakeList(list)
 	return nil
 }
 
--- a/discovery/poller_test.go
+++ b/discovery/poller_test.go
@@ -22,18 +22,32 @@
 	return []Target{{ID: "own"}}, s.err
 }
 
+// noteTaker notes the first target of what it takes.
+type noteTaker struct{ taken *atomic.Value }
+
+func (n *noteTaker) TakeList(list []Target) { n.taken.Store(list[0].ID) }
+func (n *noteTaker) TakeChange(c Change)    { n.taken.Store(c.Put[0].ID) }
+
 // start runs a poller and returns what it took last.
 func start(t *testing.T, s Source, opts ...PollerOption) (*Poller, *atomic.Value) {
 	t.Helper()
 	var taken atomic.Value
 	taken.Store("")
-	p := NewPoller(s, func(list []Target) { taken.Store(list[0].ID) }, opts...)
+	p := NewPoller(s, &noteTaker{taken: &taken}, opts...)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go p.Run(ctx)
 	return p, &taken
 }
 
+// feedOf returns another node's word; same says that it told the list before.
+func feedOf(same bool, age time.Duration) Feed {
+	if same {
+		return Feed{Age: age}
+	}
+	return Feed{List: []Target{{ID: "fed"}}, Age: age}
+}
+
 func TestPollerReadsWhenNobodyFeedsIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &countingSource{}
@@ -52,7 +66,7 @@
 		require.EqualValues(t, 1, s.reads.Load())
 		for i := range 10 {
 			time.Sleep(600 * time.Millisecond)
-			p.Fed([]Target{{ID: "fed"}}, i > 0, 500*time.Millisecond)
+			p.Fed(feedOf(i > 0, 500*time.Millisecond))
 		}
 		require.EqualValues(t, 1, s.reads.Load())
 		require.Equal(t, "fed", taken.Load())
@@ -69,7 +83,7 @@
 		p, _ := start(t, s)
 		time.Sleep(200 * time.Millisecond)
 		for i := range 10 {
-			p.Fed([]Target{{ID: "fed"}}, i > 0, time.Duration(i%2)*time.Second)
+			p.Fed(feedOf(i > 0, time.Duration(i%2)*time.Second))
 			time.Sleep(time.Second)
 		}
 		require.EqualValues(t, 1, s.reads.Load())
@@ -81,7 +95,7 @@
 		s := &countingSource{}
 		p, taken := start(t, s)
 		time.Sleep(100 * time.Millisecond)
-		p.Fed([]Target{{ID: "fed"}}, false, 5*time.Second)
+		p.Fed(feedOf(false, 5*time.Second))
 		require.Equal(t, "own", taken.Load(), "the own reading is newer")
 		time.Sleep(5 * time.Second)
 		require.Greater(t, s.reads.Load(), int64(3), "a feed that is read too seldom is not trusted")
@@ -111,7 +125,7 @@
 		p, _ := start(t, s)
 		time.Sleep(200 * time.Millisecond)
 		for range 20 {
-			p.Fed(nil, true, 100*time.Millisecond)
+			p.Fed(feedOf(true, 100*time.Millisecond))
 			p.Soon()
 			time.Sleep(500 * time.Millisecond)
 		}
@@ -133,8 +147,8 @@
 }
 
 func TestFedListIsOldAfterASuspension(t *testing.T) {
-	p := NewPoller(&countingSource{}, func([]Target) {})
-	p.Fed([]Target{{ID: "fed"}}, false, 0)
+	p := NewPoller(&countingSource{}, TakerFunc(func([]Target) {}))
+	p.Fed(feedOf(false, 0))
 	require.False(t, p.due())
 	t.Cleanup(uptime.Pretend(5 * time.Second))
 	require.True(t, p.due())
@@ -149,7 +163,7 @@
 		start(t, alone, WithPatience(4*time.Second))
 		time.Sleep(3 * time.Second)
 		for range 5 {
-			p.Fed([]Target{{ID: "fed"}}, false, 0)
+			p.Fed(feedOf(false, 0))
 			time.Sleep(time.Second)
 		}
 		require.Zero(t, s.reads.Load())
@@ -171,3 +185,21 @@
 		require.InDelta(t, 10, s.reads.Load(), 2)
 	})
 }
+
+// A change is made only in the list that it is of.
+func TestChangeOfAnotherListIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		change := Feed{Change: &Change{Put: []Target{{ID: "changed"}}}}
+		p, taken := start(t, &countingSource{}, WithPatience(3*time.Second))
+		require.True(t, p.Fed(feedOf(false, 0)))
+		require.True(t, p.Fed(change))
+		require.Equal(t, "changed", taken.Load())
+		time.Sleep(6 * time.Second)
+		require.Equal(t, "own", taken.Load())
+		require.False(t, p.Fed(change), "it was read here meanwhile")
+		require.True(t, p.Fed(feedOf(false, time.Hour)), "old")
+		require.False(t, p.Fed(change))
+		require.True(t, p.Fed(feedOf(false, 0)))
+		require.True(t, p.Fed(change))
+	})
+}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -89,12 +89,8 @@
 		return err
 	}
 	var g *gateway.Gateway
-	poller := discovery.NewPoller(p.adapter.Source(true), func(list []discovery.Target) {
-		for _, id := range targets.Update(list) {
-			pool.Forget(id)
-		}
-		g.Started()
-	}, discovery.WithPatience(leastListWait+rand.N(longestListWait-leastListWait)))
+	taker := &targetTaker{targets: targets, pool: pool, started: func() { g.Started() }}
+	poller := discovery.NewPoller(p.adapter.Source(true), taker, discovery.WithPatience(leastListWait+rand.N(longestListWait-leastListWait)))
 	adopt := func(version uint64, doc []byte) error {
 		table, err := p.adapter.Table(doc)
 		if err == nil {
@@ -130,6 +126,29 @@
 	return nil
 }
 
+// targetTaker takes the list of targets for an entry.
+type targetTaker struct {
+	targets *balance.Tracker
+	pool    *targetconn.Pool
+	started func()
+}
+
+// TakeList implements discovery.Taker.
+func (t *targetTaker) TakeList(list []discovery.Target) {
+	t.forget(t.targets.Update(list))
+	t.started()
+}
+
+// TakeChange implements discovery.Taker.
+func (t *targetTaker) TakeChange(c discovery.Change) { t.forget(t.targets.Change(c)) }
+
+// forget closes the connections to lives of targets that are over.
+func (t *targetTaker) forget(lives []string) {
+	for _, life := range lives {
+		t.pool.Forget(life)
+	}
+}
+
 // newTracker returns the tracker of targets.
 func (p *Process) newTracker() *balance.Tracker {
 	options := []balance.Option{balance.WithDataHall(p.settings.DataHall), balance.WithTopology(p.settings.Topology)}
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -82,7 +82,7 @@
 	}
 	keeper := control.NewKeeper(self.Node, member)
 	roster := control.NewRoster()
-	poller := discovery.NewPoller(p.adapter.Source(false), roster.Set, discovery.WithOnly(member.Leads))
+	poller := discovery.NewPoller(p.adapter.Source(false), discovery.TakerFunc(roster.Set), discovery.WithOnly(member.Leads))
 	server := peer.NewServer(self, &p.traffic)
 	answers := control.NewOpenServer(member, state, keeper, roster, control.WithLink(s.LinkMbps*bytesPerMbit), control.WithOrderPatience(s.OrderPatience))
 	bound := balance.BudgetConfig{Window: s.RepeatWindow}
