Nodes send requests where they keep a connection, while that target has not much more to do

Cause: a choice among targets alike is drawn, so a node with a lookup every few seconds met another of 114 servers each time and opened a connection: 4,946 for 5,557 requests.

Comments on how older constants came about are out; the figures stand in docs/DECISIONS.md and docs/design/shifted-work.md.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -162,29 +162,30 @@
 	indexedAs string    // the life by which it is found
 	since     time.Time // when it was first listed
 
-	turn    uint64    // of RoundRobin, when it was chosen last
-	gone    bool      // it is known to have ended
-	refused time.Time // when nobody answered at its address
-	broke   time.Time // when it broke off, and has not been heard of since
-	rumour  time.Time // when another node said that it broke off
-	silent  time.Time // when it fell silent to this node or, as told, to another
-	mute    time.Time // when it fell silent to this node
-	dark    time.Time // when this node found that it answers nothing at all
-	doubted time.Time // when its data hall was in doubt
-	heard   time.Time // when it last answered this node
-	runs    map[*Run]struct{}
-	others  map[string]otherRuns // by node
-	gain    float64              // because this node owns it
-	gainFor uint64               // version of the nodes that the gain is of
-	speed   estimate             // of reading, beside its peers
-	speedAt time.Time            // when that was learned
-	told    Load
-	toldAt  time.Time
-	own     int // own requests under way when it told
-	row     int // failures in a row
-	avoid   time.Time
-	errors  float64 // decayed share of failed answers
-	rest    rest    // that it asked this node for
+	turn      uint64    // of RoundRobin, when it was chosen last
+	gone      bool      // it is known to have ended
+	refused   time.Time // when nobody answered at its address
+	broke     time.Time // when it broke off, and has not been heard of since
+	rumour    time.Time // when another node said that it broke off
+	silent    time.Time // when it fell silent to this node or, as told, to another
+	mute      time.Time // when it fell silent to this node
+	dark      time.Time // when this node found that it answers nothing at all
+	doubted   time.Time // when its data hall was in doubt
+	heard     time.Time // when it last answered this node
+	runs      map[*Run]struct{}
+	others    map[string]otherRuns // by node
+	gain      float64              // because this node owns it
+	gainFor   uint64               // version of the nodes that the gain is of
+	keptUntil time.Time            // until when a connection is kept; zero for none
+	speed     estimate             // of reading, beside its peers
+	speedAt   time.Time            // when that was learned
+	told      Load
+	toldAt    time.Time
+	own       int // own requests under way when it told
+	row       int // failures in a row
+	avoid     time.Time
+	errors    float64 // decayed share of failed answers
+	rest      rest    // that it asked this node for
 
 	absentAt time.Time // when the list last did not hold it any more
 }
--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -16,8 +16,9 @@
 	lookFar  = 24
 	// leastLook is the same in any one data hall.
 	leastLook = 4
-	// lookOwned is how many of the targets that the node owns are looked at beside.
-	lookOwned = 8
+	// lookTied is how many of the targets that the node owns are looked at beside, and
+	// of those to which it keeps a connection.
+	lookTied = 8
 )
 
 // candidate is a target that may be chosen.
@@ -59,13 +60,22 @@
 	if l.keeper != nil {
 		l.consider(l.keeper)
 	}
-	near := l.pool.halls[l.tracker.cfg.DataHall]
-	if near == nil || len(near.owned) == 0 {
+	if near := l.pool.halls[l.tracker.cfg.DataHall]; near != nil {
+		l.lookAtSome(near.owned)
+	}
+	for _, h := range l.pool.order {
+		l.lookAtSome(h.kept)
+	}
+}
+
+// lookAtSome considers a few of some targets, which are drawn.
+func (l *look) lookAtSome(targets []*Target) {
+	if len(targets) == 0 {
 		return
 	}
-	start := l.tracker.rng.IntN(len(near.owned))
-	for i := range min(lookOwned, len(near.owned)) {
-		l.consider(near.owned[(start+i)%len(near.owned)])
+	start := l.tracker.rng.IntN(len(targets))
+	for i := range min(lookTied, len(targets)) {
+		l.consider(targets[(start+i)%len(targets)])
 	}
 }
 
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -50,6 +50,7 @@
 	name    string
 	byRuns  [levels][]*Target
 	ring    []ringPoint // sorted by hash
+	kept    []*Target   // to which a connection is kept
 	owned   []*Target   // that this node owns, in its own data hall
 	present int         // targets that are not known to have ended
 	live    int         // of these, the ones that don't leave
@@ -120,6 +121,8 @@
 	p.broken = without(p.broken, t)
 	p.silent = without(p.silent, t)
 	h.owned = without(h.owned, t)
+	h.kept = without(h.kept, t)
+	t.keptUntil = time.Time{}
 	t.pool, t.hall = nil, nil
 }
 
@@ -268,6 +271,23 @@
 	}
 }
 
+// SetKept notes until when a connection is kept to a target, by its life; zero for none.
+func (t *Tracker) SetKept(life string, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	target := t.byLife[life]
+	if target == nil {
+		return
+	}
+	if target.keptUntil.IsZero() && !until.IsZero() {
+		target.hall.kept = append(target.hall.kept, target)
+	}
+	if until.IsZero() {
+		target.hall.kept = without(target.hall.kept, target)
+	}
+	target.keptUntil = until
+}
+
 // homeWindow is among how many targets a key's home is found: enough that none is the
 // home of many more keys than others, few for what a choice may cost.
 const homeWindow = 16
--- a/balance/score.go
+++ b/balance/score.go
@@ -53,21 +53,20 @@
 	noiseCost       = 20.0
 	randomCost      = 100.0
 	requestCost     = 15.0  // of one more request under way at an engine
-	crowdWeight     = 0.6   // of the time that reading takes from each run under way there; 0.3, 0.6 and 1 measured alike, 0 worse (docs/DECISIONS.md)
+	crowdWeight     = 0.6   // of the time that reading takes from each run under way there
 	homeGain        = 250.0 // for the target that the key names, so that it is found again
 	keptRead        = 0.2   // share of a prompt read again where it was read before
-	memoryCost      = 100.0 // for each thousand tokens beyond a comfortable memory
+	// keptGain is for a target to which a connection is kept: a new one takes a round trip
+	// and work of the target, and what is drawn between targets alike must not outweigh it.
+	keptGain   = 25.0
+	memoryCost = 100.0 // for each thousand tokens beyond a comfortable memory
 	// unseenCost is what a millisecond without word of other nodes costs, in
 	// milliseconds of waiting: several nodes choose the same idle engine in it.
-	// Tried on 79 nodes with 1.5 and 4: 4 was better (docs/DECISIONS.md).
 	unseenCost = 4.0
 	// nearShare is the part of its aim by which a new stream must begin sooner
 	// at an engine in another data hall to be sent there. To begin sooner than
 	// the aim gains nothing, and between halls each event is at the mercy of a
-	// link: of streams over one that lost 4 in 100 packets a third had a pause
-	// above 200 ms. That day's worth 0.858 without, 0.860, 0.914 and 0.924 with
-	// 0.1, 0.25 and 0.5; on other days 0.5 cost on one site
-	// (docs/design/shifted-work.md).
+	// link.
 	nearShare = 0.25
 	slotCost  = 30.0 // a request before this one at a plain service, times its share of the slots
 )
@@ -191,6 +190,9 @@
 	} else {
 		score += t.engineWait(l, backlog)
 	}
+	if now.Before(t.keptUntil) && !c.Copy {
+		score -= keptGain
+	}
 	if t.DataHall != cfg.DataHall {
 		score += t.tracker.farCost(c, t, now)
 	}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -78,7 +78,8 @@
 	s, names := p.settings, p.adapter.Names()
 	targets := p.newTracker()
 	pool := targetconn.NewPool(targetconn.WithIdentityHeader(names.Identity), targetconn.WithDialed(
-		func(e targetconn.Endpoint, took time.Duration) { targets.NoteRoundTrip(e.ID, took) }))
+		func(e targetconn.Endpoint, took time.Duration) { targets.NoteRoundTrip(e.ID, took) }),
+		targetconn.WithKept(func(e targetconn.Endpoint, until time.Time) { targets.SetKept(e.ID, until) }))
 	bound := balance.BudgetConfig{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow}
 	part := quota.NewHolder(bound.TakenWithin())
 	bound.Part = part.Part
--- a/targetconn/conn.go
+++ b/targetconn/conn.go
@@ -104,6 +104,13 @@
 	return true
 }
 
+// goodUntil returns until when the target keeps the connection at rest.
+func (c *conn) goodUntil() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.expires
+}
+
 // keepFor sets how long the target keeps the connection at rest.
 func (c *conn) keepFor(d time.Duration) {
 	c.mu.Lock()
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -18,6 +18,7 @@
 	Dial           DialFunc
 	DialTimeout    time.Duration
 	Dialed         func(e Endpoint, took time.Duration) // a connection was opened; nil for nobody
+	Kept           func(e Endpoint, until time.Time)    // a connection is kept, or none any more where until is zero; nil for nobody
 	IdleLimit      time.Duration                        // longest rest of a kept connection
 	IdleMargin     time.Duration                        // taken off the rest that the target announces
 	MaxIdle        int                                  // kept connections to one target
@@ -37,6 +38,12 @@
 	return func(c *Config) { c.Dialed = dialed }
 }
 
+// WithKept sets who is told until when a connection is kept at an endpoint; zero for none.
+// It must not call the pool.
+func WithKept(kept func(e Endpoint, until time.Time)) Option {
+	return func(c *Config) { c.Kept = kept }
+}
+
 // WithIdentityHeader names the header that repeats a request's identity.
 func WithIdentityHeader(name string) Option { return func(c *Config) { c.IdentityHeader = name } }
 
@@ -119,7 +126,7 @@
 			return nil
 		}
 		c := conns[len(conns)-1]
-		p.idle[id] = conns[:len(conns)-1]
+		p.setIdle(c.endpoint, conns[:len(conns)-1])
 		if c.begin(uptime.Now()) {
 			return c
 		}
@@ -135,7 +142,22 @@
 		c.close()
 		return
 	}
-	p.idle[c.endpoint.ID] = append(p.idle[c.endpoint.ID], c)
+	p.setIdle(c.endpoint, append(p.idle[c.endpoint.ID], c))
+}
+
+// setIdle sets the kept connections of an endpoint, newest last. The caller holds the
+// mutex.
+func (p *Pool) setIdle(e Endpoint, conns []*conn) {
+	var until time.Time
+	if len(conns) == 0 {
+		delete(p.idle, e.ID)
+	} else {
+		p.idle[e.ID] = conns
+		until = conns[len(conns)-1].goodUntil()
+	}
+	if p.cfg.Kept != nil {
+		p.cfg.Kept(e, until)
+	}
 }
 
 // drop takes a connection out that ended while it rested.
@@ -145,7 +167,7 @@
 	conns := p.idle[c.endpoint.ID]
 	for i, other := range conns {
 		if other == c {
-			p.idle[c.endpoint.ID] = append(conns[:i:i], conns[i+1:]...)
+			p.setIdle(c.endpoint, append(conns[:i:i], conns[i+1:]...))
 			return
 		}
 	}
