--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -27,6 +27,10 @@
 	score  float64
 }
 
+// lookElsewhere is one in how many choices goes by no kept connections, so that a target
+// that is new, or was left alone for a while, gets requests too.
+const lookElsewhere = 8
+
 // look is one choice's look at the targets of a service.
 type look struct {
 	tracker *Tracker
@@ -36,6 +40,7 @@
 	home    *Target
 	keeper  *Target
 	taking  map[string]bool // regions that take the request; nil for all
+	keep    bool            // a kept connection speaks for its target
 }
 
 // candidates returns the targets that may take the request, as far as they are looked
--- a/balance/score.go
+++ b/balance/score.go
@@ -94,6 +94,7 @@
 	now := uptime.Now()
 	t.forgetSilentNodes(now)
 	l := &look{tracker: t, choice: c, pool: t.poolOf(c.Service), now: now, home: t.home(*c, now), keeper: t.keeper(*c, now)}
+	l.keep = !c.Copy && t.rng.IntN(lookElsewhere) > 0
 	l.pool.findDoubt(now)
 	c.usualHold = l.pool.usualHold(c)
 	l.taking = t.spillRegions(c, l.pool)
@@ -190,7 +191,7 @@
 	} else {
 		score += t.engineWait(l, backlog)
 	}
-	if now.Before(t.keptUntil) && !c.Copy {
+	if l.keep && now.Before(t.keptUntil) {
 		score -= keptGain
 	}
 	if t.DataHall != cfg.DataHall {
--- a/control/roster.go
+++ b/control/roster.go
@@ -234,6 +234,9 @@
 	}
 	if r.Change == nil {
 		err := msgpack.Unmarshal(r.List, &f.List)
+		if f.List == nil {
+			f.List = []discovery.Target{} // an empty list is one, too
+		}
 		return f, err
 	}
 	if r.From != held {
--- a/control/roster_test.go
+++ b/control/roster_test.go
@@ -62,6 +62,29 @@
 	}
 }
 
+// A site's list may be empty when it is first read.
+func TestEmptyRosterIsTold(t *testing.T) {
+	r := NewRoster()
+	c := NewDocumentClient(nil, nil, nil)
+	defer c.Close()
+	var lists, changes int
+	c.FeedTargets(func(f discovery.Feed) bool {
+		if f.List != nil {
+			lists++
+		}
+		if f.Change != nil {
+			changes++
+		}
+		return true
+	})
+	r.Set(nil)
+	c.takeRoster(r.since(0))
+	require.Equal(t, 1, lists, "the node may serve as soon as there is a document")
+	r.Set(targetsNamed(0, 3))
+	c.takeRoster(r.since(c.held))
+	require.Equal(t, []int{1, 1}, []int{lists, changes})
+}
+
 func TestChangeOfTheRosterIsShort(t *testing.T) {
 	r := NewRoster()
 	list := targetsNamed(0, 280)
