--- a/control/directory.go
+++ b/control/directory.go
@@ -27,28 +27,69 @@
 type DirectoryReply struct {
 	Version uint64 // 0 where none is known
 	From    uint64 // version that this is a change of; 0 for the whole
-	Joined  []EntryPlace
+	Joined  []HallEntries
 	Left    []string // addresses
 }
 
+// HallEntries are entries of one data hall: its name goes once for all.
+type HallEntries struct {
+	DataHall  string
+	Addresses []string
+	Disks     []string // addresses of others, which keep files over a loss of power
+}
+
+// byHall returns entries as they are told.
+func byHall(entries []EntryPlace) []HallEntries {
+	var told []HallEntries
+	at := map[string]int{}
+	for _, e := range entries {
+		i, known := at[e.DataHall]
+		if !known {
+			i = len(told)
+			at[e.DataHall] = i
+			told = append(told, HallEntries{DataHall: e.DataHall})
+		}
+		if e.Disk {
+			told[i].Disks = append(told[i].Disks, e.Address)
+		} else {
+			told[i].Addresses = append(told[i].Addresses, e.Address)
+		}
+	}
+	return told
+}
+
+// joined returns the entries that a reply tells of.
+func (r *DirectoryReply) joined() []EntryPlace {
+	var entries []EntryPlace
+	for _, h := range r.Joined {
+		for _, a := range h.Addresses {
+			entries = append(entries, EntryPlace{Address: a, DataHall: h.DataHall})
+		}
+		for _, a := range h.Disks {
+			entries = append(entries, EntryPlace{Address: a, DataHall: h.DataHall, Disk: true})
+		}
+	}
+	return entries
+}
+
 // apply returns the entries that a reply tells of, by those that the asker holds under a
 // version; false if it is a change of others.
 func (r *DirectoryReply) apply(held uint64, entries []EntryPlace) ([]EntryPlace, bool) {
 	if r.From == 0 {
-		return r.Joined, true
+		return r.joined(), true
 	}
 	if r.From != held {
 		return nil, false
 	}
-	return applied(entries, r.Left, r.Joined, entryAddress), true
+	return applied(entries, r.Left, r.joined(), entryAddress), true
 }
 
 // directoryVersion is the entries at one time, by address. Lists of them are not changed.
 type directoryVersion struct {
 	version uint64 // hash of the entries
 	entries []EntryPlace
-	// changes lead here from older versions; each is worked out once, when it is
-	// first asked for.
+	// changes lead here from older versions, and from none; each is worked out once, when
+	// it is first asked for.
 	changes map[uint64]*DirectoryReply
 }
 
@@ -95,15 +136,17 @@
 	if known := newest.changes[held]; known != nil {
 		return *known
 	}
-	whole := DirectoryReply{Version: newest.version, Joined: newest.entries}
 	at := slices.IndexFunc(d.past, func(v directoryVersion) bool { return v.version == held })
+	told := DirectoryReply{Version: newest.version}
 	if at < 0 {
-		return whole
+		held = 0
+		told.Joined = byHall(newest.entries)
+	} else {
+		left, joined := difference(d.past[at].entries, newest.entries, entryAddress)
+		told.From, told.Left, told.Joined = held, left, byHall(joined)
 	}
-	change := DirectoryReply{Version: newest.version, From: held}
-	change.Left, change.Joined = difference(d.past[at].entries, newest.entries, entryAddress)
-	newest.changes[held] = &change
-	return change
+	newest.changes[held] = &told
+	return told
 }
 
 // entryLife is how long an entry counts as there since it asked.
--- a/control/feed.go
+++ b/control/feed.go
@@ -43,7 +43,7 @@
 func (c *Client) takeEntries(r *NewestReply) {
 	told := &r.Directory
 	if told.Version == 0 && r.EntriesVersion != 0 { // an older build's
-		told = &DirectoryReply{Version: r.EntriesVersion, Joined: placesOf(r.Entries)}
+		told = &DirectoryReply{Version: r.EntriesVersion, Joined: unplaced(r.Entries)}
 	}
 	if c.seen == nil || told.Version == 0 {
 		return
--- a/control/relay.go
+++ b/control/relay.go
@@ -207,7 +207,7 @@
 func (r *Relay) takeDirectory(reply *NewestReply) {
 	told, held := &reply.Directory, r.everyone.newest()
 	if told.Version == 0 && reply.EntriesVersion != 0 && reply.Entries != nil { // an older build's
-		told = &DirectoryReply{Version: reply.EntriesVersion, Joined: placesOf(reply.Entries)}
+		told = &DirectoryReply{Version: reply.EntriesVersion, Joined: unplaced(reply.Entries)}
 	}
 	if told.Version == 0 || told.Version == held.version {
 		return
@@ -221,14 +221,8 @@
 	r.everyone.add(directoryVersion{version: told.Version, entries: entries, changes: map[uint64]*DirectoryReply{}})
 }
 
-// placesOf returns entries of which only the addresses are known.
-func placesOf(addresses []string) []EntryPlace {
-	places := make([]EntryPlace, len(addresses))
-	for i, a := range addresses {
-		places[i].Address = a
-	}
-	return places
-}
+// unplaced returns entries of which only the addresses are known.
+func unplaced(addresses []string) []HallEntries { return []HallEntries{{Addresses: addresses}} }
 
 // takeRoster keeps the leader's list of targets; false if it does not fit. The
 // caller holds the mutex.
