A reading of a long list is trusted for longer than the pause between two of them

Now 3.2 s; another node's word itself is trusted for 1.6 s as before. Test: TestReadingOfALongListIsTrusted (failed before).

--- a/discovery/poller.go
+++ b/discovery/poller.go
@@ -68,7 +68,8 @@
 	Interval time.Duration
 	Soonest  time.Duration // between two readings, when one is asked for
 	Timeout  time.Duration // of a whole reading, however many calls it is
-	Trust    time.Duration // how old another node's reading, and its word on it, may be
+	Trust    time.Duration // how old another node's word may be
+	TrustAge time.Duration // how old its reading may be: a long list is read less often
 	Only     func() bool   // reads only while this holds; nil for always
 	// Patience is how long after its start another node's reading is awaited before an
 	// own one.
@@ -95,7 +96,7 @@
 
 // NewPoller returns a poller that hands every list it reads to a taker.
 func NewPoller(source Source, taker Taker, opts ...PollerOption) *Poller {
-	cfg := PollerConfig{Interval: time.Second, Soonest: 300 * time.Millisecond, Timeout: 3 * time.Second, Trust: 1600 * time.Millisecond}
+	cfg := PollerConfig{Interval: time.Second, Soonest: 300 * time.Millisecond, Timeout: 3 * time.Second, Trust: 1600 * time.Millisecond, TrustAge: 3200 * time.Millisecond}
 	for _, opt := range opts {
 		opt(&cfg)
 	}
@@ -147,7 +148,7 @@
 func (p *Poller) fresh() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return uptime.Since(p.last) < p.cfg.Trust && p.age < p.cfg.Trust
+	return uptime.Since(p.last) < p.cfg.Trust && p.age < p.cfg.TrustAge
 }
 
 // due reports whether it is time to read. A node that another one reads for
--- a/discovery/poller_test.go
+++ b/discovery/poller_test.go
@@ -203,3 +203,16 @@
 		require.True(t, p.Fed(change))
 	})
 }
+
+// A long list is read less often, so its newest reading is often two seconds old.
+func TestReadingOfALongListIsTrusted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &countingSource{}
+		p, _ := start(t, s, WithPatience(2*time.Second))
+		for i := range 20 {
+			p.Fed(feedOf(i > 0, time.Duration(i%5)*500*time.Millisecond))
+			time.Sleep(time.Second)
+		}
+		require.Zero(t, s.reads.Load())
+	})
+}
