A member that has heard no entry tells a relay of none, instead of ending

Cause: found by reading. A directory without a version has no map of changes; asked by a relay that knows the entries from another leader, reply wrote into it, and the panic of a call ends the process: most likely at a new leader on a site of up to 100 entries, whose members are asked by none. Test: TestWhoHeardNoEntryTellsOfNone (panicked before).

--- a/control/directory.go
+++ b/control/directory.go
@@ -130,7 +130,7 @@
 // reply tells the holder of a version what is new.
 func (d *directory) reply(held uint64) DirectoryReply {
 	newest := d.newest()
-	if held == newest.version {
+	if held == newest.version || newest.version == 0 {
 		return DirectoryReply{Version: newest.version, From: held}
 	}
 	if known := newest.changes[held]; known != nil {
--- a/control/roster_test.go
+++ b/control/roster_test.go
@@ -128,6 +128,16 @@
 	require.Zero(t, zero)
 }
 
+// A member that has heard no entry yet, as one that has just come to lead, is asked by
+// relays that know the entries from another.
+func TestWhoHeardNoEntryTellsOfNone(t *testing.T) {
+	var e entries
+	var reply NewestReply
+	e.tell(NewestArgs{Relay: "m2", Directory: true, Entries: 77}, &reply)
+	require.Zero(t, reply.Directory.Version)
+	require.Empty(t, reply.Directory.Joined)
+}
+
 // An entry that asks now and then knows who is there and where, whatever it missed, and
 // is told changes only.
 func TestEntriesFollowTheDirectory(t *testing.T) {
