--- a/balance/pool.go
+++ b/balance/pool.go
@@ -28,6 +28,15 @@
 	copies int // tokens of copies of other engines' runs
 }
 
+// occupancyOf returns what one run takes up.
+func occupancyOf(hold int, unread bool) occupancy {
+	o := occupancy{runs: 1, held: hold}
+	if unread {
+		o.unread = 1
+	}
+	return o
+}
+
 func (o *occupancy) add(other occupancy, sign int) {
 	o.runs += sign * other.runs
 	o.unread += sign * other.unread
--- a/balance/run.go
+++ b/balance/run.go
@@ -65,11 +65,7 @@
 	if sign > 0 {
 		r.holder = r.target.tracker.byLife[r.trace.Copy]
 	}
-	o := occupancy{runs: 1, held: r.work.Hold}
-	if r.work.Read > 0 && !r.first {
-		o.unread = 1
-	}
-	r.target.occupy(o, sign)
+	r.target.occupy(occupancyOf(r.work.Hold, r.work.Read > 0 && !r.first), sign)
 	r.target.countCopy(r.holder, r.work.Hold, sign)
 }
 
@@ -187,11 +183,7 @@
 func (o *otherRuns) count(at *Target, sign int) {
 	var sum occupancy
 	for i, s := range o.runs {
-		one := occupancy{runs: 1, held: s.Hold}
-		if s.Read > 0 {
-			one.unread = 1
-		}
-		sum.add(one, 1)
+		sum.add(occupancyOf(s.Hold, s.Read > 0), 1)
 		at.countCopy(o.holders[i], s.Hold, sign)
 	}
 	at.occupy(sum, sign)
--- a/control/client.go
+++ b/control/client.go
@@ -72,7 +72,6 @@
 	doc    []byte
 	have   uint64
 	until  time.Time           // end of the lease
-	hall   string              // data hall of this node
 	near   walnutramp.NodeName // member that takes this node's reports; empty for any
 
 	ctx    context.Context
@@ -223,7 +222,7 @@
 	have := c.Version()
 	args := NewestArgs{
 		Have: have, Wait: wait, Unconfirmed: c.fast && (have == 0 || c.lacksTargets()),
-		Entry: c.entry.Address, Life: c.life, Entries: c.entriesHeld, Directory: true, Disk: c.entry.Disk, Roster: c.held, DataHall: c.hall,
+		Entry: c.entry.Address, Life: c.life, Entries: c.entriesHeld, Directory: true, Disk: c.entry.Disk, Roster: c.held, DataHall: c.entry.DataHall,
 	}
 	if c.whole {
 		args.Have = 0
--- a/control/feed.go
+++ b/control/feed.go
@@ -35,9 +35,7 @@
 
 // AsEntry makes the node known as an entry, and has all entries told to seen. It must be
 // called before Start.
-func (c *Client) AsEntry(as EntryPlace, seen SeenFunc) {
-	c.entry, c.hall, c.seen = as, as.DataHall, seen
-}
+func (c *Client) AsEntry(as EntryPlace, seen SeenFunc) { c.entry, c.seen = as, seen }
 
 // takeEntries hands the entries on that an answer tells of.
 func (c *Client) takeEntries(r *NewestReply) {
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -61,11 +61,11 @@
 	total    int64
 	accounts map[string]int64
 	boxes    map[*outbox]struct{} // that hold something
-	room     chan struct{}        // closed when something held is gone
+	room     chan struct{}        // closed when something held is gone; nil if nobody waits
 }
 
 func newHeldAnswers(l HeldLimits, c *counters) *heldAnswers {
-	return &heldAnswers{limits: l, counters: c, accounts: map[string]int64{}, boxes: map[*outbox]struct{}{}, room: make(chan struct{})}
+	return &heldAnswers{limits: l, counters: c, accounts: map[string]int64{}, boxes: map[*outbox]struct{}{}}
 }
 
 // exceeded returns the bound that n more bytes of an answer would exceed. An answer
@@ -100,10 +100,19 @@
 	} else {
 		h.boxes[b] = struct{}{}
 	}
-	if n < 0 {
+	if n < 0 && h.room != nil {
 		close(h.room)
+		h.room = nil
+	}
+}
+
+// awaitRoom returns what is closed when something held is gone. The caller holds the
+// mutex.
+func (h *heldAnswers) awaitRoom() <-chan struct{} {
+	if h.room == nil {
 		h.room = make(chan struct{})
 	}
+	return h.room
 }
 
 // makeRoom ends the answer of which most is held, among those that share the bound
--- a/gateway/outbox.go
+++ b/gateway/outbox.go
@@ -79,7 +79,7 @@
 		return nil, b.err
 	}
 	if b.held.exceeded(b, len(p)) != boundNone {
-		return b.held.room, nil
+		return b.held.awaitRoom(), nil
 	}
 	b.waiting = append(b.waiting, p...)
 	b.held.add(b, int64(len(p)))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -79,9 +79,9 @@
 		}
 	}
 	if r.started || ctx.Err() == context.Canceled {
-		r.passRest()
+		rest := r.passRest()
 		klog.InfoS("Stream given up", "request", c.id, "route", c.route.Name, "last", c.lastID, "sent", c.sent,
-			"outcome", c.outcomeOf(), "cause", ctx.Err())
+			"outcome", c.outcomeOf(), "cause", ctx.Err(), "notPassed", rest)
 		panic(http.ErrAbortHandler) // what ends early must not look whole
 	}
 	g.fail(w, c, g.giveUp(c, "no target answered"))
@@ -100,14 +100,12 @@
 }
 
 // passRest passes on what was read of an answer that is given up: its client goes on
-// from there.
-func (r *relay) passRest() {
+// from there. It returns why the client did not get all of it.
+func (r *relay) passRest() error {
 	if r.out == nil {
-		return
-	}
-	if err := r.out.FinishSoon(); err != nil {
-		r.noteLeft(err)
+		return nil
 	}
+	return r.out.FinishSoon()
 }
 
 // close ends writing to the client before its request ends.
