--- a/gateway/ask.go
+++ b/gateway/ask.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/ratelimit"
 	"github.com/walnutramp/walnutramp/targetconn"
 	"k8s.io/klog/v2"
 )
@@ -17,6 +18,8 @@
 	Cooldown time.Duration
 	// Draining says that the target is draining: it accepts no new requests.
 	Draining bool
+	// RateLimit is the rate limit that the target publishes for all nodes together.
+	RateLimit ratelimit.Signal
 }
 
 // Reasons why a request is not sent to the selected target: it is draining or in
@@ -112,6 +115,9 @@
 	} else {
 		t.RecordResponse()
 	}
+	if a.Status != http.StatusMisdirectedRequest { // from another target at the address
+		g.limits.Observe(t.Incarnation(), backpressure.RateLimit)
+	}
 	if backpressure.Draining && !t.Draining() {
 		t.RecordDraining()
 		klog.InfoS("Target says that it leaves", "request", request, "target", t.ID)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/metering"
 	"github.com/walnutramp/walnutramp/quarantine"
+	"github.com/walnutramp/walnutramp/ratelimit"
 	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
 )
@@ -145,6 +146,7 @@
 	serviceTimes serviceTimes
 
 	budgets *balance.Budgets
+	limits  *ratelimit.Limiter // of targets
 }
 
 // New returns a gateway without a table. Until SetTable, requests wait up to StartWait
@@ -158,7 +160,7 @@
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = quarantine.NewCrashDetector(quarantine.New(), pool.Dial)
 	}
-	g := &Gateway{cfg: cfg, targets: targets, pool: pool, refresh: refresh, budgets: budgets, counters: newCounters(),
+	g := &Gateway{cfg: cfg, targets: targets, pool: pool, refresh: refresh, budgets: budgets, limits: ratelimit.New(), counters: newCounters(),
 		started: make(chan struct{}), pending: pendingRuns{runs: map[*pendingRun]struct{}{}}}
 	g.buffers = newBufferAccounting(cfg.Buffers, g.counters)
 	g.counters.set.NewGauge(`walnutramp_gateway_held_bytes{cause="slow-clients"}`, func() float64 { return float64(g.buffers.bytes()) })
@@ -168,6 +170,7 @@
 	g.counters.set.NewGauge("walnutramp_quarantine_held_contents", func() float64 { return float64(cfg.Quarantine.QuarantinedContents()) })
 	g.counters.set.NewGauge("walnutramp_quarantine_suspect_contents", func() float64 { return float64(cfg.Quarantine.SuspectContents()) })
 	g.counters.set.NewGauge("walnutramp_gateway_resting_targets", func() float64 { return float64(targets.CountInCooldown()) })
+	g.counters.set.NewGauge("walnutramp_gateway_rate_limited_targets", func() float64 { return float64(g.limits.CountLimited()) })
 	g.strip = map[string]bool{}
 	n := cfg.Names
 	for _, name := range append([]string{n.Key, n.Account, n.Expect, n.Priority, n.CopyTo, n.CopyFrom, n.Deadline}, n.System...) {
