quota, control: entry nodes learn which nodes share the quota, and which keys are whose

Each node in the set gets, with its share, the version of the list of nodes that the leader counted, and the list by changes (about 20 bytes a node, once per change of the set). quota.Ownership assigns keys to the nodes of the list by rendezvous hashing. Two nodes that may use their shares within one span are each in the other's list, so they rank each other alike for a key: a key has one user at a time, whatever else the lists hold. An older leader or relay sends no list: then a node owns nothing.

--- a/control/client.go
+++ b/control/client.go
@@ -61,7 +61,10 @@
 	clock             *groupclock.Follower // of the group's time; nil if unused
 	usage             *metering.Counter    // of requests; nil if unused
 	demand            DemandSource         // of services; nil if unused
-	quota             *quota.Holder        // of this node's share of the retry budget; nil if unused
+	quota             *quota.Holder        // of this node's share of the quotas; nil if unused
+	ownership         *quota.Ownership     // of keys by the nodes that have a share; nil if unused
+	sharers           []EntryNode          // nodes that have a share, as last received
+	sharersVersion    uint64               // version of sharers; 0 requests all of them
 	incarnation       uint64               // identifies this process
 
 	mu           sync.Mutex
@@ -199,7 +202,7 @@
 	}
 	c.contact.recordAnswer(node, reply.Version)
 	c.setNearMember(reply.Near)
-	c.applyShare(reply.Share, askedAt)
+	c.applyShare(&reply, askedAt)
 	c.applyVersions(reply.Versions)
 	if err := reply.Roster.readFull(c.ctx, c.peers, node, reply.Source); err != nil {
 		klog.ErrorS(err, "Failed to read target list", "asked", node)
@@ -223,6 +226,7 @@
 	args := NewestArgs{
 		Have: have, Wait: longPoll, Unconfirmed: c.dynamicMembers && (have == 0 || c.needsTargets()),
 		Entry: c.self.Address, Life: c.incarnation, Entries: c.entryNodesVersion, Directory: true, Disk: c.self.Disk, Roster: c.targetsVersion, DataHall: c.self.DataHall,
+		Ownership: c.ownership != nil, Sharers: c.sharersVersion,
 	}
 	if c.needFull {
 		args.Have = 0
--- a/control/directory.go
+++ b/control/directory.go
@@ -128,6 +128,22 @@
 	d.versions = d.versions[max(0, len(d.versions)-maxDirectoryVersions):]
 }
 
+// applyReply brings the directory up to that of a reply. If the changes do not apply to
+// the newest version, it forgets all, so that the full list is requested next.
+func (d *directory) applyReply(r *DirectoryReply) {
+	current := d.newest()
+	if r.Version == 0 || r.Version == current.version {
+		return
+	}
+	nodes, ok := r.apply(current.version, current.entries)
+	if !ok {
+		*d = directory{}
+		return
+	}
+	slices.SortFunc(nodes, compareAddresses)
+	d.add(directoryVersion{version: r.Version, entries: nodes, changes: map[uint64]*DirectoryReply{}})
+}
+
 // reply returns the changes since a version, or the full list if that version is
 // not kept. Before the first version there are no changes.
 func (d *directory) reply(version uint64) DirectoryReply {
--- a/control/messages.go
+++ b/control/messages.go
@@ -49,6 +49,10 @@
 	// nodes of its data hall. Relayed are the entry nodes that asked it recently.
 	Relay   string
 	Relayed []string
+	// Ownership is set if the requester wants the list of nodes that share the quota.
+	// Sharers is the version that it holds.
+	Ownership bool
+	Sharers   uint64
 }
 
 // anyVersions is at least as high as any revision, so that no view is sent.
@@ -91,8 +95,10 @@
 	// Near is the member of the requester's data hall that takes its reports; empty for
 	// the leader itself.
 	Near walnutramp.NodeName
-	// Share is the requester's share of the site's retry budget.
+	// Share is the requester's share of the quotas that all entry nodes divide.
 	Share quota.Assignment
+	// Sharers lists the nodes that have a share, if the requester wants them.
+	Sharers DirectoryReply
 }
 
 // TimeArgs requests a member's wall clock.
--- a/control/relay.go
+++ b/control/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -168,7 +167,7 @@
 		return false
 	}
 	r.apply(reply, askedAt)
-	r.cacheShare(args, reply.Share, askedAt)
+	r.cacheShare(args, &reply, askedAt)
 	return true
 }
 
@@ -180,6 +179,7 @@
 	args := NewestArgs{
 		Have: applied.Version, Wait: renewLongPoll, Entries: r.directory.newest().version, Directory: true, Versions: anyVersions,
 		DataHall: r.hall, Relay: string(r.node), Relayed: r.server.entryNodes.addresses(), RelayedDisks: r.server.entryNodes.diskAddresses(),
+		Ownership: true, Sharers: r.share.nodes.newest().version,
 	}
 	if r.server.targets != nil && !r.needFull {
 		args.Roster, _ = r.server.targets.current()
@@ -204,20 +204,11 @@
 // applyDirectory stores the entry nodes of the leader's reply. The caller holds the
 // mutex.
 func (r *Relay) applyDirectory(reply *NewestReply) {
-	entryNodes, current := &reply.Directory, r.directory.newest()
+	entryNodes := &reply.Directory
 	if entryNodes.Version == 0 && reply.EntriesVersion != 0 && reply.Entries != nil { // from an older build
 		entryNodes = &DirectoryReply{Version: reply.EntriesVersion, Joined: withUnknownHall(reply.Entries)}
 	}
-	if entryNodes.Version == 0 || entryNodes.Version == current.version {
-		return
-	}
-	nodes, ok := entryNodes.apply(current.version, current.entries)
-	if !ok {
-		r.directory = directory{} // request the full list
-		return
-	}
-	slices.SortFunc(nodes, compareAddresses)
-	r.directory.add(directoryVersion{version: entryNodes.Version, entries: nodes, changes: map[uint64]*DirectoryReply{}})
+	r.directory.applyReply(entryNodes)
 }
 
 // withUnknownHall lists addresses as entry nodes whose data hall is unknown.
@@ -263,7 +254,7 @@
 	s.fill(args, reply)
 	reply.Age = uptime.Since(r.askedAt)
 	reply.Relay = r.node
-	reply.Share = r.share.shareFor(args.Entry, receivedAt)
+	r.share.fillShare(args, reply, receivedAt)
 	if s.reports != nil {
 		reply.Near = r.node
 	}
--- a/control/server.go
+++ b/control/server.go
@@ -106,7 +106,7 @@
 		return nil
 	}
 	s.fill(args, reply)
-	reply.Share = s.quota.shareFor(args)
+	s.quota.fillShare(args, reply)
 	s.fillTargets(args, reply)
 	if args.Entry != "" {
 		s.referToRelay(ctx, args, reply)
--- a/control/sharing.go
+++ b/control/sharing.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +31,10 @@
 
 	mu     sync.Mutex // serializes updates
 	opened bool       // opening the set was proposed, successfully or not
+
+	listMu       sync.Mutex
+	list         directory // entry nodes of the set
+	listRevision uint64    // of the set that list was last brought up to
 }
 
 // NewQuotaController returns a QuotaController and registers it with a member's server.
@@ -58,7 +64,7 @@
 // entry nodes that wait for it. Nothing is served yet, so they may use their shares
 // at once.
 func (c *QuotaController) openEarly(ctx context.Context) {
-	if c == nil || !c.member.Leads() || c.state.quotaSet().Open {
+	if c == nil || !c.member.Leads() || c.state.quotaSetOpen() {
 		return
 	}
 	pause.For(ctx, firstRequestWait)
@@ -69,7 +75,7 @@
 func (c *QuotaController) update(ctx context.Context, open bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	set := c.state.quotaSet()
+	set, _ := c.state.quotaSet()
 	if _, in, out := c.register.Next(set); len(in)+len(out) == 0 && (set.Open || !open) {
 		return
 	}
@@ -78,7 +84,7 @@
 	if !c.member.Confirm(ctx) {
 		return // the set may be stale on this member
 	}
-	set = c.state.quotaSet()
+	set, _ = c.state.quotaSet()
 	set.Open = set.Open || c.opened
 	next, in, out := c.register.Next(set)
 	next.Open = next.Open || open
@@ -113,32 +119,81 @@
 	return nodes
 }
 
-// shareFor returns the share of the query's sender, or of each of the entry nodes for
-// which a relay asks. The caller has had leadership confirmed after the query arrived.
-func (c *QuotaController) shareFor(args NewestArgs) quota.Assignment {
+// fillShare adds the share of the query's sender, or of each of the entry nodes for
+// which a relay asks, and the nodes among which it is one. The caller has had leadership
+// confirmed after the query arrived.
+func (c *QuotaController) fillShare(args NewestArgs, reply *NewestReply) {
 	if c == nil || !args.wantsTargets() {
-		return quota.Assignment{}
+		return
+	}
+	set, revision := c.state.quotaSet()
+	reply.Share = c.register.Assignment(set, args.quotaNodes()...)
+	if reply.Share.Nodes == 0 || !args.Ownership {
+		return
+	}
+	c.listMu.Lock()
+	defer c.listMu.Unlock()
+	if c.listRevision != revision {
+		c.listRevision = revision
+		c.list.add(newDirectoryVersion(entryNodesAt(slices.Sorted(maps.Keys(set.Lives)))))
+	}
+	reply.Share.Members = c.list.newest().version
+	reply.Sharers = c.list.reply(args.Sharers)
+}
+
+// entryNodesAt returns entry nodes of which only the addresses are known.
+func entryNodesAt(addresses []string) []EntryNode {
+	nodes := make([]EntryNode, len(addresses))
+	for i, address := range addresses {
+		nodes[i].Address = address
 	}
-	return c.register.Assignment(c.state.quotaSet(), args.quotaNodes()...)
+	return nodes
 }
 
 // quotaSet returns the entry nodes that share the budget, as applied by this
-// member.
-func (s *State) quotaSet() quota.Set {
+// member, and the revision of the set.
+func (s *State) quotaSet() (set quota.Set, revision uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.sharers.Clone()
+	return s.sharers.Clone(), s.sharersRevision
+}
+
+// quotaSetOpen reports whether entry nodes may be told their shares.
+func (s *State) quotaSetOpen() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sharers.Open
 }
 
 // WithQuota makes the client pass this node's share, as told by the leader, to a
 // holder. It is called before Start.
 func (c *Client) WithQuota(h *quota.Holder) { c.quota = h }
 
-// applyShare applies this node's share from a reply.
-func (c *Client) applyShare(a quota.Assignment, requestedAt time.Time) {
-	if c.quota != nil {
-		c.quota.Apply(a, requestedAt)
+// WithOwnership makes the client pass the list of nodes that have a share to o. It is
+// called before Start.
+func (c *Client) WithOwnership(o *quota.Ownership) { c.ownership = o }
+
+// applyShare applies this node's share from a reply, and the nodes that have one.
+func (c *Client) applyShare(r *NewestReply, requestedAt time.Time) {
+	if c.quota == nil {
+		return
 	}
+	c.applySharers(&r.Sharers)
+	c.quota.Apply(r.Share, requestedAt)
+}
+
+// applySharers applies the list of nodes that have a share.
+func (c *Client) applySharers(r *DirectoryReply) {
+	if c.ownership == nil || r.Version == 0 || r.Version == c.sharersVersion {
+		return
+	}
+	nodes, ok := r.apply(c.sharersVersion, c.sharers)
+	if !ok {
+		c.sharersVersion = 0 // request the full list
+		return
+	}
+	c.sharersVersion, c.sharers = r.Version, nodes
+	c.ownership.SetMembers(quota.Members{Version: r.Version, Addresses: addressesOf(nodes)})
 }
 
 // relayedShare is the leader's reply about the shares of a relay's entry nodes.
@@ -146,11 +201,13 @@
 	share       quota.Assignment
 	requestedAt time.Time
 	entries     map[string]bool // addresses the share applies to
+	nodes       directory       // nodes that have a share
 }
 
-// cacheShare keeps the share for the entry nodes that a query named.
-func (r *Relay) cacheShare(args NewestArgs, a quota.Assignment, requestedAt time.Time) {
-	if a.Nodes == 0 {
+// cacheShare keeps the share for the entry nodes that a query named, and the nodes that
+// have one.
+func (r *Relay) cacheShare(args NewestArgs, reply *NewestReply, requestedAt time.Time) {
+	if reply.Share.Nodes == 0 {
 		return
 	}
 	entries := make(map[string]bool, len(args.Relayed))
@@ -159,16 +216,18 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.share = relayedShare{share: a, requestedAt: requestedAt, entries: entries}
+	r.share.share, r.share.requestedAt, r.share.entries = reply.Share, requestedAt, entries
+	r.share.nodes.applyReply(&reply.Sharers)
 }
 
-// shareFor returns the share for an entry node whose query was received at a
-// given time.
-func (p *relayedShare) shareFor(entry string, receivedAt time.Time) quota.Assignment {
-	if !p.entries[entry] || uptime.Since(p.requestedAt) > quota.AnswerTimeout {
-		return quota.Assignment{}
+// fillShare adds the share of an entry node whose query was received at a given time.
+func (p *relayedShare) fillShare(args NewestArgs, reply *NewestReply, receivedAt time.Time) {
+	if !p.entries[args.Entry] || uptime.Since(p.requestedAt) > quota.AnswerTimeout {
+		return
+	}
+	reply.Share = p.share
+	reply.Share.Age = max(0, receivedAt.Sub(p.requestedAt))
+	if args.Ownership {
+		reply.Sharers = p.nodes.reply(args.Sharers)
 	}
-	a := p.share
-	a.Age = max(0, receivedAt.Sub(p.requestedAt))
-	return a
 }
--- a/control/state.go
+++ b/control/state.go
@@ -125,6 +125,8 @@
 	windows  windows
 	duty     duty.Record
 	sharers  quota.Set // entry nodes that share the retry budget
+	// sharersRevision changes with sharers.
+	sharersRevision uint64
 }
 
 // NewState returns the state of a new group, before its first bundle.
@@ -161,6 +163,7 @@
 		return encode(s.windows.close(c.Close))
 	case c.Sharers != nil:
 		s.sharers = *c.Sharers
+		s.sharersRevision++
 		return encode(Result{Code: walnutramp.CodeOK})
 	case c.Grant != nil, c.Release != nil:
 		return encode(s.applyDuty(index, &c))
@@ -326,6 +329,7 @@
 	}
 	s.duty = img.Duty
 	s.sharers = img.Sharing
+	s.sharersRevision++
 	s.notify()
 	return nil
 }
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -17,6 +17,7 @@
 	setSize     int       // in the latest assignment
 	requestedAt time.Time // when the latest assignment was requested
 	usableFrom  time.Time
+	members     uint64 // identifies the list of nodes in the latest assignment
 }
 
 // NewHolder returns a Holder for a quota per span, with no share until the first
@@ -42,7 +43,7 @@
 	case issuedAt.Before(h.requestedAt):
 		return
 	}
-	h.epoch, h.setSize, h.requestedAt = a.Epoch, a.Nodes, issuedAt
+	h.epoch, h.setSize, h.requestedAt, h.members = a.Epoch, a.Nodes, issuedAt, a.Members
 }
 
 // join makes the share usable from a time on. The caller holds the mutex.
@@ -54,11 +55,27 @@
 // Share returns the share of the quota, from 0 to 1, that this node may have used within
 // the span that ends now.
 func (h *Holder) Share() float64 {
-	now := uptime.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.setSize == 0 || now.Before(h.usableFrom) || now.Sub(h.requestedAt) > ShareTTL {
+	if !h.usable() {
 		return 0
 	}
 	return 1 / float64(h.setSize)
 }
+
+// shareVersion identifies the list of nodes that the share was assigned with; 0 while the
+// node has no share.
+func (h *Holder) shareVersion() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.usable() {
+		return 0
+	}
+	return h.members
+}
+
+// usable reports whether the node has a share now. The caller holds the mutex.
+func (h *Holder) usable() bool {
+	now := uptime.Now()
+	return h.setSize > 0 && !now.Before(h.usableFrom) && now.Sub(h.requestedAt) <= ShareTTL
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -43,4 +43,6 @@
 	// node had a share. The process need not wait for joinDelay before its first share.
 	First bool
 	Age   time.Duration // since the leader was asked, if relayed by another node
+	// Members identifies the list of the set's nodes; 0 if unknown, as from an older build.
+	Members uint64
 }
