Keep the requests of all nodes to a target within the rate limit that it names

Now a target's rate is divided into four slots. Each slot belongs to one node of the committed set, by rendezvous hashing, and is a token bucket there; a node that needs a permit takes it from a slot of its own or asks an owner by datagram, which charges it at once. So nothing that is lost, late, doubled or split adds requests: at most 4 + rate x (1 s + d) in any time d, where 5 + 1.5 x rate x 4 s are allowed in 4 s. Permits are checked at the choice and again just before the first byte, on every way to a target. A request without a permit goes to another target at once; if there is none it waits only for a permit that is granted for a time it can wait for, else it is rejected at once (3010) with when to come back.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -185,6 +185,8 @@
 	backoffUntil        time.Time
 	errorRate           float64  // exponentially weighted
 	cooldown            cooldown // requested by the target from this node
+	limited             bool     // publishes a rate limit
+	limitOwned          bool     // this node has a part of the rate
 
 	delistedAt time.Time
 }
--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -53,6 +53,7 @@
 	t.candidates = t.candidates[:0]
 	for _, h := range s.pool.ordered {
 		s.scanHall(h, s.hallLimit(h))
+		s.addLimited(h)
 	}
 	s.addPreferred()
 	return t.candidates
@@ -67,20 +68,20 @@
 		s.consider(s.cacheHolder)
 	}
 	if local := s.pool.halls[s.tracker.cfg.DataHall]; local != nil {
-		s.addSample(local.owned)
+		s.addSample(local.owned, preferredScan)
 	}
 	for _, h := range s.pool.ordered {
-		s.addSample(h.connected)
+		s.addSample(h.connected, preferredScan)
 	}
 }
 
-// addSample considers a random few of the given targets.
-func (s *scan) addSample(targets []*Target) {
+// addSample considers up to limit of the given targets, from a random one on.
+func (s *scan) addSample(targets []*Target, limit int) {
 	if len(targets) == 0 {
 		return
 	}
 	start := s.tracker.rng.IntN(len(targets))
-	for i := range min(preferredScan, len(targets)) {
+	for i := range min(limit, len(targets)) {
 		s.consider(targets[(start+i)%len(targets)])
 	}
 }
@@ -148,7 +149,14 @@
 	if !s.eligible(target, backlog) {
 		return false
 	}
+	allowance := s.allowance(target)
+	if allowance == NoAllowance {
+		return false
+	}
 	score := target.score(s, backlog)
+	if allowance == AllowanceNearby {
+		score += limitedCost
+	}
 	if target.hall.suspect {
 		target.hallSuspectAt = s.now
 		score += s.tracker.suspectHallCost(s.choice)
@@ -177,6 +185,11 @@
 				}
 			}
 		}
+		for _, target := range h.limited.items {
+			if s.eligible(target, target.backlog(s.now)) && s.allowance(target) != NoAllowance {
+				return true
+			}
+		}
 	}
 	return false
 }
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -59,6 +59,8 @@
 	ring           []ringPoint // sorted by hash
 	connected      []*Target   // with an idle connection
 	owned          []*Target   // owned by this node, in its own data hall
+	limited        targetSet   // with a rate limit; not in buckets
+	limitOwned     targetSet   // of these, the ones of whose rate this node has a part
 	present        int         // targets not known to have ended
 	accepting      int         // of these, the ones not draining
 	prefilling     int         // targets with prefills pending
@@ -95,7 +97,7 @@
 	t.pool, t.hall = p, h
 	p.size++
 	p.errorRateSum += t.errorRate
-	t.addToBucket()
+	t.addToHall()
 	at := ringPoint{hash: xxhash.Sum64String(t.ID), target: t}
 	i, _ := slices.BinarySearchFunc(h.ring, at.hash, byHash)
 	h.ring = slices.Insert(h.ring, i, at)
@@ -116,7 +118,7 @@
 	h := t.hall
 	p.size--
 	p.errorRateSum -= t.errorRate
-	t.removeFromBucket()
+	t.removeFromHall()
 	h.removeFromRing(t)
 	h.countPresence(t, -1)
 	h.occupancy.add(t.occupancy, -1)
@@ -206,7 +208,7 @@
 			t.hall.prefilling--
 		}
 	}
-	if min(t.occupancy.runs, runBuckets-1) != t.bucket {
+	if !t.limited && min(t.occupancy.runs, runBuckets-1) != t.bucket {
 		t.removeFromBucket()
 		t.addToBucket()
 	}
--- a/code.go
+++ b/code.go
@@ -33,6 +33,7 @@
 	CodeQuarantined     Code = 3007
 	CodeTargetsCooldown Code = 3008
 	CodeClientSlow      Code = 3009
+	CodeTargetsLimited  Code = 3010
 
 	CodeGenerationUnknown Code = 4001
 	CodeNotProvable       Code = 4002
@@ -108,6 +109,7 @@
 	{CodeQuarantined, "held-back", 503, "Targets end when they run this request, so it is kept from them; come back after Retry-After."},
 	{CodeTargetsCooldown, "targets-rest", 503, "All targets that serve this asked to be left alone for a while; come back after Retry-After."},
 	{CodeClientSlow, "client-slow", 503, "The client read its answer too slowly for what may be held of it; it can come again with its last event."},
+	{CodeTargetsLimited, "targets-limited", 503, "All targets that serve this are at the rate limits that they publish; come back after Retry-After."},
 	{CodeGenerationUnknown, "generation-unknown", 404, "No reachable node holds that generation."},
 	{CodeNotProvable, "not-provable", 503, "Too few replicas answer to prove where the generation stands."},
 	{CodeMoved, "moved", 503, "Another node now owns the generation; reconnect with Last-Event-ID."},
--- a/gateway/ask.go
+++ b/gateway/ask.go
@@ -23,14 +23,18 @@
 }
 
 // Reasons why a request is not sent to the selected target: it is draining or in
-// cooldown, or the request is a retry that the budget does not cover.
+// cooldown, its rate limit leaves no room, or the request is a retry that the budget does
+// not cover.
 var (
 	errNotAdmitted = errors.New("target accepts no requests now")
+	errRateLimited = errors.New("target is at its rate limit")
 	errBudgetSpent = errors.New("retry budget exhausted")
 )
 
 // notSent reports whether err means that the request was withheld before sending.
-func notSent(err error) bool { return errors.Is(err, errNotAdmitted) || errors.Is(err, errBudgetSpent) }
+func notSent(err error) bool {
+	return errors.Is(err, errNotAdmitted) || errors.Is(err, errRateLimited) || errors.Is(err, errBudgetSpent)
+}
 
 // chargeRetry charges a retry to the budget immediately before it is sent, unless a
 // reservation made when the retry was decided on is still valid. It charges nothing for
@@ -69,9 +73,10 @@
 
 // send sends a request to a target and applies the load and backpressure signals in the
 // head of the answer. It fails with errNotAdmitted if the target is in cooldown or, except
-// for purposeCopy, draining. Every call to a target goes through here, so that none is
-// sent during a cooldown.
-func (g *Gateway) send(ctx context.Context, t *balance.Target, p purpose, r *targetconn.Request) (*targetconn.Answer, error) {
+// for purposeCopy, draining, and with errRateLimited if neither the permit nor one that
+// this node has in hand allows the request. Every call to a target goes through here, so
+// that none is sent during a cooldown or beyond a rate limit.
+func (g *Gateway) send(ctx context.Context, t *balance.Target, p purpose, permit *ratelimit.Permit, r *targetconn.Request) (*targetconn.Answer, error) {
 	accepts := t.Admit
 	if p == purposeCopy {
 		accepts = func() bool { return !t.InCooldown() } // runs are copied off a target that is shutting down
@@ -81,17 +86,9 @@
 		return nil, errNotAdmitted
 	}
 	charge := r.Gate
-	r.Gate = func() error {
-		if t.InCooldown() {
-			return errNotAdmitted
-		}
-		if charge != nil {
-			return charge()
-		}
-		return nil
-	}
+	r.Gate = func() error { return g.checkBeforeSending(t, permit, charge) }
 	answer, err := g.pool.Do(ctx, endpoint(t), r)
-	if errors.Is(err, errNotAdmitted) {
+	if errors.Is(err, errNotAdmitted) || errors.Is(err, errRateLimited) {
 		g.counters.notSent(p)
 	}
 	if err != nil {
@@ -102,6 +99,26 @@
 	return answer, nil
 }
 
+// checkBeforeSending reports why a request must not be sent to a target now; nil if it may
+// be. It uses up the permit. charge, which may be nil, charges a retry.
+func (g *Gateway) checkBeforeSending(t *balance.Target, permit *ratelimit.Permit, charge func() error) error {
+	if t.InCooldown() {
+		return errNotAdmitted
+	}
+	held := *permit
+	if !g.cfg.Limits.Use(t.Incarnation(), permit) {
+		return errRateLimited
+	}
+	if charge == nil {
+		return nil
+	}
+	err := charge()
+	if err != nil {
+		g.cfg.Limits.Return(&held)
+	}
+	return err
+}
+
 // applyBackpressure applies the backpressure signals of an answer to its target.
 func (g *Gateway) applyBackpressure(t *balance.Target, request string, a *targetconn.Answer) {
 	if g.cfg.Names.ParseBackpressure == nil {
@@ -116,7 +133,7 @@
 		t.RecordResponse()
 	}
 	if a.Status != http.StatusMisdirectedRequest { // from another target at the address
-		g.limits.Observe(t.Incarnation(), backpressure.RateLimit)
+		g.cfg.Limits.Observe(t.Incarnation(), backpressure.RateLimit)
 	}
 	if backpressure.Draining && !t.Draining() {
 		t.RecordDraining()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -12,6 +12,7 @@
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/quarantine"
+	"github.com/walnutramp/walnutramp/ratelimit"
 	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
 )
@@ -49,6 +50,9 @@
 	failedHalls    map[string]int           // number of targets that failed it, by data hall
 	noCapacity     bool                     // targets exist, but none can admit the request
 	cooldownLeft   time.Duration            // see remainingCooldown; as of the last time that nextTarget found no target
+	permit         ratelimit.Permit         // for the selected target, until the request is sent
+	exhausted      string                   // a target that was passed over for its rate limit in the latest selection; empty for none
+	denial         *ratelimit.Denial        // why the latest selection found no target; nil if not for a rate limit
 	reservedRetry  balance.Retry            // retry taken from the budget, but not yet received by a target
 	rolloutRequest *rollout.Request         // reports the outcome of the current attempt to the roll-out; nil without one
 	metered        bool                     // already counted for its client account
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -24,14 +24,15 @@
 
 // nextTarget returns the next target to try, or nil. While none is available, it polls
 // until the wait limit, unless waiting is useless: if the request may already have run, if
-// it is new and no engine can admit it, or if all its targets are in cooldown for longer.
+// it is new and no engine can admit it, if no target grants a permit in time, or if all its
+// targets are in cooldown for longer.
 func (g *Gateway) nextTarget(ctx context.Context, c *call) *balance.Target {
 	until := c.arrived.Add(min(time.Duration(float64(c.route.LatencyObjective)*waitShare), maxTargetWait))
 	for {
 		if c.attempts > maxRejections || !uptime.Now().Before(c.deadline) {
 			return nil // a suspended machine's timers fire late
 		}
-		if t := g.selectTarget(c); t != nil {
+		if t := g.selectTarget(ctx, c, until); t != nil {
 			c.attempts++
 			g.beginRolloutRequest(c, t)
 			return t
@@ -40,6 +41,9 @@
 			return nil
 		}
 		c.cooldownLeft = g.remainingCooldown(c)
+		if c.denial != nil && c.cooldownLeft == 0 && len(c.rejected) == 0 {
+			return nil
+		}
 		if !uptime.Now().Add(c.cooldownLeft).Before(until) || !pause.For(ctx, retryInterval) {
 			return nil
 		}
@@ -48,37 +52,47 @@
 }
 
 // remainingCooldown returns the shortest remaining cooldown of the eligible targets; 0
-// unless all of them are in cooldown.
+// unless all of them are in cooldown. Those whose rate limit leaves no room don't count.
 func (g *Gateway) remainingCooldown(c *call) time.Duration {
 	excluded := g.excludeByVersion(c)
-	return g.targets.CooldownLeft(c.service, func(t *balance.Target) bool { return c.tried[t] || excluded != nil && excluded(t) })
+	return g.targets.CooldownLeft(c.service, func(t *balance.Target) bool {
+		return c.tried[t] || excluded != nil && excluded(t) || c.denial != nil && g.cfg.Limits.Notice(t.Incarnation()).Limited()
+	})
+}
+
+// selection is a selected target that may still deny a permit.
+type selection struct {
+	target *balance.Target
+	choice balance.Choice
+	canary bool // it has the new version of a roll-out
 }
 
-// selectTarget returns the best untried target of a version that the call may use.
-func (g *Gateway) selectTarget(c *call) *balance.Target {
+// chooseTarget returns the best untried target of a version that the call may use.
+// permitWait is how long the request may wait for a permit.
+func (g *Gateway) chooseTarget(c *call, permitWait time.Duration) selection {
 	if g.drawNewVersion(c) {
-		if t := g.pickTarget(c, g.excludeAllButNew(c)); t != nil {
-			return t
+		if s := g.pickTarget(c, permitWait, g.excludeAllButNew(c)); s.target != nil {
+			s.canary = true
+			return s
 		}
 		g.cfg.Rollouts.ReturnCredit(c.service, c.route.Name)
 	}
-	return g.pickTarget(c, g.excludeByVersion(c))
+	return g.pickTarget(c, permitWait, g.excludeByVersion(c))
 }
 
 // pickTarget returns the best untried target that is not excluded.
-func (g *Gateway) pickTarget(c *call, excluded func(*balance.Target) bool) *balance.Target {
+func (g *Gateway) pickTarget(c *call, permitWait time.Duration, excluded func(*balance.Target) bool) selection {
 	choice := c.choice()
 	choice.Exclude = func(t *balance.Target) bool { return c.tried[t] || c.rejected[t] || excluded != nil && excluded(t) }
+	choice.Allowance = func(t *balance.Target) balance.Allowance { return g.allowance(c, t, permitWait) }
 	t := g.targets.Pick(choice)
-	if t != nil {
-		g.recordRegionCrossing(c, t, func() balance.Reason { return g.targets.CrossRegionReason(choice) })
-	}
 	c.noCapacity = false
 	if t == nil && choice.Admission {
-		choice.Admission = false
-		c.noCapacity = g.targets.Pick(choice) != nil
+		withoutAdmission := choice
+		withoutAdmission.Admission = false
+		c.noCapacity = g.targets.Pick(withoutAdmission) != nil
 	}
-	return t
+	return selection{target: t, choice: choice}
 }
 
 // isNew reports whether a call is subject to admission: it has not run anywhere, and
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/internal/uptime"
+	"github.com/walnutramp/walnutramp/ratelimit"
 	"github.com/walnutramp/walnutramp/targetconn"
 	"k8s.io/klog/v2"
 )
@@ -200,7 +201,13 @@
 	if len(o.Body) > 0 {
 		h.Set("Content-Type", "application/json")
 	}
-	answer, err := g.send(ctx, t, purposeCopy, &targetconn.Request{
+	permit, denial := g.cfg.Limits.Acquire(ctx, ratelimit.Request{Target: t.Incarnation()})
+	if denial != nil {
+		g.counters.notSent(purposeCopy)
+		return nil, errRateLimited
+	}
+	defer g.cfg.Limits.Return(&permit)
+	answer, err := g.send(ctx, t, purposeCopy, &permit, &targetconn.Request{
 		Method: o.Method, URI: o.URI, Host: t.Address, Header: h, Body: o.Body, HasBody: len(o.Body) > 0,
 	})
 	if err != nil {
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -63,4 +63,7 @@
 func (c *counters) answered(since time.Time) { c.answerSeconds.Update(uptime.Since(since).Seconds()) }
 
 // WriteMetrics writes the gateway's metrics in the Prometheus text format.
-func (g *Gateway) WriteMetrics(w io.Writer) { g.counters.set.WritePrometheus(w) }
+func (g *Gateway) WriteMetrics(w io.Writer) {
+	g.counters.set.WritePrometheus(w)
+	g.cfg.Limits.WriteMetrics(w)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -64,6 +64,10 @@
 	// Quarantine detects requests that crash the targets that run them.
 	Quarantine *quarantine.CrashDetector
 
+	// Limits keeps the requests of all nodes within the rate limits that targets publish;
+	// nil for those of this node alone.
+	Limits *ratelimit.Limiter
+
 	// Metering counts the requests of each client account; nil for none.
 	Metering *metering.Counter
 
@@ -99,6 +103,9 @@
 // WithQuarantine sets the detector of requests that crash targets.
 func WithQuarantine(d *quarantine.CrashDetector) Option { return func(c *Config) { c.Quarantine = d } }
 
+// WithLimits sets the limiter of the requests to targets that publish a rate limit.
+func WithLimits(l *ratelimit.Limiter) Option { return func(c *Config) { c.Limits = l } }
+
 // WithCopies sets whether engines replicate the KV cache of runs to each other.
 func WithCopies(on bool) Option { return func(c *Config) { c.Copies = on } }
 
@@ -146,7 +153,6 @@
 	serviceTimes serviceTimes
 
 	budgets *balance.Budgets
-	limits  *ratelimit.Limiter // of targets
 }
 
 // New returns a gateway without a table. Until SetTable, requests wait up to StartWait
@@ -157,11 +163,15 @@
 	for _, opt := range opts {
 		opt(&cfg)
 	}
+	if cfg.Limits == nil {
+		cfg.Limits = ratelimit.New()
+	}
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = quarantine.NewCrashDetector(quarantine.New(), pool.Dial)
 	}
-	g := &Gateway{cfg: cfg, targets: targets, pool: pool, refresh: refresh, budgets: budgets, limits: ratelimit.New(), counters: newCounters(),
+	g := &Gateway{cfg: cfg, targets: targets, pool: pool, refresh: refresh, budgets: budgets, counters: newCounters(),
 		started: make(chan struct{}), pending: pendingRuns{runs: map[*pendingRun]struct{}{}}}
+	cfg.Limits.OnLimited(targets.SetLimited)
 	g.buffers = newBufferAccounting(cfg.Buffers, g.counters)
 	g.counters.set.NewGauge(`walnutramp_gateway_held_bytes{cause="slow-clients"}`, func() float64 { return float64(g.buffers.bytes()) })
 	g.counters.set.NewGauge(`walnutramp_gateway_held_bytes{cause="request-bodies"}`, func() float64 { return float64(g.buffered.Load()) })
@@ -170,7 +180,6 @@
 	g.counters.set.NewGauge("walnutramp_quarantine_held_contents", func() float64 { return float64(cfg.Quarantine.QuarantinedContents()) })
 	g.counters.set.NewGauge("walnutramp_quarantine_suspect_contents", func() float64 { return float64(cfg.Quarantine.SuspectContents()) })
 	g.counters.set.NewGauge("walnutramp_gateway_resting_targets", func() float64 { return float64(targets.CountInCooldown()) })
-	g.counters.set.NewGauge("walnutramp_gateway_rate_limited_targets", func() float64 { return float64(g.limits.CountLimited()) })
 	g.strip = map[string]bool{}
 	n := cfg.Names
 	for _, name := range append([]string{n.Key, n.Account, n.Expect, n.Priority, n.CopyTo, n.CopyFrom, n.Deadline}, n.System...) {
@@ -303,6 +312,7 @@
 	budget := g.budgets.Of(c.service)
 	budget.Earn()
 	defer c.refundRetry(budget)
+	defer g.cfg.Limits.Return(&c.permit)
 	g.countDemand(c)
 	ctx, cancel := context.WithTimeout(r.Context(), uptime.Until(c.deadline))
 	defer cancel()
--- /dev/null
+++ b/gateway/limits.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/internal/uptime"
+	"github.com/walnutramp/walnutramp/ratelimit"
+	"k8s.io/klog/v2"
+)
+
+const (
+	// resumePermitWait is how long the remainder of a stream waits for a permit: its
+	// client notices a longer gap.
+	resumePermitWait = 500 * time.Millisecond
+	// maxPermitDenials bounds the targets that are asked in vain in one selection.
+	maxPermitDenials = 3
+)
+
+// permitRequest returns the request for a permit of a target.
+func (c *call) permitRequest(t *balance.Target, maxWait time.Duration) ratelimit.Request {
+	r := ratelimit.Request{Target: t.Incarnation(), MaxWait: maxWait, Rank: c.rank}
+	if c.hasLast {
+		r.Rank = 0 // its client waits with part of the answer
+	}
+	return r
+}
+
+// allowance returns whether a permit of a target may be granted to a call, and records a
+// target that is passed over. The caller holds the tracker's lock.
+func (g *Gateway) allowance(c *call, t *balance.Target, maxWait time.Duration) balance.Allowance {
+	switch g.cfg.Limits.Check(c.permitRequest(t, maxWait)) {
+	case ratelimit.InHand:
+		return balance.AllowanceInHand
+	case ratelimit.Obtainable:
+		return balance.AllowanceNearby
+	}
+	c.exhausted = t.Incarnation()
+	return balance.NoAllowance
+}
+
+// selectTarget returns the best untried target that the call may use, with a permit if it
+// has a rate limit; nil if there is none. A request waits for a permit, until the given
+// time at most, only if no target takes it at once.
+func (g *Gateway) selectTarget(ctx context.Context, c *call, until time.Time) *balance.Target {
+	c.denial, c.exhausted = nil, ""
+	t := g.selectWithin(ctx, c, 0)
+	if t == nil && (c.exhausted != "" || c.denial != nil) {
+		t = g.selectWithin(ctx, c, c.permitWait(until))
+	}
+	if t != nil {
+		c.denial = nil
+		return t
+	}
+	if c.denial == nil {
+		c.denial = g.cfg.Limits.Deny(c.exhausted)
+	}
+	return nil
+}
+
+// permitWait returns how long a call may wait for a permit.
+func (c *call) permitWait(until time.Time) time.Duration {
+	wait := uptime.Until(until)
+	if c.hasLast {
+		wait = max(wait, resumePermitWait)
+	}
+	return max(0, min(wait, uptime.Until(c.deadline)-deadlineMargin))
+}
+
+// selectWithin is selectTarget for one limit of the wait for a permit.
+func (g *Gateway) selectWithin(ctx context.Context, c *call, maxWait time.Duration) *balance.Target {
+	for range maxPermitDenials {
+		s := g.chooseTarget(c, maxWait)
+		if s.target == nil {
+			return nil
+		}
+		if g.acquirePermit(ctx, c, s.target, maxWait) {
+			g.recordRegionCrossing(c, s.target, func() balance.Reason { return g.targets.CrossRegionReason(s.choice) })
+			return s.target
+		}
+		if s.canary {
+			g.cfg.Rollouts.ReturnCredit(c.service, c.route.Name)
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// acquirePermit obtains a permit for a call to a target and waits until it is valid. It
+// returns true at once for a target without a rate limit.
+func (g *Gateway) acquirePermit(ctx context.Context, c *call, t *balance.Target, maxWait time.Duration) bool {
+	g.cfg.Limits.Return(&c.permit)
+	permit, denial := g.cfg.Limits.Acquire(ctx, c.permitRequest(t, maxWait))
+	if denial != nil {
+		if c.denial == nil || denial.RetryAfter < c.denial.RetryAfter {
+			c.denial = denial
+		}
+		return false
+	}
+	c.permit = permit
+	wait := permit.Wait(uptime.Now())
+	if wait <= 0 {
+		return true
+	}
+	klog.InfoS("Request waits for a target's rate limit", "request", c.id, "target", t.ID, "wait_ms", wait.Milliseconds(),
+		"perSecond", g.cfg.Limits.Notice(t.Incarnation()).Rate)
+	return pause.For(ctx, wait)
+}
+
+// logDenial logs the rate limit for which a call is rejected.
+func (g *Gateway) logDenial(c *call) {
+	klog.InfoS("Request rejected for a rate limit", "request", c.id, "service", c.service, "perSecond", c.denial.Notice.Rate,
+		"limitAge_ms", uptime.Since(c.denial.Notice.At).Milliseconds(), "retryAfter_ms", c.denial.RetryAfter.Milliseconds())
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -108,7 +108,7 @@
 	run := t.Begin(balance.Work{}, balance.Trace{})
 	defer run.End(balance.RunEnd{Complete: true})
 	c.sentAt = uptime.Now()
-	answer, err := g.send(attemptCtx, t, c.purpose(), g.request(c, t))
+	answer, err := g.send(attemptCtx, t, c.purpose(), &c.permit, g.request(c, t))
 	if notSent(err) {
 		g.recordNotSent(c, t)
 		return nil, true
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -89,6 +89,14 @@
 		g.countRejectedDemand(c)
 		return walnutramp.NewError(walnutramp.CodeOverloaded, walnutramp.NotRun, "no engine has free capacity").WithRetryAfter(g.retryDelay(c))
 	}
+	if !c.mayHaveRun && c.denial != nil {
+		g.logDenial(c)
+		after := c.denial.RetryAfter
+		if c.cooldownLeft > 0 {
+			after = min(after, c.cooldownLeft)
+		}
+		return walnutramp.NewError(walnutramp.CodeTargetsLimited, walnutramp.NotRun, "all targets are at their rate limits").WithRetryAfter(pause.Behind(after, rand.Float64()))
+	}
 	if !c.mayHaveRun && c.cooldownLeft > 0 {
 		// Retrying sooner is likely to fail at other nodes too: a target requests a
 		// cooldown from every node that sends it requests.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -137,7 +137,7 @@
 func (r *relay) runNext(ctx context.Context) runResult {
 	from := r.resumeFrom
 	r.resumeFrom = nil
-	if from != nil && from.holder.Usable() && r.gateway.mayResumeAt(r.call, from.holder) {
+	if from != nil && from.holder.Usable() && r.gateway.mayResumeAt(r.call, from.holder) && r.gateway.acquirePermit(ctx, r.call, from.holder, resumePermitWait) {
 		r.gateway.beginRolloutRequest(r.call, from.holder)
 		r.gateway.recordRegionCrossing(r.call, from.holder, func() balance.Reason { return balance.ReasonCopy })
 		if end := r.runAt(ctx, from.holder, from); end != runRejected {
@@ -206,7 +206,7 @@
 	pending := g.pending.add(c, t, cancel)
 	defer pending.drop()
 	c.sentAt = uptime.Now()
-	answer, err := g.send(runCtx, t, c.purpose(), o.request)
+	answer, err := g.send(runCtx, t, c.purpose(), &c.permit, o.request)
 	if notSent(err) {
 		g.recordNotSent(c, t)
 		return runRejected
--- /dev/null
+++ b/loadshare/limits.go
@@ -0,0 +1,177 @@
+package loadshare
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/walnutramp/walnutramp/ratelimit"
+)
+
+// Nodes ask each other for permits of targets that publish a rate limit. The Sharer carries
+// these messages; see package ratelimit.
+
+// LimitHandler handles the messages about rate limits that arrive at this node.
+type LimitHandler interface {
+	HandleAsk(from string, a ratelimit.Ask) ratelimit.Reply
+	HandleChange(c ratelimit.Change)
+}
+
+// WithLimits sets the handler of messages about rate limits. Without one they are ignored.
+func WithLimits(h LimitHandler) Option { return func(s *Sharer) { s.limits = h } }
+
+const (
+	// permitTimeout bounds the wait for a reply to one ask.
+	permitTimeout = 30 * time.Millisecond
+	// regionPermitTimeout is the same for a node in another region.
+	regionPermitTimeout = 150 * time.Millisecond
+)
+
+// permitRequest is the encoding of a ratelimit.Ask; see there for the fields.
+type permitRequest struct {
+	ID     uint64  `msgpack:"i"` // unique per sender
+	Target string  `msgpack:"t"`
+	Rate   float64 `msgpack:"r"`
+	AgeMS  int64   `msgpack:"a,omitempty"`
+	WaitMS int64   `msgpack:"w,omitempty"`
+	Rank   int     `msgpack:"k,omitempty"`
+}
+
+func (p *permitRequest) ask() ratelimit.Ask {
+	return ratelimit.Ask{Target: p.Target, Rate: decodeRate(p.Rate), Age: milliseconds(p.AgeMS), MaxWait: milliseconds(p.WaitMS), Rank: max(0, p.Rank)}
+}
+
+// permitReply is the encoding of a ratelimit.Reply; see there for the fields.
+type permitReply struct {
+	ID       uint64  `msgpack:"i"` // of the request
+	Granted  bool    `msgpack:"g,omitempty"`
+	NotOwner bool    `msgpack:"n,omitempty"`
+	WaitUS   int64   `msgpack:"w,omitempty"` // microseconds
+	ReturnMS int64   `msgpack:"b,omitempty"`
+	Rate     float64 `msgpack:"r"`
+	AgeMS    int64   `msgpack:"a,omitempty"`
+}
+
+func encodePermitReply(id uint64, r ratelimit.Reply) *permitReply {
+	return &permitReply{ID: id, Granted: r.Granted, NotOwner: r.NotOwner, WaitUS: r.Wait.Microseconds(),
+		ReturnMS: r.RetryAfter.Milliseconds(), Rate: encodeRate(r.Rate), AgeMS: r.Age.Milliseconds()}
+}
+
+func (p *permitReply) reply() ratelimit.Reply {
+	return ratelimit.Reply{Granted: p.Granted, NotOwner: p.NotOwner, Wait: milliseconds(p.WaitUS/1000) + time.Duration(p.WaitUS%1000)*time.Microsecond,
+		RetryAfter: milliseconds(p.ReturnMS), Rate: decodeRate(p.Rate), Age: milliseconds(p.AgeMS)}
+}
+
+// limitChange is the encoding of a ratelimit.Change; see there for the fields.
+type limitChange struct {
+	Target string  `msgpack:"t"`
+	Rate   float64 `msgpack:"r"`
+	AgeMS  int64   `msgpack:"a,omitempty"`
+}
+
+// noLimit encodes ratelimit.Unlimited.
+const noLimit = -1
+
+func encodeRate(rate float64) float64 {
+	if rate == ratelimit.Unlimited {
+		return noLimit
+	}
+	return rate
+}
+
+// decodeRate returns a received rate. One that no node sends counts as the lowest, so that
+// a corrupt message does not lift a limit.
+func decodeRate(rate float64) float64 {
+	if rate == noLimit {
+		return ratelimit.Unlimited
+	}
+	if !(rate >= 0) || math.IsInf(rate, 1) {
+		return 0
+	}
+	return rate
+}
+
+// limitState tracks this node's asks for permits.
+type limitState struct {
+	lastID  uint64
+	pending map[uint64]chan ratelimit.Reply
+}
+
+// Ask implements ratelimit.Network.
+func (s *Sharer) Ask(ctx context.Context, node string, a ratelimit.Ask) (ratelimit.Reply, bool) {
+	id, replies := s.startAsk()
+	defer s.endAsk(id)
+	s.sendTo(s.addressesOf([]string{node}), message{Permit: &permitRequest{
+		ID: id, Target: a.Target, Rate: encodeRate(a.Rate), AgeMS: a.Age.Milliseconds(), WaitMS: a.MaxWait.Milliseconds(), Rank: a.Rank,
+	}})
+	timer := time.NewTimer(s.permitTimeout(node))
+	defer timer.Stop()
+	select {
+	case reply := <-replies:
+		return reply, true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return ratelimit.Reply{}, false
+}
+
+// permitTimeout returns how long to wait for a node's reply.
+func (s *Sharer) permitTimeout(node string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.senders[node]
+	if state == nil || s.regions.Region(state.location.dataHall) == s.regions.OwnRegion() {
+		return permitTimeout
+	}
+	return regionPermitTimeout
+}
+
+func (s *Sharer) startAsk() (uint64, chan ratelimit.Reply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asks.lastID++
+	replies := make(chan ratelimit.Reply, 1)
+	s.asks.pending[s.asks.lastID] = replies
+	return s.asks.lastID, replies
+}
+
+func (s *Sharer) endAsk(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.asks.pending, id)
+}
+
+// Notify implements ratelimit.Network.
+func (s *Sharer) Notify(nodes []string, c ratelimit.Change) {
+	s.sendTo(s.addressesOf(nodes), message{Limit: &limitChange{Target: c.Target, Rate: encodeRate(c.Rate), AgeMS: c.Age.Milliseconds()}})
+}
+
+// handlePermitRequest replies to a node that asks for a permit.
+func (s *Sharer) handlePermitRequest(from string, p *permitRequest) {
+	if s.limits == nil {
+		return
+	}
+	reply := s.limits.HandleAsk(from, p.ask())
+	s.sendTo(s.addressesOf([]string{from}), message{PermitReply: encodePermitReply(p.ID, reply)})
+}
+
+// handlePermitReply passes a reply to the ask that waits for it. A late or duplicate one
+// has none: its permit is lost.
+func (s *Sharer) handlePermitReply(p *permitReply) {
+	s.mu.Lock()
+	replies := s.asks.pending[p.ID]
+	delete(s.asks.pending, p.ID)
+	s.mu.Unlock()
+	if replies != nil {
+		replies <- p.reply()
+	}
+}
+
+// handleLimitChange records a limit that another node found.
+func (s *Sharer) handleLimitChange(c *limitChange) {
+	if s.limits != nil {
+		s.limits.HandleChange(ratelimit.Change{Target: c.Target, Rate: decodeRate(c.Rate), Age: milliseconds(c.AgeMS)})
+	}
+}
+
+var _ ratelimit.Network = (*Sharer)(nil)
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -19,6 +19,7 @@
 	"github.com/walnutramp/walnutramp/internal/shortname"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/quarantine"
+	"github.com/walnutramp/walnutramp/ratelimit"
 	"github.com/walnutramp/walnutramp/topology"
 	"k8s.io/klog/v2"
 )
@@ -54,6 +55,9 @@
 
 	borrows borrowState // of retries
 
+	limits LimitHandler // nil if unused
+	asks   limitState
+
 	hallsQueriedAt time.Time // used only by maintainSubscriptions
 
 	relayMu            sync.Mutex
@@ -81,6 +85,7 @@
 		relay: newRelay(), feeds: map[feedKey]*feed{}, failedRelays: map[string]time.Time{}, pendingLookups: map[uint64]chan *traceUpdate{},
 		saveSignal: make(chan struct{}, 1), started: uptime.Now(),
 		borrows: borrowState{pending: map[uint64]*pendingBorrow{}, refusedAt: map[string]time.Time{}},
+		asks:    limitState{pending: map[uint64]chan ratelimit.Reply{}},
 		peers:   map[string]*net.UDPAddr{}, absentSince: map[string]time.Time{}, senders: map[string]*sender{},
 	}
 	// Sequence numbers start at the current time so that they grow across restarts.
@@ -463,6 +468,15 @@
 	if m.BorrowReply != nil {
 		s.handleBorrowReply(m.BorrowReply)
 	}
+	if m.Permit != nil {
+		s.handlePermitRequest(from, m.Permit)
+	}
+	if m.PermitReply != nil {
+		s.handlePermitReply(m.PermitReply)
+	}
+	if m.Limit != nil {
+		s.handleLimitChange(m.Limit)
+	}
 }
 
 // senderOf returns the state of a message's sender, nil if it is unknown.
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -52,6 +52,11 @@
 	// Borrow asks for a retry from the receiver's budget, BorrowReply answers.
 	Borrow      *borrowRequest `msgpack:"b,omitempty"`
 	BorrowReply *borrowReply   `msgpack:"l,omitempty"`
+	// Permit asks for a permit to send a request to a target with a rate limit,
+	// PermitReply answers. Limit reports a target's rate limit.
+	Permit      *permitRequest `msgpack:"p,omitempty"`
+	PermitReply *permitReply   `msgpack:"u,omitempty"`
+	Limit       *limitChange   `msgpack:"v,omitempty"`
 }
 
 // isReport reports whether a message carries its sender's runs. Only reports have a
--- /dev/null
+++ b/ratelimit/limiter_test.go
@@ -0,0 +1,123 @@
+package ratelimit
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/internal/uptime"
+)
+
+// schedules returns how many random schedules to run, unless the environment says so.
+func schedules(t *testing.T, defaultCount int) uint64 {
+	text := os.Getenv("WALNUTRAMP_LIMIT_SCHEDULES")
+	if text == "" {
+		return uint64(defaultCount)
+	}
+	n, err := strconv.Atoi(text)
+	require.NoError(t, err)
+	return uint64(n)
+}
+
+// The sum over all nodes must stay within the limit under crashes, partitions, lost, late
+// and duplicated messages, changes of leader and of the limit.
+func TestLimitHoldsUnderFaults(t *testing.T) {
+	sent, denied := 0, 0
+	for seed := range schedules(t, 40) {
+		rates := []float64{0, 0.1, 0.5, 1, 2.3, 8, 40}
+		c := modelConfig{nodes: 3 + int(seed%13), targets: 1 + int(seed%3), rate: rates[seed%uint64(len(rates))], demand: 60, faults: true,
+			changes: seed%2 == 0, loss: 0.02 * float64(seed%4), maxWait: 75 * time.Millisecond}
+		synctest.Test(t, func(t *testing.T) {
+			m := newModelSite(seed, c)
+			m.run(60 * time.Second)
+			for _, target := range m.services {
+				require.Zero(t, target.excess(), "seed %d, %s, %+v", seed, target.name, c)
+			}
+			sent, denied = sent+m.sent, denied+m.denied
+		})
+	}
+	t.Logf("%d sent, %d denied", sent, denied)
+	require.Positive(t, denied)
+}
+
+// Without faults the limit must be used wherever the load comes in, and never exceeded.
+func TestLimitIsUsedWithoutFaults(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		modelConfig
+		least float64
+	}{
+		{"12 nodes, even", modelConfig{nodes: 12, targets: 4, rate: 2.3, demand: 30}, 0.7},
+		{"12 nodes, one target", modelConfig{nodes: 12, targets: 1, rate: 2.3, demand: 5}, 0.7},
+		{"12 nodes, two with load", modelConfig{nodes: 12, targets: 4, rate: 2.3, demand: 30, active: 2}, 0.6},
+		{"12 nodes, load that moves", modelConfig{nodes: 12, targets: 4, rate: 2.3, demand: 30, active: 2, moving: true}, 0.6},
+		{"12 nodes, low limit", modelConfig{nodes: 12, targets: 2, rate: 0.2, demand: 10}, 0.7},
+		{"64 nodes, even", modelConfig{nodes: 64, targets: 20, rate: 2.3, demand: 100}, 0.7},
+		{"64 nodes, two with load", modelConfig{nodes: 64, targets: 4, rate: 5, demand: 50, active: 2}, 0.6},
+		{"300 nodes, even", modelConfig{nodes: 300, targets: 30, rate: 2.3, demand: 150}, 0.7},
+		{"1000 nodes, even", modelConfig{nodes: 1000, targets: 100, rate: 2.3, demand: 500}, 0.7},
+		{"1000 nodes, ten with load", modelConfig{nodes: 1000, targets: 40, rate: 2.3, demand: 200, active: 10}, 0.7},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c.maxWait = 75 * time.Millisecond
+				m := newModelSite(1, c.modelConfig)
+				began := uptime.Now().Add(4 * time.Second)
+				m.run(44 * time.Second)
+				sum := 0.0
+				for _, target := range m.services {
+					require.Zero(t, target.excess(), target.name)
+					sum += target.used(began, began.Add(40*time.Second))
+				}
+				used := sum / float64(c.targets)
+				t.Logf("used %.3f of the limits, sent %d, denied %d, longest wait %v", used, m.sent, m.denied, m.waited)
+				require.GreaterOrEqual(t, used, c.least)
+			})
+		})
+	}
+}
+
+// A target whose responses no longer publish a limit must be used by all nodes within a
+// second.
+func TestLiftedLimitIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newModelSite(3, modelConfig{nodes: 12, targets: 2, rate: 2.3, demand: 40, maxWait: 75 * time.Millisecond})
+		m.run(10 * time.Second)
+		for _, target := range m.services {
+			target.lifted = true
+		}
+		m.run(2 * time.Second)
+		denied := m.denied
+		m.run(5 * time.Second)
+		require.Equal(t, denied, m.denied)
+	})
+}
+
+// A restarted process must not reuse what its predecessor used, and a restarted target
+// has no limit.
+func TestLimitBelongsToIncarnation(t *testing.T) {
+	l := New()
+	l.Observe("t@1", Signal{Published: true, PerSecond: 0.5})
+	require.True(t, l.Notice("t@1").Limited())
+	require.False(t, l.Notice("t@2").Limited())
+	require.Equal(t, InHand, l.Check(Request{Target: "t@2"}))
+}
+
+func TestSlotRatesAddUpToTheLimit(t *testing.T) {
+	for _, rate := range []float64{0.05, 0.3, 0.99, 1, 2.3, 50, 1e5} {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			sum, bursts := 0.0, 0.0
+			for slot := range Slots {
+				perSecond, burst := slotRate(rate, slot)
+				sum, bursts = sum+perSecond, bursts+burst
+			}
+			require.InDelta(t, rate, sum, 1e-6*rate)
+			late := (useWithin + transitTime).Seconds()
+			require.LessOrEqual(t, bursts+sum*(4+late), 1.5*4*rate+5, "in a window of 4 s")
+		})
+	}
+}
--- /dev/null
+++ b/ratelimit/target.go
@@ -0,0 +1,130 @@
+package ratelimit
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/walnutramp/walnutramp/quota"
+	"k8s.io/klog/v2"
+)
+
+// targetState is what the node knows of one target, and its slots as far as it owns them.
+type targetState struct {
+	name    string // incarnation
+	notice  Notice
+	invalid bool // an invalid limit was logged
+	usedAt  time.Time
+
+	members  uint64 // version of the list of nodes that owners were taken from
+	owners   [Slots]string
+	mine     [Slots]bool
+	buckets  [Slots]bucket    // of slots that this node owns
+	freeAt   [Slots]time.Time // when owners are expected to have a permit, if they denied one
+	spare    []Permit         // that were granted and not used
+	returnAt time.Time        // when a request that is rejected should return, as last told
+	returns  time.Time        // when the last request that an own slot denied was told to return
+	askers   []asker          // latest last
+}
+
+// asker is a node that asked for a permit.
+type asker struct {
+	node string
+	at   time.Time
+}
+
+// Bounds on the nodes that are told of changes.
+const (
+	maxAskers = 16
+	askerTTL  = 5 * time.Second
+)
+
+func (s *targetState) owned() bool { return slices.Contains(s.mine[:], true) }
+
+// logInvalid logs the first limit of a target that can't be followed.
+func (s *targetState) logInvalid(signal Signal) {
+	if s.invalid {
+		return
+	}
+	s.invalid = true
+	klog.InfoS("Ignoring a target's rate limit", "target", s.name, "text", signal.Invalid, "perSecond", signal.PerSecond)
+}
+
+// recordAsker records that a node asked for a permit.
+func (s *targetState) recordAsker(node string, now time.Time) {
+	s.askers = slices.DeleteFunc(s.askers, func(a asker) bool { return a.node == node || now.Sub(a.at) > askerTTL })
+	s.askers = append(s.askers, asker{node: node, at: now})
+	s.askers = s.askers[max(0, len(s.askers)-maxAskers):]
+}
+
+// recentAskers returns the nodes that asked lately.
+func (s *targetState) recentAskers(now time.Time) (nodes []string) {
+	for _, a := range s.askers {
+		if now.Sub(a.at) <= askerTTL {
+			nodes = append(nodes, a.node)
+		}
+	}
+	return nodes
+}
+
+// interested returns the nodes to tell of a change that this node found: the owners, and
+// the nodes that asked this one.
+func (s *targetState) interested(self string) []string {
+	nodes := s.recentAskers(s.notice.At)
+	for _, owner := range s.owners {
+		if owner != "" && owner != self && !slices.Contains(nodes, owner) {
+			nodes = append(nodes, owner)
+		}
+	}
+	return nodes
+}
+
+// locate brings the owners up to date and reports whether this node may use its own
+// slots now. The caller holds the limiter's mutex.
+func (l *Limiter) locate(s *targetState) (usable bool) {
+	if l.ownership == nil {
+		for slot := range s.mine {
+			s.mine[slot] = true
+		}
+		return true
+	}
+	members, usable := l.ownership.Members()
+	if members.Version != s.members {
+		s.members = members.Version
+		s.setOwners(members, l.ownership.Self())
+	}
+	return usable
+}
+
+// setOwners determines the owners of the slots. A slot that this node did not own in the
+// list before begins full: its owner before has not used it for longer than it takes to
+// fill.
+func (s *targetState) setOwners(members quota.Members, self string) {
+	for slot := range s.owners {
+		s.owners[slot] = members.Owner(s.name + "/" + strconv.Itoa(slot))
+		mine := s.owners[slot] == self
+		if mine && !s.mine[slot] {
+			s.buckets[slot] = bucket{}
+		}
+		s.mine[slot] = mine
+	}
+}
+
+// soonest returns the own slot that has a permit first, and the time until then; never
+// if there is none.
+func (s *targetState) soonest(now time.Time) (slot int, wait time.Duration) {
+	wait = never
+	for i, mine := range s.mine {
+		if !mine {
+			continue
+		}
+		perSecond, burst := slotRate(s.notice.Rate, i)
+		if perSecond == 0 {
+			continue
+		}
+		if w := s.buckets[i].wait(now, perSecond, burst); w < wait {
+			slot, wait = i, w
+		}
+	}
+	return slot, wait
+}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -17,6 +17,7 @@
 	"github.com/walnutramp/walnutramp/metering"
 	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/quota"
+	"github.com/walnutramp/walnutramp/ratelimit"
 	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
 	"k8s.io/klog/v2"
@@ -84,14 +85,17 @@
 		func(e targetconn.Endpoint, took time.Duration) { targets.RecordRoundTrip(e.ID, took) }),
 		targetconn.WithOnKept(func(e targetconn.Endpoint, until time.Time) { targets.SetConnectedUntil(e.ID, until) }))
 	budgetConfig := balance.BudgetConfig{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}
-	quotaHolder := quota.NewHolder(budgetConfig.SpendPeriod())
+	quotaHolder := quota.NewHolder(quotaSpan(&budgetConfig))
+	ownership := quota.NewOwnership(quotaHolder, s.PeerListen)
+	limiter := ratelimit.New(ratelimit.WithOwnership(ownership))
 	budgetConfig.Share = quotaHolder.Share
 	budgets := balance.NewBudgets(budgetConfig)
 	crashDetector := quarantine.NewCrashDetector(quarantine.New(), pool.Dial)
-	sharer, err := p.newSharer(targets, budgets, crashDetector.Ledger)
+	sharer, err := p.newSharer(targets, budgets, loadshare.WithQuarantine(crashDetector.Ledger), loadshare.WithLimits(limiter))
 	if err != nil {
 		return err
 	}
+	limiter.SetNetwork(sharer)
 	var g *gateway.Gateway
 	receiver := &targetReceiver{targets: targets, pool: pool, onList: func() { g.Started() }}
 	poller := discovery.NewPoller(p.adapter.Source(true), receiver, discovery.WithInitialDelay(minListWait+rand.N(maxListWait-minListWait)))
@@ -104,7 +108,7 @@
 	}
 	p.client = control.NewDocumentClient(p.peers, s.Seeds, apply)
 	options := []gateway.Option{gateway.WithNames(names), gateway.WithLease(p.leaseCheck()), gateway.WithFind(priorRunFinder(sharer)), gateway.WithBorrow(sharer.Borrow),
-		gateway.WithQuarantine(crashDetector)}
+		gateway.WithQuarantine(crashDetector), gateway.WithLimits(limiter)}
 	var agent *rollout.Agent
 	if s.Rollouts.Enabled() {
 		agent = rollout.NewAgent(rand.Uint64())
@@ -118,6 +122,7 @@
 		p.client.WithDemand(g.Demand)
 	}
 	p.client.WithQuota(quotaHolder)
+	p.client.WithOwnership(ownership)
 	p.client.RegisterEntryNode(control.EntryNode{Address: s.PeerListen, DataHall: s.DataHall, Disk: s.DataDir != ""}, peerUpdater(sharer))
 	p.client.OnTargets(poller.ApplyFeed)
 	p.entry = &entry{gateway: g, pool: pool, rolloutAgent: agent, requestCounter: counter, sharer: sharer, quarantine: crashDetector}
@@ -130,6 +135,12 @@
 	return nil
 }
 
+// quotaSpan returns the span after which what a node used of its share no longer counts:
+// that of the retry budget or of the targets' rate limits, which share the set of nodes.
+func quotaSpan(budget *balance.BudgetConfig) time.Duration {
+	return max(budget.SpendPeriod(), ratelimit.Span)
+}
+
 // targetReceiver applies target list updates to an entry.
 type targetReceiver struct {
 	targets *balance.Tracker
@@ -165,14 +176,13 @@
 
 // newSharer returns the sharer that exchanges load and run state with other
 // entries over UDP.
-func (p *Process) newSharer(targets *balance.Tracker, budgets *balance.Budgets, ledger *quarantine.Ledger) (*loadshare.Sharer, error) {
+func (p *Process) newSharer(targets *balance.Tracker, budgets *balance.Budgets, options ...loadshare.Option) (*loadshare.Sharer, error) {
 	s := p.settings
 	conn, err := net.ListenPacket("udp", s.PeerListen)
 	if err != nil {
 		return nil, err
 	}
-	options := []loadshare.Option{loadshare.WithDataHall(s.DataHall), loadshare.WithTopology(s.Topology),
-		loadshare.WithQuarantine(ledger)}
+	options = append(options, loadshare.WithDataHall(s.DataHall), loadshare.WithTopology(s.Topology))
 	if s.DataDir != "" {
 		options = append(options, loadshare.WithStateFile(filepath.Join(s.DataDir, tracesFile)))
 	}
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -86,7 +86,7 @@
 	server := peer.NewServer(self, &p.traffic)
 	controlServer := control.NewUnsignedServer(member, state, membershipManager, targetList, control.WithLink(s.LinkMbps*bytesPerMegabit), control.WithOrderRetryWindow(s.OrderRetryWindow))
 	budgetConfig := balance.BudgetConfig{Window: s.RetryWindow}
-	quotaController := control.NewQuotaController(member, controlServer, budgetConfig.SpendPeriod())
+	quotaController := control.NewQuotaController(member, controlServer, quotaSpan(&budgetConfig))
 	relay := control.NewRelay(p.peers, self.Node, s.DataHall, member, controlServer)
 	usage := p.newUsage(self, member, controlServer)
 	if s.Rollouts.Enabled() {
