ratelimit: nodes tell each other of limits that have changed

A node that had not had a response from a limited target sent it requests as if it had none. Costs nothing while no limit changes.

--- a/control/sharing.go
+++ b/control/sharing.go
@@ -193,7 +193,7 @@
 		return
 	}
 	c.sharersVersion, c.sharers = r.Version, nodes
-	c.ownership.SetMembers(quota.Members{Version: r.Version, Addresses: addressesOf(nodes)})
+	c.ownership.SetMembers(quota.NewMembers(r.Version, addressesOf(nodes)))
 }
 
 // relayedShare is the leader's reply about the shares of a relay's entry nodes.
--- a/loadshare/limits.go
+++ b/loadshare/limits.go
@@ -13,7 +13,7 @@
 
 // LimitHandler handles the messages about rate limits that arrive at this node.
 type LimitHandler interface {
-	HandleAsk(from string, a ratelimit.Ask) ratelimit.Reply
+	HandleAsk(a ratelimit.Ask) ratelimit.Reply
 	HandleChange(c ratelimit.Change)
 }
 
@@ -142,8 +142,12 @@
 }
 
 // Notify implements ratelimit.Network.
-func (s *Sharer) Notify(nodes []string, c ratelimit.Change) {
-	s.sendTo(s.addressesOf(nodes), message{Limit: &limitChange{Target: c.Target, Rate: encodeRate(c.Rate), AgeMS: c.Age.Milliseconds()}})
+func (s *Sharer) Notify(nodes []string, changes []ratelimit.Change) {
+	encoded := make([]limitChange, len(changes))
+	for i, c := range changes {
+		encoded[i] = limitChange{Target: c.Target, Rate: encodeRate(c.Rate), AgeMS: c.Age.Milliseconds()}
+	}
+	s.sendTo(s.addressesOf(nodes), message{Limits: encoded})
 }
 
 // handlePermitRequest replies to a node that asks for a permit.
@@ -151,7 +155,7 @@
 	if s.limits == nil {
 		return
 	}
-	reply := s.limits.HandleAsk(from, p.ask())
+	reply := s.limits.HandleAsk(p.ask())
 	s.sendTo(s.addressesOf([]string{from}), message{PermitReply: encodePermitReply(p.ID, reply)})
 }
 
@@ -167,9 +171,12 @@
 	}
 }
 
-// handleLimitChange records a limit that another node found.
-func (s *Sharer) handleLimitChange(c *limitChange) {
-	if s.limits != nil {
+// handleLimits records the limits that another node reports.
+func (s *Sharer) handleLimits(changes []limitChange) {
+	if s.limits == nil {
+		return
+	}
+	for _, c := range changes {
 		s.limits.HandleChange(ratelimit.Change{Target: c.Target, Rate: decodeRate(c.Rate), Age: milliseconds(c.AgeMS)})
 	}
 }
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -474,8 +474,8 @@
 	if m.PermitReply != nil {
 		s.handlePermitReply(m.PermitReply)
 	}
-	if m.Limit != nil {
-		s.handleLimitChange(m.Limit)
+	if len(m.Limits) > 0 {
+		s.handleLimits(m.Limits)
 	}
 }
 
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -53,10 +53,10 @@
 	Borrow      *borrowRequest `msgpack:"b,omitempty"`
 	BorrowReply *borrowReply   `msgpack:"l,omitempty"`
 	// Permit asks for a permit to send a request to a target with a rate limit,
-	// PermitReply answers. Limit reports a target's rate limit.
+	// PermitReply answers. Limits are targets' rate limits that have changed.
 	Permit      *permitRequest `msgpack:"p,omitempty"`
 	PermitReply *permitReply   `msgpack:"u,omitempty"`
-	Limit       *limitChange   `msgpack:"v,omitempty"`
+	Limits      []limitChange  `msgpack:"v,omitempty"`
 }
 
 // isReport reports whether a message carries its sender's runs. Only reports have a
--- a/quota/ownership.go
+++ b/quota/ownership.go
@@ -1,24 +1,47 @@
 package quota
 
 import (
+	"encoding/binary"
 	"sync"
 
-	"github.com/walnutramp/walnutramp/internal/rendezvous"
+	"github.com/cespare/xxhash/v2"
 )
 
-// Members lists the nodes of one version of the set. Addresses must not be modified.
+// Members lists the nodes of one version of the set. The zero value is the list that is
+// not known yet.
 type Members struct {
-	Version   uint64 // identifies the list; 0 for none
-	Addresses []string
+	version   uint64 // identifies the list; 0 for none
+	addresses []string
+	hashes    []uint64 // of the addresses
 }
 
+// NewMembers returns the list of nodes of a version. It keeps addresses.
+func NewMembers(version uint64, addresses []string) Members {
+	m := Members{version: version, addresses: addresses, hashes: make([]uint64, len(addresses))}
+	for i, address := range addresses {
+		m.hashes[i] = xxhash.Sum64String(address)
+	}
+	return m
+}
+
+// Version identifies the list; 0 for the zero value.
+func (m Members) Version() uint64 { return m.version }
+
+// Addresses returns the nodes' addresses, in no particular order. They must not be
+// modified.
+func (m Members) Addresses() []string { return m.addresses }
+
 // Owner returns the node that a key belongs to, by rendezvous hashing; empty if there are
-// no nodes.
+// no nodes. It hashes no strings but the key, since sites have a thousand nodes.
 func (m Members) Owner(key string) string {
 	var owner string
 	var highest uint64
-	for _, address := range m.Addresses {
-		if weight := rendezvous.Weight(key, address); owner == "" || weight > highest {
+	var pair [16]byte
+	binary.LittleEndian.PutUint64(pair[:], xxhash.Sum64String(key))
+	for i, address := range m.addresses {
+		binary.LittleEndian.PutUint64(pair[8:], m.hashes[i])
+		weight := xxhash.Sum64(pair[:])
+		if owner == "" || weight > highest || weight == highest && address < owner {
 			owner, highest = address, weight
 		}
 	}
@@ -57,5 +80,5 @@
 	o.mu.Lock()
 	m = o.members
 	o.mu.Unlock()
-	return m, m.Version != 0 && o.holder.shareVersion() == m.Version
+	return m, m.version != 0 && o.holder.shareVersion() == m.version
 }
--- a/ratelimit/acquire.go
+++ b/ratelimit/acquire.go
@@ -264,7 +264,7 @@
 }
 
 // HandleAsk answers a node that asks for a permit of one of this node's slots.
-func (l *Limiter) HandleAsk(from string, a Ask) Reply {
+func (l *Limiter) HandleAsk(a Ask) Reply {
 	l.mu.Lock()
 	now := uptime.Now()
 	s := l.targets[a.Target]
@@ -272,7 +272,6 @@
 		s = l.add(a.Target)
 	}
 	s.usedAt = now
-	s.recordAsker(from, now)
 	update := l.apply(s, Notice{Rate: a.Rate, At: now.Add(-a.Age)})
 	reply := l.grant(s, a, now)
 	reply.Rate, reply.Age = s.notice.Rate, s.notice.age(now)
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -29,6 +29,7 @@
 	mu      sync.Mutex
 	targets map[string]*targetState // whose limit is or was known
 	swept   time.Time
+	news    news
 	rng     *rand.Rand
 }
 
@@ -106,44 +107,29 @@
 		l.mu.Unlock()
 		return
 	}
-	rate, before := signal.Rate(), s.notice.Rate
-	update := l.apply(s, Notice{Rate: rate, At: uptime.Now()})
-	var others []string
-	if rate != before {
-		others = s.interested(l.self())
-	}
+	update := l.apply(s, Notice{Rate: signal.Rate(), At: uptime.Now()})
 	l.mu.Unlock()
 	update()
-	if len(others) > 0 {
-		l.network.Notify(others, Change{Target: target, Rate: rate})
-	}
 }
 
-// HandleChange records another node's report of a limit, and passes a new one on to the
-// nodes that asked for permits.
+// HandleChange records a limit that another node reports.
 func (l *Limiter) HandleChange(c Change) {
 	l.mu.Lock()
 	s := l.targets[c.Target]
-	if s == nil {
+	if s == nil && c.Rate == Unlimited {
 		l.mu.Unlock()
-		return // this node has not used the target
+		return
 	}
-	now := uptime.Now()
-	before := s.notice.Rate
-	update := l.apply(s, Notice{Rate: c.Rate, At: now.Add(-c.Age)})
-	var others []string
-	if s.notice.Rate != before {
-		others = s.recentAskers(now)
+	if s == nil {
+		s = l.add(c.Target)
 	}
+	update := l.apply(s, Notice{Rate: c.Rate, At: uptime.Now().Add(-c.Age)})
 	l.mu.Unlock()
 	update()
-	if len(others) > 0 {
-		l.network.Notify(others, c)
-	}
 }
 
-// apply puts a notice in force if it is newer than the known one. The caller holds the
-// mutex, and calls update after it has released it.
+// apply puts a notice in force if it is newer than the known one, and spreads a changed
+// limit. The caller holds the mutex, and calls update after it has released it.
 func (l *Limiter) apply(s *targetState, n Notice) (update func()) {
 	if !n.At.After(s.notice.At) {
 		return func() {}
@@ -153,6 +139,7 @@
 	if n.Rate != before.Rate {
 		klog.InfoS("Target rate limit changed", "target", s.name, "perSecond", n.Rate, "before", before.Rate)
 		s.freeAt, s.returns, s.returnAt = [Slots]time.Time{}, time.Time{}, time.Time{}
+		l.spread(s)
 	}
 	if !n.Limited() {
 		s.spare = nil
@@ -174,14 +161,6 @@
 	return s
 }
 
-// self returns the node's address; empty if it is the only node.
-func (l *Limiter) self() string {
-	if l.ownership == nil {
-		return ""
-	}
-	return l.ownership.Self()
-}
-
 const (
 	// forgetAfter is how long the state of a target without a limit is kept after its last
 	// use, to know that a slot is not full: longer than one takes to fill at minRate.
--- a/ratelimit/messages.go
+++ b/ratelimit/messages.go
@@ -42,12 +42,12 @@
 type Network interface {
 	// Ask returns a node's reply to a; false if none arrives in time.
 	Ask(ctx context.Context, node string, a Ask) (Reply, bool)
-	// Notify sends a change to nodes.
-	Notify(nodes []string, c Change)
+	// Notify sends changes to nodes.
+	Notify(nodes []string, changes []Change)
 }
 
 // noNetwork is the Network of a node without peers.
 type noNetwork struct{}
 
 func (noNetwork) Ask(context.Context, string, Ask) (Reply, bool) { return Reply{}, false }
-func (noNetwork) Notify([]string, Change)                        {}
+func (noNetwork) Notify([]string, []Change)                      {}
--- a/ratelimit/target.go
+++ b/ratelimit/target.go
@@ -24,21 +24,8 @@
 	spare    []Permit         // that were granted and not used
 	returnAt time.Time        // when a request that is rejected should return, as last told
 	returns  time.Time        // when the last request that an own slot denied was told to return
-	askers   []asker          // latest last
 }
 
-// asker is a node that asked for a permit.
-type asker struct {
-	node string
-	at   time.Time
-}
-
-// Bounds on the nodes that are told of changes.
-const (
-	maxAskers = 16
-	askerTTL  = 5 * time.Second
-)
-
 func (s *targetState) owned() bool { return slices.Contains(s.mine[:], true) }
 
 // logInvalid logs the first limit of a target that can't be followed.
@@ -50,35 +37,6 @@
 	klog.InfoS("Ignoring a target's rate limit", "target", s.name, "text", signal.Invalid, "perSecond", signal.PerSecond)
 }
 
-// recordAsker records that a node asked for a permit.
-func (s *targetState) recordAsker(node string, now time.Time) {
-	s.askers = slices.DeleteFunc(s.askers, func(a asker) bool { return a.node == node || now.Sub(a.at) > askerTTL })
-	s.askers = append(s.askers, asker{node: node, at: now})
-	s.askers = s.askers[max(0, len(s.askers)-maxAskers):]
-}
-
-// recentAskers returns the nodes that asked lately.
-func (s *targetState) recentAskers(now time.Time) (nodes []string) {
-	for _, a := range s.askers {
-		if now.Sub(a.at) <= askerTTL {
-			nodes = append(nodes, a.node)
-		}
-	}
-	return nodes
-}
-
-// interested returns the nodes to tell of a change that this node found: the owners, and
-// the nodes that asked this one.
-func (s *targetState) interested(self string) []string {
-	nodes := s.recentAskers(s.notice.At)
-	for _, owner := range s.owners {
-		if owner != "" && owner != self && !slices.Contains(nodes, owner) {
-			nodes = append(nodes, owner)
-		}
-	}
-	return nodes
-}
-
 // locate brings the owners up to date and reports whether this node may use its own
 // slots now. The caller holds the limiter's mutex.
 func (l *Limiter) locate(s *targetState) (usable bool) {
@@ -89,8 +47,8 @@
 		return true
 	}
 	members, usable := l.ownership.Members()
-	if members.Version != s.members {
-		s.members = members.Version
+	if members.Version() != s.members {
+		s.members = members.Version()
 		s.setOwners(members, l.ownership.Self())
 	}
 	return usable
