gateway: what callers get while targets are at their rate limits, tests; Retry-After by the own slots' queue

A rejected request of a node that owns slots of the target was told the default second while nobody had been asked (the test saw 1.08 s where 5 are due); now the slot's queue decides, as for other nodes' requests.

--- a/gateway/ask_test.go
+++ b/gateway/ask_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/internal/uptime"
+	"github.com/walnutramp/walnutramp/ratelimit"
 )
 
 // throttlingTarget rejects requests with a cooldown in seconds while one is set; else it
@@ -49,7 +50,8 @@
 // parseTestBackpressure reads the backpressure signals of the tests' dialect.
 func parseTestBackpressure(status int, h http.Header) Backpressure {
 	seconds, _ := strconv.Atoi(h.Get("X-Rest"))
-	return Backpressure{Cooldown: time.Duration(seconds) * time.Second, Draining: h.Get("X-Leaves") == "1"}
+	return Backpressure{Cooldown: time.Duration(seconds) * time.Second, Draining: h.Get("X-Leaves") == "1",
+		RateLimit: ratelimit.ParseSignal(h.Values("X-Limit"))}
 }
 
 // post sends a request on a route and returns its status and body.
--- a/ratelimit/acquire.go
+++ b/ratelimit/acquire.go
@@ -167,9 +167,6 @@
 			l.counters.own.Inc()
 			return s.permit(now, now, wait), nil
 		}
-		if wait != never {
-			s.returnAt = now.Add(s.scheduleReturn(now, wait))
-		}
 	}
 	return Permit{}, l.deny(s, now)
 }
@@ -191,6 +188,11 @@
 func (l *Limiter) deny(s *targetState, now time.Time) *Denial {
 	l.counters.denied.Inc()
 	denial := &Denial{RetryAfter: unknownReturn, Notice: s.notice}
+	usable := l.locate(s)
+	if _, wait := s.soonest(now); usable && wait != never {
+		denial.RetryAfter = s.scheduleReturn(now, wait)
+		return denial
+	}
 	if s.returnAt.After(now) {
 		denial.RetryAfter = min(s.returnAt.Sub(now), maxReturn)
 		s.returnAt = s.returnAt.Add(interval(s.notice.Rate))
