--- a/ratelimit/acquire.go
+++ b/ratelimit/acquire.go
@@ -42,8 +42,9 @@
 	// taken to have none. The limit may be lifted meanwhile.
 	minBackoff = 20 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
-	// silenceBackoff is the same for an owner that did not answer.
-	silenceBackoff = 200 * time.Millisecond
+	// silenceBackoff is how long an owner that did not answer is not asked again: each try
+	// delays a request by the time that it waits for the reply.
+	silenceBackoff = time.Second
 	// maxReturn bounds the Retry-After of rejected requests, and unknownReturn is the one
 	// while nothing is known of the permits left.
 	maxReturn     = 30 * time.Second
@@ -114,10 +115,8 @@
 		askedAt := uptime.Now()
 		reply, answered := l.network.Ask(ctx, owner, ask)
 		if !answered {
-			reply = Reply{Wait: silenceBackoff, NotOwner: true}
-			l.counters.unanswered.Inc()
-		}
-		if p, granted := l.applyReply(r.Target, owner, askedAt, reply); granted {
+			l.recordSilence(r.Target, owner)
+		} else if p, granted := l.applyReply(r.Target, owner, askedAt, reply); granted {
 			return p, nil
 		}
 		if ctx.Err() != nil {
@@ -226,6 +225,16 @@
 	return owners[:min(maxAsks, len(owners))]
 }
 
+// recordSilence records that an owner did not answer.
+func (l *Limiter) recordSilence(target, owner string) {
+	l.counters.unanswered.Inc()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.targets[target]; s != nil {
+		s.setFreeAt(owner, uptime.Now().Add(silenceBackoff))
+	}
+}
+
 // applyReply applies an owner's reply and returns the permit that it grants, if any.
 // granted is also true if the target is no longer limited.
 func (l *Limiter) applyReply(target, owner string, askedAt time.Time, reply Reply) (p Permit, granted bool) {
