--- a/explain/explain.go
+++ b/explain/explain.go
@@ -308,6 +308,11 @@
 			parts = append(parts, fmt.Sprintf("target %s: its data hall stopped responding before the first event", l.Fields["target"]))
 		case "Target asks for rest":
 			parts = append(parts, fmt.Sprintf("target %s asked to back off for %s ms", l.Fields["target"], l.Fields["rest_ms"]))
+		case "Request waits for a target's rate limit":
+			parts = append(parts, fmt.Sprintf("target %s made it wait %s ms for its rate limit of %s per second", l.Fields["target"], l.Fields["wait_ms"], l.Fields["perSecond"]))
+		case "Request rejected for a rate limit":
+			parts = append(parts, fmt.Sprintf("no target had a permit in time: one publishes a limit of %s per second, known for %s ms, of which this node has %s parts with %s permits left",
+				l.Fields["perSecond"], l.Fields["limitAge_ms"], l.Fields["ownParts"], l.Fields["permitsLeft"]))
 		case "Target turned the request away":
 			parts = append(parts, fmt.Sprintf("target %s rejected it with status %s", l.Fields["target"], l.Fields["status"]))
 		}
@@ -354,6 +359,8 @@
 			"look at the targets' own logs of these moments; the client is told when the request may be tried again"
 	case walnutramp.CodeTargetsCooldown:
 		return description, "all targets of the service had asked this node to back off: see the lines in which they did; Retry-After tells the client when the first is available again"
+	case walnutramp.CodeTargetsLimited:
+		return description, "all targets of the service publish rate limits, which the requests of all nodes had used up; Retry-After follows from the limit and from who waits already"
 	case walnutramp.CodeNoTarget:
 		return description, "no target of the service could be asked: look at its list of targets and at what turned the request away"
 	}
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/walnutramp/walnutramp/balance"
@@ -114,5 +115,6 @@
 // logDenial logs the rate limit for which a call is rejected.
 func (g *Gateway) logDenial(c *call) {
 	klog.InfoS("Request rejected for a rate limit", "request", c.id, "service", c.service, "perSecond", c.denial.Notice.Rate,
-		"limitAge_ms", uptime.Since(c.denial.Notice.At).Milliseconds(), "retryAfter_ms", c.denial.RetryAfter.Milliseconds())
+		"limitAge_ms", uptime.Since(c.denial.Notice.At).Milliseconds(), "ownParts", c.denial.Own,
+		"permitsLeft", strconv.FormatFloat(c.denial.Left, 'f', 1, 64), "retryAfter_ms", c.denial.RetryAfter.Milliseconds())
 }
--- a/ratelimit/acquire.go
+++ b/ratelimit/acquire.go
@@ -33,6 +33,8 @@
 type Denial struct {
 	RetryAfter time.Duration // when the request should return
 	Notice     Notice        // the limit
+	Own        int           // slots that this node owns
+	Left       float64       // permits in them; negative if granted in advance
 }
 
 // Limits of asking other nodes.
@@ -188,6 +190,7 @@
 	l.counters.denied.Inc()
 	denial := &Denial{RetryAfter: unknownReturn, Notice: s.notice}
 	usable := l.locate(s)
+	denial.Own, denial.Left = s.ownPermits(now)
 	if _, wait := s.soonest(now); usable && wait != never {
 		denial.RetryAfter = s.scheduleReturn(now, wait)
 		return denial
--- a/ratelimit/limiter_test.go
+++ b/ratelimit/limiter_test.go
@@ -33,7 +33,7 @@
 			changes: seed%2 == 0, loss: 0.02 * float64(seed%4), maxWait: 75 * time.Millisecond}
 		synctest.Test(t, func(t *testing.T) {
 			m := newModelSite(seed, c)
-			m.run(60 * time.Second)
+			m.run(120 * time.Second)
 			for _, target := range m.services {
 				require.Zero(t, target.excess(), "seed %d, %s, %+v", seed, target.name, c)
 			}
--- a/ratelimit/metrics.go
+++ b/ratelimit/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"math"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/walnutramp/walnutramp/internal/uptime"
@@ -56,17 +57,24 @@
 	defer l.mu.Unlock()
 	now := uptime.Now()
 	for _, s := range l.targets {
-		if !s.notice.Limited() || !l.locate(s) {
-			continue
-		}
-		for slot, mine := range s.mine {
-			if !mine {
-				continue
-			}
-			perSecond, burst := slotRate(s.notice.Rate, slot)
-			s.buckets[slot].fill(now, perSecond, burst)
-			left += math.Floor(max(0, s.buckets[slot].tokens))
+		if s.notice.Limited() && l.locate(s) {
+			_, permits := s.ownPermits(now)
+			left += math.Floor(max(0, permits))
 		}
 	}
 	return left
 }
+
+// ownPermits returns the number of own slots, and the permits in them.
+func (s *targetState) ownPermits(now time.Time) (slots int, permits float64) {
+	for slot, mine := range s.mine {
+		perSecond, burst := slotRate(s.notice.Rate, slot)
+		if !mine || perSecond == 0 {
+			continue
+		}
+		slots++
+		s.buckets[slot].fill(now, perSecond, burst)
+		permits += s.buckets[slot].tokens
+	}
+	return slots, permits
+}
--- a/ratelimit/model_test.go
+++ b/ratelimit/model_test.go
@@ -272,6 +272,10 @@
 	})
 }
 
+// maxCut is the longest time for which a node is cut off from the others: long enough to
+// be removed from the set.
+const maxCut = 100 * time.Second
+
 // injectFault kills, restarts or cuts off a node, or changes the leader.
 func (m *model) injectFault() {
 	n := m.sites[m.rng.IntN(len(m.sites))]
@@ -282,7 +286,7 @@
 		n.up = false
 		time.AfterFunc(time.Duration(m.rng.Int64N(int64(60*time.Second))), func() { m.start(n) })
 	case 3:
-		n.cutUntil = uptime.Now().Add(time.Duration(m.rng.Int64N(int64(40 * time.Second))))
+		n.cutUntil = uptime.Now().Add(time.Duration(m.rng.Int64N(int64(maxCut))))
 	case 4:
 		m.leader = m.rng.IntN(len(m.leaders))
 		m.leaders[m.leader].BecomeLeader()
@@ -328,33 +332,47 @@
 	return m.sites[(first+m.rng.IntN(m.active))%len(m.sites)]
 }
 
-// allowed returns how many counted requests a target may get in the window that ends at a
-// time: the highest limit in force in it, or shortly before, counts.
-func (t *modelTarget) allowed(end time.Time) float64 {
+// highest returns the highest limit in force in the window that ends at a time, or shortly
+// before.
+func (t *modelTarget) highest(end time.Time, window time.Duration) (rate float64) {
 	const learned = 2 * time.Second
-	highest := 0.0
 	for i, c := range t.changed {
-		if i+1 < len(t.changed) && t.changed[i+1].at.Before(end.Add(-4*time.Second-learned)) || c.at.After(end) {
+		if i+1 < len(t.changed) && t.changed[i+1].at.Before(end.Add(-window-learned)) || c.at.After(end) {
 			continue
 		}
-		highest = max(highest, c.rate)
+		rate = max(rate, c.rate)
 	}
-	return 1.5*4*highest + 5
+	return rate
 }
 
+// longWindow is a window in which a slot that two nodes use shows, as bursts do not.
+const longWindow = 30 * time.Second
+
 // excess returns the largest number of counted requests beyond what a window allows; 0 if
-// none has too many.
-func (t *modelTarget) excess() (most float64) {
+// none has too many: 1.5 times the limit and 5 requests in 4 s, and the limit with one
+// burst of all slots in a long window.
+func (t *modelTarget) excess() float64 {
+	short := t.excessIn(4*time.Second, func(rate float64) float64 { return 1.5*4*rate + 5 })
+	late := useWithin + transitTime
+	long := t.excessIn(longWindow, func(rate float64) float64 {
+		return Slots + max(rate, minRate)*(burstTime+longWindow+late).Seconds()
+	})
+	return max(short, long)
+}
+
+// excessIn returns the largest number of counted requests beyond what a window allows,
+// given the highest limit in it.
+func (t *modelTarget) excessIn(window time.Duration, allowed func(rate float64) float64) (most float64) {
 	var counted []time.Time
 	for _, a := range t.arrivals {
 		if !a.counted || a.at.Sub(t.firstAt) < 3*time.Second {
 			continue
 		}
 		counted = append(counted, a.at)
-		for a.at.Sub(counted[0]) > 4*time.Second {
+		for a.at.Sub(counted[0]) > window {
 			counted = counted[1:]
 		}
-		most = max(most, float64(len(counted))-t.allowed(a.at))
+		most = max(most, float64(len(counted))-allowed(t.highest(a.at, window)))
 	}
 	return most
 }
