quota, ratelimit: a key has one user within a span, checked over random schedules; slots found once the list of nodes is known

Found by the test that a new list does not refill slots: a node that knew a limit before it knew the list of nodes never looked for its slots again, and rejected all requests for the target that others did not bring up. It looks at each check now.

--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 )
@@ -22,6 +25,7 @@
 // replicated; each leader has its own register.
 type model struct {
 	rng      *rand.Rand
+	listRNG  *rand.Rand // decides which lists of nodes are lost
 	set      Set
 	leaders  []*Register
 	leader   int
@@ -34,6 +38,7 @@
 type modelNode struct {
 	self             Node
 	holder           *Holder
+	ownership        *Ownership
 	up               bool
 	startedAt        time.Time // when this process started
 	partitionedUntil time.Time // partitioned from the group until then
@@ -44,6 +49,7 @@
 type modelRequest struct {
 	sentAt, arrivesAt, answeredAt time.Time
 	assignment                    Assignment
+	members                       Members
 	recorded                      bool
 }
 
@@ -55,7 +61,7 @@
 }
 
 func newModel(seed uint64, nodes int) *model {
-	m := &model{rng: rand.New(rand.NewPCG(seed, 1)), maxDelay: 1500 * time.Millisecond}
+	m := &model{rng: rand.New(rand.NewPCG(seed, 1)), listRNG: rand.New(rand.NewPCG(seed, 2)), maxDelay: 1500 * time.Millisecond}
 	for range 3 {
 		m.leaders = append(m.leaders, NewRegister(testSpan))
 	}
@@ -73,6 +79,7 @@
 	n := m.nodes[i]
 	n.self.Incarnation, n.holder, n.up, n.requests = m.rng.Uint64()|1, NewHolder(testSpan), true, nil
 	n.startedAt = uptime.Now()
+	n.ownership = NewOwnership(n.holder, n.self.Address)
 }
 
 // step advances 100 ms: nodes send requests, the leader answers, and answers arrive.
@@ -94,9 +101,14 @@
 				req.recorded = true
 				r.RecordRequest(n.self)
 				req.assignment = r.Assignment(m.set, n.self)
+				req.members = membersOf(m.set)
+				req.assignment.Members = req.members.Version()
 			}
 		}
 		for len(n.requests) > 0 && n.requests[0].recorded && !now.Before(n.requests[0].answeredAt) {
+			if m.listRNG.IntN(3) > 0 { // else the list was lost
+				n.ownership.SetMembers(n.requests[0].members)
+			}
 			n.holder.Apply(n.requests[0].assignment, n.requests[0].sentAt)
 			n.requests = n.requests[1:]
 		}
@@ -115,6 +127,12 @@
 	}
 }
 
+// membersOf returns the list of a set's nodes.
+func membersOf(set Set) Members {
+	addresses := slices.Sorted(maps.Keys(set.Lives))
+	return NewMembers(xxhash.Sum64String(fmt.Sprint(addresses)), addresses)
+}
+
 func (m *model) delay(d time.Duration) time.Duration { return time.Duration(m.rng.Int64N(int64(d))) }
 
 // injectFault injects a random fault: a crash, restart, partition or change of leader.
@@ -163,14 +181,8 @@
 // span must never add up to more than the quota, and after recovery all of it must be
 // usable.
 func TestSharesNeverExceedTheQuota(t *testing.T) {
-	schedules := schedulesInCI
-	if text := os.Getenv("WALNUTRAMP_QUOTA_SCHEDULES"); text != "" {
-		var err error
-		schedules, err = strconv.Atoi(text)
-		require.NoError(t, err)
-	}
 	most, used := 0.0, 0
-	for seed := range uint64(schedules) {
+	for seed := range schedulesOf(t) {
 		synctest.Test(t, func(t *testing.T) {
 			m := newModel(seed, 4+int(seed%9))
 			for step := range 1500 {
@@ -231,3 +243,72 @@
 		require.InDelta(t, 1./8, m.nodes[5].holder.Share(), 1e-9, "a span has passed")
 	})
 }
+
+// schedulesOf returns how many random schedules to run.
+func schedulesOf(t *testing.T) uint64 {
+	text := os.Getenv("WALNUTRAMP_QUOTA_SCHEDULES")
+	if text == "" {
+		return schedulesInCI
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	require.NoError(t, err)
+	return n
+}
+
+// keyUse is the latest use of a key.
+type keyUse struct {
+	process uint64 // incarnation of the node
+	at      time.Time
+}
+
+// Under random crashes, partitions and changes of leader, two processes must never use the
+// same key within one span, and after recovery all keys must have an owner.
+func TestKeysHaveOneOwnerWithinASpan(t *testing.T) {
+	const keys = 12
+	used, handedOver := 0, 0
+	for seed := range schedulesOf(t) {
+		synctest.Test(t, func(t *testing.T) {
+			m := newModel(seed, 3+int(seed%6))
+			latest := map[string]keyUse{}
+			use := func(n *modelNode) {
+				if !n.up {
+					return
+				}
+				members, usable := n.ownership.Members()
+				for k := range keys {
+					key := fmt.Sprint("key-", k)
+					if !usable || members.Owner(key) != n.self.Address {
+						continue
+					}
+					now, previous := uptime.Now(), latest[key]
+					if previous.process != 0 && previous.process != n.self.Incarnation {
+						handedOver++
+						require.GreaterOrEqual(t, now.Sub(previous.at), testSpan, "seed %d, %s", seed, key)
+					}
+					latest[key] = keyUse{process: n.self.Incarnation, at: now}
+					used++
+				}
+			}
+			for step := range 2000 { // the last half lets dead nodes be removed
+				m.step(step >= 20)
+				if step < 900 && m.rng.IntN(25) == 0 {
+					m.injectFault()
+				}
+				for _, n := range m.nodes {
+					use(n)
+				}
+			}
+			owned := 0
+			for _, u := range latest {
+				if uptime.Since(u.at) < time.Second {
+					owned++
+				}
+			}
+			if slices.ContainsFunc(m.nodes, func(n *modelNode) bool { return n.up }) {
+				require.Equal(t, keys, owned, "seed %d", seed)
+			}
+		})
+	}
+	t.Logf("%d uses, %d changes of the owner", used, handedOver)
+	require.Positive(t, handedOver)
+}
--- a/ratelimit/acquire.go
+++ b/ratelimit/acquire.go
@@ -74,7 +74,7 @@
 	if s.hasSpare(now) {
 		return InHand
 	}
-	if s.owned() && l.locate(s) {
+	if l.locate(s) {
 		switch _, wait := s.soonest(now); {
 		case wait == 0:
 			return InHand
--- a/ratelimit/limiter_test.go
+++ b/ratelimit/limiter_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/walnutramp/walnutramp/internal/uptime"
+	"github.com/walnutramp/walnutramp/quota"
 )
 
 // schedules returns how many random schedules to run, unless the environment says so.
@@ -125,3 +126,48 @@
 		})
 	}
 }
+
+// A new list of nodes must not refill the slots that a node keeps.
+func TestListOfNodesDoesNotRefillSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		holder := quota.NewHolder(testSpan)
+		ownership := quota.NewOwnership(holder, "a")
+		l := New(WithOwnership(ownership))
+		l.Observe("t", Signal{Published: true, PerSecond: 1})
+		granted := 0
+		for version := range uint64(50) {
+			ownership.SetMembers(quota.NewMembers(version+1, []string{"a"}))
+			holder.Apply(quota.Assignment{Nodes: 1, Epoch: 1, First: true, Members: version + 1}, uptime.Now())
+			for l.Check(Request{Target: "t"}) == InHand {
+				_, denial := l.Acquire(t.Context(), Request{Target: "t"})
+				require.Nil(t, denial)
+				granted++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		require.LessOrEqual(t, granted, Slots+1+5, "the burst, and one each second")
+		require.GreaterOrEqual(t, granted, 5)
+	})
+}
+
+// A permit must be used soon after it was granted, and once.
+func TestPermitExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := New()
+		l.Observe("t", Signal{Published: true, PerSecond: 0.1})
+		p, denial := l.Acquire(t.Context(), Request{Target: "t"})
+		require.Nil(t, denial)
+		unused := p
+		time.Sleep(useWithin + time.Millisecond)
+		require.False(t, l.Use("t", &p))
+		l.Return(&unused)
+		require.Equal(t, Exhausted, l.Check(Request{Target: "t"}))
+
+		time.Sleep(10 * time.Second)
+		p, denial = l.Acquire(t.Context(), Request{Target: "t"})
+		require.Nil(t, denial)
+		l.Return(&p)
+		require.True(t, l.Use("t", &p), "the returned one")
+		require.False(t, l.Use("t", &p))
+	})
+}
