--- a/ratelimit/acquire.go
+++ b/ratelimit/acquire.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/walnutramp/walnutramp/internal/uptime"
-	"k8s.io/klog/v2"
 )
 
 // Availability says whether a request may be sent to a target.
@@ -39,7 +37,6 @@
 
 // Limits of asking other nodes.
 const (
-	maxAsks = 1 // owners asked for one request
 	// minBackoff and maxBackoff bound the time for which an owner that denied a permit is
 	// taken to have none. The limit may be lifted meanwhile.
 	minBackoff = 20 * time.Millisecond
@@ -111,23 +108,28 @@
 	if _, wait := s.soonest(now); usable {
 		ask.MaxWait = min(ask.MaxWait, wait)
 	}
-	owners := l.ownersToAsk(s, r.queue(), now)
+	owner := l.ownerToAsk(s, r.queue(), now)
 	l.mu.Unlock()
-	for _, owner := range owners {
-		askedAt := uptime.Now()
-		reply, answered := l.network.Ask(ctx, owner, ask)
-		if !answered {
-			l.recordSilence(r.Target, owner)
-		} else if p, granted := l.applyReply(r.Target, owner, askedAt, reply); granted {
+	if owner != "" {
+		if p, granted := l.askOwner(ctx, owner, ask); granted {
 			return p, nil
 		}
-		if ctx.Err() != nil {
-			break
-		}
 	}
 	return l.reserve(r)
 }
 
+// askOwner asks an owner for a permit. granted is also true if the target turns out not to
+// be limited any more.
+func (l *Limiter) askOwner(ctx context.Context, owner string, ask Ask) (p Permit, granted bool) {
+	askedAt := uptime.Now()
+	reply, answered := l.network.Ask(ctx, owner, ask)
+	if !answered {
+		l.recordSilence(ask.Target, owner)
+		return Permit{}, false
+	}
+	return l.applyReply(ask.Target, owner, askedAt, reply)
+}
+
 // takeLocal takes an unused permit or one of an own slot, without a wait. The caller holds
 // the mutex.
 func (l *Limiter) takeLocal(s *targetState, now time.Time, usable bool) (Permit, bool) {
@@ -147,11 +149,6 @@
 	return s.permit(now, now, 0), true
 }
 
-// permit returns a permit that is granted at one time, as known at another, after a wait.
-func (s *targetState) permit(grantedAt, knownAt time.Time, wait time.Duration) Permit {
-	return Permit{target: s.name, rate: s.notice.Rate, from: knownAt.Add(wait), until: grantedAt.Add(wait + useWithin)}
-}
-
 // reserve takes a permit of an own slot in advance if the request may wait for it.
 func (l *Limiter) reserve(r Request) (Permit, *Denial) {
 	l.mu.Lock()
@@ -202,11 +199,6 @@
 	return denial
 }
 
-// interval returns the mean time between the requests that a limit allows.
-func interval(rate float64) time.Duration {
-	return time.Duration(float64(time.Second) / max(rate, minRate))
-}
-
 // mayAsk reports whether the owner of a slot may be asked for a request that may join a
 // queue of the given length: it is another node, and not known to have no permit in time.
 func (s *targetState) mayAsk(slot int, queue time.Duration, now time.Time) bool {
@@ -217,15 +209,15 @@
 	return perSecond > 0
 }
 
-// ownersToAsk returns up to maxAsks other owners that may be asked, in random order. The
-// caller holds the mutex.
-func (l *Limiter) ownersToAsk(s *targetState, queue time.Duration, now time.Time) (owners []string) {
+// ownerToAsk returns a random one of the other owners that may be asked; empty if there is
+// none. The caller holds the mutex.
+func (l *Limiter) ownerToAsk(s *targetState, queue time.Duration, now time.Time) string {
 	for _, slot := range l.rng.Perm(Slots) {
-		if s.mayAsk(slot, queue, now) && !slices.Contains(owners, s.owners[slot]) {
-			owners = append(owners, s.owners[slot])
+		if s.mayAsk(slot, queue, now) {
+			return s.owners[slot]
 		}
 	}
-	return owners[:min(maxAsks, len(owners))]
+	return ""
 }
 
 // recordSilence records that an owner did not answer.
@@ -276,116 +268,3 @@
 		}
 	}
 }
-
-// HandleAsk answers a node that asks for a permit of one of this node's slots.
-func (l *Limiter) HandleAsk(a Ask) Reply {
-	l.mu.Lock()
-	now := uptime.Now()
-	s := l.targets[a.Target]
-	if s == nil {
-		s = l.add(a.Target)
-	}
-	s.usedAt = now
-	update := l.apply(s, Notice{Rate: a.Rate, At: now.Add(-a.Age)})
-	reply := l.grant(s, a, now)
-	reply.Rate, reply.Age = s.notice.Rate, s.notice.age(now)
-	l.mu.Unlock()
-	update()
-	return reply
-}
-
-// grant charges a permit to an own slot if the request may wait for it. The caller holds
-// the mutex.
-func (l *Limiter) grant(s *targetState, a Ask, now time.Time) Reply {
-	if !s.notice.Limited() {
-		return Reply{}
-	}
-	usable := l.locate(s)
-	slot, wait := s.soonest(now)
-	if !usable || wait == never {
-		return Reply{NotOwner: true, Wait: maxBackoff}
-	}
-	if wait > maxQueue(a.MaxWait, a.Rank) {
-		return Reply{Wait: wait, RetryAfter: s.scheduleReturn(now, wait)}
-	}
-	s.buckets[slot].tokens--
-	l.counters.lent.Inc()
-	return Reply{Granted: true, Wait: wait}
-}
-
-// scheduleReturn returns after how long a rejected request should return: once a permit is
-// there and the requests that were rejected before have had theirs.
-func (s *targetState) scheduleReturn(now time.Time, wait time.Duration) time.Duration {
-	if next := now.Add(wait); s.returns.Before(next) {
-		s.returns = next
-	}
-	at := s.returns
-	s.returns = s.returns.Add(interval(s.notice.Rate))
-	if limit := now.Add(maxReturn); s.returns.After(limit) {
-		s.returns = limit
-	}
-	return min(at.Sub(now), maxReturn)
-}
-
-// Use reports whether a request may be sent to a target now, and uses up its permit. If
-// that is not or no longer valid, one that this node has in hand is used instead.
-func (l *Limiter) Use(target string, p *Permit) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.targets[target]
-	if s == nil || !s.notice.Limited() {
-		return true
-	}
-	now := uptime.Now()
-	s.usedAt = now
-	if p.valid(target, s.notice.Rate, now) {
-		*p = Permit{}
-		return true
-	}
-	replacement, ok := l.takeLocal(s, now, l.locate(s))
-	if !ok {
-		l.counters.withheld.Inc()
-		klog.V(1).InfoS("No permit at the time of sending", "target", target, "perSecond", s.notice.Rate)
-	}
-	return ok && replacement.valid(target, s.notice.Rate, now)
-}
-
-// Return gives back a permit that was not used, for other requests of this node.
-func (l *Limiter) Return(p *Permit) {
-	if p.target == "" {
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if s := l.targets[p.target]; s != nil && s.notice.Limited() {
-		s.spare = append(s.spare, *p)
-	}
-	*p = Permit{}
-}
-
-// takeSpare takes an unused permit that is valid now, and drops those that no longer are.
-func (s *targetState) takeSpare(now time.Time) (Permit, bool) {
-	kept := s.spare[:0]
-	var taken Permit
-	for _, p := range s.spare {
-		switch {
-		case !now.Before(p.until) || p.rate > s.notice.Rate:
-		case taken.target == "" && p.valid(s.name, s.notice.Rate, now):
-			taken = p
-		default:
-			kept = append(kept, p)
-		}
-	}
-	s.spare = kept
-	return taken, taken.target != ""
-}
-
-// hasSpare reports whether an unused permit is valid now.
-func (s *targetState) hasSpare(now time.Time) bool {
-	for i := range s.spare {
-		if s.spare[i].valid(s.name, s.notice.Rate, now) {
-			return true
-		}
-	}
-	return false
-}
--- a/ratelimit/permit.go
+++ b/ratelimit/permit.go
@@ -1,6 +1,11 @@
 package ratelimit
 
-import "time"
+import (
+	"time"
+
+	"github.com/walnutramp/walnutramp/internal/uptime"
+	"k8s.io/klog/v2"
+)
 
 const (
 	// useWithin is how long a permit is valid. Requests that were permitted earlier would
@@ -33,3 +38,71 @@
 func (p *Permit) valid(target string, rate float64, now time.Time) bool {
 	return p.target == target && p.rate <= rate && !now.Before(p.from) && now.Before(p.until)
 }
+
+// permit returns a permit that is granted at one time, as known at another, after a wait.
+func (s *targetState) permit(grantedAt, knownAt time.Time, wait time.Duration) Permit {
+	return Permit{target: s.name, rate: s.notice.Rate, from: knownAt.Add(wait), until: grantedAt.Add(wait + useWithin)}
+}
+
+// Use reports whether a request may be sent to a target now, and uses up its permit. If
+// that is not or no longer valid, one that this node has in hand is used instead.
+func (l *Limiter) Use(target string, p *Permit) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.targets[target]
+	if s == nil || !s.notice.Limited() {
+		return true
+	}
+	now := uptime.Now()
+	s.usedAt = now
+	if p.valid(target, s.notice.Rate, now) {
+		*p = Permit{}
+		return true
+	}
+	replacement, ok := l.takeLocal(s, now, l.locate(s))
+	if !ok {
+		l.counters.withheld.Inc()
+		klog.V(1).InfoS("No permit at the time of sending", "target", target, "perSecond", s.notice.Rate)
+	}
+	return ok && replacement.valid(target, s.notice.Rate, now)
+}
+
+// Return gives back a permit that was not used, for other requests of this node.
+func (l *Limiter) Return(p *Permit) {
+	if p.target == "" {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.targets[p.target]; s != nil && s.notice.Limited() {
+		s.spare = append(s.spare, *p)
+	}
+	*p = Permit{}
+}
+
+// takeSpare takes an unused permit that is valid now, and drops those that no longer are.
+func (s *targetState) takeSpare(now time.Time) (Permit, bool) {
+	kept := s.spare[:0]
+	var taken Permit
+	for _, p := range s.spare {
+		switch {
+		case !now.Before(p.until) || p.rate > s.notice.Rate:
+		case taken.target == "" && p.valid(s.name, s.notice.Rate, now):
+			taken = p
+		default:
+			kept = append(kept, p)
+		}
+	}
+	s.spare = kept
+	return taken, taken.target != ""
+}
+
+// hasSpare reports whether an unused permit is valid now.
+func (s *targetState) hasSpare(now time.Time) bool {
+	for i := range s.spare {
+		if s.spare[i].valid(s.name, s.notice.Rate, now) {
+			return true
+		}
+	}
+	return false
+}
