quota: a node that has just started may use its keys after the keys' own span

A site whose processes all restart rejected requests for services of limited targets for 15 s (4 s and the span of the retry budget, 11 s); keys need 4 s and 6.5 s. Random schedules with both spans: no two users of a key within 6.5 s.

--- a/quota/holder.go
+++ b/quota/holder.go
@@ -16,8 +16,8 @@
 	epoch       uint64    // 0 before the first assignment
 	setSize     int       // in the latest assignment
 	requestedAt time.Time // when the latest assignment was requested
-	usableFrom  time.Time
-	members     uint64 // identifies the list of nodes in the latest assignment
+	joinedAt    time.Time // zero if the node need not wait for joinDelay
+	members     uint64    // identifies the list of nodes in the latest assignment
 }
 
 // NewHolder returns a Holder for a quota per span, with no share until the first
@@ -37,19 +37,24 @@
 	defer h.mu.Unlock()
 	switch {
 	case h.epoch == 0 && a.First:
-		h.join(a, now)
+		h.join(a, time.Time{})
 	case h.epoch != a.Epoch || issuedAt.Sub(h.requestedAt) > MaxAbsence:
-		h.join(a, now.Add(joinDelay(h.span)))
+		h.join(a, now)
 	case issuedAt.Before(h.requestedAt):
 		return
 	}
 	h.epoch, h.setSize, h.requestedAt, h.members = a.Epoch, a.Nodes, issuedAt, a.Members
 }
 
-// join makes the share usable from a time on. The caller holds the mutex.
-func (h *Holder) join(a Assignment, from time.Time) {
-	h.usableFrom = from
-	klog.InfoS("Retry quota share assigned", "nodes", a.Nodes, "first", a.First, "in_ms", uptime.Until(from).Milliseconds())
+// join records that the node joined the set at a time; zero if it need not wait. The
+// caller holds the mutex.
+func (h *Holder) join(a Assignment, at time.Time) {
+	h.joinedAt = at
+	wait := time.Duration(0)
+	if !at.IsZero() {
+		wait = joinDelay(h.span)
+	}
+	klog.InfoS("Retry quota share assigned", "nodes", a.Nodes, "first", a.First, "in_ms", wait.Milliseconds())
 }
 
 // Share returns the share of the quota, from 0 to 1, that this node may have used within
@@ -57,25 +62,27 @@
 func (h *Holder) Share() float64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.usable() {
+	if !h.usable(h.span) {
 		return 0
 	}
 	return 1 / float64(h.setSize)
 }
 
 // shareVersion identifies the list of nodes that the share was assigned with; 0 while the
-// node has no share.
-func (h *Holder) shareVersion() uint64 {
+// node has no share of a quota per span.
+func (h *Holder) shareVersion(span time.Duration) uint64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.usable() {
+	if !h.usable(span) {
 		return 0
 	}
 	return h.members
 }
 
-// usable reports whether the node has a share now. The caller holds the mutex.
-func (h *Holder) usable() bool {
+// usable reports whether the node has a share now of a quota per span, which is at most the
+// holder's. The caller holds the mutex.
+func (h *Holder) usable(span time.Duration) bool {
 	now := uptime.Now()
-	return h.setSize > 0 && !now.Before(h.usableFrom) && now.Sub(h.requestedAt) <= ShareTTL
+	waited := h.joinedAt.IsZero() || now.Sub(h.joinedAt) >= joinDelay(span)
+	return h.setSize > 0 && waited && now.Sub(h.requestedAt) <= ShareTTL
 }
--- a/quota/ownership.go
+++ b/quota/ownership.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -55,14 +56,19 @@
 type Ownership struct {
 	holder *Holder
 	self   string
+	span   time.Duration
 
 	mu      sync.Mutex
 	members Members
 }
 
-// NewOwnership returns the ownership of the node at an address, which holds a share.
-// Until SetMembers it owns nothing.
-func NewOwnership(h *Holder, self string) *Ownership { return &Ownership{holder: h, self: self} }
+// NewOwnership returns the ownership of the node at an address, which holds a share. The
+// uses of a key by two nodes are a span apart, which must not exceed the holder's: a node
+// that has just started may use its keys sooner if it is shorter. Until SetMembers the node
+// owns nothing.
+func NewOwnership(h *Holder, self string, span time.Duration) *Ownership {
+	return &Ownership{holder: h, self: self, span: span}
+}
 
 // Self returns the node's address.
 func (o *Ownership) Self() string { return o.self }
@@ -80,5 +86,5 @@
 	o.mu.Lock()
 	m = o.members
 	o.mu.Unlock()
-	return m, m.version != 0 && o.holder.shareVersion() == m.version
+	return m, m.version != 0 && o.holder.shareVersion(o.span) == m.version
 }
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -86,7 +86,7 @@
 		targetconn.WithOnKept(func(e targetconn.Endpoint, until time.Time) { targets.SetConnectedUntil(e.ID, until) }))
 	budgetConfig := balance.BudgetConfig{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}
 	quotaHolder := quota.NewHolder(quotaSpan(&budgetConfig))
-	ownership := quota.NewOwnership(quotaHolder, s.PeerListen)
+	ownership := quota.NewOwnership(quotaHolder, s.PeerListen, ratelimit.Span)
 	limiter := ratelimit.New(ratelimit.WithOwnership(ownership))
 	budgetConfig.Share = quotaHolder.Share
 	budgets := balance.NewBudgets(budgetConfig)
