ratelimit: a limit that no response confirms is probed, so that a lifted one is not kept for ever

Callers saw 3010 for 30 s and longer after all limits had been lifted.

A limit that was not confirmed for 5 s, or 1.5 times the time between the requests that it allows, is probed by each node in its turn at random, one request in 4 s from all nodes on average; what the response says is spread. A limit of 0 is taken as one request in 10 s (30). Changes go to random peers of the sharer, known without the list of nodes.

--- a/loadshare/limits.go
+++ b/loadshare/limits.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"math"
+	"math/rand/v2"
+	"net"
+	"slices"
 	"time"
 
 	"github.com/walnutramp/walnutramp/ratelimit"
@@ -141,13 +145,29 @@
 	delete(s.asks.pending, id)
 }
 
-// Notify implements ratelimit.Network.
-func (s *Sharer) Notify(nodes []string, changes []ratelimit.Change) {
+// Nodes implements ratelimit.Network.
+func (s *Sharer) Nodes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.peers) + 1
+}
+
+// Spread implements ratelimit.Network.
+func (s *Sharer) Spread(n int, changes []ratelimit.Change) {
 	encoded := make([]limitChange, len(changes))
 	for i, c := range changes {
 		encoded[i] = limitChange{Target: c.Target, Rate: encodeRate(c.Rate), AgeMS: c.Age.Milliseconds()}
 	}
-	s.sendTo(s.addressesOf(nodes), message{Limits: encoded})
+	s.sendTo(s.randomPeers(n), message{Limits: encoded})
+}
+
+// randomPeers returns the addresses of up to n random peers.
+func (s *Sharer) randomPeers(n int) []*net.UDPAddr {
+	s.mu.Lock()
+	peers := slices.Collect(maps.Values(s.peers))
+	s.mu.Unlock()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(n, len(peers))]
 }
 
 // handlePermitRequest replies to a node that asks for a permit.
--- a/ratelimit/acquire.go
+++ b/ratelimit/acquire.go
@@ -84,6 +84,9 @@
 			return Obtainable
 		}
 	}
+	if l.probeDue(s, now) {
+		return Obtainable
+	}
 	return Exhausted
 }
 
@@ -149,7 +152,8 @@
 	return s.permit(now, now, 0), true
 }
 
-// reserve takes a permit of an own slot in advance if the request may wait for it.
+// reserve takes a permit of an own slot in advance if the request may wait for it, or one to
+// probe the limit.
 func (l *Limiter) reserve(r Request) (Permit, *Denial) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -166,6 +170,9 @@
 			return s.permit(now, now, wait), nil
 		}
 	}
+	if p, ok := l.takeProbe(s, now); ok {
+		return p, nil
+	}
 	return Permit{}, l.deny(s, now)
 }
 
--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -16,7 +16,7 @@
 	undividedBelow = 1.0
 	// minRate is the lowest rate, in requests per second. A lower one would keep nodes from
 	// learning that the limit has changed, since only responses tell.
-	minRate = 1.0 / 30
+	minRate = 0.1
 	// burstTime is the time over which a slot accumulates requests, on top of one.
 	burstTime = time.Second
 )
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -128,8 +128,8 @@
 	update()
 }
 
-// apply puts a notice in force if it is newer than the known one, and spreads a changed
-// limit. The caller holds the mutex, and calls update after it has released it.
+// apply puts a notice in force if it is newer than the known one, and spreads a limit that
+// has changed or was long not confirmed. The caller holds the mutex, and calls update after it has released it.
 func (l *Limiter) apply(s *targetState, n Notice) (update func()) {
 	if !n.At.After(s.notice.At) {
 		return func() {}
@@ -139,6 +139,8 @@
 	if n.Rate != before.Rate {
 		klog.InfoS("Target rate limit changed", "target", s.name, "perSecond", n.Rate, "before", before.Rate)
 		s.freeAt, s.returns, s.returnAt = [Slots]time.Time{}, time.Time{}, time.Time{}
+	}
+	if n.Rate != before.Rate || before.unconfirmed(n.At) {
 		l.spread(s)
 	}
 	if !n.Limited() {
--- a/ratelimit/messages.go
+++ b/ratelimit/messages.go
@@ -42,12 +42,15 @@
 type Network interface {
 	// Ask returns a node's reply to a; false if none arrives in time.
 	Ask(ctx context.Context, node string, a Ask) (Reply, bool)
-	// Notify sends changes to nodes.
-	Notify(nodes []string, changes []Change)
+	// Nodes returns the number of nodes, this one included.
+	Nodes() int
+	// Spread sends changes to up to n random other nodes.
+	Spread(n int, changes []Change)
 }
 
 // noNetwork is the Network of a node without peers.
 type noNetwork struct{}
 
 func (noNetwork) Ask(context.Context, string, Ask) (Reply, bool) { return Reply{}, false }
-func (noNetwork) Notify([]string, []Change)                      {}
+func (noNetwork) Nodes() int                                     { return 1 }
+func (noNetwork) Spread(int, []Change)                           {}
--- a/ratelimit/metrics.go
+++ b/ratelimit/metrics.go
@@ -16,6 +16,7 @@
 	denied                *metrics.Counter // requests without a permit
 	unanswered            *metrics.Counter // asks without a reply
 	withheld              *metrics.Counter // requests whose permit was no longer valid
+	probes                *metrics.Counter // requests that probed an unconfirmed limit
 }
 
 func newCounters(l *Limiter) (*metrics.Set, *counters) {
@@ -29,6 +30,7 @@
 		denied:     s.NewCounter("walnutramp_rate_limit_denied_total"),
 		unanswered: s.NewCounter("walnutramp_rate_limit_asks_unanswered_total"),
 		withheld:   s.NewCounter("walnutramp_rate_limit_withheld_total"),
+		probes:     s.NewCounter("walnutramp_rate_limit_probes_total"),
 	}
 	s.NewGauge("walnutramp_rate_limited_targets", func() float64 { return float64(l.CountLimited()) })
 	s.NewGauge("walnutramp_rate_limit_permits_left", l.permitsLeft)
--- a/ratelimit/news.go
+++ b/ratelimit/news.go
@@ -53,13 +53,12 @@
 func (l *Limiter) sendNews() {
 	l.mu.Lock()
 	changes := l.takeNews()
-	recipients := l.randomNodes(newsFanout)
 	l.news.sentUntil = uptime.Now().Add(time.Duration(len(changes)) * time.Second / newsRate)
 	l.news.scheduled = false
 	l.scheduleNews()
 	l.mu.Unlock()
-	if len(changes) > 0 && len(recipients) > 0 {
-		l.network.Notify(recipients, changes)
+	if len(changes) > 0 {
+		l.network.Spread(newsFanout, changes)
 	}
 }
 
@@ -75,20 +74,3 @@
 	l.news.targets = slices.Delete(l.news.targets, 0, n)
 	return changes
 }
-
-// randomNodes returns up to n other nodes. The caller holds the mutex.
-func (l *Limiter) randomNodes(n int) (nodes []string) {
-	members, _ := l.ownership.Members()
-	addresses := members.Addresses()
-	if len(addresses) == 0 {
-		return nil
-	}
-	for i, tries := l.rng.IntN(len(addresses)), 0; tries < len(addresses) && len(nodes) < n; tries++ {
-		node := addresses[i]
-		if node != l.ownership.Self() && !slices.Contains(nodes, node) {
-			nodes = append(nodes, node)
-		}
-		i = (i + 1 + l.rng.IntN(len(addresses))) % len(addresses)
-	}
-	return nodes
-}
--- a/ratelimit/permit.go
+++ b/ratelimit/permit.go
@@ -28,6 +28,7 @@
 	rate   float64 // limit under which it was granted
 	from   time.Time
 	until  time.Time
+	probe  bool // of an unconfirmed limit
 }
 
 // Wait returns the time until the permit is valid.
@@ -56,6 +57,9 @@
 	now := uptime.Now()
 	s.usedAt = now
 	if p.valid(target, s.notice.Rate, now) {
+		if p.probe {
+			klog.InfoS("Probing a target's rate limit", "target", target, "perSecond", s.notice.Rate, "limitAge_ms", s.notice.age(now).Milliseconds())
+		}
 		*p = Permit{}
 		return true
 	}
--- a/ratelimit/target.go
+++ b/ratelimit/target.go
@@ -21,6 +21,7 @@
 	mine     [Slots]bool
 	buckets  [Slots]bucket    // of slots that this node owns
 	freeAt   [Slots]time.Time // when owners are expected to have a permit, if they denied one
+	probeAt  time.Time        // when this node probes the limit, if it is unconfirmed
 	spare    []Permit         // that were granted and not used
 	returnAt time.Time        // when a request that is rejected should return, as last told
 	returns  time.Time        // when the last request that an own slot denied was told to return
