gateway: a request goes to a target without a limit before it waits or is rejected

A last choice in each selection now asks nobody: targets without a limit, or with a permit in hand. The test, six idle targets at their limits and a loaded one without, got 503 before.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -68,23 +68,22 @@
 }
 
 // chooseTarget returns the best untried target of a version that the call may use.
-// permitWait is how long the request may wait for a permit.
-func (g *Gateway) chooseTarget(c *call, permitWait time.Duration) selection {
+func (g *Gateway) chooseTarget(c *call, search permitSearch) selection {
 	if g.drawNewVersion(c) {
-		if s := g.pickTarget(c, permitWait, g.excludeAllButNew(c)); s.target != nil {
+		if s := g.pickTarget(c, search, g.excludeAllButNew(c)); s.target != nil {
 			s.canary = true
 			return s
 		}
 		g.cfg.Rollouts.ReturnCredit(c.service, c.route.Name)
 	}
-	return g.pickTarget(c, permitWait, g.excludeByVersion(c))
+	return g.pickTarget(c, search, g.excludeByVersion(c))
 }
 
 // pickTarget returns the best untried target that is not excluded.
-func (g *Gateway) pickTarget(c *call, permitWait time.Duration, excluded func(*balance.Target) bool) selection {
+func (g *Gateway) pickTarget(c *call, search permitSearch, excluded func(*balance.Target) bool) selection {
 	choice := c.choice()
 	choice.Exclude = func(t *balance.Target) bool { return c.tried[t] || c.rejected[t] || excluded != nil && excluded(t) }
-	choice.Allowance = func(t *balance.Target) balance.Allowance { return g.allowance(c, t, permitWait) }
+	choice.Allowance = func(t *balance.Target) balance.Allowance { return g.allowance(c, t, search) }
 	t := g.targets.Pick(choice)
 	c.noCapacity = false
 	if t == nil && choice.Admission {
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -16,7 +16,8 @@
 	// resumePermitWait is how long the remainder of a stream waits for a permit: its
 	// client notices a longer gap.
 	resumePermitWait = 500 * time.Millisecond
-	// maxPermitDenials bounds the targets that are asked in vain in one selection.
+	// maxPermitDenials bounds the targets that deny a permit in one selection. After that
+	// only those are chosen that need none, or of which this node has one in hand.
 	maxPermitDenials = 2
 )
 
@@ -29,13 +30,20 @@
 	return r
 }
 
+// permitSearch says which permits a selection may use.
+type permitSearch struct {
+	maxWait    time.Duration // for a permit
+	onlyInHand bool          // no other node is asked
+}
+
 // allowance returns whether a permit of a target may be granted to a call, and records a
 // target that is passed over. The caller holds the tracker's lock.
-func (g *Gateway) allowance(c *call, t *balance.Target, maxWait time.Duration) balance.Allowance {
-	switch g.cfg.Limits.Check(c.permitRequest(t, maxWait)) {
-	case ratelimit.InHand:
+func (g *Gateway) allowance(c *call, t *balance.Target, search permitSearch) balance.Allowance {
+	availability := g.cfg.Limits.Check(c.permitRequest(t, search.maxWait))
+	switch {
+	case availability == ratelimit.InHand:
 		return balance.AllowanceInHand
-	case ratelimit.Obtainable:
+	case availability == ratelimit.Obtainable && !search.onlyInHand:
 		return balance.AllowanceNearby
 	}
 	c.exhausted = t.Incarnation()
@@ -72,8 +80,8 @@
 
 // selectWithin is selectTarget for one limit of the wait for a permit.
 func (g *Gateway) selectWithin(ctx context.Context, c *call, maxWait time.Duration) *balance.Target {
-	for range maxPermitDenials {
-		s := g.chooseTarget(c, maxWait)
+	for denials := range maxPermitDenials + 1 {
+		s := g.chooseTarget(c, permitSearch{maxWait: maxWait, onlyInHand: denials == maxPermitDenials})
 		if s.target == nil {
 			return nil
 		}
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/internal/uptime"
+	"github.com/walnutramp/walnutramp/quota"
 	"github.com/walnutramp/walnutramp/ratelimit"
 )
 
@@ -246,3 +248,43 @@
 	require.NotNil(t, next)
 	require.False(t, limiter.Notice(next.Incarnation()).Limited())
 }
+
+// denyingNetwork is that of a node whose peers own all slots and have no permits left.
+type denyingNetwork struct{ asked atomic.Int64 }
+
+func (n *denyingNetwork) Ask(_ context.Context, _ string, a ratelimit.Ask) (ratelimit.Reply, bool) {
+	n.asked.Add(1)
+	return ratelimit.Reply{Wait: 10 * time.Millisecond, Rate: a.Rate, Age: a.Age}, true
+}
+
+func (n *denyingNetwork) Nodes() int { return 2 }
+
+func (n *denyingNetwork) Spread(int, []ratelimit.Change) {}
+
+// A request must go at once to a loaded target without a limit, however many targets that
+// are idle at their limits deny it a permit.
+func TestLoadedTargetServesWhileIdleOnesAreAtTheirLimits(t *testing.T) {
+	ownership := quota.NewOwnership(quota.NewHolder(time.Second), "a", time.Second)
+	ownership.SetMembers(quota.NewMembers(1, []string{"b", "c", "d"}))
+	network := &denyingNetwork{}
+	limiter := ratelimit.New(ratelimit.WithOwnership(ownership), ratelimit.WithNetwork(network))
+	loaded := &limitedTarget{script: func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		reply(c, r.Header.Get("X-Id"), 200, "ok", "X-Load: 200")
+	}}
+	targets := []*fakeTarget{newFakeTarget(t, "i-0", "lookup", "north", loaded.answer)}
+	for n := range 6 {
+		targets = append(targets, newFakeTarget(t, fmt.Sprint("i-", n+1), "lookup", "north", newLimitedTarget("1").answer))
+	}
+	s := newTestSite(t, targets, WithLimits(limiter))
+	for range 60 { // each target tells its limit or its load
+		s.post(t, "/safe/")
+	}
+	for range 10 {
+		time.Sleep(30 * time.Millisecond) // until the owners may be asked again
+		began := time.Now()
+		status, _ := s.post(t, "/safe/")
+		require.Equal(t, 200, status)
+		require.Less(t, time.Since(began), 100*time.Millisecond, "it must not wait for a permit")
+	}
+	require.Positive(t, network.asked.Load())
+}
