--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -11,8 +11,7 @@
 
 const (
 	// undividedBelow is the rate, in requests per second, below which one slot has all of
-	// it: each slot may hold a request back, and all of them together too many for a low
-	// rate.
+	// it: each slot saves up one request, and four at once are too many for a low rate.
 	undividedBelow = 1.0
 	// minRate is the lowest rate, in requests per second. A lower one would keep nodes from
 	// learning that the limit has changed, since only responses tell.
--- a/ratelimit/news.go
+++ b/ratelimit/news.go
@@ -33,9 +33,10 @@
 
 // spread tells some other nodes of a target's limit. The caller holds the mutex.
 func (l *Limiter) spread(s *targetState) {
-	if l.ownership == nil || slices.Contains(l.news.targets, s.name) {
+	if l.ownership == nil || s.queued {
 		return
 	}
+	s.queued = true
 	l.news.targets = append(l.news.targets, s.name)
 	l.scheduleNews()
 }
@@ -68,6 +69,7 @@
 	now := uptime.Now()
 	for _, target := range l.news.targets[:n] {
 		if s := l.targets[target]; s != nil {
+			s.queued = false
 			changes = append(changes, Change{Target: target, Rate: s.notice.Rate, Age: s.notice.age(now)})
 		}
 	}
--- a/ratelimit/target.go
+++ b/ratelimit/target.go
@@ -14,6 +14,7 @@
 	name    string // incarnation
 	notice  Notice
 	invalid bool // an invalid limit was logged
+	queued  bool // its limit is still to be told to other nodes
 	usedAt  time.Time
 
 	members  uint64 // version of the list of nodes that owners were taken from
@@ -56,8 +57,7 @@
 }
 
 // setOwners determines the owners of the slots. A slot that this node did not own in the
-// list before begins full: its owner before has not used it for longer than it takes to
-// fill.
+// list before begins full: its previous owner last used it more than a Span ago.
 func (s *targetState) setOwners(members quota.Members, self string) {
 	for slot := range s.owners {
 		s.owners[slot] = members.Owner(s.name + "/" + strconv.Itoa(slot))
