--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -154,7 +154,7 @@
 		return false
 	}
 	score := target.score(s, backlog)
-	if allowance == AllowanceNearby {
+	if allowance == AllowanceObtainable {
 		score += limitedCost
 	}
 	if target.hall.suspect {
--- a/balance/limited.go
+++ b/balance/limited.go
@@ -9,8 +9,8 @@
 
 // The allowances.
 const (
-	NoAllowance     Allowance = iota // the limit leaves none
-	AllowanceNearby                  // another node may have some
+	NoAllowance         Allowance = iota // the limit leaves none
+	AllowanceObtainable                  // another node may have some
 	AllowanceInHand
 )
 
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -311,8 +311,8 @@
 		case "Request waits for a target's rate limit":
 			parts = append(parts, fmt.Sprintf("target %s made it wait %s ms for its rate limit of %s per second", l.Fields["target"], l.Fields["wait_ms"], l.Fields["perSecond"]))
 		case "Request rejected for a rate limit":
-			parts = append(parts, fmt.Sprintf("no target had a permit in time: one publishes a limit of %s per second, known for %s ms, of which this node has %s parts with %s permits left",
-				l.Fields["perSecond"], l.Fields["limitAge_ms"], l.Fields["ownParts"], l.Fields["permitsLeft"]))
+			parts = append(parts, fmt.Sprintf("no target had a permit in time: one publishes a limit of %s per second, known for %s ms, of which this node owns %s slots with %s permits left",
+				l.Fields["perSecond"], l.Fields["limitAge_ms"], l.Fields["ownSlots"], l.Fields["permitsLeft"]))
 		case "Target turned the request away":
 			parts = append(parts, fmt.Sprintf("target %s rejected it with status %s", l.Fields["target"], l.Fields["status"]))
 		}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -121,11 +121,11 @@
 
 // A request that was rejected for a rate limit must be explained by the limit.
 func TestRequestRejectedForARateLimit(t *testing.T) {
-	const text = `I0807 10:00:01.100000   13212 limits.go:120] "Request rejected for a rate limit" request="a1" service="s" perSecond=2.3 limitAge_ms=400 ownParts=1 permitsLeft="0.2" retryAfter_ms=900
+	const text = `I0807 10:00:01.100000   13212 limits.go:120] "Request rejected for a rate limit" request="a1" service="s" perSecond=2.3 limitAge_ms=400 ownSlots=1 permitsLeft="0.2" retryAfter_ms=900
 I0807 10:00:01.100100   13212 refuse.go:46] "Request ended here" request="a1" code=3010 outcome="not-run" sent=0 why="all targets are at their rate limits"`
 	lines, err := Read(strings.NewReader(text), "node")
 	require.NoError(t, err)
 	trace, ok := TraceRequest(lines, "a1")
 	require.True(t, ok)
-	require.Contains(t, trace.Cause, "a limit of 2.3 per second, known for 400 ms, of which this node has 1 parts with 0.2 permits left")
+	require.Contains(t, trace.Cause, "a limit of 2.3 per second, known for 400 ms, of which this node owns 1 slots with 0.2 permits left")
 }
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -44,7 +44,7 @@
 	case availability == ratelimit.InHand:
 		return balance.AllowanceInHand
 	case availability == ratelimit.Obtainable && !search.onlyInHand:
-		return balance.AllowanceNearby
+		return balance.AllowanceObtainable
 	}
 	c.exhausted = t.Incarnation()
 	return balance.NoAllowance
@@ -123,6 +123,6 @@
 // logDenial logs the rate limit for which a call is rejected.
 func (g *Gateway) logDenial(c *call) {
 	klog.InfoS("Request rejected for a rate limit", "request", c.id, "service", c.service, "perSecond", c.denial.Notice.Rate,
-		"limitAge_ms", uptime.Since(c.denial.Notice.At).Milliseconds(), "ownParts", c.denial.Own,
-		"permitsLeft", strconv.FormatFloat(c.denial.Left, 'f', 1, 64), "retryAfter_ms", c.denial.RetryAfter.Milliseconds())
+		"limitAge_ms", uptime.Since(c.denial.Notice.At).Milliseconds(), "ownSlots", c.denial.OwnSlots,
+		"permitsLeft", strconv.FormatFloat(c.denial.PermitsLeft, 'f', 1, 64), "retryAfter_ms", c.denial.RetryAfter.Milliseconds())
 }
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -250,7 +250,7 @@
 
 func (n *denyingNetwork) Nodes() int { return 2 }
 
-func (n *denyingNetwork) Spread(int, []ratelimit.Change) {}
+func (n *denyingNetwork) Gossip(int, []ratelimit.Change) {}
 
 // A request must go at once to a loaded target without a limit, however many targets that
 // are idle at their limits deny it a permit.
--- a/loadshare/limits.go
+++ b/loadshare/limits.go
@@ -152,8 +152,8 @@
 	return len(s.peers) + 1
 }
 
-// Spread implements ratelimit.Network.
-func (s *Sharer) Spread(n int, changes []ratelimit.Change) {
+// Gossip implements ratelimit.Network.
+func (s *Sharer) Gossip(n int, changes []ratelimit.Change) {
 	encoded := make([]limitChange, len(changes))
 	for i, c := range changes {
 		encoded[i] = limitChange{Target: c.Target, Rate: encodeRate(c.Rate), AgeMS: c.Age.Milliseconds()}
--- a/loadshare/limits_test.go
+++ b/loadshare/limits_test.go
@@ -43,7 +43,7 @@
 	return s, conn.LocalAddr().String()
 }
 
-// A permit and the news of a limit must arrive as they were sent; a node without a handler,
+// A permit and the report of a changed limit must arrive as they were sent; a node without a handler,
 // as of an older build, answers nothing.
 func TestNodesExchangePermits(t *testing.T) {
 	limits := &fakeLimits{}
@@ -60,7 +60,7 @@
 	_, ok = b.Ask(t.Context(), addressA, ask)
 	require.False(t, ok)
 	changes := []ratelimit.Change{{Target: "i-1", Rate: 0}, {Target: "i-2", Rate: ratelimit.Unlimited, Age: time.Second}}
-	a.Spread(4, changes)
+	a.Gossip(4, changes)
 	require.Eventually(t, func() bool {
 		limits.mu.Lock()
 		defer limits.mu.Unlock()
--- a/ratelimit/acquire.go
+++ b/ratelimit/acquire.go
@@ -29,10 +29,10 @@
 
 // Denial says why no permit was granted.
 type Denial struct {
-	RetryAfter time.Duration // when the request should return
-	Notice     Notice        // the limit
-	Own        int           // slots that this node owns
-	Left       float64       // permits in them; negative if granted in advance
+	RetryAfter  time.Duration // when the request should return
+	Notice      Notice        // the limit
+	OwnSlots    int           // slots that this node owns
+	PermitsLeft float64       // permits in them; negative if granted in advance
 }
 
 // Limits of asking other nodes.
@@ -71,7 +71,7 @@
 	if s.hasSpare(now) {
 		return InHand
 	}
-	if l.locate(s) {
+	if l.updateOwners(s) {
 		switch _, wait := s.soonest(now); {
 		case wait == 0:
 			return InHand
@@ -102,7 +102,7 @@
 	}
 	now := uptime.Now()
 	s.usedAt = now
-	usable := l.locate(s)
+	usable := l.updateOwners(s)
 	if p, ok := l.takeLocal(s, now, usable); ok {
 		l.mu.Unlock()
 		return p, nil
@@ -162,7 +162,7 @@
 		return Permit{}, nil
 	}
 	now := uptime.Now()
-	if l.locate(s) {
+	if l.updateOwners(s) {
 		slot, wait := s.soonest(now)
 		if wait <= r.queue() {
 			s.buckets[slot].tokens--
@@ -193,8 +193,8 @@
 func (l *Limiter) deny(s *targetState, now time.Time) *Denial {
 	l.counters.denied.Inc()
 	denial := &Denial{RetryAfter: unknownReturn, Notice: s.notice}
-	usable := l.locate(s)
-	denial.Own, denial.Left = s.ownPermits(now)
+	usable := l.updateOwners(s)
+	denial.OwnSlots, denial.PermitsLeft = s.ownPermits(now)
 	if _, wait := s.soonest(now); usable && wait != never {
 		denial.RetryAfter = s.scheduleReturn(now, wait)
 		return denial
@@ -247,9 +247,9 @@
 		return Permit{}, true
 	}
 	now := uptime.Now()
-	update := func() {}
+	notify := func() {}
 	if !reply.NotOwner {
-		update = l.apply(s, Notice{Rate: reply.Rate, At: askedAt.Add(-reply.Age)})
+		notify = l.apply(s, Notice{Rate: reply.Rate, At: askedAt.Add(-reply.Age)})
 	}
 	if reply.Granted {
 		l.counters.borrowed.Inc()
@@ -263,7 +263,7 @@
 	}
 	limited := s.notice.Limited()
 	l.mu.Unlock()
-	update()
+	notify()
 	return p, reply.Granted || !limited
 }
 
--- a/ratelimit/lend.go
+++ b/ratelimit/lend.go
@@ -15,11 +15,11 @@
 		s = l.add(a.Target)
 	}
 	s.usedAt = now
-	update := l.apply(s, Notice{Rate: a.Rate, At: now.Add(-a.Age)})
+	notify := l.apply(s, Notice{Rate: a.Rate, At: now.Add(-a.Age)})
 	reply := l.grant(s, a, now)
 	reply.Rate, reply.Age = s.notice.Rate, s.notice.age(now)
 	l.mu.Unlock()
-	update()
+	notify()
 	return reply
 }
 
@@ -29,7 +29,7 @@
 	if !s.notice.Limited() {
 		return Reply{}
 	}
-	usable := l.locate(s)
+	usable := l.updateOwners(s)
 	slot, wait := s.soonest(now)
 	if !usable || wait == never {
 		return Reply{NotOwner: true, Wait: maxBackoff}
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -29,7 +29,7 @@
 	mu      sync.Mutex
 	targets map[string]*targetState // whose limit is or was known
 	swept   time.Time
-	news    news
+	gossip  gossip
 	rng     *rand.Rand
 }
 
@@ -107,9 +107,9 @@
 		l.mu.Unlock()
 		return
 	}
-	update := l.apply(s, Notice{Rate: signal.Rate(), At: uptime.Now()})
+	notify := l.apply(s, Notice{Rate: signal.Rate(), At: uptime.Now()})
 	l.mu.Unlock()
-	update()
+	notify()
 }
 
 // HandleChange records a limit that another node reports.
@@ -123,14 +123,14 @@
 	if s == nil {
 		s = l.add(c.Target)
 	}
-	update := l.apply(s, Notice{Rate: c.Rate, At: uptime.Now().Add(-c.Age)})
+	notify := l.apply(s, Notice{Rate: c.Rate, At: uptime.Now().Add(-c.Age)})
 	l.mu.Unlock()
-	update()
+	notify()
 }
 
 // apply puts a notice in force if it is newer than the known one, and spreads a limit that
-// has changed or was long not confirmed. The caller holds the mutex, and calls update after it has released it.
-func (l *Limiter) apply(s *targetState, n Notice) (update func()) {
+// has changed or was long not confirmed. The caller holds the mutex, and calls notify after it has released it.
+func (l *Limiter) apply(s *targetState, n Notice) (notify func()) {
 	if !n.At.After(s.notice.At) {
 		return func() {}
 	}
@@ -141,7 +141,7 @@
 		s.freeAt, s.returns, s.returnAt = [Slots]time.Time{}, time.Time{}, time.Time{}
 	}
 	if n.Rate != before.Rate || before.unconfirmed(n.At) {
-		l.spread(s)
+		l.queueGossip(s)
 	}
 	if !n.Limited() {
 		s.spare = nil
@@ -149,7 +149,7 @@
 	if n.Limited() == before.Limited() {
 		return func() {}
 	}
-	l.locate(s)
+	l.updateOwners(s)
 	limited, owned := n.Limited(), s.owned()
 	return func() { l.onLimited(s.name, limited, owned) }
 }
--- a/ratelimit/messages.go
+++ b/ratelimit/messages.go
@@ -44,8 +44,8 @@
 	Ask(ctx context.Context, node string, a Ask) (Reply, bool)
 	// Nodes returns the number of nodes, this one included.
 	Nodes() int
-	// Spread sends changes to up to n random other nodes.
-	Spread(n int, changes []Change)
+	// Gossip sends changes to up to n random other nodes.
+	Gossip(n int, changes []Change)
 }
 
 // noNetwork is the Network of a node without peers.
@@ -53,4 +53,4 @@
 
 func (noNetwork) Ask(context.Context, string, Ask) (Reply, bool) { return Reply{}, false }
 func (noNetwork) Nodes() int                                     { return 1 }
-func (noNetwork) Spread(int, []Change)                           {}
+func (noNetwork) Gossip(int, []Change)                           {}
--- a/ratelimit/metrics.go
+++ b/ratelimit/metrics.go
@@ -59,7 +59,7 @@
 	defer l.mu.Unlock()
 	now := uptime.Now()
 	for _, s := range l.targets {
-		if s.notice.Limited() && l.locate(s) {
+		if s.notice.Limited() && l.updateOwners(s) {
 			_, permits := s.ownPermits(now)
 			left += math.Floor(max(0, permits))
 		}
--- a/ratelimit/model_test.go
+++ b/ratelimit/model_test.go
@@ -216,8 +216,8 @@
 // Nodes implements Network.
 func (w modelNetwork) Nodes() int { return w.model.nodes }
 
-// Spread implements Network.
-func (w modelNetwork) Spread(n int, changes []Change) {
+// Gossip implements Network.
+func (w modelNetwork) Gossip(n int, changes []Change) {
 	m := w.model
 	m.bytes += n * (headerBytes + len(changes)*changeBytes)
 	for _, i := range m.rng.Perm(m.nodes)[:min(n, m.nodes)] {
--- a/ratelimit/permit.go
+++ b/ratelimit/permit.go
@@ -63,7 +63,7 @@
 		*p = Permit{}
 		return true
 	}
-	replacement, ok := l.takeLocal(s, now, l.locate(s))
+	replacement, ok := l.takeLocal(s, now, l.updateOwners(s))
 	if !ok {
 		l.counters.withheld.Inc()
 		klog.V(1).InfoS("No permit at the time of sending", "target", target, "perSecond", s.notice.Rate)
--- a/ratelimit/target.go
+++ b/ratelimit/target.go
@@ -39,9 +39,9 @@
 	klog.InfoS("Ignoring a target's rate limit", "target", s.name, "text", signal.Invalid, "perSecond", signal.PerSecond)
 }
 
-// locate brings the owners up to date and reports whether this node may use its own
+// updateOwners brings the owners up to date and reports whether this node may use its own
 // slots now. The caller holds the limiter's mutex.
-func (l *Limiter) locate(s *targetState) (usable bool) {
+func (l *Limiter) updateOwners(s *targetState) (usable bool) {
 	if l.ownership == nil {
 		for slot := range s.mine {
 			s.mine[slot] = true
