--- a/loadshare/limits.go
+++ b/loadshare/limits.go
@@ -103,9 +103,13 @@
 
 // Ask implements ratelimit.Network.
 func (s *Sharer) Ask(ctx context.Context, node string, a ratelimit.Ask) (ratelimit.Reply, bool) {
+	peers := s.addressesOf([]string{node})
+	if len(peers) == 0 {
+		return ratelimit.Reply{}, false // no longer listed: no reply will come
+	}
 	id, replies := s.startAsk()
 	defer s.endAsk(id)
-	s.sendTo(s.addressesOf([]string{node}), message{Permit: &permitRequest{
+	s.sendTo(peers, message{Permit: &permitRequest{
 		ID: id, Target: a.Target, Rate: encodeRate(a.Rate), AgeMS: a.Age.Milliseconds(), WaitMS: a.MaxWait.Milliseconds(), Rank: a.Rank,
 	}})
 	timer := time.NewTimer(s.permitTimeout(node))
--- a/loadshare/limits_test.go
+++ b/loadshare/limits_test.go
@@ -59,6 +59,10 @@
 	require.Equal(t, []ratelimit.Ask{ask}, limits.asks)
 	_, ok = b.Ask(t.Context(), addressA, ask)
 	require.False(t, ok)
+	began := time.Now()
+	_, ok = a.Ask(t.Context(), "127.0.0.1:1", ask)
+	require.False(t, ok)
+	require.Less(t, time.Since(began), permitTimeout, "nobody waits for a node that is not listed")
 	changes := []ratelimit.Change{{Target: "i-1", Rate: 0}, {Target: "i-2", Rate: ratelimit.Unlimited, Age: time.Second}}
 	a.Gossip(4, changes)
 	require.Eventually(t, func() bool {
