--- a/balance/limited.go
+++ b/balance/limited.go
@@ -10,7 +10,7 @@
 // The allowances.
 const (
 	NoAllowance         Allowance = iota // the limit leaves none
-	AllowanceObtainable                  // another node may have some
+	AllowanceObtainable                  // after a wait, or from another node
 	AllowanceInHand
 )
 
--- a/balance/score.go
+++ b/balance/score.go
@@ -21,7 +21,7 @@
 	Retried bool
 	// Exclude filters out targets, such as those already tried.
 	Exclude func(*Target) bool
-	// Allowance tells whether a target with a rate limit may be sent the request; nil if
+	// Allowance reports whether a target with a rate limit may be sent the request; nil if
 	// limits do not matter. It must not call the Tracker.
 	Allowance func(*Target) Allowance
 	// Copy selects a target to hold a copy of a run, rather than to run the request.
--- a/control/sharing.go
+++ b/control/sharing.go
@@ -158,7 +158,7 @@
 	return s.sharers.Clone(), s.sharersRevision
 }
 
-// quotaSetOpen reports whether entry nodes may be told their shares.
+// quotaSetOpen reports whether entry nodes may be assigned shares.
 func (s *State) quotaSetOpen() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -67,7 +67,7 @@
 }
 
 // With all targets at their rate limits, requests must be rejected at once as not run,
-// told to return one after the other at the rate of the limit.
+// with Retry-After values that grow by the interval of the limit.
 func TestRateLimitRejectsWithRetryAfter(t *testing.T) {
 	for _, path := range []string{"/safe/", "/once/", "/draft/"} {
 		service := "lookup"
@@ -267,7 +267,7 @@
 		targets = append(targets, newFakeTarget(t, fmt.Sprint("i-", n+1), "lookup", "north", newLimitedTarget("1").answer))
 	}
 	s := newTestSite(t, targets, WithLimits(limiter))
-	for range 60 { // each target tells its limit or its load
+	for range 60 { // each target reports its limit or its load
 		s.post(t, "/safe/")
 	}
 	for range 10 {
--- a/loadshare/limits_test.go
+++ b/loadshare/limits_test.go
@@ -12,7 +12,7 @@
 	"github.com/walnutramp/walnutramp/ratelimit"
 )
 
-// fakeLimits grants every permit, and records what it is told.
+// fakeLimits grants every permit, and records what it receives.
 type fakeLimits struct {
 	mu      sync.Mutex
 	asks    []ratelimit.Ask
--- a/quota/ownership.go
+++ b/quota/ownership.go
@@ -28,10 +28,6 @@
 // Version identifies the list; 0 for the zero value.
 func (m Members) Version() uint64 { return m.version }
 
-// Addresses returns the nodes' addresses, in no particular order. They must not be
-// modified.
-func (m Members) Addresses() []string { return m.addresses }
-
 // Owner returns the node that a key belongs to, by rendezvous hashing; empty if there are
 // no nodes. It hashes no strings but the key, since sites have a thousand nodes.
 func (m Members) Owner(key string) string {
@@ -49,7 +45,7 @@
 	return owner
 }
 
-// Ownership tells a node which keys are its own. At any time at most one node may use a key,
+// Ownership decides which keys a node may use. At any time at most one node may use a key,
 // and the next owner may only a span later: if two nodes may use their shares within one
 // span, each of them is in the other's list, so that rendezvous hashing ranks them alike in
 // both, whatever other nodes the lists contain.
@@ -73,7 +69,7 @@
 // Self returns the node's address.
 func (o *Ownership) Self() string { return o.self }
 
-// SetMembers sets the list of nodes as the control group told it.
+// SetMembers sets the list of nodes that the control group sent.
 func (o *Ownership) SetMembers(m Members) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/ratelimit/acquire.go
+++ b/ratelimit/acquire.go
@@ -140,16 +140,19 @@
 		l.counters.reused.Inc()
 		return p, true
 	}
-	if !usable {
-		return Permit{}, false
-	}
+	return l.takeSlot(s, now, usable, 0)
+}
+
+// takeSlot takes a permit of an own slot that is valid after a wait of up to queue. The
+// caller holds the mutex.
+func (l *Limiter) takeSlot(s *targetState, now time.Time, usable bool, queue time.Duration) (Permit, bool) {
 	slot, wait := s.soonest(now)
-	if wait > 0 {
+	if !usable || wait > queue {
 		return Permit{}, false
 	}
 	s.buckets[slot].tokens--
 	l.counters.own.Inc()
-	return s.permit(now, now, 0), true
+	return s.permit(now, now, wait), true
 }
 
 // reserve takes a permit of an own slot in advance if the request may wait for it, or one to
@@ -162,13 +165,8 @@
 		return Permit{}, nil
 	}
 	now := uptime.Now()
-	if l.updateOwners(s) {
-		slot, wait := s.soonest(now)
-		if wait <= r.queue() {
-			s.buckets[slot].tokens--
-			l.counters.own.Inc()
-			return s.permit(now, now, wait), nil
-		}
+	if p, ok := l.takeSlot(s, now, l.updateOwners(s), r.queue()); ok {
+		return p, nil
 	}
 	if p, ok := l.takeProbe(s, now); ok {
 		return p, nil
@@ -188,8 +186,8 @@
 	return l.deny(s, uptime.Now())
 }
 
-// deny tells a rejected request to return after those that were rejected before. The
-// caller holds the mutex.
+// deny schedules the return of a rejected request after those that were rejected before.
+// The caller holds the mutex.
 func (l *Limiter) deny(s *targetState, now time.Time) *Denial {
 	l.counters.denied.Inc()
 	denial := &Denial{RetryAfter: unknownReturn, Notice: s.notice}
--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -14,7 +14,7 @@
 	// it: each slot saves up one request, and four at once are too many for a low rate.
 	undividedBelow = 1.0
 	// minRate is the lowest rate, in requests per second. A lower one would keep nodes from
-	// learning that the limit has changed, since only responses tell.
+	// learning that the limit has changed, since only responses carry it.
 	minRate = 0.1
 	// burstTime is the time over which a slot accumulates requests, on top of one.
 	burstTime = time.Second
--- a/ratelimit/gossip.go
+++ b/ratelimit/gossip.go
@@ -7,12 +7,12 @@
 	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
-// Each node that learns of a changed limit tells a few others, once. So a new limit reaches
+// Each node that learns of a changed limit sends it to a few others, once. So a new limit reaches
 // nearly all nodes within some hops, before each of them has sent the target a request and
 // learned of it from the response. The others learn of it that way.
 
 const (
-	// gossipFanout is the number of nodes that a node tells of a change. With four, all but
+	// gossipFanout is the number of nodes that a node sends a change to. With four, all but
 	// one in fifty are reached.
 	gossipFanout = 4
 	// gossipDelay is how long changes are collected before they are sent.
@@ -24,14 +24,14 @@
 	maxGossip = 50
 )
 
-// gossip holds the targets whose changed limits are still to be told.
+// gossip holds the targets whose changed limits are still to be sent.
 type gossip struct {
 	targets   []string
 	scheduled bool
 	sentUntil time.Time // when gossipRate allows the next message
 }
 
-// queueGossip tells some other nodes of a target's limit. The caller holds the mutex.
+// queueGossip queues a target's limit to be sent to some other nodes. The caller holds the mutex.
 func (l *Limiter) queueGossip(s *targetState) {
 	if l.ownership == nil || s.queued {
 		return
--- a/ratelimit/messages.go
+++ b/ratelimit/messages.go
@@ -24,14 +24,14 @@
 	// granted, to when one would.
 	Wait time.Duration
 	// RetryAfter is, if none is granted, when the request should return, after those that
-	// were told to return before.
+	// were rejected before.
 	RetryAfter time.Duration
 	// Rate and Age are the owner's newest notice of the target's limit.
 	Rate float64
 	Age  time.Duration
 }
 
-// Change tells other nodes that a target's limit has changed.
+// Change reports a changed limit to other nodes.
 type Change struct {
 	Target string // incarnation
 	Rate   float64
--- a/ratelimit/model_test.go
+++ b/ratelimit/model_test.go
@@ -53,7 +53,6 @@
 	sent      int
 	waited    time.Duration
 	bytes     int // sent between nodes
-	returns   []time.Duration
 }
 
 // modelNode is one address and the process that runs there.
@@ -233,20 +232,18 @@
 	}
 }
 
-// maxDenials bounds the targets tried in vain for one request, as in the gateway.
+// maxDenials bounds the targets that deny one request, as in the gateway.
 const maxDenials = 2
 
 // request handles one client request at a node: it takes the first target that grants a
 // permit.
 func (m *model) request(n *modelNode) {
 	limiter := n.limiter
-	var denial *Denial
 	for _, wait := range []time.Duration{0, m.maxWait} {
 		targets := m.order(limiter, wait)
 		for _, t := range targets[:min(len(targets), maxDenials)] {
 			p, denied := limiter.Acquire(context.Background(), Request{Target: t.name, MaxWait: wait})
 			if denied != nil {
-				denial = denied
 				continue
 			}
 			m.waited = max(m.waited, p.Wait(uptime.Now()))
@@ -261,9 +258,6 @@
 		}
 	}
 	m.denied++
-	if denial != nil {
-		m.returns = append(m.returns, denial.RetryAfter)
-	}
 }
 
 // order returns the targets that may grant a permit, those with one in hand first.
--- a/ratelimit/target.go
+++ b/ratelimit/target.go
@@ -14,7 +14,7 @@
 	name    string // incarnation
 	notice  Notice
 	invalid bool // an invalid limit was logged
-	queued  bool // its limit is still to be told to other nodes
+	queued  bool // its limit is still to be sent to other nodes
 	usedAt  time.Time
 
 	members  uint64 // version of the list of nodes that owners were taken from
@@ -24,8 +24,8 @@
 	freeAt   [Slots]time.Time // when owners are expected to have a permit, if they denied one
 	probeAt  time.Time        // when this node probes the limit, if it is unconfirmed
 	spare    []Permit         // that were granted and not used
-	returnAt time.Time        // when a request that is rejected should return, as last told
-	returns  time.Time        // when the last request that an own slot denied was told to return
+	returnAt time.Time        // when a request that is rejected should return, by the latest reply
+	returns  time.Time        // when the last request that an own slot denied should return
 }
 
 func (s *targetState) owned() bool { return slices.Contains(s.mine[:], true) }
