--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -75,13 +75,20 @@
 // streamRequest is a client's request of the streaming route.
 type streamRequest struct {
 	name    string // in its body
+	prefix  string // of the route's path
+	system  string // first part of its prompt, shared by all requests of the route
 	session string // last part of its prompt, of the client's session
 	tokens  int    // of that part
 }
 
 func (q streamRequest) body() string { return "request-" + q.name }
 
-func (q streamRequest) path() string { return "/draft/2f" }
+func (q streamRequest) path() string { return q.prefix + "2f" }
+
+// parts returns Prompt-Prefix.
+func (q streamRequest) parts() string {
+	return fmt.Sprintf("%s:200,%s:%d", q.system, q.session, q.tokens)
+}
 
 // content is the request as servers know it.
 func (q streamRequest) content() string { return "hule930 " + q.path() + " " + q.body() }
@@ -143,13 +150,13 @@
 	c.mu.Unlock()
 	var b strings.Builder
 	body := c.request.body()
-	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nModel: m\r\nToken-Usage: %d,780\r\nPrompt-Prefix: 5c1e07a2:200,%s:%d\r\nDeadline-Ms: %d\r\nX-Api-Key: %s\r\nContent-Length: %d\r\n",
-		c.request.path(), host, id, 200+c.request.tokens, c.request.session, c.request.tokens, left.Milliseconds(), apiKey, len(body))
+	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nModel: m\r\nToken-Usage: %d,780\r\nPrompt-Prefix: %s\r\nDeadline-Ms: %d\r\nX-Api-Key: %s\r\nContent-Length: %d\r\n",
+		c.request.path(), host, id, 200+c.request.tokens, c.request.parts(), left.Milliseconds(), apiKey, len(body))
 	if last > 0 {
 		fmt.Fprintf(&b, "Last-Event-Id: %d\r\n", last)
 	}
 	b.WriteString("\r\n" + body)
-	c.site.rec.add("client %s: attempt %s sent to %s, session part %s:%d, Last-Event-Id %d", c.request.name, id, entry, c.request.session, c.request.tokens, last)
+	c.site.rec.add("client %s: attempt %s sent to %s, %s, prompt %s, Last-Event-Id %d", c.request.name, id, entry, c.request.path(), c.request.parts(), last)
 	if _, err := io.WriteString(conn, b.String()); err != nil {
 		return "broken", err
 	}
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -51,8 +51,12 @@
 	defer first.listener.Close()
 	second := fmt.Sprintf("%s:%d", s.machines[1].ip, frontPort)
 	third := fmt.Sprintf("%s:%d", s.machines[2].ip, frontPort)
-	// A and B are two requests of one session; C and D have nothing to do with them.
-	sessions := []streamRequest{{"A", "91bd3f06", 5400}, {"B", "91bd3f06", 5400}, {"C", "e4402b7d", 5400}, {"D", "a7d01c35", 5400}}
+	// A and B are two requests of one session, on two routes whose prompts begin with
+	// different shared parts; C and D have nothing to do with them.
+	sessions := []streamRequest{
+		{"A", "/draft/", "5c1e07a2", "91bd3f06", 5400}, {"B", "/summary/", "77a0c1d4", "91bd3f06", 5400},
+		{"C", "/draft/", "5c1e07a2", "e4402b7d", 5400}, {"D", "/summary/", "77a0c1d4", "a7d01c35", 5400},
+	}
 	var clients []*client
 	var done sync.WaitGroup
 	for _, q := range sessions {
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -352,7 +352,7 @@
 	apiKey = "n2ctnfzs989anu6wsjnb"
 )
 
-// configuration returns a configuration of one streaming route and one unsafe route, as
+// configuration returns a configuration of two streaming routes and one unsafe route, as
 // PROTOCOL.md shows it.
 func configuration(version int) map[string]any {
 	return map[string]any{
@@ -360,6 +360,8 @@
 		"routes": []any{
 			map[string]any{"name": "r-draft", "host": host, "path_prefix": "/draft/", "route_type": "streaming", "timeout_ms": 25000, "target_latency_ms": 4500,
 				"priority": 1, "service": "redactor", "max_attempts": 5, "allow_anonymous": false, "session_affinity": true, "stream_resume": true, "target_gap_ms": 700},
+			map[string]any{"name": "r-summary", "host": host, "path_prefix": "/summary/", "route_type": "streaming", "timeout_ms": 25000, "target_latency_ms": 4500,
+				"priority": 1, "service": "redactor", "max_attempts": 5, "allow_anonymous": false, "session_affinity": true, "stream_resume": true, "target_gap_ms": 700},
 			map[string]any{"name": "r-once", "host": host, "path_prefix": "/once/", "route_type": "unsafe", "timeout_ms": 1000, "target_latency_ms": 150,
 				"priority": 2, "service": "taquilla", "max_attempts": 1, "allow_anonymous": false},
 		},
