--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -18,7 +18,7 @@
 // Times of a model server.
 const (
 	handleS    = 4.0                    // how long a copy is held after its last part
-	eventPause = 60 * time.Millisecond  // between two events
+	eventPause = 60 * time.Millisecond  // between two events, unless the site has another
 	readPrompt = 700 * time.Millisecond // an unread prompt of about 5,600 tokens
 	copyPause  = 200 * time.Millisecond // a run's memory goes to its copy some times a second
 )
@@ -43,6 +43,8 @@
 
 	mu      sync.Mutex
 	gone    bool
+	patient bool               // doesn't drop a request when its connection closes; few servers are so
+	slow    float64            // work takes so many times as long
 	runs    map[string]*memory // by Attempt-Id
 	copies  map[string]*memory // by Attempt-Id, held for other servers
 	handles int
@@ -53,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{site: s, service: service, zone: zone, id: id, address: l.Addr().String(), runs: map[string]*memory{}, copies: map[string]*memory{}}
+	e := &engine{site: s, slow: 1, service: service, zone: zone, id: id, address: l.Addr().String(), runs: map[string]*memory{}, copies: map[string]*memory{}}
 	e.server = &http.Server{Handler: e}
 	go e.server.Serve(l)
 	return e, nil
@@ -232,6 +234,7 @@
 	e.mu.Lock()
 	e.runs[id] = m
 	e.mu.Unlock()
+	defer e.site.work.begin(e, id, rec)()
 	defer func() {
 		e.mu.Lock()
 		delete(e.runs, id)
@@ -242,14 +245,16 @@
 	w.Header().Set("Response-Seal", fmt.Sprintf("%x", sha256.Sum256([]byte(id)))[:24])
 	control := http.NewResponseController(w)
 	var copied time.Time
+	left := false // the connection has closed
 	for n := last + 1; n <= streamEvents; n++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, piece(m.content, n)); err != nil || control.Flush() != nil {
-			rec.add("server %s: run %s ends early at event %d", e.id, id, n)
-			return
+		if !left {
+			_, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, piece(m.content, n))
+			left = err != nil || control.Flush() != nil
 		}
 		e.mu.Lock()
 		m.events = n
 		snapshot := *m
+		patient, pause := e.patient, time.Duration(float64(e.site.eventPause)*e.slow)
 		e.mu.Unlock()
 		if backup != "" && time.Since(copied) >= copyPause {
 			if holder := e.site.engineAt(backup); holder != nil {
@@ -257,9 +262,14 @@
 			}
 			copied = time.Now()
 		}
-		if !sleep(r, eventPause) {
-			rec.add("server %s: run %s ends early after event %d, its connection closed", e.id, id, n)
-			return
+		if left {
+			time.Sleep(pause)
+		} else if !sleep(r, pause) {
+			rec.add("server %s: the connection of run %s closes after event %d; the server works on: %v", e.id, id, n, patient)
+			if !patient {
+				return
+			}
+			left = true
 		}
 	}
 	if holder := e.site.engineAt(backup); holder != nil {
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -69,13 +69,15 @@
 
 // site is the deployment.
 type site struct {
-	rec       *record
-	folder    string
-	program   string
-	base      string // first three octets of the addresses
-	machines  []*machine
-	bootstrap bool
-	routes    map[string]string // the service of each path prefix, by its name and a slash
+	rec        *record
+	folder     string
+	program    string
+	base       string // first three octets of the addresses
+	machines   []*machine
+	bootstrap  bool
+	eventPause time.Duration // of the servers, between two events
+	work       workList
+	routes     map[string]string // the service of each path prefix, by its name and a slash
 
 	mu      sync.Mutex
 	engines []*engine
@@ -87,7 +89,7 @@
 
 // newSite returns a site of n machines, the first four of which have a disk.
 func newSite(rec *record, folder, program string, n int) (*site, error) {
-	s := &site{rec: rec, folder: folder, program: program, bootstrap: true}
+	s := &site{rec: rec, folder: folder, program: program, bootstrap: true, eventPause: eventPause}
 	for range 50 { // a range of loopback addresses that nobody uses
 		s.base = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
 		l, err := net.Listen("tcp", fmt.Sprintf("%s.11:%d", s.base, frontPort))
