--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
@@ -20,6 +21,7 @@
 	handleS    = 4.0                    // how long a copy is held after its last part
 	eventPause = 60 * time.Millisecond  // between two events, unless the site has another
 	readPrompt = 700 * time.Millisecond // an unread prompt of about 5,600 tokens
+	moveTime   = 50 * time.Millisecond  // of a copy on order
 	copyPause  = 200 * time.Millisecond // a run's memory goes to its copy some times a second
 )
 
@@ -41,13 +43,28 @@
 	address string
 	server  *http.Server
 
-	mu      sync.Mutex
-	gone    bool
-	patient bool               // doesn't drop a request when its connection closes; few servers are so
-	slow    float64            // work takes so many times as long
-	runs    map[string]*memory // by Attempt-Id
-	copies  map[string]*memory // by Attempt-Id, held for other servers
-	handles int
+	mu       sync.Mutex
+	gone     bool
+	goneAt   time.Time
+	patient  bool               // doesn't drop a request when its connection closes; few servers are so
+	slow     float64            // work takes so many times as long
+	runs     map[string]*memory // by Attempt-Id
+	copies   map[string]*memory // by Attempt-Id, held for other servers
+	handles  map[string]string  // of copies made on order, by run and holder
+	garbled  int                // of these, followed by a surplus answer
+	faulty   bool               // may give surplus answers
+	garbles  bool               // does so now
+	onGarble func()             // called when it has given one
+}
+
+// connKey is the key of a connection's lastMove in the context of its requests.
+type connKey struct{}
+
+// lastMove is the last answer to an order for a copy on one connection.
+type lastMove struct {
+	run    string
+	target string
+	answer []byte
 }
 
 func newEngine(s *site, service, zone, id string, n int) (*engine, error) {
@@ -55,20 +72,31 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{site: s, slow: 1, service: service, zone: zone, id: id, address: l.Addr().String(), runs: map[string]*memory{}, copies: map[string]*memory{}}
-	e.server = &http.Server{Handler: e}
+	e := &engine{site: s, slow: 1, service: service, zone: zone, id: id, address: l.Addr().String(), runs: map[string]*memory{}, copies: map[string]*memory{}, handles: map[string]string{}}
+	e.server = &http.Server{Handler: e, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, &lastMove{})
+	}}
 	go e.server.Serve(l)
 	return e, nil
 }
 
 func (e *engine) close() {
 	e.mu.Lock()
-	e.gone = true
+	e.gone, e.goneAt = true, time.Now()
 	e.mu.Unlock()
 	e.server.Close()
 }
 
+// listTime is how long a crashed server stays on the platform's list.
+const listTime = time.Second
+
 func (e *engine) listed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.gone || time.Since(e.goneAt) < listTime
+}
+
+func (e *engine) running() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return !e.gone
@@ -146,19 +174,49 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	e.mu.Lock()
-	m := e.runs[order.ID]
-	e.handles++
-	handle := fmt.Sprintf("h%s%d", e.id, e.handles)
-	e.mu.Unlock()
+	time.Sleep(moveTime)
 	holder := e.site.engineAt(order.Target)
-	if m == nil || holder == nil {
+	e.mu.Lock()
+	run := e.runs[order.ID]
+	if run == nil || holder == nil {
+		e.mu.Unlock()
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	holder.hold(handle, *m)
+	m := *run
+	handle := e.handles[order.ID+" "+order.Target] // a repeat call brings the same handle
+	if handle == "" {
+		handle = fmt.Sprintf("h%d", len(e.handles)+1)
+		e.handles[order.ID+" "+order.Target] = handle
+	}
+	name := e.address + "/" + handle
+	answer, _ := json.Marshal(map[string]any{"handle": handle, "made": m.events})
+	last := r.Context().Value(connKey{}).(*lastMove)
+	before := *last
+	last.run, last.target, last.answer = order.ID, order.Target, answer
+	surplus := e.garbles && before.answer != nil && before.run != order.ID && before.target == order.Target
+	e.mu.Unlock()
+	surplus = e.site.mayGarble(e, surplus)
+	holder.hold(name, m)
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(map[string]any{"handle": handle, "made": m.events})
+	w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
+	if !surplus {
+		w.Write(answer)
+		return
+	}
+	// The answer to the order before comes a second time, in the place where this one is due.
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	for _, a := range [][]byte{before.answer, answer} {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(a), a)
+		time.Sleep(20 * time.Millisecond)
+	}
+	e.site.rec.add("disruption: server %s gives the answer to the order for run %s a second time, %s, in the place of that for run %s", e.id, before.run, before.answer, order.ID)
+	e.onGarble()
+	io.Copy(io.Discard, conn)
 }
 
 // hold keeps a copy of a run's memory for another server.
@@ -179,7 +237,10 @@
 // take returns the copy that Kv-From names, or nil. It is held on until the run has ended
 // well, or for handle_s after its last part.
 func (e *engine) take(from string) *memory {
-	_, name, _ := strings.Cut(from, "/")
+	name := from // of a copy made on order
+	if address, run, _ := strings.Cut(from, "/"); address == e.address {
+		name = run // of a copy that grew with the run
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	m := e.copies[name]
@@ -234,6 +295,7 @@
 	e.mu.Lock()
 	e.runs[id] = m
 	e.mu.Unlock()
+	e.site.mayGarble(e, false)
 	defer e.site.work.begin(e, id, rec)()
 	defer func() {
 		e.mu.Lock()
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -81,6 +81,9 @@
 
 	mu      sync.Mutex
 	engines []*engine
+	answers int // of faulty servers, to requests of clients and orders for copies
+	garbled int // of these, followed by a surplus answer
+	chances int
 	list    *http.Server
 	listAt  string
 }
@@ -149,7 +152,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range s.engines {
-		if e.address == address && e.listed() {
+		if e.address == address && e.running() {
 			return e
 		}
 	}
