--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -267,7 +267,7 @@
 // stream serves a request of a streaming route.
 func (e *engine) stream(w http.ResponseWriter, r *http.Request, id, content string) {
 	rec := e.site.rec
-	if to := e.site.routes[strings.SplitAfterN(r.URL.Path, "/", 3)[1]]; to != "" && to != e.service {
+	if to := e.site.serviceOf(r.URL.Path); to != "" && to != e.service {
 		e.site.misrouted(e, id, content, to)
 	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -29,13 +30,24 @@
 	n int
 }
 
-// misrouted records a break of ROUTE: a service runs a request that no configuration ever
-// sent allows to go to it.
+// misrouted records a break of ROUTE, or of CONFIG where the route has led to another service
+// before.
 func (s *site) misrouted(e *engine, id, content, allowed string) {
 	misroutes.Lock()
 	defer misroutes.Unlock()
 	misroutes.n++
-	s.rec.add("ROUTE: server %s of service %s runs %s of request %s, whose route leads to service %s in every configuration sent", e.id, e.service, id, short(content), allowed)
+	why := "ROUTE: in every configuration sent"
+	if s.moved {
+		why = "CONFIG: by the configuration acknowledged more than config_apply_ms before it was sent"
+	}
+	s.rec.add("%s its route leads to service %s, and server %s of service %s runs %s of request %s", why, allowed, e.id, e.service, id, short(content))
+}
+
+// serviceOf returns the service to which requests of a path may go, empty for any.
+func (s *site) serviceOf(path string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.routes[strings.SplitAfterN(path, "/", 3)[1]]
 }
 
 // memoryCase: both routes lead to one service.
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -75,6 +75,7 @@
 	base       string // first three octets of the addresses
 	machines   []*machine
 	bootstrap  bool
+	moved      bool          // a route has led to another service before
 	eventPause time.Duration // of the servers, between two events
 	work       workList
 	routes     map[string]string // the service of each path prefix, by its name and a slash
