--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -47,6 +47,7 @@
 	gone     bool
 	goneAt   time.Time
 	patient  bool               // doesn't drop a request when its connection closes; few servers are so
+	grey     float64            // fails so many of its requests
 	slow     float64            // work takes so many times as long
 	runs     map[string]*memory // by Attempt-Id
 	copies   map[string]*memory // by Attempt-Id, held for other servers
@@ -152,6 +153,10 @@
 		return
 	}
 	content := r.Header.Get("Tenant-Id") + " " + r.URL.RequestURI() + " " + string(body)
+	if e.service == "taquilla" {
+		e.book(w, id, content)
+		return
+	}
 	e.stream(w, r, id, content)
 }
 
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -78,6 +78,7 @@
 	moved      bool          // a route has led to another service before
 	eventPause time.Duration // of the servers, between two events
 	work       workList
+	booked     bookings
 	routes     map[string]string // the service of each path prefix, by its name and a slash
 
 	mu      sync.Mutex
