--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -100,12 +101,14 @@
 	request streamRequest
 	entries []string // addresses, in the order of the attempts
 
-	mu      sync.Mutex
-	local   string // address of the current connection
-	last    int    // event
-	foreign int    // pieces that belong to another request
-	wrong   int    // pieces missing or twice
-	result  string
+	mu       sync.Mutex
+	local    string // address of the current connection
+	last     int    // event
+	foreign  int    // pieces that belong to another request
+	wrong    int    // pieces missing or twice
+	result   string
+	versions []string // of the software that wrote its events
+	firstID  string   // of the attempt that brought the first event
 }
 
 func (c *client) state() (local string, last int) {
@@ -153,7 +156,9 @@
 	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nModel: m\r\nToken-Usage: %d,780\r\nPrompt-Prefix: %s\r\nDeadline-Ms: %d\r\nX-Api-Key: %s\r\nContent-Length: %d\r\n",
 		c.request.path(), host, id, 200+c.request.tokens, c.request.parts(), left.Milliseconds(), apiKey, len(body))
 	if last > 0 {
-		fmt.Fprintf(&b, "Last-Event-Id: %d\r\n", last)
+		fmt.Fprintf(&b, "Last-Event-Id: %d\r\nResumes: %s\r\n", last, c.firstID)
+	} else {
+		c.firstID = id
 	}
 	b.WriteString("\r\n" + body)
 	c.site.rec.add("client %s: attempt %s sent to %s, %s, prompt %s, Last-Event-Id %d", c.request.name, id, entry, c.request.path(), c.request.parts(), last)
@@ -176,6 +181,9 @@
 		if v, ok := strings.CutPrefix(line, "id: "); ok {
 			n, _ = strconv.Atoi(v)
 		}
+		if v, ok := strings.CutPrefix(line, "event: "); ok {
+			c.sawVersion(v)
+		}
 		if v, ok := strings.CutPrefix(line, "data: "); ok {
 			c.receive(n, v)
 		}
@@ -191,6 +199,14 @@
 	return "complete", nil
 }
 
+func (c *client) sawVersion(v string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !slices.Contains(c.versions, v) {
+		c.versions = append(c.versions, v)
+	}
+}
+
 func (c *client) receive(n int, text string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -38,6 +38,8 @@
 type engine struct {
 	site    *site
 	service string
+	version string // of its software, as listed
+	serves  string // of its software
 	zone    string
 	id      string
 	address string
@@ -73,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{site: s, slow: 1, service: service, zone: zone, id: id, address: l.Addr().String(), runs: map[string]*memory{}, copies: map[string]*memory{}, handles: map[string]string{}}
+	e := &engine{site: s, slow: 1, version: "v1", serves: "v1", service: service, zone: zone, id: id, address: l.Addr().String(), runs: map[string]*memory{}, copies: map[string]*memory{}, handles: map[string]string{}}
 	e.server = &http.Server{Handler: e, ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, &lastMove{})
 	}}
@@ -104,7 +106,7 @@
 }
 
 func (e *engine) entry() map[string]any {
-	m := map[string]any{"id": e.id, "service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": 64, "state": "ready", "cold_remaining_ms": 0}
+	m := map[string]any{"id": e.id, "service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": 64, "state": "ready", "cold_remaining_ms": 0}
 	if e.service != "taquilla" {
 		m["stage"], m["models"] = "unified", []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}
 	}
@@ -315,7 +317,7 @@
 	left := false // the connection has closed
 	for n := last + 1; n <= streamEvents; n++ {
 		if !left {
-			_, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, piece(m.content, n))
+			_, err := fmt.Fprintf(w, "id: %d\nevent: %s\ndata: %s\n\n", n, e.serves, piece(m.content, n))
 			left = err != nil || control.Flush() != nil
 		}
 		e.mu.Lock()
