--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -107,6 +107,7 @@
 	foreign  int    // pieces that belong to another request
 	wrong    int    // pieces missing or twice
 	result   string
+	onConn   func(conn net.Conn, id string)
 	versions []string // of the software that wrote its events
 	firstID  string   // of the attempt that brought the first event
 }
@@ -165,6 +166,9 @@
 	if _, err := io.WriteString(conn, b.String()); err != nil {
 		return "broken", err
 	}
+	if c.onConn != nil {
+		c.onConn(conn, id)
+	}
 	conn.SetReadDeadline(time.Now().Add(left))
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
