--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,7 +17,7 @@
 )
 
 func main() {
-	cases := map[string]func(*record, string, string, bool) (int, error){"memory": memoryCase, "route": routeCase, "twice": twiceCase, "handle": handleCase, "moved": movedCase, "refused": refusedCase, "renamed": renamedCase, "reborn": rebornCase, "giveup": giveUpCase}
+	cases := map[string]func(*record, string, string, bool) (int, error){"memory": memoryCase, "route": routeCase, "twice": twiceCase, "handle": handleCase, "moved": movedCase, "refused": refusedCase, "renamed": renamedCase, "reborn": rebornCase, "giveup": giveUpCase, "lost": lostCase}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER PROGRAM")
 		os.Exit(notRun)
--- a/review/standin/refused.go
+++ b/review/standin/refused.go
@@ -34,7 +34,7 @@
 	b.runs[id]++
 	b.of[content]++
 	b.mu.Unlock()
-	time.Sleep(bookTime)
+	time.Sleep(e.site.bookTime)
 	w.Header().Set("Response-Seal", fmt.Sprintf("%x", sha256.Sum256([]byte(id)))[:24])
 	e.mu.Lock()
 	fails := e.grey > 0 && rand.Float64() < e.grey
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -79,6 +79,7 @@
 	eventPause time.Duration // of the servers, between two events
 	work       workList
 	booked     bookings
+	bookTime   time.Duration     // of a booking at a server
 	routes     map[string]string // the service of each path prefix, by its name and a slash
 
 	mu      sync.Mutex
@@ -94,7 +95,7 @@
 
 // newSite returns a site of n machines, the first four of which have a disk.
 func newSite(rec *record, folder, program string, n int) (*site, error) {
-	s := &site{rec: rec, folder: folder, program: program, bootstrap: true, eventPause: eventPause}
+	s := &site{rec: rec, folder: folder, program: program, bootstrap: true, eventPause: eventPause, bookTime: bookTime}
 	for range 50 { // a range of loopback addresses that nobody uses
 		s.base = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
 		l, err := net.Listen("tcp", fmt.Sprintf("%s.11:%d", s.base, frontPort))
