balance: a copy is found by its stream, not by the last part of its prompt

Cause: traces of runs were kept and looked up under the last part of the prompt, which is the session's and not the request's. FindCopy took any trace of that key; reports, single traces and restored ones kept one a key, so the later stream also replaced the earlier one's.

Why it works: a trace names its stream: a hash of the account and the whole request, model and all prompt parts included, and one of the attempt that brought the first event. A copy is used only for the stream that it belongs to. A client that names no attempt gets a copy only where one stream of that request is known to run or to have run; what it takes up then keeps that stream's identity, else it begins one of its own. The prompt's key stays for what it is good for: where a prompt is cached, and which nodes store traces. Messages carry the stream in new fields; of an older build's traces only the place of the prompt is used.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -100,34 +100,35 @@
 type Tracker struct {
 	cfg Config
 
-	mu               sync.Mutex
-	byID             map[string]*Target // latest incarnation of each
-	byIncarnation    map[string]*Target
-	byShortName      map[uint32]*Target // by short name of the incarnation
-	pools            map[string]*pool   // by service
-	delisted         map[string]*Target // not in the latest list, by ID
-	delistedSweptAt  time.Time
-	byAddress        map[string]*Target       // by address; of two targets at one address, the later
-	recentlyFailed   map[*Target]struct{}     // that failed for this node or have ended
-	contacts         uint64                   // signs that any target is reached
-	listGeneration   uint64                   // of the latest list
-	lastListOrder    uint64                   // of the last target indexed
-	firstListAt      time.Time                // zero before the first list
-	peers            map[string]*peerReport   // by node
-	peerTraces       map[string]peerTrace     // received individually from peers, by key
-	activeRuns       map[*Run]struct{}        // of this node, without those of empty Work
-	failedRuns       []*Run                   // of this node, oldest first
-	restored         map[string]restoredTrace // from before a restart, by key
-	engines          map[string]Engine        // by service, from the configuration
-	speeds           map[string]*engineSpeed  // by service
-	prompts          promptIndex              // which target has prefilled which prompt
-	lastRunNumber    uint64                   // of this node
-	self             string                   // name of this node
-	nodes            []string                 // that select among the targets, sorted
-	nodesVersion     uint64                   // incremented when nodes changes
-	nextPeerExpiry   time.Time                // no peer's report expires earlier
-	crossHallLag     time.Duration            // additional delay of reports from other data halls
-	propagationDelay time.Duration            // until most nodes have learned of a new run
+	mu                sync.Mutex
+	byID              map[string]*Target // latest incarnation of each
+	byIncarnation     map[string]*Target
+	byShortName       map[uint32]*Target // by short name of the incarnation
+	pools             map[string]*pool   // by service
+	delisted          map[string]*Target // not in the latest list, by ID
+	delistedSweptAt   time.Time
+	byAddress         map[string]*Target      // by address; of two targets at one address, the later
+	recentlyFailed    map[*Target]struct{}    // that failed for this node or have ended
+	contacts          uint64                  // signs that any target is reached
+	listGeneration    uint64                  // of the latest list
+	lastListOrder     uint64                  // of the last target indexed
+	firstListAt       time.Time               // zero before the first list
+	peers             map[string]*peerReport  // by node
+	peerTraces        map[uint64][]peerTrace  // received individually from peers, by content of their stream
+	activeRuns        map[*Run]struct{}       // of this node, without those of empty Work
+	failedRuns        []*Run                  // of this node, oldest first
+	restored          []restoredTrace         // from before a restart
+	restoredByContent traceIndex              // the same
+	engines           map[string]Engine       // by service, from the configuration
+	speeds            map[string]*engineSpeed // by service
+	prompts           promptIndex             // which target has prefilled which prompt
+	lastRunNumber     uint64                  // of this node
+	self              string                  // name of this node
+	nodes             []string                // that select among the targets, sorted
+	nodesVersion      uint64                  // incremented when nodes changes
+	nextPeerExpiry    time.Time               // no peer's report expires earlier
+	crossHallLag      time.Duration           // additional delay of reports from other data halls
+	propagationDelay  time.Duration           // until most nodes have learned of a new run
 	// crossRegionLag is the additional delay of reports from other regions, on top of
 	// crossHallLag.
 	crossRegionLag time.Duration
@@ -204,7 +205,7 @@
 	return &Tracker{
 		cfg: cfg, byID: map[string]*Target{}, byIncarnation: map[string]*Target{}, byShortName: map[uint32]*Target{}, pools: map[string]*pool{},
 		delisted: map[string]*Target{}, byAddress: map[string]*Target{}, recentlyFailed: map[*Target]struct{}{}, peers: map[string]*peerReport{},
-		peerTraces: map[string]peerTrace{}, speeds: map[string]*engineSpeed{}, activeRuns: map[*Run]struct{}{}, nodesVersion: 1,
+		peerTraces: map[uint64][]peerTrace{}, speeds: map[string]*engineSpeed{}, activeRuns: map[*Run]struct{}{}, nodesVersion: 1,
 		onChange: func() {}, onUnresponsive: func() {}, rng: rand.New(rand.NewPCG(cfg.Seed, 11)),
 	}
 }
--- a/balance/life_test.go
+++ b/balance/life_test.go
@@ -70,15 +70,16 @@
 
 func TestCopyOfAnOldIncarnationIsNotFound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		stream := StreamID{Content: 1, Attempt: 1}
 		tracker := newTracker(startedAt(map[string]int64{"1": 1000, "2": 1000})...)
-		run := tracker.byID["1"].Begin(Work{PrefillTokens: 8000, MemoryTokens: 8000}, Trace{Key: "k", Copy: "2@1000", CopyName: "c"})
+		run := tracker.byID["1"].Begin(Work{PrefillTokens: 8000, MemoryTokens: 8000}, Trace{Key: "k", Stream: stream, Copy: "2@1000", CopyName: "c"})
 		run.FirstEvent()
 		run.End(RunEnd{})
-		at, name := tracker.FindCopy("k")
+		at, trace := tracker.FindCopy(stream)
 		require.Equal(t, "2", at.ID)
-		require.Equal(t, "c", name)
+		require.Equal(t, "c", trace.CopyName)
 		tracker.Update(startedAt(map[string]int64{"1": 1000, "2": 1500}))
-		at, _ = tracker.FindCopy("k")
+		at, _ = tracker.FindCopy(stream)
 		require.Nil(t, at)
 	})
 }
--- a/balance/readplaces_test.go
+++ b/balance/readplaces_test.go
@@ -58,12 +58,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		list := targetList("s", "north", "1", "2", "3", "4", "5", "6")
 		before, after := newTracker(list...), newTracker(list...)
-		at := otherTarget(before, "part-1")
-		at.Begin(Work{PrefillTokens: 8000, MemoryTokens: 8000}, Trace{Key: "part-1", CopyName: "run-1", Copy: "2"}).FirstEvent()
+		at, stream := otherTarget(before, "part-1"), StreamID{Content: 1, Attempt: 1}
+		at.Begin(Work{PrefillTokens: 8000, MemoryTokens: 8000}, Trace{Key: "part-1", Stream: stream, CopyName: "run-1", Copy: "2"}).FirstEvent()
 		traces := before.Traces()
 
 		after.RestoreTraces(traces, copyTTL+time.Second)
-		holder, _ := after.FindCopy("part-1")
+		holder, _ := after.FindCopy(stream)
 		require.Nil(t, holder, "the copy has expired")
 		time.Sleep(promptEntryTTL / 2)
 		require.Equal(t, at.ID, after.Pick(retriedChoice("part-1")).ID)
--- a/balance/run.go
+++ b/balance/run.go
@@ -156,7 +156,8 @@
 	aliveAt         time.Time              // when the peer was last known to be alive
 	counted         bool                   // its runs are included in the targets' occupancy
 	targets         []*Target              // that have active runs of the peer
-	traces          map[string]Trace       // of its runs, by key
+	traces          []Trace                // of its runs
+	byContent       traceIndex             // the same
 	pendingPrefills map[uint64]peerPrefill // of runs that have not begun, by number
 }
 
@@ -277,10 +278,11 @@
 func (t *Tracker) SetPeerRuns(node string, runs []RunReport) {
 	byTarget := map[string][]RunReport{}
 	now := uptime.Now()
-	report := &peerReport{receivedAt: now, aliveAt: now, traces: map[string]Trace{}}
+	report := &peerReport{receivedAt: now, aliveAt: now, byContent: traceIndex{}}
 	for _, s := range runs {
 		if s.Trace.Key != "" {
-			report.traces[s.Trace.Key] = s.Trace
+			report.traces = append(report.traces, s.Trace)
+			report.byContent.add(s.Trace)
 		}
 		if !s.Failed {
 			byTarget[s.Target] = append(byTarget[s.Target], s)
@@ -293,8 +295,8 @@
 	report.pendingPrefills = t.observePeerPrefills(before, runs, report.receivedAt)
 	t.expirePeers(now)
 	t.peers[node] = report
-	for key, trace := range report.traces {
-		t.prompts.record(key, trace.ReadAt, report.receivedAt)
+	for _, trace := range report.traces {
+		t.prompts.record(trace.Key, trace.ReadAt, report.receivedAt)
 	}
 	for id, runsAt := range byTarget {
 		if target := t.byIncarnation[id]; target != nil {
--- a/egress/message.go
+++ b/egress/message.go
@@ -50,6 +50,7 @@
 	Memory      int            `msgpack:"me"` // tokens of memory
 	MaxOutput   int            `msgpack:"mo"` // tokens
 	PromptKey   string         `msgpack:"pk"`
+	Attempt     uint64         `msgpack:"at"` // see balance.StreamID; 0 if unknown
 	Tried       []string       `msgpack:"tr"` // incarnations that may have run it, or rejected it just now
 	Avoid       []string       `msgpack:"av"` // incarnations that have asked the ingress for a cooldown, or are draining
 	FailedHalls map[string]int `msgpack:"fh"` // number of targets that failed it, by data hall
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -11,6 +11,7 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/internal/uptime"
+	"github.com/walnutramp/walnutramp/origins"
 	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/ratelimit"
 	"github.com/walnutramp/walnutramp/rollout"
@@ -39,7 +40,8 @@
 	hasLast        bool   // lastID is set
 	work           balance.Work
 	maxOutput      int                      // upper bound of the output, in tokens
-	promptKey      string                   // identifies the prompt, the same whenever the request is sent again
+	promptKey      string                   // identifies the prompt; requests of one session may share it
+	stream         balance.StreamID         // see identifyStream
 	resumed        bool                     // the request came with a last event ID; false if its usage header is not parsed, see readWork
 	tried          map[*balance.Target]bool // targets that may have run it
 	rejected       map[*balance.Target]bool // targets that did not run it, since nextTarget last polled
@@ -118,6 +120,7 @@
 	}
 	g.readWork(c, r.Header)
 	c.fingerprint = quarantine.FingerprintOf(c.body, c.account.Name, c.host, c.method, c.uri)
+	g.identifyStream(c)
 	return c, nil
 }
 
@@ -157,6 +160,23 @@
 	c.resumed = c.hasLast
 }
 
+// identifyStream sets the stream of a call that may resume from a copy, or be resumed from
+// one. The attempt is left open if the client takes a stream up without naming it.
+func (g *Gateway) identifyStream(c *call) {
+	if c.promptKey == "" {
+		return
+	}
+	n := &g.cfg.Names
+	first := c.id
+	if c.hasLast {
+		first = c.resumes
+	}
+	c.stream = balance.StreamID{
+		Content: uint64(quarantine.FingerprintOf(nil, c.fingerprint.String(), c.header.Get(n.Model), c.header.Get(n.Prefix))),
+		Attempt: uint64(origins.AttemptOf(c.account.Name, first)),
+	}
+}
+
 // checkHeader enforces the configured limit on the size of a request's head.
 func checkHeader(r *http.Request, limits Limits) *walnutramp.Error {
 	if limits.HeaderBytes <= 0 {
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/internal/uptime"
+	"github.com/walnutramp/walnutramp/origins"
 	"github.com/walnutramp/walnutramp/ratelimit"
 	"github.com/walnutramp/walnutramp/targetconn"
 	"k8s.io/klog/v2"
@@ -75,6 +76,21 @@
 	renewAt   time.Time // zero for a copy that grows with the run
 }
 
+// findCopy returns the copy of the stream that a client takes up, or nil, and completes the
+// call's identity: of a stream whose first attempt is not known, only what follows this
+// attempt belongs together.
+func (g *Gateway) findCopy(c *call) (found *kvCopy) {
+	if at, trace := g.targets.FindCopy(c.stream); at != nil {
+		klog.InfoS("Client comes again, a copy is known", "request", c.id, "copy", trace.CopyName, "at", at.ID, "last", c.lastID)
+		c.stream = trace.Stream
+		found = &kvCopy{holder: at, name: trace.CopyName}
+	}
+	if c.stream.Attempt == 0 {
+		c.stream.Attempt = uint64(origins.AttemptOf(c.account.Name, c.id))
+	}
+	return found
+}
+
 // requestCopy sets the headers that resume from a copy and that request a new one at
 // another target. It returns the new copy, nil for none.
 func (r *relay) requestCopy(request *targetconn.Request, t *balance.Target, from *kvCopy) *kvCopy {
--- a/gateway/egress.go
+++ b/gateway/egress.go
@@ -123,6 +123,8 @@
 		c.sendBy = now.Add(min(r.SendWithin, math.MaxInt64/2))
 	}
 	c.fingerprint = quarantine.FingerprintOf(c.body, c.account.Name, c.host, c.method, c.uri)
+	g.identifyStream(c)
+	c.stream.Attempt = r.Attempt
 	return c
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,7 +44,8 @@
 	NotRun            string // in answers: the request was not run
 	System            []string
 	Usage             string // prompt tokens and maximum output tokens
-	Prefix            string // keys of the parts of the prompt, the request's own last
+	Prefix            string // keys of the parts of the prompt, the request's own or its session's last
+	Model             string // name of the model
 	CopyHandle        func(address, identity string) string
 	CopyOrders        CopyOrders
 	ParseLoad         func(header string) (balance.Load, bool)
@@ -88,10 +89,10 @@
 	// Metering counts the requests of each client account; nil for none.
 	Metering *metering.Counter
 
-	// Find asks other nodes about runs whose prompt has this key; nil to ask none.
-	// Retried says that the client already has part of the answer, so that such a run
-	// has begun at some node.
-	Find func(ctx context.Context, key string, retried bool)
+	// Find asks other nodes about runs whose prompt has this key, and about copies of this
+	// stream; nil to ask none. Retried says that the client already has part of the answer,
+	// so that such a run has begun at some node.
+	Find func(ctx context.Context, key string, stream balance.StreamID, retried bool)
 	// Borrow obtains a retry for a service from another node's budget; nil for none.
 	Borrow func(ctx context.Context, service string) bool
 }
@@ -138,8 +139,9 @@
 // WithBufferLimits bounds the buffers of answers whose clients read slowly.
 func WithBufferLimits(l BufferLimits) Option { return func(c *Config) { c.Buffers = l } }
 
-// WithFind sets the function that asks other nodes about runs of a prompt.
-func WithFind(find func(ctx context.Context, key string, retried bool)) Option {
+// WithFind sets the function that asks other nodes about runs of a prompt and copies of a
+// stream.
+func WithFind(find func(ctx context.Context, key string, stream balance.StreamID, retried bool)) Option {
 	return func(c *Config) { c.Find = find }
 }
 
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -24,7 +24,7 @@
 var testNames = Names{
 	Identity: "X-Id", Deadline: "X-Deadline", Key: "X-Key", EventID: "X-Last", Resumes: "X-Resumes", Account: "X-Account", Expect: "X-Expect",
 	Priority: "X-Priority", CopyTo: "X-Copy-To", CopyFrom: "X-Copy-From", Load: "X-Load", NotRun: "X-Not-Run", Usage: "X-Usage",
-	Prefix: "X-Prefix", System: []string{"X-System"},
+	Prefix: "X-Prefix", Model: "X-Model", System: []string{"X-System"},
 	CopyHandle: func(address, identity string) string { return address + "/" + identity },
 	CopyOrders: CopyOrders{
 		Make: func(run, holder string) TargetCall {
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -127,7 +127,7 @@
 		Elapsed: uptime.Since(c.arrived), Deadline: uptime.Until(c.deadline), Objective: c.route.LatencyObjective, MaxEventGap: c.route.MaxEventGap,
 		AttemptsLeft: max(1, c.route.MaxAttempts-c.dispatched), Retry: c.contacted, MayHaveRun: c.mayHaveRun,
 		HasLast: c.hasLast, LastID: c.lastID, Resumed: c.resumed, Prefill: c.work.PrefillTokens, Memory: c.work.MemoryTokens,
-		MaxOutput: c.maxOutput, PromptKey: c.promptKey, FailedHalls: c.failedHalls, Copy: from,
+		MaxOutput: c.maxOutput, PromptKey: c.promptKey, Attempt: c.stream.Attempt, FailedHalls: c.failedHalls, Copy: from,
 		Bound: c.binding.bound, Software: c.binding.software, Idle: uptime.Since(c.idleSince),
 	}
 	if c.reservedRetry.Spent() {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -56,13 +56,10 @@
 	r := &relay{gateway: g, call: c, w: w}
 	defer r.close()
 	if g.cfg.Find != nil {
-		g.cfg.Find(ctx, c.promptKey, c.resumed)
+		g.cfg.Find(ctx, c.promptKey, c.stream, c.resumed)
 	}
 	if c.resumed {
-		if at, name := g.targets.FindCopy(c.promptKey); at != nil {
-			klog.InfoS("Client comes again, a copy is known", "request", c.id, "copy", name, "at", at.ID, "last", c.lastID)
-			r.resumeFrom = &kvCopy{holder: at, name: name}
-		}
+		r.resumeFrom = g.findCopy(c)
 	}
 	for {
 		end := r.runNext(ctx)
@@ -202,7 +199,7 @@
 	choice := c.choice()
 	o := runRequest{
 		request: g.request(c, t), work: g.targets.WorkAt(choice, t), expected: g.targets.Expected(choice, t),
-		trace: balance.Trace{Key: c.promptKey},
+		trace: balance.Trace{Key: c.promptKey, Stream: c.stream},
 	}
 	klog.InfoS("Run begins", "request", c.id, "content", c.fingerprint, "key", c.promptKey, "route", c.route.Name, "version", c.version, "target", t.ID, "born", t.Born, "software", r.software, "bound", c.binding.bound, "again", c.resumed, "resumes", c.header.Get(g.cfg.Names.Resumes), "last", c.lastID,
 		"read", c.work.PrefillTokens, "expectedRead", o.work.PrefillTokens, "expected_ms", o.expected.Milliseconds(),
--- a/loadshare/formats_test.go
+++ b/loadshare/formats_test.go
@@ -35,7 +35,7 @@
 func TestStoredDatagramsDecode(t *testing.T) {
 	files, err := filepath.Glob("testdata/kept/*/*")
 	require.NoError(t, err)
-	require.Len(t, files, 2*len(storedDatagrams()))
+	require.Len(t, files, 3*len(storedDatagrams()))
 	for _, file := range files {
 		datagram, err := os.ReadFile(file)
 		require.NoError(t, err)
--- a/loadshare/loadshare_test.go
+++ b/loadshare/loadshare_test.go
@@ -111,9 +111,10 @@
 	without, thereTracker, killThere := start(there)
 	withDisk.SetPeers(peersFromAddresses(addresses))
 	without.SetPeers(peersFromAddresses(addresses))
-	run := thereTracker.Pick(balance.Choice{Service: "s"}).Begin(balance.Work{PrefillTokens: 1, MemoryTokens: 1}, balance.Trace{Key: "part-1", CopyName: "run-1", Copy: "2"})
+	stream := balance.StreamID{Content: 1, Attempt: 1}
+	run := thereTracker.Pick(balance.Choice{Service: "s"}).Begin(balance.Work{PrefillTokens: 1, MemoryTokens: 1}, balance.Trace{Key: "part-1", Stream: stream, CopyName: "run-1", Copy: "2"})
 	run.FirstEvent()
-	require.Eventually(t, func() bool { at, _ := hereTracker.FindCopy("part-1"); return at != nil }, 5*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { at, _ := hereTracker.FindCopy(stream); return at != nil }, 5*time.Second, 5*time.Millisecond)
 	require.Eventually(t, func() bool {
 		text, err := os.ReadFile(file)
 		return err == nil && strings.Contains(string(text), "run-1")
@@ -128,8 +129,8 @@
 	_, laterTracker, _ := start(again)
 	_, _, _ = start(listen(), WithStateFile(file))
 	require.Eventually(t, func() bool {
-		at, identity := laterTracker.FindCopy("part-1")
-		return at != nil && at.ID == "2" && identity == "run-1"
+		at, trace := laterTracker.FindCopy(stream)
+		return at != nil && at.ID == "2" && trace.CopyName == "run-1"
 	}, 5*time.Second, 5*time.Millisecond)
 }
 
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -153,14 +153,17 @@
 	Copy     string `msgpack:"c,omitempty"`
 	ReadAt   string `msgpack:"r,omitempty"`
 	Finished bool   `msgpack:"o,omitempty"`
+	// Content and Attempt are its balance.StreamID.
+	Content uint64 `msgpack:"s,omitempty"`
+	Attempt uint64 `msgpack:"a,omitempty"`
 }
 
 func encodeTrace(t balance.Trace) traceUpdate {
-	return traceUpdate{Key: t.Key, CopyName: t.CopyName, Copy: t.Copy, ReadAt: t.ReadAt}
+	return traceUpdate{Key: t.Key, CopyName: t.CopyName, Copy: t.Copy, ReadAt: t.ReadAt, Content: t.Stream.Content, Attempt: t.Stream.Attempt}
 }
 
 func (n traceUpdate) trace() balance.Trace {
-	return balance.Trace{Key: n.Key, CopyName: n.CopyName, Copy: n.Copy, ReadAt: n.ReadAt}
+	return balance.Trace{Key: n.Key, Stream: balance.StreamID{Content: n.Content, Attempt: n.Attempt}, CopyName: n.CopyName, Copy: n.Copy, ReadAt: n.ReadAt}
 }
 
 // crashReport is the encoding of a quarantine.Report; see there for the fields.
@@ -198,10 +201,13 @@
 	return time.Duration(min(max(0, ms), math.MaxInt64/int64(time.Millisecond))) * time.Millisecond
 }
 
-// lookupRequest asks for the trace of a key.
+// lookupRequest asks for the trace of a prompt's key and of a stream.
 type lookupRequest struct {
 	ID  uint64 `msgpack:"i"` // unique per sender
 	Key string `msgpack:"k"`
+	// Content and Attempt are the balance.StreamID of the stream.
+	Content uint64 `msgpack:"s,omitempty"`
+	Attempt uint64 `msgpack:"a,omitempty"`
 }
 
 // lookupReply answers a lookupRequest.
@@ -222,6 +228,9 @@
 	CopyName string `msgpack:"i,omitempty"`
 	Copy     string `msgpack:"c,omitempty"`
 	Broken   bool   `msgpack:"b,omitempty"`
+	// Content and Attempt are the balance.StreamID of its trace.
+	Content uint64 `msgpack:"s,omitempty"`
+	Attempt uint64 `msgpack:"q,omitempty"`
 }
 
 // Limits that keep a message within one datagram.
@@ -247,7 +256,7 @@
 func encodeRun(r balance.RunReport) run {
 	e := run{
 		Number: r.Number, Target: r.Target, Read: r.PendingTokens, Hold: r.MemoryTokens, AgeMS: r.Age.Milliseconds(), Broken: r.Failed,
-		Key: r.Trace.Key,
+		Key: r.Trace.Key, Content: r.Trace.Stream.Content, Attempt: r.Trace.Stream.Attempt,
 	}
 	if r.Trace.Copy != "" {
 		e.CopyName, e.Copy = r.Trace.CopyName, r.Trace.Copy
@@ -259,7 +268,7 @@
 	s := balance.RunReport{
 		Number: r.Number, Target: r.Target, PendingTokens: max(0, r.Read), MemoryTokens: max(0, r.Hold),
 		Age:   time.Duration(max(0, r.AgeMS)) * time.Millisecond,
-		Trace: balance.Trace{Key: r.Key, CopyName: r.CopyName, Copy: r.Copy}, Failed: r.Broken,
+		Trace: balance.Trace{Key: r.Key, Stream: balance.StreamID{Content: r.Content, Attempt: r.Attempt}, CopyName: r.CopyName, Copy: r.Copy}, Failed: r.Broken,
 	}
 	if s.PendingTokens == 0 {
 		s.Trace.ReadAt = r.Target
--- a/loadshare/peergroup_test.go
+++ b/loadshare/peergroup_test.go
@@ -15,8 +15,9 @@
 	var runs []balance.RunReport
 	for i := range n {
 		runs = append(runs, balance.RunReport{
-			Number: uint64(first + i), Target: fmt.Sprint("i-6c3b5107", i), PendingTokens: 8000, MemoryTokens: 8400,
-			Trace: balance.Trace{Key: "5c1e07a2", CopyName: "9c41d07be2a35f68", Copy: "i-7f3a91c2"},
+			Number: uint64(first + i), Target: fmt.Sprint("i-6c3b5107", i, "@1764806400000"), PendingTokens: 8000, MemoryTokens: 8400,
+			Trace: balance.Trace{Key: "5c1e07a2", Stream: balance.StreamID{Content: 1 << 63, Attempt: 1 << 63},
+				CopyName: "10.128.0.109:18080/9c41d07be2a35f68", Copy: "i-7f3a91c2@1764806400000"},
 		})
 	}
 	return runs
--- a/loadshare/site_test.go
+++ b/loadshare/site_test.go
@@ -244,8 +244,13 @@
 
 // begin starts a run at an engine.
 func (n *siteNode) begin(engine string, key string) *balance.Run {
+	return n.beginStream(engine, key, balance.StreamID{})
+}
+
+// beginStream starts a run of a stream at an engine.
+func (n *siteNode) beginStream(engine, key string, stream balance.StreamID) *balance.Run {
 	t := n.tracker.Pick(balance.Choice{Service: "s", Work: balance.Work{PrefillTokens: 8000, MemoryTokens: 8000}, Exclude: func(t *balance.Target) bool { return t.ID != engine }})
-	return t.Begin(balance.Work{PrefillTokens: 90000, MemoryTokens: 8000}, balance.Trace{Key: key})
+	return t.Begin(balance.Work{PrefillTokens: 90000, MemoryTokens: 8000}, balance.Trace{Key: key, Stream: stream})
 }
 
 // sees reports whether a node knows of a run at an engine.
@@ -350,20 +355,47 @@
 		s := newSite(t, 60, 3)
 		defer s.close()
 		time.Sleep(3 * time.Second)
-		run := s.nodes[4].begin("i-5", "part-1")
+		stream := balance.StreamID{Content: 1, Attempt: 1}
+		run := s.nodes[4].beginStream("i-5", "part-1", stream)
 		run.FirstEvent()
 		run.SetCopy("i-6", "run-1")
 		time.Sleep(50 * time.Millisecond)
 		for _, i := range []int{1, 17, 59} {
 			n := s.nodes[i]
-			n.Find(t.Context(), "part-1")
-			at, name := n.tracker.FindCopy("part-1")
+			n.Find(t.Context(), "part-1", stream)
+			at, trace := n.tracker.FindCopy(stream)
 			require.NotNil(t, at, i)
 			require.Equal(t, "i-6", at.ID)
-			require.Equal(t, "run-1", name)
+			require.Equal(t, "run-1", trace.CopyName)
 		}
 		began := time.Now()
-		s.nodes[1].Find(t.Context(), "unheard-of")
+		s.nodes[1].Find(t.Context(), "unheard-of", balance.StreamID{Content: 2, Attempt: 2})
 		require.Less(t, time.Since(began), 5*time.Millisecond, "trace stores reply that it is unknown")
 	})
 }
+
+// Streams of one session share their prompt's key, and so their trace stores.
+func TestFindFetchesTraceOfTheStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 60, 3)
+		defer s.close()
+		time.Sleep(3 * time.Second)
+		streams := []balance.StreamID{{Content: 1, Attempt: 1}, {Content: 1, Attempt: 2}, {Content: 2, Attempt: 3}}
+		for i, stream := range streams {
+			run := s.nodes[4+i].beginStream("i-5", "part-1", stream)
+			run.FirstEvent()
+			run.SetCopy("i-6", fmt.Sprint("run-", i))
+		}
+		time.Sleep(50 * time.Millisecond)
+		for i, stream := range streams {
+			n := s.nodes[17+i]
+			n.Find(t.Context(), "part-1", stream)
+			_, trace := n.tracker.FindCopy(stream)
+			require.Equal(t, fmt.Sprint("run-", i), trace.CopyName)
+		}
+		n := s.nodes[40]
+		n.Find(t.Context(), "part-1", balance.StreamID{Content: 1})
+		at, _ := n.tracker.FindCopy(balance.StreamID{Content: 1})
+		require.Nil(t, at, "it may be of either stream")
+	})
+}
--- a/loadshare/traces.go
+++ b/loadshare/traces.go
@@ -24,7 +24,7 @@
 	// findAnywhereTimeout is the same with other regions: two round trips on a
 	// long link.
 	findAnywhereTimeout = 80 * time.Millisecond
-	// maxTraces bounds the traces in a datagram, of about 80 bytes each.
+	// maxTraces bounds the traces in a datagram, of about 100 bytes each.
 	maxTraces = 100
 )
 
@@ -103,39 +103,39 @@
 	s.requestSave()
 }
 
-// Find fetches the trace of a key from its trace stores and passes it to the tracker,
-// for a request that may be a repeated one. It waits for up to findTimeout. It does
-// nothing if the tracker has a trace with a copy already, or on sites without relays,
-// where every node has all traces.
-func (s *Sharer) Find(ctx context.Context, key string) {
+// Find fetches the trace of a prompt's key and of a stream from the key's trace stores and
+// passes it to the tracker, for a request that may be a repeated one. It waits for up to
+// findTimeout. It does nothing if the tracker has a trace with a copy already, or on sites
+// without relays, where every node has all traces.
+func (s *Sharer) Find(ctx context.Context, key string, stream balance.StreamID) {
 	l := s.currentLayout()
-	s.find(ctx, l, key, l.traceStoresOf(key), findTimeout)
+	s.find(ctx, l, key, stream, l.traceStoresOf(key), findTimeout)
 }
 
 // FindAnywhere is like Find, but also queries other regions, for a request that is
 // known to be a repeated one and may have been sent to another region before.
-func (s *Sharer) FindAnywhere(ctx context.Context, key string) {
+func (s *Sharer) FindAnywhere(ctx context.Context, key string, stream balance.StreamID) {
 	l := s.currentLayout()
 	wait := findTimeout
 	if l.region != "" {
 		wait = findAnywhereTimeout
 	}
-	s.find(ctx, l, key, l.traceStoresAnywhere(key), wait)
+	s.find(ctx, l, key, stream, l.traceStoresAnywhere(key), wait)
 }
 
-// find queries trace stores for the trace of a key, and waits for up to wait for the
-// first that has it.
-func (s *Sharer) find(ctx context.Context, l *layout, key string, stores []string, wait time.Duration) {
+// find queries trace stores for the trace of a key and a stream, and waits for up to wait
+// for the first that has it.
+func (s *Sharer) find(ctx context.Context, l *layout, key string, stream balance.StreamID, stores []string, wait time.Duration) {
 	if !l.relayed || key == "" {
 		return
 	}
-	if trace, _ := s.tracker.TraceOf(key); trace.Copy != "" {
+	if trace, _ := s.tracker.TraceOf(key, stream); trace.Copy != "" {
 		return
 	}
 	stores = without(stores, l.own)
 	id, replies := s.startLookup(len(stores))
 	defer s.endLookup(id)
-	s.sendTo(s.addressesOf(stores), message{Lookup: &lookupRequest{ID: id, Key: key}})
+	s.sendTo(s.addressesOf(stores), message{Lookup: &lookupRequest{ID: id, Key: key, Content: stream.Content, Attempt: stream.Attempt}})
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for range stores {
@@ -172,7 +172,7 @@
 // handleLookup replies to a lookup.
 func (s *Sharer) handleLookup(from string, req *lookupRequest) {
 	reply := &lookupReply{ID: req.ID}
-	if trace, known := s.tracker.TraceOf(req.Key); known {
+	if trace, known := s.tracker.TraceOf(req.Key, balance.StreamID{Content: req.Content, Attempt: req.Attempt}); known {
 		n := encodeTrace(trace)
 		reply.Trace = &n
 	}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -254,14 +254,14 @@
 }
 
 // priorRunFinder returns a function that asks other nodes about earlier runs with a prompt
-// key, which is the same whenever a request is sent again. For a resumed request it also asks other regions, since the earlier run may be in
-// any of them.
-func priorRunFinder(sharer *loadshare.Sharer) func(ctx context.Context, key string, resumed bool) {
-	return func(ctx context.Context, key string, resumed bool) {
+// key and about copies of a stream. For a resumed request it also asks other regions, since
+// the earlier run may be in any of them.
+func priorRunFinder(sharer *loadshare.Sharer) func(ctx context.Context, key string, stream balance.StreamID, resumed bool) {
+	return func(ctx context.Context, key string, stream balance.StreamID, resumed bool) {
 		if resumed {
-			sharer.FindAnywhere(ctx, key)
+			sharer.FindAnywhere(ctx, key, stream)
 		} else {
-			sharer.Find(ctx, key)
+			sharer.Find(ctx, key, stream)
 		}
 	}
 }
