caller: a key opens one generation at one endpoint

What callers saw: a chat that reused the Idempotency-Key of a completion, with a body valid for both, got the completion's answer (200).

Cause: a key is kept by account and checked against the body only; the endpoint is a part of the request, too. The ledger of bookings compares service, method, path and body, and is right.

Evidence: node: TestKeyOfACompletionIsNotThatOfAChat before the change got 200 with object text_completion from /v1/chat/completions; now 422 key-reused.

Why it works: the generation knows which endpoint opened it.

--- a/caller/complete.go
+++ b/caller/complete.go
@@ -67,6 +67,9 @@
 		if g != nil && g.BodyDigest() != req.spec.BodyDigest {
 			return nil, walnutramp.NewError(walnutramp.CodeKeyReused, walnutramp.NotRun, "the key was used with another body")
 		}
+		if g != nil && g.Chat() != req.spec.Chat {
+			return nil, walnutramp.NewError(walnutramp.CodeKeyReused, walnutramp.NotRun, "the key was used at another endpoint")
+		}
 		if g != nil {
 			return g, nil
 		}
