gateway: a silent run is kept until it can be replaced

Why it works: what a run needs to be replaced is reserved before it is given up, in one place (replacement), for the first event, later events, plain safe requests and targets that are silent to others. Until it is there, the run is kept and asked about every 100 ms. Events that came while the process did not run are read first. Through another node, the ingress decides, which alone knows whether a retry is left; a message of an older build leaves that to the egress as before.

--- a/egress/message.go
+++ b/egress/message.go
@@ -59,6 +59,9 @@
 	Bound    bool          `msgpack:"vb"` // only targets of the version Software may send it
 	Software string        `msgpack:"sv"`
 	Idle     time.Duration `msgpack:"id"` // since the client received the last event; since the request arrived, before the first
+	// EndedByIngress says that the ingress cancels a begun stream whose target is silent.
+	// Without it, the egress does.
+	EndedByIngress bool `msgpack:"ei"`
 }
 
 // Copy is a copy of a failed run's KV cache.
@@ -77,6 +80,7 @@
 	Target   string `msgpack:"t"`
 	DataHall string `msgpack:"d"`
 	Software string `msgpack:"sv"`
+	Copy     *Copy  `msgpack:"c"` // that grows with the run; nil for none
 }
 
 // Result says what became of a request at the egress.
--- a/egress/writer.go
+++ b/egress/writer.go
@@ -31,6 +31,7 @@
 	Incarnation string
 	DataHall    string
 	Software    string // version
+	Copy        *Copy  // that grows with the run; nil for none
 }
 
 // SetTarget sets the target whose answer is written. It must be called before the head is
@@ -60,7 +61,7 @@
 		return
 	}
 	w.started = true
-	head := Head{Status: status, Header: maps.Clone(w.header), Length: -1, Target: w.target.Incarnation, DataHall: w.target.DataHall, Software: w.target.Software}
+	head := Head{Status: status, Header: maps.Clone(w.header), Length: -1, Target: w.target.Incarnation, DataHall: w.target.DataHall, Software: w.target.Software, Copy: w.target.Copy}
 	if n, err := strconv.ParseInt(w.header.Get("Content-Length"), 10, 64); err == nil {
 		head.Length = n
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -73,6 +73,7 @@
 	egressError    *walnutramp.Error        // why an egress rejected it; nil if none did
 	noEgress       bool                     // no other node offered to send it
 	relayed        bool                     // it came from another node, to be sent once
+	endedByIngress bool                     // that node ends it if its target falls silent after the first event
 	sendBy         time.Time                // when it must have been sent, if it is a retry of another node; zero for no limit
 }
 
--- a/gateway/egress.go
+++ b/gateway/egress.go
@@ -108,7 +108,7 @@
 		lastID: r.LastID, hasLast: r.HasLast, resumed: r.Resumed, promptKey: r.PromptKey, maxOutput: r.MaxOutput,
 		work:  balance.Work{PrefillTokens: r.Prefill, MemoryTokens: r.Memory},
 		tried: map[*balance.Target]bool{}, rejected: map[*balance.Target]bool{}, failedHalls: r.FailedHalls,
-		mayHaveRun: r.MayHaveRun, metered: true, relayed: true,
+		mayHaveRun: r.MayHaveRun, metered: true, relayed: true, endedByIngress: r.EndedByIngress,
 		binding: binding{bound: r.Bound, software: r.Software}, idleSince: now.Add(-r.Idle),
 	}
 	if c.failedHalls == nil {
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -128,7 +128,7 @@
 		AttemptsLeft: max(1, c.route.MaxAttempts-c.dispatched), Retry: c.contacted, MayHaveRun: c.mayHaveRun,
 		HasLast: c.hasLast, LastID: c.lastID, Resumed: c.resumed, Prefill: c.work.PrefillTokens, Memory: c.work.MemoryTokens,
 		MaxOutput: c.maxOutput, PromptKey: c.promptKey, Attempt: c.stream.Attempt, FailedHalls: c.failedHalls, Copy: from,
-		Bound: c.binding.bound, Software: c.binding.software, Idle: uptime.Since(c.idleSince),
+		Bound: c.binding.bound, Software: c.binding.software, Idle: uptime.Since(c.idleSince), EndedByIngress: true,
 	}
 	if c.reservedRetry.Spent() {
 		r.SendWithin = max(time.Millisecond, g.budgets.Of(c.service).SendWithin()-uptime.Since(c.reservedRetry.At))
@@ -191,7 +191,7 @@
 			cancel()
 		}
 	}()
-	defer g.limitAttempt(c, egressMargin, cancel).Stop()
+	defer g.limitAttempt(attemptCtx, c, nil, egressMargin, cancel)()
 	p, left := g.sendThroughEgress(attemptCtx, c, nil)
 	if p == nil {
 		return nil, left
@@ -291,19 +291,21 @@
 }
 
 // forwardRelayedEvents forwards the events of an answer through another node. It cancels the
-// exchange if no event comes for longer than the egress waits for one.
+// exchange if no event comes in time and the run can be replaced.
 func (r *relay) forwardRelayedEvents(ctx context.Context, cancel context.CancelFunc, p *passage) runResult {
 	g, c := r.gateway, r.call
 	events := eventstream.NewReader(p.answer)
-	stall := g.stallTimeout(c.route) + egressMargin
-	watchdog := time.AfterFunc(g.cfg.FirstEvent+egressMargin, cancel)
+	replacement := g.newReplacement(c, g.targets.Target(p.answer.Target))
+	defer replacement.close(c)
+	watchdog := replacement.endAfter(ctx, g.cfg.FirstEvent+egressMargin, cancel)
 	defer watchdog.Stop()
 	for {
 		e, err := events.Next()
 		if err != nil {
-			return r.classifyRelayedEnd(ctx, p, events, err)
+			return r.classifyRelayedEnd(ctx, p, events, err, !watchdog.Stop())
 		}
-		watchdog.Reset(stall)
+		replacement.bind(r.software)
+		watchdog.Reset(g.stallTimeout(c.route))
 		if r.events++; r.events == 1 {
 			r.recordFirstEvent()
 			g.meterFirst(c)
@@ -320,8 +322,9 @@
 	}
 }
 
-// classifyRelayedEnd distinguishes a complete stream from a truncated one.
-func (r *relay) classifyRelayedEnd(ctx context.Context, p *passage, events *eventstream.Reader, err error) runResult {
+// classifyRelayedEnd distinguishes a complete stream from a truncated one. Silent says that
+// this node ended it.
+func (r *relay) classifyRelayedEnd(ctx context.Context, p *passage, events *eventstream.Reader, err error, silent bool) runResult {
 	g, c := r.gateway, r.call
 	if err == io.EOF {
 		if rest := events.Remainder(); (len(rest) > 0 || !r.started) && !r.write(ctx, p.answer.Status, p.answer.Header, rest) {
@@ -332,13 +335,17 @@
 	g.counters.brokenAnswers.Inc()
 	g.counters.resumes.Inc()
 	c.failedHalls[p.answer.DataHall]++
-	if end := p.answer.End(); end != nil {
+	switch end := p.answer.End(); {
+	case end != nil:
 		r.resumeFrom = g.copyOf(end.Copy)
-	} else {
+	case silent:
+		r.silent = true
+		r.resumeFrom = g.copyOf(p.answer.Copy)
+	default:
 		g.cfg.Egress.Avoid(p.node)
 	}
 	klog.InfoS("Stream through another node broke off", "request", c.id, "egress", p.node, "target", p.answer.Target, "last", c.lastID,
-		"handedBack", p.answer.End() != nil, "err", err, "silent_ms", time.Since(r.lastEventAt).Milliseconds())
+		"handedBack", p.answer.End() != nil, "silent", silent, "err", err, "silent_ms", time.Since(r.lastEventAt).Milliseconds())
 	return runFailed
 }
 
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -69,7 +69,7 @@
 	if g.paths.State(service).Refused {
 		return
 	}
-	g.pending.cancelWhere(errPathLost, func(r *pendingRun) bool { return r.canRetry && r.target.Service == service })
+	g.pending.cancelWhere(errPathLost, func(r *pendingRun) bool { return r.replacement.allowed && r.target.Service == service })
 }
 
 // pathRecovered makes the targets eligible that failed only for this node.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -122,7 +122,7 @@
 			cancel()
 		}
 	}()
-	defer g.limitAttempt(c, 0, cancel).Stop()
+	defer g.limitAttempt(attemptCtx, c, t, 0, cancel)()
 	defer func() { c.rolloutRequest.Discard() }() // no effect if an outcome was recorded
 	run := t.Begin(balance.Work{}, balance.Trace{})
 	defer run.End(balance.RunEnd{Complete: true})
@@ -179,14 +179,20 @@
 	return resp, false
 }
 
-// limitAttempt cancels an attempt after a timeout: earlier than the deadline if the
-// request may be retried at another target. The margin is added then.
-func (g *Gateway) limitAttempt(c *call, margin time.Duration, cancel context.CancelFunc) *time.Timer {
-	limit := uptime.Until(c.deadline)
-	if c.route.Kind == Safe && c.dispatched+1 < c.route.MaxAttempts {
-		limit = max(minAttemptTimeout, attemptTimeoutFactor*c.route.LatencyObjective) + margin
-	}
-	return time.AfterFunc(limit, cancel)
+// limitAttempt cancels an attempt at its deadline, or earlier if the request can then be
+// retried at another target than t: after a timeout to which margin is added. The caller
+// calls stop at the end of the attempt.
+func (g *Gateway) limitAttempt(ctx context.Context, c *call, t *balance.Target, margin time.Duration, cancel context.CancelFunc) (stop func()) {
+	if c.route.Kind != Safe || c.dispatched+1 >= c.route.MaxAttempts {
+		timer := time.AfterFunc(uptime.Until(c.deadline), cancel)
+		return func() { timer.Stop() }
+	}
+	p := g.newReplacement(c, t)
+	timer := p.endAfter(ctx, max(minAttemptTimeout, attemptTimeoutFactor*c.route.LatencyObjective)+margin, cancel)
+	return func() {
+		timer.Stop()
+		p.close(c)
+	}
 }
 
 // suppressFalseNotRun drops a 503 answer to a request that must not be retried: clients
--- /dev/null
+++ b/gateway/replacement.go
@@ -0,0 +1,220 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/internal/uptime"
+	"k8s.io/klog/v2"
+)
+
+// A silent target may still answer. So a run is given up for its target's silence only when
+// it can be replaced: the route allows one more, a retry is left in the budget, and another
+// target is there. Otherwise its client would lose an answer that may only be late.
+
+// replaceInterval is how often it is checked whether a silent run can be replaced.
+const replaceInterval = 100 * time.Millisecond
+
+// lateReadTime is how long after a timeout a run is still read from: if this process was not
+// running, events may have arrived meanwhile.
+const lateReadTime = 10 * time.Millisecond
+
+// replacement reserves the retry by which one run may be replaced. Its methods are safe for
+// use by other goroutines than that of the run's relay.
+type replacement struct {
+	gateway     *Gateway
+	request     string
+	service     string
+	budget      *balance.Budget
+	allowed     bool // the route allows another run
+	relayed     bool // for another node, whose retry it is
+	delegated   bool // that node ends the run once it has begun
+	quarantined func() bool
+	choice      balance.Choice         // of another target
+	version     atomic.Pointer[string] // to which the stream is bound; nil before
+
+	mu     sync.Mutex
+	retry  balance.Retry
+	closed bool
+}
+
+// newReplacement returns the replacement of a call's next run, which is at a target; nil for
+// one through another node.
+func (g *Gateway) newReplacement(c *call, t *balance.Target) *replacement {
+	p := &replacement{gateway: g, request: c.id, service: c.service, budget: g.budgets.Of(c.service), allowed: c.canRetryElsewhere(), relayed: c.relayed, delegated: c.endedByIngress}
+	content := c.fingerprint
+	p.quarantined = func() bool {
+		_, held := g.cfg.Quarantine.Quarantined(content)
+		return held
+	}
+	if c.binding.bound {
+		p.version.Store(&c.binding.software)
+	}
+	excluded, tried := g.excludeByVersion(c), maps.Clone(c.tried)
+	p.choice = c.choice()
+	p.choice.Admission = false
+	p.choice.Exclude = func(o *balance.Target) bool {
+		if version := p.version.Load(); version != nil {
+			return o == t || tried[o] || o.Version != *version
+		}
+		return o == t || tried[o] || excluded != nil && excluded(o)
+	}
+	return p
+}
+
+// bind says that events of a software version were forwarded.
+func (p *replacement) bind(version string) { p.version.Store(&version) }
+
+// reserve reports whether the run can be replaced now, and reserves the retry for that. With
+// borrow, other nodes are asked for one if this node has none left.
+func (p *replacement) reserve(ctx context.Context, borrow bool) bool {
+	if p.relayed {
+		return true
+	}
+	if !p.allowed || p.quarantined() || !p.hasTarget() {
+		return false
+	}
+	if p.spend() {
+		return true
+	}
+	return borrow && p.gateway.cfg.Borrow != nil && p.gateway.cfg.Borrow(ctx, p.service) && p.spend()
+}
+
+// wait returns how much longer to wait for a run that is silent, at the first, second and so
+// on end of a timeout; 0 if it is to be replaced. Begun says that it has brought an event.
+func (p *replacement) wait(ctx context.Context, timeouts int, begun bool) time.Duration {
+	if timeouts == 1 {
+		return lateReadTime
+	}
+	if !(begun && p.delegated) && p.reserve(ctx, true) {
+		return 0
+	}
+	if timeouts == 2 {
+		p.logKept()
+	}
+	return replaceInterval
+}
+
+// logKept logs that a silent run goes on.
+func (p *replacement) logKept() {
+	klog.InfoS("Run is silent, and kept as it can't be replaced", "request", p.request, "service", p.service)
+}
+
+// hasTarget reports whether another target can be tried, of this node's own or through
+// another node.
+func (p *replacement) hasTarget() bool {
+	g := p.gateway
+	return g.cfg.Egress != nil && g.paths.State(p.service).Lost || g.targets.Pick(p.choice) != nil
+}
+
+// spend spends a retry, unless one is reserved that can still be sent in time.
+func (p *replacement) spend() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	if p.retry.Spent() {
+		if uptime.Since(p.retry.At) < p.budget.SendWithin() {
+			return true
+		}
+		p.budget.Refund(p.retry)
+		p.retry = balance.Retry{}
+	}
+	var ok bool
+	p.retry, ok = p.budget.Spend()
+	return ok
+}
+
+// close ends the replacement with its run, and passes a reserved retry to the call.
+func (p *replacement) close(c *call) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	if !p.retry.Spent() {
+		return
+	}
+	c.refundRetry(p.budget)
+	c.reservedRetry = p.retry
+}
+
+// awaitRetry waits for a retry for a stream that was given up for its target's silence and
+// whose next run was rejected; false if none comes before its client leaves. A stream that
+// its target broke off is not held: its client may take it up at once.
+func (r *relay) awaitRetry(ctx context.Context) bool {
+	g, c := r.gateway, r.call
+	for r.started && r.silent && c.dispatched < c.route.MaxAttempts {
+		if uptime.Since(c.idleSince)+replaceInterval >= versionWait || !pause.For(ctx, replaceInterval) {
+			return false
+		}
+		if g.mayRetry(ctx, c) {
+			return true
+		}
+	}
+	return false
+}
+
+// replaceTimer ends a run after a timeout, or as soon after it as it can be replaced.
+type replaceTimer struct {
+	replacement *replacement
+	ctx         context.Context
+	end         func()
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	late    bool // the timeout has passed
+	stopped bool
+	fired   bool
+}
+
+// endAfter calls end after a timeout, or later, once the run can be replaced.
+func (p *replacement) endAfter(ctx context.Context, timeout time.Duration, end func()) *replaceTimer {
+	w := &replaceTimer{replacement: p, ctx: ctx, end: end}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(timeout, w.expire)
+	return w
+}
+
+func (w *replaceTimer) expire() {
+	replaceable := w.replacement.reserve(w.ctx, true)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	if !replaceable {
+		if !w.late {
+			w.late = true
+			w.replacement.logKept()
+		}
+		w.timer.Reset(replaceInterval)
+		return
+	}
+	w.fired = true
+	w.end()
+}
+
+// Reset starts the timeout anew, unless the timer has fired or is stopped.
+func (w *replaceTimer) Reset(timeout time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped && !w.fired {
+		w.late = false
+		w.timer.Reset(timeout)
+	}
+}
+
+// Stop stops the timer; false if it has fired.
+func (w *replaceTimer) Stop() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+	return !w.fired
+}
--- /dev/null
+++ b/gateway/replacement_test.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/internal/uptime"
+)
+
+const (
+	testStall   = 100 * time.Millisecond
+	testSilence = 6 * testStall
+)
+
+// silentDraft is silent for testSilence before one event, every time.
+func silentDraft(before int) func(*fakeTarget, *http.Request, net.Conn) {
+	return draft(func(_ *fakeTarget, _ net.Conn, n int) bool {
+		if n == before {
+			time.Sleep(testSilence)
+		}
+		return true
+	})
+}
+
+// spendBudget leaves a gateway without any retry.
+func spendBudget(g *Gateway) {
+	g.budgets = balance.NewBudgets(balance.BudgetConfig{Window: 10 * time.Second})
+}
+
+// allowRuns sets how many targets one request for a draft may run at.
+func allowRuns(s *testSite, attempts int) {
+	table := testTable()
+	table.Route("a.example", "/draft/x").MaxAttempts = attempts
+	s.gateway.SetTable(table)
+}
+
+// An answer must not be cut off for its target's silence if nothing can take its place.
+func TestStreamOfASilentTargetIsNotCutOff(t *testing.T) {
+	for name, c := range map[string]struct {
+		targets int
+		prepare func(*testSite)
+	}{
+		"no other target":  {1, func(*testSite) {}},
+		"no retry left":    {2, func(s *testSite) { spendBudget(s.gateway) }},
+		"the last attempt": {2, func(s *testSite) { allowRuns(s, 1) }},
+	} {
+		for _, silentBefore := range []int{1, 2, draftEvents} {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				var targets []*fakeTarget
+				for _, id := range []string{"i-1", "i-2"}[:c.targets] {
+					targets = append(targets, newFakeTarget(t, id, "draft", "north", silentDraft(silentBefore)))
+				}
+				s := newTestSite(t, targets, WithStall(testStall), WithFirstEvent(testStall))
+				c.prepare(s)
+				resp, body, err := do(t, s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000"))
+				require.NoError(t, err)
+				require.Equal(t, 200, resp.StatusCode)
+				require.Equal(t, wholeDraft(1), body)
+				require.Len(t, seenBy(targets), 1)
+			})
+		}
+	}
+}
+
+// A silent run is replaced as soon as that becomes possible.
+func TestSilentRunIsReplacedOnceThereIsATarget(t *testing.T) {
+	silent := newFakeTarget(t, "i-1", "draft", "north", draft(func(_ *fakeTarget, _ net.Conn, n int) bool {
+		if n == 3 {
+			time.Sleep(9 * time.Second)
+		}
+		return true
+	}))
+	other := newFakeTarget(t, "i-2", "draft", "north", draft(nil))
+	s := newTestSite(t, []*fakeTarget{silent}, WithStall(testStall))
+	time.AfterFunc(testSilence, func() { s.tracker.Update(listed([]*fakeTarget{silent, other})) })
+	began := time.Now()
+	_, body, err := do(t, s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000"))
+	require.NoError(t, err)
+	require.Equal(t, wholeDraft(1), body)
+	require.Less(t, time.Since(began), 2*time.Second)
+	require.Len(t, other.seen(), 1)
+}
+
+// The last answer to a safe request is waited for, however late.
+func TestSilentTargetOfASafeRequestIsWaitedFor(t *testing.T) {
+	late := func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		time.Sleep(testSilence)
+		reply(c, r.Header.Get("X-Id"), 200, "late")
+	}
+	for name, prepare := range map[string]func(*testSite){
+		"no other target": func(*testSite) {},
+		"no retry left":   func(s *testSite) { spendBudget(s.gateway) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			targets := []*fakeTarget{newFakeTarget(t, "i-1", "lookup", "north", late)}
+			if name == "no retry left" {
+				targets = append(targets, newFakeTarget(t, "i-2", "lookup", "north", late))
+			}
+			s := newTestSite(t, targets)
+			table := testTable()
+			table.Route("a.example", "/safe/x").LatencyObjective = testStall / attemptTimeoutFactor
+			s.gateway.SetTable(table)
+			prepare(s)
+			resp, body, err := do(t, s.request(t, "GET", "/safe/x", "", "X-Deadline", "9000"))
+			require.NoError(t, err)
+			require.Equal(t, 200, resp.StatusCode)
+			require.Equal(t, "late", body)
+			require.Len(t, seenBy(targets), 1)
+		})
+	}
+}
+
+// The ingress knows whether a retry is left, so the egress leaves a silent stream to it.
+func TestRelayedStreamOfASilentTargetIsNotCutOff(t *testing.T) {
+	var silences atomic.Int64
+	script := draft(func(_ *fakeTarget, _ net.Conn, n int) bool {
+		if n == 3 {
+			silences.Add(1)
+			time.Sleep(time.Second) // more than the default stall timeout
+		}
+		return true
+	})
+	targets := []*fakeTarget{newFakeTarget(t, "i-1", "draft", "north", script), newFakeTarget(t, "i-2", "draft", "south", script)}
+	s := newRelaySite(t, 2, targets)
+	s.ingress.cut(syscall.ECONNREFUSED)
+	s.ingress.lostPath(t, "draft")
+	spendBudget(s.ingress.gateway)
+	_, body, err := do(t, s.ingress.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000", "X-Usage", "100,60"))
+	require.NoError(t, err)
+	require.Equal(t, wholeDraft(1), body)
+	require.Equal(t, int64(1), silences.Load())
+}
+
+// A stream that was moved for its target's silence waits for a retry when the next target
+// rejects it.
+func TestMovedStreamWaitsForARetry(t *testing.T) {
+	silent := newFakeTarget(t, "i-1", "draft", "north", draft(func(_ *fakeTarget, c net.Conn, n int) bool {
+		if n == 3 {
+			c.Read(make([]byte, 1)) // until the run is given up
+			return false
+		}
+		return true
+	}))
+	var requests atomic.Int64
+	full := newFakeTarget(t, "i-2", "draft", "north", func(f *fakeTarget, r *http.Request, c net.Conn) {
+		if r.RequestURI == copyPath {
+			return
+		}
+		if requests.Add(1) == 1 {
+			reply(c, r.Header.Get("X-Id"), 503, "", "X-Not-Run: 1")
+			return
+		}
+		draft(nil)(f, r, c)
+	})
+	var s *testSite
+	var asked atomic.Int64
+	borrow := func(context.Context, string) bool {
+		if asked.Add(1) < 5 {
+			return false
+		}
+		s.gateway.budgets.Of("draft").AddBorrowed(uptime.Now())
+		return true
+	}
+	s = newTestSite(t, []*fakeTarget{silent}, WithStall(testStall), WithBorrow(borrow))
+	s.gateway.budgets = balance.NewBudgets(balance.BudgetConfig{Slack: 1, Window: 10 * time.Second})
+	time.AfterFunc(testStall/2, func() { s.tracker.Update(listed([]*fakeTarget{silent, full})) })
+	_, body, err := do(t, s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000"))
+	require.NoError(t, err)
+	require.Equal(t, wholeDraft(1), body)
+	require.Equal(t, int64(2), requests.Load())
+}
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -36,13 +36,13 @@
 	set         *pendingRuns
 	target      *balance.Target
 	fingerprint quarantine.Fingerprint
-	canRetry    bool // at another target
+	replacement *replacement
 	began       time.Time
 	cancel      context.CancelCauseFunc
 }
 
-func (p *pendingRuns) add(c *call, t *balance.Target, cancel context.CancelCauseFunc) *pendingRun {
-	r := &pendingRun{set: p, target: t, fingerprint: c.fingerprint, canRetry: c.canRetryElsewhere(), began: uptime.Now(), cancel: cancel}
+func (p *pendingRuns) add(c *call, t *balance.Target, replacement *replacement, cancel context.CancelCauseFunc) *pendingRun {
+	r := &pendingRun{set: p, target: t, fingerprint: c.fingerprint, replacement: replacement, began: uptime.Now(), cancel: cancel}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.runs[r] = struct{}{}
@@ -59,7 +59,9 @@
 // cancelUnresponsive cancels the runs whose targets have stopped answering since the
 // runs began.
 func (p *pendingRuns) cancelUnresponsive() {
-	p.cancelWhere(errTargetUnresponsive, func(r *pendingRun) bool { return r.canRetry && r.target.UnresponsiveSince(r.began) })
+	p.cancelWhere(errTargetUnresponsive, func(r *pendingRun) bool {
+		return r.target.UnresponsiveSince(r.began) && r.replacement.reserve(context.Background(), false)
+	})
 }
 
 // cancelQuarantined cancels the runs of a request that has just been quarantined, before
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -37,6 +37,7 @@
 	settled         bool                   // the current run has gone on for quarantine.Onset
 	firstEventAt    time.Time              // of the current run
 	resumeFrom      *kvCopy                // of the failed run
+	silent          bool                   // a run was given up for its target's silence since the last event
 }
 
 // runResult says how a run ended.
@@ -73,7 +74,7 @@
 				"ms", uptime.Since(c.arrived).Milliseconds())
 			return
 		}
-		if ctx.Err() != nil || end == runNoTarget || end == runClientLeft || end == runFailed && !c.route.Idempotent() && c.mayHaveRun || !g.mayRetry(ctx, c) {
+		if ctx.Err() != nil || end == runNoTarget || end == runClientLeft || end == runFailed && !c.route.Idempotent() && c.mayHaveRun || !g.mayRetry(ctx, c) && !r.awaitRetry(ctx) {
 			break
 		}
 	}
@@ -173,10 +174,10 @@
 	r.runs++
 	r.events, r.settled = 0, false
 	r.target, r.software = t, t.Version
+	o := r.newRunRequest(t, from)
 	if r.egressWriter != nil {
-		r.egressWriter.SetTarget(egress.Target{Incarnation: t.Incarnation(), DataHall: t.DataHall, Software: r.software})
+		r.egressWriter.SetTarget(egress.Target{Incarnation: t.Incarnation(), DataHall: t.DataHall, Software: r.software, Copy: copyMessage(o.copy)})
 	}
-	o := r.newRunRequest(t, from)
 	run := t.Begin(o.work, o.trace)
 	rc := &runCopy{relay: r, target: t, run: run, copy: o.copy}
 	end := r.execute(ctx, t, o, rc)
@@ -218,8 +219,11 @@
 	g, c := r.gateway, r.call
 	runCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timeout := time.AfterFunc(r.firstEventTimeout(o), func() { cancel(nil) })
-	pending := g.pending.add(c, t, cancel)
+	replacement := g.newReplacement(c, t)
+	defer replacement.close(c)
+	timeout := replacement.endAfter(runCtx, r.firstEventTimeout(o), func() { cancel(nil) })
+	defer timeout.Stop()
+	pending := g.pending.add(c, t, replacement, cancel)
 	defer pending.drop()
 	c.sentAt = uptime.Now()
 	silence := g.watchSilence(c, prefillSilence)
@@ -230,6 +234,7 @@
 		return runRejected
 	}
 	if err != nil {
+		r.silent = r.silent || !timeout.Stop() || errors.Is(context.Cause(runCtx), errTargetUnresponsive)
 		if !g.canceledByGateway(runCtx, c, t, err) {
 			g.recordFailure(ctx, c, t, err)
 		}
@@ -245,12 +250,13 @@
 	}
 	c.recordRun(t)
 	if !timeout.Stop() {
+		r.silent = true
 		return runFailed
 	}
 	if !isEventStream(answer.Status, answer.Header) {
 		return r.forwardNonStream(ctx, answer, t)
 	}
-	return r.forwardEvents(runCtx, answer, rc, silence, pending.drop)
+	return r.forwardEvents(runCtx, answer, rc, silence, replacement, pending.drop)
 }
 
 // canRetryElsewhere reports whether a run without a first event may be replaced by one
@@ -314,11 +320,17 @@
 
 // forwardEvents forwards the events of an answer. First is called at the run's first
 // event.
-func (r *relay) forwardEvents(ctx context.Context, a *targetconn.Answer, rc *runCopy, silence *silenceWatch, first func()) runResult {
+func (r *relay) forwardEvents(ctx context.Context, a *targetconn.Answer, rc *runCopy, silence *silenceWatch, replacement *replacement, first func()) runResult {
 	g, c, t := r.gateway, r.call, rc.target
 	events := eventstream.NewReader(a)
 	seen := false
+	timeouts := 0 // since the last event
+	a.OnTimeout(func() time.Duration {
+		timeouts++
+		return replacement.wait(ctx, timeouts, seen)
+	})
 	for {
+		timeouts = 0
 		if !events.Buffered() {
 			wait := g.stallTimeout(c.route)
 			if !seen {
@@ -336,6 +348,7 @@
 		if !seen {
 			seen = true
 			first()
+			replacement.bind(r.software)
 			rc.run.FirstEvent()
 			t.RecordSuccess()
 			r.recordFirstEvent()
@@ -411,6 +424,7 @@
 	g.counters.resumes.Inc()
 	c.failedHalls[t.DataHall]++
 	if isTimeout(err) {
+		r.silent = true
 		g.counters.stalls.Inc()
 		t.RecordUnresponsive(false) // the engine may only have preempted this run
 	} else {
@@ -441,7 +455,7 @@
 	} else {
 		r.maxGap = max(r.maxGap, now.Sub(r.lastEventAt))
 	}
-	r.lastEventAt = now
+	r.lastEventAt, r.silent = now, false
 	r.call.idleSince = uptime.Now()
 	return true
 }
--- a/targetconn/conn.go
+++ b/targetconn/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 	pool         *Pool
 	endpoint     Endpoint
 	raw          net.Conn
+	timeouts     *timeoutReader
 	limited      *limitedReader
 	reader       *bufio.Reader
 	firstByte    chan error    // the first byte has arrived, or reading failed
@@ -36,9 +38,10 @@
 }
 
 func newConn(p *Pool, e Endpoint, raw net.Conn) *conn {
-	limited := &limitedReader{source: raw}
+	timeouts := &timeoutReader{conn: raw}
+	limited := &limitedReader{source: timeouts}
 	c := &conn{
-		pool: p, endpoint: e, raw: raw, limited: limited,
+		pool: p, endpoint: e, raw: raw, timeouts: timeouts, limited: limited,
 		reader:    bufio.NewReaderSize(limited, readBuffer),
 		firstByte: make(chan error, 1), nextResponse: make(chan struct{}, 1), closed: make(chan struct{}),
 		idleLimit: p.cfg.IdleLimit,
@@ -126,6 +129,30 @@
 	})
 }
 
+// timeoutReader reads from a connection and may go on when the read deadline passes. Only
+// the goroutine that reads from the connection uses it.
+type timeoutReader struct {
+	conn      net.Conn
+	onTimeout func() time.Duration // see Answer.OnTimeout; nil for none
+}
+
+// Read implements io.Reader.
+func (r *timeoutReader) Read(p []byte) (int, error) {
+	for {
+		n, err := r.conn.Read(p)
+		if n > 0 || r.onTimeout == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		wait := r.onTimeout()
+		if wait <= 0 {
+			return 0, err
+		}
+		if err := r.conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
+			return 0, err
+		}
+	}
+}
+
 // limitedReader limits the bytes read until the next call of allow. Only the goroutine
 // that reads from the connection uses it.
 type limitedReader struct {
--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -257,6 +257,10 @@
 // SetReadDeadline sets the deadline for reads of the body.
 func (a *Answer) SetReadDeadline(t time.Time) error { return a.conn.raw.SetReadDeadline(t) }
 
+// OnTimeout sets a function that is called when the deadline of a read passes. It returns how
+// much longer to wait, or 0 if the read is to fail.
+func (a *Answer) OnTimeout(f func() time.Duration) { a.conn.timeouts.onTimeout = f }
+
 // Close returns the connection to the pool if the response was read completely and the
 // connection can be reused. Otherwise it closes the connection, which cancels a request
 // still in progress at the target.
@@ -267,5 +271,6 @@
 		return
 	}
 	a.conn.raw.SetReadDeadline(time.Time{})
+	a.conn.timeouts.onTimeout = nil
 	a.pool.release(a.conn)
 }
