targetconn: no two requests without identity in a row on a connection

Cause: orders for copies carry no identity, so a surplus answer to one was accepted as the answer to the next order on that connection, and its handle taken for another run's.

Ruled out: an identity for orders.

Why it works: a surplus answer comes where the next one is due, and that one now has an identity, by which a surplus answer is recognized.

--- a/targetconn/conn.go
+++ b/targetconn/conn.go
@@ -29,6 +29,7 @@
 	nextResponse chan struct{} // the exchange is complete: wait for the next response
 	closed       chan struct{}
 	once         sync.Once
+	unidentified bool // the latest request had no identity; for the user of the connection, or under the pool's mutex
 
 	mu         sync.Mutex
 	idle       bool
--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -31,7 +31,7 @@
 // type *Failure.
 func (p *Pool) Do(ctx context.Context, e Endpoint, r *Request) (*Answer, error) {
 	for {
-		c := p.acquire(e.ID)
+		c := p.acquire(e.ID, r)
 		reused := c != nil
 		if !reused && r.Reuse {
 			return nil, &Failure{StageDial, ErrNoConnection}
@@ -79,6 +79,7 @@
 		return nil, &Failure{StageUnsent, errors.New("connection was closed or received unexpected data")}
 	default:
 	}
+	c.unidentified = r.Identity == ""
 	message := encode(r)
 	if len(message) <= maxInlineRequest {
 		if n, err := c.raw.Write(message); err != nil {
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -140,17 +141,23 @@
 	}
 }
 
-// acquire returns a usable idle connection, or nil.
-func (p *Pool) acquire(id string) *conn {
+// acquire returns the newest usable idle connection for a request, or nil. Two requests
+// without identity don't follow each other on a connection: nothing would tell a second
+// response to the first from that to the second.
+func (p *Pool) acquire(id string, r *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for {
 		conns := p.idle[id]
-		if len(conns) == 0 {
+		i := len(conns) - 1
+		for i >= 0 && r.Identity == "" && conns[i].unidentified {
+			i--
+		}
+		if i < 0 {
 			return nil
 		}
-		c := conns[len(conns)-1]
-		p.setIdle(c.endpoint, conns[:len(conns)-1])
+		c := conns[i]
+		p.setIdle(c.endpoint, slices.Delete(conns, i, i+1))
 		if c.acquire(uptime.Now()) {
 			return c
 		}
