gateway: a copy is used only at the call's service

Cause: the holder of a copy got the rest of a stream without a selection of a target; its software version was checked, its service was not.

Why it works: the one place that says where a copy may be used compares the service with that of the call, which the configuration in force decides. What remains: the stream goes on at the new service, as its origin is kept under the route's name.

--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 // attempt is a client's attempt of a stream whose prompt ends with its session's part.
@@ -138,3 +140,28 @@
 		require.NotEmpty(t, s.copyUsed(t, a), id)
 	}
 }
+
+// A route may be replaced while a stream runs: the holder of its copy must not get a request
+// that no longer leads to the holder's service.
+func TestStreamIsNotResumedFromACopyAtAnotherService(t *testing.T) {
+	s := newSessionSite(t)
+	a := attempt{id: "a-1", path: "/draft/x", body: "prompt"}
+	s.begin(t, a)
+	table := testTable()
+	table.Services["other"] = Service{Name: "other", Engine: true, Copies: true}
+	s.gateway.SetTable(table)
+	other := newFakeTarget(t, "i-other", "other", "north", draft(nil))
+	s.targets = append(s.targets, other)
+	s.tracker.Update(listed(s.targets))
+	a.id = "a-2"
+	r := s.request(t, "POST", a.path, a.body, "X-Id", a.id, "X-Deadline", "9000", "X-Usage", "100,60", "X-Prefix", "part-0,part-1", "X-Last", "1")
+	r.RequestURI = a.path
+	c, rejected := s.gateway.open(httptest.NewRecorder(), r, uptime.Now())
+	require.Nil(t, rejected)
+	c.service, c.settings, c.binding = "other", table.Services["other"], boundTo("")
+	answer := httptest.NewRecorder()
+	s.gateway.serveStream(t.Context(), answer, c)
+	require.Equal(t, wholeDraft(2), answer.Body.String())
+	require.Len(t, other.seen(), 1)
+	require.Empty(t, other.seen()[0].Header.Get("X-Copy-From"))
+}
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -59,8 +59,12 @@
 	return ids[:min(len(ids), int(math.Ceil(f.Part*float64(len(ids)))))]
 }
 
-// mayResumeAt reports whether a run may resume from a copy at a target.
+// mayResumeAt reports whether a run may resume from a copy at a target. A route may lead to
+// another service than when the copy was made.
 func (g *Gateway) mayResumeAt(c *call, t *balance.Target) bool {
+	if t.Service != c.service {
+		return false
+	}
 	if c.binding.bound {
 		return c.binding.allows(t) && g.mayContinueAt(c, t.Version)
 	}
