gateway: no bare 429 or 408 for a request that may have run

Cause: of the statuses that promise 'not run' only a bare 503 was replaced.

Evidence: TestStatusThatFalselyPromisesNotRunIsNotForwarded, 4 of 9 cases fail before.

Why it works: one function knows the statuses, for plain requests, streams that may not be resumed, and answers through other nodes.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -432,3 +432,31 @@
 	s.gateway.recordConnectionLoss(c, target, quarantine.Begun)
 	require.Nil(t, c.crashProbe)
 }
+
+// Clients repeat a request after a status that promises that it has not run, so a target's
+// own status of that kind must not reach them for a request that may have run.
+func TestStatusThatFalselyPromisesNotRunIsNotForwarded(t *testing.T) {
+	for _, status := range []int{503, 429, 408} {
+		for path, forwarded := range map[string]bool{"/once/x": false, "/drafts-once/x": false, "/safe/x": true} {
+			t.Run(fmt.Sprint(status, path), func(t *testing.T) {
+				answer := func(_ *fakeTarget, r *http.Request, c net.Conn) {
+					reply(c, r.Header.Get("X-Id"), status, "ran", "X-Seal: s1")
+				}
+				s := newTestSite(t, []*fakeTarget{newFakeTarget(t, "i-1", "lookup", "north", answer), newFakeTarget(t, "i-2", "draft", "north", answer)})
+				table := testTable()
+				table.SetRoutes([]*Route{
+					table.Route("a.example", "/once/x"), table.Route("a.example", "/safe/x"),
+					{Name: "drafts-once", Host: "a.example", Prefix: "/drafts-once/", Kind: Stream, Timeout: 3 * time.Second, LatencyObjective: time.Second, MaxAttempts: 3, Split: []WeightedService{{"draft", 1}}},
+				})
+				s.gateway.SetTable(table)
+				resp, _, err := do(t, s.request(t, "POST", path, "book"))
+				require.NoError(t, err)
+				if forwarded {
+					require.Equal(t, status, resp.StatusCode)
+					return
+				}
+				require.Equal(t, 502, resp.StatusCode)
+			})
+		}
+	}
+}
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -210,6 +210,9 @@
 		klog.InfoS("Answer through another node broke off", "request", c.id, "egress", p.node, "target", p.answer.Target, "err", err)
 		return nil, true
 	}
+	if c.isFalsePromise(resp.status) {
+		return nil, true // an egress of an older build forwards it
+	}
 	resp.target = p.answer.Target
 	g.counters.relayed("ingress", egress.Answered.String())
 	klog.InfoS("Answered through another node", "request", c.id, "egress", p.node, "target", p.answer.Target, "status", resp.status)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -169,10 +169,13 @@
 	}
 	g.cfg.Quarantine.RecordSuccess(c.fingerprint)
 	c.rolloutRequest.RecordFirstEvent()
-	if answer.Status >= http.StatusInternalServerError {
+	if c.isFalsePromise(answer.Status) {
+		resp = nil
+	}
+	if answer.Status >= http.StatusInternalServerError || resp == nil {
 		g.recordErrorAnswer(c, t)
 		t.RecordErrorResponse()
-		return g.suppressFalseNotRun(c, resp), true
+		return resp, true
 	}
 	c.rolloutRequest.Finish(rollout.Served)
 	t.RecordSuccess()
@@ -195,13 +198,15 @@
 	}
 }
 
-// suppressFalseNotRun drops a 503 answer to a request that must not be retried: clients
-// take 503 to mean that the request did not run, which the target did not state.
-func (g *Gateway) suppressFalseNotRun(c *call, a *response) *response {
-	if a.status == http.StatusServiceUnavailable && !c.route.Idempotent() {
-		return nil
-	}
-	return a
+// isFalsePromise reports whether a status must not be forwarded to the client of a request
+// that must not be retried: clients take it to mean that the request did not run, which the
+// target did not state.
+func (c *call) isFalsePromise(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout:
+		return !c.route.Idempotent()
+	}
+	return false
 }
 
 // readResponse reads an answer up to maxBufferedBody.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -299,7 +299,7 @@
 // not received a head yet.
 func (r *relay) forwardNonStream(ctx context.Context, a *targetconn.Answer, t *balance.Target) runResult {
 	g, c := r.gateway, r.call
-	if a.Status >= http.StatusInternalServerError {
+	if a.Status >= http.StatusInternalServerError || c.isFalsePromise(a.Status) {
 		g.recordErrorAnswer(c, t)
 		t.RecordErrorResponse()
 		klog.InfoS("Target answered with a server error", "request", c.id, "target", t.ID, "status", a.Status)
