control: a relay applies an empty target list

Cause: the leader hashed a nil list, encoded as msgpack's nil; a receiver decodes that to an empty one, which is encoded and hashed differently, so the versions never agree.

Evidence: TestRelayAppliesAnEmptyTargetList/from_the_start fails before; a list that empties later passed.

Why it works: the list is made non-nil where it is stored, so both sides hash the same bytes. The error names both versions.

--- a/control/relay.go
+++ b/control/relay.go
@@ -230,7 +230,7 @@
 			version, _ = r.server.targets.current()
 		}
 		if r.needFull = err != nil || version != reply.Version; r.needFull {
-			klog.ErrorS(err, "Failed to apply target list", "version", reply.Version)
+			klog.ErrorS(err, "Failed to apply target list", "version", reply.Version, "applied", version)
 			return false
 		}
 	}
--- a/control/relay_test.go
+++ b/control/relay_test.go
@@ -82,6 +82,30 @@
 	})
 }
 
+// The list is empty while a site starts, and when all targets are gone.
+func TestRelayAppliesAnEmptyTargetList(t *testing.T) {
+	for name, before := range map[string][]discovery.Target{"from the start": nil, "targets are gone": numberedTargets(0, 30)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				peers, member, relay := newRelayPair()
+				peers.leader.targets.Set(before)
+				require.True(t, relay.refresh(t.Context(), "leader"))
+				peers.leader.targets.Set(nil)
+				accept(peers.leader.state, 4)
+				accept(member.state, 4)
+				require.True(t, relay.refresh(t.Context(), "leader"))
+				reply, ok := askRelay(member, NewestArgs{Entry: "e1"})
+				require.True(t, ok)
+				require.Equal(t, uint64(4), reply.Version)
+				require.NoError(t, reply.Roster.readFull(t.Context(), nil, "relay", ""))
+				targets, err := reply.Roster.Targets(0, nil)
+				require.NoError(t, err)
+				require.Empty(t, targets)
+			})
+		})
+	}
+}
+
 // On a small site the leader answers all entry nodes itself.
 func TestSmallSiteNeedsNoRelay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/control/roster.go
+++ b/control/roster.go
@@ -63,7 +63,7 @@
 
 // Set stores a reading, with the present time. The order of the targets does not matter.
 func (r *TargetList) Set(list []discovery.Target) {
-	list = slices.Clone(list)
+	list = append([]discovery.Target{}, list...) // not nil, which is encoded in another way than an empty list
 	slices.SortFunc(list, func(a, b discovery.Target) int { return cmp.Compare(a.ID, b.ID) })
 	encoded := encodeTargets(list)
 	next := targetListVersion{version: max(1, xxhash.Sum64(encoded)), list: list, encoded: encoded, changes: map[uint64]*TargetListChange{}}
