gateway: the replacement of another node's run asks whether its route allows one

A relayed run that was the last that its route allows was given up when its target was silent to others; before the replacement it was kept. No behaviour else: the content is a field, names of balance.StreamID's methods.

--- a/balance/traces.go
+++ b/balance/traces.go
@@ -13,9 +13,9 @@
 	Attempt uint64 // hash of the client's attempt that brought the first event; 0 if not known
 }
 
-// includes reports whether a trace of the stream b may be meant by a question for a.
-func (a StreamID) includes(b StreamID) bool {
-	return a.Content == b.Content && (a.Attempt == 0 || a.Attempt == b.Attempt)
+// includes reports whether another stream may be the one that s identifies.
+func (s StreamID) includes(other StreamID) bool {
+	return s.Content == other.Content && (s.Attempt == 0 || s.Attempt == other.Attempt)
 }
 
 // Trace locates a failed run's state for resumption.
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -10,6 +10,7 @@
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/internal/uptime"
+	"github.com/walnutramp/walnutramp/quarantine"
 	"k8s.io/klog/v2"
 )
 
@@ -27,33 +28,31 @@
 // replacement reserves the retry by which one run may be replaced. Its methods are safe for
 // use by other goroutines than that of the run's relay.
 type replacement struct {
-	gateway     *Gateway
-	request     string
-	service     string
-	budget      *balance.Budget
-	allowed     bool // the route allows another run
-	relayed     bool // for another node, whose retry it is
-	delegated   bool // that node ends the run once it has begun
-	quarantined func() bool
-	choice      balance.Choice         // of another target
-	version     atomic.Pointer[string] // to which the stream is bound; nil before
+	gateway   *Gateway
+	request   string
+	service   string
+	budget    *balance.Budget
+	content   quarantine.Fingerprint
+	allowed   bool                   // the route allows another run
+	relayed   bool                   // the run is for another node, which has the budget
+	delegated bool                   // that node ends the run once it has begun
+	choice    balance.Choice         // of another target
+	version   atomic.Pointer[string] // to which the stream is bound; nil before
 
 	mu     sync.Mutex
 	retry  balance.Retry
 	closed bool
 }
 
-// newReplacement returns the replacement of a call's next run, which is at a target; nil for
-// one through another node.
+// newReplacement returns the replacement of a call's next run at a target, which is nil if it
+// is not known.
 func (g *Gateway) newReplacement(c *call, t *balance.Target) *replacement {
-	p := &replacement{gateway: g, request: c.id, service: c.service, budget: g.budgets.Of(c.service), allowed: c.canRetryElsewhere(), relayed: c.relayed, delegated: c.endedByIngress}
-	content := c.fingerprint
-	p.quarantined = func() bool {
-		_, held := g.cfg.Quarantine.Quarantined(content)
-		return held
+	p := &replacement{
+		gateway: g, request: c.id, service: c.service, budget: g.budgets.Of(c.service), content: c.fingerprint,
+		allowed: c.canRetryElsewhere(), relayed: c.relayed, delegated: c.endedByIngress,
 	}
 	if c.binding.bound {
-		p.version.Store(&c.binding.software)
+		p.bind(c.binding.software)
 	}
 	excluded, tried := g.excludeByVersion(c), maps.Clone(c.tried)
 	p.choice = c.choice()
@@ -74,9 +73,9 @@
 // borrow, other nodes are asked for one if this node has none left.
 func (p *replacement) reserve(ctx context.Context, borrow bool) bool {
 	if p.relayed {
-		return true
+		return p.allowed
 	}
-	if !p.allowed || p.quarantined() || !p.hasTarget() {
+	if _, quarantined := p.gateway.cfg.Quarantine.Quarantined(p.content); !p.allowed || quarantined || !p.hasTarget() {
 		return false
 	}
 	if p.spend() {
