origins: the key of a stream does not hold its route's name

With one version, a route that was renamed and moved took a stream up at another service.

Cause: the origin of a stream was kept under account, route name and content; the name is the operator's and may change while streams run.

Why it works: what names a stream is the account and the request. A node of this build asks for a record of an older one by the old key when it finds none.

loadshare: TestOriginHolders looked at the first holder of the first node, which holds no disk where that node is itself the first; it now asks at every node that the first holder is the best with a disk.

--- a/gateway/taken_up_test.go
+++ b/gateway/taken_up_test.go
@@ -15,6 +15,7 @@
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/origins"
+	"github.com/walnutramp/walnutramp/quarantine"
 )
 
 // takenUpSite is a site with targets of two versions, of which streams begin at the first.
@@ -312,3 +313,61 @@
 	s.tracker.Target("i-1").StartCooldown(5 * time.Second)
 	require.NotEmpty(t, s.requireRejectedAtOnce(t, walnutramp.CodeTargetsCooldown), "Retry-After")
 }
+
+// renameRoute gives the route of drafts another name, and makes it lead to a service.
+func (s *takenUpSite) renameRoute(service string) {
+	table := testTable()
+	table.Services["other"] = Service{Name: "other", Engine: true}
+	table.SetRoutes([]*Route{{Name: "renamed", Host: "a.example", Prefix: "/draft/", Kind: Stream, Resume: true, Timeout: 10 * time.Second,
+		LatencyObjective: time.Second, MaxAttempts: 5, Split: []WeightedService{{service, 1}}}})
+	s.gateway.SetTable(table)
+}
+
+// What began a stream is known under its route's new name, too.
+func TestStreamIsTakenUpAfterItsRouteWasRenamed(t *testing.T) {
+	for name, headers := range map[string][]string{
+		"the client names the attempt": {"X-Resumes", "attempt-1"},
+		"the client names none":        nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTakenUpSite(t)
+			s.begin(t)
+			s.renameRoute("draft")
+			status, _, text, _ := s.takeUp(t, "prompt", headers...)
+			require.Equal(t, 200, status)
+			require.Equal(t, wholeDraft(5), text)
+			require.Empty(t, s.v2.seen())
+		})
+	}
+}
+
+// A route that was replaced by one of another name leads to another service all the same.
+func TestStreamIsNotTakenUpAtTheServiceOfARenamedRoute(t *testing.T) {
+	s := newTakenUpSite(t)
+	s.begin(t, "X-Deadline", "60000")
+	other := newFakeTarget(t, "i-3", "other", "north", draft(nil))
+	s.tracker.Update(withVersions([]string{"v1", "v1"}, s.v1, other))
+	defer uptime.Pretend(21 * time.Second)() // the only version of the other service is known for long
+	s.renameRoute("other")
+	status, code, _, _ := s.takeUp(t, "prompt", "X-Resumes", "attempt-1", "X-Deadline", "9000")
+	require.Equal(t, 503, status)
+	require.Equal(t, walnutramp.CodeVersionGone, code)
+	require.Empty(t, other.seen())
+}
+
+// A stream that began at a node of an older build is known under its route's name.
+func TestStreamOfAnOlderBuildIsTakenUp(t *testing.T) {
+	s := newTakenUpSite(t)
+	s.listOnly("v1", "v2")
+	content := quarantine.FingerprintOf([]byte("prompt"), "", "a.example", "POST", "/draft/x")
+	s.gateway.cfg.Origins.Put(origins.Record{
+		Key: origins.KeyWithRoute("", "draft", uint64(content)), Attempt: origins.AttemptOf("", "attempt-1"),
+		Origin: origins.Origin{Service: "draft", Software: "v1"}, TTL: time.Minute,
+	})
+	request := s.request(t, "POST", "/draft/x", "prompt", "X-Id", "attempt-2", "X-Last", "4", "X-Resumes", "attempt-1")
+	r, text, err := do(t, request)
+	require.NoError(t, err)
+	require.Equal(t, 200, r.StatusCode)
+	require.Equal(t, wholeDraft(5), text)
+	require.Empty(t, s.v2.seen())
+}
--- a/gateway/takenup.go
+++ b/gateway/takenup.go
@@ -25,7 +25,7 @@
 
 // originKey returns the key under which the origin of a call's stream is kept.
 func (c *call) originKey() origins.Key {
-	return origins.KeyOf(c.account.Name, c.route.Name, uint64(c.fingerprint))
+	return origins.KeyOf(c.account.Name, uint64(c.fingerprint))
 }
 
 // record returns the record of a bound call's stream.
@@ -46,7 +46,7 @@
 	if len(c.route.Split) == 1 {
 		q.Service = c.service
 	}
-	origin, source, known := g.cfg.Origins.Find(ctx, q)
+	origin, source, known := g.findOrigin(ctx, c, q)
 	g.counters.streamResumed(source)
 	klog.InfoS("Client takes a stream up", "request", c.id, "resumes", c.resumes, "last", c.lastID, "known", known, "source", source,
 		"service", origin.Service, "software", origin.Software, "ms", uptime.Since(c.arrived).Milliseconds())
@@ -64,6 +64,20 @@
 	return nil
 }
 
+// findOrigin returns the origin of a stream that a client takes up, also if a node of an older
+// build keeps it.
+func (g *Gateway) findOrigin(ctx context.Context, c *call, q origins.Question) (origins.Origin, origins.Source, bool) {
+	origin, source, known := g.cfg.Origins.Find(ctx, q)
+	if known {
+		return origin, source, true
+	}
+	q.Key = origins.KeyWithRoute(c.account.Name, c.route.Name, uint64(c.fingerprint))
+	if older, from, known := g.cfg.Origins.Find(ctx, q); known && from != origins.FromOnlyVersion {
+		return older, from, true
+	}
+	return origin, source, false
+}
+
 // leadsTo reports whether a route leads to a service.
 func (r *Route) leadsTo(service string) bool {
 	return slices.ContainsFunc(r.Split, func(s WeightedService) bool { return s.Service == service && s.Weight > 0 })
--- a/loadshare/origins_test.go
+++ b/loadshare/origins_test.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -16,6 +15,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/discovery"
+	"github.com/walnutramp/walnutramp/internal/rendezvous"
 	"github.com/walnutramp/walnutramp/origins"
 	"github.com/walnutramp/walnutramp/topology"
 )
@@ -196,7 +196,7 @@
 	}
 	version := versions[s.rng.IntN(len(versions))]
 	deadline := time.Now().Add(streamTime)
-	record := origins.Record{Key: origins.KeyOf("a", "r", uint64(number)), Attempt: origins.AttemptOf("a", strconv.Itoa(number)),
+	record := origins.Record{Key: origins.KeyOf("a", uint64(number)), Attempt: origins.AttemptOf("a", strconv.Itoa(number)),
 		Origin: origins.Origin{Service: "s", Software: version}, TTL: originWindow}
 	life := time.Second + time.Duration(s.rng.Int64N(int64(streamTime-time.Second)))
 	on := s.nodes[node]
@@ -397,15 +397,15 @@
 	for i := range 40 {
 		locations[addressOf(i)] = location{dataHall: fmt.Sprint("hall-", i%4), disk: hasDisk(i)}
 	}
-	key := origins.KeyOf("a", "r", 7)
-	var agreed []string
+	key := origins.KeyOf("a", 7)
 	for i := range 40 {
 		l := newLayout(addressOf(i), locations, topology.Map{})
 		holders := l.originHolders(key, originReplicas)
 		require.Len(t, holders, originReplicas)
 		require.NotContains(t, holders, addressOf(i))
-		if agreed == nil && !slices.Contains(l.originHolders(key, originReplicas+1), addressOf(i)) {
-			agreed = holders
+		if best := rendezvous.First(l.traceStores[l.region], string(key[:])); best != addressOf(i) {
+			require.Equal(t, best, holders[0])
+			require.True(t, hasDisk(nodeIndex(best)))
 		}
 		halls := map[string]bool{}
 		for _, h := range holders {
@@ -414,7 +414,6 @@
 		require.GreaterOrEqual(t, len(halls), 3)
 		require.Subset(t, newLayout(addressOf(39), locations, topology.Map{}).originHolders(key, originLookups), without(holders, addressOf(39)))
 	}
-	require.True(t, hasDisk(nodeIndex(agreed[0])))
 }
 
 // The nodes that keep a record may all restart while its stream runs; each must be given it
@@ -425,7 +424,7 @@
 		time.Sleep(originWindow)
 		s.setVersions("v1", "v2")
 		time.Sleep(maxListLag)
-		record := origins.Record{Key: origins.KeyOf("a", "r", 1), Attempt: 1, Origin: origins.Origin{Service: "s", Software: "v2"}, TTL: time.Minute}
+		record := origins.Record{Key: origins.KeyOf("a", 1), Attempt: 1, Origin: origins.Origin{Service: "s", Software: "v2"}, TTL: time.Minute}
 		require.True(t, s.registries[1].Remember(t.Context(), record, originWindow))
 		for _, holder := range s.nodes[1].currentLayout().originHolders(record.Key, originReplicas) {
 			s.crash([]int{nodeIndex(holder)})
@@ -448,7 +447,7 @@
 // What a stream costs that is never taken up is one datagram to each node that keeps its record.
 func TestOriginMessagesAreSmall(t *testing.T) {
 	const headers, most = 28, 128 // bytes of a datagram
-	record := origins.Record{Key: origins.KeyOf("a", "r", 1), Attempt: 1 << 63, Origin: origins.Origin{Service: "redactor-lm", Software: "v1.12.3"}, TTL: 50 * time.Second}
+	record := origins.Record{Key: origins.KeyOf("a", 1), Attempt: 1 << 63, Origin: origins.Origin{Service: "redactor-lm", Software: "v1.12.3"}, TTL: 50 * time.Second}
 	for _, m := range []message{
 		{OriginStore: &originStore{ID: 1 << 40, Record: encodeOrigin(record)}},
 		{OriginQuestion: &originQuestion{ID: 1 << 40, Key: record.Key[:], Attempt: 1 << 63, Service: record.Service, WindowMS: 50_000}},
@@ -471,7 +470,7 @@
 			l := newLayout(addressOf(0), locations, topology.Map{})
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
-				l.originHolders(origins.KeyOf("a", "r", uint64(i)), originReplicas)
+				l.originHolders(origins.KeyOf("a", uint64(i)), originReplicas)
 			}
 		})
 	}
--- a/origins/bench_test.go
+++ b/origins/bench_test.go
@@ -9,6 +9,6 @@
 	b.ReportAllocs()
 	r := New(fixedVersions{})
 	for i := 0; b.Loop(); i++ {
-		r.Put(Record{Key: KeyOf("a", "r", uint64(i)), Attempt: first, Origin: v1, TTL: time.Minute})
+		r.Put(Record{Key: KeyOf("a", uint64(i)), Attempt: first, Origin: v1, TTL: time.Minute})
 	}
 }
--- a/origins/origins.go
+++ b/origins/origins.go
@@ -15,13 +15,18 @@
 	"time"
 )
 
-// Key identifies the streams of one content: a hash of the client account, the route and the
-// request, which is the same whenever a client sends it again. It decides which nodes keep a
-// record.
+// Key identifies the streams of one content: a hash of the client account and the request,
+// which is the same whenever a client sends it again, whatever its route is called by then.
+// It decides which nodes keep a record.
 type Key [16]byte
 
 // KeyOf returns the key of a request; fingerprint is a hash of its content.
-func KeyOf(account, route string, fingerprint uint64) Key {
+func KeyOf(account string, fingerprint uint64) Key {
+	return Key(hash(account, strconv.FormatUint(fingerprint, 16))[:len(Key{})])
+}
+
+// KeyWithRoute returns the key under which an older build keeps the origin of a stream.
+func KeyWithRoute(account, route string, fingerprint uint64) Key {
 	return Key(hash(account, route, strconv.FormatUint(fingerprint, 16))[:len(Key{})])
 }
 
--- a/origins/origins_test.go
+++ b/origins/origins_test.go
@@ -38,7 +38,7 @@
 )
 
 var (
-	key    = KeyOf("a", "r", 7)
+	key    = KeyOf("a", 7)
 	v1, v2 = Origin{"s", "v1"}, Origin{"s", "v2"}
 )
 
@@ -116,7 +116,7 @@
 		time.Sleep(20 * time.Second)
 		_, known = r.lookUp(Question{Key: key, Attempt: first})
 		require.False(t, known)
-		r.Put(Record{Key: KeyOf("a", "r", 8), Origin: v1, TTL: time.Second})
+		r.Put(Record{Key: KeyOf("a", 8), Origin: v1, TTL: time.Second})
 		records, dropped := r.Counts()
 		require.Equal(t, 1, records)
 		require.Zero(t, dropped)
@@ -127,14 +127,14 @@
 func TestRecordsAreBounded(t *testing.T) {
 	r := New(fixedVersions{})
 	for i := range uint64(maxRecords + 10) {
-		r.Put(Record{Key: KeyOf("a", "r", i), Attempt: first, Origin: v1, TTL: time.Minute})
+		r.Put(Record{Key: KeyOf("a", i), Attempt: first, Origin: v1, TTL: time.Minute})
 	}
 	records, dropped := r.Counts()
 	require.Equal(t, maxRecords, records)
 	require.EqualValues(t, 10, dropped)
-	_, known := r.lookUp(Question{Key: KeyOf("a", "r", 9)})
+	_, known := r.lookUp(Question{Key: KeyOf("a", 9)})
 	require.False(t, known)
-	_, known = r.lookUp(Question{Key: KeyOf("a", "r", 10)})
+	_, known = r.lookUp(Question{Key: KeyOf("a", 10)})
 	require.True(t, known)
 }
 
@@ -151,7 +151,8 @@
 
 // Two texts of a key must not be taken for others with the same characters.
 func TestKeysTellTheirPartsApart(t *testing.T) {
-	require.NotEqual(t, KeyOf("ab", "c", 1), KeyOf("a", "bc", 1))
+	require.NotEqual(t, KeyWithRoute("ab", "c", 1), KeyWithRoute("a", "bc", 1))
+	require.NotEqual(t, KeyOf("a", 0xb1), KeyOf("ab", 1))
 	require.NotEqual(t, AttemptOf("ab", "c"), AttemptOf("a", "bc"))
 	require.Zero(t, AttemptOf("a", ""))
 }
