--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -76,9 +76,9 @@
 	renewAt   time.Time // zero for a copy that grows with the run
 }
 
-// findCopy returns the copy of the stream that a client takes up, or nil, and completes the
-// call's identity: of a stream whose first attempt is not known, only what follows this
-// attempt belongs together.
+// findCopy returns the copy of the stream that a client takes up, or nil. If the client names
+// no attempt, the copy's stream becomes that of the call; without a copy, a stream that
+// begins with this attempt does.
 func (g *Gateway) findCopy(c *call) (found *kvCopy) {
 	if at, trace := g.targets.FindCopy(c.stream); at != nil {
 		klog.InfoS("Client comes again, a copy is known", "request", c.id, "copy", trace.CopyName, "at", at.ID, "last", c.lastID)
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -14,15 +14,15 @@
 	"k8s.io/klog/v2"
 )
 
-// A silent target may still answer. So a run is given up for its target's silence only when
-// it can be replaced: the route allows one more, a retry is left in the budget, and another
-// target is there. Otherwise its client would lose an answer that may only be late.
+// A silent target may still answer. So a run is canceled for its target's silence only when
+// it can be replaced: the route allows another attempt, the budget has a retry left, and
+// another target is available. Otherwise the client would lose an answer that is only late.
 
 // replaceInterval is how often it is checked whether a silent run can be replaced.
 const replaceInterval = 100 * time.Millisecond
 
-// lateReadTime is how long after a timeout a run is still read from: if this process was not
-// running, events may have arrived meanwhile.
+// lateReadTime is how long a run is still read from after a timeout: while this process was
+// not scheduled, events may have arrived.
 const lateReadTime = 10 * time.Millisecond
 
 // replacement reserves the retry by which one run may be replaced. Its methods are safe for
@@ -66,7 +66,8 @@
 	return p
 }
 
-// bind says that events of a software version were forwarded.
+// bind restricts the replacement to targets of a software version, once events of it were
+// forwarded.
 func (p *replacement) bind(version string) { p.version.Store(&version) }
 
 // reserve reports whether the run can be replaced now, and reserves the retry for that. With
@@ -84,8 +85,8 @@
 	return borrow && p.gateway.cfg.Borrow != nil && p.gateway.cfg.Borrow(ctx, p.service) && p.spend()
 }
 
-// wait returns how much longer to wait for a run that is silent, at the first, second and so
-// on end of a timeout; 0 if it is to be replaced. Begun says that it has brought an event.
+// wait returns how much longer to wait for a silent run; 0 if it is to be replaced. timeouts
+// counts the timeouts since its last event; begun says that it has produced an event.
 func (p *replacement) wait(ctx context.Context, timeouts int, begun bool) time.Duration {
 	if timeouts == 1 {
 		return lateReadTime
@@ -99,13 +100,12 @@
 	return replaceInterval
 }
 
-// logKept logs that a silent run goes on.
+// logKept logs that a silent run is not canceled.
 func (p *replacement) logKept() {
-	klog.InfoS("Run is silent, and kept as it can't be replaced", "request", p.request, "service", p.service)
+	klog.InfoS("Run is silent, but can't be replaced", "request", p.request, "service", p.service)
 }
 
-// hasTarget reports whether another target can be tried, of this node's own or through
-// another node.
+// hasTarget reports whether another target is available, to this node or through another.
 func (p *replacement) hasTarget() bool {
 	g := p.gateway
 	return g.cfg.Egress != nil && g.paths.State(p.service).Lost || g.targets.Pick(p.choice) != nil
@@ -130,7 +130,7 @@
 	return ok
 }
 
-// close ends the replacement with its run, and passes a reserved retry to the call.
+// close is called at the end of the run. It passes a reserved retry to the call.
 func (p *replacement) close(c *call) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -142,9 +142,9 @@
 	c.reservedRetry = p.retry
 }
 
-// awaitRetry waits for a retry for a stream that was given up for its target's silence and
-// whose next run was rejected; false if none comes before its client leaves. A stream that
-// its target broke off is not held: its client may take it up at once.
+// awaitRetry waits for a retry for a stream whose run was canceled for its target's silence
+// and whose next run was rejected; false if there is none before the client leaves. It does
+// not wait for a stream that its target broke off, which the client may resume at once.
 func (r *relay) awaitRetry(ctx context.Context) bool {
 	g, c := r.gateway, r.call
 	for r.started && r.silent && c.dispatched < c.route.MaxAttempts {
@@ -158,7 +158,7 @@
 	return false
 }
 
-// replaceTimer ends a run after a timeout, or as soon after it as it can be replaced.
+// replaceTimer ends a run after a timeout, as soon as it can be replaced.
 type replaceTimer struct {
 	replacement *replacement
 	ctx         context.Context
@@ -166,12 +166,13 @@
 
 	mu      sync.Mutex
 	timer   *time.Timer
+	resets  int
 	late    bool // the timeout has passed
 	stopped bool
 	fired   bool
 }
 
-// endAfter calls end after a timeout, or later, once the run can be replaced.
+// endAfter calls end after a timeout, as soon as the run can be replaced.
 func (p *replacement) endAfter(ctx context.Context, timeout time.Duration, end func()) *replaceTimer {
 	w := &replaceTimer{replacement: p, ctx: ctx, end: end}
 	w.mu.Lock()
@@ -181,10 +182,13 @@
 }
 
 func (w *replaceTimer) expire() {
+	w.mu.Lock()
+	resets := w.resets
+	w.mu.Unlock()
 	replaceable := w.replacement.reserve(w.ctx, true)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.stopped {
+	if w.stopped || w.resets != resets {
 		return
 	}
 	if !replaceable {
@@ -199,12 +203,13 @@
 	w.end()
 }
 
-// Reset starts the timeout anew, unless the timer has fired or is stopped.
+// Reset restarts the timeout, unless the timer has fired or is stopped.
 func (w *replaceTimer) Reset(timeout time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.stopped && !w.fired {
 		w.late = false
+		w.resets++
 		w.timer.Reset(timeout)
 	}
 }
--- a/gateway/session_test.go
+++ b/gateway/session_test.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// Two generations of one request differ, so only the attempt tells which copy is whose.
+// Two generations of one request differ, so only the attempt identifies a copy.
 func TestIdenticalRequestsDoNotShareACopy(t *testing.T) {
 	a := attempt{id: "a-1", path: "/draft/x", body: "prompt"}
 	for name, beginOther := range map[string]func(*sessionSite, *testing.T, attempt){
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -37,7 +37,7 @@
 	settled         bool                   // the current run has gone on for quarantine.Onset
 	firstEventAt    time.Time              // of the current run
 	resumeFrom      *kvCopy                // of the failed run
-	silent          bool                   // a run was given up for its target's silence since the last event
+	silent          bool                   // a run was canceled for its target's silence since the last event
 }
 
 // runResult says how a run ended.
--- a/targetconn/pool.go
+++ b/targetconn/pool.go
@@ -142,8 +142,8 @@
 }
 
 // acquire returns the newest usable idle connection for a request, or nil. Two requests
-// without identity don't follow each other on a connection: nothing would tell a second
-// response to the first from that to the second.
+// without identity don't follow each other on a connection, as a surplus response to the
+// first could not be distinguished from the response to the second.
 func (p *Pool) acquire(id string, r *Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
