gateway: the log and a counter say why a stream is cut off

"Stream given up" had a cause only for deadlines and clients that left, so that a missing retry, a last attempt and a missing target looked the same, and nothing told a process that had stood still from a target that was silent. The line now names the reason, the time since the last event and the age of the configuration; walnutramp_gateway_streams_cut_off_total counts by reason; "Stream broke off" says how late the timeout was noticed. explain reads the reason. No decision changes: whyNoNextRun asks what the loop of serveStream asked, in its order.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -391,6 +391,14 @@
 		return fmt.Sprintf("the client's deadline or the route's time-out passed after event %s (%s)", last.Fields["last"], s.targetFailures()),
 			"if the client came again, little time may have been left"
 	}
+	switch last.Fields["why"] {
+	case "no-attempt":
+		return fmt.Sprintf("the route allowed no further attempt after event %s: %s", last.Fields["last"], s.targetFailures()),
+			"raise the route's number of attempts, or look at the failures of its targets"
+	case "quarantined":
+		return fmt.Sprintf("the request is quarantined, since it crashed targets; it ended after event %s: %s", last.Fields["last"], s.targetFailures()),
+			"look at the request's content, and at the targets that ran it"
+	}
 	if s.count("Not repeated: the budget is spent") > 0 {
 		return fmt.Sprintf("the retry budget was exhausted after event %s: %s", last.Fields["last"], s.targetFailures()),
 			"check the failures of the service's targets in the ten seconds before"
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -104,6 +104,17 @@
 	}
 }
 
+func TestStreamCutOffIsExplainedByItsReason(t *testing.T) {
+	for why, want := range map[string]string{"no-attempt": "no further attempt", "quarantined": "is quarantined", "no-target": "no target was left"} {
+		lines, err := Read(strings.NewReader(`I0807 10:00:01.500000   13212 stream.go:10] "Run begins" request="a1" target="i-1" run=1
+I0807 10:00:02.250000   13212 stream.go:99] "Stream given up" request="a1" route="r" last=9 sent=1 outcome="unknown" versionGone=false why="`+why+`" cause=null`), "node-1.log")
+		require.NoError(t, err)
+		trace, ok := TraceRequest(lines, "a1")
+		require.True(t, ok)
+		require.Contains(t, trace.Cause, want)
+	}
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add(`  1.5 node I0807 10:00:01.500000 1 a.go:1] "Run begins" request="a" target="b c" list=["x","y"]`)
 	f.Fuzz(func(t *testing.T, text string) {
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -87,6 +87,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("walnutramp_gateway_relayed_total{role=%q,result=%q}", role, result)).Inc()
 }
 
+// streamCutOff counts a stream whose client got only a part of it, or left.
+func (c *counters) streamCutOff(why endReason) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("walnutramp_gateway_streams_cut_off_total{why=%q}", why)).Inc()
+}
+
 // streamContinued counts a run that continues a stream; version is "same" or "other".
 func (c *counters) streamContinued(version string) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("walnutramp_gateway_streams_continued_total{version=%q}", version)).Inc()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -234,11 +234,20 @@
 // SetTable activates a routing table.
 func (g *Gateway) SetTable(t *Table) {
 	t.setRanks()
+	t.activeSince = uptime.Now()
 	g.targets.SetEngines(t.engines())
 	g.table.Store(t)
 	g.Started()
 }
 
+// tableAge returns the time since the active table was activated; 0 before the first.
+func (g *Gateway) tableAge() time.Duration {
+	if t := g.table.Load(); t != nil {
+		return uptime.Since(t.activeSince)
+	}
+	return 0
+}
+
 // Limits returns the limits of the active table; zero before the first.
 func (g *Gateway) Limits() Limits {
 	if t := g.table.Load(); t != nil {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -66,23 +66,6 @@
 	return g.attemptPlain(ctx, c, t)
 }
 
-// mayRetry reports whether another target may be tried, and reserves the retry.
-func (g *Gateway) mayRetry(ctx context.Context, c *call) bool {
-	if g.cfg.Quarantine.CheckRetry(c.crashProbe, c.fingerprint) != nil {
-		return false
-	}
-	if c.mayHaveRun && !c.route.Idempotent() {
-		return false
-	}
-	if c.dispatched >= max(1, c.route.MaxAttempts) {
-		return false
-	}
-	budget := g.budgets.Of(c.service)
-	reserved := c.reserveRetry(budget) || g.cfg.Borrow != nil && g.cfg.Borrow(ctx, c.service) && c.reserveRetry(budget)
-	g.logRetry(c, budget, reserved)
-	return reserved
-}
-
 // logRetry logs the counts on which a retry was decided: those of this node within the
 // window, and those reported by all nodes.
 func (g *Gateway) logRetry(c *call, b *balance.Budget, reserved bool) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -38,6 +38,7 @@
 	firstEventAt    time.Time              // of the current run
 	resumeFrom      *kvCopy                // of the failed run
 	silent          bool                   // a run was canceled for its target's silence since the last event
+	timeoutLate     time.Duration          // by which the run's first timeout since the last event was noticed late
 }
 
 // runResult says how a run ended.
@@ -62,26 +63,24 @@
 	if c.resumed {
 		r.resumeFrom = g.findCopy(c)
 	}
-	for {
+	var why endReason
+	for why == "" {
 		end := r.runNext(ctx)
-		if end == runComplete && !r.finish(ctx) {
-			break
-		}
-		if end == runComplete || end == runNotStream {
+		if (end == runComplete && r.finish(ctx)) || end == runNotStream {
 			g.counters.answered(c.arrived)
 			klog.InfoS("Stream served", "request", c.id, "route", c.route.Name, "first_ms", r.firstEventAfter.Milliseconds(),
 				"longest_pause_ms", r.maxGap.Milliseconds(), "last", c.lastID, "runs", r.runs,
 				"ms", uptime.Since(c.arrived).Milliseconds())
 			return
 		}
-		if ctx.Err() != nil || end == runNoTarget || end == runClientLeft || end == runFailed && !c.route.Idempotent() && c.mayHaveRun || !g.mayRetry(ctx, c) && !r.awaitRetry(ctx) {
-			break
-		}
+		why = r.whyNoNextRun(ctx, end)
 	}
 	if r.started || ctx.Err() == context.Canceled {
 		rest := r.drain()
+		g.counters.streamCutOff(why)
 		klog.InfoS("Stream given up", "request", c.id, "route", c.route.Name, "last", c.lastID, "sent", c.dispatched,
-			"outcome", c.outcome(), "versionGone", c.versionGone, "cause", ctx.Err(), "notPassed", rest)
+			"outcome", c.outcome(), "versionGone", c.versionGone, "why", why, "cause", ctx.Err(), "notPassed", rest,
+			"silent_ms", uptime.Since(c.idleSince).Milliseconds(), "configurationAge_ms", g.tableAge().Milliseconds())
 		panic(http.ErrAbortHandler) // a truncated stream must not look complete
 	}
 	g.fail(w, c, g.finalError(c, "no target answered"))
@@ -325,18 +324,22 @@
 	events := eventstream.NewReader(a)
 	seen := false
 	timeouts := 0 // since the last event
+	var due time.Time
 	a.OnTimeout(func() time.Duration {
-		timeouts++
+		if timeouts++; timeouts == 1 {
+			r.timeoutLate = time.Since(due)
+		}
 		return replacement.wait(ctx, timeouts, seen)
 	})
 	for {
-		timeouts = 0
+		timeouts, r.timeoutLate = 0, 0
 		if !events.Buffered() {
 			wait := g.stallTimeout(c.route)
 			if !seen {
 				wait = g.cfg.FirstEvent
 			}
-			a.SetReadDeadline(time.Now().Add(wait))
+			due = time.Now().Add(wait)
+			a.SetReadDeadline(due)
 		}
 		e, err := events.Next()
 		if err != nil {
@@ -432,7 +435,7 @@
 		g.recordConnectionLoss(c, t, r.standing())
 	}
 	klog.InfoS("Stream broke off", "request", c.id, "target", t.ID, "last", c.lastID, "err", err,
-		"silent_ms", time.Since(r.lastEventAt).Milliseconds())
+		"silent_ms", time.Since(r.lastEventAt).Milliseconds(), "late_ms", r.timeoutLate.Milliseconds())
 	return runFailed
 }
 
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -106,6 +106,8 @@
 	Accounts map[string]Account // by API key; nil where no keys are required
 	hosts    map[string][]*Route
 	ranks    map[int]int // by priority: number of distinct priorities that are more urgent
+
+	activeSince time.Time // when SetTable activated it
 }
 
 // engines returns the configured capacity of engines, by service.
