reach: a probe that is not answered does not delay the next one

gateway: TestRequestsDuringTheLossOfThePathAreServed/silent was red in a run of the package beside other soaks (load 57 on 8 cores): the path was not found again within the second that egress.md promises.

Cause: the interval ran from the end of a failed probe, so that one which times out after 250 ms was followed 650 ms after its start; with two probes of 100 ms and the pause between them a path was found again 950 ms after it had healed, which leaves 50 ms for a busy machine. It runs from the start of the probe now: 700 ms.

TestSilentPathRecoversWithTheNextProbe fails before. The test is as it was.

--- a/reach/monitor_test.go
+++ b/reach/monitor_test.go
@@ -150,6 +150,25 @@
 	})
 }
 
+// A probe that is not answered must not delay the next one.
+func TestSilentPathRecoversWithTheNextProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeTargets("1")
+		f.silent = true
+		m := New(f)
+		defer m.Close()
+		require.False(t, m.Verify(t.Context(), "s"))
+		before := f.dialed()
+		for f.dialed() == before {
+			time.Sleep(time.Millisecond)
+		}
+		f.set(func() { f.silent = false })
+		time.Sleep(probeInterval + confirmInterval + 10*time.Millisecond)
+		synctest.Wait()
+		require.False(t, m.State("s").Lost)
+	})
+}
+
 func TestPathWithoutTargetsStands(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFakeTargets("1")
--- a/reach/probe.go
+++ b/reach/probe.go
@@ -22,8 +22,8 @@
 	// dialStagger is the time from one dial of a check to the next. Most checks end with
 	// the first one, which is accepted within a round trip.
 	dialStagger = 30 * time.Millisecond
-	// probeInterval is the time between the dials that find out whether a lost path has
-	// recovered.
+	// probeInterval is the time from the start of a failed probe, which may last for
+	// dialTimeout, to that of the next one.
 	probeInterval = 400 * time.Millisecond
 	// confirmInterval is the time from a probe that succeeded to the next one.
 	confirmInterval = 100 * time.Millisecond
@@ -113,8 +113,9 @@
 		}
 		accepted++
 		wait = confirmInterval
+		began := time.Now()
 		if m.dial(m.ctx, targets[0], probeOpenTime) != nil {
-			accepted, wait = 0, probeInterval
+			accepted, wait = 0, probeInterval-time.Since(began)
 		}
 	}
 	m.mu.Lock()
