gateway: count a relayed request once the egress has ended it

TestRelayedRequestsAndAnswersAreUnchanged was red beside load: 3 of 400 plays beside 6 busy loops, all of them "long answer", at the number of requests that the egress has counted (1 expected, 0 seen).

The egress counts a request when its handler has ended. The answer of 320 KiB has a Content-Length, so the client has all of it as soon as the last byte is forwarded, and the test read the counter before the handler of the egress was scheduled again. With a pause of 20 ms before the count, "long answer" fails in 5 of 5 plays, and no other case does: their answers are forwarded after the end of the exchange was read.

The product is right, so the test waits until the egress serves nothing and then requires the same count as before. A request that is counted twice, or not at all, still fails it.

--- a/gateway/relay_site_test.go
+++ b/gateway/relay_site_test.go
@@ -163,6 +163,13 @@
 	return count
 }
 
+// awaitRelayed waits until a node serves no requests of other nodes. It counts a request at its
+// end, and a client may have all of an answer with a length before that.
+func (n *cuttableNode) awaitRelayed(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool { return n.gateway.relayed.count() == 0 }, time.Second, time.Millisecond)
+}
+
 // seenBy returns all requests that reached targets.
 func seenBy(targets []*fakeTarget) (all []*http.Request) {
 	for _, f := range targets {
--- a/gateway/relayed_test.go
+++ b/gateway/relayed_test.go
@@ -61,6 +61,7 @@
 			s.ingress.lostPath(t, "lookup")
 			s.ingress.lostPath(t, "draft")
 			relayed, relayedBody := request()
+			s.others[0].awaitRelayed(t)
 			require.Equal(t, 1, s.others[0].relayed())
 			require.Equal(t, direct.StatusCode, relayed.StatusCode)
 			require.Equal(t, direct.Header, relayed.Header)
