--- a/gateway/relayed_stream_test.go
+++ b/gateway/relayed_stream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -245,3 +246,18 @@
 	require.Contains(t, s.ingress.metrics(), begun)
 	require.NotContains(t, s.others[0].metrics(), begun)
 }
+
+// A client that reads late must not be taken for a target that is silent.
+func TestRelayedStreamOfASlowClientIsNotCutOff(t *testing.T) {
+	const events = 40
+	targets := []*fakeTarget{newFakeTarget(t, "i-1", "draft", "north", longDraft(events)), newFakeTarget(t, "i-2", "draft", "south", longDraft(events))}
+	s := newRelaySite(t, 2, targets, WithStall(testStall), WithBufferLimits(BufferLimits{Answer: 16 << 10, Account: 8 << 20, Total: 8 << 20}))
+	s.ingress.cut(syscall.ECONNREFUSED)
+	s.ingress.lostPath(t, "draft")
+	read := make(chan struct{})
+	time.AfterFunc(testSilence, func() { close(read) })
+	client := newSlowClient(read)
+	require.True(t, s.ingress.serve(client, s.ingress.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000", "X-Usage", "100,60")))
+	require.Equal(t, events, strings.Count(client.Body.String(), "\n\n"))
+	require.Len(t, seenBy(targets), 1)
+}
