gateway: a slow client is not taken for a silent target of a relayed stream

What callers saw: a stream that came through another node was cut off when its client read nothing for the timeout between two events (0.64 of the route's longest pause), once 64 KiB or more had been buffered for it. The log said "Client left" with "context canceled". On this node's own path, such a client has 1.5 s.

Cause: the timer for the silence of the target went on while an event was written to the client, and canceled the context of that write. The error of the write was then taken for that of a client that has left, so that the stream was not even resumed.

Why it works: the timer runs only while the node waits for the target. Each timeout knows after which reset it was started, so that one that has just passed does not end a run from which an event was read meanwhile.

--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -307,21 +307,23 @@
 		if err != nil {
 			return r.classifyRelayedEnd(ctx, p, events, err, !watchdog.Stop())
 		}
+		if !watchdog.Suspend() {
+			return r.classifyRelayedEnd(ctx, p, events, context.Canceled, true)
+		}
 		replacement.bind(r.software)
-		watchdog.Reset(g.stallTimeout(c.route))
 		if r.events++; r.events == 1 {
 			r.recordFirstEvent()
 			g.meterFirst(c)
 		}
-		if e.HasID && c.hasLast && e.ID <= c.lastID {
-			continue // the client already has it
-		}
-		if !r.write(ctx, p.answer.Status, p.answer.Header, e.Raw) {
-			return runClientLeft
-		}
-		if e.HasID {
-			c.lastID, c.hasLast = e.ID, true
+		if !e.HasID || !c.hasLast || e.ID > c.lastID { // otherwise the client already has it
+			if !r.write(ctx, p.answer.Status, p.answer.Header, e.Raw) {
+				return runClientLeft
+			}
+			if e.HasID {
+				c.lastID, c.hasLast = e.ID, true
+			}
 		}
+		watchdog.Reset(g.stallTimeout(c.route))
 	}
 }
 
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -175,16 +175,12 @@
 // endAfter calls end after a timeout, as soon as the run can be replaced.
 func (p *replacement) endAfter(ctx context.Context, timeout time.Duration, end func()) *replaceTimer {
 	w := &replaceTimer{replacement: p, ctx: ctx, end: end}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(timeout, w.expire)
+	w.Reset(timeout)
 	return w
 }
 
-func (w *replaceTimer) expire() {
-	w.mu.Lock()
-	resets := w.resets
-	w.mu.Unlock()
+// expire is called when the timeout after a number of resets has passed.
+func (w *replaceTimer) expire(resets int) {
 	replaceable := w.replacement.reserve(w.ctx, true)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -209,8 +205,25 @@
 	defer w.mu.Unlock()
 	if !w.stopped && !w.fired {
 		w.late = false
-		w.resets++
-		w.timer.Reset(timeout)
+		w.halt()
+		resets := w.resets
+		w.timer = time.AfterFunc(timeout, func() { w.expire(resets) })
+	}
+}
+
+// Suspend stops the timeout until the next Reset; false if the timer has fired.
+func (w *replaceTimer) Suspend() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.halt()
+	return !w.fired
+}
+
+// halt stops the timeout, also one that has just passed. The caller holds the mutex.
+func (w *replaceTimer) halt() {
+	w.resets++
+	if w.timer != nil {
+		w.timer.Stop()
 	}
 }
 
