--- a/gateway/replacement_test.go
+++ b/gateway/replacement_test.go
@@ -177,3 +177,13 @@
 	require.Equal(t, wholeDraft(1), body)
 	require.Equal(t, int64(2), requests.Load())
 }
+
+// The map is read while other requests fail; two goroutines at one map end the process.
+func TestReplacementDoesNotShareTheFailedHalls(t *testing.T) {
+	f := newFakeTarget(t, "i-1", "draft", "north", draft(nil))
+	s := newTestSite(t, []*fakeTarget{f})
+	c := &call{route: s.gateway.table.Load().Route("a.example", "/draft/x"), service: "draft", failedHalls: map[string]int{"north": 1}}
+	p := s.gateway.newReplacement(c, nil)
+	c.failedHalls["north"]++
+	require.Equal(t, map[string]int{"north": 1}, p.choice.FailedHalls)
+}
