gateway: a replacement has the failed data halls of its call to itself

What callers saw: nothing yet that is known. If it happens, the process ends with "concurrent map read and map write", which no handler can catch, and all its connections end with it.

Cause: the choice of a replacement held the map in which its call counts the targets that failed it, by data hall. Timers and the news of unresponsive targets select by that choice, on other goroutines, while the call's own goroutine counts a failure. Both happen when targets fail, so they coincide.

Evidence: TestReplacementDoesNotShareTheFailedHalls, red before and green after. In a trial with the race detector and targets that close their connections after 0.1 s, the detector reports a read in Tracker.Pick beside the write in recordFailure.

Why it works: the choice is made of copies, as that of the tried targets was.

--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -56,6 +56,7 @@
 	}
 	excluded, tried := g.excludeByVersion(c), maps.Clone(c.tried)
 	p.choice = c.choice()
+	p.choice.FailedHalls = maps.Clone(c.failedHalls)
 	p.choice.Admission = false
 	p.choice.Exclude = func(o *balance.Target) bool {
 		if version := p.version.Load(); version != nil {
