gateway: test that silent runs are given up only for a target that takes them

A run is given up though the only other target is at its rate limit, is brittle without a free slot, or has a version that was rolled back meanwhile: the request ends with 5003, or the stream is cut off. A target that has rejected the request before is counted as a replacement, but not asked again: 5003.

--- a/gateway/replacement_test.go
+++ b/gateway/replacement_test.go
@@ -11,7 +11,11 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/discovery"
+	"github.com/walnutramp/walnutramp/inflight"
 	"github.com/walnutramp/walnutramp/internal/uptime"
+	"github.com/walnutramp/walnutramp/ratelimit"
+	"github.com/walnutramp/walnutramp/rollout"
 )
 
 const (
@@ -187,3 +191,86 @@
 	c.failedHalls["north"]++
 	require.Equal(t, map[string]int{"north": 1}, p.choice.FailedHalls)
 }
+
+// A run must not be given up for a target that the next selection does not choose.
+func TestSilentRunIsKeptWhileNoOtherTargetTakesIt(t *testing.T) {
+	const silence = 10 * testStall // more than the latency objective below
+	for name, c := range map[string]struct {
+		version      string
+		silentBefore int
+		occupy       func(*testSite)
+	}{
+		"at its rate limit": {"v1", 1, func(s *testSite) {
+			s.gateway.cfg.Limits.Observe("i-2", ratelimit.Signal{Published: true, PerSecond: 0.01})
+			for denied := false; !denied; {
+				_, denial := s.gateway.cfg.Limits.Acquire(t.Context(), ratelimit.Request{Target: "i-2"})
+				denied = denial != nil
+			}
+		}},
+		"brittle, with no free slot": {"v1", 1, func(s *testSite) {
+			s.sayBrittle("draft")
+			for free := true; free; {
+				_, free = s.gateway.cfg.InFlight.Acquire(t.Context(), inflight.Request{Service: "draft", Target: "i-2", Slots: 8, TTL: time.Minute})
+			}
+		}},
+		"of a version that was rolled back": {"v2", 3, func(s *testSite) {
+			(&versionSite{testSite: s, agent: s.gateway.cfg.Rollouts}).setView("draft", rollout.RolledBack)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var s *testSite
+			var list []discovery.Target
+			var targets []*fakeTarget
+			for _, id := range []string{"i-1", "i-2"} {
+				targets = append(targets, newFakeTarget(t, id, "draft", "north", draft(func(_ *fakeTarget, _ net.Conn, n int) bool {
+					if n == c.silentBefore {
+						s.tracker.Update(list)
+						c.occupy(s)
+						time.Sleep(silence)
+					}
+					return true
+				})))
+			}
+			list = withVersions([]string{c.version, c.version}, targets...)
+			agent := rollout.NewAgent(1)
+			s = newTestSite(t, nil, WithStall(testStall), WithFirstEvent(testStall), WithRollouts(agent))
+			v := &versionSite{testSite: s, agent: agent}
+			v.setView("draft", rollout.Running)
+			v.setPermit("draft", 1)
+			table := testTable()
+			table.Route("a.example", "/draft/x").LatencyObjective = testStall
+			s.gateway.SetTable(table)
+			s.tracker.Update(list[:1])
+			resp, body, err := do(t, s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000"))
+			require.NoError(t, err)
+			require.Equal(t, 200, resp.StatusCode, body)
+			require.Equal(t, wholeDraft(1), body)
+			require.Empty(t, targets[1].seen())
+		})
+	}
+}
+
+// A target that has rejected a request is asked again when another one has been silent for long.
+func TestSilentRunIsReplacedByATargetThatRejectedItBefore(t *testing.T) {
+	var s *testSite
+	var list []discovery.Target
+	var asked atomic.Int64
+	targets := []*fakeTarget{
+		newFakeTarget(t, "i-1", "draft", "north", func(f *fakeTarget, r *http.Request, c net.Conn) {
+			if asked.Add(1) > 1 {
+				draft(nil)(f, r, c)
+				return
+			}
+			s.tracker.Update(list)
+			reply(c, r.Header.Get("X-Id"), 503, "", "X-Not-Run: 1")
+		}),
+		newFakeTarget(t, "i-2", "draft", "north", func(_ *fakeTarget, _ *http.Request, c net.Conn) { c.Read(make([]byte, 1)) }),
+	}
+	list = listed(targets)
+	s = newTestSite(t, targets[:1], WithFirstEvent(testStall))
+	resp, body, err := do(t, s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000"))
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode, body)
+	require.Equal(t, wholeDraft(1), body)
+}
