gateway: a silent run is replaced only where the next selection goes

What callers saw: a request whose target was silent, but at work, ended with 5003, or its stream was cut off at once, although the only other target was at its rate limit, was brittle without a free slot, or had a version that was rolled back while the stream ran. The same if the other target had rejected the request before, which it might have taken by then.

Cause: whether a run can be replaced was decided by a selection of its own, which knew no rate limits and slots, and roll-outs only as of the start of the run; the selection of the next run does. It knew nothing of targets that had rejected the request, which the next one leaves out. Class: something that works is given up before there is something in its place.

Why it works: the check uses the same filters as the selection, when it is made, and the same questions to the limiters; it takes no permit and no slot. Where it finds a target, the call forgets what rejected it before this run. What remains: another node that would have to be asked for the permit or slot may still deny it after the run was given up.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -78,9 +78,9 @@
 // remainingCooldown returns the shortest remaining cooldown of the eligible targets; 0
 // unless all of them are in cooldown. Those whose rate limit leaves no room don't count.
 func (g *Gateway) remainingCooldown(c *call) time.Duration {
-	excluded := g.excludeByVersion(c)
+	excluded := g.excludeByVersion(c.service)
 	if c.binding.bound {
-		excluded = g.excludeUnbound(c)
+		excluded = g.excludeUnbound(c.service, c.binding)
 	}
 	return g.targets.CooldownLeft(c.service, func(t *balance.Target) bool {
 		return c.tried[t] || excluded != nil && excluded(t) || c.denial != nil && g.cfg.Limits.Notice(t.Incarnation()).Limited()
@@ -106,7 +106,7 @@
 		}
 		g.cfg.Rollouts.ReturnCredit(c.service, c.route.Name)
 	}
-	excluded := g.excludeByVersion(c)
+	excluded := g.excludeByVersion(c.service)
 	if dwindling := g.dwindlingVersions(c); len(dwindling) > 0 {
 		s := g.pickTarget(c, search, func(t *balance.Target) bool {
 			return slices.Contains(dwindling, t.Version) || excluded != nil && excluded(t)
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/inflight"
 	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/quarantine"
+	"github.com/walnutramp/walnutramp/ratelimit"
 	"k8s.io/klog/v2"
 )
 
@@ -33,10 +35,12 @@
 	service   string
 	budget    *balance.Budget
 	content   quarantine.Fingerprint
-	allowed   bool                   // the route allows another run
-	relayed   bool                   // the run is for another node, which has the budget
-	delegated bool                   // that node ends the run once it has begun
-	choice    balance.Choice         // of another target
+	allowed   bool           // the route allows another run
+	relayed   bool           // the run is for another node, which has the budget
+	delegated bool           // that node ends the run once it has begun
+	choice    balance.Choice // of another target, whatever its version
+	rank      int            // of the call
+	deadline  time.Time
 	version   atomic.Pointer[string] // to which the stream is bound; nil before
 
 	mu     sync.Mutex
@@ -49,21 +53,17 @@
 func (g *Gateway) newReplacement(c *call, t *balance.Target) *replacement {
 	p := &replacement{
 		gateway: g, request: c.id, service: c.service, budget: g.budgets.Of(c.service), content: c.fingerprint,
-		allowed: c.canRetryElsewhere(), relayed: c.relayed, delegated: c.endedByIngress,
+		allowed: c.canRetryElsewhere(), relayed: c.relayed, delegated: c.endedByIngress, rank: c.rank, deadline: c.deadline,
 	}
 	if c.binding.bound {
 		p.bind(c.binding.software)
 	}
-	excluded, tried := g.excludeByVersion(c), maps.Clone(c.tried)
+	tried := maps.Clone(c.tried)
 	p.choice = c.choice()
 	p.choice.FailedHalls = maps.Clone(c.failedHalls)
 	p.choice.Admission = false
-	p.choice.Exclude = func(o *balance.Target) bool {
-		if version := p.version.Load(); version != nil {
-			return o == t || tried[o] || o.Version != *version
-		}
-		return o == t || tried[o] || excluded != nil && excluded(o)
-	}
+	p.choice.Exclude = func(o *balance.Target) bool { return o == t || tried[o] }
+	p.choice.Allowance = p.allowance
 	return p
 }
 
@@ -106,10 +106,34 @@
 	klog.InfoS("Run is silent, but can't be replaced", "request", p.request, "service", p.service)
 }
 
-// hasTarget reports whether another target is available, to this node or through another.
+// hasTarget reports whether another target is available, to this node or through another. It
+// must not find one that the next selection does not, as the run would be given up for it.
 func (p *replacement) hasTarget() bool {
 	g := p.gateway
-	return g.cfg.Egress != nil && g.paths.State(p.service).Lost || g.targets.Pick(p.choice) != nil
+	if g.cfg.Egress != nil && g.paths.State(p.service).Lost {
+		return true
+	}
+	excluded := g.excludeByVersion(p.service)
+	if version := p.version.Load(); version != nil {
+		excluded = g.excludeUnbound(p.service, boundTo(*version))
+	}
+	choice := p.choice
+	choice.Bounded = g.cfg.InFlight.Bounded(p.service)
+	choice.Exclude = func(t *balance.Target) bool { return p.choice.Exclude(t) || excluded != nil && excluded(t) }
+	return g.targets.Pick(choice) != nil
+}
+
+// allowance returns whether a permit of a target and a slot may be granted to the next run.
+func (p *replacement) allowance(t *balance.Target) balance.Allowance {
+	permit := ratelimit.Request{Target: t.Incarnation(), Rank: p.rank}
+	if p.version.Load() != nil {
+		permit.MaxWait, permit.Rank = resumePermitWait, 0
+	}
+	if p.gateway.cfg.InFlight.Check(leaseRequest(t, uptime.Until(p.deadline))) == inflight.Exhausted ||
+		p.gateway.cfg.Limits.Check(permit) == ratelimit.Exhausted {
+		return balance.NoAllowance
+	}
+	return balance.AllowanceObtainable
 }
 
 // spend spends a retry, unless one is reserved that can still be sent in time.
@@ -131,7 +155,8 @@
 	return ok
 }
 
-// close is called at the end of the run. It passes a reserved retry to the call.
+// close is called at the end of the run. It passes a reserved retry to the call, which may
+// then select targets again that rejected it before this run.
 func (p *replacement) close(c *call) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -141,6 +166,7 @@
 	}
 	c.refundRetry(p.budget)
 	c.reservedRetry = p.retry
+	clear(c.rejected)
 }
 
 // awaitRetry waits for a retry for a stream whose run was canceled for its target's silence
--- a/gateway/software.go
+++ b/gateway/software.go
@@ -31,18 +31,18 @@
 // but none takes it. It is the shortest time without an event after which clients leave.
 const versionWait = 2 * time.Second
 
-// excludeUnbound returns a filter that excludes the targets at which a bound call may not
-// continue.
-func (g *Gateway) excludeUnbound(c *call) func(*balance.Target) bool {
-	if !g.mayContinueAt(c, c.binding.software) {
+// excludeUnbound returns a filter that excludes the targets of a service at which a bound
+// call may not continue.
+func (g *Gateway) excludeUnbound(service string, b binding) func(*balance.Target) bool {
+	if !g.mayContinueAt(service, b.software) {
 		return func(*balance.Target) bool { return true }
 	}
-	return func(t *balance.Target) bool { return !c.binding.allows(t) }
+	return func(t *balance.Target) bool { return !b.allows(t) }
 }
 
-// mayContinueAt reports whether roll-outs allow a call to continue at a version.
-func (g *Gateway) mayContinueAt(c *call, software string) bool {
-	return g.cfg.Rollouts == nil || g.cfg.Rollouts.MayContinue(c.service, software)
+// mayContinueAt reports whether roll-outs allow a call to continue at a service's version.
+func (g *Gateway) mayContinueAt(service, software string) bool {
+	return g.cfg.Rollouts == nil || g.cfg.Rollouts.MayContinue(service, software)
 }
 
 // chargeRollout charges a call to the new version of a roll-out if it is bound to that, and
@@ -53,7 +53,7 @@
 
 // chooseBoundTarget returns the best untried target of the version to which a call is bound.
 func (g *Gateway) chooseBoundTarget(c *call, search permitSearch) selection {
-	s := g.pickTarget(c, search, g.excludeUnbound(c))
+	s := g.pickTarget(c, search, g.excludeUnbound(c.service, c.binding))
 	if s.target != nil {
 		s.canary = g.chargeRollout(c)
 	}
@@ -64,7 +64,7 @@
 // is waited for any longer, or if those of its version are known to take none in time.
 // Targets that were tried may be tried again, since there may be no others.
 func (g *Gateway) awaitVersion(ctx context.Context, c *call) bool {
-	if !g.targets.OffersVersion(c.service, c.binding.software) || !g.mayContinueAt(c, c.binding.software) {
+	if !g.targets.OffersVersion(c.service, c.binding.software) || !g.mayContinueAt(c.service, c.binding.software) {
 		c.versionGone = true
 		return false
 	}
--- a/gateway/versions.go
+++ b/gateway/versions.go
@@ -26,13 +26,13 @@
 	return r.SelectCanary(c.service, c.route.Name)
 }
 
-// excludeByVersion returns a filter that excludes the targets whose version is not in
-// force; nil if it excludes none. A filter returns true for excluded targets.
-func (g *Gateway) excludeByVersion(c *call) func(*balance.Target) bool {
+// excludeByVersion returns a filter that excludes the targets of a service whose version is
+// not in force; nil if it excludes none. A filter returns true for excluded targets.
+func (g *Gateway) excludeByVersion(service string) func(*balance.Target) bool {
 	if g.cfg.Rollouts == nil {
 		return nil
 	}
-	allowed := g.cfg.Rollouts.Versions(c.service, false) // those in force
+	allowed := g.cfg.Rollouts.Versions(service, false) // those in force
 	if allowed.Any() {
 		return nil
 	}
@@ -66,7 +66,7 @@
 		return false
 	}
 	if c.binding.bound {
-		return c.binding.allows(t) && g.mayContinueAt(c, t.Version)
+		return c.binding.allows(t) && g.mayContinueAt(c.service, t.Version)
 	}
 	return g.cfg.Rollouts == nil || g.cfg.Rollouts.MayUse(c.service, t.Version)
 }
