gateway: test that an egress does not give a silent request up on its own

Both cases fail with 5003 while the target is at work: the egress ends a stream without a first event, and a repeatable plain request, though the ingress has no retry left for them.

--- a/gateway/relayed_stream_test.go
+++ b/gateway/relayed_stream_test.go
@@ -261,3 +261,39 @@
 	require.Equal(t, events, strings.Count(client.Body.String(), "\n\n"))
 	require.Len(t, seenBy(targets), 1)
 }
+
+// The egress does not know whether a retry is left, so it must not end a run that has not begun.
+func TestRelayedRequestOfASilentTargetIsWaitedFor(t *testing.T) {
+	const silence = 10 * testStall
+	scripts := map[string]func(*fakeTarget, *http.Request, net.Conn){
+		"/draft/": func(f *fakeTarget, r *http.Request, c net.Conn) {
+			time.Sleep(silence)
+			draft(nil)(f, r, c)
+		},
+		"/safe/": func(_ *fakeTarget, r *http.Request, c net.Conn) {
+			time.Sleep(silence)
+			reply(c, r.Header.Get("X-Id"), 200, wholeDraft(1))
+		},
+	}
+	for path, service := range map[string]string{"/draft/": "draft", "/safe/": "lookup"} {
+		t.Run(service, func(t *testing.T) {
+			t.Parallel()
+			targets := []*fakeTarget{newFakeTarget(t, "i-1", service, "north", scripts[path]), newFakeTarget(t, "i-2", service, "south", scripts[path])}
+			s := newRelaySite(t, 2, targets)
+			table := testTable()
+			table.Route("a.example", path+"x").LatencyObjective = testStall
+			s.ingress.gateway.SetTable(table)
+			for _, n := range s.others {
+				n.gateway.cfg.FirstEvent = testStall
+			}
+			s.ingress.cut(syscall.ECONNREFUSED)
+			s.ingress.lostPath(t, service)
+			spendBudget(s.ingress.gateway)
+			resp, body, err := do(t, s.ingress.request(t, "POST", path+"x", "prompt", "X-Deadline", "9000"))
+			require.NoError(t, err)
+			require.Equal(t, 200, resp.StatusCode, body)
+			require.Equal(t, wholeDraft(1), body)
+			require.Len(t, seenBy(targets), 1)
+		})
+	}
+}
