gateway: the ingress decides when a silent request is given up before it begins

What callers saw: a request that went through another node ended with 5003, or its stream was cut off, as soon as its target had been silent for the time that a first event, or the attempt of a plain request, may take, though the target was at work and nothing was left to replace it with. Over this node's own path it is kept until there is.

Cause: the egress ended such a run, but the retries are the ingress's, and the egress took every run that the route lets repeat for replaceable.

Why it works: the ingress watches a stream from when it is sent, not only from the head of the answer, and ends it when it has a retry for it, as it does with plain requests. The egress names the target before it sends the request, so that the next run goes to another one. A node of an older build does not set the new field, and its egress ends its silent runs as before.

What remains: an egress still ends a run that waits for its first event if its target is silent to others, without asking for a retry.

--- a/egress/client.go
+++ b/egress/client.go
@@ -30,6 +30,7 @@
 type Failure struct {
 	// Left says that the request may have reached the egress, so that a target may run it.
 	Left bool
+	Sent Sent // the latest target that the egress has named
 	Err  error
 }
 
@@ -104,31 +105,41 @@
 		resp.Body.Close()
 		return nil, nil, &Failure{Err: errors.Newf("status %d", resp.StatusCode)}
 	}
-	answer, end, err := readHead(resp.Body)
+	var sent Sent
+	answer, end, err := readHead(resp.Body, &sent)
 	if answer == nil {
 		resp.Body.Close()
 	}
 	if err != nil {
-		return nil, nil, &Failure{Left: true, Err: err}
+		return nil, nil, &Failure{Left: true, Sent: sent, Err: err}
 	}
 	return answer, end, nil
 }
 
-// readHead reads the first message of a response.
-func readHead(body io.ReadCloser) (*Answer, *End, error) {
-	kind, size, err := readFrameHeader(body)
-	if err != nil {
-		return nil, nil, err
-	}
-	switch kind {
-	case frameHead:
-		a := &Answer{body: body}
-		return a, nil, readMessage(body, size, &a.Head)
-	case frameEnd:
-		end := &End{}
-		return nil, end, readMessage(body, size, end)
+// readHead reads the messages of a response up to its head or end, and sets sent to the last
+// one of its kind.
+func readHead(body io.ReadCloser, sent *Sent) (*Answer, *End, error) {
+	for {
+		kind, size, err := readFrameHeader(body)
+		if err != nil {
+			return nil, nil, err
+		}
+		switch kind {
+		case frameSent:
+			*sent = Sent{}
+			if err := readMessage(body, size, sent); err != nil {
+				return nil, nil, err
+			}
+		case frameHead:
+			a := &Answer{body: body}
+			return a, nil, readMessage(body, size, &a.Head)
+		case frameEnd:
+			end := &End{}
+			return nil, end, readMessage(body, size, end)
+		default:
+			return nil, nil, errFrame
+		}
 	}
-	return nil, nil, errFrame
 }
 
 // Answer is the answer of a target that comes through an egress.
--- a/egress/formats_test.go
+++ b/egress/formats_test.go
@@ -7,4 +7,4 @@
 )
 
 // TestFormats compares the messages between nodes with testdata/formats.txt.
-func TestFormats(t *testing.T) { schema.Check(t, Request{}, Head{}, End{}) }
+func TestFormats(t *testing.T) { schema.Check(t, Request{}, Sent{}, Head{}, End{}) }
--- a/egress/frame.go
+++ b/egress/frame.go
@@ -11,7 +11,8 @@
 // A frame is its kind in one byte, the length of its payload in four, and the payload. A
 // request consists of a Request frame and then the client's body as it is. A response
 // consists of an End frame, before it a Head frame and any number of Data frames if a
-// target answered. A response without an End frame is truncated.
+// target answered. A response without an End frame is truncated. Sent frames come first, if the
+// ingress is to end silent requests.
 
 // frameKind is the kind of a frame.
 type frameKind byte
@@ -22,6 +23,7 @@
 	frameHead
 	frameData
 	frameEnd
+	frameSent
 )
 
 const (
@@ -63,7 +65,7 @@
 	if kind == frameData {
 		limit = maxData
 	}
-	if kind < frameRequest || kind > frameEnd || size > limit {
+	if kind < frameRequest || kind > frameSent || size > limit {
 		return 0, 0, errFrame
 	}
 	return kind, size, nil
--- a/egress/frame_test.go
+++ b/egress/frame_test.go
@@ -24,7 +24,7 @@
 }
 
 func read(b []byte) (*Answer, *End, string, error) {
-	a, end, err := readHead(io.NopCloser(bytes.NewReader(b)))
+	a, end, err := readHead(io.NopCloser(bytes.NewReader(b)), &Sent{})
 	if a == nil {
 		return nil, end, "", err
 	}
--- a/egress/message.go
+++ b/egress/message.go
@@ -62,6 +62,8 @@
 	// EndedByIngress says that the ingress cancels a begun stream whose target is silent.
 	// Without it, the egress does.
 	EndedByIngress bool `msgpack:"ei"`
+	// PendingByIngress says the same of a stream that has not begun and of a plain request.
+	PendingByIngress bool `msgpack:"pi"`
 }
 
 // Copy is a copy of a failed run's KV cache.
@@ -70,6 +72,13 @@
 	Name   string `msgpack:"n"` // at that target
 }
 
+// Sent says that a request is about to be sent to a target, which may be followed by another
+// one if it does not arrive.
+type Sent struct {
+	Target   string `msgpack:"t"` // incarnation
+	DataHall string `msgpack:"d"`
+}
+
 // Head is the head of a target's response.
 type Head struct {
 	Status int         `msgpack:"s"`
--- a/egress/writer.go
+++ b/egress/writer.go
@@ -42,6 +42,16 @@
 	w.target = t
 }
 
+// Sent tells the ingress of the target to which the request is about to be sent.
+func (w *ResponseWriter) Sent(s Sent) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.writeMessage(frameSent, s)
+	if w.err == nil {
+		w.err = w.control.Flush()
+	}
+}
+
 // Started reports whether the head of an answer was sent.
 func (w *ResponseWriter) Started() bool {
 	w.mu.Lock()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -20,61 +20,62 @@
 
 // call is the state of one client request.
 type call struct {
-	id             string
-	route          *Route
-	service        string
-	settings       Service // settings of the service
-	account        Account
-	method         string
-	uri            string
-	host           string
-	header         http.Header // forwarded headers, before those set for each target
-	body           []byte
-	hasBody        bool
-	arrived        time.Time
-	deadline       time.Time
-	priority       int
-	rank           int    // number of distinct priorities in the table that are more urgent than this call's
-	version        uint64 // of the configuration that selected the route
-	lastID         int64  // ID of the last event that the client has or was forwarded
-	hasLast        bool   // lastID is set
-	work           balance.Work
-	maxOutput      int                      // upper bound of the output, in tokens
-	promptKey      string                   // identifies the prompt; requests of one session may share it
-	stream         balance.StreamID         // see identifyStream
-	resumed        bool                     // the request came with a last event ID; false if its usage header is not parsed, see readWork
-	tried          map[*balance.Target]bool // targets that may have run it
-	rejected       map[*balance.Target]bool // targets that did not run it, since nextTarget last polled
-	attempts       int                      // targets selected so far
-	dispatched     int                      // targets that may have started it
-	mayHaveRun     bool                     // at least one target may have run it
-	contacted      bool                     // at least one target received it, even if it rejected it
-	failedHalls    map[string]int           // number of targets that failed it, by data hall
-	noCapacity     bool                     // targets exist, but none can admit the request
-	cooldownLeft   time.Duration            // see remainingCooldown; as of the last time that nextTarget found no target
-	grants         grants                   // for the selected target
-	crowded        bool                     // a brittle target was passed over for its slots in the latest selection
-	exhausted      string                   // a target that was passed over for its rate limit in the latest selection; empty for none
-	denial         *ratelimit.Denial        // why the latest selection found no target; nil if not for a rate limit
-	reservedRetry  balance.Retry            // retry taken from the budget, but not yet received by a target
-	rolloutRequest *rollout.Request         // reports the outcome of the current attempt to the roll-out; nil without one
-	metered        bool                     // already counted for its client account
-	fingerprint    quarantine.Fingerprint   // identical for identical requests of a client
-	sentAt         time.Time                // when the current attempt was sent
-	returnBy       time.Time                // until when its client may come back
-	resumes        string                   // the client's attempt that brought the first event, as named by the client; empty if it is not
-	binding        binding                  // of a stream to the software version that began it
-	versionGone    bool                     // no target of that version is left
-	idleSince      time.Time                // when the last event was forwarded; arrived, before the first
-	crashProbe     *quarantine.Probe        // pending probe whether the target whose connection broke last has crashed
-	connectedOnly  bool                     // only targets with an idle connection are selected
-	egressTried    []string                 // nodes that could not send it
-	triedElsewhere []string                 // incarnations that are not listed here and may have run it or rejected it
-	egressError    *walnutramp.Error        // why an egress rejected it; nil if none did
-	noEgress       bool                     // no other node offered to send it
-	relayed        bool                     // it came from another node, to be sent once
-	endedByIngress bool                     // that node ends it if its target falls silent after the first event
-	sendBy         time.Time                // when it must have been sent, if it is a retry of another node; zero for no limit
+	id               string
+	route            *Route
+	service          string
+	settings         Service // settings of the service
+	account          Account
+	method           string
+	uri              string
+	host             string
+	header           http.Header // forwarded headers, before those set for each target
+	body             []byte
+	hasBody          bool
+	arrived          time.Time
+	deadline         time.Time
+	priority         int
+	rank             int    // number of distinct priorities in the table that are more urgent than this call's
+	version          uint64 // of the configuration that selected the route
+	lastID           int64  // ID of the last event that the client has or was forwarded
+	hasLast          bool   // lastID is set
+	work             balance.Work
+	maxOutput        int                      // upper bound of the output, in tokens
+	promptKey        string                   // identifies the prompt; requests of one session may share it
+	stream           balance.StreamID         // see identifyStream
+	resumed          bool                     // the request came with a last event ID; false if its usage header is not parsed, see readWork
+	tried            map[*balance.Target]bool // targets that may have run it
+	rejected         map[*balance.Target]bool // targets that did not run it, since nextTarget last polled
+	attempts         int                      // targets selected so far
+	dispatched       int                      // targets that may have started it
+	mayHaveRun       bool                     // at least one target may have run it
+	contacted        bool                     // at least one target received it, even if it rejected it
+	failedHalls      map[string]int           // number of targets that failed it, by data hall
+	noCapacity       bool                     // targets exist, but none can admit the request
+	cooldownLeft     time.Duration            // see remainingCooldown; as of the last time that nextTarget found no target
+	grants           grants                   // for the selected target
+	crowded          bool                     // a brittle target was passed over for its slots in the latest selection
+	exhausted        string                   // a target that was passed over for its rate limit in the latest selection; empty for none
+	denial           *ratelimit.Denial        // why the latest selection found no target; nil if not for a rate limit
+	reservedRetry    balance.Retry            // retry taken from the budget, but not yet received by a target
+	rolloutRequest   *rollout.Request         // reports the outcome of the current attempt to the roll-out; nil without one
+	metered          bool                     // already counted for its client account
+	fingerprint      quarantine.Fingerprint   // identical for identical requests of a client
+	sentAt           time.Time                // when the current attempt was sent
+	returnBy         time.Time                // until when its client may come back
+	resumes          string                   // the client's attempt that brought the first event, as named by the client; empty if it is not
+	binding          binding                  // of a stream to the software version that began it
+	versionGone      bool                     // no target of that version is left
+	idleSince        time.Time                // when the last event was forwarded; arrived, before the first
+	crashProbe       *quarantine.Probe        // pending probe whether the target whose connection broke last has crashed
+	connectedOnly    bool                     // only targets with an idle connection are selected
+	egressTried      []string                 // nodes that could not send it
+	triedElsewhere   []string                 // incarnations that are not listed here and may have run it or rejected it
+	egressError      *walnutramp.Error        // why an egress rejected it; nil if none did
+	noEgress         bool                     // no other node offered to send it
+	relayed          bool                     // it came from another node, to be sent once
+	endedByIngress   bool                     // that node ends it if its target falls silent after the first event
+	pendingByIngress bool                     // that node ends it if its target is silent before that
+	sendBy           time.Time                // when it must have been sent, if it is a retry of another node; zero for no limit
 }
 
 // open reads and validates a request, and resolves its route and client account.
--- a/gateway/egress.go
+++ b/gateway/egress.go
@@ -108,7 +108,7 @@
 		lastID: r.LastID, hasLast: r.HasLast, resumed: r.Resumed, promptKey: r.PromptKey, maxOutput: r.MaxOutput,
 		work:  balance.Work{PrefillTokens: r.Prefill, MemoryTokens: r.Memory},
 		tried: map[*balance.Target]bool{}, rejected: map[*balance.Target]bool{}, failedHalls: r.FailedHalls,
-		mayHaveRun: r.MayHaveRun, metered: true, relayed: true, endedByIngress: r.EndedByIngress,
+		mayHaveRun: r.MayHaveRun, metered: true, relayed: true, endedByIngress: r.EndedByIngress, pendingByIngress: r.PendingByIngress,
 		binding: binding{bound: r.Bound, software: r.Software}, idleSince: now.Add(-r.Idle),
 	}
 	if c.failedHalls == nil {
@@ -160,6 +160,7 @@
 			return g.endOf(c, nil, false)
 		}
 		before := c.dispatched
+		announceTarget(w, c, t)
 		a, _ := g.attemptPlain(ctx, c, t)
 		if a != nil {
 			w.SetTarget(egress.Target{Incarnation: t.Incarnation(), DataHall: t.DataHall, Software: t.Version})
@@ -172,6 +173,13 @@
 	}
 }
 
+// announceTarget tells the ingress which target is silent if it gives the request up.
+func announceTarget(w *egress.ResponseWriter, c *call, t *balance.Target) {
+	if c.pendingByIngress {
+		w.Sent(egress.Sent{Target: t.Incarnation(), DataHall: t.DataHall})
+	}
+}
+
 // relayStream makes one run of a stream.
 func (g *Gateway) relayStream(ctx context.Context, c *call, from *kvCopy, w *egress.ResponseWriter) egress.End {
 	r := &relay{gateway: g, call: c, w: w, egressWriter: w, resumeFrom: from}
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -106,7 +106,10 @@
 	g.counters.relayed("ingress", "failed")
 	klog.InfoS("Another node did not send the request", "request", c.id, "egress", node, "left", left, "reason", reasonOf(end), "err", err)
 	if left {
-		c.recordRunElsewhere("")
+		c.recordRunElsewhere(f.Sent.Target)
+		if f.Sent.Target != "" {
+			c.failedHalls[f.Sent.DataHall]++
+		}
 	}
 	return left
 }
@@ -128,7 +131,7 @@
 		AttemptsLeft: max(1, c.route.MaxAttempts-c.dispatched), Retry: c.contacted, MayHaveRun: c.mayHaveRun,
 		HasLast: c.hasLast, LastID: c.lastID, Resumed: c.resumed, Prefill: c.work.PrefillTokens, Memory: c.work.MemoryTokens,
 		MaxOutput: c.maxOutput, PromptKey: c.promptKey, Attempt: c.stream.Attempt, FailedHalls: c.failedHalls, Copy: from,
-		Bound: c.binding.bound, Software: c.binding.software, Idle: uptime.Since(c.idleSince), EndedByIngress: true,
+		Bound: c.binding.bound, Software: c.binding.software, Idle: uptime.Since(c.idleSince), EndedByIngress: true, PendingByIngress: true,
 	}
 	if c.reservedRetry.Spent() {
 		r.SendWithin = max(time.Millisecond, g.budgets.Of(c.service).SendWithin()-uptime.Since(c.reservedRetry.At))
@@ -226,10 +229,12 @@
 	r.events = 0
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	p, left := g.sendThroughEgress(ctx, c, copyMessage(from))
+	p, left, silent := r.awaitPassage(ctx, cancel, from)
 	switch {
 	case p == nil && left:
 		return runFailed
+	case p == nil && silent:
+		return runRejected
 	case p == nil:
 		return runNoTarget
 	}
@@ -244,6 +249,9 @@
 	}
 	defer p.answer.Close()
 	g.recordRelayedAnswer(c, p)
+	if silent {
+		return runFailed
+	}
 	r.software = p.answer.Software
 	klog.InfoS("Run begins through another node", "request", c.id, "egress", p.node, "target", p.answer.Target, "software", r.software, "last", c.lastID, "run", r.runs)
 	if !isEventStream(p.answer.Status, p.answer.Header) {
@@ -258,6 +266,20 @@
 	return end
 }
 
+// awaitPassage is sendThroughEgress for a stream. Silent says that it was canceled, as there
+// was no answer in time and the run can be replaced.
+func (r *relay) awaitPassage(ctx context.Context, cancel context.CancelFunc, from *kvCopy) (p *passage, left, silent bool) {
+	g, c := r.gateway, r.call
+	replacement := g.newReplacement(c, nil)
+	defer replacement.close(c)
+	read := g.targets.PredictDuration(c.service, c.work.PrefillTokens, 0)
+	watchdog := replacement.endAfter(ctx, r.firstEventTimeout(runRequest{expected: read})+egressMargin, cancel)
+	p, left = g.sendThroughEgress(ctx, c, copyMessage(from))
+	silent = !watchdog.Stop()
+	r.silent = r.silent || silent
+	return p, left, silent
+}
+
 // copyMessage returns the message that names a copy; nil for none.
 func copyMessage(from *kvCopy) *egress.Copy {
 	if from == nil {
--- a/gateway/relayed_stream_test.go
+++ b/gateway/relayed_stream_test.go
@@ -297,3 +297,38 @@
 		})
 	}
 }
+
+// A run that its ingress ends for silence must go on at a target that is not silent.
+func TestSilentRelayedRequestIsReplacedAtAnotherTarget(t *testing.T) {
+	for path, service := range map[string]string{"/draft/": "draft", "/safe/": "lookup"} {
+		t.Run(service, func(t *testing.T) {
+			t.Parallel()
+			answer := draft(nil)
+			if path == "/safe/" {
+				answer = func(_ *fakeTarget, r *http.Request, c net.Conn) {
+					reply(c, r.Header.Get("X-Id"), 200, wholeDraft(1))
+				}
+			}
+			var silent atomic.Pointer[fakeTarget]
+			script := func(f *fakeTarget, r *http.Request, c net.Conn) {
+				if silent.CompareAndSwap(nil, f) || silent.Load() == f {
+					c.Read(make([]byte, 1)) // until the run is given up
+					return
+				}
+				answer(f, r, c)
+			}
+			targets := []*fakeTarget{newFakeTarget(t, "i-1", service, "north", script), newFakeTarget(t, "i-2", service, "south", script)}
+			s := newRelaySite(t, 3, targets)
+			table := testTable()
+			table.Route("a.example", path+"x").LatencyObjective = testStall
+			s.ingress.gateway.SetTable(table)
+			s.ingress.cut(syscall.ECONNREFUSED)
+			s.ingress.lostPath(t, service)
+			resp, body, err := do(t, s.ingress.request(t, "POST", path+"x", "prompt", "X-Deadline", "9000"))
+			require.NoError(t, err)
+			require.Equal(t, 200, resp.StatusCode, body)
+			require.Equal(t, wholeDraft(1), body)
+			require.Len(t, silent.Load().seen(), 1)
+		})
+	}
+}
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -38,6 +38,7 @@
 	allowed   bool           // the route allows another run
 	relayed   bool           // the run is for another node, which has the budget
 	delegated bool           // that node ends the run once it has begun
+	pending   bool           // that node ends the run before it has begun, too
 	choice    balance.Choice // of another target, whatever its version
 	rank      int            // of the call
 	deadline  time.Time
@@ -53,7 +54,7 @@
 func (g *Gateway) newReplacement(c *call, t *balance.Target) *replacement {
 	p := &replacement{
 		gateway: g, request: c.id, service: c.service, budget: g.budgets.Of(c.service), content: c.fingerprint,
-		allowed: c.canRetryElsewhere(), relayed: c.relayed, delegated: c.endedByIngress, rank: c.rank, deadline: c.deadline,
+		allowed: c.canRetryElsewhere(), relayed: c.relayed, delegated: c.endedByIngress, pending: c.pendingByIngress, rank: c.rank, deadline: c.deadline,
 	}
 	if c.binding.bound {
 		p.bind(c.binding.software)
@@ -92,7 +93,7 @@
 	if timeouts == 1 {
 		return lateReadTime
 	}
-	if !(begun && p.delegated) && p.reserve(ctx, true) {
+	if !(p.pending || begun && p.delegated) && p.reserve(ctx, true) {
 		return 0
 	}
 	if timeouts == 2 {
@@ -208,7 +209,7 @@
 
 // expire is called when the timeout after a number of resets has passed.
 func (w *replaceTimer) expire(resets int) {
-	replaceable := w.replacement.reserve(w.ctx, true)
+	replaceable := !w.replacement.pending && w.replacement.reserve(w.ctx, true)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped || w.resets != resets {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -176,6 +176,7 @@
 	o := r.newRunRequest(t, from)
 	if r.egressWriter != nil {
 		r.egressWriter.SetTarget(egress.Target{Incarnation: t.Incarnation(), DataHall: t.DataHall, Software: r.software, Copy: copyMessage(o.copy)})
+		announceTarget(r.egressWriter, r.call, t)
 	}
 	run := t.Begin(o.work, o.trace)
 	rc := &runCopy{relay: r, target: t, run: run, copy: o.copy}
