--- a/gateway/relayed_stream_test.go
+++ b/gateway/relayed_stream_test.go
@@ -332,3 +332,34 @@
 		})
 	}
 }
+
+// A stream that a stopping egress hands back waits for a retry, as its target is at work.
+func TestStreamHandedBackWaitsForARetry(t *testing.T) {
+	var s *relaySite
+	var stopped atomic.Bool
+	script := draft(func(_ *fakeTarget, c net.Conn, n int) bool {
+		if n == 3 && stopped.CompareAndSwap(false, true) {
+			for _, n := range s.sending() {
+				n.gateway.BeginShutdown(uptime.Now().Add(handBackTime + testStall))
+			}
+		}
+		time.Sleep(testStall)
+		return true
+	})
+	targets := []*fakeTarget{newFakeTarget(t, "i-1", "draft", "north", script), newFakeTarget(t, "i-2", "draft", "south", script)}
+	var asked atomic.Int64
+	borrow := func(context.Context, string) bool {
+		if asked.Add(1) < 5 {
+			return false
+		}
+		s.ingress.gateway.budgets.Of("draft").AddBorrowed(uptime.Now())
+		return true
+	}
+	s = newRelaySite(t, 2, targets, WithBorrow(borrow))
+	s.ingress.cut(syscall.ECONNREFUSED)
+	s.ingress.lostPath(t, "draft")
+	spendBudget(s.ingress.gateway)
+	_, body, err := do(t, s.ingress.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000", "X-Usage", "100,60"))
+	require.NoError(t, err)
+	require.Equal(t, wholeDraft(1), body)
+}
