gateway: a stream that is lost on its way through another node waits for a retry

What callers saw: a stream that went through another node was cut off at the moment at which that node handed it back as it stops, or was lost, if the budget had no retry left just then. Its target was at work.

Cause: a stream waits for a retry, until 2 s after its last event, only if its run was canceled for its target's silence. Any other end of a run was taken for one by its target, for which the client is not kept waiting.

Why it works: the egress says that it has handed the stream back, and an egress that says nothing any more is not the target's end either. The stream then waits as one that was moved does.

--- a/egress/message.go
+++ b/egress/message.go
@@ -126,6 +126,8 @@
 	OfTargets bool `msgpack:"n"`
 	// Final says that no other node or target will do better: the caller gets Error.
 	Final bool `msgpack:"f"`
+	// HandedBack says that the node canceled the run of a stream as it stops.
+	HandedBack bool `msgpack:"hb"`
 }
 
 // Error is the encoding of a walnutramp.Error.
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -232,6 +232,7 @@
 	p, left, silent := r.awaitPassage(ctx, cancel, from)
 	switch {
 	case p == nil && left:
+		r.interrupted = true
 		return runFailed
 	case p == nil && silent:
 		return runRejected
@@ -365,10 +366,12 @@
 	switch end := p.answer.End(); {
 	case end != nil:
 		r.resumeFrom = g.copyOf(end.Copy)
+		r.interrupted = end.HandedBack
 	case silent:
 		r.silent = true
 		r.resumeFrom = g.copyOf(p.answer.Copy)
 	default:
+		r.interrupted = true
 		g.cfg.Egress.Avoid(p.node)
 	}
 	klog.InfoS("Stream through another node broke off", "request", c.id, "egress", p.node, "target", p.answer.Target, "last", c.lastID,
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -171,11 +171,12 @@
 }
 
 // awaitRetry waits for a retry for a stream whose run was canceled for its target's silence
-// and whose next run was rejected; false if there is none before the client leaves. It does
-// not wait for a stream that its target broke off, which the client may resume at once.
+// and whose next run was rejected, or whose run was lost on its way through another node;
+// false if there is none before the client leaves. It does not wait for a stream that its
+// target broke off, which the client may resume at once.
 func (r *relay) awaitRetry(ctx context.Context) bool {
 	g, c := r.gateway, r.call
-	for r.started && r.silent && c.dispatched < c.route.MaxAttempts {
+	for r.started && (r.silent || r.interrupted) && c.dispatched < c.route.MaxAttempts {
 		if uptime.Since(c.idleSince)+replaceInterval >= versionWait || !pause.For(ctx, replaceInterval) {
 			return false
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -39,6 +39,7 @@
 	resumeFrom      *kvCopy                // of the failed run
 	silent          bool                   // a run was canceled for its target's silence since the last event
 	timeoutLate     time.Duration          // by which the run's first timeout since the last event was noticed late
+	interrupted     bool                   // a run was ended by another node, or lost with it, since the last event
 }
 
 // runResult says how a run ended.
@@ -459,7 +460,7 @@
 	} else {
 		r.maxGap = max(r.maxGap, now.Sub(r.lastEventAt))
 	}
-	r.lastEventAt, r.silent = now, false
+	r.lastEventAt, r.silent, r.interrupted = now, false, false
 	r.call.idleSince = uptime.Now()
 	return true
 }
