gateway: failing test of runs that end as their path is lost for a moment

TestRunIsKeptWhileItsPathIsLostForAMoment, 4 of 4 cases: a run that waits for its first event is canceled when the path to targets is found lost, though no other node has one or no retry is left, and the target is at work. A new stream gets 502 (5003), one that has begun is cut off.

--- a/gateway/replacement_test.go
+++ b/gateway/replacement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -274,3 +275,58 @@
 	require.Equal(t, 200, resp.StatusCode, body)
 	require.Equal(t, wholeDraft(1), body)
 }
+
+// lateDraft is a draft whose first event is late; arrived gets each run.
+func lateDraft(arrived chan<- struct{}) func(*fakeTarget, *http.Request, net.Conn) {
+	return func(f *fakeTarget, r *http.Request, c net.Conn) {
+		if r.RequestURI != copyPath {
+			arrived <- struct{}{}
+			time.Sleep(lateFirstEvent)
+		}
+		draft(nil)(f, r, c)
+	}
+}
+
+// lateFirstEvent is longer than it takes to find that a path is lost.
+const lateFirstEvent = time.Second
+
+// A path that is lost for a moment must not end a run that nothing can replace.
+func TestRunIsKeptWhileItsPathIsLostForAMoment(t *testing.T) {
+	for name, c := range map[string]struct {
+		others  int
+		prepare func(*testSite)
+	}{
+		"no other node": {0, func(*testSite) {}},
+		"no retry left": {1, func(s *testSite) {
+			s.gateway.budgets = balance.NewBudgets(balance.BudgetConfig{Slack: 1, Window: 10 * time.Second})
+		}},
+	} {
+		for _, begun := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", begun ", begun), func(t *testing.T) {
+				t.Parallel()
+				arrived := make(chan struct{}, 10)
+				late := newFakeTarget(t, "i-1", "draft", "north", lateDraft(arrived))
+				broken := newFakeTarget(t, "i-2", "draft", "north", draft(func(_ *fakeTarget, c net.Conn, n int) bool { return n < 3 }))
+				s := newRelaySite(t, c.others, []*fakeTarget{late})
+				c.prepare(s.ingress.testSite)
+				if begun {
+					s.ingress.tracker.Update(listed([]*fakeTarget{broken}))
+					time.AfterFunc(testStall, func() { s.ingress.tracker.Update(listed([]*fakeTarget{broken, late})) })
+				} else if name == "no retry left" {
+					spendBudget(s.ingress.gateway)
+				}
+				go func() {
+					<-arrived
+					s.ingress.failure.Store(&errSilent)
+					s.ingress.lostPath(t, "draft")
+					s.ingress.heal()
+				}()
+				resp, body, err := do(t, s.ingress.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000"))
+				require.NoError(t, err)
+				require.Equal(t, 200, resp.StatusCode, body)
+				require.Equal(t, wholeDraft(1), body)
+				require.Len(t, late.seen(), 1)
+			})
+		}
+	}
+}
