gateway: a run whose path is lost is kept until it can be replaced

What callers saw: streams cut off, and new ones answered with 502 (5003), at a node that found its path to targets lost for a moment: its dials of a check were not accepted within 250 ms, as on a busy node. Their targets were at work and reached over open connections.

Cause: when a path was found lost, all runs that waited for their first event were canceled at once. Whether a retry was left and another node offered a path was asked only after that. A node without a share of the retry budget, as within 15 s after a start, or one whose peers had no path either, had nothing to put in their place. The same question was passed over where a silent run was to be moved while the path was lost: another node was taken to offer one.

Now each run is canceled once a retry is reserved and another node offers to send it, or a target is connected still, until the path has recovered.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -175,6 +175,8 @@
 	counters     *counters
 
 	startOnce sync.Once
+	ctx       context.Context // of background tasks
+	cancel    context.CancelFunc
 
 	demands      demandCounters
 	pending      pendingRuns
@@ -209,6 +211,7 @@
 	}
 	g := &Gateway{cfg: cfg, targets: targets, pool: pool, refresh: refresh, budgets: budgets, counters: newCounters(),
 		started: make(chan struct{}), pending: pendingRuns{runs: map[*pendingRun]struct{}{}}}
+	g.ctx, g.cancel = context.WithCancel(context.Background())
 	cfg.Limits.OnLimited(targets.SetLimited)
 	g.buffers = newBufferAccounting(cfg.Buffers, g.counters)
 	g.counters.set.NewGauge(`walnutramp_gateway_held_bytes{cause="slow-clients"}`, func() float64 { return float64(g.buffers.bytes()) })
@@ -306,7 +309,10 @@
 }
 
 // Close ends the checks of the paths to targets.
-func (g *Gateway) Close() { g.paths.Close() }
+func (g *Gateway) Close() {
+	g.cancel()
+	g.paths.Close()
+}
 
 // Parameters for predicting when a stream ends.
 const (
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -69,7 +70,7 @@
 		return nil, false
 	}
 	for range maxEgresses {
-		node, ok := g.cfg.Egress.Choose(ctx, egress.Need{Service: c.service, Exclude: c.egressTried, KeepsVersions: c.resumable()})
+		node, ok := g.cfg.Egress.Choose(ctx, c.egressNeed())
 		if !ok {
 			break
 		}
@@ -92,6 +93,11 @@
 	return nil, false
 }
 
+// egressNeed returns what a node must offer to send a call.
+func (c *call) egressNeed() egress.Need {
+	return egress.Need{Service: c.service, Exclude: slices.Clone(c.egressTried), KeepsVersions: c.resumable()}
+}
+
 // egressFailed records an egress that did not send a call or did not say what became of it.
 // It returns whether a target may run the call.
 func (g *Gateway) egressFailed(ctx context.Context, c *call, node string, end *egress.End, err error) (left bool) {
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/reach"
 	"github.com/walnutramp/walnutramp/targetconn"
 )
@@ -66,10 +67,22 @@
 // pathLost moves the runs that wait for their first event, unless open connections may
 // live on.
 func (g *Gateway) pathLost(service string) {
-	if g.paths.State(service).Refused {
-		return
+	if !g.paths.State(service).Refused {
+		go g.moveRuns(service)
+	}
+}
+
+// moveRuns cancels the runs that wait for their first event, each as soon as it can be
+// replaced, until the path to their targets has recovered.
+func (g *Gateway) moveRuns(service string) {
+	for g.paths.State(service).Lost {
+		g.pending.cancelWhere(errPathLost, func(r *pendingRun) bool {
+			return r.target.Service == service && g.paths.State(service).Lost && r.replacement.reserve(g.ctx, true)
+		})
+		if !pause.For(g.ctx, replaceInterval) {
+			return
+		}
 	}
-	g.pending.cancelWhere(errPathLost, func(r *pendingRun) bool { return r.replacement.allowed && r.target.Service == service })
 }
 
 // pathRecovered makes the targets eligible that failed only for this node.
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/egress"
 	"github.com/walnutramp/walnutramp/inflight"
 	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/internal/uptime"
@@ -40,6 +41,7 @@
 	delegated bool           // that node ends the run once it has begun
 	pending   bool           // that node ends the run before it has begun, too
 	choice    balance.Choice // of another target, whatever its version
+	egress    egress.Need    // of a node to send it through, if this one has no path
 	rank      int            // of the call
 	deadline  time.Time
 	version   atomic.Pointer[string] // to which the stream is bound; nil before
@@ -59,6 +61,7 @@
 	if c.binding.bound {
 		p.bind(c.binding.software)
 	}
+	p.egress = c.egressNeed()
 	tried := maps.Clone(c.tried)
 	p.choice = c.choice()
 	p.choice.FailedHalls = maps.Clone(c.failedHalls)
@@ -73,18 +76,19 @@
 func (p *replacement) bind(version string) { p.version.Store(&version) }
 
 // reserve reports whether the run can be replaced now, and reserves the retry for that. With
-// borrow, other nodes are asked for one if this node has none left.
-func (p *replacement) reserve(ctx context.Context, borrow bool) bool {
+// ask, other nodes are asked for a retry if this node has none left, and for a path to targets
+// if it has none.
+func (p *replacement) reserve(ctx context.Context, ask bool) bool {
 	if p.relayed {
 		return p.allowed
 	}
-	if _, quarantined := p.gateway.cfg.Quarantine.Quarantined(p.content); !p.allowed || quarantined || !p.hasTarget() {
+	if _, quarantined := p.gateway.cfg.Quarantine.Quarantined(p.content); !p.allowed || quarantined || !p.hasTarget(ctx, ask) {
 		return false
 	}
 	if p.spend() {
 		return true
 	}
-	return borrow && p.gateway.cfg.Borrow != nil && p.gateway.cfg.Borrow(ctx, p.service) && p.spend()
+	return ask && p.gateway.cfg.Borrow != nil && p.gateway.cfg.Borrow(ctx, p.service) && p.spend()
 }
 
 // wait returns how much longer to wait for a silent run; 0 if it is to be replaced. timeouts
@@ -107,18 +111,38 @@
 	klog.InfoS("Run is silent, but can't be replaced", "request", p.request, "service", p.service)
 }
 
-// hasTarget reports whether another target is available, to this node or through another. It
-// must not find one that the next selection does not, as the run would be given up for it.
-func (p *replacement) hasTarget() bool {
+// hasTarget reports whether another target is available to this node or, with ask, through
+// another that offers a path to them. It must not find one that the next selection does not,
+// as the run would be given up for it.
+func (p *replacement) hasTarget(ctx context.Context, ask bool) bool {
 	g := p.gateway
-	if g.cfg.Egress != nil && g.paths.State(p.service).Lost {
+	path := g.paths.State(p.service)
+	if g.cfg.Egress == nil || !path.Lost {
+		return p.picksTarget(false)
+	}
+	if path.Refused && p.picksTarget(true) {
 		return true
 	}
+	if !ask {
+		return false
+	}
+	node, ok := g.cfg.Egress.Choose(ctx, p.egress)
+	if ok {
+		g.cfg.Egress.Release(node)
+	}
+	return ok
+}
+
+// picksTarget reports whether another target would be selected for the next run now, among
+// those with an idle connection if connected is set.
+func (p *replacement) picksTarget(connected bool) bool {
+	g := p.gateway
 	excluded := g.excludeByVersion(p.service)
 	if version := p.version.Load(); version != nil {
 		excluded = g.excludeUnbound(p.service, boundTo(*version))
 	}
 	choice := p.choice
+	choice.Connected = connected
 	choice.Bounded = g.cfg.InFlight.Bounded(p.service)
 	choice.Exclude = func(t *balance.Target) bool { return p.choice.Exclude(t) || excluded != nil && excluded(t) }
 	return g.targets.Pick(choice) != nil
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -49,11 +51,14 @@
 	return r
 }
 
-// drop removes a run that has produced its first event or ended.
-func (r *pendingRun) drop() {
+// drop removes a run that has produced its first event or ended; false if it was removed
+// before.
+func (r *pendingRun) drop() bool {
 	r.set.mu.Lock()
+	defer r.set.mu.Unlock()
+	_, pending := r.set.runs[r]
 	delete(r.set.runs, r)
-	r.set.mu.Unlock()
+	return pending
 }
 
 // cancelUnresponsive cancels the runs whose targets have stopped answering since the
@@ -70,13 +75,14 @@
 	p.cancelWhere(errQuarantined, func(r *pendingRun) bool { return r.fingerprint == content })
 }
 
-// cancelWhere cancels the matching runs with the given cause.
+// cancelWhere cancels the matching runs with the given cause. It does not hold the mutex
+// while it calls matches, which may ask other nodes.
 func (p *pendingRuns) cancelWhere(cause error, matches func(*pendingRun) bool) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for r := range p.runs {
-		if matches(r) {
-			delete(p.runs, r)
+	runs := slices.Collect(maps.Keys(p.runs))
+	p.mu.Unlock()
+	for _, r := range runs {
+		if matches(r) && r.drop() {
 			r.cancel(cause)
 		}
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -257,7 +257,7 @@
 	if !isEventStream(answer.Status, answer.Header) {
 		return r.forwardNonStream(ctx, answer, t)
 	}
-	return r.forwardEvents(runCtx, answer, rc, silence, replacement, pending.drop)
+	return r.forwardEvents(runCtx, answer, rc, silence, replacement, func() { pending.drop() })
 }
 
 // canRetryElsewhere reports whether a run without a first event may be replaced by one
