gateway: failing tests of silent runs moved to targets that are full

TestMovedStreamOutlastsFullTargets, 2 of 2 cases: a stream whose run was ended for its target's silence is cut off within two seconds, if the other targets reject its next run. TestSilentRunIsKeptWhileOtherTargetsAreFull: a run is ended although all other targets have just rejected requests.

--- a/gateway/replacement_test.go
+++ b/gateway/replacement_test.go
@@ -14,6 +14,7 @@
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/inflight"
+	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/ratelimit"
 	"github.com/walnutramp/walnutramp/rollout"
@@ -330,3 +331,75 @@
 		}
 	}
 }
+
+// rejectingUntil rejects all requests until a time, and serves drafts from then on.
+func rejectingUntil(until time.Time) func(*fakeTarget, *http.Request, net.Conn) {
+	return func(f *fakeTarget, r *http.Request, c net.Conn) {
+		if r.RequestURI != copyPath && time.Now().Before(until) {
+			reply(c, r.Header.Get("X-Id"), 503, "", "X-Not-Run: 1")
+			return
+		}
+		draft(nil)(f, r, c)
+	}
+}
+
+// A node that has ended a silent run must not cut the stream off as long as other targets are
+// full.
+func TestMovedStreamOutlastsFullTargets(t *testing.T) {
+	const fullTime = versionWait + time.Second
+	silentOnce := draft(func(_ *fakeTarget, c net.Conn, n int) bool {
+		if n == 3 {
+			c.Read(make([]byte, 1)) // until the run is given up
+		}
+		return n < 3
+	})
+	for name, retries := range map[string]float64{"a retry is left": 200, "no retry is left": 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			freeAt := time.Now().Add(fullTime)
+			full := newFakeTarget(t, "i-2", "draft", "north", rejectingUntil(freeAt))
+			silent := newFakeTarget(t, "i-1", "draft", "north", func(f *fakeTarget, r *http.Request, c net.Conn) {
+				if r.Header.Get("X-Last") == "" {
+					silentOnce(f, r, c)
+					return
+				}
+				full.script(f, r, c)
+			})
+			var s *testSite
+			borrow := func(context.Context, string) bool {
+				if time.Now().Before(freeAt) {
+					return false
+				}
+				s.gateway.budgets.Of("draft").AddBorrowed(uptime.Now())
+				return true
+			}
+			s = newTestSite(t, []*fakeTarget{silent}, WithStall(testStall), WithBorrow(borrow))
+			s.gateway.budgets = balance.NewBudgets(balance.BudgetConfig{Slack: retries, Window: 10 * time.Second})
+			time.AfterFunc(testStall/2, func() { s.tracker.Update(listed([]*fakeTarget{silent, full})) })
+			_, body, err := do(t, s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000"))
+			require.NoError(t, err)
+			require.Equal(t, wholeDraft(1), body)
+		})
+	}
+}
+
+// A silent run must be kept while all other targets have just rejected requests.
+func TestSilentRunIsKeptWhileOtherTargetsAreFull(t *testing.T) {
+	silent := newFakeTarget(t, "i-1", "draft", "north", silentDraft(3))
+	full := newFakeTarget(t, "i-2", "draft", "north", rejectingUntil(time.Now().Add(time.Hour)))
+	s := newTestSite(t, []*fakeTarget{silent}, WithStall(testStall))
+	s.tracker.Update(listed([]*fakeTarget{silent, full}))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		for s.tracker.Target("i-2").RecordFull(); pause.For(ctx, testStall/2); {
+			s.tracker.Target("i-2").RecordFull()
+		}
+	}()
+	require.Eventually(t, func() bool { return !s.tracker.Target("i-2").Usable() }, time.Second, time.Millisecond)
+	_, body, err := do(t, s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000"))
+	require.NoError(t, err)
+	require.Equal(t, wholeDraft(1), body)
+	require.Len(t, silent.seen(), 1)
+	require.Empty(t, full.seen())
+}
