gateway: a stream moved for its target's silence outlasts full targets

What callers saw: streams cut off, seconds after all processes had been lost and were back, at nodes that nothing disturbed: their target had paused for half a second, as an engine does that preempts a request, and would have gone on.

Cause: the run was ended once a retry was reserved and another target was listed. That target then rejected the next run for lack of capacity, and the retry was spent. The stream was cut off two seconds after its last event if no other retry was to be had, and after 12 rejections or a third of a second if there were. Other targets counted as a replacement although all of them had just rejected requests.

Now a target in backoff, as after a rejection, is no replacement, so the silent run is kept. A stream whose run was ended for silence is tried again at growing intervals until its deadline, or until no target of its version is left; its client may leave at any time. The same holds for one that was lost on its way through another node.

TestMovedStreamOutlastsFullTargets and TestSilentRunIsKeptWhileOtherTargetsAreFull failed before and pass now.

--- a/gateway/endreason.go
+++ b/gateway/endreason.go
@@ -19,23 +19,36 @@
 // whyNoNextRun returns why a stream gets no further run after one that ended as given, or
 // an empty reason and reserves the retry.
 func (r *relay) whyNoNextRun(ctx context.Context, end runResult) endReason {
+	c := r.call
 	switch {
-	case ctx.Err() == context.DeadlineExceeded:
-		return endDeadline
-	case ctx.Err() != nil || end == runClientLeft || end == runComplete:
+	case ctx.Err() != nil:
+		return contextReason(ctx)
+	case end == runClientLeft || end == runComplete:
 		return endClientLeft
-	case end == runNoTarget:
-		return endNoTarget
-	case end == runFailed && !r.call.route.Idempotent() && r.call.mayHaveRun:
+	case end == runFailed && !c.route.Idempotent() && c.mayHaveRun:
 		return endNotRepeatable
 	}
-	why := r.gateway.whyNoRetry(ctx, r.call)
-	if why != "" && r.awaitRetry(ctx) {
+	why := endNoTarget
+	if end != runNoTarget {
+		why = r.gateway.whyNoRetry(ctx, c)
+	}
+	switch {
+	case why == "" || r.awaitReplacement(ctx):
 		return ""
+	case ctx.Err() != nil:
+		return contextReason(ctx)
 	}
 	return why
 }
 
+// contextReason returns the reason for which the context of a request has ended.
+func contextReason(ctx context.Context) endReason {
+	if ctx.Err() == context.DeadlineExceeded {
+		return endDeadline
+	}
+	return endClientLeft
+}
+
 // mayRetry reports whether another target may be tried, and reserves the retry.
 func (g *Gateway) mayRetry(ctx context.Context, c *call) bool { return g.whyNoRetry(ctx, c) == "" }
 
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -24,6 +24,9 @@
 // replaceInterval is how often it is checked whether a silent run can be replaced.
 const replaceInterval = 100 * time.Millisecond
 
+// maxReplaceWait is the longest pause before a stream is tried again that targets reject.
+const maxReplaceWait = time.Second
+
 // lateReadTime is how long a run is still read from after a timeout: while this process was
 // not scheduled, events may have arrived.
 const lateReadTime = 10 * time.Millisecond
@@ -134,7 +137,8 @@
 }
 
 // picksTarget reports whether another target would be selected for the next run now, among
-// those with an idle connection if connected is set.
+// those with an idle connection if connected is set. One that has just failed or rejected a
+// request does not count.
 func (p *replacement) picksTarget(connected bool) bool {
 	g := p.gateway
 	excluded := g.excludeByVersion(p.service)
@@ -145,7 +149,8 @@
 	choice.Connected = connected
 	choice.Bounded = g.cfg.InFlight.Bounded(p.service)
 	choice.Exclude = func(t *balance.Target) bool { return p.choice.Exclude(t) || excluded != nil && excluded(t) }
-	return g.targets.Pick(choice) != nil
+	t := g.targets.Pick(choice)
+	return t != nil && t.Usable()
 }
 
 // allowance returns whether a permit of a target and a slot may be granted to the next run.
@@ -194,17 +199,23 @@
 	clear(c.rejected)
 }
 
-// awaitRetry waits for a retry for a stream whose run was canceled for its target's silence
-// and whose next run was rejected, or whose run was lost on its way through another node;
-// false if there is none before the client leaves. It does not wait for a stream that its
-// target broke off, which the client may resume at once.
-func (r *relay) awaitRetry(ctx context.Context) bool {
+// awaitReplacement waits until a stream may be tried again whose run this node has canceled,
+// for its target's silence or a lost path, or that was lost on its way through another node;
+// false if it may not be before the deadline or the client leaves. It does not wait for a
+// stream that its target broke off, which the client may resume at once.
+func (r *relay) awaitReplacement(ctx context.Context) bool {
 	g, c := r.gateway, r.call
-	for r.started && (r.silent || r.interrupted) && c.dispatched < c.route.MaxAttempts {
-		if uptime.Since(c.idleSince)+replaceInterval >= versionWait || !pause.For(ctx, replaceInterval) {
+	if !r.started || !r.silent && !r.interrupted || !c.mayHaveRun || c.versionGone || c.dispatched >= c.route.MaxAttempts {
+		return false
+	}
+	r.replaceWait = min(max(2*r.replaceWait, replaceInterval), maxReplaceWait)
+	for wait := r.replaceWait; pause.For(ctx, wait); wait = min(2*wait, maxReplaceWait) {
+		if g.cfg.Quarantine.CheckRetry(c.crashProbe, c.fingerprint) != nil {
 			return false
 		}
 		if g.mayRetry(ctx, c) {
+			c.attempts, c.egressTried = 0, nil
+			clear(c.rejected)
 			return true
 		}
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -37,9 +37,10 @@
 	settled         bool                   // the current run has gone on for quarantine.Onset
 	firstEventAt    time.Time              // of the current run
 	resumeFrom      *kvCopy                // of the failed run
-	silent          bool                   // a run was canceled for its target's silence since the last event
+	silent          bool                   // a run was canceled for silence or a lost path since the last event
 	timeoutLate     time.Duration          // by which the run's first timeout since the last event was noticed late
 	interrupted     bool                   // a run was ended by another node, or lost with it, since the last event
+	replaceWait     time.Duration          // latest pause since the last event before the stream was tried again
 }
 
 // runResult says how a run ended.
@@ -235,7 +236,7 @@
 		return runRejected
 	}
 	if err != nil {
-		r.silent = r.silent || !timeout.Stop() || errors.Is(context.Cause(runCtx), errTargetUnresponsive)
+		r.silent = r.silent || !timeout.Stop() || errors.IsAny(context.Cause(runCtx), errTargetUnresponsive, errPathLost)
 		if !g.canceledByGateway(runCtx, c, t, err) {
 			g.recordFailure(ctx, c, t, err)
 		}
@@ -460,7 +461,7 @@
 	} else {
 		r.maxGap = max(r.maxGap, now.Sub(r.lastEventAt))
 	}
-	r.lastEventAt, r.silent, r.interrupted = now, false, false
+	r.lastEventAt, r.silent, r.interrupted, r.replaceWait = now, false, false, 0
 	r.call.idleSince = uptime.Now()
 	return true
 }
