gateway: failing cases of late first events moved to targets that are full

TestMovedStreamOutlastsFullTargets, the cases before the first event: the caller gets 502 (5003) as soon as the other targets reject the next run.

--- a/gateway/replacement_test.go
+++ b/gateway/replacement_test.go
@@ -347,15 +347,23 @@
 // full.
 func TestMovedStreamOutlastsFullTargets(t *testing.T) {
 	const fullTime = versionWait + time.Second
-	silentOnce := draft(func(_ *fakeTarget, c net.Conn, n int) bool {
-		if n == 3 {
-			c.Read(make([]byte, 1)) // until the run is given up
-		}
-		return n < 3
-	})
-	for name, retries := range map[string]float64{"a retry is left": 200, "no retry is left": 1} {
+	for name, c := range map[string]struct {
+		silentBefore int
+		retries      float64
+	}{
+		"a retry is left":                          {3, 200},
+		"no retry is left":                         {3, 1},
+		"a retry is left, before the first event":  {1, 200},
+		"no retry is left, before the first event": {1, 1},
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			silentOnce := draft(func(_ *fakeTarget, conn net.Conn, n int) bool {
+				if n == c.silentBefore {
+					conn.Read(make([]byte, 1)) // until the run is given up
+				}
+				return n < c.silentBefore
+			})
 			freeAt := time.Now().Add(fullTime)
 			full := newFakeTarget(t, "i-2", "draft", "north", rejectingUntil(freeAt))
 			silent := newFakeTarget(t, "i-1", "draft", "north", func(f *fakeTarget, r *http.Request, c net.Conn) {
@@ -373,8 +381,8 @@
 				s.gateway.budgets.Of("draft").AddBorrowed(uptime.Now())
 				return true
 			}
-			s = newTestSite(t, []*fakeTarget{silent}, WithStall(testStall), WithBorrow(borrow))
-			s.gateway.budgets = balance.NewBudgets(balance.BudgetConfig{Slack: retries, Window: 10 * time.Second})
+			s = newTestSite(t, []*fakeTarget{silent}, WithStall(testStall), WithFirstEvent(testStall), WithBorrow(borrow))
+			s.gateway.budgets = balance.NewBudgets(balance.BudgetConfig{Slack: c.retries, Window: 10 * time.Second})
 			time.AfterFunc(testStall/2, func() { s.tracker.Update(listed([]*fakeTarget{silent, full})) })
 			_, body, err := do(t, s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000"))
 			require.NoError(t, err)
