gateway: a late run moved to full targets waits for one before its first event, too

What callers saw: 502 (5003) for streams whose first event was late, while the target was at work on them: their run was ended once a retry and another target seemed to be there, and that target rejected the next one.

The cases before the first event of TestMovedStreamOutlastsFullTargets failed before and pass now. A request that no target may have run is refused at once as before.

--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -205,7 +205,7 @@
 // stream that its target broke off, which the client may resume at once.
 func (r *relay) awaitReplacement(ctx context.Context) bool {
 	g, c := r.gateway, r.call
-	if !r.started || !r.silent && !r.interrupted || !c.mayHaveRun || c.versionGone || c.dispatched >= c.route.MaxAttempts {
+	if !r.silent && !r.interrupted || !c.mayHaveRun || c.versionGone || c.dispatched >= c.route.MaxAttempts {
 		return false
 	}
 	r.replaceWait = min(max(2*r.replaceWait, replaceInterval), maxReplaceWait)
