gateway: a run that still dials is not kept on a lost path

Only a run that has been sent has something to lose. TestRunThatDialsOnALostPathIsNotKept fails without it.

--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -72,12 +72,15 @@
 	}
 }
 
-// moveRuns cancels the runs that wait for their first event, each as soon as it can be
-// replaced, until the path to their targets has recovered.
+// moveRuns cancels the runs that wait for their first event, until the path to their targets
+// has recovered: those that have been sent as soon as they can be replaced.
 func (g *Gateway) moveRuns(service string) {
 	for g.paths.State(service).Lost {
 		g.pending.cancelWhere(errPathLost, func(r *pendingRun) bool {
-			return r.target.Service == service && g.paths.State(service).Lost && r.replacement.reserve(g.ctx, true)
+			if r.target.Service != service || !r.replacement.allowed || !g.paths.State(service).Lost {
+				return false
+			}
+			return !r.sent.Load() || r.replacement.reserve(g.ctx, true)
 		})
 		if !pause.For(g.ctx, replaceInterval) {
 			return
--- a/gateway/replacement_test.go
+++ b/gateway/replacement_test.go
@@ -411,3 +411,20 @@
 	require.Len(t, silent.seen(), 1)
 	require.Empty(t, full.seen())
 }
+
+// A request that can't be sent since the path is lost must be refused at once.
+func TestRunThatDialsOnALostPathIsNotKept(t *testing.T) {
+	s := newRelaySite(t, 0, []*fakeTarget{newFakeTarget(t, "i-1", "draft", "north", draft(nil))})
+	s.ingress.cut(errSilent)
+	began := time.Now()
+	go func() {
+		for s.ingress.dialed.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		s.ingress.gateway.paths.Suspect("draft")
+	}()
+	status, body := s.ingress.post(t, "/draft/")
+	require.Equal(t, 503, status)
+	require.Contains(t, body, `"code":3011`)
+	require.Less(t, time.Since(began), time.Second)
+}
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/quarantine"
+	"github.com/walnutramp/walnutramp/targetconn"
 )
 
 // errTargetUnresponsive cancels a run without a first event whose target no longer
@@ -41,6 +43,19 @@
 	replacement *replacement
 	began       time.Time
 	cancel      context.CancelCauseFunc
+	sent        atomic.Bool // the request is on its way to the target
+}
+
+// watchSending sets sent as soon as a request is sent.
+func (r *pendingRun) watchSending(request *targetconn.Request) {
+	charge := request.Gate
+	request.Gate = func() error {
+		if err := charge(); err != nil {
+			return err
+		}
+		r.sent.Store(true)
+		return nil
+	}
 }
 
 func (p *pendingRuns) add(c *call, t *balance.Target, replacement *replacement, cancel context.CancelCauseFunc) *pendingRun {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -227,6 +227,7 @@
 	defer timeout.Stop()
 	pending := g.pending.add(c, t, replacement, cancel)
 	defer pending.drop()
+	pending.watchSending(o.request)
 	c.sentAt = uptime.Now()
 	silence := g.watchSilence(c, prefillSilence)
 	defer silence.stop()
