gateway: test that a relayed answer outlasts a pause of its egress

It fails: 0.8 s after its last frame the ingress closes the connection to an egress that does not answer a ping, and with it the answer of which the client has the head. Nothing can take its place, so it should be kept.

--- a/gateway/relayed_stream_test.go
+++ b/gateway/relayed_stream_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -93,12 +95,12 @@
 	require.Equal(t, 1, s.others[1].relayed())
 }
 
-// frozenProxy passes connections on to an egress until it is frozen.
-func frozenProxy(t *testing.T, to string) (address string, freeze func()) {
+// frozenProxy passes connections on to an egress while it is not frozen.
+func frozenProxy(t *testing.T, to string) (address string, frozen *atomic.Bool) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
-	var frozen atomic.Bool
+	frozen = &atomic.Bool{}
 	pass := func(from, to net.Conn) {
 		buffer := make([]byte, 4096)
 		for {
@@ -128,29 +130,34 @@
 			go pass(up, c)
 		}
 	}()
-	return l.Addr().String(), func() { frozen.Store(true) }
+	return l.Addr().String(), frozen
+}
+
+// newProxiedEgress returns the address of another node that can be frozen.
+func newProxiedEgress(t *testing.T, targets []*fakeTarget) (address string, frozen *atomic.Bool) {
+	// The proxy's address is the name under which the egress must identify itself.
+	node, l := newCuttableNode(t, targets), newLocalListener(t)
+	address, frozen = frozenProxy(t, l.Addr().String())
+	server := egress.NewServer(node.gateway, 8<<20)
+	t.Cleanup(func() { server.Close() })
+	go server.Serve(l, peer.Identity{Site: "s", Node: walnutramp.NodeName(address)}, &peer.Traffic{})
+	return address, frozen
 }
 
 // A frozen egress must be noticed within a second.
 func TestFrozenEgressIsReplaced(t *testing.T) {
-	var freeze func()
-	var frozen atomic.Bool
+	var frozen *atomic.Bool
 	script := draft(func(_ *fakeTarget, _ net.Conn, n int) bool {
-		if n == 5 && frozen.CompareAndSwap(false, true) {
-			freeze()
+		if n == 5 {
+			frozen.Store(true)
 		}
 		time.Sleep(20 * time.Millisecond)
 		return true
 	})
 	targets := []*fakeTarget{newFakeTarget(t, "i-1", "draft", "north", script), newFakeTarget(t, "i-2", "draft", "south", script)}
 	s := newRelaySite(t, 2, targets)
-	// The proxy's address is the name under which the first egress must identify itself.
-	proxied, l := newCuttableNode(t, targets), newLocalListener(t)
-	address, stop := frozenProxy(t, l.Addr().String())
-	freeze = stop
-	server := egress.NewServer(proxied.gateway, 8<<20)
-	t.Cleanup(func() { server.Close() })
-	go server.Serve(l, peer.Identity{Site: "s", Node: walnutramp.NodeName(address)}, &peer.Traffic{})
+	var address string
+	address, frozen = newProxiedEgress(t, targets)
 	s.offers = []string{address}
 	s.ingress.cut(syscall.ECONNREFUSED)
 	s.ingress.lostPath(t, "draft")
@@ -363,3 +370,27 @@
 	require.NoError(t, err)
 	require.Equal(t, wholeDraft(1), body)
 }
+
+// An answer that can't be replaced must outlast a pause of its egress.
+func TestRelayedAnswerOutlastsAPauseOfItsEgress(t *testing.T) {
+	var frozen *atomic.Bool
+	half := strings.Repeat("0123456789abcdef", 10<<10)
+	targets := []*fakeTarget{newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("X-Id"), 2*len(half), half)
+		time.Sleep(testStall)
+		frozen.Store(true)
+		time.Sleep(1200 * time.Millisecond)
+		frozen.Store(false)
+		io.WriteString(c, half)
+	})}
+	s := newRelaySite(t, 0, targets)
+	var address string
+	address, frozen = newProxiedEgress(t, targets)
+	s.offers = []string{address}
+	s.ingress.cut(syscall.ECONNREFUSED)
+	s.ingress.lostPath(t, "lookup")
+	resp, body, err := do(t, s.ingress.request(t, "POST", "/once/", "book", "X-Deadline", "9000"))
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+	require.Equal(t, half+half, body)
+}
