--- a/gateway/relayed_stream_test.go
+++ b/gateway/relayed_stream_test.go
@@ -394,3 +394,31 @@
 	require.Equal(t, 200, resp.StatusCode)
 	require.Equal(t, half+half, body)
 }
+
+// A stream that is lost with its egress waits until another node offers to send it.
+func TestStreamLostWithItsEgressWaitsForAnother(t *testing.T) {
+	var s *relaySite
+	var lost atomic.Bool
+	offer := func(nodes ...string) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.offers = append([]string{}, nodes...)
+	}
+	script := draft(func(_ *fakeTarget, _ net.Conn, n int) bool {
+		if n == 3 && lost.CompareAndSwap(false, true) {
+			offer()
+			time.AfterFunc(testSilence, func() { offer(s.others[1].address) })
+			time.Sleep(testStall) // the events before have arrived
+			s.others[0].server.Close()
+		}
+		return true
+	})
+	targets := []*fakeTarget{newFakeTarget(t, "i-1", "draft", "north", script), newFakeTarget(t, "i-2", "draft", "south", script)}
+	s = newRelaySite(t, 2, targets)
+	offer(s.others[0].address)
+	s.ingress.cut(syscall.ECONNREFUSED)
+	s.ingress.lostPath(t, "draft")
+	_, body, err := do(t, s.ingress.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000", "X-Usage", "100,60"))
+	require.NoError(t, err)
+	require.Equal(t, wholeDraft(1), body)
+}
