gateway: test that the timeout of an attempt does not cut a long answer off

It fails: the timeout passes between the reading of the first part of the answer and the end of the attempt, here since a callback blocks, on a busy machine since the process does not run. The answer of which the client gets the head breaks off.

--- a/gateway/replacement_test.go
+++ b/gateway/replacement_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -16,6 +17,7 @@
 	"github.com/walnutramp/walnutramp/inflight"
 	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/internal/uptime"
+	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/ratelimit"
 	"github.com/walnutramp/walnutramp/rollout"
 )
@@ -428,3 +430,21 @@
 	require.Contains(t, body, `"code":3011`)
 	require.Less(t, time.Since(began), time.Second)
 }
+
+// A timeout that passes once the head of a long answer may be sent must not cut the rest off.
+func TestLongAnswerIsNotCutOffByTheTimeoutOfItsAttempt(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", 64<<10)
+	script := func(_ *fakeTarget, r *http.Request, c net.Conn) { reply(c, r.Header.Get("X-Id"), 200, long) }
+	targets := []*fakeTarget{newFakeTarget(t, "i-1", "lookup", "north", script), newFakeTarget(t, "i-2", "lookup", "north", script)}
+	s := newTestSite(t, targets)
+	table := testTable()
+	table.Route("a.example", "/safe/x").LatencyObjective = minAttemptTimeout / attemptTimeoutFactor
+	s.gateway.SetTable(table)
+	ledger := s.gateway.cfg.Quarantine.Ledger
+	ledger.RecordCrash(quarantine.Report{Content: quarantine.FingerprintOf([]byte("hello"), "", "a.example", "POST", "/safe/x"), Target: 1, Standing: quarantine.Begun})
+	ledger.OnReport(func() { time.Sleep(2 * minAttemptTimeout) }) // as a process that does not run
+	resp, body, err := do(t, s.request(t, "POST", "/safe/x", "hello"))
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+	require.Equal(t, len(long), len(body))
+}
