gateway: the timeout of an attempt ends before the head of a long answer is sent

What callers saw: a long answer (64 KiB or more) to a repeatable request broke off after its head if the attempt's timeout passed just as the first part had been read; likelier on a node that does not get to run.

Cause: the timeout was stopped at the end of the attempt, and it was not checked whether it had passed before. The rest of the answer was then read from a connection that was closed.

Why it works: the timeout is stopped as soon as the first part is read. If it has passed by then, the answer counts as failed while nothing of it has been sent, and the request is sent again with the retry that the timeout reserved.

--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -200,7 +200,8 @@
 			cancel()
 		}
 	}()
-	defer g.limitAttempt(attemptCtx, c, nil, egressMargin, cancel)()
+	limit := g.limitAttempt(attemptCtx, c, nil, egressMargin, cancel)
+	defer limit.close(c)
 	p, left := g.sendThroughEgress(attemptCtx, c, nil)
 	if p == nil {
 		return nil, left
@@ -212,7 +213,7 @@
 	}
 	g.recordRelayedAnswer(c, p)
 	g.meterAnswer(c)
-	resp, err := readResponse(p.answer.Status, p.answer.Header, p.answer.Length, p.answer)
+	resp, err := limit.readResponse(p.answer.Status, p.answer.Header, p.answer.Length, p.answer)
 	if err != nil {
 		g.counters.brokenAnswers.Inc()
 		g.counters.relayed("ingress", egress.Failed.String())
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -105,7 +105,8 @@
 			cancel()
 		}
 	}()
-	defer g.limitAttempt(attemptCtx, c, t, 0, cancel)()
+	limit := g.limitAttempt(attemptCtx, c, t, 0, cancel)
+	defer limit.close(c)
 	defer func() { c.rolloutRequest.Discard() }() // no effect if an outcome was recorded
 	run := t.Begin(balance.Work{}, balance.Trace{})
 	defer run.End(balance.RunEnd{Complete: true})
@@ -134,7 +135,7 @@
 		t.RecordFailure()
 		return nil, true
 	}
-	resp, err := readResponse(answer.Status, answer.Header, answer.Length, answer)
+	resp, err := limit.readResponse(answer.Status, answer.Header, answer.Length, answer)
 	if err != nil {
 		g.abandonLease(c)
 		g.counters.brokenAnswers.Inc()
@@ -165,19 +166,49 @@
 	return resp, false
 }
 
+// attemptLimit cancels an attempt that takes too long.
+type attemptLimit struct {
+	deadline    *time.Timer   // nil if the request can be retried
+	timeout     *replaceTimer // nil unless it can
+	replacement *replacement
+}
+
 // limitAttempt cancels an attempt at its deadline, or earlier if the request can then be
 // retried at another target than t: after a timeout to which margin is added. The caller
-// calls stop at the end of the attempt.
-func (g *Gateway) limitAttempt(ctx context.Context, c *call, t *balance.Target, margin time.Duration, cancel context.CancelFunc) (stop func()) {
+// calls close at the end of the attempt.
+func (g *Gateway) limitAttempt(ctx context.Context, c *call, t *balance.Target, margin time.Duration, cancel context.CancelFunc) attemptLimit {
 	if c.route.Kind != Safe || c.dispatched+1 >= c.route.MaxAttempts {
-		timer := time.AfterFunc(uptime.Until(c.deadline), cancel)
-		return func() { timer.Stop() }
+		return attemptLimit{deadline: time.AfterFunc(uptime.Until(c.deadline), cancel)}
 	}
 	p := g.newReplacement(c, t)
-	timer := p.endAfter(ctx, max(minAttemptTimeout, attemptTimeoutFactor*c.route.LatencyObjective)+margin, cancel)
-	return func() {
-		timer.Stop()
-		p.close(c)
+	timeout := p.endAfter(ctx, max(minAttemptTimeout, attemptTimeoutFactor*c.route.LatencyObjective)+margin, cancel)
+	return attemptLimit{timeout: timeout, replacement: p}
+}
+
+// readResponse reads an answer up to maxBufferedBody. The limit does not apply to the rest,
+// which can't be sent again once the head is forwarded.
+func (l *attemptLimit) readResponse(status int, header http.Header, length int64, a answerBody) (*response, error) {
+	resp, err := readResponse(status, header, length, a)
+	if err == nil && resp.rest != nil && !l.stop() {
+		a.Close()
+		return nil, context.Canceled
+	}
+	return resp, err
+}
+
+// stop ends the limit; false if it has canceled the attempt.
+func (l *attemptLimit) stop() bool {
+	if l.timeout != nil {
+		return l.timeout.Stop()
+	}
+	return l.deadline.Stop()
+}
+
+// close is called at the end of the attempt.
+func (l *attemptLimit) close(c *call) {
+	l.stop()
+	if l.replacement != nil {
+		l.replacement.close(c)
 	}
 }
 
