gateway: keep a silent run while other targets are full

What callers saw: with few free places, streams ended up to 2 s after their targets had stood still for 0.3 to 1.2 s.

Cause: whether a silent run could be replaced was asked without regard to the room at other targets. The run was given up, and all of them rejected the next one: something that works was given up before there was something in its place.

The run is now kept until a target has a free slot and memory for it, as for a new request.

--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -68,7 +68,7 @@
 	tried := maps.Clone(c.tried)
 	p.choice = c.choice()
 	p.choice.FailedHalls = maps.Clone(c.failedHalls)
-	p.choice.Admission = false
+	p.choice.Admission, p.choice.MaxWait = c.settings.Engine, 0 // a target that is full does not take the run
 	p.choice.Exclude = func(o *balance.Target) bool { return o == t || tried[o] }
 	p.choice.Allowance = p.allowance
 	return p
--- a/gateway/replacement_test.go
+++ b/gateway/replacement_test.go
@@ -6,11 +6,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/discovery"
@@ -448,3 +450,53 @@
 	require.Equal(t, 200, resp.StatusCode)
 	require.Equal(t, len(long), len(body))
 }
+
+// While no node reaches any target, a stream whose connection lives on must not be cut off
+// for its target's silence.
+func TestSilentStreamIsKeptWhileNoNodeReachesTargets(t *testing.T) {
+	for name, failure := range map[string]error{"refused": syscall.ECONNREFUSED, "silent": errSilent} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var s *relaySite
+			var silences atomic.Int64
+			script := draft(func(_ *fakeTarget, _ net.Conn, n int) bool {
+				if n == 3 && silences.Add(1) == 1 {
+					nodes := append([]*cuttableNode{s.ingress}, s.others...)
+					for _, n := range nodes {
+						n.failure.Store(&failure)
+					}
+					time.Sleep(1200 * time.Millisecond)
+					for _, n := range nodes {
+						n.heal()
+					}
+				}
+				return true
+			})
+			targets := []*fakeTarget{newFakeTarget(t, "i-1", "draft", "north", script), newFakeTarget(t, "i-2", "draft", "south", script)}
+			s = newRelaySite(t, 2, targets)
+			resp, body, err := do(t, s.ingress.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000", "X-Usage", "100,60"))
+			require.NoError(t, err)
+			require.Equal(t, 200, resp.StatusCode)
+			require.Equal(t, wholeDraft(1), body)
+		})
+	}
+}
+
+// A silent run must not be given up for a target that has no room for it.
+func TestSilentRunIsNotMovedToAFullTarget(t *testing.T) {
+	targets := []*fakeTarget{newFakeTarget(t, "i-1", "draft", "north", silentDraft(3)), newFakeTarget(t, "i-2", "draft", "north", silentDraft(3))}
+	s := newTestSite(t, targets, WithStall(testStall))
+	table := testTable()
+	table.Services["draft"] = Service{Name: "draft", Engine: true, Slots: 1}
+	s.gateway.SetTable(table)
+	var streams sync.WaitGroup
+	for i := range targets {
+		streams.Go(func() {
+			_, body, err := do(t, s.request(t, "POST", "/draft/", fmt.Sprint("prompt ", i), "X-Id", fmt.Sprint("attempt-", i), "X-Deadline", "9000", "X-Usage", "100,60"))
+			assert.NoError(t, err)
+			assert.Equal(t, wholeDraft(1), body)
+		})
+	}
+	streams.Wait()
+	require.Len(t, seenBy(targets), len(targets))
+}
