gateway: a silent run waits for a check of the path before it is given up

The check is under way when no target has sent anything for half of the timeout, and says whether the run can be replaced through this node's own path.

--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -115,11 +115,14 @@
 }
 
 // hasTarget reports whether another target is available to this node or, with ask, through
-// another that offers a path to them. It must not find one that the next selection does not,
-// as the run would be given up for it.
+// another that offers a path to them, after a check of the path that is under way. It must not
+// find one that the next selection does not, as the run would be given up for it.
 func (p *replacement) hasTarget(ctx context.Context, ask bool) bool {
 	g := p.gateway
 	path := g.paths.State(p.service)
+	if ask {
+		path = g.paths.Await(ctx, p.service)
+	}
 	if g.cfg.Egress == nil || !path.Lost {
 		return p.picksTarget(false)
 	}
