serve: a stop waits for the handlers of the requests that it cuts off

What operators saw: streams that are cut off at the end of a grace, of which the log has "Run begins", but neither "Stream given up" nor a warning of dropped lines.

Cause: entry.stop closed the connections and returned at once. The process went on to "Process ends" and closed the log, which discards later lines.

Why it works: the server counts its connections by their states, and one is closed only when its handler has ended. The wait is limited to 100 ms of the 300 ms before the kill. The servers have a file of their own now.

--- a/serve/entry.go
+++ b/serve/entry.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"path/filepath"
 	"sync"
 	"time"
@@ -35,6 +34,7 @@
 	killMargin     = 300 * time.Millisecond  // between the shutdown deadline and the platform's kill at the end of the grace period
 	connCloseShare = 0.6                     // upper limit of connCloseDelay, as a fraction of the shutdown deadline
 	rejectShare    = 0.75                    // upper limit of rejectDelay, as a fraction of the shutdown deadline
+	cutOffWait     = 100 * time.Millisecond  // upper limit of the wait for the handlers of aborted requests
 )
 
 // shutdownSchedule holds the steps of a graceful shutdown, measured from the
@@ -51,14 +51,6 @@
 	return shutdownSchedule{closeConns: min(connCloseDelay, fraction(connCloseShare)), reject: min(rejectDelay, fraction(rejectShare)), deadline: deadline}
 }
 
-// Limits of the process's HTTP servers. For client connections, the configuration can
-// lower the timeouts.
-const (
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 64 << 10
-)
-
 // An entry node normally receives the target list from the control group. If it
 // does not, it reads the list itself after a random wait between these bounds, so
 // that nodes that start together do not all query the platform.
@@ -78,8 +70,8 @@
 	sharer         *loadshare.Sharer
 	retryQuota     *quota.Holder
 	egress         *egress.Server // nil if other nodes can't send requests through this one
-	clientServer   *http.Server
-	readyServer    *http.Server
+	clientServer   *httpServer
+	readyServer    *httpServer
 	rolloutAgent   *rollout.Agent    // nil if roll-outs are disabled
 	requestCounter *metering.Counter // nil if metering is disabled
 	quarantine     *quarantine.CrashDetector
@@ -289,29 +281,6 @@
 	return func() bool { return p.client.InForce() }
 }
 
-// listen starts an HTTP server on address.
-func listen(address string, h http.Handler) (*http.Server, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	server := newServer(h)
-	serveInBackground(server, l)
-	return server, nil
-}
-
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-}
-
-func serveInBackground(server *http.Server, l net.Listener) {
-	go func() {
-		if err := server.Serve(l); err != http.ErrServerClosed {
-			klog.ErrorS(err, "HTTP server failed", "address", l.Addr())
-		}
-	}()
-}
-
 // stopEgress waits for the requests of other nodes until ctx ends.
 func (e *entry) stopEgress(ctx context.Context) {
 	if e.egress == nil {
@@ -341,6 +310,7 @@
 	if err := e.clientServer.Shutdown(ctx); err != nil {
 		klog.InfoS("Requests are cut off at the end of the grace", "err", err)
 		e.clientServer.Close()
+		e.clientServer.awaitHandlers(cutOffWait) // otherwise the log may not name the streams cut off
 	}
 	relayed.Wait()
 	e.readyServer.Close()
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"os"
 	"slices"
 	"time"
@@ -36,7 +35,7 @@
 type replica struct {
 	member   *consensus.Member // nil for a proxy
 	server   *peer.Server
-	operator *http.Server
+	operator *httpServer
 	duties   *control.DutyHolder      // nil if duties are disabled
 	fleet    *control.FleetController // nil if scaling is disabled
 	usage    *usage                   // nil if neither metering nor scaling is enabled
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -132,7 +132,7 @@
 	client          *control.Client
 	entry           *entry
 	replica         *replica
-	metrics         *http.Server
+	metrics         *httpServer
 	droppedLogLines func() int
 	targetDial      targetconn.DialFunc // nil for the default
 	ctx             context.Context
