gateway: an egress whose target was silent is not excluded for it

What callers saw: a relayed request that may be repeated ended with 5003, although its only egress had another target and a retry was reserved.

Cause: the ingress ends silent requests itself since "the ingress decides when a silent request is given up before it begins", and an egress whose exchange it canceled was excluded from the next attempt; hasTarget had counted on it.

Why it works: an egress that has named a target before is not at fault for the silence; one that has said nothing is excluded as before.

--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -108,7 +108,9 @@
 	} else if ctx.Err() == nil {
 		g.cfg.Egress.Avoid(node)
 	}
-	c.egressTried = append(c.egressTried, node)
+	if ctx.Err() == nil || f == nil || f.Sent.Target == "" { // otherwise its target is silent, not the node
+		c.egressTried = append(c.egressTried, node)
+	}
 	g.counters.relayed("ingress", "failed")
 	klog.InfoS("Another node did not send the request", "request", c.id, "egress", node, "left", left, "reason", reasonOf(end), "err", err)
 	if left {
