gateway: an egress records the silence of a target itself

Cause: since the ingress ends silent requests, the egress sees only a canceled exchange, which it takes for a client that has left.

Why it works: the egress records the target as unresponsive when it would have given the run up. Such news no longer cancels relayed runs that their ingress ends, which has the retries for them.

--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -37,6 +37,7 @@
 	gateway   *Gateway
 	request   string
 	service   string
+	target    *balance.Target // of the run; nil if it is not known
 	budget    *balance.Budget
 	content   quarantine.Fingerprint
 	allowed   bool           // the route allows another run
@@ -58,7 +59,7 @@
 // is not known.
 func (g *Gateway) newReplacement(c *call, t *balance.Target) *replacement {
 	p := &replacement{
-		gateway: g, request: c.id, service: c.service, budget: g.budgets.Of(c.service), content: c.fingerprint,
+		gateway: g, request: c.id, service: c.service, target: t, budget: g.budgets.Of(c.service), content: c.fingerprint,
 		allowed: c.canRetryElsewhere(), relayed: c.relayed, delegated: c.endedByIngress, pending: c.pendingByIngress, rank: c.rank, deadline: c.deadline,
 	}
 	if c.binding.bound {
@@ -104,14 +105,18 @@
 		return 0
 	}
 	if timeouts == 2 {
-		p.logKept()
+		p.recordKept()
 	}
 	return replaceInterval
 }
 
-// logKept logs that a silent run is not canceled.
-func (p *replacement) logKept() {
+// recordKept records that a silent run is not canceled. The ingress of a relayed run cancels it
+// without a word to this node, so its target's silence is recorded here.
+func (p *replacement) recordKept() {
 	klog.InfoS("Run is silent, but can't be replaced", "request", p.request, "service", p.service)
+	if p.pending && p.target != nil {
+		p.target.RecordUnresponsive(false)
+	}
 }
 
 // hasTarget reports whether another target is available to this node or, with ask, through
@@ -249,21 +254,27 @@
 // expire is called when the timeout after a number of resets has passed.
 func (w *replaceTimer) expire(resets int) {
 	replaceable := !w.replacement.pending && w.replacement.reserve(w.ctx, true)
+	if w.endOrKeep(resets, replaceable) {
+		w.replacement.recordKept()
+	}
+}
+
+// endOrKeep ends the run if it is replaceable, or else keeps it for replaceInterval. It
+// returns whether the run is kept for the first time since the last reset.
+func (w *replaceTimer) endOrKeep(resets int, replaceable bool) (keptFirst bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped || w.resets != resets {
-		return
+		return false
 	}
-	if !replaceable {
-		if !w.late {
-			w.late = true
-			w.replacement.logKept()
-		}
-		w.timer.Reset(replaceInterval)
-		return
+	if replaceable {
+		w.fired = true
+		w.end()
+		return false
 	}
-	w.fired = true
-	w.end()
+	keptFirst, w.late = !w.late, true
+	w.timer.Reset(replaceInterval)
+	return keptFirst
 }
 
 // Reset restarts the timeout, unless the timer has fired or is stopped.
