gateway: a run that this node or its egress cancels before the first event is tried again

What callers saw: 5003 at once, or a begun stream cut off at once, although a target had been at work, if the next run was rejected or no retry was left at that moment: for a run that was canceled after the head of its answer, and for one that an egress handed back before it.

Cause: only a run without an answer was marked as canceled by this node, and the outcome of an exchange without an answer was not read for HandedBack. An egress whose path is lost says HandedBack now, too. The mark is cleared when the next run is broken off by its target, which the client may resume.

--- a/egress/message.go
+++ b/egress/message.go
@@ -126,7 +126,8 @@
 	OfTargets bool `msgpack:"n"`
 	// Final says that no other node or target will do better: the caller gets Error.
 	Final bool `msgpack:"f"`
-	// HandedBack says that the node canceled the run of a stream as it stops.
+	// HandedBack says that the node canceled the run of a stream, as it stops or has lost its
+	// path to targets, so that the target may have been at work.
 	HandedBack bool `msgpack:"hb"`
 }
 
--- a/gateway/egress.go
+++ b/gateway/egress.go
@@ -195,7 +195,7 @@
 			}
 			end := g.endOf(c, r.target, result != runRejected)
 			end.Copy = copyMessage(r.resumeFrom)
-			end.HandedBack = context.Cause(ctx) == errHandedBack
+			end.HandedBack = r.silent || context.Cause(ctx) == errHandedBack
 			return end
 		}
 	}
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -251,6 +251,7 @@
 	defer g.cfg.Egress.Release(p.node)
 	if p.answer == nil {
 		g.recordEnd(c, p)
+		r.interrupted = r.interrupted || p.end.HandedBack
 		r.resumeFrom = g.copyOf(p.end.Copy)
 		if p.end.Result == egress.Rejected {
 			return runRejected
--- a/gateway/relayed_stream_test.go
+++ b/gateway/relayed_stream_test.go
@@ -422,3 +422,35 @@
 	require.NoError(t, err)
 	require.Equal(t, wholeDraft(1), body)
 }
+
+// A run that an egress hands back before the head of its answer waits for a retry, too.
+func TestRunHandedBackBeforeItsHeadWaitsForARetry(t *testing.T) {
+	var s *relaySite
+	var runs atomic.Int64
+	script := func(f *fakeTarget, r *http.Request, c net.Conn) {
+		if r.RequestURI != copyPath && runs.Add(1) == 1 {
+			for _, n := range s.sending() {
+				n.gateway.BeginShutdown(uptime.Now().Add(handBackTime + testStall))
+			}
+			c.Read(make([]byte, 1)) // until the run is handed back
+			return
+		}
+		draft(nil)(f, r, c)
+	}
+	targets := []*fakeTarget{newFakeTarget(t, "i-1", "draft", "north", script), newFakeTarget(t, "i-2", "draft", "south", script)}
+	var asked atomic.Int64
+	borrow := func(context.Context, string) bool {
+		if asked.Add(1) < 5 {
+			return false
+		}
+		s.ingress.gateway.budgets.Of("draft").AddBorrowed(uptime.Now())
+		return true
+	}
+	s = newRelaySite(t, 2, targets, WithBorrow(borrow), WithFirstEvent(3*time.Second))
+	s.ingress.cut(syscall.ECONNREFUSED)
+	s.ingress.lostPath(t, "draft")
+	spendBudget(s.ingress.gateway)
+	_, body, err := do(t, s.ingress.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000", "X-Usage", "100,60"))
+	require.NoError(t, err)
+	require.Equal(t, wholeDraft(1), body)
+}
--- a/gateway/replacement_test.go
+++ b/gateway/replacement_test.go
@@ -500,3 +500,27 @@
 	streams.Wait()
 	require.Len(t, seenBy(targets), len(targets))
 }
+
+// A run that is moved after the head of its answer waits for a full target, too.
+func TestRunMovedAfterItsHeadOutlastsFullTargets(t *testing.T) {
+	arrived := make(chan struct{}, 1)
+	silent := newFakeTarget(t, "i-1", "draft", "north", draft(func(_ *fakeTarget, c net.Conn, n int) bool {
+		if n == 1 {
+			arrived <- struct{}{}
+			c.Read(make([]byte, 1)) // until the run is given up
+			return false
+		}
+		return true
+	}))
+	full := newFakeTarget(t, "i-2", "draft", "north", rejectingUntil(time.Now().Add(10*testStall)))
+	s := newTestSite(t, []*fakeTarget{silent})
+	go func() {
+		<-arrived
+		time.Sleep(testStall) // until the head is read
+		s.tracker.Update(listed([]*fakeTarget{silent, full}))
+		s.gateway.pending.cancelWhere(errTargetUnresponsive, func(r *pendingRun) bool { return r.replacement.reserve(context.Background(), false) })
+	}()
+	_, body, err := do(t, s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "5000"))
+	require.NoError(t, err)
+	require.Equal(t, wholeDraft(1), body)
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -422,8 +422,9 @@
 		return runComplete
 	}
 	if ctx.Err() != nil {
+		r.silent = r.silent || errors.IsAny(context.Cause(ctx), errTargetUnresponsive, errPathLost)
 		c.rolloutRequest.Discard()
-		return runFailed // the client left, or the deadline passed
+		return runFailed // otherwise the client left, or the deadline passed
 	}
 	g.paths.Suspect(c.service)
 	g.recordLostAnswer(c, t)
@@ -435,6 +436,7 @@
 		g.counters.stalls.Inc()
 		t.RecordUnresponsive(false) // the engine may only have preempted this run
 	} else {
+		r.silent, r.interrupted = false, false
 		t.RecordFailure()
 		g.recordConnectionLoss(c, t, r.standing())
 	}
