gateway: a stream that can't go on is not held to its deadline

Others that waited spent a retry on each rejection: 164 rejections of 6 streams in 4 s.

Why it works: it ends once no target is listed that is not draining, and, without an event, once this node stops. It is tried again as soon as a target would be selected that has not just rejected, or else once a second.

TestStreamGivenUpIsAnsweredOnceItsServiceHasNoTarget, from the review: red before, green now.

--- a/balance/versions.go
+++ b/balance/versions.go
@@ -67,6 +67,18 @@
 	return n != nil && n.listed > n.draining
 }
 
+// Offers reports whether a service has a target that is not draining.
+func (t *Tracker) Offers(service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, n := range t.poolOf(service).versions {
+		if n.listed > n.draining {
+			return true
+		}
+	}
+	return false
+}
+
 // minVersionTargets is the number of targets that a version needs to continue the streams of
 // one that ends.
 const minVersionTargets = 2
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -210,7 +210,8 @@
 // awaitReplacement waits until a stream may be tried again whose run this node has canceled,
 // for its target's silence or a lost path, or that was lost on its way through another node;
 // false if it may not be before the deadline or the client leaves. It does not wait for a
-// stream that its target broke off, which the client may resume at once.
+// stream that its target broke off, which the client may resume at once, nor for one without
+// an event while this node stops.
 func (r *relay) awaitReplacement(ctx context.Context) bool {
 	g, c := r.gateway, r.call
 	if !r.silent && !r.interrupted || !c.mayHaveRun || c.versionGone || c.dispatched >= c.route.MaxAttempts {
@@ -218,11 +219,15 @@
 	}
 	r.replaceWait = min(max(2*r.replaceWait, replaceInterval), maxReplaceWait)
 	for wait := r.replaceWait; pause.For(ctx, wait); wait = min(2*wait, maxReplaceWait) {
-		if g.cfg.Quarantine.CheckRetry(c.crashProbe, c.fingerprint) != nil {
+		if g.cfg.Quarantine.CheckRetry(c.crashProbe, c.fingerprint) != nil || !g.targets.Offers(c.service) || !r.started && g.stopping.Load() != phaseServing {
 			return false
 		}
+		c.egressTried = nil
+		if wait < maxReplaceWait && !g.newReplacement(c, nil).hasTarget(ctx, true) {
+			continue // a run that is rejected costs a retry
+		}
 		if g.mayRetry(ctx, c) {
-			c.attempts, c.egressTried = 0, nil
+			c.attempts = 0
 			clear(c.rejected)
 			return true
 		}
--- a/gateway/replacement_test.go
+++ b/gateway/replacement_test.go
@@ -524,3 +524,20 @@
 	require.NoError(t, err)
 	require.Equal(t, wholeDraft(1), body)
 }
+
+// A request whose service has no target any more is answered at once.
+func TestStreamGivenUpIsAnsweredOnceItsServiceHasNoTarget(t *testing.T) {
+	silent := newFakeTarget(t, "i-1", "draft", "north", func(_ *fakeTarget, _ *http.Request, c net.Conn) { c.Read(make([]byte, 1)) })
+	var s *testSite
+	full := newFakeTarget(t, "i-2", "draft", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		s.tracker.Update(listed(nil))
+		reply(c, r.Header.Get("X-Id"), 503, "", "X-Not-Run: 1")
+	})
+	s = newTestSite(t, []*fakeTarget{silent}, WithStall(testStall), WithFirstEvent(testStall))
+	time.AfterFunc(testStall/2, func() { s.tracker.Update(listed([]*fakeTarget{silent, full})) })
+	began := time.Now()
+	resp, _, err := do(t, s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "6000"))
+	require.NoError(t, err)
+	require.Equal(t, 502, resp.StatusCode)
+	require.Less(t, time.Since(began), 3*time.Second)
+}
