gateway: a relayed safe request outlasts nodes that do not answer

What callers saw: 503 (3003) after the time limit of an attempt, although a third node would have sent the request: two others accepted the connection and did not answer within 250 ms each.

Cause: the limit of the attempt passed while the ingress connected, and an attempt without a passage counted as one for which no node was found.

--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -206,7 +206,7 @@
 	defer limit.close(c)
 	p, left := g.sendThroughEgress(attemptCtx, c, nil)
 	if p == nil {
-		return nil, left
+		return nil, left || !limit.stop()
 	}
 	defer g.cfg.Egress.Release(p.node)
 	if p.answer == nil {
--- a/gateway/relayed_test.go
+++ b/gateway/relayed_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -17,6 +18,7 @@
 	"github.com/walnutramp/walnutramp/egress"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/metering"
+	"github.com/walnutramp/walnutramp/peer"
 )
 
 // A relayed answer must be the same to the byte, and so must the request that the target
@@ -482,3 +484,44 @@
 	}
 	require.LessOrEqual(t, len(silent.Load().seen()), 4)
 }
+
+// fixedOffers are the same for each question.
+type fixedOffers []egress.Offer
+
+func (f fixedOffers) FindEgress(context.Context, string) []egress.Offer { return f }
+
+// muteListener accepts connections and never says anything.
+func muteListener(t *testing.T) string {
+	l := newLocalListener(t)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+		}
+	}()
+	return l.Addr().String()
+}
+
+// A safe request must go on to the next node when its own time limit passes while it connects.
+func TestSafeRequestOutlastsNodesThatDoNotAnswer(t *testing.T) {
+	script := func(_ *fakeTarget, r *http.Request, c net.Conn) { reply(c, r.Header.Get("X-Id"), 200, "fine") }
+	targets := []*fakeTarget{newFakeTarget(t, "i-1", "lookup", "north", script), newFakeTarget(t, "i-2", "lookup", "south", script)}
+	s := newRelaySite(t, 1, targets)
+	offers := fixedOffers{{Node: muteListener(t), Near: true, KeepsVersions: true}, {Node: muteListener(t), Near: true, KeepsVersions: true},
+		{Node: s.others[0].address, Near: true, Load: 1000, KeepsVersions: true}}
+	var d net.Dialer
+	client := egress.NewClient(peer.Identity{Site: "s", Node: "ingress"}, d.DialContext, &peer.Traffic{})
+	n := newCuttableNode(t, targets, WithEgress(egress.NewSender(client, offers)))
+	table := testTable()
+	table.Route("a.example", "/safe/x").LatencyObjective = 30 * time.Millisecond
+	n.gateway.SetTable(table)
+	n.cut(syscall.ECONNREFUSED)
+	n.lostPath(t, "lookup")
+	resp, body, err := do(t, n.request(t, "POST", "/safe/x", "q", "X-Deadline", "5000"))
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode, body)
+}
