--- a/gateway/replacement_test.go
+++ b/gateway/replacement_test.go
@@ -541,3 +541,45 @@
 	require.Equal(t, 502, resp.StatusCode)
 	require.Less(t, time.Since(began), 3*time.Second)
 }
+
+// Several silent runs must not all be given up for the one place that another target has.
+func TestSilentRunsAreNotAllGivenUpForOnePlace(t *testing.T) {
+	for name, before := range map[string]int{"before the first event": 1, "begun": 3} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const streams = 3
+			var silent []*fakeTarget
+			for _, id := range []string{"i-1", "i-2", "i-3"} {
+				var runs atomic.Int64
+				slow := silentDraft(before)
+				silent = append(silent, newFakeTarget(t, id, "draft", "north", func(f *fakeTarget, r *http.Request, c net.Conn) {
+					if r.RequestURI != copyPath && runs.Add(1) > 1 {
+						reply(c, r.Header.Get("X-Id"), 503, "", "X-Not-Run: 1")
+						return
+					}
+					slow(f, r, c)
+				}))
+			}
+			var taken atomic.Bool
+			spare := newFakeTarget(t, "i-9", "draft", "north", func(f *fakeTarget, r *http.Request, c net.Conn) {
+				if r.RequestURI != copyPath && !taken.CompareAndSwap(false, true) {
+					reply(c, r.Header.Get("X-Id"), 503, "", "X-Not-Run: 1")
+					return
+				}
+				draft(nil)(f, r, c)
+			})
+			s := newTestSite(t, silent, WithStall(testStall), WithFirstEvent(testStall))
+			s.gateway.budgets = balance.NewBudgets(balance.BudgetConfig{Slack: 200, Window: 10 * time.Second})
+			time.AfterFunc(testStall/2, func() { s.tracker.Update(listed(append(silent[:3:3], spare))) })
+			var wg sync.WaitGroup
+			for range streams {
+				wg.Go(func() {
+					_, body, err := do(t, s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "4000"))
+					assert.NoError(t, err)
+					assert.Equal(t, wholeDraft(1), body)
+				})
+			}
+			wg.Wait()
+		})
+	}
+}
