gateway: names of replacements say which node ends a run

ingressEndsBegun and ingressEndsUnbegun for delegated and pending, which also named the runs without an event; available for hasTarget, which is true for a node, too. No change of behaviour.

--- a/gateway/endreason.go
+++ b/gateway/endreason.go
@@ -5,7 +5,7 @@
 // endReason says why a call gets no further attempt. Its value is a metric label.
 type endReason string
 
-// The reasons.
+// Reasons of an end.
 const (
 	endDeadline      endReason = "deadline"       // the client's or the route's
 	endClientLeft    endReason = "client-left"    // or reads too slowly, or this node ends
@@ -41,7 +41,7 @@
 	return why
 }
 
-// contextReason returns the reason for which the context of a request has ended.
+// contextReason distinguishes a deadline from a client that left.
 func contextReason(ctx context.Context) endReason {
 	if ctx.Err() == context.DeadlineExceeded {
 		return endDeadline
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -196,7 +196,7 @@
 	return resp, err
 }
 
-// stop ends the limit; false if it has canceled the attempt.
+// stop returns false if the limit has canceled the attempt.
 func (l *attemptLimit) stop() bool {
 	if l.timeout != nil {
 		return l.timeout.Stop()
@@ -204,7 +204,7 @@
 	return l.deadline.Stop()
 }
 
-// close is called at the end of the attempt.
+// close stops the limit, and passes a reserved retry to the call.
 func (l *attemptLimit) close(c *call) {
 	l.stop()
 	if l.replacement != nil {
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -17,9 +17,10 @@
 	"k8s.io/klog/v2"
 )
 
-// A silent target may still answer. So a run is canceled for its target's silence only when
-// it can be replaced: the route allows another attempt, the budget has a retry left, and
-// another target is available. Otherwise the client would lose an answer that is only late.
+// A silent target may still answer. So a run is canceled for its target's silence, or for a
+// lost path, only when it can be replaced: the route allows another attempt, the budget has a
+// retry left, and another target would take it, or another node offers a path to one.
+// Otherwise the client would lose an answer that is only late.
 
 // replaceInterval is how often it is checked whether a silent run can be replaced.
 const replaceInterval = 100 * time.Millisecond
@@ -34,21 +35,21 @@
 // replacement reserves the retry by which one run may be replaced. Its methods are safe for
 // use by other goroutines than that of the run's relay.
 type replacement struct {
-	gateway   *Gateway
-	request   string
-	service   string
-	target    *balance.Target // of the run; nil if it is not known
-	budget    *balance.Budget
-	content   quarantine.Fingerprint
-	allowed   bool           // the route allows another run
-	relayed   bool           // the run is for another node, which has the budget
-	delegated bool           // that node ends the run once it has begun
-	pending   bool           // that node ends the run before it has begun, too
-	choice    balance.Choice // of another target, whatever its version
-	egress    egress.Need    // of a node to send it through, if this one has no path
-	rank      int            // of the call
-	deadline  time.Time
-	version   atomic.Pointer[string] // to which the stream is bound; nil before
+	gateway            *Gateway
+	request            string
+	service            string
+	target             *balance.Target // of the run; nil if it is not known
+	budget             *balance.Budget
+	content            quarantine.Fingerprint
+	allowed            bool           // the route allows another run
+	relayed            bool           // the run is for another node, which has the budget
+	ingressEndsBegun   bool           // that node ends the run once it has produced an event
+	ingressEndsUnbegun bool           // that node ends the run before that, too
+	choice             balance.Choice // of another target, whatever its version
+	egress             egress.Need    // of a node to send it through, if this one has no path
+	rank               int            // of the call
+	deadline           time.Time
+	version            atomic.Pointer[string] // to which the stream is bound; nil before
 
 	mu     sync.Mutex
 	retry  balance.Retry
@@ -60,7 +61,7 @@
 func (g *Gateway) newReplacement(c *call, t *balance.Target) *replacement {
 	p := &replacement{
 		gateway: g, request: c.id, service: c.service, target: t, budget: g.budgets.Of(c.service), content: c.fingerprint,
-		allowed: c.canRetryElsewhere(), relayed: c.relayed, delegated: c.endedByIngress, pending: c.pendingByIngress, rank: c.rank, deadline: c.deadline,
+		allowed: c.canRetryElsewhere(), relayed: c.relayed, ingressEndsBegun: c.endedByIngress, ingressEndsUnbegun: c.pendingByIngress, rank: c.rank, deadline: c.deadline,
 	}
 	if c.binding.bound {
 		p.bind(c.binding.software)
@@ -86,7 +87,7 @@
 	if p.relayed {
 		return p.allowed
 	}
-	if _, quarantined := p.gateway.cfg.Quarantine.Quarantined(p.content); !p.allowed || quarantined || !p.hasTarget(ctx, ask) {
+	if _, quarantined := p.gateway.cfg.Quarantine.Quarantined(p.content); !p.allowed || quarantined || !p.available(ctx, ask) {
 		return false
 	}
 	if p.spend() {
@@ -101,7 +102,7 @@
 	if timeouts == 1 {
 		return lateReadTime
 	}
-	if !(p.pending || begun && p.delegated) && p.reserve(ctx, true) {
+	if !(p.ingressEndsUnbegun || begun && p.ingressEndsBegun) && p.reserve(ctx, true) {
 		return 0
 	}
 	if timeouts == 2 {
@@ -114,15 +115,15 @@
 // without a word to this node, so its target's silence is recorded here.
 func (p *replacement) recordKept() {
 	klog.InfoS("Run is silent, but can't be replaced", "request", p.request, "service", p.service)
-	if p.pending && p.target != nil {
+	if p.ingressEndsUnbegun && p.target != nil {
 		p.target.RecordUnresponsive(false)
 	}
 }
 
-// hasTarget reports whether another target is available to this node or, with ask, through
+// available reports whether another target is available to this node or, with ask, through
 // another that offers a path to them, after a check of the path that is under way. It must not
 // find one that the next selection does not, as the run would be given up for it.
-func (p *replacement) hasTarget(ctx context.Context, ask bool) bool {
+func (p *replacement) available(ctx context.Context, ask bool) bool {
 	g := p.gateway
 	path := g.paths.State(p.service)
 	if ask {
@@ -223,7 +224,7 @@
 			return false
 		}
 		c.egressTried = nil
-		if wait < maxReplaceWait && !g.newReplacement(c, nil).hasTarget(ctx, true) {
+		if wait < maxReplaceWait && !g.newReplacement(c, nil).available(ctx, true) {
 			continue // a run that is rejected costs a retry
 		}
 		if g.mayRetry(ctx, c) {
@@ -258,7 +259,7 @@
 
 // expire is called when the timeout after a number of resets has passed.
 func (w *replaceTimer) expire(resets int) {
-	replaceable := !w.replacement.pending && w.replacement.reserve(w.ctx, true)
+	replaceable := !w.replacement.ingressEndsUnbegun && w.replacement.reserve(w.ctx, true)
 	if w.endOrKeep(resets, replaceable) {
 		w.replacement.recordKept()
 	}
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -80,7 +80,7 @@
 // runs began.
 func (p *pendingRuns) cancelUnresponsive() {
 	p.cancelWhere(errTargetUnresponsive, func(r *pendingRun) bool {
-		return !r.replacement.pending && r.target.UnresponsiveSince(r.began) && r.replacement.reserve(context.Background(), false)
+		return !r.replacement.ingressEndsUnbegun && r.target.UnresponsiveSince(r.began) && r.replacement.reserve(context.Background(), false)
 	})
 }
 
