--- a/egress/writer.go
+++ b/egress/writer.go
@@ -42,7 +42,7 @@
 	w.target = t
 }
 
-// Sent tells the ingress of the target to which the request is about to be sent.
+// Sent announces to the ingress the target to which the request is about to be sent.
 func (w *ResponseWriter) Sent(s Sent) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/gateway/egress.go
+++ b/gateway/egress.go
@@ -173,7 +173,8 @@
 	}
 }
 
-// announceTarget tells the ingress which target is silent if it gives the request up.
+// announceTarget names the target to the ingress, which may have to end the request for its
+// silence.
 func announceTarget(w *egress.ResponseWriter, c *call, t *balance.Target) {
 	if c.pendingByIngress {
 		w.Sent(egress.Sent{Target: t.Incarnation(), DataHall: t.DataHall})
