--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -108,7 +108,9 @@
 	} else if ctx.Err() == nil {
 		g.cfg.Egress.Avoid(node)
 	}
-	c.egressTried = append(c.egressTried, node)
+	if ctx.Err() == nil || f == nil || f.Sent.Target == "" { // otherwise its target is silent, not the node
+		c.egressTried = append(c.egressTried, node)
+	}
 	g.counters.relayed("ingress", "failed")
 	klog.InfoS("Another node did not send the request", "request", c.id, "egress", node, "left", left, "reason", reasonOf(end), "err", err)
 	if left {
@@ -204,7 +206,7 @@
 	defer limit.close(c)
 	p, left := g.sendThroughEgress(attemptCtx, c, nil)
 	if p == nil {
-		return nil, left
+		return nil, left || !limit.stop()
 	}
 	defer g.cfg.Egress.Release(p.node)
 	if p.answer == nil {
@@ -249,6 +251,7 @@
 	defer g.cfg.Egress.Release(p.node)
 	if p.answer == nil {
 		g.recordEnd(c, p)
+		r.interrupted = r.interrupted || p.end.HandedBack
 		r.resumeFrom = g.copyOf(p.end.Copy)
 		if p.end.Result == egress.Rejected {
 			return runRejected
