gateway: plain requests that are cut off, and handlers that panic, are logged and counted

A plain request whose context is canceled was ended without a line, whatever had canceled it, and the panic of a handler went to standard error without the request's id, so a log could not tell a stop's end, a panic and a client that left apart. Now each leaves a line with its reason and cause, and a count; explain reads them. What callers get is unchanged.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -237,6 +237,10 @@
 		return localResponseCause(s, last)
 	case "Stream given up":
 		return abortedCause(s, last)
+	case "Request cut off":
+		return cutOffCause(s, last)
+	case "Request handler panicked":
+		return "the handler of the request panicked: " + last.Fields["panic"], "a fault of the node; the line has the stack"
 	case "Client left":
 		if s.stopping(last) {
 			return abortedCause(s, last)
@@ -406,6 +410,19 @@
 	return fmt.Sprintf("no target was left to resume on after event %s: %s", last.Fields["last"], s.targetFailures()), "check the service's targets at that time"
 }
 
+// cutOffCause returns the cause of a plain request that ended without a complete answer.
+func cutOffCause(s *RequestTrace, last Line) (cause, advice string) {
+	switch {
+	case s.stopping(last):
+		return "the node's planned stop ended before the request did, and cut it off", "look at how long its targets took"
+	case last.Fields["why"] == "client-left":
+		return "the client closed its connection before it had the answer", "look at the client's own patience"
+	case last.Fields["why"] == "broken-answer":
+		return "a part of the answer was forwarded when it broke off: " + last.Fields["err"], "check the target and the client at that time"
+	}
+	return "the request was cut off (" + last.Fields["why"] + "): " + s.targetFailures(), ""
+}
+
 // Write prints the trace; lines of the request itself are marked with *.
 func (s *RequestTrace) Write(w io.Writer) {
 	fmt.Fprintf(w, "request %s\ncause:  %s\n", s.Request, s.Cause)
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -115,6 +115,22 @@
 	}
 }
 
+func TestRequestCutOffIsExplained(t *testing.T) {
+	for fields, want := range map[string]string{
+		`why="client-left" cause="context canceled" err=null`: "the client closed its connection",
+		`why="broken-answer" cause=null err="unexpected EOF"`: "broke off: unexpected EOF",
+		`why="client-left" cause="context canceled" stopping=true
+I0807 10:00:02.300000   13212 serve.go:99] "Process ends" name="n"`: "planned stop",
+	} {
+		lines, err := Read(strings.NewReader(`I0807 10:00:01.000000   13212 serve.go:9] "Process stops" name="n" grace="3s"
+I0807 10:00:02.250000   13212 cutoff.go:19] "Request cut off" request="a1" route="r" sent=1 outcome="unknown" `+fields), "node-1.log")
+		require.NoError(t, err)
+		trace, ok := TraceRequest(lines, "a1")
+		require.True(t, ok)
+		require.Contains(t, trace.Cause, want)
+	}
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add(`  1.5 node I0807 10:00:01.500000 1 a.go:1] "Run begins" request="a" target="b c" list=["x","y"]`)
 	f.Fuzz(func(t *testing.T, text string) {
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -28,6 +28,7 @@
 	cooldowns          *metrics.Counter
 	invalidLoads       *metrics.Counter
 	originsUnconfirmed *metrics.Counter
+	panics             *metrics.Counter
 	answerSeconds      *metrics.Histogram
 	firstEventSeconds  *metrics.Histogram
 	resumeGapSeconds   *metrics.Histogram
@@ -47,6 +48,7 @@
 		cooldowns:          s.NewCounter("walnutramp_gateway_rests_asked_total"),
 		invalidLoads:       s.NewCounter("walnutramp_gateway_unreadable_loads_total"),
 		originsUnconfirmed: s.NewCounter("walnutramp_gateway_stream_origins_unconfirmed_total"),
+		panics:             s.NewCounter("walnutramp_gateway_handler_panics_total"),
 		answerSeconds:      s.NewHistogram("walnutramp_gateway_answer_seconds"),
 		firstEventSeconds:  s.NewHistogram("walnutramp_gateway_first_event_seconds"),
 		resumeGapSeconds:   s.NewHistogram("walnutramp_gateway_resume_gap_seconds"),
@@ -92,6 +94,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("walnutramp_gateway_streams_cut_off_total{why=%q}", why)).Inc()
 }
 
+// requestCutOff counts a plain request whose client got no complete answer, or left.
+func (c *counters) requestCutOff(why endReason) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("walnutramp_gateway_requests_cut_off_total{why=%q}", why)).Inc()
+}
+
 // streamContinued counts a run that continues a stream; version is "same" or "other".
 func (c *counters) streamContinued(version string) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("walnutramp_gateway_streams_continued_total{version=%q}", version)).Inc()
--- a/gateway/endreason.go
+++ b/gateway/endreason.go
@@ -14,6 +14,7 @@
 	endNoAttempt     endReason = "no-attempt"     // the route allows no other one
 	endNoRetry       endReason = "no-retry"       // the budget is spent
 	endQuarantined   endReason = "quarantined"    // it crashes targets
+	endBrokenAnswer  endReason = "broken-answer"  // its target, the path or its client broke it off
 )
 
 // whyNoNextRun returns why a stream gets no further run after one that ended as given, or
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -355,6 +355,7 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer g.logPanic(r)
 	arrived := uptime.Now()
 	g.awaitStart(r.Context())
 	phase := g.stopping.Load()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -48,7 +48,7 @@
 		return
 	}
 	if ctx.Err() == context.Canceled {
-		panic(http.ErrAbortHandler) // the client disconnected
+		g.cutOff(ctx, c, contextReason(ctx), nil)
 	}
 	g.fail(w, c, g.finalError(c, "no target answered"))
 }
@@ -256,7 +256,11 @@
 		err = g.writeLongBody(ctx, w, c, a)
 	}
 	if err != nil {
-		panic(http.ErrAbortHandler) // a truncated answer must not look complete
+		why := endBrokenAnswer
+		if ctx.Err() != nil {
+			why = contextReason(ctx)
+		}
+		g.cutOff(ctx, c, why, err)
 	}
 }
 
