cmd: a node outlives the reader of its log

Callers saw EOF, and then refused connections: every request of a node without an answer, and no word of it in the log.

Cause: a write to a pipe without a reader on standard output ends a Go process by SIGPIPE unless it ignores that signal. So the end of a log collector ended each node with its next line. Class: requests end with a process that nothing of theirs has ended.

Why this works: serve and node ignore the signal, so that the write fails instead. The sink counts what it could not write among the dropped lines, whose number is a metric.

--- a/cmd/walnutramp/node.go
+++ b/cmd/walnutramp/node.go
@@ -194,6 +194,7 @@
 // serve runs the node until a signal stops it gracefully; a second signal stops it at
 // once.
 func (c *nodeCommand) serve(n *node.Node) error {
+	signal.Ignore(syscall.SIGPIPE) // the reader of the log may end before this process
 	callers, err := net.Listen("tcp", c.Callers)
 	if err != nil {
 		return errors.Wrap(err, "--callers")
--- a/cmd/walnutramp/serve.go
+++ b/cmd/walnutramp/serve.go
@@ -44,6 +44,7 @@
 	if c.Check {
 		return nil
 	}
+	signal.Ignore(syscall.SIGPIPE) // the reader of the log may end before this process
 	sink := logsink.New(os.Stdout)
 	setLogOutput(sink)
 	if c.NoLog {
--- a/logsink/logsink.go
+++ b/logsink/logsink.go
@@ -4,6 +4,7 @@
 package logsink
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -84,7 +85,9 @@
 	for {
 		batch, dropped, closed := s.drain()
 		if len(batch) > 0 {
-			s.out.Write(batch)
+			if _, err := s.out.Write(batch); err != nil {
+				s.recordDropped(bytes.Count(batch, []byte("\n")))
+			}
 		}
 		if dropped > 0 {
 			fmt.Fprintf(s.out, "W%s logsink \"Log lines dropped\" lines=%d\n", time.Now().Format("0102 15:04:05.000000"), dropped)
@@ -96,6 +99,14 @@
 	}
 }
 
+// recordDropped counts lines that could not be written.
+func (s *Sink) recordDropped(lines int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.droppedSinceReport += lines
+	s.droppedTotal += lines
+}
+
 func (s *Sink) drain() (batch []byte, dropped int, closed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/logsink/logsink_test.go
+++ b/logsink/logsink_test.go
@@ -97,3 +97,16 @@
 	s.Close(20 * time.Millisecond)
 	require.Less(t, time.Since(start), 5*time.Second)
 }
+
+func TestLinesThatCannotBeWrittenAreCounted(t *testing.T) {
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	require.NoError(t, reader.Close())
+	defer writer.Close()
+	s := New(writer)
+	for range 3 {
+		s.Write([]byte("line\n"))
+	}
+	s.Close(5 * time.Second)
+	require.Equal(t, 3, s.Dropped())
+}
