drain: requests that lie unread when their idle connection is closed are answered

What callers saw: "connection reset by peer" on a kept connection of a node that stops, though the request had been sent while the connection was open. Class: what has arrived is given up by a part that has not looked.

Cause: the deadline that closes an idle connection also ends the read that would find the request. On a busy machine a request lies in the socket for a while until its reader runs; to close a socket with unread data resets it. The node had not read these requests.

Why this works: the reader that the deadline has woken looks once more, past the deadline, and closes the connection only if nothing is there. So a half-close with a read that lingers isn't needed. It would do harm, too: a request that is read and thrown away can't be sent again by a client that knows only that it was read.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -14,6 +14,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -158,7 +159,7 @@
 var expired = time.Unix(1, 0)
 
 // conn is a connection that is closed as idle by its reader: an expired deadline ends the read
-// that waits for a further request, unless that has read some of it.
+// that waits for a further request, unless some of it has arrived.
 type conn struct {
 	net.Conn
 	server *Server
@@ -172,12 +173,12 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.isClosing() {
-		return 0, net.ErrClosed
-	}
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if n == 0 && c.closing {
+		n = c.readArrived(p)
+	}
 	switch {
 	case n > 0 && c.closing:
 		c.received, c.closing = true, false
@@ -209,10 +210,23 @@
 	return c.Conn.Close()
 }
 
-func (c *conn) isClosing() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closing
+// readArrived reads what has arrived, in spite of an expired deadline: to close a connection
+// with unread data resets it.
+func (c *conn) readArrived(p []byte) (n int) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) {
+		if n, err = syscall.Read(int(fd), p); err != nil {
+			n = 0
+		}
+	})
+	return n
 }
 
 // setIdle is called when a request has been answered.
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -122,3 +122,67 @@
 	require.NoError(t, err, "the request was read, and its connection closed without an answer")
 	require.NoError(t, <-shutdown)
 }
+
+// idleHookListener accepts connections that call a hook before the read that waits for a
+// further request.
+type idleHookListener struct {
+	net.Listener
+	beforeRead func()
+}
+
+func (l *idleHookListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &idleHookConn{TCPConn: c.(*net.TCPConn), beforeRead: l.beforeRead}, nil
+}
+
+type idleHookConn struct {
+	*net.TCPConn
+	beforeRead func()
+	idle       atomic.Bool
+}
+
+const testIdleTimeout = time.Hour
+
+// SetReadDeadline implements net.Conn. Only that of an idle connection is so late.
+func (c *idleHookConn) SetReadDeadline(t time.Time) error {
+	c.idle.Store(time.Until(t) > testIdleTimeout/2)
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+func (c *idleHookConn) Read(p []byte) (int, error) {
+	if c.idle.CompareAndSwap(true, false) {
+		c.beforeRead()
+	}
+	return c.TCPConn.Read(p)
+}
+
+// A request that lies unread when its idle connection is about to be closed must be answered.
+func TestShutdownAnswersARequestThatHasArrivedUnread(t *testing.T) {
+	server := New(&http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), IdleTimeout: testIdleTimeout})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	idle, toBeClosed := make(chan struct{}), make(chan struct{})
+	go server.Serve(&idleHookListener{Listener: l, beforeRead: func() {
+		close(idle)
+		<-toBeClosed
+	}})
+	t.Cleanup(func() { server.Close() })
+	c, answers := dial(t, l.Addr().String())
+	_, err = sendOn(c, answers)
+	require.NoError(t, err)
+	<-idle
+	shutdown := make(chan error, 1)
+	go func() { shutdown <- server.Shutdown(context.Background()) }()
+	time.Sleep(50 * time.Millisecond)
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		close(toBeClosed)
+	}()
+	resp, err := sendOn(c, answers)
+	require.NoError(t, err, "the request had arrived, and its connection was closed without an answer")
+	require.True(t, resp.Close)
+	require.NoError(t, <-shutdown)
+}
--- a/serve/bounded.go
+++ b/serve/bounded.go
@@ -1,7 +1,9 @@
 package serve
 
 import (
+	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/walnutramp/walnutramp/gateway"
@@ -29,6 +31,15 @@
 	limits func() gateway.Limits
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *timeoutConn) SyscallConn() (syscall.RawConn, error) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return s.SyscallConn()
+}
+
 // SetReadDeadline implements net.Conn. http.Server sets the deadline to
 // idleTimeout for an idle connection and to headerTimeout while it reads
 // request headers; a shorter configured timeout takes precedence.
