gateway: a stop's end is told from a client that left, and answers what is in flight

Callers got EOF for plain requests, and for streams without a head, that were at a target or still waited for one at the end of a stop's grace: neither an answer nor a refusal. Streams and requests cut off then were logged and counted as client-left.

The stop closed the connections, which cancels the contexts of their requests, and each handler took a canceled context for a client that had left. Now the stop ends requests by a cause of its own (EndRequests), and contextReason goes by the cause: a stop, a deadline, a client. The handlers have 150 ms to write their final answers before the connections are closed: 503 stopping, not run, with Retry-After, for what no target may have run, else 502 with outcome unknown. A stream whose answer has begun is broken off and logged as stopping. An egress ends the requests of other nodes in the same way, so that the ingress learns that a request was not sent and goes on elsewhere, rather than take it as possibly run.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -155,7 +155,7 @@
 // processMessages are the messages about a process that affect all its requests.
 var processMessages = map[string]bool{
 	"Process starts": true, "Process stops": true, "Process ends": true, "Signal to stop": true,
-	"Requests are cut off at the end of the grace": true, "List of targets": true,
+	"Requests are cut off at the end of the grace": true, "Requests are ended at the end of the grace": true, "List of targets": true,
 	"Settings reloaded": true, "Log lines dropped": true,
 }
 
@@ -269,8 +269,12 @@
 	return Line{}, false
 }
 
-// stopping reports whether the process was about to exit when it wrote l.
+// stopping reports whether a stop of the process ended what l is about. Older builds do not
+// name that reason, but were about to exit when they wrote l.
 func (s *RequestTrace) stopping(l Line) bool {
+	if l.Fields["why"] == "stopping" {
+		return true
+	}
 	for _, c := range s.Context {
 		if (c.Message == "Requests are cut off at the end of the grace" || c.Message == "Process ends") &&
 			c.Process == l.Process && c.Time >= l.Time-0.1 && c.Time <= l.Time+0.5 {
@@ -380,6 +384,9 @@
 	case walnutramp.CodeNoTarget:
 		return description, "no target of the service could be asked: look at its list of targets and at what turned the request away"
 	}
+	if strings.Contains(last.Fields["why"], "node is stopping") {
+		return "the node's planned stop ended before a target answered: " + description, "look at how long its targets took; outcome unknown means that it may have run"
+	}
 	return description, "look at the targets named; outcome unknown means that it may have run and was not sent again"
 }
 
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -105,7 +105,7 @@
 }
 
 func TestStreamCutOffIsExplainedByItsReason(t *testing.T) {
-	for why, want := range map[string]string{"no-attempt": "no further attempt", "quarantined": "is quarantined", "no-target": "no target was left"} {
+	for why, want := range map[string]string{"no-attempt": "no further attempt", "quarantined": "is quarantined", "no-target": "no target was left", "stopping": "planned stop"} {
 		lines, err := Read(strings.NewReader(`I0807 10:00:01.500000   13212 stream.go:10] "Run begins" request="a1" target="i-1" run=1
 I0807 10:00:02.250000   13212 stream.go:99] "Stream given up" request="a1" route="r" last=9 sent=1 outcome="unknown" versionGone=false why="`+why+`" cause=null`), "node-1.log")
 		require.NoError(t, err)
@@ -115,10 +115,19 @@
 	}
 }
 
+func TestAnswerOfAStoppingNodeIsExplained(t *testing.T) {
+	lines, err := Read(strings.NewReader(`I0807 10:00:02.250000   13212 refuse.go:48] "Request ended here" request="a1" route="r" code=5003 outcome="unknown" sent=1 why="this node is stopping, and no target has answered"`), "node-1.log")
+	require.NoError(t, err)
+	trace, ok := TraceRequest(lines, "a1")
+	require.True(t, ok)
+	require.Contains(t, trace.Cause, "planned stop")
+}
+
 func TestRequestCutOffIsExplained(t *testing.T) {
 	for fields, want := range map[string]string{
 		`why="client-left" cause="context canceled" err=null`: "the client closed its connection",
 		`why="broken-answer" cause=null err="unexpected EOF"`: "broke off: unexpected EOF",
+		`why="stopping" cause="the node stops" err=null`:      "planned stop",
 		`why="client-left" cause="context canceled" stopping=true
 I0807 10:00:02.300000   13212 serve.go:99] "Process ends" name="n"`: "planned stop",
 	} {
--- a/gateway/egress.go
+++ b/gateway/egress.go
@@ -28,8 +28,7 @@
 
 // Reaches implements loadshare.ReachHandler.
 func (g *Gateway) Reaches(service string) (ok bool, load int) {
-	load = int(g.active.Load())
-	return g.refusesRelayed(service) == nil, load
+	return g.refusesRelayed(service) == nil, g.InFlight()
 }
 
 // refusesRelayed returns why this node sends no requests of other nodes to a service; nil if
@@ -70,7 +69,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	ctx, stop := context.WithDeadline(ctx, time.Now().Add(r.Deadline))
+	ctx, stop := g.requestContext(ctx, c.deadline)
 	defer stop()
 	defer g.relayed.add(c, cancel)()
 	g.active.Add(1)
@@ -135,7 +134,7 @@
 		if e := g.refusesRelayed(c.service); e != nil {
 			return notSentEnd(e)
 		}
-		e := g.finalError(c, "no target answered")
+		e := g.finalError(c)
 		end := notSentEnd(e)
 		end.OfTargets, end.Final = true, e.Outcome == walnutramp.NotRun && e.Code != walnutramp.CodeNoTarget
 		return end
@@ -196,7 +195,7 @@
 			}
 			end := g.endOf(c, r.target, result != runRejected)
 			end.Copy = copyMessage(r.resumeFrom)
-			end.HandedBack = r.silent || context.Cause(ctx) == errHandedBack
+			end.HandedBack = r.silent || contextReason(ctx) == endStopping
 			return end
 		}
 	}
--- a/gateway/endreason.go
+++ b/gateway/endreason.go
@@ -1,6 +1,12 @@
 package gateway
 
-import "context"
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/walnutramp/walnutramp/internal/uptime"
+)
 
 // endReason says why a call gets no further attempt. Its value is a metric label.
 type endReason string
@@ -8,7 +14,8 @@
 // Reasons of an end.
 const (
 	endDeadline      endReason = "deadline"       // the client's or the route's
-	endClientLeft    endReason = "client-left"    // or reads too slowly, or this node ends
+	endStopping      endReason = "stopping"       // this node ends
+	endClientLeft    endReason = "client-left"    // or reads too slowly
 	endNoTarget      endReason = "no-target"      // none is available
 	endNotRepeatable endReason = "not-repeatable" // it may have run, and may run only once
 	endNoAttempt     endReason = "no-attempt"     // the route allows no other one
@@ -42,14 +49,37 @@
 	return why
 }
 
-// contextReason distinguishes a deadline from a client that left.
+// errStopping cancels the requests that are left at the end of a planned stop.
+var errStopping = errors.New("the node stops")
+
+// contextReason returns why the context of a request has ended, or an empty reason if it has
+// not. A cause that is not this node's own is the client's.
 func contextReason(ctx context.Context) endReason {
-	if ctx.Err() == context.DeadlineExceeded {
+	cause := context.Cause(ctx)
+	switch {
+	case cause == nil:
+		return ""
+	case errors.IsAny(cause, errStopping, errHandedBack):
+		return endStopping
+	case errors.Is(cause, context.DeadlineExceeded):
 		return endDeadline
 	}
 	return endClientLeft
 }
 
+// requestContext returns the context of a request: it ends with its client, at its deadline,
+// and when EndRequests is called.
+func (g *Gateway) requestContext(client context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(client)
+	detach := context.AfterFunc(g.requests, func() { cancel(errStopping) })
+	ctx, stop := context.WithTimeout(ctx, uptime.Until(deadline))
+	return ctx, func() {
+		detach()
+		stop()
+		cancel(nil)
+	}
+}
+
 // mayRetry reports whether another target may be tried, and reserves the retry.
 func (g *Gateway) mayRetry(ctx context.Context, c *call) bool { return g.whyNoRetry(ctx, c) == "" }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/egress"
 	"github.com/walnutramp/walnutramp/inflight"
@@ -177,6 +176,8 @@
 	startOnce sync.Once
 	ctx       context.Context // of background tasks
 	cancel    context.CancelFunc
+	requests  context.Context // ends with EndRequests
+	end       context.CancelFunc
 
 	demands      demandCounters
 	pending      pendingRuns
@@ -212,6 +213,7 @@
 	g := &Gateway{cfg: cfg, targets: targets, pool: pool, refresh: refresh, budgets: budgets, counters: newCounters(),
 		started: make(chan struct{}), pending: pendingRuns{runs: map[*pendingRun]struct{}{}}}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.requests, g.end = context.WithCancel(context.Background())
 	cfg.Limits.OnLimited(targets.SetLimited)
 	g.buffers = newBufferAccounting(cfg.Buffers, g.counters)
 	g.counters.set.NewGauge(`walnutramp_gateway_held_bytes{cause="slow-clients"}`, func() float64 { return float64(g.buffers.bytes()) })
@@ -353,6 +355,16 @@
 // RejectRequests makes the gateway reject all new requests from now on, as not run.
 func (g *Gateway) RejectRequests() { g.stopping.Store(phaseClosed) }
 
+// EndRequests ends all requests in flight: one that has no answer yet gets an error that says
+// whether it may have run, and an answer under way is broken off. It returns at once.
+func (g *Gateway) EndRequests() {
+	g.RejectRequests()
+	g.end()
+}
+
+// InFlight returns the number of requests that are being served.
+func (g *Gateway) InFlight() int { return int(g.active.Load()) }
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer g.logPanic(r)
@@ -367,8 +379,7 @@
 		defer g.buffered.Add(-int64(len(c.body)))
 	}
 	if refused == nil && (phase == phaseClosed || !g.completesInTime(c)) {
-		w.Header().Set("Connection", "close")
-		refused = walnutramp.NewError(walnutramp.CodeStopping, walnutramp.NotRun, "this node is stopping").WithRetryAfter(retryAtOtherNode)
+		refused = errNodeStopping()
 	}
 	if refused != nil {
 		g.refuse(w, r, refused)
@@ -378,7 +389,9 @@
 		g.fail(w, c, held)
 		return
 	}
-	if unknown := g.bindResumed(r.Context(), c); unknown != nil {
+	ctx, cancel := g.requestContext(r.Context(), c.deadline)
+	defer cancel()
+	if unknown := g.bindResumed(ctx, c); unknown != nil {
 		g.fail(w, c, unknown)
 		return
 	}
@@ -389,8 +402,6 @@
 	g.countDemand(c)
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	ctx, cancel := context.WithTimeout(r.Context(), uptime.Until(c.deadline))
-	defer cancel()
 	if c.route.Kind == Stream {
 		g.serveStream(ctx, w, c)
 		return
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -47,10 +47,10 @@
 		g.writeResponse(ctx, w, c, last)
 		return
 	}
-	if ctx.Err() == context.Canceled {
-		g.cutOff(ctx, c, contextReason(ctx), nil)
+	if contextReason(ctx) == endClientLeft {
+		g.cutOff(ctx, c, endClientLeft, nil)
 	}
-	g.fail(w, c, g.finalError(c, "no target answered"))
+	g.fail(w, c, g.endedError(ctx, c))
 }
 
 // attemptAnywhere sends the request to the next target, or through another node if this
@@ -344,9 +344,9 @@
 	} else {
 		c.rejected[t] = true
 	}
-	if ctx.Err() == context.Canceled {
+	if why := contextReason(ctx); why == endClientLeft || why == endStopping {
 		c.rolloutRequest.Discard()
-		return // the client disconnected, which says nothing about the target
+		return // says nothing about the target
 	}
 	g.recordLostAnswer(c, t)
 	c.failedHalls[t.DataHall]++
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
@@ -60,6 +61,9 @@
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if g.stopping.Load() >= phaseClosing || e.Code == walnutramp.CodeStopping {
+		h.Set("Connection", "close")
+	}
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
 	}
@@ -78,8 +82,26 @@
 	return time.Duration(mean * (0.5 + rand.Float64()))
 }
 
+// errNodeStopping returns the error of a request that this node has not sent and will not.
+func errNodeStopping() *walnutramp.Error {
+	return walnutramp.NewError(walnutramp.CodeStopping, walnutramp.NotRun, "this node is stopping").WithRetryAfter(retryAtOtherNode)
+}
+
+// endedError returns the error of a call that got no answer until its context ended or no
+// target was left.
+func (g *Gateway) endedError(ctx context.Context, c *call) *walnutramp.Error {
+	switch {
+	case contextReason(ctx) != endStopping:
+		return g.finalError(c)
+	case c.mayHaveRun:
+		return walnutramp.NewError(walnutramp.CodeTargetFailed, walnutramp.Unknown, "this node is stopping, and no target has answered")
+	}
+	return errNodeStopping()
+}
+
 // finalError returns the error of a call that no target answered.
-func (g *Gateway) finalError(c *call, why string) *walnutramp.Error {
+func (g *Gateway) finalError(c *call) *walnutramp.Error {
+	const why = "no target answered"
 	if held := g.cfg.Quarantine.CheckNew(c.fingerprint); held != nil && !c.mayHaveRun {
 		return held
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -77,15 +77,15 @@
 		}
 		why = r.whyNoNextRun(ctx, end)
 	}
-	if r.started || ctx.Err() == context.Canceled {
+	if r.started || why == endClientLeft {
 		rest := r.drain()
 		g.counters.streamCutOff(why)
 		klog.InfoS("Stream given up", "request", c.id, "route", c.route.Name, "last", c.lastID, "sent", c.dispatched,
-			"outcome", c.outcome(), "versionGone", c.versionGone, "why", why, "cause", ctx.Err(), "notPassed", rest,
+			"outcome", c.outcome(), "versionGone", c.versionGone, "why", why, "cause", context.Cause(ctx), "notPassed", rest,
 			"silent_ms", uptime.Since(c.idleSince).Milliseconds(), "configurationAge_ms", g.tableAge().Milliseconds())
 		panic(http.ErrAbortHandler) // a truncated stream must not look complete
 	}
-	g.fail(w, c, g.finalError(c, "no target answered"))
+	g.fail(w, c, g.endedError(ctx, c))
 }
 
 // finish waits until the client has received everything; false if it does not.
@@ -95,7 +95,7 @@
 	}
 	err := r.out.Finish(ctx)
 	if err != nil {
-		r.logClientLeft(err)
+		r.logClientLeft(ctx, err)
 	}
 	return err == nil
 }
@@ -116,7 +116,12 @@
 	}
 }
 
-func (r *relay) logClientLeft(err error) {
+// logClientLeft logs why a client did not receive all of its stream, unless this node or the
+// deadline has ended the request.
+func (r *relay) logClientLeft(ctx context.Context, err error) {
+	if why := contextReason(ctx); why == endStopping || why == endDeadline {
+		return
+	}
 	klog.InfoS("Client left", "request", r.call.id, "route", r.call.route.Name, "last", r.call.lastID, "err", err)
 }
 
@@ -424,7 +429,7 @@
 	if ctx.Err() != nil {
 		r.silent = r.silent || errors.IsAny(context.Cause(ctx), errTargetUnresponsive, errPathLost)
 		c.rolloutRequest.Discard()
-		return runFailed // otherwise the client left, or the deadline passed
+		return runFailed // otherwise the request has ended
 	}
 	g.paths.Suspect(c.service)
 	g.recordLostAnswer(c, t)
@@ -455,7 +460,7 @@
 		r.out = r.gateway.buffers.newResponseBuffer(r.call, r.w)
 	}
 	if err := r.out.Put(ctx, raw); err != nil {
-		r.logClientLeft(err)
+		r.logClientLeft(ctx, err)
 		return false
 	}
 	now := time.Now()
--- a/serve/cutoff_test.go
+++ b/serve/cutoff_test.go
@@ -1,14 +1,19 @@
 package serve
 
 import (
+	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/gateway"
 	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/targetconn"
@@ -28,15 +33,7 @@
 		time.Sleep(ending)
 		ended.Store(true)
 	}
-	targets := balance.NewTracker()
-	pool := targetconn.NewPool()
-	e := &entry{
-		gateway:      gateway.New(targets, pool, balance.NewBudgets(balance.BudgetConfig{}), func() {}),
-		pool:         pool,
-		clientServer: newServer(http.HandlerFunc(handler)),
-		readyServer:  newServer(http.NotFoundHandler()),
-		quarantine:   quarantine.NewCrashDetector(quarantine.New(), pool.Dial),
-	}
+	e := newTestEntry(gateway.New(balance.NewTracker(), targetconn.NewPool(), balance.NewBudgets(balance.BudgetConfig{}), func() {}), http.HandlerFunc(handler))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	serveInBackground(e.clientServer, l)
@@ -47,3 +44,86 @@
 	require.True(t, ended.Load(), "the request had not ended")
 	require.Less(t, time.Since(stopped), grace)
 }
+
+// newTestEntry returns an entry whose clients are served by a handler.
+func newTestEntry(g *gateway.Gateway, h http.Handler) *entry {
+	pool := targetconn.NewPool()
+	return &entry{
+		gateway: g, pool: pool, clientServer: newServer(h), readyServer: newServer(http.NotFoundHandler()),
+		quarantine: quarantine.NewCrashDetector(quarantine.New(), pool.Dial),
+	}
+}
+
+// silentTarget returns a target that reads requests and answers none.
+func silentTarget(t *testing.T, service string) discovery.Target {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go io.Copy(io.Discard, c)
+		}
+	}()
+	return discovery.Target{ID: "i-" + service, Service: service, Address: l.Addr().String(), Slots: 100}
+}
+
+// A request in flight at the end of a stop's grace must not end without an answer.
+func TestShutdownAnswersRequestsInFlight(t *testing.T) {
+	const grace = killMargin + 500*time.Millisecond
+	tracker := balance.NewTracker()
+	tracker.Update([]discovery.Target{silentTarget(t, "silent")})
+	table := &gateway.Table{Version: 1, Services: map[string]gateway.Service{"silent": {Name: "silent"}, "missing": {Name: "missing"}}}
+	var routes []*gateway.Route
+	for _, service := range []string{"silent", "missing"} {
+		for kind, prefix := range map[gateway.Kind]string{gateway.Unsafe: "once", gateway.Stream: "stream"} {
+			routes = append(routes, &gateway.Route{Name: service + prefix, Host: "a.example", Prefix: "/" + service + "/" + prefix + "/", Kind: kind, Timeout: 10 * time.Second,
+				LatencyObjective: 4 * time.Second, MaxAttempts: 1, Split: []gateway.WeightedService{{Service: service, Weight: 1}}})
+		}
+	}
+	table.SetRoutes(routes)
+	g := gateway.New(tracker, targetconn.NewPool(), balance.NewBudgets(balance.BudgetConfig{Ratio: 1, Slack: 200, Window: time.Second}), func() {},
+		gateway.WithNames(gateway.Names{Identity: "X-Id", Deadline: "X-Deadline", Expect: "X-Expect", Priority: "X-Priority"}))
+	g.SetTable(table)
+	e := newTestEntry(g, g)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	serveInBackground(e.clientServer, l)
+	var clients sync.WaitGroup
+	for path, want := range map[string]struct {
+		status     int
+		outcome    string
+		retryAfter bool
+	}{
+		"/silent/once/":    {http.StatusBadGateway, `"outcome":"unknown"`, false},
+		"/silent/stream/":  {http.StatusBadGateway, `"outcome":"unknown"`, false},
+		"/missing/once/":   {http.StatusServiceUnavailable, `"outcome":"not-run"`, true},
+		"/missing/stream/": {http.StatusServiceUnavailable, `"outcome":"not-run"`, true},
+	} {
+		clients.Go(func() {
+			r, err := http.NewRequest("POST", "http://"+l.Addr().String()+path, strings.NewReader("x"))
+			require.NoError(t, err)
+			r.Host = "a.example"
+			r.Header.Set("X-Id", "a")
+			resp, err := (&http.Transport{}).RoundTrip(r)
+			if !assert.NoError(t, err, path) {
+				return
+			}
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			assert.NoError(t, err, path)
+			assert.Equal(t, want.status, resp.StatusCode, path)
+			assert.Contains(t, string(body), want.outcome, path)
+			assert.Equal(t, want.retryAfter, resp.Header.Get("Retry-After") != "", path)
+			assert.True(t, resp.Close, path)
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	stopped := time.Now()
+	e.stop(grace)
+	require.Less(t, time.Since(stopped), grace)
+	clients.Wait()
+}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -32,6 +32,7 @@
 	connCloseDelay = 2500 * time.Millisecond // from then on connections are closed after each response
 	rejectDelay    = 3 * time.Second         // from then on new requests are rejected
 	killMargin     = 300 * time.Millisecond  // between the shutdown deadline and the platform's kill at the end of the grace period
+	answerTime     = 150 * time.Millisecond  // from the shutdown deadline on, for the final answers of the remaining requests
 	connCloseShare = 0.6                     // upper limit of connCloseDelay, as a fraction of the shutdown deadline
 	rejectShare    = 0.75                    // upper limit of rejectDelay, as a fraction of the shutdown deadline
 	cutOffWait     = 100 * time.Millisecond  // upper limit of the wait for the handlers of aborted requests
@@ -42,7 +43,7 @@
 type shutdownSchedule struct {
 	closeConns time.Duration
 	reject     time.Duration
-	deadline   time.Duration // remaining requests are aborted
+	deadline   time.Duration // remaining requests are ended
 }
 
 func newShutdownSchedule(grace time.Duration) shutdownSchedule {
@@ -281,17 +282,34 @@
 	return func() bool { return p.client.InForce() }
 }
 
-// stopEgress waits for the requests of other nodes until ctx ends.
+// stopEgress waits for the requests of other nodes until ctx ends. It then ends them.
 func (e *entry) stopEgress(ctx context.Context) {
-	if e.egress == nil {
+	if e.egress == nil || e.egress.Shutdown(ctx) == nil {
 		return
 	}
-	if err := e.egress.Shutdown(ctx); err != nil {
-		klog.InfoS("Requests of other nodes are cut off at the end of the grace", "err", err)
+	klog.InfoS("Requests of other nodes are ended at the end of the grace")
+	e.gateway.EndRequests()
+	ending, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	if err := e.egress.Shutdown(ending); err != nil {
+		klog.InfoS("Requests of other nodes are cut off", "err", err)
 		e.egress.Close()
 	}
 }
 
+// stopClients waits for the requests of clients until ctx ends. It then ends them, and aborts
+// those whose final answers are not written in time.
+func (e *entry) stopClients(ctx context.Context) {
+	if e.clientServer.Shutdown(ctx) == nil {
+		return
+	}
+	klog.InfoS("Requests are ended at the end of the grace", "requests", e.gateway.InFlight())
+	e.gateway.EndRequests()
+	e.clientServer.awaitHandlers(answerTime)
+	e.clientServer.Close()
+	e.clientServer.awaitHandlers(cutOffWait) // otherwise the log may not name the streams cut off
+}
+
 // stop shuts the entry down gracefully: it reports not ready to the load balancer,
 // goes on serving until the balancer has reacted, then rejects new requests and
 // waits for those in flight.
@@ -307,11 +325,7 @@
 	defer cancel()
 	var relayed sync.WaitGroup
 	relayed.Go(func() { e.stopEgress(ctx) })
-	if err := e.clientServer.Shutdown(ctx); err != nil {
-		klog.InfoS("Requests are cut off at the end of the grace", "err", err)
-		e.clientServer.Close()
-		e.clientServer.awaitHandlers(cutOffWait) // otherwise the log may not name the streams cut off
-	}
+	e.stopClients(ctx)
 	relayed.Wait()
 	e.readyServer.Close()
 	e.gateway.Close()
