gateway: the timeout between events begins anew with each event

What callers saw: a stream whose target sent part of an event together with the events before it, and then a byte every 10 ms that never ended the line, stood still for up to 5 s before it was resumed elsewhere, instead of for the route's timeout between events.

Cause: the read deadline was set only when no bytes were buffered after an event. With part of the next event in the buffer, the deadline before it stayed in force: that for the first event (5 s), or one that was about to pass, so that a sound run could also be given up too soon.

Evidence: TestStreamIsResumedBesideALineThatNeverEnds (stall timeout 100 ms) failed 5 of 5 times with 5.01 to 5.02 s; with the change 5 of 5 pass in 0.12 s.

Why it works: the deadline is set after every event. eventstream.Buffered has no caller left.

--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -40,9 +40,6 @@
 	return &Reader{source: bufio.NewReaderSize(r, readBuffer)}
 }
 
-// Buffered reports whether bytes can be read without blocking.
-func (r *Reader) Buffered() bool { return r.source.Buffered() > 0 }
-
 // Remainder returns the bytes read after the last complete event, once Next has failed;
 // nil before. After ErrTooLong the rest of the long event is not included.
 func (r *Reader) Remainder() []byte { return r.remainder }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -337,14 +337,12 @@
 	})
 	for {
 		timeouts, r.timeoutLate = 0, 0
-		if !events.Buffered() {
-			wait := g.stallTimeout(c.route)
-			if !seen {
-				wait = g.cfg.FirstEvent
-			}
-			due = time.Now().Add(wait)
-			a.SetReadDeadline(due)
+		wait := g.stallTimeout(c.route)
+		if !seen {
+			wait = g.cfg.FirstEvent
 		}
+		due = time.Now().Add(wait)
+		a.SetReadDeadline(due)
 		e, err := events.Next()
 		if err != nil {
 			return r.classifyEnd(ctx, a, t, events, err)
