gateway: a stream advances by events with data only

What callers saw: beside a target that sends a comment every 50 ms after five events, streams stood still until their deadline and were then cut off. A target that sends nothing but comments kept streams as long; their clients got a head, so that they could no longer be refused or answered elsewhere. Such streams counted as begun, and the target as sound.

Cause: any block up to a blank line was an event. Comments, blank lines, IDs without data, events without an ID in a stream that has IDs, and repeated events reset the timeout, the watchdog of relayed runs and the watch for silence, began the stream, and counted as success of the target.

Why it works: relays read the events by which a run advances. Other blocks are passed on unchanged, once the run has begun and its client keeps up, and else with the next event; they reset nothing. So silence beside them is handled as silence: the run is kept until it can be replaced.

--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -22,6 +22,9 @@
 	Raw   []byte
 	ID    int64
 	HasID bool // the event has an integer ID
+	// HasData says that the event has a data field: others, such as comments, are not
+	// dispatched by clients.
+	HasData bool
 }
 
 // Reader reads events. When Next fails, the bytes after the last blank line are kept as
@@ -63,6 +66,7 @@
 		if id, ok := parseID(line); ok {
 			e.ID, e.HasID = id, true
 		}
+		e.HasData = e.HasData || isData(line)
 	}
 }
 
@@ -83,6 +87,12 @@
 	}
 }
 
+// isData reports whether a line is a data field.
+func isData(line []byte) bool {
+	rest, ok := bytes.CutPrefix(line, []byte("data"))
+	return ok && (len(rest) == 0 || rest[0] == ':')
+}
+
 // parseID parses an id line with an integer value.
 func parseID(line []byte) (int64, bool) {
 	value, ok := bytes.CutPrefix(line, []byte("id:"))
--- a/eventstream/eventstream_test.go
+++ b/eventstream/eventstream_test.go
@@ -54,3 +54,14 @@
 		require.Equal(t, text, whole.String()+string(r.Remainder()))
 	})
 }
+
+func TestOnlyEventsWithADataFieldHaveData(t *testing.T) {
+	for text, want := range map[string]bool{
+		"id: 1\ndata: a\n\n": true, "data\n\n": true, "data:\r\n\r\n": true, "version: 2\ndata:a\n\n": true,
+		": data: a\n\n": false, "\n": false, "id: 1\n\n": false, "database: a\n\n": false, "event: data\n\n": false,
+	} {
+		e, err := NewReader(strings.NewReader(text)).Next()
+		require.NoError(t, err)
+		require.Equal(t, want, e.HasData, "%q", text)
+	}
+}
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -12,7 +12,6 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/egress"
-	"github.com/walnutramp/walnutramp/eventstream"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"k8s.io/klog/v2"
 )
@@ -330,7 +329,7 @@
 // exchange if no event comes in time and the run can be replaced.
 func (r *relay) forwardRelayedEvents(ctx context.Context, cancel context.CancelFunc, p *passage) runResult {
 	g, c := r.gateway, r.call
-	events := eventstream.NewReader(p.answer)
+	events := r.newRunEvents(p.answer)
 	replacement := g.newReplacement(c, g.targets.Target(p.answer.Target))
 	defer replacement.close(c)
 	watchdog := replacement.endAfter(ctx, g.cfg.FirstEvent+egressMargin, cancel)
@@ -348,7 +347,9 @@
 			r.recordFirstEvent()
 			g.meterFirst(c)
 		}
-		if !e.HasID || !c.hasLast || e.ID > c.lastID { // otherwise the client already has it
+		if e.HasID && c.hasLast && e.ID <= c.lastID { // the client already has it
+			r.held = r.held[:0]
+		} else {
 			if !r.write(ctx, p.answer.Status, p.answer.Header, e.Raw) {
 				return runClientLeft
 			}
@@ -362,10 +363,10 @@
 
 // classifyRelayedEnd distinguishes a complete stream from a truncated one. Silent says that
 // this node ended it.
-func (r *relay) classifyRelayedEnd(ctx context.Context, p *passage, events *eventstream.Reader, err error, silent bool) runResult {
+func (r *relay) classifyRelayedEnd(ctx context.Context, p *passage, events *runEvents, err error, silent bool) runResult {
 	g, c := r.gateway, r.call
 	if err == io.EOF {
-		if rest := events.Remainder(); (len(rest) > 0 || !r.started) && !r.write(ctx, p.answer.Status, p.answer.Header, rest) {
+		if rest := events.Remainder(); (len(rest) > 0 || len(r.held) > 0 || !r.started) && !r.write(ctx, p.answer.Status, p.answer.Header, rest) {
 			return runClientLeft
 		}
 		return runComplete
--- a/gateway/outbox.go
+++ b/gateway/outbox.go
@@ -74,6 +74,12 @@
 	}
 }
 
+// TryPut appends a copy of p unless a buffer limit is reached or writing has stopped.
+func (b *responseBuffer) TryPut(p []byte) bool {
+	freed, err := b.add(p)
+	return freed == nil && err == nil
+}
+
 // add appends p, or returns a channel that is closed when there may be space for it.
 func (b *responseBuffer) add(p []byte) (freed <-chan struct{}, err error) {
 	b.accounting.mu.Lock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/egress"
-	"github.com/walnutramp/walnutramp/eventstream"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/rollout"
@@ -26,6 +25,7 @@
 	w               http.ResponseWriter
 	started         bool            // the head has been sent to the client
 	out             *responseBuffer // for the body
+	held            []byte          // of the current run, to be forwarded before its next event; see passOn
 	lastEventAt     time.Time       // when the last event was forwarded
 	firstEventAfter time.Duration   // from the request's arrival
 	maxGap          time.Duration   // longest time between two events
@@ -325,7 +325,7 @@
 // event.
 func (r *relay) forwardEvents(ctx context.Context, a *targetconn.Answer, rc *runCopy, silence *silenceWatch, replacement *replacement, first func()) runResult {
 	g, c, t := r.gateway, r.call, rc.target
-	events := eventstream.NewReader(a)
+	events := r.newRunEvents(a)
 	seen := false
 	timeouts := 0 // since the last event
 	var due time.Time
@@ -367,6 +367,7 @@
 		r.recordSettled()
 		rc.maintain(ctx)
 		if e.HasID && c.hasLast && e.ID <= c.lastID {
+			r.held = r.held[:0]
 			continue // the client already has it
 		}
 		if !r.write(ctx, a.Status, a.Header, e.Raw) {
@@ -409,10 +410,10 @@
 }
 
 // classifyEnd distinguishes a complete stream from a truncated one.
-func (r *relay) classifyEnd(ctx context.Context, a *targetconn.Answer, t *balance.Target, events *eventstream.Reader, err error) runResult {
+func (r *relay) classifyEnd(ctx context.Context, a *targetconn.Answer, t *balance.Target, events *runEvents, err error) runResult {
 	g, c := r.gateway, r.call
 	if err == io.EOF && a.Framed {
-		if rest := events.Remainder(); (len(rest) > 0 || !r.started) && !r.write(ctx, a.Status, a.Header, rest) {
+		if rest := events.Remainder(); (len(rest) > 0 || len(r.held) > 0 || !r.started) && !r.write(ctx, a.Status, a.Header, rest) {
 			return runClientLeft
 		}
 		c.rolloutRequest.Finish(rollout.Served)
@@ -452,7 +453,12 @@
 		r.started = true
 		r.out = r.gateway.buffers.newResponseBuffer(r.call, r.w)
 	}
-	if err := r.out.Put(ctx, raw); err != nil {
+	if len(r.held) > 0 {
+		raw = append(r.held, raw...)
+	}
+	err := r.out.Put(ctx, raw)
+	r.held = r.held[:0]
+	if err != nil {
 		r.logClientLeft(err)
 		return false
 	}
