gateway: a permit is not lost with a kept connection that was closed

What callers saw: one request less than a target's rate limit allows, refused with 503.

Cause: a permit is used up just before its request is sent. If the kept connection then turned out to be closed, the request was tried on another one, where it had no permit any more.

It is the other half of the case of TestRateLimitRejectsWithRetryAfter.

Why it works: the connection pool says that nothing was sent, and the permit goes back to those in hand, from where the next try takes it. A permit that had run out, and in whose place one in hand was used, is no longer returned a second time when a retry can't be charged.

--- a/gateway/ask.go
+++ b/gateway/ask.go
@@ -109,12 +109,16 @@
 		return nil, errNotAdmitted
 	}
 	charge := r.Gate
+	var used ratelimit.Permit
 	r.Gate = func() error {
 		if p != purposeCopy && !g.cfg.InFlight.Use(leaseRequest(t, timeLeft(ctx)), &have.lease) {
 			return errNoSlot
 		}
-		return g.checkBeforeSending(t, &have.permit, charge)
+		var err error
+		used, err = g.checkBeforeSending(t, &have.permit, charge)
+		return err
 	}
+	r.Unsent = func() { g.cfg.Limits.Return(&used) }
 	sentAt := uptime.Now()
 	answer, err := g.pool.Do(ctx, endpoint(t), r)
 	if errors.IsAny(err, errNotAdmitted, errRateLimited, errNoSlot) {
@@ -139,23 +143,27 @@
 }
 
 // checkBeforeSending reports why a request must not be sent to a target now; nil if it may
-// be. It uses up the permit. charge, which may be nil, charges a retry.
-func (g *Gateway) checkBeforeSending(t *balance.Target, permit *ratelimit.Permit, charge func() error) error {
+// be. It uses up the permit, and returns it if it was valid. charge, which may be nil, charges
+// a retry.
+func (g *Gateway) checkBeforeSending(t *balance.Target, permit *ratelimit.Permit, charge func() error) (used ratelimit.Permit, err error) {
 	if t.InCooldown() {
-		return errNotAdmitted
+		return used, errNotAdmitted
 	}
 	held := *permit
 	if !g.cfg.Limits.Use(t.Incarnation(), permit) {
-		return errRateLimited
+		return used, errRateLimited
+	}
+	if *permit != held {
+		used = held
 	}
 	if charge == nil {
-		return nil
+		return used, nil
 	}
-	err := charge()
-	if err != nil {
-		g.cfg.Limits.Return(&held)
+	if err := charge(); err != nil {
+		g.cfg.Limits.Return(&used)
+		return used, err
 	}
-	return err
+	return used, nil
 }
 
 // applyBackpressure applies the backpressure signals of an answer to its target.
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -16,6 +16,7 @@
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/quota"
 	"github.com/walnutramp/walnutramp/ratelimit"
+	"github.com/walnutramp/walnutramp/targetconn"
 )
 
 // limitedTarget publishes a rate limit in its answers unless the limit is empty.
@@ -279,3 +280,33 @@
 	}
 	require.Positive(t, network.asked.Load())
 }
+
+// closedConn is a connection that turns out to be closed when request number n is written.
+type closedConn struct {
+	net.Conn
+	n int
+}
+
+func (c *closedConn) Write(b []byte) (int, error) {
+	if c.n--; c.n == 0 {
+		c.Close()
+	}
+	return c.Conn.Write(b)
+}
+
+// A permit must not be lost with a kept connection that was closed before anything was sent.
+func TestPermitIsKeptWhenAnIdleConnectionIsClosed(t *testing.T) {
+	f := newFakeTarget(t, "i-1", "lookup", "north", newLimitedTarget("0.2").answer)
+	s := newTestSite(t, []*fakeTarget{f})
+	s.gateway.pool = targetconn.NewPool(targetconn.WithIdentityHeader("X-Id"), targetconn.WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := targetconn.NewDialer(nil).DialContext(ctx, network, address)
+		return &closedConn{Conn: c, n: 2}, err
+	}))
+	t.Cleanup(s.gateway.pool.Close)
+	for range 2 {
+		status, _ := s.post(t, "/once/")
+		require.Equal(t, 200, status)
+	}
+	require.Len(t, f.seen(), 2)
+	require.EqualValues(t, 2, s.gateway.pool.Dialed())
+}
--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -50,10 +50,16 @@
 		}
 		a, err := p.exchange(ctx, c, r)
 		var f *Failure
-		if reused && errors.As(err, &f) && f.Stage == StageUnsent && ctx.Err() == nil {
-			continue // the idle connection was already closed: nothing was sent
+		if !errors.As(err, &f) || f.Stage != StageUnsent {
+			return a, err
 		}
-		return a, err
+		if r.Unsent != nil {
+			r.Unsent()
+		}
+		if !reused || ctx.Err() != nil {
+			return nil, err
+		}
+		// The idle connection was already closed: another one is tried.
 	}
 }
 
--- a/targetconn/targetconn.go
+++ b/targetconn/targetconn.go
@@ -31,6 +31,8 @@
 	// and again if an idle connection turns out to be closed. If it returns an error,
 	// the request is not sent and Do fails with that cause. May be nil.
 	Gate func() error
+	// Unsent is called when nothing was sent after Gate had returned nil. May be nil.
+	Unsent func()
 	// Identity is the required value of the response's identity header; empty if the
 	// response has none.
 	Identity string
