drain: a connection that is being accepted when the shutdown begins is answered

What callers saw: a reset, or a close without an answer, of a connection that a node had just accepted.

Cause: the shutdown counted the connections without waiting for the one that the accept loop had in hand. With no other connection open it was over, and net/http drops each request that it reads after that.

Why this works: the shutdown ends only once the accept loop has, so that each accepted connection is among those that it waits for.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -36,6 +36,7 @@
 	mu       sync.Mutex
 	stopping bool
 	listener net.Listener
+	accepted chan struct{} // closed when Serve has ended
 	conns    map[*conn]struct{}
 }
 
@@ -62,7 +63,8 @@
 		l.Close()
 		return http.ErrServerClosed
 	}
-	s.listener = l
+	s.listener, s.accepted = l, make(chan struct{})
+	defer close(s.accepted)
 	s.mu.Unlock()
 	err := s.Server.Serve(&listener{Listener: l, server: s})
 	s.mu.Lock()
@@ -84,7 +86,7 @@
 	s.stopListening()
 	poll := time.NewTicker(pollInterval)
 	defer poll.Stop()
-	for s.closeIdle() > 0 {
+	for s.accepting() || s.closeIdle() > 0 {
 		select {
 		case <-poll.C:
 		case <-ctx.Done():
@@ -103,6 +105,21 @@
 	s.stopping = true
 }
 
+// accepting reports whether a connection may still be handed over by the listener.
+func (s *Server) accepting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener == nil {
+		return false
+	}
+	select {
+	case <-s.accepted:
+		return false
+	default:
+		return true
+	}
+}
+
 // closeIdle closes the idle connections, and returns the number of those that are open.
 func (s *Server) closeIdle() (open int) {
 	s.mu.Lock()
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -186,3 +186,44 @@
 	require.True(t, resp.Close)
 	require.NoError(t, <-shutdown)
 }
+
+// lateListener returns a connection that it has accepted only after it is closed.
+type lateListener struct {
+	net.Listener
+	accepted, closed chan struct{}
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		close(l.accepted)
+		<-l.closed
+		time.Sleep(50 * time.Millisecond)
+	}
+	return c, err
+}
+
+func (l *lateListener) Close() error {
+	err := l.Listener.Close()
+	if err == nil {
+		close(l.closed)
+	}
+	return err
+}
+
+// A connection that is being accepted when the shutdown begins must not lose its request.
+func TestShutdownAnswersAConnectionThatIsBeingAccepted(t *testing.T) {
+	server := New(&http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	late := &lateListener{Listener: l, accepted: make(chan struct{}), closed: make(chan struct{})}
+	go server.Serve(late)
+	t.Cleanup(func() { server.Close() })
+	c, answers := dial(t, l.Addr().String())
+	<-late.accepted
+	shutdown := make(chan error, 1)
+	go func() { shutdown <- server.Shutdown(context.Background()) }()
+	_, err = sendOn(c, answers)
+	require.NoError(t, err, "the connection was accepted, and closed without an answer")
+	require.NoError(t, <-shutdown)
+}
