consensus: a full disk no longer ends a member of the control group

What came of it: the connections of the operator's calls and the calls of entries to that member broke off, and a leader was lost without a hand-over.

Cause: each error of a log write was taken for a failed sync. A write that the disk refuses for want of space is different. Nothing of it was synced or acknowledged, so removing what reached the file gives the state before.

Now wal.Append truncates the file to its size before the write, and returns ErrNoSpace; wal.Replace empties its unfinished file, which would hold the space, and leaves the log as it was.

A leader hands over, and steps down if nobody can take over. Entries that were refused precede the next write, since a log with a gap can't be opened. A failed sync, also one that reports a full disk, a failed truncation and any other error still end the member: what is on disk is then not known.

--- a/consensus/member.go
+++ b/consensus/member.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/wal"
+	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 )
 
@@ -50,6 +51,8 @@
 	election     atomic.Int64 // current election timeout, in nanoseconds
 	stats        Stats
 	fatalErr     error // set after a disk failure or Close
+	diskFullLog  rate.Sometimes
+	compactAfter time.Time // no compaction before, since the disk was full
 	rng          *rand.Rand
 
 	ctx        context.Context
@@ -96,7 +99,7 @@
 	m := &Member{
 		cfg: cfg, node: node, identity: identity, peers: peers, machine: machine, store: store,
 		changed: make(chan struct{}), syncWake: make(chan struct{}, 1), followers: map[walnutramp.NodeName]*progress{}, proposals: map[uint64]*proposal{}, rtts: map[walnutramp.NodeName]*rttEstimate{},
-		rng: rand.New(rand.NewPCG(cfg.Seed, 5)), lastContact: time.Now(),
+		rng: rand.New(rand.NewPCG(cfg.Seed, 5)), lastContact: time.Now(), diskFullLog: rate.Sometimes{Interval: diskFullLogInterval},
 	}
 	if len(store.snapshot.State) > 0 {
 		if err := machine.Restore(store.snapshot.State); err != nil {
@@ -158,11 +161,16 @@
 	m.changed = make(chan struct{})
 }
 
-// fail stops the member after a disk failure. The caller holds m.mu.
+// fail stops the member after a disk failure, unless the disk is only full. The caller
+// holds m.mu.
 func (m *Member) fail(err error) {
 	if m.fatalErr != nil {
 		return
 	}
+	if errors.Is(err, wal.ErrNoSpace) {
+		m.handleFullDisk(err)
+		return
+	}
 	m.fatalErr = err
 	klog.ErrorS(err, "Disk failed, stopping control group member", "node", m.node)
 	m.stepDown(m.store.ballot.Term, "")
@@ -170,6 +178,37 @@
 	go m.cfg.OnFatal(err)
 }
 
+// diskFullLogInterval is the interval between log lines while the disk is full.
+const diskFullLogInterval = time.Second
+
+// compactionRetryDelay is the wait before the next compaction after one that a full disk
+// refused.
+const compactionRetryDelay = time.Second
+
+// handleFullDisk hands over leadership after a write that a full disk refused. The member
+// keeps its term and its vote, and acknowledges no entry until it can write again. The
+// caller holds m.mu.
+func (m *Member) handleFullDisk(err error) {
+	m.diskFullLog.Do(func() {
+		klog.InfoS("Disk full, write refused", "node", m.node, "term", m.store.ballot.Term, "err", err)
+	})
+	if m.role == leader && m.successor == "" && m.ctx.Err() == nil {
+		m.spawn(m.giveUpLeadership)
+	}
+}
+
+// giveUpLeadership transfers leadership, or steps down if that fails.
+func (m *Member) giveUpLeadership() {
+	if m.TransferLeadership(m.ctx) {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.role == leader && m.successor == "" {
+		m.stepDown(m.store.ballot.Term, "")
+	}
+}
+
 // isVoter reports whether this member, with its identity, votes in the newest
 // group. The caller holds m.mu.
 func (m *Member) isVoter() bool {
--- a/consensus/parts.go
+++ b/consensus/parts.go
@@ -117,7 +117,8 @@
 }
 
 // addPart appends a part. When the payload is complete, it decodes it into args
-// and returns true. The caller holds m.mu.
+// and returns true. It keeps the payload until it is stored, since a full disk may
+// refuse it several times. The caller holds m.mu.
 func (m *Member) addPart(args *AppendArgs) bool {
 	part := args.Part
 	if m.partial == nil || m.partial.hash != part.Hash {
@@ -130,8 +131,8 @@
 		return false
 	}
 	full, err := decodePayload(m.partial)
-	m.partial = nil
 	if err != nil {
+		m.partial = nil
 		klog.ErrorS(err, "Dropping payload received in parts", "node", m.node, "leader", args.Leader, "bytes", part.Size)
 		return false
 	}
--- a/consensus/replicate.go
+++ b/consensus/replicate.go
@@ -197,7 +197,8 @@
 	m.lastContact = time.Now()
 	m.setElectionTimeout(args.Election)
 	reply.Term, reply.Quorum = m.store.ballot.Term, m.quorumRTT()
-	if m.fatalErr != nil {
+	if m.store.ballot.Term != args.Term {
+		reply.Alien = true // the term could not be stored
 		return reply
 	}
 	if args.Part != nil && !m.addPart(&args) {
@@ -205,15 +206,19 @@
 		return reply
 	}
 	if args.Snapshot != nil && !m.installSnapshot(*args.Snapshot) {
+		reply.Alien = true
 		return reply
 	}
 	if t, ok := m.store.term(args.PrevIndex); !ok || t != args.PrevTerm {
+		m.partial = nil
 		reply.Hint = m.conflictHint(args.PrevIndex)
 		return reply
 	}
 	if !m.appendNew(args) {
+		reply.Alien = true
 		return reply
 	}
+	m.partial = nil
 	reply.OK = true
 	reply.Match = args.PrevIndex + uint64(len(args.Entries))
 	if commit := min(args.Commit, reply.Match); commit > m.commit {
@@ -233,7 +238,7 @@
 }
 
 // appendNew persists the entries that are missing or conflict with the log; false if
-// that failed, and with it this member. The caller holds m.mu.
+// that failed. The caller holds m.mu.
 func (m *Member) appendNew(args AppendArgs) bool {
 	for i, e := range args.Entries {
 		if t, ok := m.store.term(e.Index); ok && t == e.Term || e.Index <= m.store.snapshot.Index {
@@ -249,16 +254,17 @@
 }
 
 // installSnapshot restores a snapshot that is ahead of the commit index, and skips any
-// other; false if that failed, and with it this member. The caller holds m.mu.
+// other; false if that failed. The caller holds m.mu.
 func (m *Member) installSnapshot(snap Snapshot) bool {
 	if snap.Index <= m.commit {
 		return true
 	}
-	if err := m.machine.Restore(snap.State); err != nil {
+	// Saved first: a full disk may refuse it, and the state must then stay as it is.
+	if err := m.store.saveSnapshot(snap); err != nil {
 		m.fail(err)
 		return false
 	}
-	if err := m.store.saveSnapshot(snap); err != nil {
+	if err := m.machine.Restore(snap.State); err != nil {
 		m.fail(err)
 		return false
 	}
@@ -374,7 +380,7 @@
 // holds m.mu.
 func (m *Member) compact() {
 	size, ok := m.store.logSize()
-	if m.fatalErr != nil || !ok || size < m.cfg.CompactBytes || m.applied == m.store.snapshot.Index {
+	if m.fatalErr != nil || !ok || size < m.cfg.CompactBytes || m.applied == m.store.snapshot.Index || time.Now().Before(m.compactAfter) {
 		return
 	}
 	term, ok := m.store.term(m.applied)
@@ -383,6 +389,7 @@
 	}
 	snap := Snapshot{Index: m.applied, Term: term, Group: m.store.group(m.applied), State: m.machine.Snapshot()}
 	if err := m.store.saveSnapshot(snap); err != nil {
+		m.compactAfter = time.Now().Add(compactionRetryDelay)
 		m.fail(err)
 	}
 }
--- a/consensus/storage.go
+++ b/consensus/storage.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"hash/crc32"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -41,8 +42,9 @@
 	staged   []Entry // tail of entries that no write has taken yet
 	synced   uint64  // last index that is synced to disk
 
-	disk sync.Mutex
-	log  *wal.Log
+	disk    sync.Mutex
+	log     *wal.Log
+	refused [][]byte // entries that a full disk has refused; they precede the next write
 }
 
 // openStorage loads the persisted state. An existing log keeps its group. A new
@@ -213,13 +215,20 @@
 }
 
 // writeBatch syncs entries followed by further records. The caller holds disk.
-// It also fails if an earlier write did.
+// It also fails if an earlier write did. If the disk is full, it keeps the entries for
+// the next write, since the log must not have gaps.
 func (s *storage) writeBatch(batch []Entry, more ...[]byte) error {
 	records, err := encodeEntries(batch)
 	if err != nil {
 		return err
 	}
-	return s.log.Append(append(records, more...)...)
+	entries := append(s.refused, records...)
+	err = s.log.Append(slices.Concat(entries, more)...)
+	s.refused = nil
+	if errors.Is(err, wal.ErrNoSpace) {
+		s.refused = entries
+	}
+	return err
 }
 
 // stage appends an entry in memory only. Until it is synced, the member must
@@ -304,7 +313,7 @@
 	}
 	s.snapshot = snap
 	s.entries = kept
-	s.staged = nil // included in kept, or replaced
+	s.staged, s.refused = nil, nil // included in kept, or replaced
 	s.synced = s.lastIndex()
 	return nil
 }
--- a/consensus/types.go
+++ b/consensus/types.go
@@ -151,7 +151,7 @@
 	Match  uint64        // last index that matches the leader's log, if OK
 	Hint   uint64        // index to retry from, if not OK
 	Quorum time.Duration // receiver's round trip to its nearest majority; 0 if unknown
-	Alien  bool          // the receiver has another identity than AppendArgs.To, or has failed
+	Alien  bool          // the receiver has another identity than AppendArgs.To, has failed, or has a full disk
 	// Partial means that the receiver holds the first Held bytes of the payload
 	// and has not applied it yet.
 	Partial bool
--- a/internal/memfs/memfs.go
+++ b/internal/memfs/memfs.go
@@ -1,10 +1,11 @@
 // Package memfs is an in-memory directory for crash tests. Only synced data
-// survives a crash, and write, sync and rename errors can be injected.
+// survives a crash. Write, sync and rename errors can be injected, and free space limited.
 package memfs
 
 import (
 	"os"
 	"sync"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp/wal"
@@ -15,6 +16,7 @@
 	mu        sync.Mutex
 	files     map[string]*content
 	failAfter int // operations until the first failure; negative for never
+	space     int // free bytes; negative for unlimited
 	epoch     int // incremented by Crash and Wipe; handles of earlier epochs are closed
 }
 
@@ -28,7 +30,7 @@
 var ErrFault = errors.New("injected disk fault")
 
 // New returns an empty directory.
-func New() *FS { return &FS{files: map[string]*content{}, failAfter: -1} }
+func New() *FS { return &FS{files: map[string]*content{}, failAfter: -1, space: -1} }
 
 // FailAfter makes opens, writes, syncs and renames fail with ErrFault after n more
 // of them.
@@ -38,6 +40,14 @@
 	f.failAfter = n
 }
 
+// SetSpace sets the number of bytes that can be written until writes fail with
+// ENOSPC; negative for unlimited.
+func (f *FS) SetSpace(bytes int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.space = bytes
+}
+
 // Crash discards unsynced data except the first keep bytes of each file, clears
 // injected faults and closes open handles.
 func (f *FS) Crash(keep int) {
@@ -149,6 +159,14 @@
 		h.content.data = append(h.content.data, p[:n]...)
 		return n, err
 	}
+	if n := h.fs.space; n >= 0 && n < len(p) {
+		h.fs.space = 0
+		h.content.data = append(h.content.data, p[:n]...)
+		return n, syscall.ENOSPC
+	}
+	if h.fs.space > 0 {
+		h.fs.space -= len(p)
+	}
 	h.content.data = append(h.content.data, p...)
 	return len(p), nil
 }
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -45,6 +46,10 @@
 // ErrDamaged means that a damaged record precedes valid ones.
 var ErrDamaged = errors.New("log corrupted: damaged record before valid ones")
 
+// ErrNoSpace means that the disk is full. Nothing was written, and the log can be
+// written again once there is space.
+var ErrNoSpace = errors.New("no space for the log")
+
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 // Log is an open write-ahead log. It is not safe for concurrent use.
@@ -126,8 +131,9 @@
 }
 
 // Append writes and syncs records. After a failed write or sync the log accepts
-// no more writes, since the state on disk is then unknown. A record of invalid
-// size fails only this call, which then writes nothing.
+// no more writes, since the state on disk is then unknown. A write that a full disk
+// refuses (ErrNoSpace) and a record of invalid size fail only this call, which then
+// writes nothing.
 func (l *Log) Append(records ...[]byte) error {
 	if l.err != nil {
 		return l.err
@@ -139,9 +145,8 @@
 		}
 		buf = encode(buf, r)
 	}
-	if _, err := l.file.Write(buf); err != nil {
-		l.err = errors.Wrap(err, "log write")
-		return l.err
+	if n, err := l.file.Write(buf); err != nil {
+		return l.undoWrite(n, err)
 	}
 	if err := l.file.Sync(); err != nil {
 		l.err = errors.Wrap(err, "log sync")
@@ -151,17 +156,52 @@
 	return nil
 }
 
+// undoWrite handles a failed write of which n bytes reached the file. If the disk is
+// full, it removes them, and the log stays usable. A sync that reports a full disk is
+// different: pages of earlier writes may be lost.
+func (l *Log) undoWrite(n int, cause error) error {
+	cause = errors.Wrap(cause, "log write")
+	if !isFull(cause) {
+		l.err = cause
+		return l.err
+	}
+	if n > 0 {
+		if err := l.reopen(); err != nil {
+			l.err = errors.Wrap(err, "log truncation")
+			return l.err
+		}
+	}
+	return errors.Mark(cause, ErrNoSpace)
+}
+
+// isFull reports whether a write failed because the disk is full.
+func isFull(err error) bool { return errors.IsAny(err, syscall.ENOSPC, syscall.EDQUOT) }
+
+// reopen opens the log file again, and truncates it to the log's size.
+func (l *Log) reopen() error {
+	l.file.Close()
+	f, err := l.fs.Append(l.name, l.size)
+	if err != nil {
+		return err
+	}
+	l.file = f
+	return nil
+}
+
 // Size returns the log's size in bytes.
 func (l *Log) Size() int64 { return l.size }
 
-// Replace atomically replaces all records. After an error the log accepts no more
-// writes. Unlike Append, it does not check the sizes of the records: one that is empty or
+// Replace atomically replaces all records. After an error other than ErrNoSpace the log
+// accepts no more writes. Unlike Append, it does not check the sizes of the records: one that is empty or
 // larger than MaxRecord is torn or damaged to Open.
 func (l *Log) Replace(records ...[]byte) error {
 	if l.err != nil {
 		return l.err
 	}
 	size, err := writeFile(l.fs, l.name+".new", records)
+	if errors.Is(err, ErrNoSpace) {
+		return errors.Wrap(err, "log replace")
+	}
 	if err == nil {
 		err = l.fs.Rename(l.name+".new", l.name)
 	}
@@ -169,11 +209,8 @@
 		l.err = errors.Wrap(err, "log replace")
 		return l.err
 	}
-	l.file.Close()
 	l.size = size
-	if l.file, err = l.fs.Append(l.name, size); err != nil {
-		l.err = err
-	}
+	l.err = l.reopen()
 	return l.err
 }
 
@@ -187,12 +224,23 @@
 	for _, r := range records {
 		buf = encode(buf, r)
 	}
-	if _, err := f.Write(buf); err != nil {
+	if _, err := f.Write(buf); isFull(err) {
+		return 0, errors.CombineErrors(empty(fs, name), errors.Mark(err, ErrNoSpace))
+	} else if err != nil {
 		return 0, err
 	}
 	return int64(len(buf)), f.Sync()
 }
 
+// empty truncates a file, which gives back its space.
+func empty(fs FS, name string) error {
+	f, err := fs.Create(name)
+	if err != nil {
+		return err
+	}
+	return f.Close()
+}
+
 // Close closes the log file.
 func (l *Log) Close() error { return l.file.Close() }
 
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"fmt"
+	"syscall"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 	"github.com/walnutramp/walnutramp/internal/memfs"
 	"github.com/walnutramp/walnutramp/wal"
@@ -123,3 +125,73 @@
 		require.True(t, bytes.Equal(reopened[len(records)], []byte("next")))
 	})
 }
+
+// A write that a full disk refuses leaves nothing behind, and the log goes on.
+func TestFullDiskLeavesLogUsable(t *testing.T) {
+	for space := range 8 + len(record(1)) { // bytes of the refused record that fit
+		fs := memfs.New()
+		require.Equal(t, 1, write(fs, 1))
+		l, _, err := wal.Open(fs, logName)
+		require.NoError(t, err)
+		fs.SetSpace(space)
+		require.True(t, errors.Is(l.Append(record(1)), wal.ErrNoSpace), "space %d", space)
+		require.EqualValues(t, l.Size(), fs.Size(logName), "space %d", space)
+		fs.SetSpace(-1)
+		require.NoError(t, l.Append(record(2)))
+		fs.Crash(0)
+		_, records, err := wal.Open(fs, logName)
+		require.NoError(t, err)
+		require.Equal(t, [][]byte{record(0), record(2)}, records, "space %d", space)
+	}
+}
+
+func TestFullDiskRefusesReplaceAndKeepsLog(t *testing.T) {
+	fs := memfs.New()
+	require.Equal(t, 3, write(fs, 3))
+	l, _, err := wal.Open(fs, logName)
+	require.NoError(t, err)
+	fs.SetSpace(5)
+	require.True(t, errors.Is(l.Replace(record(7)), wal.ErrNoSpace))
+	require.Zero(t, fs.Size(logName+".new"), "the unfinished file must not hold space")
+	fs.SetSpace(-1)
+	require.NoError(t, l.Append(record(3)))
+	fs.Crash(0)
+	_, records, err := wal.Open(fs, logName)
+	require.NoError(t, err)
+	require.Len(t, records, 4)
+}
+
+// fullAtSync is a directory whose files report a full disk when they are synced.
+type fullAtSync struct{ *memfs.FS }
+
+type fullAtSyncFile struct{ wal.File }
+
+// Append implements wal.FS.
+func (d fullAtSync) Append(name string, size int64) (wal.File, error) {
+	f, err := d.FS.Append(name, size)
+	return fullAtSyncFile{f}, err
+}
+
+// Sync implements wal.File.
+func (fullAtSyncFile) Sync() error { return syscall.ENOSPC }
+
+func TestNoAppendAfterSyncFailsOnFullDisk(t *testing.T) {
+	l, _, err := wal.Open(fullAtSync{memfs.New()}, logName)
+	require.NoError(t, err)
+	err = l.Append(record(0))
+	require.ErrorIs(t, err, syscall.ENOSPC)
+	require.False(t, errors.Is(err, wal.ErrNoSpace))
+	require.ErrorIs(t, l.Append(record(1)), err)
+}
+
+func TestNoAppendAfterRefusedWriteIsNotUndone(t *testing.T) {
+	fs := memfs.New()
+	l, _, err := wal.Open(fs, logName)
+	require.NoError(t, err)
+	fs.SetSpace(1)
+	fs.FailAfter(1) // the write is refused, the truncation fails
+	require.False(t, errors.Is(l.Append(record(0)), wal.ErrNoSpace))
+	fs.SetSpace(-1)
+	fs.FailAfter(-1)
+	require.Error(t, l.Append(record(1)))
+}
