serve: a stop ends requests early enough that all final answers are written

With many requests in flight on a small share of a processor, callers of a stopping node still got EOF in place of the final answer: the time for the answers was fixed at 150 ms, and 400 answers take 65 to 70 ms of a whole core (three runs, machine at load 20 to 27), some 0.5 s at a share of 0.19.

The stop now ends requests the earlier the more are in flight, by 1 ms each, up to 0.15 of the grace period; few requests are ended as late as before. The handlers may write until 100 ms before the kill rather than 150.

--- a/serve/entry.go
+++ b/serve/entry.go
@@ -14,6 +14,7 @@
 	"github.com/walnutramp/walnutramp/egress"
 	"github.com/walnutramp/walnutramp/gateway"
 	"github.com/walnutramp/walnutramp/inflight"
+	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/loadshare"
 	"github.com/walnutramp/walnutramp/metering"
@@ -32,7 +33,9 @@
 	connCloseDelay = 2500 * time.Millisecond // from then on connections are closed after each response
 	rejectDelay    = 3 * time.Second         // from then on new requests are rejected
 	killMargin     = 300 * time.Millisecond  // between the shutdown deadline and the platform's kill at the end of the grace period
-	answerTime     = 150 * time.Millisecond  // from the shutdown deadline on, for the final answers of the remaining requests
+	answerTime     = 200 * time.Millisecond  // from the shutdown deadline on, for the final answers of the remaining requests
+	answerCost     = time.Millisecond        // further time for each of these answers, on a fifth of a processor
+	maxAnswerShare = 0.15                    // upper limit of that further time, as a fraction of the grace period
 	connCloseShare = 0.6                     // upper limit of connCloseDelay, as a fraction of the shutdown deadline
 	rejectShare    = 0.75                    // upper limit of rejectDelay, as a fraction of the shutdown deadline
 	cutOffWait     = 100 * time.Millisecond  // upper limit of the wait for the handlers of aborted requests
@@ -43,13 +46,21 @@
 type shutdownSchedule struct {
 	closeConns time.Duration
 	reject     time.Duration
-	deadline   time.Duration // remaining requests are ended
+	deadline   time.Duration // remaining requests are ended, or before if they are many
+	maxEarly   time.Duration // how long before
 }
 
 func newShutdownSchedule(grace time.Duration) shutdownSchedule {
 	deadline := max(0, grace-killMargin)
 	fraction := func(share float64) time.Duration { return time.Duration(share * float64(deadline)) }
-	return shutdownSchedule{closeConns: min(connCloseDelay, fraction(connCloseShare)), reject: min(rejectDelay, fraction(rejectShare)), deadline: deadline}
+	return shutdownSchedule{closeConns: min(connCloseDelay, fraction(connCloseShare)), reject: min(rejectDelay, fraction(rejectShare)), deadline: deadline,
+		maxEarly: min(deadline-min(rejectDelay, fraction(rejectShare)), time.Duration(maxAnswerShare*float64(grace)))}
+}
+
+// early returns how long before the deadline a number of requests must be ended, so that their
+// final answers are written in time.
+func (s shutdownSchedule) early(requests int) time.Duration {
+	return min(s.maxEarly, time.Duration(requests)*answerCost)
 }
 
 // An entry node normally receives the target list from the control group. If it
@@ -282,14 +293,27 @@
 	return func() bool { return p.client.InForce() }
 }
 
-// stopEgress waits for the requests of other nodes until ctx ends. It then ends them.
-func (e *entry) stopEgress(ctx context.Context) {
+// earlyPollInterval is how often a stop counts the requests in flight.
+const earlyPollInterval = 10 * time.Millisecond
+
+// endEarly calls end before the deadline if the requests in flight are many.
+func (e *entry) endEarly(ctx context.Context, schedule shutdownSchedule, deadline time.Time, end func()) {
+	for pause.For(ctx, earlyPollInterval) {
+		if uptime.Until(deadline) <= schedule.early(e.gateway.InFlight()) {
+			end()
+		}
+	}
+}
+
+// stopEgress waits for the requests of other nodes until ctx ends. It then ends them, and
+// aborts those that have not ended by closeAt.
+func (e *entry) stopEgress(ctx context.Context, closeAt time.Time) {
 	if e.egress == nil || e.egress.Shutdown(ctx) == nil {
 		return
 	}
 	klog.InfoS("Requests of other nodes are ended at the end of the grace")
 	e.gateway.EndRequests()
-	ending, cancel := context.WithTimeout(context.Background(), answerTime)
+	ending, cancel := context.WithTimeout(context.Background(), uptime.Until(closeAt))
 	defer cancel()
 	if err := e.egress.Shutdown(ending); err != nil {
 		klog.InfoS("Requests of other nodes are cut off", "err", err)
@@ -298,14 +322,14 @@
 }
 
 // stopClients waits for the requests of clients until ctx ends. It then ends them, and aborts
-// those whose final answers are not written in time.
-func (e *entry) stopClients(ctx context.Context) {
+// those whose final answers are not written by closeAt.
+func (e *entry) stopClients(ctx context.Context, closeAt time.Time) {
 	if e.clientServer.Shutdown(ctx) == nil {
 		return
 	}
 	klog.InfoS("Requests are ended at the end of the grace", "requests", e.gateway.InFlight())
 	e.gateway.EndRequests()
-	e.clientServer.awaitHandlers(answerTime)
+	e.clientServer.awaitHandlers(uptime.Until(closeAt))
 	e.clientServer.Close()
 	e.clientServer.awaitHandlers(cutOffWait) // otherwise the log may not name the streams cut off
 }
@@ -323,9 +347,11 @@
 	e.gateway.RejectRequests()
 	ctx, cancel := context.WithTimeout(context.Background(), uptime.Until(deadline))
 	defer cancel()
+	go e.endEarly(ctx, schedule, deadline, cancel)
+	closeAt := deadline.Add(answerTime)
 	var relayed sync.WaitGroup
-	relayed.Go(func() { e.stopEgress(ctx) })
-	e.stopClients(ctx)
+	relayed.Go(func() { e.stopEgress(ctx, closeAt) })
+	e.stopClients(ctx, closeAt)
 	relayed.Wait()
 	e.readyServer.Close()
 	e.gateway.Close()
--- a/serve/entry_test.go
+++ b/serve/entry_test.go
@@ -14,7 +14,9 @@
 		require.LessOrEqual(t, schedule.closeConns, schedule.reject, grace)
 		require.LessOrEqual(t, schedule.reject, schedule.deadline, grace)
 		require.LessOrEqual(t, schedule.deadline, grace)
+		require.LessOrEqual(t, schedule.reject, schedule.deadline-schedule.early(100000), grace)
+		require.Zero(t, schedule.early(0), grace)
 	}
-	require.Equal(t, shutdownSchedule{closeConns: connCloseDelay, reject: rejectDelay, deadline: 8*time.Second - killMargin}, newShutdownSchedule(8*time.Second))
+	require.Equal(t, shutdownSchedule{closeConns: connCloseDelay, reject: rejectDelay, deadline: 8*time.Second - killMargin, maxEarly: 1200 * time.Millisecond}, newShutdownSchedule(8*time.Second))
 	require.Less(t, newShutdownSchedule(3*time.Second).reject, 2500*time.Millisecond)
 }
