gateway: a request whose handler panics is answered

Callers of a request whose handler panics saw a closed connection, also if nothing had been written to them; an ingress saw its egress as a node that was lost, with a stack on standard error and neither a count nor a log line there.

net/http closes the connection of a handler that panics. Now the handler's deferred function answers with 500, code 9001, if no answer has begun: not run if nothing was sent, else outcome unknown. An egress says in its end frame what became of the request, also for an answer that it breaks off, and logs and counts its panics as others are. An answer that has begun is still broken off.

The former replaces TestPanicOfAHandlerIsCounted, which asked for the closed connection that is mended here: it keeps the count and the log, and asks for status, code and outcome. TestPanicAfterTheHeadBreaksTheAnswerOff keeps the check that what has begun does not look complete.

--- a/gateway/cutoff.go
+++ b/gateway/cutoff.go
@@ -6,6 +6,8 @@
 	"runtime/debug"
 	"strings"
 
+	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/egress"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"k8s.io/klog/v2"
 )
@@ -21,17 +23,59 @@
 	panic(http.ErrAbortHandler)
 }
 
-// logPanic logs and counts the panic of a request's handler. It must be deferred. The panic
-// closes the client's connection.
-func (g *Gateway) logPanic(r *http.Request) {
-	p := recover()
-	if p == nil {
-		return
+// answerWriter is an http.ResponseWriter that records whether an answer has begun.
+type answerWriter struct {
+	http.ResponseWriter
+	begun bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *answerWriter) WriteHeader(status int) {
+	w.begun = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap implements what http.ResponseController uses.
+func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// answerPanic answers a request whose handler has panicked with p, or closes its connection if
+// an answer has begun. The call is nil if it was not opened.
+func (g *Gateway) answerPanic(p any, w *answerWriter, r *http.Request, c *call) {
+	if p == http.ErrAbortHandler {
+		panic(p)
+	}
+	g.recordPanic(r.Header.Get(g.cfg.Names.Identity), p)
+	if w.begun {
+		panic(http.ErrAbortHandler)
 	}
+	clear(w.Header())
+	g.writeError(w, c.panicError())
+}
+
+// panicError returns the error of a call whose handler has panicked.
+func (c *call) panicError() *walnutramp.Error {
+	outcome := walnutramp.NotRun
+	if c != nil && !c.sentAt.IsZero() {
+		outcome = walnutramp.Unknown
+	}
+	return walnutramp.NewError(walnutramp.CodeInternal, outcome, "the handler of the request failed")
+}
+
+// endOfPanic returns the end of another node's request whose handler has panicked with p.
+func (g *Gateway) endOfPanic(p any, c *call) egress.End {
 	if p != http.ErrAbortHandler {
-		g.counters.panics.Inc()
-		stack := strings.Join(strings.Fields(string(debug.Stack())), " ")
-		klog.ErrorS(nil, "Request handler panicked", "request", r.Header.Get(g.cfg.Names.Identity), "panic", p, "stack", stack)
+		g.recordPanic(c.id, p)
 	}
-	panic(http.ErrAbortHandler)
+	if e := c.panicError(); e.Outcome == walnutramp.NotRun {
+		return notSentEnd(e)
+	}
+	return egress.End{Result: egress.Failed}
+}
+
+// recordPanic logs and counts the panic of a request's handler. It must be called from the
+// deferred function that recovers it.
+func (g *Gateway) recordPanic(request string, p any) {
+	g.counters.panics.Inc()
+	stack := strings.Join(strings.Fields(string(debug.Stack())), " ")
+	klog.ErrorS(nil, "Request handler panicked", "request", request, "panic", p, "stack", stack)
 }
--- a/gateway/cutoff_test.go
+++ b/gateway/cutoff_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -43,10 +44,61 @@
 	require.Contains(t, s.metrics(), `walnutramp_gateway_requests_cut_off_total{why="broken-answer"} 1`)
 }
 
-// A handler that panics must leave the request's id and the place in the log.
-func TestPanicOfAHandlerIsCounted(t *testing.T) {
-	s := newTestSite(t, nil, WithLease(func() bool { panic("lease") }))
-	_, err := http.DefaultTransport.RoundTrip(s.request(t, "GET", "/safe/", ""))
+// A handler that panics must leave the request's id and the place in the log, and its client
+// an answer.
+func TestPanicOfAHandlerIsAnsweredAndCounted(t *testing.T) {
+	failing := testNames
+	failing.ParseBackpressure = func(int, http.Header) Backpressure { panic("backpressure") }
+	for name, c := range map[string]struct {
+		option  Option
+		outcome string
+	}{
+		"before it is sent": {WithLease(func() bool { panic("lease") }), `"outcome":"not-run"`},
+		"after it is sent":  {WithNames(failing), `"outcome":"unknown"`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestSite(t, []*fakeTarget{newFakeTarget(t, "i-1", "lookup", "north", answerWithID)}, c.option)
+			resp, body, err := do(t, s.request(t, "POST", "/once/", ""))
+			require.NoError(t, err)
+			require.Equal(t, http.StatusInternalServerError, resp.StatusCode)
+			require.Contains(t, body, `"code":9001`)
+			require.Contains(t, body, c.outcome)
+			require.Contains(t, s.metrics(), "walnutramp_gateway_handler_panics_total 1")
+		})
+	}
+}
+
+// A stream must not look complete after a panic.
+func TestPanicAfterTheHeadBreaksTheAnswerOff(t *testing.T) {
+	begun := make(chan struct{})
+	script := draft(func(_ *fakeTarget, c net.Conn, n int) bool {
+		if n == 3 {
+			<-begun
+			c.Close()
+		}
+		return n < 3
+	})
+	s := newTestSite(t, []*fakeTarget{newFakeTarget(t, "i-1", "draft", "north", script)}, WithBorrow(func(context.Context, string) bool { panic("borrow") }))
+	spendBudget(s.gateway)
+	resp, err := http.DefaultTransport.RoundTrip(s.request(t, "POST", "/draft/", "prompt"))
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	close(begun)
+	_, err = io.ReadAll(resp.Body)
 	require.Error(t, err)
 	require.Contains(t, s.metrics(), "walnutramp_gateway_handler_panics_total 1")
 }
+
+// A panic at the egress must not reach the ingress as a node that is lost.
+func TestPanicAtAnEgressIsReportedToTheIngress(t *testing.T) {
+	s := newRelaySite(t, 1, []*fakeTarget{newFakeTarget(t, "i-1", "lookup", "north", answerWithID)})
+	s.others[0].gateway.cfg.Names.ParseBackpressure = func(int, http.Header) Backpressure { panic("backpressure") }
+	s.ingress.cut(syscall.ECONNREFUSED)
+	s.ingress.lostPath(t, "lookup")
+	resp, body, err := do(t, s.ingress.request(t, "POST", "/once/", ""))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	require.Contains(t, body, `"outcome":"unknown"`)
+	require.Contains(t, s.ingress.metrics(), `walnutramp_gateway_relayed_total{role="ingress",result="failed"} 1`)
+	require.Contains(t, s.others[0].metrics(), "walnutramp_gateway_handler_panics_total 1")
+}
--- a/gateway/egress.go
+++ b/gateway/egress.go
@@ -52,11 +52,16 @@
 }
 
 // HandleRelayed implements egress.Handler.
-func (g *Gateway) HandleRelayed(ctx context.Context, r *egress.Request, body []byte, w *egress.ResponseWriter) egress.End {
+func (g *Gateway) HandleRelayed(ctx context.Context, r *egress.Request, body []byte, w *egress.ResponseWriter) (end egress.End) {
 	if e := g.refusesRelayed(r.Service); e != nil {
 		return notSentEnd(e)
 	}
 	c := g.relayedCall(r, body)
+	defer func() {
+		if p := recover(); p != nil {
+			end = g.endOfPanic(p, c)
+		}
+	}()
 	if c.mayHaveRun && !c.route.Idempotent() {
 		end := notSentEnd(walnutramp.NewError(walnutramp.CodeOutcomeUnknown, walnutramp.Unknown, "a request that may have run is not repeated"))
 		end.Final = true
@@ -78,7 +83,6 @@
 	defer g.buffered.Add(-int64(len(body)))
 	defer g.returnGrants(c)
 	klog.InfoS("Sending another node's request", "request", c.id, "service", c.service, "route", c.route.Name, "retry", r.Retry, "last", c.lastID)
-	var end egress.End
 	if c.route.Kind == Stream {
 		end = g.relayStream(ctx, c, g.copyOf(r.Copy), w)
 	} else {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -366,15 +366,21 @@
 func (g *Gateway) InFlight() int { return int(g.active.Load()) }
 
 // ServeHTTP implements http.Handler.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	defer g.logPanic(r)
+func (g *Gateway) ServeHTTP(client http.ResponseWriter, r *http.Request) {
+	w := &answerWriter{ResponseWriter: client}
+	var c *call
+	defer func() {
+		if p := recover(); p != nil {
+			g.answerPanic(p, w, r, c)
+		}
+	}()
 	arrived := uptime.Now()
 	g.awaitStart(r.Context())
 	phase := g.stopping.Load()
 	if phase >= phaseClosing {
 		w.Header().Set("Connection", "close")
 	}
-	c, refused := g.open(w, r, arrived)
+	c, refused := g.open(client, r, arrived) // not w, which hides from net/http that a body is too large
 	if c != nil {
 		defer g.buffered.Add(-int64(len(c.body)))
 	}
