gateway: an answer that its client reads too slowly is not counted as left

Operators saw why="client-left" for streams whose buffer was taken away since the client read too slowly, and broken-answer for plain ones: the client was there. The reason now comes from the error of the write: client-slow. explain and the table of metrics name it.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -406,6 +406,8 @@
 	case "no-attempt":
 		return fmt.Sprintf("the route allowed no further attempt after event %s: %s", last.Fields["last"], s.targetFailures()),
 			"raise the route's number of attempts, or look at the failures of its targets"
+	case "client-slow":
+		return fmt.Sprintf("the client read too slowly for what may be held of its answer, after event %s", last.Fields["last"]), "look at the client and its link"
 	case "quarantined":
 		return fmt.Sprintf("the request is quarantined, since it crashed targets; it ended after event %s: %s", last.Fields["last"], s.targetFailures()),
 			"look at the request's content, and at the targets that ran it"
@@ -424,6 +426,8 @@
 		return "the node's planned stop ended before the request did, and cut it off", "look at how long its targets took"
 	case last.Fields["why"] == "client-left":
 		return "the client closed its connection before it had the answer", "look at the client's own patience"
+	case last.Fields["why"] == "client-slow":
+		return "the client read too slowly for what may be held of its answer", "look at the client and its link"
 	case last.Fields["why"] == "broken-answer":
 		return "a part of the answer was forwarded when it broke off: " + last.Fields["err"], "check the target and the client at that time"
 	}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -105,7 +105,7 @@
 }
 
 func TestStreamCutOffIsExplainedByItsReason(t *testing.T) {
-	for why, want := range map[string]string{"no-attempt": "no further attempt", "quarantined": "is quarantined", "no-target": "no target was left", "stopping": "planned stop"} {
+	for why, want := range map[string]string{"no-attempt": "no further attempt", "quarantined": "is quarantined", "no-target": "no target was left", "stopping": "planned stop", "client-slow": "too slowly"} {
 		lines, err := Read(strings.NewReader(`I0807 10:00:01.500000   13212 stream.go:10] "Run begins" request="a1" target="i-1" run=1
 I0807 10:00:02.250000   13212 stream.go:99] "Stream given up" request="a1" route="r" last=9 sent=1 outcome="unknown" versionGone=false why="`+why+`" cause=null`), "node-1.log")
 		require.NoError(t, err)
--- a/gateway/endreason.go
+++ b/gateway/endreason.go
@@ -15,7 +15,8 @@
 const (
 	endDeadline      endReason = "deadline"       // the client's or the route's
 	endStopping      endReason = "stopping"       // this node ends
-	endClientLeft    endReason = "client-left"    // or reads too slowly
+	endClientLeft    endReason = "client-left"    // it closed its connection
+	endClientSlow    endReason = "client-slow"    // it reads too slowly
 	endNoTarget      endReason = "no-target"      // none is available
 	endNotRepeatable endReason = "not-repeatable" // it may have run, and may run only once
 	endNoAttempt     endReason = "no-attempt"     // the route allows no other one
@@ -32,7 +33,7 @@
 	case ctx.Err() != nil:
 		return contextReason(ctx)
 	case end == runClientLeft || end == runComplete:
-		return endClientLeft
+		return writeReason(r.writeErr)
 	case end == runFailed && !c.route.Idempotent() && c.mayHaveRun:
 		return endNotRepeatable
 	}
@@ -67,6 +68,14 @@
 	return endClientLeft
 }
 
+// writeReason returns why an answer could not be written to its client.
+func writeReason(err error) endReason {
+	if errors.Is(err, errClientSlow) {
+		return endClientSlow
+	}
+	return endClientLeft
+}
+
 // requestContext returns the context of a request: it ends with its client, at its deadline,
 // and when EndRequests is called.
 func (g *Gateway) requestContext(client context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
--- a/gateway/outbox_test.go
+++ b/gateway/outbox_test.go
@@ -107,6 +107,7 @@
 			require.Zero(t, s.gateway.buffers.bytes())
 			require.Empty(t, s.tracker.Runs())
 			require.Len(t, endless.seen(), 1, "the run is not retried")
+			require.Contains(t, s.metrics(), `walnutramp_gateway_streams_cut_off_total{why="client-slow"} 1`)
 		})
 	}
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -257,8 +257,11 @@
 	}
 	if err != nil {
 		why := endBrokenAnswer
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			why = contextReason(ctx)
+		case errors.Is(err, errClientSlow):
+			why = endClientSlow
 		}
 		g.cutOff(ctx, c, why, err)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -40,6 +40,7 @@
 	silent          bool                   // a run was canceled for silence or a lost path since the last event
 	timeoutLate     time.Duration          // by which the run's first timeout since the last event was noticed late
 	interrupted     bool                   // a run was ended by another node, or lost with it, since the last event
+	writeErr        error                  // why the client did not receive all of it
 	replaceWait     time.Duration          // latest pause since the last event before the stream was tried again
 }
 
@@ -95,7 +96,7 @@
 	}
 	err := r.out.Finish(ctx)
 	if err != nil {
-		r.logClientLeft(ctx, err)
+		r.recordClientLeft(ctx, err)
 	}
 	return err == nil
 }
@@ -116,9 +117,10 @@
 	}
 }
 
-// logClientLeft logs why a client did not receive all of its stream, unless this node or the
-// deadline has ended the request.
-func (r *relay) logClientLeft(ctx context.Context, err error) {
+// recordClientLeft records why a client did not receive all of its stream, and logs it unless
+// this node or the deadline has ended the request.
+func (r *relay) recordClientLeft(ctx context.Context, err error) {
+	r.writeErr = err
 	if why := contextReason(ctx); why == endStopping || why == endDeadline {
 		return
 	}
@@ -460,7 +462,7 @@
 		r.out = r.gateway.buffers.newResponseBuffer(r.call, r.w)
 	}
 	if err := r.out.Put(ctx, raw); err != nil {
-		r.logClientLeft(ctx, err)
+		r.recordClientLeft(ctx, err)
 		return false
 	}
 	now := time.Now()
