--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/egress"
-	"github.com/walnutramp/walnutramp/eventstream"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/rollout"
@@ -26,6 +25,7 @@
 	w               http.ResponseWriter
 	started         bool            // the head has been sent to the client
 	out             *responseBuffer // for the body
+	held            []byte          // of the current run, to be forwarded before its next event; see passOn
 	lastEventAt     time.Time       // when the last event was forwarded
 	firstEventAfter time.Duration   // from the request's arrival
 	maxGap          time.Duration   // longest time between two events
@@ -35,6 +35,7 @@
 	egressWriter    *egress.ResponseWriter // w, if the client is another node
 	events          int                    // of the current run
 	settled         bool                   // the current run has gone on for quarantine.Onset
+	firstEventBy    time.Time              // when the current run's first event is overdue
 	firstEventAt    time.Time              // of the current run
 	resumeFrom      *kvCopy                // of the failed run
 	silent          bool                   // a run was canceled for silence or a lost path since the last event
@@ -77,15 +78,15 @@
 		}
 		why = r.whyNoNextRun(ctx, end)
 	}
-	if r.started || ctx.Err() == context.Canceled {
+	if r.started || why == endClientLeft {
 		rest := r.drain()
 		g.counters.streamCutOff(why)
 		klog.InfoS("Stream given up", "request", c.id, "route", c.route.Name, "last", c.lastID, "sent", c.dispatched,
-			"outcome", c.outcome(), "versionGone", c.versionGone, "why", why, "cause", ctx.Err(), "notPassed", rest,
+			"outcome", c.outcome(), "versionGone", c.versionGone, "why", why, "cause", context.Cause(ctx), "notPassed", rest,
 			"silent_ms", uptime.Since(c.idleSince).Milliseconds(), "configurationAge_ms", g.tableAge().Milliseconds())
 		panic(http.ErrAbortHandler) // a truncated stream must not look complete
 	}
-	g.fail(w, c, g.finalError(c, "no target answered"))
+	g.fail(w, c, g.endedError(ctx, c))
 }
 
 // finish waits until the client has received everything; false if it does not.
@@ -95,7 +96,7 @@
 	}
 	err := r.out.Finish(ctx)
 	if err != nil {
-		r.logClientLeft(err)
+		r.logClientLeft(ctx, err)
 	}
 	return err == nil
 }
@@ -116,7 +117,12 @@
 	}
 }
 
-func (r *relay) logClientLeft(err error) {
+// logClientLeft logs why a client did not receive all of its stream, unless this node or the
+// deadline has ended the request.
+func (r *relay) logClientLeft(ctx context.Context, err error) {
+	if why := contextReason(ctx); why == endStopping || why == endDeadline {
+		return
+	}
 	klog.InfoS("Client left", "request", r.call.id, "route", r.call.route.Name, "last", r.call.lastID, "err", err)
 }
 
@@ -223,7 +229,9 @@
 	defer cancel(nil)
 	replacement := g.newReplacement(c, t)
 	defer replacement.close(c)
-	timeout := replacement.endAfter(runCtx, r.firstEventTimeout(o), func() { cancel(nil) })
+	firstEvent := r.firstEventTimeout(o)
+	r.firstEventBy = time.Now().Add(firstEvent)
+	timeout := replacement.endAfter(runCtx, firstEvent, func() { cancel(nil) })
 	defer timeout.Stop()
 	pending := g.pending.add(c, t, replacement, cancel)
 	defer pending.drop()
@@ -298,6 +306,13 @@
 	return g.cfg.FirstEvent + read
 }
 
+// firstEventWait returns how long to wait for a run's first event once its head has come: to
+// the end of firstEventTimeout, but at least as long as for any event.
+func (r *relay) firstEventWait() time.Duration {
+	g := r.gateway
+	return max(min(time.Until(r.firstEventBy), g.cfg.FirstEvent), g.stallTimeout(r.call.route))
+}
+
 // forwardNonStream forwards an answer that is not an event stream, if the client has
 // not received a head yet.
 func (r *relay) forwardNonStream(ctx context.Context, a *targetconn.Answer, t *balance.Target) runResult {
@@ -325,7 +340,7 @@
 // event.
 func (r *relay) forwardEvents(ctx context.Context, a *targetconn.Answer, rc *runCopy, silence *silenceWatch, replacement *replacement, first func()) runResult {
 	g, c, t := r.gateway, r.call, rc.target
-	events := eventstream.NewReader(a)
+	events := r.newRunEvents(a)
 	seen := false
 	timeouts := 0 // since the last event
 	var due time.Time
@@ -337,14 +352,12 @@
 	})
 	for {
 		timeouts, r.timeoutLate = 0, 0
-		if !events.Buffered() {
-			wait := g.stallTimeout(c.route)
-			if !seen {
-				wait = g.cfg.FirstEvent
-			}
-			due = time.Now().Add(wait)
-			a.SetReadDeadline(due)
+		wait := g.stallTimeout(c.route)
+		if !seen {
+			wait = r.firstEventWait()
 		}
+		due = time.Now().Add(wait)
+		a.SetReadDeadline(due)
 		e, err := events.Next()
 		if err != nil {
 			return r.classifyEnd(ctx, a, t, events, err)
@@ -369,6 +382,7 @@
 		r.recordSettled()
 		rc.maintain(ctx)
 		if e.HasID && c.hasLast && e.ID <= c.lastID {
+			r.held = r.held[:0]
 			continue // the client already has it
 		}
 		if !r.write(ctx, a.Status, a.Header, e.Raw) {
@@ -411,10 +425,10 @@
 }
 
 // classifyEnd distinguishes a complete stream from a truncated one.
-func (r *relay) classifyEnd(ctx context.Context, a *targetconn.Answer, t *balance.Target, events *eventstream.Reader, err error) runResult {
+func (r *relay) classifyEnd(ctx context.Context, a *targetconn.Answer, t *balance.Target, events *runEvents, err error) runResult {
 	g, c := r.gateway, r.call
 	if err == io.EOF && a.Framed {
-		if rest := events.Remainder(); (len(rest) > 0 || !r.started) && !r.write(ctx, a.Status, a.Header, rest) {
+		if rest := events.Remainder(); (len(rest) > 0 || len(r.held) > 0 || !r.started) && !r.write(ctx, a.Status, a.Header, rest) {
 			return runClientLeft
 		}
 		c.rolloutRequest.Finish(rollout.Served)
@@ -424,7 +438,7 @@
 	if ctx.Err() != nil {
 		r.silent = r.silent || errors.IsAny(context.Cause(ctx), errTargetUnresponsive, errPathLost)
 		c.rolloutRequest.Discard()
-		return runFailed // otherwise the client left, or the deadline passed
+		return runFailed // otherwise the request has ended
 	}
 	g.paths.Suspect(c.service)
 	g.recordLostAnswer(c, t)
@@ -454,8 +468,13 @@
 		r.started = true
 		r.out = r.gateway.buffers.newResponseBuffer(r.call, r.w)
 	}
-	if err := r.out.Put(ctx, raw); err != nil {
-		r.logClientLeft(err)
+	if len(r.held) > 0 {
+		raw = append(r.held, raw...)
+	}
+	err := r.out.Put(ctx, raw)
+	r.held = r.held[:0]
+	if err != nil {
+		r.logClientLeft(ctx, err)
 		return false
 	}
 	now := time.Now()
--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -50,10 +50,16 @@
 		}
 		a, err := p.exchange(ctx, c, r)
 		var f *Failure
-		if reused && errors.As(err, &f) && f.Stage == StageUnsent && ctx.Err() == nil {
-			continue // the idle connection was already closed: nothing was sent
+		if !errors.As(err, &f) || f.Stage != StageUnsent {
+			return a, err
 		}
-		return a, err
+		if r.Unsent != nil {
+			r.Unsent()
+		}
+		if !reused || ctx.Err() != nil {
+			return nil, err
+		}
+		// The idle connection was already closed: another one is tried.
 	}
 }
 
@@ -221,6 +227,7 @@
 	stop     func() bool
 	reusable bool
 	complete bool // the body was read to EOF
+	closed   bool
 }
 
 func newAnswer(p *Pool, c *conn, resp *http.Response, noReuse bool) *Answer {
@@ -264,8 +271,13 @@
 
 // Close returns the connection to the pool if the response was read completely and the
 // connection can be reused. Otherwise it closes the connection, which cancels a request
-// still in progress at the target.
+// still in progress at the target. Further calls do nothing, as another request may use the
+// connection by then.
 func (a *Answer) Close() {
+	if a.closed {
+		return
+	}
+	a.closed = true
 	active := a.stop()
 	if !active || !a.complete || !a.reusable {
 		a.conn.close()
