gateway: the tests' targets listen on an address of their process

Cause: targets and egress nodes of these tests listened on 127.0.0.1 at a port of the kernel's choice, as the tests of other packages do.

Why this works: the address holds the whole process ID, so that no two test processes share it, and the soak's subnets lie below.

--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -64,8 +64,7 @@
 
 func newFakeTarget(t *testing.T, id, service, hall string, script func(*fakeTarget, *http.Request, net.Conn)) *fakeTarget {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	l := newLocalListener(t)
 	f := &fakeTarget{id: id, service: service, hall: hall, l: l, script: script}
 	t.Cleanup(func() { l.Close() })
 	go f.serve()
--- a/gateway/relay_site_test.go
+++ b/gateway/relay_site_test.go
@@ -125,8 +125,7 @@
 	s := &relaySite{}
 	for range others {
 		n := newCuttableNode(t, targets)
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
+		l := newLocalListener(t)
 		n.address = l.Addr().String()
 		n.server = egress.NewServer(n.gateway, 8<<20)
 		go n.server.Serve(l, peer.Identity{Site: "s", Node: walnutramp.NodeName(n.address)}, &peer.Traffic{})
--- a/gateway/relayed_stream_test.go
+++ b/gateway/relayed_stream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -97,8 +98,7 @@
 
 // frozenProxy passes connections on to an egress while it is not frozen.
 func frozenProxy(t *testing.T, to string) (address string, frozen *atomic.Bool) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	l := newLocalListener(t)
 	t.Cleanup(func() { l.Close() })
 	frozen = &atomic.Bool{}
 	pass := func(from, to net.Conn) {
@@ -173,8 +173,11 @@
 	require.Less(t, time.Since(began), 2*time.Second)
 }
 
+// newLocalListener listens on a loopback address that no other process uses: tests go on
+// dialing ports that they have closed, and those of a shared address may be given out again.
 func newLocalListener(t *testing.T) net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid() // at most 22 bits
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 128+pid>>16, pid>>8&0xff, pid&0xff))
 	require.NoError(t, err)
 	return l
 }
