gateway: a silent run is given up only for a place that is held for it

Cause: a run was given up if another target was available, but nothing held the place, so several runs found the same one. Targets that were silent themselves counted, too.

Evidence: TestSilentRunsAreNotAllGivenUpForOnePlace was red each time before.

Why it works: the place is held from the decision until the next run begins, and released when the run goes on after all, its client leaves, or there is no retry. A held place counts as occupancy. Engines have as many places as free slots; where these are not known, one, and none for a second after a run has moved there, as nothing says whether there is room. A target is no place if this node has runs there that have brought nothing in the second half of the silence, or gave one up in the last 1.5 s, and the next run avoids such targets, its copy's holder included.

Not covered: runs of other nodes on their way to the same target, and runs that are given up for a path through another node.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -188,10 +188,13 @@
 	activeAtLoad        int // this node's active requests when load was reported
 	consecutiveFailures int
 	backoffUntil        time.Time
-	errorRate           float64  // exponentially weighted
-	cooldown            cooldown // requested by the target from this node
-	limited             bool     // publishes a rate limit
-	limitOwned          bool     // this node has a part of the rate
+	errorRate           float64   // exponentially weighted
+	cooldown            cooldown  // requested by the target from this node
+	limited             bool      // publishes a rate limit
+	limitOwned          bool      // this node has a part of the rate
+	heardAt             time.Time // when a run of this node at it last brought something
+	places              int       // held by Place
+	movedAt             time.Time // when a run that has run elsewhere before last began
 
 	delistedAt time.Time
 }
--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -169,12 +169,18 @@
 // capacity, and not reserved for its own region.
 func (s *scan) eligible(target *Target, backlog float64) bool {
 	c := s.choice
+	if !c.HeardSince.IsZero() && target.silent(c.HeardSince, s.now) {
+		return false
+	}
 	if !target.available(s.now) || c.Exclude != nil && c.Exclude(target) {
 		return false
 	}
 	if c.Connected && !s.now.Before(target.connectedUntil) {
 		return false
 	}
+	if c.moves && !target.hasPlace(c, s.now) {
+		return false
+	}
 	return c.Work == (Work{}) || target.fits(c, backlog, s.now) && !s.tracker.reserved(target, s.spillRegions)
 }
 
--- a/balance/contact.go
+++ b/balance/contact.go
@@ -1,5 +1,7 @@
 package balance
 
+import "github.com/walnutramp/walnutramp/internal/uptime"
+
 // A node that is cut off from targets sees them fail although they are sound. So it reports
 // a failure to its peers only once another target of the service has shown that this
 // node's own path stands.
@@ -24,6 +26,7 @@
 // RecordEvent records that the target sent something: the head of a response or an event.
 func (t *Target) RecordEvent() {
 	t.tracker.mu.Lock()
+	t.heardAt = uptime.Now()
 	confirms := t.addContact(contact{responses: 1})
 	t.tracker.mu.Unlock()
 	if confirms {
--- a/balance/health.go
+++ b/balance/health.go
@@ -278,6 +278,10 @@
 func (t *Target) Usable() bool {
 	t.tracker.mu.Lock()
 	defer t.tracker.mu.Unlock()
-	now := uptime.Now()
+	return t.usable(uptime.Now())
+}
+
+// usable is Usable. The caller holds the mutex.
+func (t *Target) usable(now time.Time) bool {
 	return t.available(now) && now.After(t.backoffUntil) && !t.refusedPeer(now)
 }
--- a/balance/score.go
+++ b/balance/score.go
@@ -41,9 +41,12 @@
 	FailedHalls map[string]int
 	// Connected selects among the targets to which this node has an idle connection.
 	Connected bool
+	// HeardSince excludes targets that are silent since a time; zero for no limit.
+	HeardSince time.Time
 	// AvoidHall is a data hall that the target should not be in, if possible.
 	AvoidHall string
 
+	moves         bool    // for a run that may be given up for the target
 	meanRunTokens float64 // mean memory of the service's runs, in tokens
 }
 
@@ -82,12 +85,7 @@
 func (t *Tracker) Pick(c Choice) *Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.newScan(&c)
-	if c.Copy && !t.hasMemoryForCopy(&c, s.pool) {
-		return nil
-	}
-	candidates := s.candidates()
-	best := t.sampleBest(candidates, t.concurrentSelections(s, candidates), t.prefillMS(c.Service, c.Work.PrefillTokens))
+	best := t.pick(&c)
 	if best != nil {
 		t.roundRobinSeq++
 		best.roundRobinSeq = t.roundRobinSeq
@@ -95,6 +93,16 @@
 	return best
 }
 
+// pick is Pick. The caller holds the mutex.
+func (t *Tracker) pick(c *Choice) *Target {
+	s := t.newScan(c)
+	if c.Copy && !t.hasMemoryForCopy(c, s.pool) {
+		return nil
+	}
+	candidates := s.candidates()
+	return t.sampleBest(candidates, t.concurrentSelections(s, candidates), t.prefillMS(c.Service, c.Work.PrefillTokens))
+}
+
 // newScan prepares a selection. The caller holds the mutex.
 func (t *Tracker) newScan(c *Choice) *scan {
 	now := uptime.Now()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -57,6 +57,8 @@
 	exhausted        string                   // a target that was passed over for its rate limit in the latest selection; empty for none
 	denial           *ratelimit.Denial        // why the latest selection found no target; nil if not for a rate limit
 	reservedRetry    balance.Retry            // retry taken from the budget, but not yet received by a target
+	place            *balance.Place           // held for the next run; nil for none
+	placeSince       time.Time                // since when a target must have been heard while place is held
 	rolloutRequest   *rollout.Request         // reports the outcome of the current attempt to the roll-out; nil without one
 	metered          bool                     // already counted for its client account
 	fingerprint      quarantine.Fingerprint   // identical for identical requests of a client
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -124,7 +124,14 @@
 	choice.Exclude = func(t *balance.Target) bool { return c.tried[t] || c.rejected[t] || excluded != nil && excluded(t) }
 	choice.Bounded = g.cfg.InFlight.Bounded(c.service)
 	choice.Allowance = func(t *balance.Target) balance.Allowance { return g.allowance(c, t, search) }
+	if c.place != nil {
+		choice.HeardSince = c.placeSince
+	}
 	t := g.targets.Pick(choice)
+	if t == nil && c.place != nil {
+		choice.HeardSince = time.Time{}
+		t = g.targets.Pick(choice)
+	}
 	c.noCapacity = false
 	if t == nil && choice.Admission {
 		withoutAdmission := choice
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -327,6 +327,7 @@
 func (g *Gateway) returnGrants(c *call) {
 	g.cfg.Limits.Return(&c.grants.permit)
 	g.cfg.InFlight.Release(&c.grants.lease)
+	c.releasePlace()
 }
 
 // completesInTime reports whether a call is predicted to end before the node stops.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -109,6 +109,7 @@
 	defer limit.close(c)
 	defer func() { c.rolloutRequest.Discard() }() // no effect if an outcome was recorded
 	run := t.Begin(balance.Work{}, balance.Trace{})
+	c.beginAt(t)
 	defer run.End(balance.RunEnd{Complete: true})
 	c.sentAt = uptime.Now()
 	silence := g.watchSilence(c, plainSilence)
--- a/gateway/replacement.go
+++ b/gateway/replacement.go
@@ -51,9 +51,11 @@
 	deadline           time.Time
 	version            atomic.Pointer[string] // to which the stream is bound; nil before
 
-	mu     sync.Mutex
-	retry  balance.Retry
-	closed bool
+	mu      sync.Mutex
+	retry   balance.Retry
+	place   *balance.Place // held for the next run; nil for none
+	heardAt time.Time      // when the run began or last brought something
+	closed  bool
 }
 
 // newReplacement returns the replacement of a call's next run at a target, which is nil if it
@@ -73,6 +75,7 @@
 	p.choice.Admission, p.choice.MaxWait = c.settings.Engine, 0 // a target that is full does not take the run
 	p.choice.Exclude = func(o *balance.Target) bool { return o == t || tried[o] }
 	p.choice.Allowance = p.allowance
+	p.heard()
 	return p
 }
 
@@ -80,9 +83,9 @@
 // forwarded.
 func (p *replacement) bind(version string) { p.version.Store(&version) }
 
-// reserve reports whether the run can be replaced now, and reserves the retry for that. With
-// ask, other nodes are asked for a retry if this node has none left, and for a path to targets
-// if it has none.
+// reserve reports whether the run can be replaced now, and reserves the retry and the place
+// for that. With ask, other nodes are asked for a retry if this node has none left, and for
+// a path to targets if it has none.
 func (p *replacement) reserve(ctx context.Context, ask bool) bool {
 	if p.relayed {
 		return p.allowed
@@ -90,10 +93,11 @@
 	if _, quarantined := p.gateway.cfg.Quarantine.Quarantined(p.content); !p.allowed || quarantined || !p.available(ctx, ask) {
 		return false
 	}
-	if p.spend() {
+	if p.spend() || ask && p.gateway.cfg.Borrow != nil && p.gateway.cfg.Borrow(ctx, p.service) && p.spend() {
 		return true
 	}
-	return ask && p.gateway.cfg.Borrow != nil && p.gateway.cfg.Borrow(ctx, p.service) && p.spend()
+	p.releasePlace()
+	return false
 }
 
 // wait returns how much longer to wait for a silent run; 0 if it is to be replaced. timeouts
@@ -120,9 +124,41 @@
 	}
 }
 
-// available reports whether another target is available to this node or, with ask, through
-// another that offers a path to them, after a check of the path that is under way. It must not
-// find one that the next selection does not, as the run would be given up for it.
+// heard records that the run has brought something.
+func (p *replacement) heard() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heardAt = uptime.Now()
+	p.releaseHeld()
+}
+
+// silentSince returns the time since which a target must have been heard to be a place for
+// the run: half of its silence ago. If all targets fall silent at once, those whose runs
+// have not timed out yet are none. The caller holds the mutex.
+func (p *replacement) silentSince() time.Time {
+	now := uptime.Now()
+	return now.Add(-now.Sub(p.heardAt) / 2)
+}
+
+// releasePlace releases the place if one is held.
+func (p *replacement) releasePlace() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.releaseHeld()
+}
+
+// releaseHeld is releasePlace. The caller holds the mutex.
+func (p *replacement) releaseHeld() {
+	if p.place != nil {
+		p.place.Release()
+		p.place = nil
+	}
+}
+
+// available reports whether another target is available to this node, and holds a place
+// there, or, with ask, whether another node offers a path to targets, after a check of the
+// path that is under way. It must not find one that the next selection does not, as the run
+// would be given up for it.
 func (p *replacement) available(ctx context.Context, ask bool) bool {
 	g := p.gateway
 	path := g.paths.State(p.service)
@@ -130,9 +166,9 @@
 		path = g.paths.Await(ctx, p.service)
 	}
 	if g.cfg.Egress == nil || !path.Lost {
-		return p.picksTarget(false)
+		return p.holdPlace(false)
 	}
-	if path.Refused && p.picksTarget(true) {
+	if path.Refused && p.holdPlace(true) {
 		return true
 	}
 	if !ask {
@@ -145,10 +181,16 @@
 	return ok
 }
 
-// picksTarget reports whether another target would be selected for the next run now, among
-// those with an idle connection if connected is set. One that has just failed or rejected a
-// request does not count.
-func (p *replacement) picksTarget(connected bool) bool {
+// holdPlace holds a place at a target that would be selected for the next run now, among
+// those with an idle connection if connected is set; false if there is none. A target that
+// has just failed or rejected a request does not count.
+func (p *replacement) holdPlace(connected bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	p.releaseHeld()
 	g := p.gateway
 	excluded := g.excludeByVersion(p.service)
 	if version := p.version.Load(); version != nil {
@@ -157,9 +199,10 @@
 	choice := p.choice
 	choice.Connected = connected
 	choice.Bounded = g.cfg.InFlight.Bounded(p.service)
+	choice.HeardSince = p.silentSince()
 	choice.Exclude = func(t *balance.Target) bool { return p.choice.Exclude(t) || excluded != nil && excluded(t) }
-	t := g.targets.Pick(choice)
-	return t != nil && t.Usable()
+	p.place = g.targets.Hold(choice)
+	return p.place != nil
 }
 
 // allowance returns whether a permit of a target and a slot may be granted to the next run.
@@ -194,15 +237,19 @@
 	return ok
 }
 
-// close is called at the end of the run. It passes a reserved retry to the call, which may
-// then select targets again that rejected it before this run.
+// close is called at the end of the run. It passes a reserved retry and place to the call,
+// which may then select targets again that rejected it before this run.
 func (p *replacement) close(c *call) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
 	if !p.retry.Spent() {
+		p.releaseHeld()
 		return
 	}
+	c.releasePlace()
+	c.place, p.place = p.place, nil
+	c.placeSince = p.silentSince()
 	c.refundRetry(p.budget)
 	c.reservedRetry = p.retry
 	clear(c.rejected)
@@ -218,13 +265,14 @@
 	if !r.silent && !r.interrupted || !c.mayHaveRun || c.versionGone || c.dispatched >= c.route.MaxAttempts {
 		return false
 	}
+	c.releasePlace()
 	r.replaceWait = min(max(2*r.replaceWait, replaceInterval), maxReplaceWait)
 	for wait := r.replaceWait; pause.For(ctx, wait); wait = min(2*wait, maxReplaceWait) {
 		if g.cfg.Quarantine.CheckRetry(c.crashProbe, c.fingerprint) != nil || !g.targets.Offers(c.service) || !r.started && g.stopping.Load() != phaseServing {
 			return false
 		}
 		c.egressTried = nil
-		if wait < maxReplaceWait && !g.newReplacement(c, nil).available(ctx, true) {
+		if wait < maxReplaceWait && !g.mayBegin(ctx, c) {
 			continue // a run that is rejected costs a retry
 		}
 		if g.mayRetry(ctx, c) {
@@ -236,6 +284,29 @@
 	return false
 }
 
+// mayBegin reports whether another target is available for a call without a run.
+func (g *Gateway) mayBegin(ctx context.Context, c *call) bool {
+	p := g.newReplacement(c, nil)
+	defer p.releasePlace()
+	return p.available(ctx, true)
+}
+
+// releasePlace releases the place that is held for the next run, if any.
+func (c *call) releasePlace() {
+	if c.place != nil {
+		c.place.Release()
+		c.place = nil
+	}
+}
+
+// beginAt records that a run of the call begins at a target, and releases the place.
+func (c *call) beginAt(t *balance.Target) {
+	if c.mayHaveRun {
+		t.RecordMove()
+	}
+	c.releasePlace()
+}
+
 // replaceTimer ends a run after a timeout, as soon as it can be replaced.
 type replaceTimer struct {
 	replacement *replacement
@@ -271,6 +342,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.stopped || w.resets != resets {
+		w.replacement.releasePlace()
 		return false
 	}
 	if replaceable {
@@ -288,6 +360,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.stopped && !w.fired {
+		w.replacement.heard()
 		w.late = false
 		w.halt()
 		resets := w.resets
--- a/gateway/replacement_test.go
+++ b/gateway/replacement_test.go
@@ -553,6 +553,8 @@
 			t.Parallel()
 			const streams = 3
 			var silent []*fakeTarget
+			var arrived sync.WaitGroup
+			arrived.Add(streams)
 			for _, id := range []string{"i-1", "i-2", "i-3"} {
 				var runs atomic.Int64
 				slow := silentDraft(before)
@@ -561,6 +563,10 @@
 						reply(c, r.Header.Get("X-Id"), 503, "", "X-Not-Run: 1")
 						return
 					}
+					if r.RequestURI != copyPath {
+						arrived.Done()
+						arrived.Wait() // all fall silent at once
+					}
 					slow(f, r, c)
 				}))
 			}
@@ -574,7 +580,10 @@
 			})
 			s := newTestSite(t, silent, WithStall(testStall), WithFirstEvent(testStall))
 			s.gateway.budgets = balance.NewBudgets(balance.BudgetConfig{Slack: 200, Window: 10 * time.Second})
-			time.AfterFunc(testStall/2, func() { s.tracker.Update(listed(append(silent[:3:3], spare))) })
+			go func() {
+				arrived.Wait()
+				s.tracker.Update(listed(append(silent[:3:3], spare)))
+			}()
 			var wg sync.WaitGroup
 			for range streams {
 				wg.Go(func() {
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -97,8 +97,12 @@
 	runs := slices.Collect(maps.Keys(p.runs))
 	p.mu.Unlock()
 	for _, r := range runs {
-		if matches(r) && r.drop() {
+		switch {
+		case !matches(r):
+		case r.drop():
 			r.cancel(cause)
+		default:
+			r.replacement.releasePlace()
 		}
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -142,7 +142,7 @@
 func (r *relay) runNext(ctx context.Context) runResult {
 	from := r.resumeFrom
 	r.resumeFrom = nil
-	if from != nil && !r.gateway.pathLostFor(ctx, r.call) && from.holder.Usable() && r.gateway.mayResumeAt(r.call, from.holder) && r.gateway.acquireGrants(ctx, r.call, from.holder, resumePermitWait) {
+	if from != nil && !r.gateway.pathLostFor(ctx, r.call) && from.holder.Usable() && !r.holderSilent(from) && r.gateway.mayResumeAt(r.call, from.holder) && r.gateway.acquireGrants(ctx, r.call, from.holder, resumePermitWait) {
 		r.gateway.chargeRollout(r.call)
 		r.gateway.beginRolloutRequest(r.call, from.holder)
 		r.gateway.recordRegionCrossing(r.call, from.holder, func() balance.Reason { return balance.ReasonCopy })
@@ -160,6 +160,12 @@
 	return r.runAt(ctx, t, nil)
 }
 
+// holderSilent reports whether a run that was given up for silence would resume at a holder
+// that is silent, too.
+func (r *relay) holderSilent(from *kvCopy) bool {
+	return r.call.place != nil && from.holder.Silent(r.call.placeSince)
+}
+
 // runRequest is the request of one run.
 type runRequest struct {
 	request *targetconn.Request
@@ -181,6 +187,7 @@
 		announceTarget(r.egressWriter, r.call, t)
 	}
 	run := t.Begin(o.work, o.trace)
+	r.call.beginAt(t)
 	rc := &runCopy{relay: r, target: t, run: run, copy: o.copy}
 	end := r.execute(ctx, t, o, rc)
 	r.call.rolloutRequest.Discard() // no effect if an outcome was recorded
@@ -336,6 +343,7 @@
 		return replacement.wait(ctx, timeouts, seen)
 	})
 	for {
+		replacement.heard()
 		timeouts, r.timeoutLate = 0, 0
 		if !events.Buffered() {
 			wait := g.stallTimeout(c.route)
