gateway: a test no longer shares variables with its targets unsynchronized

TestSilentRunIsKeptWhileNoOtherTargetTakesIt set its site and list while its targets' goroutines could read them: with -race red ("DATA RACE") before, green 3 of 3 after. No check changes.

--- a/gateway/replacement_test.go
+++ b/gateway/replacement_test.go
@@ -231,10 +231,12 @@
 			t.Parallel()
 			var s *testSite
 			var list []discovery.Target
+			ready := make(chan struct{}) // closed once s and list are set
 			var targets []*fakeTarget
 			for _, id := range []string{"i-1", "i-2"} {
 				targets = append(targets, newFakeTarget(t, id, "draft", "north", draft(func(_ *fakeTarget, _ net.Conn, n int) bool {
 					if n == c.silentBefore {
+						<-ready
 						s.tracker.Update(list)
 						c.occupy(s)
 						time.Sleep(silence)
@@ -252,6 +254,7 @@
 			table.Route("a.example", "/draft/x").LatencyObjective = testStall
 			s.gateway.SetTable(table)
 			s.tracker.Update(list[:1])
+			close(ready)
 			resp, body, err := do(t, s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000"))
 			require.NoError(t, err)
 			require.Equal(t, 200, resp.StatusCode, body)
