--- a/gateway/replacement_test.go
+++ b/gateway/replacement_test.go
@@ -231,10 +231,12 @@
 			t.Parallel()
 			var s *testSite
 			var list []discovery.Target
+			ready := make(chan struct{}) // closed once s and list are set
 			var targets []*fakeTarget
 			for _, id := range []string{"i-1", "i-2"} {
 				targets = append(targets, newFakeTarget(t, id, "draft", "north", draft(func(_ *fakeTarget, _ net.Conn, n int) bool {
 					if n == c.silentBefore {
+						<-ready
 						s.tracker.Update(list)
 						c.occupy(s)
 						time.Sleep(silence)
@@ -252,6 +254,7 @@
 			table.Route("a.example", "/draft/x").LatencyObjective = testStall
 			s.gateway.SetTable(table)
 			s.tracker.Update(list[:1])
+			close(ready)
 			resp, body, err := do(t, s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000"))
 			require.NoError(t, err)
 			require.Equal(t, 200, resp.StatusCode, body)
@@ -553,6 +556,8 @@
 			t.Parallel()
 			const streams = 3
 			var silent []*fakeTarget
+			var arrived sync.WaitGroup
+			arrived.Add(streams)
 			for _, id := range []string{"i-1", "i-2", "i-3"} {
 				var runs atomic.Int64
 				slow := silentDraft(before)
@@ -561,6 +566,10 @@
 						reply(c, r.Header.Get("X-Id"), 503, "", "X-Not-Run: 1")
 						return
 					}
+					if r.RequestURI != copyPath {
+						arrived.Done()
+						arrived.Wait() // all fall silent at once
+					}
 					slow(f, r, c)
 				}))
 			}
@@ -574,7 +583,10 @@
 			})
 			s := newTestSite(t, silent, WithStall(testStall), WithFirstEvent(testStall))
 			s.gateway.budgets = balance.NewBudgets(balance.BudgetConfig{Slack: 200, Window: 10 * time.Second})
-			time.AfterFunc(testStall/2, func() { s.tracker.Update(listed(append(silent[:3:3], spare))) })
+			go func() {
+				arrived.Wait()
+				s.tracker.Update(listed(append(silent[:3:3], spare)))
+			}()
 			var wg sync.WaitGroup
 			for range streams {
 				wg.Go(func() {
