--- a/serve/bounded_test.go
+++ b/serve/bounded_test.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -53,3 +54,29 @@
 	limits.Store(&gateway.Limits{HeaderTimeout: 100 * time.Millisecond, IdleTimeout: 1500 * time.Millisecond})
 	require.GreaterOrEqual(t, timeUntilClose(t, address, request), 1500*time.Millisecond, "a new idle timeout applies to new connections at once")
 }
+
+// A client may rest for as long as the limits in force allow, also on a connection that
+// became idle under earlier ones.
+func TestRaisedIdleTimeoutAppliesToIdleConnections(t *testing.T) {
+	var limits atomic.Pointer[gateway.Limits]
+	limits.Store(&gateway.Limits{HeaderTimeout: time.Second, IdleTimeout: 500 * time.Millisecond})
+	c, err := net.Dial("tcp", startTimeoutServer(t, &limits))
+	require.NoError(t, err)
+	defer c.Close()
+	answers := bufio.NewReader(c)
+	request := func() error {
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+			return err
+		}
+		resp, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		return err
+	}
+	require.NoError(t, request())
+	limits.Store(&gateway.Limits{HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second})
+	time.Sleep(time.Second)
+	require.NoError(t, request(), "a fifth of the idle timeout in force has passed")
+}
