--- a/serve/bounded_test.go
+++ b/serve/bounded_test.go
@@ -80,3 +80,18 @@
 	time.Sleep(time.Second)
 	require.NoError(t, request(), "a fifth of the idle timeout in force has passed")
 }
+
+// A new connection without any byte of a request is idle: the header timeout bounds how long
+// a request's head takes.
+func TestNewConnectionMayRestForTheIdleTimeout(t *testing.T) {
+	var limits atomic.Pointer[gateway.Limits]
+	limits.Store(&gateway.Limits{HeaderTimeout: 300 * time.Millisecond, IdleTimeout: 10 * time.Second})
+	c, err := net.Dial("tcp", startTimeoutServer(t, &limits))
+	require.NoError(t, err)
+	defer c.Close()
+	time.Sleep(time.Second)
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	_, err = http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err, "a tenth of the idle timeout has passed")
+}
