--- a/serve/cutoff_test.go
+++ b/serve/cutoff_test.go
@@ -15,6 +15,7 @@
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/gateway"
+	"github.com/walnutramp/walnutramp/peer"
 	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/targetconn"
 )
@@ -127,3 +128,35 @@
 	require.Less(t, time.Since(stopped), grace)
 	clients.Wait()
 }
+
+// An operator's call in flight at the end of a stop must not end without an answer.
+func TestStoppingReplicaAnswersCallsInFlight(t *testing.T) {
+	begun := make(chan struct{})
+	r := &replica{server: peer.NewServer(peer.Identity{}, &peer.Traffic{}), operator: newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(begun)
+		select { // as a document that no majority stores
+		case <-r.Context().Done():
+		case <-time.After(2 * replicaStopTimeout):
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	serveInBackground(r.operator, l)
+	answer := make(chan error, 1)
+	go func() {
+		_, err := (&http.Transport{}).RoundTrip(must(http.NewRequest("PUT", "http://"+l.Addr().String(), strings.NewReader("x"))))
+		answer <- err
+	}()
+	<-begun
+	r.stop()
+	r.operator.Close() // as the end of the process
+	require.NoError(t, <-answer)
+}
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
