drain: a pipelined request in flight outlasts a shutdown

Callers that send two requests at once lost the second at a stop: its connection counted as idle while its handler ran, as it had been read together with the first, so the shutdown ended the read beside it and net/http canceled the request.

A connection is now in use as soon as net/http sets a second deadline after an answer, which it does once it has a request, wherever its bytes came from.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -182,7 +182,8 @@
 	server *Server
 
 	mu       sync.Mutex
-	received bool      // data has been read since the last answer
+	received bool      // some of a request has been read since the last answer
+	armed    bool      // http.Server has set the idle timeout since then
 	idleFrom time.Time // a connection without a request does not count as idle before
 	deadline time.Time // for reads, as set by http.Server
 	closing  bool      // as idle
@@ -197,22 +198,36 @@
 		n = c.readArrived(p)
 	}
 	switch {
-	case n > 0 && c.closing:
-		c.received, c.closing = true, false
-		return n, c.Conn.SetReadDeadline(c.deadline)
 	case n > 0:
-		c.received = true
+		return n, c.begin()
 	case c.closing:
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
-// SetReadDeadline implements net.Conn.
+// begin records that a request is being read. The caller holds the mutex.
+func (c *conn) begin() error {
+	c.received = true
+	if !c.closing {
+		return nil
+	}
+	c.closing = false
+	return c.Conn.SetReadDeadline(c.deadline)
+}
+
+// SetReadDeadline implements net.Conn. http.Server sets one for an idle connection, and a
+// further one once it reads a request, which it may have read together with the one before.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = t
+	if c.armed {
+		if err := c.begin(); err != nil {
+			return err
+		}
+	}
+	c.armed = true
 	if c.closing {
 		return nil
 	}
@@ -250,7 +265,7 @@
 func (c *conn) setIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.received, c.idleFrom = false, time.Time{}
+	c.received, c.armed, c.idleFrom = false, false, time.Time{}
 }
 
 func (c *conn) closeIfIdle() {
--- a/internal/drain/idle_test.go
+++ b/internal/drain/idle_test.go
@@ -13,26 +13,26 @@
 
 const lateness = 200 * time.Millisecond
 
-// lateListener accepts connections whose readers run late once their deadline has passed.
-type lateListener struct {
+// lateReadListener accepts connections whose readers run late once their deadline has passed.
+type lateReadListener struct {
 	net.Listener
 	expired chan struct{}
 }
 
-func (l *lateListener) Accept() (net.Conn, error) {
+func (l *lateReadListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &lateConn{Conn: c, expired: l.expired}, nil
+	return &lateReadConn{Conn: c, expired: l.expired}, nil
 }
 
-type lateConn struct {
+type lateReadConn struct {
 	net.Conn
 	expired chan struct{}
 }
 
-func (c *lateConn) Read(p []byte) (int, error) {
+func (c *lateReadConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	aborted := len(p) == 1 // a background read of net/http
 	if ne, ok := err.(net.Error); ok && ne.Timeout() && !aborted {
@@ -42,7 +42,9 @@
 	return n, err
 }
 
-func (c *lateConn) SyscallConn() (syscall.RawConn, error) { return c.Conn.(syscall.Conn).SyscallConn() }
+func (c *lateReadConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
 
 // A request that lies unread when the idle timeout closes its connection must be answered.
 func TestIdleTimeoutAnswersARequestThatHasArrived(t *testing.T) {
@@ -50,7 +52,7 @@
 	server := New(&http.Server{IdleTimeout: 100 * time.Millisecond, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) })})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	late := &lateListener{Listener: l, expired: make(chan struct{})}
+	late := &lateReadListener{Listener: l, expired: make(chan struct{})}
 	go server.Serve(late)
 	t.Cleanup(func() { server.Close() })
 	c, answers := dial(t, l.Addr().String())
