drain, serve: connections can be half-closed

A client whose request is refused before its body is read may get a reset in place of the refusal: net/http shuts the sending side down and waits before it closes such a connection, but our connections hid CloseWrite from it.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net"
 	"net/http"
@@ -216,6 +217,16 @@
 	return c.Conn.SetReadDeadline(c.deadline)
 }
 
+// CloseWrite shuts down the sending side. http.Server does so before it closes a connection
+// with unread data, so that the reset does not overtake its answer.
+func (c *conn) CloseWrite() error {
+	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return w.CloseWrite()
+}
+
 // SetReadDeadline implements net.Conn. http.Server sets one for an idle connection, and a
 // further one once it reads a request, which it may have read together with the one before.
 func (c *conn) SetReadDeadline(t time.Time) error {
--- a/serve/bounded.go
+++ b/serve/bounded.go
@@ -40,6 +40,15 @@
 	return s.SyscallConn()
 }
 
+// CloseWrite shuts down the sending side.
+func (c *timeoutConn) CloseWrite() error {
+	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return w.CloseWrite()
+}
+
 // SetReadDeadline implements net.Conn. http.Server sets the deadline to
 // idleTimeout for an idle connection and to headerTimeout while it reads
 // request headers; a shorter configured timeout takes precedence.
