drain: the idle timeout does not reset a request that has arrived

A request that lay unread in the socket when the idle timeout of its kept connection passed was answered with a reset, as a shutdown did before: the read that the deadline ends did not look for what had arrived meanwhile. Now both look once more.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -12,6 +12,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -195,7 +196,7 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n == 0 && c.closing {
+	if n == 0 && (c.closing || !c.received && errors.Is(err, os.ErrDeadlineExceeded)) {
 		n = c.readArrived(p)
 	}
 	switch {
