drain: answers in flight announce the close of their connection

The shutdown closed connections behind answers that had not announced it, as the header was set when the handler began: clients sent their next request on a connection that was just being closed. TestShutdownAnnouncesTheCloseOnAnswersInFlight fails before.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -47,10 +47,9 @@
 	d := &Server{Server: s, conns: map[*conn]struct{}{}}
 	handler := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.closeConns.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(w, r)
+		out := &responseWriter{ResponseWriter: w, server: d}
+		handler.ServeHTTP(out, r)
+		out.announceClose() // for an answer without a body
 	})
 	s.ConnState = d.trackState
 	return d
@@ -155,6 +154,38 @@
 	}
 }
 
+// responseWriter announces the close of its connection in the head of an answer, as late as
+// possible: a client told later sends its next request on the connection that is closed.
+type responseWriter struct {
+	http.ResponseWriter
+	server      *Server
+	wroteHeader bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *responseWriter) WriteHeader(status int) {
+	if status >= http.StatusOK {
+		w.announceClose()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *responseWriter) Write(p []byte) (int, error) {
+	w.announceClose()
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the wrapped writer to http.ResponseController.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *responseWriter) announceClose() {
+	if !w.wroteHeader && w.server.closeConns.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.wroteHeader = true
+}
+
 // listener accepts connections that a server tracks.
 type listener struct {
 	net.Listener
