gateway: weights whose sum overflows do not panic

Callers got EOF for each request of a route, from the moment a configuration was in force whose weights add up to more than an integer holds: the draw of a service panicked.

--- a/gateway/table.go
+++ b/gateway/table.go
@@ -53,17 +53,22 @@
 
 // Service picks a service at random by weight.
 func (r *Route) Service() string {
-	total := 0
+	total := 0.0 // a sum of integers may overflow
 	for _, w := range r.Split {
-		total += w.Weight
+		total += float64(w.Weight)
 	}
-	n := rand.IntN(total)
+	n := rand.Float64() * total
+	last := ""
 	for _, w := range r.Split {
-		if n -= w.Weight; n < 0 {
-			return w.Service
+		if w.Weight == 0 {
+			continue
+		}
+		last = w.Service
+		if n -= float64(w.Weight); n < 0 {
+			break
 		}
 	}
-	return r.Split[0].Service
+	return last
 }
 
 // Account is a client account and its priority.
