serve: a stopping control member answers its operator's calls

An operator got EOF in place of an answer for a call that was under way when a control member stopped: the stop waited 1 s, a call may take longer, and the process ended under it. The stop now cancels the calls that are left, and gives their handlers time to answer 503.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -34,6 +34,8 @@
 	*http.Server
 	closeConns atomic.Bool  // after each answer
 	serving    atomic.Int64 // connections whose goroutine has not ended
+	requests   context.Context
+	cancel     context.CancelFunc
 
 	mu       sync.Mutex
 	stopping bool
@@ -42,9 +44,12 @@
 	conns    map[*conn]struct{}
 }
 
-// New returns a server that drains s. It sets the ConnState of s and wraps its handler.
+// New returns a server that drains s. It sets the ConnState and the BaseContext of s, and
+// wraps its handler.
 func New(s *http.Server) *Server {
 	d := &Server{Server: s, conns: map[*conn]struct{}{}}
+	d.requests, d.cancel = context.WithCancel(context.Background())
+	s.BaseContext = func(net.Listener) context.Context { return d.requests }
 	handler := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		out := &responseWriter{ResponseWriter: w, server: d}
@@ -79,6 +84,9 @@
 // CloseConnections makes every answer from now on close its connection.
 func (s *Server) CloseConnections() { s.closeConns.Store(true) }
 
+// CancelRequests cancels the contexts of all requests. Their handlers may still answer.
+func (s *Server) CancelRequests() { s.cancel() }
+
 // Shutdown stops accepting connections, closes idle ones, and waits until the requests under
 // way, and those that arrive before their connection is closed, are answered. It returns the
 // error of ctx if that ends before.
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -176,6 +176,17 @@
 	os.Exit(exitDiskFailed)
 }
 
+// endCalls cancels the operator's calls in flight, and waits for their answers.
+func (r *replica) endCalls() {
+	klog.InfoS("Operator's calls are ended")
+	r.operator.CancelRequests()
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	if err := r.operator.Shutdown(ctx); err != nil {
+		klog.InfoS("Operator's calls are cut off", "err", err)
+	}
+}
+
 func (r *replica) stop() {
 	r.releaseDuties()
 	ctx, cancel := context.WithTimeout(context.Background(), replicaStopTimeout)
@@ -183,7 +194,9 @@
 	if r.member != nil {
 		r.member.TransferLeadership(ctx) // before the server closes, so that no election is needed
 	}
-	r.operator.Shutdown(ctx)
+	if r.operator.Shutdown(ctx) != nil {
+		r.endCalls()
+	}
 	if r.member != nil {
 		r.member.Close()
 	}
