gateway: a head does not prolong the wait for a stream's first event

What callers saw: a stream whose target sent a head and then nothing, or only comments, was replaced 5 s after the head, though a target that sends no head is replaced in time for the route's latency objective. With a deadline of less than 5 s it was not replaced at all.

Cause: the timeout that is chosen from the objective, the predicted wait and the deadline ended with the head; from there on the fixed timeout for the first event ran.

Evidence: TestHeadDoesNotProlongTheWaitForTheFirstEvent (objective 1 s, deadline 3 s) failed 2 of 2 times, with a refusal after 3.0 s; with the change it passes 3 of 3 times, in under 1 s.

Why it works: the wait after the head goes on to the end of that timeout, but for no less than the timeout between events.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -107,6 +107,29 @@
 	}
 }
 
+func TestHeadDoesNotProlongTheWaitForTheFirstEvent(t *testing.T) {
+	for name, text := range map[string]string{"comments": comment, "nothing": ""} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			bad := newFakeTarget(t, "i-1", "draft", "north", draft(func(_ *fakeTarget, c net.Conn, _ int) bool {
+				if text == "" {
+					io.Copy(io.Discard, c) // until the connection is closed
+				} else {
+					writeEndless(c, text, endlessInterval, 0)
+				}
+				return false
+			}))
+			good := newFakeTarget(t, "i-2", "draft", "south", draft(nil))
+			s := newTestSite(t, []*fakeTarget{bad, good})
+			began := time.Now()
+			_, body, err := do(t, s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "3000"))
+			require.NoError(t, err)
+			require.Less(t, time.Since(began), testTable().Route("a.example", "/draft/").LatencyObjective)
+			require.Equal(t, wholeDraft(1), body)
+		})
+	}
+}
+
 func TestRelayedStreamIsResumedBesideEndlessComments(t *testing.T) {
 	for _, events := range []int{0, 4} {
 		t.Run(fmt.Sprintf("after %d events", events), func(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -35,6 +35,7 @@
 	egressWriter    *egress.ResponseWriter // w, if the client is another node
 	events          int                    // of the current run
 	settled         bool                   // the current run has gone on for quarantine.Onset
+	firstEventBy    time.Time              // when the current run's first event is overdue
 	firstEventAt    time.Time              // of the current run
 	resumeFrom      *kvCopy                // of the failed run
 	silent          bool                   // a run was canceled for silence or a lost path since the last event
@@ -223,7 +224,9 @@
 	defer cancel(nil)
 	replacement := g.newReplacement(c, t)
 	defer replacement.close(c)
-	timeout := replacement.endAfter(runCtx, r.firstEventTimeout(o), func() { cancel(nil) })
+	firstEvent := r.firstEventTimeout(o)
+	r.firstEventBy = time.Now().Add(firstEvent)
+	timeout := replacement.endAfter(runCtx, firstEvent, func() { cancel(nil) })
 	defer timeout.Stop()
 	pending := g.pending.add(c, t, replacement, cancel)
 	defer pending.drop()
@@ -298,6 +301,13 @@
 	return g.cfg.FirstEvent + read
 }
 
+// firstEventWait returns how long to wait for a run's first event once its head has come: to
+// the end of firstEventTimeout, but at least as long as for any event.
+func (r *relay) firstEventWait() time.Duration {
+	g := r.gateway
+	return max(min(time.Until(r.firstEventBy), g.cfg.FirstEvent), g.stallTimeout(r.call.route))
+}
+
 // forwardNonStream forwards an answer that is not an event stream, if the client has
 // not received a head yet.
 func (r *relay) forwardNonStream(ctx context.Context, a *targetconn.Answer, t *balance.Target) runResult {
@@ -339,7 +349,7 @@
 		timeouts, r.timeoutLate = 0, 0
 		wait := g.stallTimeout(c.route)
 		if !seen {
-			wait = g.cfg.FirstEvent
+			wait = r.firstEventWait()
 		}
 		due = time.Now().Add(wait)
 		a.SetReadDeadline(due)
