gateway: the wait for a first event leaves time for another run

What callers saw: a stream whose first two targets sent no event was cut off at a deadline of 6 s, though a sound target was free.

Cause: once it is too late for the latency objective, a run's first event was waited for as long as the fixed timeout (5 s), whatever was left until the deadline.

The log of a stream that was cut off by real processes showed the same: runs of 0.9 s and 5.0 s at the two bad targets, and a third one 0.06 s before the deadline.

Why it works: the wait is at most half of the time left, but no less than the route's latency objective.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -130,6 +130,15 @@
 	}
 }
 
+func TestFirstEventOfAReplacementIsNotWaitedForUntilTheDeadline(t *testing.T) {
+	bad := endlessAfter(0, comment, endlessInterval)
+	good := newFakeTarget(t, "i-3", "draft", "south", draft(nil))
+	s := newTestSite(t, []*fakeTarget{newFakeTarget(t, "i-1", "draft", "north", bad), newFakeTarget(t, "i-2", "draft", "north", bad), good})
+	_, body, err := do(t, s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "5000"))
+	require.NoError(t, err)
+	require.Equal(t, wholeDraft(1), body)
+}
+
 func TestRelayedStreamIsResumedBesideEndlessComments(t *testing.T) {
 	for _, events := range []int{0, 4} {
 		t.Run(fmt.Sprintf("after %d events", events), func(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -288,7 +288,8 @@
 // firstEventTimeout returns how long to wait for a run's first event. The last permitted
 // attempt may use the whole deadline. An earlier one that is overdue by then is canceled
 // at the last moment at which a new run can still start in time; if that moment is too
-// early or the stream has begun, after FirstEvent plus the predicted prefill time.
+// early or the stream has begun, after FirstEvent plus the predicted prefill time, or half
+// of the time left if that is less, so that another run fits.
 func (r *relay) firstEventTimeout(o runRequest) time.Duration {
 	g, c := r.gateway, r.call
 	if !c.canRetryElsewhere() {
@@ -298,7 +299,7 @@
 	if latest := uptime.Until(c.latestStart()) - read; !r.started && latest > overdueFactor*o.expected {
 		return latest
 	}
-	return g.cfg.FirstEvent + read
+	return min(g.cfg.FirstEvent, max(uptime.Until(c.deadline)/2, c.route.LatencyObjective)) + read
 }
 
 // firstEventWait returns how long to wait for a run's first event once its head has come: to
