gateway: an answer at a drip that is no stream is retried elsewhere

What callers saw: a request on a streaming route whose target answers with something else than a stream, at a byte every 10 ms and without end, got nothing until its deadline, though another target was free.

Cause: the timeout for the first event ended with the head, and reading the rest of such an answer had none but the deadline.

Why it works: the timeout runs until the answer, or as much of it as is buffered, has been read. The target is recorded as unresponsive.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -255,13 +255,13 @@
 		return runRejected
 	}
 	c.recordRun(t)
+	if !isEventStream(answer.Status, answer.Header) {
+		return r.forwardNonStream(ctx, answer, t, timeout)
+	}
 	if !timeout.Stop() {
 		r.silent = true
 		return runFailed
 	}
-	if !isEventStream(answer.Status, answer.Header) {
-		return r.forwardNonStream(ctx, answer, t)
-	}
 	return r.forwardEvents(runCtx, answer, rc, silence, replacement, func() { pending.drop() })
 }
 
@@ -310,8 +310,8 @@
 }
 
 // forwardNonStream forwards an answer that is not an event stream, if the client has
-// not received a head yet.
-func (r *relay) forwardNonStream(ctx context.Context, a *targetconn.Answer, t *balance.Target) runResult {
+// not received a head yet. The timeout for the first event is that for reading it.
+func (r *relay) forwardNonStream(ctx context.Context, a *targetconn.Answer, t *balance.Target, timeout *replaceTimer) runResult {
 	g, c := r.gateway, r.call
 	if a.Status >= http.StatusInternalServerError || c.isFalsePromise(a.Status) {
 		g.recordErrorAnswer(c, t)
@@ -323,6 +323,13 @@
 		return runFailed
 	}
 	resp, err := readResponse(a.Status, a.Header, a.Length, a)
+	if !timeout.Stop() {
+		r.silent = true
+		c.failedHalls[t.DataHall]++
+		g.recordLostAnswer(c, t)
+		t.RecordUnresponsive(false)
+		return runFailed
+	}
 	if err != nil {
 		g.recordConnectionLoss(c, t, quarantine.Begun)
 		return runFailed
