Answers of the platform and of engines to calls of a node are bounded in bytes

What nodes saw: an answer to a call for the list of targets, for a duty or to an engine's control interface was read into memory as far as it came until the call's timeout: at the speed of a loopback, 256 MiB and more.

Cause: these calls have a bound in time, but the client reads whole bodies without one in bytes.

--- a/discovery/watch.go
+++ b/discovery/watch.go
@@ -59,6 +59,9 @@
 	SetLeaving(names []walnutramp.TargetName)
 }
 
+// maxListBytes bounds the body of the platform's answer, in bytes.
+const maxListBytes = 8 << 20
+
 // Config configures a Watch.
 type Config struct {
 	Interval time.Duration
@@ -88,7 +91,7 @@
 	for _, opt := range opts {
 		opt(&cfg)
 	}
-	return &Watch{cfg: cfg, client: client.SetBaseURL(base), members: m, router: r, done: make(chan struct{})}
+	return &Watch{cfg: cfg, client: client.SetBaseURL(base).SetResponseBodyLimit(maxListBytes), members: m, router: r, done: make(chan struct{})}
 }
 
 // Start begins reading; Close stops it.
--- a/target/openai.go
+++ b/target/openai.go
@@ -18,10 +18,12 @@
 const (
 	controlTimeout = 2 * time.Second // for cancel, export, load and order calls
 	maxErrorBody   = 4096            // bytes kept of an error answer
-	doneMarker     = "[DONE]"
-	headerStreamID = "X-Request-Id"
-	headerLast     = "Last-Event-ID"
-	headerSoftware = "X-Software-Version"
+	// maxControlAnswer bounds the answer to a cancel, export, load or order call, in bytes.
+	maxControlAnswer = 1 << 20
+	doneMarker       = "[DONE]"
+	headerStreamID   = "X-Request-Id"
+	headerLast       = "Last-Event-ID"
+	headerSoftware   = "X-Software-Version"
 )
 
 // Client sends the requests of adapters.
@@ -38,7 +40,7 @@
 }
 
 func newResty(rt http.RoundTripper) *resty.Client {
-	return resty.New().SetTransport(rt).SetRetryCount(0).SetLogger(discardLogger{})
+	return resty.New().SetTransport(rt).SetRetryCount(0).SetResponseBodyLimit(maxControlAnswer).SetLogger(discardLogger{})
 }
 
 // discardLogger drops resty's log lines, since errors are returned and logged once.
