gateway: a stream without IDs is not begun anew

What callers saw: on a route that allows resuming, when a target broke off a stream whose events had no IDs, or fell silent in it, the client got the events of several runs joined in one answer.

Cause: a run that follows begins after the last event ID. With none, each run began at the start, though the client already had events.

Evidence: TestStreamWithoutIDsIsNotBegunAnew got the two events of a target five times over; TestSilentStreamWithoutIDsIsNotCutOff got the first event twice. Both fail without the change and pass with it, 3 of 3 times.

Why it works: such a stream ends with its run, so its client sees that it is not complete, and its run is not given up for silence.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -139,6 +139,34 @@
 	require.Equal(t, wholeDraft(1), body)
 }
 
+func TestStreamWithoutIDsIsNotBegunAnew(t *testing.T) {
+	unnumbered := func(f *fakeTarget, r *http.Request, c net.Conn) {
+		streamHead(c, r.Header.Get("X-Id"), "seal-of-"+f.id)
+		chunk(c, "data: a\n\ndata: b\n\n")
+		c.Close()
+	}
+	targets := []*fakeTarget{newFakeTarget(t, "i-1", "draft", "north", unnumbered), newFakeTarget(t, "i-2", "draft", "south", unnumbered)}
+	s := newTestSite(t, targets)
+	_, body, err := do(t, s.request(t, "POST", "/draft/", "prompt"))
+	require.Error(t, err)
+	require.Equal(t, "data: a\n\ndata: b\n\n", body)
+}
+
+func TestSilentStreamWithoutIDsIsNotCutOff(t *testing.T) {
+	silent := func(f *fakeTarget, r *http.Request, c net.Conn) {
+		streamHead(c, r.Header.Get("X-Id"), "seal-of-"+f.id)
+		chunk(c, "data: a\n\n")
+		time.Sleep(testSilence)
+		chunk(c, "data: b\n\n")
+		streamEnd(c)
+	}
+	targets := []*fakeTarget{newFakeTarget(t, "i-1", "draft", "north", silent), newFakeTarget(t, "i-2", "draft", "south", silent)}
+	s := newTestSite(t, targets, WithStall(testStall))
+	_, body, err := do(t, s.request(t, "POST", "/draft/", "prompt"))
+	require.NoError(t, err)
+	require.Equal(t, "data: a\n\ndata: b\n\n", body)
+}
+
 func TestRelayedStreamIsResumedBesideEndlessComments(t *testing.T) {
 	for _, events := range []int{0, 4} {
 		t.Run(fmt.Sprintf("after %d events", events), func(t *testing.T) {
--- a/gateway/endreason.go
+++ b/gateway/endreason.go
@@ -26,7 +26,7 @@
 		return contextReason(ctx)
 	case end == runClientLeft || end == runComplete:
 		return endClientLeft
-	case end == runFailed && !c.route.Idempotent() && c.mayHaveRun:
+	case end == runFailed && !c.route.Idempotent() && c.mayHaveRun, r.unnumbered():
 		return endNotRepeatable
 	}
 	why := endNoTarget
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -357,7 +357,9 @@
 				c.lastID, c.hasLast = e.ID, true
 			}
 		}
-		watchdog.Reset(g.stallTimeout(c.route))
+		if !r.unnumbered() {
+			watchdog.Reset(g.stallTimeout(c.route))
+		}
 	}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -351,6 +351,9 @@
 		if timeouts++; timeouts == 1 {
 			r.timeoutLate = time.Since(due)
 		}
+		if r.unnumbered() {
+			return replaceInterval
+		}
 		return replacement.wait(ctx, timeouts, seen)
 	})
 	for {
@@ -398,6 +401,9 @@
 	}
 }
 
+// unnumbered reports whether events without IDs were forwarded: another run would repeat them.
+func (r *relay) unnumbered() bool { return r.started && !r.call.hasLast }
+
 // paceSampleEvents is the number of events over which a run's pace is measured: enough
 // to average out interleaved prefills, and few enough to detect a slow version within a
 // second.
