--- a/gateway/endreason.go
+++ b/gateway/endreason.go
@@ -34,7 +34,7 @@
 		return contextReason(ctx)
 	case end == runClientLeft || end == runComplete:
 		return writeReason(r.writeErr)
-	case end == runFailed && !c.route.Idempotent() && c.mayHaveRun:
+	case end == runFailed && !c.route.Idempotent() && c.mayHaveRun, r.unnumbered():
 		return endNotRepeatable
 	}
 	why := endNoTarget
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -269,13 +269,13 @@
 		return runRejected
 	}
 	c.recordRun(t)
+	if !isEventStream(answer.Status, answer.Header) {
+		return r.forwardNonStream(ctx, answer, t, timeout)
+	}
 	if !timeout.Stop() {
 		r.silent = true
 		return runFailed
 	}
-	if !isEventStream(answer.Status, answer.Header) {
-		return r.forwardNonStream(ctx, answer, t)
-	}
 	return r.forwardEvents(runCtx, answer, rc, silence, replacement, func() { pending.drop() })
 }
 
@@ -302,7 +302,8 @@
 // firstEventTimeout returns how long to wait for a run's first event. The last permitted
 // attempt may use the whole deadline. An earlier one that is overdue by then is canceled
 // at the last moment at which a new run can still start in time; if that moment is too
-// early or the stream has begun, after FirstEvent plus the predicted prefill time.
+// early or the stream has begun, after FirstEvent plus the predicted prefill time, or half
+// of the time left if that is less, so that another run fits.
 func (r *relay) firstEventTimeout(o runRequest) time.Duration {
 	g, c := r.gateway, r.call
 	if !c.canRetryElsewhere() {
@@ -312,7 +313,7 @@
 	if latest := uptime.Until(c.latestStart()) - read; !r.started && latest > overdueFactor*o.expected {
 		return latest
 	}
-	return g.cfg.FirstEvent + read
+	return min(g.cfg.FirstEvent, max(uptime.Until(c.deadline)/2, c.route.LatencyObjective)) + read
 }
 
 // firstEventWait returns how long to wait for a run's first event once its head has come: to
@@ -323,8 +324,8 @@
 }
 
 // forwardNonStream forwards an answer that is not an event stream, if the client has
-// not received a head yet.
-func (r *relay) forwardNonStream(ctx context.Context, a *targetconn.Answer, t *balance.Target) runResult {
+// not received a head yet. The timeout for the first event is that for reading it.
+func (r *relay) forwardNonStream(ctx context.Context, a *targetconn.Answer, t *balance.Target, timeout *replaceTimer) runResult {
 	g, c := r.gateway, r.call
 	if a.Status >= http.StatusInternalServerError || c.isFalsePromise(a.Status) {
 		g.recordErrorAnswer(c, t)
@@ -336,6 +337,13 @@
 		return runFailed
 	}
 	resp, err := readResponse(a.Status, a.Header, a.Length, a)
+	if !timeout.Stop() {
+		r.silent = true
+		c.failedHalls[t.DataHall]++
+		g.recordLostAnswer(c, t)
+		t.RecordUnresponsive(false)
+		return runFailed
+	}
 	if err != nil {
 		g.recordConnectionLoss(c, t, quarantine.Begun)
 		return runFailed
@@ -357,6 +365,9 @@
 		if timeouts++; timeouts == 1 {
 			r.timeoutLate = time.Since(due)
 		}
+		if r.unnumbered() {
+			return replaceInterval
+		}
 		return replacement.wait(ctx, timeouts, seen)
 	})
 	for {
@@ -405,6 +416,9 @@
 	}
 }
 
+// unnumbered reports whether events without IDs were forwarded: another run would repeat them.
+func (r *relay) unnumbered() bool { return r.started && !r.call.hasLast }
+
 // paceSampleEvents is the number of events over which a run's pace is measured: enough
 // to average out interleaved prefills, and few enough to detect a slow version within a
 // second.
