gateway: the other race of TestSilentRunIsKeptWhileNoOtherTargetTakesIt

The service is brittle from the start of the case; the check is the same, and without the allowance of the selection (trial) the test is red.

--- a/gateway/replacement_test.go
+++ b/gateway/replacement_test.go
@@ -218,7 +218,6 @@
 			}
 		}},
 		"brittle, with no free slot": {"v1", 1, func(s *testSite) {
-			s.sayBrittle("draft")
 			for free := true; free; {
 				_, free = s.gateway.cfg.InFlight.Acquire(t.Context(), inflight.Request{Service: "draft", Target: "i-2", Slots: 8, TTL: time.Minute})
 			}
@@ -254,6 +253,9 @@
 			table.Route("a.example", "/draft/x").LatencyObjective = testStall
 			s.gateway.SetTable(table)
 			s.tracker.Update(list[:1])
+			if name == "brittle, with no free slot" {
+				s.sayBrittle("draft") // before the gateway reads what it sets
+			}
 			close(ready)
 			resp, body, err := do(t, s.request(t, "POST", "/draft/", "prompt", "X-Deadline", "9000"))
 			require.NoError(t, err)
