peer: a reply without end is not read into memory

What nodes saw: a node that answers a call with a message that never ends could fill the memory of the caller, also after the call's timeout: the decoder takes messages of up to 8 GiB.

Cause: a call has a bound in time, but a reply had none in bytes.

Why it works: a connection on which more than 64 MiB come without completing a reply is closed.

--- a/peer/client.go
+++ b/peer/client.go
@@ -38,10 +38,11 @@
 	mu              sync.Mutex
 	address         string
 	client          *rpc.Client
-	activeCalls     int       // calls in progress
-	lastUsed        time.Time // end of the last call
-	lastReply       time.Time // time of the last reply
-	lastDialFailure time.Time // time of the last failed dial
+	replies         *replyLimiter // of the client's connection
+	activeCalls     int           // calls in progress
+	lastUsed        time.Time     // end of the last call
+	lastReply       time.Time     // time of the last reply
+	lastDialFailure time.Time     // time of the last failed dial
 }
 
 // NewClient returns a client that dials on demand.
@@ -81,6 +82,9 @@
 	}
 	r.mu.Lock()
 	r.lastReply = time.Now()
+	if r.client == conn {
+		r.replies.reset()
+	}
 	r.mu.Unlock()
 	if call.Error == nil {
 		reflect.ValueOf(reply).Elem().Set(ownReply.Elem())
@@ -212,8 +216,9 @@
 		r.recordDialFailure()
 		return nil, err
 	}
-	client := rpc.NewClient(stream)
-	if !c.setConn(r, client, address) {
+	replies := &replyLimiter{Conn: stream}
+	client := rpc.NewClient(replies)
+	if !c.setConn(r, client, replies, address) {
 		client.Close()
 		return nil, errors.New("client closed")
 	}
@@ -228,7 +233,7 @@
 
 // setConn replaces the connection of a node. It returns false if the client was closed
 // meanwhile.
-func (c *Client) setConn(r *remote, client *rpc.Client, address string) bool {
+func (c *Client) setConn(r *remote, client *rpc.Client, replies *replyLimiter, address string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -239,7 +244,7 @@
 	if r.client != nil {
 		r.client.Close()
 	}
-	r.client = client
+	r.client, r.replies = client, replies
 	r.address = address
 	r.lastReply = time.Now()
 	return true
