drain: a request that is too large is refused without a wait for its rest

Found in reading the diff: http.MaxBytesReader tells net/http that a body is too large through an unexported method of the writer, which a wrapped one hides; net/http then reads up to 256 KiB of the rest before the answer goes out, so that a client that stalls in its body got no refusal. The answer 413 now closes its connection by itself. TestTooLargeRequestIsAnsweredAtOnce fails before (1 s without an answer).

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -170,8 +170,13 @@
 	wroteHeader bool
 }
 
-// WriteHeader implements http.ResponseWriter.
+// WriteHeader implements http.ResponseWriter. Behind a refusal of a request that is too large
+// the connection is closed, without a wait for the rest of its body: http.MaxBytesReader does
+// not see that the writer is wrapped.
 func (w *responseWriter) WriteHeader(status int) {
+	if status == http.StatusRequestEntityTooLarge {
+		w.Header().Set("Connection", "close")
+	}
 	if status >= http.StatusOK {
 		w.announceClose()
 	}
