serve: answers in flight announce the close from the start of that phase of a stop

An answer to a request that began before connections are closed, and is written before the listener is, did not say that its connection closes; the client's next request then met the close. The server announces it as late as the head is written now, from the same moment as the gateway.

--- a/serve/entry.go
+++ b/serve/entry.go
@@ -348,6 +348,7 @@
 	e.gateway.BeginShutdown(deadline)
 	time.Sleep(schedule.closeConns)
 	e.gateway.CloseConnections()
+	e.clientServer.CloseConnections() // also behind answers in flight
 	time.Sleep(schedule.reject - schedule.closeConns)
 	e.gateway.RejectRequests()
 	ctx, cancel := context.WithTimeout(context.Background(), uptime.Until(deadline))
