--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -299,7 +299,7 @@
 }
 
 // readArrived reads what has arrived, in spite of an expired deadline: to close a connection
-// with unread data resets it.
+// with unread data resets it. It returns 0 if it can't tell, as if nothing had arrived.
 func (c *conn) readArrived(p []byte) (n int) {
 	s, ok := c.Conn.(syscall.Conn)
 	if !ok {
@@ -309,11 +309,11 @@
 	if err != nil {
 		return 0
 	}
-	raw.Control(func(fd uintptr) {
-		if n, err = syscall.Read(int(fd), p); err != nil {
-			n = 0
-		}
-	})
+	var readErr error
+	err = raw.Control(func(fd uintptr) { n, readErr = syscall.Read(int(fd), p) })
+	if err != nil || readErr != nil {
+		return 0
+	}
 	return n
 }
 
