gateway: the fuzz test sends its answer on each connection

All connections of a test consumed one and the same variable, so that two at once could run past its end, and every request but the first got an empty answer.

--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -17,12 +17,12 @@
 func pieces(data string, size int, stays bool) func(*fakeTarget, *http.Request, net.Conn) {
 	return func(_ *fakeTarget, _ *http.Request, c net.Conn) {
 		defer c.Close()
-		for len(data) > 0 {
-			n := min(max(size, 1), len(data))
-			if _, err := io.WriteString(c, data[:n]); err != nil {
+		for rest := data; len(rest) > 0; { // of each connection
+			n := min(max(size, 1), len(rest))
+			if _, err := io.WriteString(c, rest[:n]); err != nil {
 				return
 			}
-			data = data[n:]
+			rest = rest[n:]
 		}
 		if stays {
 			c.SetReadDeadline(time.Now().Add(time.Second))
