--- a/review/standin2/forgotten.go
+++ b/review/standin2/forgotten.go
@@ -49,7 +49,7 @@
 	if err := s.servers.add("wuno96b", false, 3); err != nil {
 		return err
 	}
-	if err := s.addNodes(3, 3); err != nil {
+	if err := s.addNodes(3, 4); err != nil {
 		return err
 	}
 	if err := s.begin(configuration()); err != nil {
