--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -20,6 +20,7 @@
 // plays are the scripts, by name.
 var plays = map[string]func(s *site, trouble bool) error{
 	"forgotten": playForgotten,
+	"lockout":   playLockout,
 }
 
 func main() {
