--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -21,6 +21,7 @@
 var plays = map[string]func(s *site, trouble bool) error{
 	"forgotten": playForgotten,
 	"lockout":   playLockout,
+	"slow":      playSlow,
 }
 
 func main() {
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,6 +34,45 @@
 	logical   map[string]string // the request of which an attempt is one, by Attempt-Id
 	breaks    []string          // of rules
 	serial    int
+	gap       time.Duration      // between two events
+	working   map[string][]*work // by request
+}
+
+// work is one server's work on a request.
+type work struct {
+	server  *server
+	attempt string
+}
+
+// twiceLimit is how long a server may still work on a request that goes on at another one.
+const twiceLimit = 400 * time.Millisecond
+
+// begin notes that a server works on a request. If another server, which began before, still
+// works on it twiceLimit later, TWICE is broken.
+func (f *fleet) begin(s *server, attempt, request string) (end func()) {
+	own := &work{s, attempt}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, before := range f.working[request] {
+		if before.server != s {
+			time.AfterFunc(twiceLimit, func() { f.checkTwice(before, own, request) })
+		}
+	}
+	f.working[request] = append(f.working[request], own)
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.working[request] = slices.DeleteFunc(f.working[request], func(w *work) bool { return w == own })
+	}
+}
+
+func (f *fleet) checkTwice(before, next *work, request string) {
+	f.mu.Lock()
+	still := slices.Contains(f.working[request], before)
+	f.mu.Unlock()
+	if still {
+		f.broken("TWICE: request %s went on at server %s (attempt %s) %v ago, and server %s still works on it (attempt %s)", request, next.server.id, next.attempt, twiceLimit, before.server.id, before.attempt)
+	}
 }
 
 // broken records that a rule was broken.
@@ -56,6 +96,7 @@
 	attempt string
 	made    int
 	until   time.Time // zero while the run goes on
+	stopped bool      // by an order with `last`
 }
 
 // server is a model server, or with engine unset a server of a plain service.
@@ -68,10 +109,12 @@
 	engine  bool
 	l       net.Listener
 
-	mu     sync.Mutex
-	copies map[string]*memory // by name: of other servers' runs
-	runs   map[string]*memory // by Attempt-Id: under way here
-	conns  map[net.Conn]bool
+	mu      sync.Mutex
+	slow    float64            // factor of its work; 0 for 1
+	patient bool               // does not drop a request when its connection closes, as few do
+	copies  map[string]*memory // by name: of other servers' runs
+	runs    map[string]*memory // by Attempt-Id: under way here
+	conns   map[net.Conn]bool
 }
 
 // add starts servers of a service, spread over the zones.
@@ -197,6 +240,7 @@
 	var order struct {
 		ID     string `json:"id"`
 		Target string `json:"target_version"`
+		Last   any    `json:"last"`
 	}
 	if json.Unmarshal(body, &order) != nil {
 		return respond(c, 400, "", "")
@@ -212,6 +256,12 @@
 	if run == nil {
 		return respond(c, 404, "", "")
 	}
+	if order.Last != nil && order.Last != false {
+		s.fleet.site.record.line("server %s stops %s, by order", s.id, run.attempt)
+		s.mu.Lock()
+		run.stopped = true
+		s.mu.Unlock()
+	}
 	if target == nil {
 		return respond(c, 503, "", "")
 	}
@@ -241,6 +291,7 @@
 // chance.
 func (s *server) stream(c net.Conn, r *http.Request, attempt string) bool {
 	record, request := s.fleet.site.record, s.fleet.request(attempt)
+	defer s.fleet.begin(s, attempt, request)()
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	from := r.Header.Get("Kv-From")
 	if from != "" {
@@ -281,17 +332,32 @@
 	if backup != nil {
 		backup.keep(name, shadow)
 	}
+	closed := false
 	for n := last + 1; n <= events; n++ {
-		text := fmt.Sprintf("id: %d\ndata: word %d of %s\n\n", n, n, request)
-		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text); err != nil {
-			record.line("server %s drops %s at event %d: connection closed", s.id, attempt, n)
+		s.mu.Lock()
+		pause, patient, stopped := s.fleet.gap, s.patient, run.stopped
+		if s.slow > 0 {
+			pause = time.Duration(float64(pause) * s.slow)
+		}
+		s.mu.Unlock()
+		if stopped {
 			s.endBackup(backup, shadow, name, false)
 			return false
 		}
+		text := fmt.Sprintf("id: %d\ndata: word %d of %s\n\n", n, n, request)
+		if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text); err != nil && !closed {
+			closed = true
+			if !patient {
+				record.line("server %s drops %s at event %d: connection closed", s.id, attempt, n)
+				s.endBackup(backup, shadow, name, false)
+				return false
+			}
+			record.line("server %s works on at %s from event %d: connection closed", s.id, attempt, n)
+		}
 		s.mu.Lock()
 		run.made, shadow.made = n, n
 		s.mu.Unlock()
-		time.Sleep(eventGap)
+		time.Sleep(pause)
 	}
 	s.endBackup(backup, shadow, name, true)
 	record.line("server %s ends %s", s.id, attempt)
--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -93,7 +93,7 @@
 	if s.cloud, err = net.Listen("tcp", s.subnet+"250:0"); err != nil {
 		return nil, err
 	}
-	s.servers = &fleet{site: s, byAddress: map[string]*server{}, logical: map[string]string{}}
+	s.servers = &fleet{site: s, byAddress: map[string]*server{}, logical: map[string]string{}, gap: eventGap, working: map[string][]*work{}}
 	go http.Serve(s.cloud, http.HandlerFunc(s.servers.list))
 	return s, nil
 }
