Log runs that a node abandons

The entry's log has "Stream broke off" and the next "Run begins", but no line and no counter says which runs ended here without a word of their target, nor why: a client that leaves, a stop and an egress's runs leave none at all.

"Run abandoned" has the request, the target, the events and the reason; walnutramp_gateway_runs_abandoned_total{why} counts them. No logic changes.

--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -66,6 +66,7 @@
 	relay  *relay
 	target *balance.Target // that executes the run
 	run    *balance.Run
+	open   bool // the target may run it and has sent no complete answer; for the relay's goroutine
 
 	mu        sync.Mutex
 	copy      *kvCopy // nil if there is none
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -94,6 +94,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("walnutramp_gateway_streams_cut_off_total{why=%q}", why)).Inc()
 }
 
+// runAbandoned counts a run that ended here without a complete answer from its target.
+func (c *counters) runAbandoned(why abandonReason) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("walnutramp_gateway_runs_abandoned_total{why=%q}", why)).Inc()
+}
+
 // requestCutOff counts a plain request whose client got no complete answer, or left.
 func (c *counters) requestCutOff(why endReason) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("walnutramp_gateway_requests_cut_off_total{why=%q}", why)).Inc()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -199,6 +199,9 @@
 	rc := &runCopy{relay: r, target: t, run: run, copy: o.copy}
 	end := r.execute(ctx, t, o, rc)
 	r.call.rolloutRequest.Discard() // no effect if an outcome was recorded
+	if rc.open && (end == runFailed || end == runClientLeft) {
+		rc.recordAbandoned(ctx)
+	}
 	if end == runFailed || end == runClientLeft {
 		r.gateway.abandonLease(r.call)
 	} else {
@@ -261,6 +264,7 @@
 		if !mayHaveArrived(err) {
 			return runRejected
 		}
+		rc.open = true
 		return runFailed
 	}
 	defer answer.Close()
@@ -272,6 +276,7 @@
 	if !isEventStream(answer.Status, answer.Header) {
 		return r.forwardNonStream(ctx, answer, t, timeout)
 	}
+	rc.open = true
 	if !timeout.Stop() {
 		r.silent = true
 		return runFailed
