Order targets to stop the runs that a node abandons

What callers saw: nothing; their streams went on.

Cause: a run was ended by closing its connection, and counted as ended. Whether the target ends it, too, is the target's choice. Nobody told it, though it takes orders: POST /-/kv-move with `last` stops a run first. That was never sent.

Ruled out: an order that is late or refused (none was sent).

Change: runAt, through which each run of a stream goes, orders the target to stop a run that has ended without its whole answer. The next run does not wait for it. The connection closes first, so most targets answer 404 and copy nothing. A target that is busy with another order, rejects it or does not answer is asked again for up to 5 s; a run without an event that is replaced, also after a 404, as it may begin later. The copy that a stop makes is released 0.5 s later, unless the stream may go on from it. A stopping node waits for the answers for up to 0.2 s within its grace. Its own path does not go back to a target that ran the call through another node, which may still be stopping it there.

Why it works: within the order's way to the target, some ms after it was given up, the run ends at each target that takes orders and is reached, whatever it does with connections.

--- a/gateway/ask.go
+++ b/gateway/ask.go
@@ -78,8 +78,12 @@
 	purposeRetry  purpose = "repeat" // a request that other targets rejected or failed
 	purposeResume purpose = "resume" // the remainder of a stream, also at its first attempt and at retries
 	purposeCopy   purpose = "copy"   // an order about the KV-cache copy of a run
+	purposeStop   purpose = "stop"   // an order to stop a run
 )
 
+// isOrder reports whether the call is an order about a run.
+func (p purpose) isOrder() bool { return p == purposeCopy || p == purposeStop }
+
 // purpose returns the purpose of the next attempt.
 func (c *call) purpose() purpose {
 	switch {
@@ -93,15 +97,15 @@
 
 // send sends a request to a target and applies the load and backpressure signals in the
 // head of the answer. It fails with errNotAdmitted if the target is in cooldown or, except
-// for purposeCopy, draining, with errRateLimited if neither the permit nor one that this node
+// for orders, draining, with errRateLimited if neither the permit nor one that this node
 // has in hand allows the request, and with errNoSlot if the same is true of the lease. Every
 // call to a target goes through here, so that none is sent during a cooldown, beyond a rate
-// limit or, except for purposeCopy, without a slot of a brittle target. A target may ask
+// limit or, except for orders, without a slot of a brittle target. A target may ask
 // for a cooldown after it was selected; requests, retries and runs on their way to it
 // would still reach it if only the selection heeded that.
 func (g *Gateway) send(ctx context.Context, t *balance.Target, p purpose, have *grants, r *targetconn.Request) (*targetconn.Answer, error) {
 	accepts := t.Admit
-	if p == purposeCopy {
+	if p.isOrder() {
 		accepts = func() bool { return !t.InCooldown() } // runs are copied off a target that is shutting down
 	}
 	if !accepts() {
@@ -111,7 +115,7 @@
 	charge := r.Gate
 	var used ratelimit.Permit
 	r.Gate = func() error {
-		if p != purposeCopy && !g.cfg.InFlight.Use(leaseRequest(t, timeLeft(ctx)), &have.lease) {
+		if !p.isOrder() && !g.cfg.InFlight.Use(leaseRequest(t, timeLeft(ctx)), &have.lease) {
 			return errNoSlot
 		}
 		var err error
@@ -127,7 +131,9 @@
 	if err != nil {
 		return nil, err
 	}
-	t.RecordEvent()
+	if p != purposeStop { // a target may obey while its streams are silent
+		t.RecordEvent()
+	}
 	g.applyLoad(t, answer.Header)
 	g.applyBackpressure(t, r.Identity, sentAt, answer)
 	return answer, nil
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -71,7 +71,7 @@
 	crashProbe       *quarantine.Probe        // pending probe whether the target whose connection broke last has crashed
 	connectedOnly    bool                     // only targets with an idle connection are selected
 	egressTried      []string                 // nodes that could not send it
-	triedElsewhere   []string                 // incarnations that are not listed here and may have run it or rejected it
+	triedElsewhere   []string                 // incarnations that may have run it or rejected it through another node
 	egressError      *walnutramp.Error        // why an egress rejected it; nil if none did
 	noEgress         bool                     // no other node offered to send it
 	relayed          bool                     // it came from another node, to be sent once
--- a/gateway/copies.go
+++ b/gateway/copies.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/origins"
@@ -42,7 +42,11 @@
 	// Make orders a run's target to copy the run's KV cache to a holder, from the ID of
 	// the client request and the address of the holder.
 	Make func(run, holder string) TargetCall
-	// ParseHandle parses the answer: the handle of the copy at the run's target.
+	// Stop is Make for a run that is to stop first; it is not copied if the holder has no
+	// room. If Stop is nil, targets accept no such orders.
+	Stop func(run, holder string) TargetCall
+	// ParseHandle parses the answer: the handle of the copy at the run's target, also that
+	// of a stopped run that was not copied.
 	ParseHandle func(answer []byte) (handle string, err error)
 	// Release deletes a copy at the run's target and at its holder.
 	Release func(handle string) TargetCall
@@ -174,7 +178,7 @@
 	g, c := k.relay.gateway, k.relay.call
 	ctx, cancel := context.WithTimeout(ctx, copyOrderTimeout)
 	defer cancel()
-	answer, err := g.callTarget(ctx, k.target, g.cfg.Names.CopyOrders.Make(c.id, holder.Address))
+	answer, err := g.callTarget(ctx, k.target, purposeCopy, g.cfg.Names.CopyOrders.Make(c.id, holder.Address))
 	handle := ""
 	if err == nil {
 		handle, err = g.cfg.Names.CopyOrders.ParseHandle(answer)
@@ -188,7 +192,7 @@
 		return // a copy due for renewal stays usable until it expires
 	}
 	if k.ended {
-		go k.release(handle)
+		go g.releaseCopy(k.target, handle)
 		return
 	}
 	k.copy = &kvCopy{holder: holder, name: g.cfg.Names.CopyHandle(k.target.Address, handle)}
@@ -208,34 +212,42 @@
 		return k.copy
 	}
 	if k.handle != "" {
-		go k.release(k.handle)
+		go k.relay.gateway.releaseCopy(k.target, k.handle)
 	}
 	return nil
 }
 
-func (k *runCopy) release(handle string) {
-	g := k.relay.gateway
+// releaseCopy deletes the copy of a run at its target and at the copy's holder.
+func (g *Gateway) releaseCopy(t *balance.Target, handle string) {
 	ctx, cancel := context.WithTimeout(context.Background(), copyOrderTimeout)
 	defer cancel()
-	if _, err := g.callTarget(ctx, k.target, g.cfg.Names.CopyOrders.Release(handle)); err != nil {
-		klog.V(1).InfoS("Copy not released; it expires at its holder", "target", k.target.ID, "handle", handle, "err", err)
+	if _, err := g.callTarget(ctx, t, purposeCopy, g.cfg.Names.CopyOrders.Release(handle)); err != nil {
+		klog.V(1).InfoS("Copy not released; it expires at its holder", "target", t.ID, "handle", handle, "err", err)
 	}
 }
 
-// callTarget sends a call that does not originate from a client, and returns its answer.
-func (g *Gateway) callTarget(ctx context.Context, t *balance.Target, o TargetCall) ([]byte, error) {
+// orderStatusError is the status with which a target answers an order that it has not
+// carried out, or not whole.
+type orderStatusError int
+
+// Error implements the error interface.
+func (e orderStatusError) Error() string { return fmt.Sprintf("status %d", int(e)) }
+
+// callTarget sends a call that does not originate from a client, and returns its answer. The
+// error is an orderStatusError if the status is not 200.
+func (g *Gateway) callTarget(ctx context.Context, t *balance.Target, p purpose, o TargetCall) ([]byte, error) {
 	h := http.Header{}
 	if len(o.Body) > 0 {
 		h.Set("Content-Type", "application/json")
 	}
 	permit, denial := g.cfg.Limits.Acquire(ctx, ratelimit.Request{Target: t.Incarnation()})
 	if denial != nil {
-		g.counters.notSent(purposeCopy)
+		g.counters.notSent(p)
 		return nil, errRateLimited
 	}
 	have := &grants{permit: permit}
 	defer g.cfg.Limits.Return(&have.permit)
-	answer, err := g.send(ctx, t, purposeCopy, have, &targetconn.Request{
+	answer, err := g.send(ctx, t, p, have, &targetconn.Request{
 		Method: o.Method, URI: o.URI, Host: t.Address, Header: h, Body: o.Body, HasBody: len(o.Body) > 0,
 	})
 	if err != nil {
@@ -244,7 +256,7 @@
 	defer answer.Close()
 	body, err := io.ReadAll(io.LimitReader(answer, maxCopyAnswer))
 	if err == nil && answer.Status != http.StatusOK {
-		err = errors.Newf("status %d", answer.Status)
+		err = orderStatusError(answer.Status)
 	}
 	return body, err
 }
--- a/gateway/copies_test.go
+++ b/gateway/copies_test.go
@@ -40,8 +40,8 @@
 }
 
 // newCopySite runs a draft whose first holder is lost at the third event. At the sixth,
-// once await reports true, it calls atSixthEvent.
-func newCopySite(t *testing.T, status int, await func(*copySite) bool, atSixthEvent func(c net.Conn) bool) (*copySite, string, error) {
+// once await reports true, it calls atSixthEvent. Options change the run's target.
+func newCopySite(t *testing.T, status int, await func(*copySite) bool, atSixthEvent func(c net.Conn) bool, opts ...func(*fakeTarget)) (*copySite, string, error) {
 	s := &copySite{}
 	s.source = newFakeTarget(t, "i-1", "draft", "north", acceptingCopyOrders(status, draft(func(f *fakeTarget, c net.Conn, n int) bool {
 		switch n {
@@ -59,6 +59,9 @@
 		}
 		return true
 	})))
+	for _, opt := range opts {
+		opt(s.source)
+	}
 	s.holder = newFakeTarget(t, "i-2", "draft", "south", draft(nil))
 	s.other = newFakeTarget(t, "i-3", "draft", "west", draft(nil))
 	s.testSite = newTestSite(t, []*fakeTarget{s.source, s.holder, s.other}, WithStall(10*time.Second))
--- a/gateway/counters.go
+++ b/gateway/counters.go
@@ -99,6 +99,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("walnutramp_gateway_runs_abandoned_total{why=%q}", why)).Inc()
 }
 
+// runStopped counts an order to stop an abandoned run, with all its repeats.
+func (c *counters) runStopped(result stopResult) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("walnutramp_gateway_stop_orders_total{result=%q}", result)).Inc()
+}
+
 // requestCutOff counts a plain request whose client got no complete answer, or left.
 func (c *counters) requestCutOff(why endReason) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("walnutramp_gateway_requests_cut_off_total{why=%q}", why)).Inc()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -188,6 +188,7 @@
 	paths   *reach.Monitor
 	active  atomic.Int64 // requests that are being served
 	relayed relayedCalls
+	stops   stopOrders
 }
 
 // New returns a gateway without a table. Until SetTable, requests wait up to StartWait
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -30,7 +31,15 @@
 		Make: func(run, holder string) TargetCall {
 			return TargetCall{Method: "POST", URI: copyPath, Body: []byte(run + " to " + holder)}
 		},
-		ParseHandle: func(answer []byte) (string, error) { return string(answer), nil },
+		Stop: func(run, holder string) TargetCall {
+			return TargetCall{Method: "POST", URI: stopPath + run, Body: []byte(holder)}
+		},
+		ParseHandle: func(answer []byte) (string, error) {
+			if len(answer) == 0 {
+				return "", errors.New("no handle")
+			}
+			return string(answer), nil
+		},
 		Release: func(handle string) TargetCall {
 			return TargetCall{Method: "DELETE", URI: copyPath + "/" + handle}
 		},
@@ -48,7 +57,10 @@
 	},
 }
 
-const copyPath = "/copy"
+const (
+	copyPath = "/copy"
+	stopPath = "/stop/"
+)
 
 // fakeTarget answers each request by a script that writes to the connection.
 type fakeTarget struct {
@@ -58,6 +70,10 @@
 	l       net.Listener
 	script  func(t *fakeTarget, r *http.Request, c net.Conn)
 
+	// stop answers the order to stop a run; nil for a target that ends runs as their
+	// connections close. Such orders don't count as requests.
+	stop func(c net.Conn, run string)
+
 	mu       sync.Mutex
 	requests []*http.Request
 }
@@ -97,6 +113,10 @@
 				break
 			}
 		}
+		if run, isStop := strings.CutPrefix(r.RequestURI, stopPath); isStop {
+			f.answerStop(c, run)
+			continue
+		}
 		f.mu.Lock()
 		f.requests = append(f.requests, r)
 		f.mu.Unlock()
@@ -104,6 +124,14 @@
 	}
 }
 
+func (f *fakeTarget) answerStop(c net.Conn, run string) {
+	if f.stop == nil {
+		reply(c, "", http.StatusNotFound, "")
+		return
+	}
+	f.stop(c, run)
+}
+
 func (f *fakeTarget) seen() []*http.Request {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -113,7 +113,7 @@
 	g.counters.relayed("ingress", "failed")
 	klog.InfoS("Another node did not send the request", "request", c.id, "egress", node, "left", left, "reason", reasonOf(end), "err", err)
 	if left {
-		c.recordRunElsewhere(f.Sent.Target)
+		g.recordRunElsewhere(c, f.Sent.Target)
 		if f.Sent.Target != "" {
 			c.failedHalls[f.Sent.DataHall]++
 		}
@@ -168,27 +168,32 @@
 		c.triedElsewhere = append(c.triedElsewhere, p.end.Target)
 		return
 	}
-	c.recordRunElsewhere(p.end.Target)
+	g.recordRunElsewhere(c, p.end.Target)
 	c.failedHalls[p.end.DataHall]++
 }
 
 // recordRelayedAnswer records the head of an answer through another node, with what the
 // target asks for in it.
 func (g *Gateway) recordRelayedAnswer(c *call, p *passage) {
-	c.recordRunElsewhere(p.answer.Target)
+	g.recordRunElsewhere(c, p.answer.Target)
 	if t := g.targets.Target(p.answer.Target); t != nil && g.cfg.Names.ParseBackpressure != nil {
 		g.recordBackpressure(t, c.id, c.sentAt, p.answer.Status, g.cfg.Names.ParseBackpressure(p.answer.Status, p.answer.Header))
 	}
 }
 
 // recordRunElsewhere records that a target may have run the call through another node;
-// target is empty if it is not known which.
-func (c *call) recordRunElsewhere(target string) {
+// target is empty if it is not known which. It gets no further run over this node's own path:
+// the other node may still be ordering it to stop the first.
+func (g *Gateway) recordRunElsewhere(c *call, target string) {
 	c.recordArrival()
 	c.dispatched++
 	c.mayHaveRun = true
-	if target != "" {
-		c.triedElsewhere = append(c.triedElsewhere, target)
+	if target == "" {
+		return
+	}
+	c.triedElsewhere = append(c.triedElsewhere, target)
+	if t := g.targets.Target(target); t != nil {
+		c.tried[t] = true
 	}
 }
 
--- /dev/null
+++ b/gateway/stoporders.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/internal/uptime"
+	"k8s.io/klog/v2"
+)
+
+// Some targets work on at a request whose connection has closed, while its stream goes on at
+// another target. So each abandoned run of a stream that may be resumed is ended by an order to
+// its target. The next run does not wait for the answer, which a silent target does not give.
+
+const (
+	// stopTimeout bounds the attempts to stop a run. A target that stands still obeys an order
+	// when it goes on, if the connection is still open.
+	stopTimeout = 5 * time.Second
+	// minStopRetry and maxStopRetry bound the wait before an order is repeated, which doubles.
+	minStopRetry = 50 * time.Millisecond
+	maxStopRetry = time.Second
+	// unbegunStopRetry is that wait for a run that the target does not know, but may begin
+	// later.
+	unbegunStopRetry = 300 * time.Millisecond
+	// maxStopOrders bounds the runs that are being stopped at a time, for the memory that
+	// they take when many targets are lost at once.
+	maxStopOrders = 512
+	// stopReleaseDelay is the wait before the copy of a stopped run is released: the next run
+	// may begin from another copy of it meanwhile, and a target may keep both as one.
+	stopReleaseDelay = 500 * time.Millisecond
+)
+
+// stopResult says what became of the order to stop a run. Its value is a metric label.
+type stopResult string
+
+// Results of an order.
+const (
+	stopDone        stopResult = "stopped"     // the target was working on the run
+	stopNotRunning  stopResult = "not-running" // it was not
+	stopTargetEnded stopResult = "ended"       // its address refuses connections
+	stopUnsupported stopResult = "unsupported" // it does not take the order
+	stopBusy        stopResult = "busy"        // it carries out another order for the run
+	stopUnanswered  stopResult = "unanswered"  // it could not be asked, or did not answer
+	stopDropped     stopResult = "dropped"     // no order was sent: too many are under way, or no other target is known
+)
+
+// stopOrder is the order to stop one abandoned run.
+type stopOrder struct {
+	gateway *Gateway
+	request string
+	target  *balance.Target
+	holder  *balance.Target // receives the copy that the order makes
+	by      time.Time       // deadline of the request, at which the target ends the run itself
+	// unbegun says that the run has brought no event and is replaced here: a target may only
+	// know it later.
+	unbegun bool
+	copy    string // handle of the copy from which the stream may resume; empty for none
+}
+
+// stopOrders are the orders under way.
+type stopOrders struct {
+	count atomic.Int64
+	done  sync.WaitGroup
+}
+
+// begin counts another order; false if too many are under way.
+func (s *stopOrders) begin() bool {
+	s.done.Add(1)
+	if s.count.Add(1) > maxStopOrders {
+		s.end()
+		return false
+	}
+	return true
+}
+
+func (s *stopOrders) end() {
+	s.count.Add(-1)
+	s.done.Done()
+}
+
+// AwaitStopOrders waits until the orders to stop abandoned runs are answered or ctx ends.
+func (g *Gateway) AwaitStopOrders(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		g.stops.done.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// stop orders the target to stop the run, if it takes such orders and the stream may go on
+// elsewhere. Replaced says that this node goes on with it.
+func (k *runCopy) stop(replaced bool) {
+	g, c := k.relay.gateway, k.relay.call
+	if g.cfg.Names.CopyOrders.Stop == nil || !c.settings.CopyOrders || !c.resumable() {
+		return
+	}
+	if !uptime.Now().Before(c.deadline) {
+		return
+	}
+	o := &stopOrder{gateway: g, request: c.id, target: k.target, by: c.deadline, unbegun: replaced && k.relay.events == 0}
+	if o.holder, o.copy = k.stopHolder(); o.holder == nil || !g.stops.begin() {
+		o.record(stopDropped, 0, 0)
+		return
+	}
+	go func() {
+		defer g.stops.end()
+		o.run()
+	}()
+}
+
+// stopHolder returns the target to receive the copy that a stop makes: the holder of the
+// run's copy, which lacks the least, else any other target. It also returns the handle of
+// the copy if that was ordered.
+func (k *runCopy) stopHolder() (*balance.Target, string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.copy != nil {
+		return k.copy.holder, k.handle
+	}
+	for _, t := range k.relay.gateway.targets.DialTargets(k.target.Service, 2) {
+		if t != k.target {
+			return t, ""
+		}
+	}
+	return nil, ""
+}
+
+// run repeats the order until its result is final, stopTimeout has passed or the request has
+// reached its deadline.
+func (o *stopOrder) run() {
+	ctx, cancel := context.WithTimeout(o.gateway.ctx, min(stopTimeout, uptime.Until(o.by)))
+	defer cancel()
+	began := uptime.Now()
+	retry := minStopRetry
+	for tries := 1; ; tries++ {
+		result, handle := o.send(ctx)
+		wait := retry
+		if result == stopNotRunning {
+			wait = unbegunStopRetry
+		}
+		if o.isFinal(result) || !pause.For(ctx, wait) {
+			o.record(result, tries, uptime.Since(began))
+			if handle != "" && handle != o.copy && pause.For(ctx, stopReleaseDelay) {
+				o.gateway.releaseCopy(o.target, handle)
+			}
+			return
+		}
+		retry = min(2*retry, maxStopRetry)
+	}
+}
+
+// isFinal reports whether the order need not be repeated after a result.
+func (o *stopOrder) isFinal(result stopResult) bool {
+	switch result {
+	case stopBusy, stopUnanswered:
+		return false
+	case stopNotRunning:
+		return !o.unbegun
+	}
+	return true
+}
+
+// send sends the order once. It returns the handle of the copy that it made, empty for none.
+func (o *stopOrder) send(ctx context.Context) (result stopResult, handle string) {
+	orders := &o.gateway.cfg.Names.CopyOrders
+	answer, err := o.gateway.callTarget(ctx, o.target, purposeStop, orders.Stop(o.request, o.holder.Address))
+	var status orderStatusError
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return stopTargetEnded, ""
+	case err != nil && !errors.As(err, &status):
+		return stopUnanswered, ""
+	}
+	switch status {
+	case http.StatusNotFound:
+		return stopNotRunning, ""
+	case http.StatusConflict:
+		return stopBusy, ""
+	case http.StatusTooManyRequests:
+		return stopUnanswered, ""
+	case 0, http.StatusServiceUnavailable: // with a handle, the run has stopped but is not copied
+		handle, err = orders.ParseHandle(answer)
+		if err == nil || status == 0 {
+			return stopDone, handle
+		}
+		return stopUnanswered, ""
+	}
+	return stopUnsupported, ""
+}
+
+func (o *stopOrder) record(result stopResult, tries int, took time.Duration) {
+	o.gateway.counters.runStopped(result)
+	klog.InfoS("Run ordered to stop", "request", o.request, "target", o.target.ID, "result", result, "orders", tries, "ms", took.Milliseconds())
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -201,6 +201,7 @@
 	r.call.rolloutRequest.Discard() // no effect if an outcome was recorded
 	if rc.open && (end == runFailed || end == runClientLeft) {
 		rc.recordAbandoned(ctx)
+		rc.stop(ctx.Err() == nil)
 	}
 	if end == runFailed || end == runClientLeft {
 		r.gateway.abandonLease(r.call)
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -359,6 +359,9 @@
 	relayed.Go(func() { e.stopEgress(ctx, closeAt) })
 	e.stopClients(ctx, closeAt)
 	relayed.Wait()
+	ending, cancelEnding := context.WithTimeout(context.Background(), min(answerTime, uptime.Until(closeAt)))
+	defer cancelEnding()
+	e.gateway.AwaitStopOrders(ending) // for the streams cut off: their clients take them up elsewhere
 	e.readyServer.Close()
 	e.gateway.Close()
 	e.quarantine.Close()
