Require API keys where the list of tenants is empty

Cause: the routing table told "no keys are required" by a nil map of accounts, and the adapter left the map nil for a list without entries. So an absent list, null and an empty one were the same, and the reading that opens the site won.

Ruled out: the way to the nodes.

Change: the table has a field for being open, whose zero value is closed. Tables in tests that are open say so now.

Why it works: whether keys are required follows from the field that the document has, not from how many entries are in it, and a table that nobody declared open is closed.

Same reading elsewhere, by reading: the list of instances refuses null and a missing list already; the own dialect answers 401 where a bundle has no accounts; `api_keys` missing or null is no key; `routes` missing is no route; settings without `contracts` or `duties` turn roll-outs and duties off. `limits` missing bounds neither headers nor times: nobody gets in by it.

--- a/emulator/policies_test.go
+++ b/emulator/policies_test.go
@@ -275,7 +275,7 @@
 
 // draftTable returns a routing table with one streaming route to the engines.
 func draftTable() *gateway.Table {
-	table := &gateway.Table{Version: 1, Services: map[string]gateway.Service{
+	table := &gateway.Table{Version: 1, Open: true, Services: map[string]gateway.Service{
 		"draft": {Name: "draft", Engine: true, Memory: DefaultConfig(engineNames).Memory, Slots: DefaultConfig(engineNames).Slots},
 	}}
 	table.SetRoutes([]*gateway.Route{{
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -199,18 +199,15 @@
 }
 
 // account returns the client account of the values of the API key header, which must be
-// exactly one. The account is empty if the table has none, or for requests without a
-// valid key on an open route.
+// exactly one. The account is empty for requests without a valid key, which only open
+// routes and tables accept.
 func (t *Table) account(keys []string, route *Route) (Account, *walnutramp.Error) {
-	if t.Accounts == nil {
-		return Account{}, nil
-	}
 	if len(keys) == 1 {
 		if a, ok := t.Accounts[keys[0]]; ok {
 			return a, nil
 		}
 	}
-	if route.AllowAnonymous {
+	if route.AllowAnonymous || t.Open {
 		return Account{}, nil
 	}
 	return Account{}, walnutramp.NewError(walnutramp.CodeBadKey, walnutramp.NotRun, "the API key belongs to no client account")
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -54,7 +54,7 @@
 	})
 	s := newTestSite(t, []*fakeTarget{f})
 	table := testTable()
-	table.Accounts = map[string]Account{"k1": {Name: "acme"}}
+	table.Open, table.Accounts = false, map[string]Account{"k1": {Name: "acme"}}
 	table.Limits = Limits{BodyBytes: 10, HeaderBytes: 2000}
 	s.gateway.SetTable(table)
 	for _, c := range []struct {
@@ -378,7 +378,7 @@
 func TestRanksFollowTheOrderOfPriorities(t *testing.T) {
 	table := testTable()
 	table.SetRoutes([]*Route{{Host: "a", Prefix: "/a/", Priority: 7}, {Host: "a", Prefix: "/b/", Priority: 2}})
-	table.Accounts = map[string]Account{"k": {Name: "n", Priority: 4, HasPriority: true}, "o": {Name: "m"}}
+	table.Open, table.Accounts = false, map[string]Account{"k": {Name: "n", Priority: 4, HasPriority: true}, "o": {Name: "m"}}
 	table.setRanks()
 	require.Equal(t, map[int]int{2: 0, 4: 1, 7: 2}, table.ranks)
 }
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -173,7 +173,7 @@
 }
 
 func testTable() *Table {
-	table := &Table{Version: 1, Services: map[string]Service{
+	table := &Table{Version: 1, Open: true, Services: map[string]Service{
 		"draft": {Name: "draft", Engine: true, Copies: true, CopyOrders: true, CopyLife: 4 * time.Second}, "lookup": {Name: "lookup"},
 	}}
 	table.SetRoutes([]*Route{
--- a/gateway/meter_test.go
+++ b/gateway/meter_test.go
@@ -21,7 +21,7 @@
 	counter := metering.NewCounter(metering.Config{Span: 1000 * time.Hour}, systemClock{})
 	s := newTestSite(t, targets, WithMetering(counter))
 	table := testTable()
-	table.Accounts = map[string]Account{"key-1": {Name: "harbour"}}
+	table.Open, table.Accounts = false, map[string]Account{"key-1": {Name: "harbour"}}
 	s.gateway.SetTable(table)
 	return s, counter
 }
--- a/gateway/relayed_test.go
+++ b/gateway/relayed_test.go
@@ -285,7 +285,7 @@
 	at, through := metering.NewCounter(forever, systemClock{}), metering.NewCounter(forever, systemClock{})
 	s := newRelaySite(t, 1, targets, WithMetering(at))
 	table := testTable()
-	table.Accounts = map[string]Account{"key-1": {Name: "harbour"}}
+	table.Open, table.Accounts = false, map[string]Account{"key-1": {Name: "harbour"}}
 	s.ingress.gateway.SetTable(table)
 	s.others[0].gateway.cfg.Metering = through
 	s.ingress.cut(syscall.ECONNREFUSED)
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -108,7 +108,8 @@
 	Version  uint64
 	Limits   Limits
 	Services map[string]Service
-	Accounts map[string]Account // by API key; nil where no keys are required
+	Accounts map[string]Account // by API key
+	Open     bool               // all routes may be used without an API key
 	hosts    map[string][]*Route
 	ranks    map[int]int // by priority: number of distinct priorities that are more urgent
 
--- a/gateway/taken_up_test.go
+++ b/gateway/taken_up_test.go
@@ -133,7 +133,7 @@
 func TestAttemptOfAnotherAccountTellsNothing(t *testing.T) {
 	s := newTakenUpSite(t)
 	table := testTable()
-	table.Accounts = map[string]Account{"k1": {Name: "a"}, "k2": {Name: "b"}}
+	table.Open, table.Accounts = false, map[string]Account{"k1": {Name: "a"}, "k2": {Name: "b"}}
 	s.gateway.SetTable(table)
 	s.begin(t, "X-Key", "k1")
 	status, code, text, _ := s.takeUp(t, "prompt", "X-Key", "k2", "X-Resumes", "attempt-1")
--- a/serve/cutoff_test.go
+++ b/serve/cutoff_test.go
@@ -77,7 +77,7 @@
 	const grace = killMargin + 500*time.Millisecond
 	tracker := balance.NewTracker()
 	tracker.Update([]discovery.Target{silentTarget(t, "silent")})
-	table := &gateway.Table{Version: 1, Services: map[string]gateway.Service{"silent": {Name: "silent"}, "missing": {Name: "missing"}}}
+	table := &gateway.Table{Version: 1, Open: true, Services: map[string]gateway.Service{"silent": {Name: "silent"}, "missing": {Name: "missing"}}}
 	var routes []*gateway.Route
 	for _, service := range []string{"silent", "missing"} {
 		for kind, prefix := range map[gateway.Kind]string{gateway.Unsafe: "once", gateway.Stream: "stream"} {
