Don't repeat stop orders that take permits of a rate limit

An order counts at a target with a rate limit. A run without an event is ordered to stop up to 17 times in 5 s, as it may begin later; where the target limits its rate, each of these took a permit that a request could have had. There the first 404 ends it now.

--- a/gateway/stoporders.go
+++ b/gateway/stoporders.go
@@ -165,8 +165,8 @@
 	switch result {
 	case stopBusy, stopUnanswered:
 		return false
-	case stopNotRunning:
-		return !o.unbegun
+	case stopNotRunning: // at a target with a rate limit, repeats would take permits from requests
+		return !o.unbegun || o.gateway.cfg.Limits.Notice(o.target.Incarnation()).Limited()
 	}
 	return true
 }
--- a/gateway/stoporders_test.go
+++ b/gateway/stoporders_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/ratelimit"
 )
 
 // twiceLimit is how long a target may work on a request that goes on at another one.
@@ -333,3 +334,28 @@
 	}
 	require.Empty(t, p.orders)
 }
+
+// Repeated orders must not take the permits of a target with a rate limit.
+func TestStopOrderToATargetWithARateLimitIsNotRepeated(t *testing.T) {
+	p := &patientTargets{t: t, delay: slowAt(1)}
+	slow, other := p.add("i-1", "north"), p.add("i-2", "south")
+	slow.stop = func(c net.Conn, attempt string) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.orders = append(p.orders, attempt)
+		reply(c, "", 404, "", "X-Limit: 50")
+	}
+	s := newTestSite(t, []*fakeTarget{slow}, WithStall(testStall))
+	s.gateway.cfg.Limits.Observe("i-1", ratelimit.ParseSignal([]string{"50"}))
+	go func() {
+		require.Eventually(t, func() bool { return len(slow.seen()) > 0 }, time.Second, time.Millisecond)
+		s.tracker.Update(listed([]*fakeTarget{slow, other}))
+	}()
+	_, body, err := do(t, s.request(t, "POST", "/draft/a", "prompt", "X-Deadline", "9000"))
+	require.NoError(t, err)
+	require.Equal(t, wholeDraft(1), body)
+	time.Sleep(3 * unbegunStopRetry)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	require.Len(t, p.orders, 1)
+}
