--- a/gateway/stoporders.go
+++ b/gateway/stoporders.go
@@ -25,9 +25,9 @@
 	stopTimeout = 5 * time.Second
 	// minStopRetry and maxStopRetry bound the wait before an order is repeated, which doubles.
 	minStopRetry = 50 * time.Millisecond
-	maxStopRetry = time.Second
-	// unbegunStopRetry is that wait for a run that the target does not know, but may begin
-	// later.
+	maxStopRetry = 2 * time.Second
+	// unbegunStopRetry is the least such wait for a run that the target does not know, but
+	// may begin later. Each order takes a connection that has just had another request.
 	unbegunStopRetry = 300 * time.Millisecond
 	// maxStopOrders bounds the runs that are being stopped at a time, for the memory that
 	// they take when many targets are lost at once.
@@ -145,14 +145,13 @@
 	retry := minStopRetry
 	for tries := 1; ; tries++ {
 		result, handle := o.send(ctx)
-		wait := retry
 		if result == stopNotRunning {
-			wait = unbegunStopRetry
+			retry = max(retry, unbegunStopRetry)
 		}
-		if o.isFinal(result) || !pause.For(ctx, wait) {
+		if o.isFinal(result) || !pause.For(ctx, retry) {
 			o.record(result, tries, uptime.Since(began))
-			if handle != "" && handle != o.copy && pause.For(ctx, stopReleaseDelay) {
-				o.gateway.releaseCopy(o.target, handle)
+			if handle != "" && handle != o.copy {
+				time.AfterFunc(stopReleaseDelay, func() { o.gateway.releaseCopy(o.target, handle) })
 			}
 			return
 		}
