Release the body of a request that is rejected after it was read

What callers saw: after a few requests with a large body and a malformed Last-Event-Id, a node answered every request with a body with 503 (overloaded), until it restarted. Cause: the body is counted as it is read, and released by the handler of the call. A request that was rejected, or whose handler panicked, between the two had no call. Change: open releases the body itself unless it returns the call. Why it works: each way out of open either returns the call, which ServeHTTP releases, or passes the deferred function.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -80,8 +80,9 @@
 	sendBy           time.Time                // when it must have been sent, if it is a retry of another node; zero for no limit
 }
 
-// open reads and validates a request, and resolves its route and client account.
-func (g *Gateway) open(w http.ResponseWriter, r *http.Request, arrived time.Time) (*call, *walnutramp.Error) {
+// open reads and validates a request, and resolves its route and client account. The body of
+// the call that it returns is counted in buffered.
+func (g *Gateway) open(w http.ResponseWriter, r *http.Request, arrived time.Time) (opened *call, refused *walnutramp.Error) {
 	table := g.table.Load()
 	if table == nil {
 		return nil, walnutramp.NewError(walnutramp.CodeNotInForce, walnutramp.NotRun, "this node has not received a configuration yet").WithRetryAfter(retryAtOtherNode)
@@ -118,6 +119,11 @@
 	if err := g.readBody(c, w, r, table.Limits); err != nil {
 		return nil, err
 	}
+	defer func() {
+		if opened == nil { // rejected, or a panic
+			g.buffered.Add(-int64(len(c.body)))
+		}
+	}()
 	c.header = g.forwardedHeader(r.Header)
 	if err := g.readPosition(c, r.Header); err != nil {
 		return nil, err
