End the run of a stream whose handler panics

What callers saw: nothing at once; a target with such a run looked busier than it was to all nodes, for as long as the node lived, and got fewer requests. Cause: runAt ended the run after execute, not in a deferred call; plain requests defer it. Change: the run's end is deferred right after its beginning. Why it works: no way out of runAt leaves the run without its end.

--- a/gateway/cutoff_test.go
+++ b/gateway/cutoff_test.go
@@ -68,6 +68,21 @@
 	}
 }
 
+// The run of a request whose handler panics must not stay counted at its target.
+func TestPanicEndsTheRun(t *testing.T) {
+	for _, path := range []string{"/draft/", "/once/"} {
+		t.Run(path, func(t *testing.T) {
+			targets := []*fakeTarget{newFakeTarget(t, "i-1", "draft", "north", answerWithID), newFakeTarget(t, "i-2", "lookup", "north", answerWithID)}
+			s := newTestSite(t, targets)
+			s.gateway.cfg.Names.ParseBackpressure = func(int, http.Header) Backpressure { panic("backpressure") }
+			status, _ := s.post(t, path)
+			require.Equal(t, http.StatusInternalServerError, status)
+			require.Empty(t, s.tracker.Runs())
+			require.Zero(t, s.gateway.InFlight())
+		})
+	}
+}
+
 // A stream must not look complete after a panic.
 func TestPanicAfterTheHeadBreaksTheAnswerOff(t *testing.T) {
 	begun := make(chan struct{})
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -185,7 +185,7 @@
 }
 
 // runAt executes one run at a target until it ends.
-func (r *relay) runAt(ctx context.Context, t *balance.Target, from *kvCopy) runResult {
+func (r *relay) runAt(ctx context.Context, t *balance.Target, from *kvCopy) (end runResult) {
 	r.runs++
 	r.events, r.settled = 0, false
 	r.target, r.software = t, t.Version
@@ -195,9 +195,13 @@
 		announceTarget(r.egressWriter, r.call, t)
 	}
 	run := t.Begin(o.work, o.trace)
+	end = runFailed
+	defer func() { // also after a panic
+		run.End(balance.RunEnd{Complete: end == runComplete, Tokens: r.events * r.call.settings.EventTokens})
+	}()
 	r.call.beginAt(t)
 	rc := &runCopy{relay: r, target: t, run: run, copy: o.copy}
-	end := r.execute(ctx, t, o, rc)
+	end = r.execute(ctx, t, o, rc)
 	r.call.rolloutRequest.Discard() // no effect if an outcome was recorded
 	if rc.open && (end == runFailed || end == runClientLeft) {
 		rc.recordAbandoned(ctx)
@@ -208,7 +212,6 @@
 	} else {
 		r.gateway.cfg.InFlight.Release(&r.call.grants.lease)
 	}
-	run.End(balance.RunEnd{Complete: end == runComplete, Tokens: r.events * r.call.settings.EventTokens})
 	if left := rc.end(end); run.Begun() {
 		r.resumeFrom = left
 	}
