Close a connection without a request without an answer at a stop

What callers saw: a request that crossed the close of a new connection at a stopping node got 400 Bad Request, which is final and false: it was never read, and its client did not come again. Cause: at a shutdown, a connection that has sent nothing for 5 s is closed by ending its read with net.ErrClosed. http.Server takes that error, on a new connection, for a request that it can't parse, and answers 400. Evidence: TestShutdownClosesANewConnectionWithoutAnAnswer fails before ("HTTP/1.1 400 Bad Request"). Connections that have had a request are not concerned: http.Server waits for their next one by another read, whose errors it does not answer. Change: the read ends with io.EOF, as if the client had closed. Why it works: http.Server closes without a word on io.EOF.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -247,7 +248,7 @@
 	case n > 0:
 		return n, c.begin()
 	case c.closing:
-		return 0, net.ErrClosed
+		return 0, io.EOF // which http.Server does not answer
 	}
 	return n, err
 }
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -227,3 +227,18 @@
 	require.NoError(t, err, "the connection was accepted, and closed without an answer")
 	require.NoError(t, <-shutdown)
 }
+
+// A new connection without a request must be closed without an answer: a client whose request
+// crosses the close would take it for that to its request.
+func TestShutdownClosesANewConnectionWithoutAnAnswer(t *testing.T) {
+	t.Parallel()
+	var handled atomic.Int32
+	server, address := newDrainedServer(t, &handled, func(*Server, *readHookConn) {})
+	c, _ := dial(t, address)
+	ctx, cancel := context.WithTimeout(t.Context(), newConnWait+time.Second)
+	defer cancel()
+	require.NoError(t, server.Shutdown(ctx))
+	answer, err := io.ReadAll(c)
+	require.NoError(t, err)
+	require.Empty(t, string(answer))
+}
