Reserve the memory of a request body before it is read

Cause: the bound was checked before a body was read and the body counted after, so that any number passed while they arrived; io.ReadAll took up to twice as much besides. The bound of 32 MiB did not follow the node's memory. Change: the buffer of a body grows by doubling, and each step is reserved first. A body that finds no room is rejected, not run, with when to come back. A single body always finds some. The bound is a quarter of the process's memory, 32 MiB at most. Why it works: what is counted is what is allocated, at each moment, except for one step's copy. A client that sends slowly holds only about what it has sent. Ruled out: reserving the announced length, by which a few idle uploads could keep all others out. Bodies that come through other nodes are counted as before.

--- /dev/null
+++ b/gateway/body.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/walnutramp/walnutramp"
+)
+
+const (
+	// minBodyBuffer is the first buffer for a request body, in bytes. It doubles as the body
+	// arrives: a client that sends slowly takes no room for what it has not sent.
+	minBodyBuffer = 8 << 10
+	// maxBodyMemory bounds the request bodies that are buffered at a time, in bytes, and
+	// bodyShare does so as a fraction of the process's memory.
+	maxBodyMemory = 32 << 20
+	bodyShare     = 1.0 / 4
+)
+
+// bodyMemoryOf returns the default bound of buffered bodies for a process with the given memory
+// in bytes.
+func bodyMemoryOf(memory int64) int64 { return int64(min(maxBodyMemory, bodyShare*float64(memory))) }
+
+// errBodyMemory ends the reading of a body for which no memory is left.
+var errBodyMemory = errors.New("the memory for buffered request bodies is used up")
+
+// bodyBuffer reads a body into memory that it reserves before.
+type bodyBuffer struct {
+	gateway *Gateway
+	bytes   []byte
+}
+
+// read reads a body to its end; length is -1 if it is not known. After an error, nothing is
+// reserved any more.
+func (b *bodyBuffer) read(body io.Reader, length int64) error {
+	for {
+		if len(b.bytes) == cap(b.bytes) && !b.grow(length) {
+			b.release()
+			return errBodyMemory
+		}
+		n, err := body.Read(b.bytes[len(b.bytes):cap(b.bytes)])
+		b.bytes = b.bytes[:len(b.bytes)+n]
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			b.release()
+			return err
+		}
+	}
+}
+
+// grow doubles the buffer, to one byte more than the length at most, for the end of the body to
+// be read. It returns false if there is no memory; a body that is alone always finds some.
+func (b *bodyBuffer) grow(length int64) bool {
+	size := max(minBodyBuffer, 2*cap(b.bytes))
+	if length >= 0 {
+		size = max(min(size, int(length)+1), cap(b.bytes)+1)
+	}
+	g := b.gateway
+	added := int64(size - cap(b.bytes))
+	if total := g.buffered.Add(added); total > g.cfg.MaxBuffered && total > int64(size) {
+		g.buffered.Add(-added)
+		return false
+	}
+	grown := make([]byte, len(b.bytes), size)
+	copy(grown, b.bytes)
+	b.bytes = grown
+	return true
+}
+
+// release gives back what is reserved, if anything.
+func (b *bodyBuffer) release() {
+	if b.gateway == nil {
+		return
+	}
+	b.gateway.buffered.Add(-int64(cap(b.bytes)))
+	b.bytes = nil
+}
+
+// readBody buffers the whole body, so that it can be sent again.
+func (g *Gateway) readBody(c *call, w http.ResponseWriter, r *http.Request, limits Limits) *walnutramp.Error {
+	c.hasBody = r.ContentLength != 0 || r.Header.Get("Content-Length") != ""
+	if !c.hasBody {
+		return nil
+	}
+	limit := limits.BodyBytes
+	if limit <= 0 {
+		limit = g.cfg.MaxBuffered
+	}
+	if r.ContentLength > limit {
+		return bodyTooLarge(limit)
+	}
+	c.buffer.gateway = g
+	err := c.buffer.read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		c.body = c.buffer.bytes
+		return nil
+	case errors.As(err, &tooLarge):
+		return bodyTooLarge(limit)
+	case errors.Is(err, errBodyMemory):
+		return walnutramp.NewError(walnutramp.CodeOverloaded, walnutramp.NotRun, "%s", errBodyMemory).WithRetryAfter(retryWhenBusy)
+	}
+	return walnutramp.NewError(walnutramp.CodeBadRequest, walnutramp.NotRun, "the request body could not be read to its end")
+}
+
+func bodyTooLarge(limit int64) *walnutramp.Error {
+	return walnutramp.NewError(walnutramp.CodeBodyTooLarge, walnutramp.NotRun, "the request body is larger than %d bytes", limit)
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -30,6 +28,7 @@
 	host             string
 	header           http.Header // forwarded headers, before those set for each target
 	body             []byte
+	buffer           bodyBuffer // that holds the body, if it came from a client
 	hasBody          bool
 	arrived          time.Time
 	deadline         time.Time
@@ -81,7 +80,7 @@
 }
 
 // open reads and validates a request, and resolves its route and client account. The body of
-// the call that it returns is counted in buffered.
+// the call that it returns must be released.
 func (g *Gateway) open(w http.ResponseWriter, r *http.Request, arrived time.Time) (opened *call, refused *walnutramp.Error) {
 	table := g.table.Load()
 	if table == nil {
@@ -121,7 +120,7 @@
 	}
 	defer func() {
 		if opened == nil { // rejected, or a panic
-			g.buffered.Add(-int64(len(c.body)))
+			c.buffer.release()
 		}
 	}()
 	c.header = g.forwardedHeader(r.Header)
@@ -239,39 +238,6 @@
 	return nil
 }
 
-// readBody buffers the whole body, so that it can be sent again.
-func (g *Gateway) readBody(c *call, w http.ResponseWriter, r *http.Request, limits Limits) *walnutramp.Error {
-	c.hasBody = r.ContentLength != 0 || r.Header.Get("Content-Length") != ""
-	if !c.hasBody {
-		return nil
-	}
-	limit := limits.BodyBytes
-	if limit <= 0 {
-		limit = g.cfg.MaxBuffered
-	}
-	if r.ContentLength > limit {
-		return bodyTooLarge(limit)
-	}
-	if g.buffered.Load() > g.cfg.MaxBuffered {
-		return walnutramp.NewError(walnutramp.CodeOverloaded, walnutramp.NotRun, "the memory for buffered request bodies is used up").WithRetryAfter(retryWhenBusy)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return bodyTooLarge(limit)
-	}
-	if err != nil {
-		return walnutramp.NewError(walnutramp.CodeBadRequest, walnutramp.NotRun, "the request body could not be read to its end")
-	}
-	g.buffered.Add(int64(len(body)))
-	c.body = body
-	return nil
-}
-
-func bodyTooLarge(limit int64) *walnutramp.Error {
-	return walnutramp.NewError(walnutramp.CodeBodyTooLarge, walnutramp.NotRun, "the request body is larger than %d bytes", limit)
-}
-
 // hopByHopHeaders are not forwarded: those that apply to one connection only, and
 // Content-Length and Expect, which the gateway handles itself.
 var hopByHopHeaders = map[string]bool{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,7 +55,7 @@
 // Config sets how a Gateway works.
 type Config struct {
 	Names       Names
-	MaxBuffered int64         // maximum bytes of buffered request bodies
+	MaxBuffered int64         // maximum bytes of buffered request bodies; a single one may exceed it
 	Buffers     BufferLimits  // for answers whose clients read slowly
 	Stall       time.Duration // timeout between the events of a stream, where its route sets no maximum gap
 	FirstEvent  time.Duration // timeout for the first event of a run that can be retried, on top of the predicted prefill time; see firstEventTimeout
@@ -152,7 +152,7 @@
 
 func defaultConfig() Config {
 	return Config{
-		MaxBuffered: 32 << 20, Stall: 450 * time.Millisecond, FirstEvent: 5 * time.Second,
+		MaxBuffered: bodyMemoryOf(processMemory()), Stall: 450 * time.Millisecond, FirstEvent: 5 * time.Second,
 		StartWait: time.Second, Copies: true, Buffers: BufferLimitsOf(processMemory()),
 	}
 }
@@ -384,7 +384,7 @@
 	}
 	c, refused := g.open(client, r, arrived) // not w, which hides from net/http that a body is too large
 	if c != nil {
-		defer g.buffered.Add(-int64(len(c.body)))
+		defer c.buffer.release()
 	}
 	if refused == nil && (phase == phaseClosed || !g.completesInTime(c)) {
 		refused = errNodeStopping()
