Hear a process whose clock is behind its predecessor's

What callers saw: after a restart with the clock set back, the other nodes did not count the node's runs and did not learn of its failed targets, until its clock had passed the time at which its predecessor ended. Streams that its clients took up elsewhere had no copy. Cause: reports are numbered from the time of day at the start of the process, and a report with a lower number than the newest is taken for a late one. Change: a full report with a lower number is accepted once its node has been silent for 2 s. Why it works: a process that lives sends a full report every 1.0 to 1.4 s, so late reports don't pass for those of a next process; that one is heard 2 s after its predecessor's end, at its next full report. Ruled out: a random number of the process in each report: 9 bytes in each datagram.

--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -98,7 +98,8 @@
 		borrows: borrowState{pending: map[uint64]*pendingBorrow{}, refusedAt: map[string]time.Time{}},
 		peers:   map[string]*net.UDPAddr{}, absentSince: map[string]time.Time{}, originsSentAt: map[string]time.Time{}, senders: map[string]*sender{},
 	}
-	// Sequence numbers start at the current time so that they grow across restarts.
+	// Sequence numbers start at the current time so that they grow across restarts, unless the
+	// clock is set back; see sender.outdated.
 	s.sequence.Store(uint64(time.Now().UnixNano()))
 	for _, opt := range opts {
 		opt(s)
@@ -539,8 +540,9 @@
 func (s *Sharer) applyReport(state *sender, m message) (runs []balance.RunReport, sameHall, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if m.Sequence <= state.sequence {
+	now := uptime.Now()
+	if state.outdated(m, now) {
 		return nil, false, false
 	}
-	return state.apply(m, uptime.Now()), state.location.dataHall == s.location.dataHall, true
+	return state.apply(m, now), state.location.dataHall == s.location.dataHall, true
 }
--- a/loadshare/sender.go
+++ b/loadshare/sender.go
@@ -9,7 +9,8 @@
 // sender is the state of another node as reported by its messages. Packet loss is
 // repaired by the next full message.
 type sender struct {
-	sequence uint64 // of its newest message
+	sequence uint64    // of its newest message
+	heardAt  time.Time // when that arrived
 	location location
 	runs     map[uint64]receivedRun
 }
@@ -20,10 +21,21 @@
 	receivedAt time.Time // time of the report
 }
 
+// restartWait is how long a node must have been silent for a report with a lower sequence number
+// to be that of its next process, whose clock is behind, rather than a late one: longer than
+// between two full reports.
+const restartWait = 2 * time.Second
+
+// outdated reports whether a newer message of the node's process has been applied.
+func (s *sender) outdated(m message, now time.Time) bool {
+	restarted := m.Full && now.Sub(s.heardAt) > restartWait
+	return m.Sequence <= s.sequence && !restarted
+}
+
 // apply applies a message and returns the sender's current runs. Ages that still
 // grow are as of now.
 func (s *sender) apply(m message, now time.Time) []balance.RunReport {
-	s.sequence = m.Sequence
+	s.sequence, s.heardAt = m.Sequence, now
 	if m.Full || s.runs == nil {
 		s.runs = make(map[uint64]receivedRun, len(m.Runs))
 	}
