Stop unbegun runs of an egress, too; wait for orders without a WaitGroup

Cause: an egress took a run that its ingress gave up for one whose client had left, and did not repeat the order to stop it after a 404. And a stop's wait for orders used a WaitGroup, to which a handler that ends late may add while it is waited for: that can panic. Evidence: TestRelayedStreamDoesNotRunOnAtItsSlowTarget, "not begun when ordered to stop", fails before: the target works on 400 ms later. The second is by reading. Change: a relayed run counts as replaced; the orders under way are counted.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -185,10 +185,11 @@
 
 	budgets *balance.Budgets
 
-	paths   *reach.Monitor
-	active  atomic.Int64 // requests that are being served
-	relayed relayedCalls
-	stops   stopOrders
+	paths  *reach.Monitor
+	active atomic.Int64 // requests that are being served
+	// stopOrders counts the orders to stop runs that are under way.
+	stopOrders atomic.Int64
+	relayed    relayedCalls
 }
 
 // New returns a gateway without a table. Until SetTable, requests wait up to StartWait
--- a/gateway/stoporders.go
+++ b/gateway/stoporders.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,6 +33,8 @@
 	// stopReleaseDelay is the wait before the copy of a stopped run is released: the next run
 	// may begin from another copy of it meanwhile, and a target may keep both as one.
 	stopReleaseDelay = 500 * time.Millisecond
+	// stopPollInterval is how often AwaitStopOrders looks for orders.
+	stopPollInterval = 2 * time.Millisecond
 )
 
 // stopResult says what became of the order to stop a run. Its value is a metric label.
@@ -57,49 +57,22 @@
 	request string
 	target  *balance.Target
 	holder  *balance.Target // receives the copy that the order makes
-	by      time.Time       // deadline of the request, at which the target ends the run itself
-	// unbegun says that the run has brought no event and is replaced here: a target may only
-	// know it later.
+	// deadline is that of the request, at which the target ends the run itself.
+	deadline time.Time
+	// unbegun says that the run has brought no event and is replaced: a target may only know
+	// it later.
 	unbegun bool
 	copy    string // handle of the copy from which the stream may resume; empty for none
 }
 
-// stopOrders are the orders under way.
-type stopOrders struct {
-	count atomic.Int64
-	done  sync.WaitGroup
-}
-
-// begin counts another order; false if too many are under way.
-func (s *stopOrders) begin() bool {
-	s.done.Add(1)
-	if s.count.Add(1) > maxStopOrders {
-		s.end()
-		return false
-	}
-	return true
-}
-
-func (s *stopOrders) end() {
-	s.count.Add(-1)
-	s.done.Done()
-}
-
 // AwaitStopOrders waits until the orders to stop abandoned runs are answered or ctx ends.
 func (g *Gateway) AwaitStopOrders(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		g.stops.done.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
+	for g.stopOrders.Load() > 0 && pause.For(ctx, stopPollInterval) {
 	}
 }
 
 // stop orders the target to stop the run, if it takes such orders and the stream may go on
-// elsewhere. Replaced says that this node goes on with it.
+// elsewhere. Replaced says that this node, or its ingress, goes on with it.
 func (k *runCopy) stop(replaced bool) {
 	g, c := k.relay.gateway, k.relay.call
 	if g.cfg.Names.CopyOrders.Stop == nil || !c.settings.CopyOrders || !c.resumable() {
@@ -108,13 +81,14 @@
 	if !uptime.Now().Before(c.deadline) {
 		return
 	}
-	o := &stopOrder{gateway: g, request: c.id, target: k.target, by: c.deadline, unbegun: replaced && k.relay.events == 0}
-	if o.holder, o.copy = k.stopHolder(); o.holder == nil || !g.stops.begin() {
+	o := &stopOrder{gateway: g, request: c.id, target: k.target, deadline: c.deadline, unbegun: replaced && k.relay.events == 0}
+	if o.holder, o.copy = k.stopHolder(); o.holder == nil || g.stopOrders.Load() >= maxStopOrders {
 		o.record(stopDropped, 0, 0)
 		return
 	}
+	g.stopOrders.Add(1)
 	go func() {
-		defer g.stops.end()
+		defer g.stopOrders.Add(-1)
 		o.run()
 	}()
 }
@@ -139,7 +113,7 @@
 // run repeats the order until its result is final, stopTimeout has passed or the request has
 // reached its deadline.
 func (o *stopOrder) run() {
-	ctx, cancel := context.WithTimeout(o.gateway.ctx, min(stopTimeout, uptime.Until(o.by)))
+	ctx, cancel := context.WithTimeout(o.gateway.ctx, min(stopTimeout, uptime.Until(o.deadline)))
 	defer cancel()
 	began := uptime.Now()
 	retry := minStopRetry
--- a/gateway/stoporders_test.go
+++ b/gateway/stoporders_test.go
@@ -229,10 +229,14 @@
 
 // A stream that goes through another node must not run on at a target that this node gives up.
 func TestRelayedStreamDoesNotRunOnAtItsSlowTarget(t *testing.T) {
-	for _, before := range []int{1, 5} {
-		t.Run(fmt.Sprintf("slow before event %d", before), func(t *testing.T) {
+	for name, p := range map[string]*patientTargets{
+		"between events":                 {delay: slowAt(5)},
+		"before the first event":         {delay: slowAt(1)},
+		"not begun when ordered to stop": {delay: slowAt(1), unknown: 1200 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			p := &patientTargets{t: t, delay: slowAt(before)}
+			p.t = t
 			slow, other := p.add("i-1", "north"), p.add("i-2", "south")
 			s := newRelaySite(t, 1, []*fakeTarget{slow, other})
 			s.ingress.cut(syscall.ECONNREFUSED)
@@ -280,7 +284,7 @@
 			require.Eventually(t, func() bool {
 				return s.gateway.counters.set.GetOrCreateCounter(fmt.Sprintf("walnutramp_gateway_stop_orders_total{result=%q}", c.result)).Get() == 1
 			}, stopTimeout+time.Second, 10*time.Millisecond)
-			require.Zero(t, s.gateway.stops.count.Load())
+			require.Zero(t, s.gateway.stopOrders.Load())
 		})
 	}
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -205,7 +205,7 @@
 	r.call.rolloutRequest.Discard() // no effect if an outcome was recorded
 	if rc.open && (end == runFailed || end == runClientLeft) {
 		rc.recordAbandoned(ctx)
-		rc.stop(ctx.Err() == nil)
+		rc.stop(ctx.Err() == nil || r.call.relayed)
 	}
 	if end == runFailed || end == runClientLeft {
 		r.gateway.abandonLease(r.call)
