--- a/gateway/stoporders_test.go
+++ b/gateway/stoporders_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/walnutramp/walnutramp/ratelimit"
 )
@@ -38,6 +39,10 @@
 	unknown time.Duration
 	// refuse answers the first orders with statuses of its own, one each.
 	refuse []int
+	// stop answers all orders instead, if set.
+	stop func(c net.Conn, attempt string)
+
+	first *fakeTarget // of newSite
 
 	mu      sync.Mutex
 	working []*work
@@ -48,10 +53,26 @@
 
 func (p *patientTargets) add(id, hall string) *fakeTarget {
 	f := newFakeTarget(p.t, id, "draft", hall, p.run)
-	f.stop = func(c net.Conn, attempt string) { p.answerStop(f, c, attempt) }
+	f.stop = p.stop
+	if f.stop == nil {
+		f.stop = func(c net.Conn, attempt string) { p.answerStop(f, c, attempt) }
+	}
 	return f
 }
 
+// newSite returns a site at whose first target a stream begins, and the other target, which is
+// listed from then on.
+func (p *patientTargets) newSite() (s *testSite, other *fakeTarget) {
+	first, other := p.add("i-1", "north"), p.add("i-2", "south")
+	p.first = first
+	s = newTestSite(p.t, []*fakeTarget{first}, WithStall(testStall))
+	go func() {
+		assert.Eventually(p.t, func() bool { return len(first.seen()) > 0 }, time.Second, time.Millisecond)
+		s.tracker.Update(listed([]*fakeTarget{first, other}))
+	}()
+	return s, other
+}
+
 func (p *patientTargets) run(f *fakeTarget, r *http.Request, c net.Conn) {
 	if r.Method == http.MethodDelete {
 		reply(c, "", 200, "")
@@ -157,12 +178,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p.t = t
-			slow, other := p.add("i-1", "north"), p.add("i-2", "south")
-			s := newTestSite(t, []*fakeTarget{slow}, WithStall(testStall))
-			go func() {
-				require.Eventually(t, func() bool { return len(slow.seen()) > 0 }, time.Second, time.Millisecond)
-				s.tracker.Update(listed([]*fakeTarget{slow, other}))
-			}()
+			s, other := p.newSite()
 			_, body, err := do(t, s.request(t, "POST", "/draft/a", "prompt", "X-Deadline", "9000"))
 			require.NoError(t, err)
 			require.Equal(t, wholeDraft(1), body)
@@ -269,13 +285,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p := &patientTargets{t: t, delay: slowAt(5)}
-			slow, other := p.add("i-1", "north"), p.add("i-2", "south")
-			slow.stop = func(conn net.Conn, _ string) { c.answer(conn) }
-			s := newTestSite(t, []*fakeTarget{slow}, WithStall(testStall))
-			go func() {
-				require.Eventually(t, func() bool { return len(slow.seen()) > 0 }, time.Second, time.Millisecond)
-				s.tracker.Update(listed([]*fakeTarget{slow, other}))
-			}()
+			p.stop = func(conn net.Conn, _ string) { c.answer(conn) }
+			s, _ := p.newSite()
 			began := time.Now()
 			_, body, err := do(t, s.request(t, "POST", "/draft/a", "prompt", "X-Deadline", "9000"))
 			require.NoError(t, err)
@@ -292,17 +303,12 @@
 // The copy that a stop makes is released, unless the stream may go on from it.
 func TestCopyOfAStoppedRunIsReleased(t *testing.T) {
 	p := &patientTargets{t: t, delay: slowAt(5)}
-	slow, other := p.add("i-1", "north"), p.add("i-2", "south")
-	s := newTestSite(t, []*fakeTarget{slow}, WithStall(testStall))
-	go func() {
-		require.Eventually(t, func() bool { return len(slow.seen()) > 0 }, time.Second, time.Millisecond)
-		s.tracker.Update(listed([]*fakeTarget{slow, other}))
-	}()
+	s, _ := p.newSite()
 	_, body, err := do(t, s.request(t, "POST", "/draft/a", "prompt", "X-Deadline", "9000"))
 	require.NoError(t, err)
 	require.Equal(t, wholeDraft(1), body)
 	require.Eventually(t, func() bool {
-		return slices.Contains(copyOrdersOf(slow), "DELETE "+copyPath+"/handle-attempt-1")
+		return slices.Contains(copyOrdersOf(p.first), "DELETE "+copyPath+"/handle-attempt-1")
 	}, 5*time.Second, time.Millisecond)
 }
 
@@ -342,19 +348,14 @@
 // Repeated orders must not take the permits of a target with a rate limit.
 func TestStopOrderToATargetWithARateLimitIsNotRepeated(t *testing.T) {
 	p := &patientTargets{t: t, delay: slowAt(1)}
-	slow, other := p.add("i-1", "north"), p.add("i-2", "south")
-	slow.stop = func(c net.Conn, attempt string) {
+	p.stop = func(c net.Conn, attempt string) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.orders = append(p.orders, attempt)
 		reply(c, "", 404, "", "X-Limit: 50")
 	}
-	s := newTestSite(t, []*fakeTarget{slow}, WithStall(testStall))
+	s, _ := p.newSite()
 	s.gateway.cfg.Limits.Observe("i-1", ratelimit.ParseSignal([]string{"50"}))
-	go func() {
-		require.Eventually(t, func() bool { return len(slow.seen()) > 0 }, time.Second, time.Millisecond)
-		s.tracker.Update(listed([]*fakeTarget{slow, other}))
-	}()
 	_, body, err := do(t, s.request(t, "POST", "/draft/a", "prompt", "X-Deadline", "9000"))
 	require.NoError(t, err)
 	require.Equal(t, wholeDraft(1), body)
