--- a/gateway/stoporders_test.go
+++ b/gateway/stoporders_test.go
@@ -364,3 +364,22 @@
 	defer p.mu.Unlock()
 	require.Len(t, p.orders, 1)
 }
+
+// A run that is canceled before its first event is ordered to stop, whatever the cause.
+func TestCanceledRunIsOrderedToStop(t *testing.T) {
+	for _, cause := range []error{errTargetUnresponsive, errPathLost, errQuarantined} {
+		t.Run(cause.Error(), func(t *testing.T) {
+			t.Parallel()
+			p := &patientTargets{t: t, delay: slowAt(1)}
+			s, _ := p.newSite()
+			go func() {
+				assert.Eventually(t, func() bool { return len(p.runsAt()) > 0 }, time.Second, time.Millisecond)
+				s.gateway.pending.cancelWhere(cause, func(*pendingRun) bool { return true })
+			}()
+			_, body, err := do(t, s.request(t, "POST", "/draft/a", "prompt", "X-Deadline", "9000"))
+			require.NoError(t, err)
+			require.Equal(t, wholeDraft(1), body)
+			p.requireNoneTwice()
+		})
+	}
+}
