--- a/gateway/abandoned.go
+++ b/gateway/abandoned.go
@@ -6,7 +6,7 @@
 	"k8s.io/klog/v2"
 )
 
-// abandonReason says why this node ended a run whose target may go on with it. Its value is a
+// abandonReason says why this node gave up a run whose target may keep working on it. Its value is a
 // metric label.
 type abandonReason string
 
@@ -31,8 +31,8 @@
 	return abandonBroken
 }
 
-// recordAbandoned records that this node has ended the run by closing its connection. That does
-// not say that the target has ended it, too.
+// recordAbandoned records that this node has given up the run and closed its connection, by
+// which not every target ends it.
 func (k *runCopy) recordAbandoned(ctx context.Context) {
 	r := k.relay
 	why := r.abandonReason(ctx)
--- a/gateway/stoporders.go
+++ b/gateway/stoporders.go
@@ -13,13 +13,14 @@
 	"k8s.io/klog/v2"
 )
 
-// Some targets work on at a request whose connection has closed, while its stream goes on at
-// another target. So each abandoned run of a stream that may be resumed is ended by an order to
-// its target. The next run does not wait for the answer, which a silent target does not give.
+// Some targets keep working on a request after its connection has closed. While the stream goes
+// on at another target, that would waste a slot and memory. So the target of an abandoned run is
+// ordered to stop it, if the stream may be resumed. The next run does not wait for the answer, as
+// a silent target gives none.
 
 const (
-	// stopTimeout bounds the attempts to stop a run. A target that stands still obeys an order
-	// when it goes on, if the connection is still open.
+	// stopTimeout bounds the attempts to stop a run. A frozen target obeys an order once it
+	// resumes, if the connection is still open.
 	stopTimeout = 5 * time.Second
 	// minStopRetry and maxStopRetry bound the wait before an order is repeated, which doubles.
 	minStopRetry = 50 * time.Millisecond
@@ -30,8 +31,8 @@
 	// maxStopOrders bounds the runs that are being stopped at a time, for the memory that
 	// they take when many targets are lost at once.
 	maxStopOrders = 512
-	// stopReleaseDelay is the wait before the copy of a stopped run is released: the next run
-	// may begin from another copy of it meanwhile, and a target may keep both as one.
+	// stopReleaseDelay is the wait before the copy of a stopped run is released. The next run
+	// may resume from a copy that grew with the run, and a target may keep both as one.
 	stopReleaseDelay = 500 * time.Millisecond
 	// stopPollInterval is how often AwaitStopOrders looks for orders.
 	stopPollInterval = 2 * time.Millisecond
--- a/gateway/stoporders_test.go
+++ b/gateway/stoporders_test.go
@@ -29,7 +29,7 @@
 	known   time.Time     // until then the target answers orders with 404
 }
 
-// patientTargets are targets that work on at requests whose connections are closed. They
+// patientTargets are targets that keep working on requests whose connections are closed. They
 // record requests on which one still works twiceLimit after another has begun.
 type patientTargets struct {
 	t *testing.T
@@ -145,7 +145,7 @@
 	reply(c, "", 404, "")
 }
 
-// requireNoneTwice checks that no target has worked on at a request that went on elsewhere.
+// requireNoneTwice checks that no target kept working on a request that went on elsewhere.
 func (p *patientTargets) requireNoneTwice() {
 	p.t.Helper()
 	p.checks.Wait()
@@ -165,8 +165,8 @@
 	}
 }
 
-// A slow target must not work on at a stream that its node has moved, whether or not it drops
-// requests whose connections are closed.
+// A slow target must not keep working on a stream that its node has moved, even if it does not
+// drop requests whose connections are closed.
 func TestMovedStreamDoesNotRunOnAtItsSlowTarget(t *testing.T) {
 	for name, p := range map[string]*patientTargets{
 		"between events":                   {delay: slowAt(5)},
