Order a run to stop once another target is known

A run that was abandoned while its node listed no other target was not ordered to stop: the order names a target for the copy, and was dropped. Its stream went on at a target that was listed later, and the first worked on. Change: the other target is chosen as the order is sent, and looked for again with each repeat. The first test waits until both targets are listed: its case "quarantined" needs one to go on at.

--- a/gateway/stoporders.go
+++ b/gateway/stoporders.go
@@ -49,7 +49,7 @@
 	stopUnsupported stopResult = "unsupported" // it does not take the order
 	stopBusy        stopResult = "busy"        // it carries out another order for the run
 	stopUnanswered  stopResult = "unanswered"  // it could not be asked, or did not answer
-	stopDropped     stopResult = "dropped"     // no order was sent: too many are under way, or no other target is known
+	stopDropped     stopResult = "dropped"     // it was not asked: too many orders are under way
 )
 
 // stopOrder is the order to stop one abandoned run.
@@ -57,7 +57,7 @@
 	gateway *Gateway
 	request string
 	target  *balance.Target
-	holder  *balance.Target // receives the copy that the order makes
+	holder  *balance.Target // receives the copy that the order makes; nil if none is known yet
 	// deadline is that of the request, at which the target ends the run itself.
 	deadline time.Time
 	// unbegun says that the run has brought no event and is replaced: a target may only know
@@ -83,7 +83,8 @@
 		return
 	}
 	o := &stopOrder{gateway: g, request: c.id, target: k.target, deadline: c.deadline, unbegun: replaced && k.relay.events == 0}
-	if o.holder, o.copy = k.stopHolder(); o.holder == nil || g.stopOrders.Load() >= maxStopOrders {
+	o.holder, o.copy = k.copyAndHandle()
+	if g.stopOrders.Load() >= maxStopOrders {
 		o.record(stopDropped, 0, 0)
 		return
 	}
@@ -94,21 +95,30 @@
 	}()
 }
 
-// stopHolder returns the target to receive the copy that a stop makes: the holder of the
-// run's copy, which lacks the least, else any other target. It also returns the handle of
-// the copy if that was ordered.
-func (k *runCopy) stopHolder() (*balance.Target, string) {
+// copyAndHandle returns the holder of the run's copy, and the handle of the copy if that was
+// ordered; nil if there is no copy.
+func (k *runCopy) copyAndHandle() (holder *balance.Target, handle string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.copy != nil {
-		return k.copy.holder, k.handle
+	if k.copy == nil {
+		return nil, ""
 	}
-	for _, t := range k.relay.gateway.targets.DialTargets(k.target.Service, 2) {
-		if t != k.target {
-			return t, ""
+	return k.copy.holder, k.handle
+}
+
+// chooseHolder sets the target to receive the copy that the order makes: that of the run's copy,
+// which lacks the least, else any other target. It returns false if none is known.
+func (o *stopOrder) chooseHolder() bool {
+	if o.holder != nil {
+		return true
+	}
+	for _, t := range o.gateway.targets.DialTargets(o.target.Service, 2) {
+		if t != o.target {
+			o.holder = t
+			return true
 		}
 	}
-	return nil, ""
+	return false
 }
 
 // run repeats the order until its result is final, stopTimeout has passed or the request has
@@ -147,6 +157,9 @@
 
 // send sends the order once. It returns the handle of the copy that it made, empty for none.
 func (o *stopOrder) send(ctx context.Context) (result stopResult, handle string) {
+	if !o.chooseHolder() {
+		return stopUnanswered, ""
+	}
 	orders := &o.gateway.cfg.Names.CopyOrders
 	answer, err := o.gateway.callTarget(ctx, o.target, purposeStop, orders.Stop(o.request, o.holder.Address))
 	var status orderStatusError
--- a/gateway/stoporders_test.go
+++ b/gateway/stoporders_test.go
@@ -373,7 +373,7 @@
 			p := &patientTargets{t: t, delay: slowAt(1)}
 			s, _ := p.newSite()
 			go func() {
-				assert.Eventually(t, func() bool { return len(p.runsAt()) > 0 }, time.Second, time.Millisecond)
+				assert.Eventually(t, func() bool { return len(p.runsAt()) > 0 && s.tracker.Target("i-2") != nil }, time.Second, time.Millisecond)
 				s.gateway.pending.cancelWhere(cause, func(*pendingRun) bool { return true })
 			}()
 			_, body, err := do(t, s.request(t, "POST", "/draft/a", "prompt", "X-Deadline", "9000"))
@@ -383,3 +383,21 @@
 		})
 	}
 }
+
+// A run that is canceled while no other target is known must be stopped once its stream goes on
+// at one that is listed later.
+func TestRunIsOrderedToStopOnceAnotherTargetIsKnown(t *testing.T) {
+	p := &patientTargets{t: t, delay: slowAt(1)}
+	first, other := p.add("i-1", "north"), p.add("i-2", "south")
+	s := newTestSite(t, []*fakeTarget{first}, WithStall(testStall))
+	go func() {
+		assert.Eventually(t, func() bool { return len(p.runsAt()) > 0 }, time.Second, time.Millisecond)
+		s.gateway.pending.cancelWhere(errPathLost, func(*pendingRun) bool { return true })
+		time.Sleep(testStall)
+		s.tracker.Update(listed([]*fakeTarget{first, other}))
+	}()
+	_, body, err := do(t, s.request(t, "POST", "/draft/a", "prompt", "X-Deadline", "9000"))
+	require.NoError(t, err)
+	require.Equal(t, wholeDraft(1), body)
+	p.requireNoneTwice()
+}
