Repeat the order to stop an unbegun run after 0.2 s

With 0.3 s the second order came 0.1 s before the end of the 0.4 s in which the run should end, too little on a busy machine. As many orders in 5 s as before: five. Tests: gateway/stoporders_test.go, twice.

--- a/gateway/stoporders.go
+++ b/gateway/stoporders.go
@@ -27,7 +27,7 @@
 	maxStopRetry = 2 * time.Second
 	// unbegunStopRetry is the least such wait for a run that the target does not know, but
 	// may begin later. Each order takes a connection that has just had another request.
-	unbegunStopRetry = 300 * time.Millisecond
+	unbegunStopRetry = 200 * time.Millisecond
 	// maxStopOrders bounds the runs that are being stopped at a time, for the memory that
 	// they take when many targets are lost at once.
 	maxStopOrders = 512
