Repeat the order to stop an unbegun run every 0.125 s while it must still end in time

Callers saw: a stream that had gone on at another target was still worked on by the first 0.4 s later, where that target knew the run only from some 0.2 s after the first order on. Cause: the wait before an order is repeated doubled from 0.2 s while the run could still begin: orders at 0, 0.2 and 0.6 s. TestOrdersStopARunThatItsTargetKnowsLate with the old waits: 600ms is not less than 400ms, known after 210ms. Why it works: the wait stays at 0.125 s until 0.4 s have passed, so an order falls between the moment at which the run is known and the end of its time. TestStopOrderToATargetWithARateLimitIsNotRepeated waits for 0.8 s rather than three times a constant, which was 0.6 s.

--- a/gateway/stoporders.go
+++ b/gateway/stoporders.go
@@ -25,9 +25,15 @@
 	// minStopRetry and maxStopRetry bound the wait before an order is repeated, which doubles.
 	minStopRetry = 50 * time.Millisecond
 	maxStopRetry = 2 * time.Second
-	// unbegunStopRetry is the least such wait for a run that the target does not know, but
-	// may begin later. Each order takes a connection that has just had another request.
-	unbegunStopRetry = 200 * time.Millisecond
+	// stopWithin is the time in which a run must end once its stream goes on elsewhere.
+	stopWithin = 400 * time.Millisecond
+	// unbegunStopRetry is the wait within stopWithin for a run that the target does not know,
+	// but may begin later. It does not double: a run that begins between two orders still has
+	// to end in time.
+	unbegunStopRetry = 125 * time.Millisecond
+	// lateStopRetry is the least such wait after that. Each order takes a connection that has
+	// not just had another one, or opens one.
+	lateStopRetry = time.Second
 	// maxStopOrders bounds the runs that are being stopped at a time, for the memory that
 	// they take when many targets are lost at once.
 	maxStopOrders = 512
@@ -127,23 +133,38 @@
 	ctx, cancel := context.WithTimeout(o.gateway.ctx, min(stopTimeout, uptime.Until(o.deadline)))
 	defer cancel()
 	began := uptime.Now()
-	retry := minStopRetry
+	backoff := stopBackoff{wait: minStopRetry}
 	for tries := 1; ; tries++ {
 		result, handle := o.send(ctx)
-		if result == stopNotRunning {
-			retry = max(retry, unbegunStopRetry)
-		}
-		if o.isFinal(result) || !pause.For(ctx, retry) {
+		if o.isFinal(result) || !pause.For(ctx, backoff.next(result, uptime.Since(began))) {
 			o.record(result, tries, uptime.Since(began))
 			if handle != "" && handle != o.copy {
 				time.AfterFunc(stopReleaseDelay, func() { o.gateway.releaseCopy(o.target, handle) })
 			}
 			return
 		}
-		retry = min(2*retry, maxStopRetry)
 	}
 }
 
+// stopBackoff paces the repeats of an order.
+type stopBackoff struct {
+	wait time.Duration
+}
+
+// next returns the wait before the next order, from the result of the last one and the time
+// since the first.
+func (b *stopBackoff) next(result stopResult, since time.Duration) time.Duration {
+	if result == stopNotRunning {
+		if since < stopWithin-unbegunStopRetry {
+			return unbegunStopRetry
+		}
+		b.wait = max(b.wait, lateStopRetry)
+	}
+	wait := b.wait
+	b.wait = min(2*wait, maxStopRetry)
+	return wait
+}
+
 // isFinal reports whether the order need not be repeated after a result.
 func (o *stopOrder) isFinal(result stopResult) bool {
 	switch result {
--- a/gateway/stoporders_test.go
+++ b/gateway/stoporders_test.go
@@ -359,7 +359,7 @@
 	_, body, err := do(t, s.request(t, "POST", "/draft/a", "prompt", "X-Deadline", "9000"))
 	require.NoError(t, err)
 	require.Equal(t, wholeDraft(1), body)
-	time.Sleep(3 * unbegunStopRetry)
+	time.Sleep(2 * twiceLimit)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	require.Len(t, p.orders, 1)
@@ -401,3 +401,22 @@
 	require.Equal(t, wholeDraft(1), body)
 	p.requireNoneTwice()
 }
+
+// A target may know a run only some time after the first order to stop it. The run must still
+// end within twiceLimit, and the orders must stay few.
+func TestOrdersStopARunThatItsTargetKnowsLate(t *testing.T) {
+	const (
+		latest    = 3 * twiceLimit / 4
+		maxOrders = 6 // within stopTimeout
+	)
+	var orders []time.Duration
+	backoff := stopBackoff{wait: minStopRetry}
+	for at := time.Duration(0); at < stopTimeout; at += backoff.next(stopNotRunning, at) {
+		orders = append(orders, at)
+	}
+	require.LessOrEqual(t, len(orders), maxOrders, orders)
+	for known := time.Duration(0); known <= latest; known += 10 * time.Millisecond {
+		i := slices.IndexFunc(orders, func(at time.Duration) bool { return at >= known })
+		require.Less(t, orders[i], twiceLimit, "known after %s", known)
+	}
+}
