Bound the memory of request heads before they are parsed

Callers saw: an entry or a member of the control group whose clients send very many short header lines ran out of memory and was ended, with all requests that it served. Cause: net/http parses a head whole, into 20 times its size, before a handler counts anything; the limit was 64 KiB on each connection whatever the configuration said; and nothing bounded the sum over connections, while heads arrive and while their requests run. Why it works: each connection counts the lines and bytes of a head as they are read, and takes their memory from one budget of the process until the request has ended. A head that finds none is refused at once with 503 and when to come back; one over the limit, now the configuration's, with 431. A common head takes nothing, so a crowd of others does not keep it out; one large head alone always finds room. What is read behind a refusal is bounded, so that the answer is not overtaken by a reset. A head that net/http has read together with the request before is counted, too.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -7,6 +7,7 @@
 package drain
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -19,6 +20,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/walnutramp/walnutramp/internal/headlimit"
 )
 
 const (
@@ -37,6 +40,8 @@
 	serving    atomic.Int64 // connections whose goroutine has not ended
 	requests   context.Context
 	cancel     context.CancelFunc
+	heads      *headlimit.Budget
+	headBytes  func() int
 
 	mu       sync.Mutex
 	stopping bool
@@ -45,15 +50,40 @@
 	conns    map[*conn]struct{}
 }
 
-// New returns a server that drains s. It sets the ConnState and the BaseContext of s, and
-// wraps its handler.
-func New(s *http.Server) *Server {
-	d := &Server{Server: s, conns: map[*conn]struct{}{}}
+// Option sets a limit of a Server.
+type Option func(*Server)
+
+// WithHeads sets the budget of the memory of request heads, which servers may share; the
+// default is one of DefaultHeadMemory bytes.
+func WithHeads(b *headlimit.Budget) Option { return func(s *Server) { s.heads = b } }
+
+// WithHeadBytes sets the function that returns the maximum size of a request's head; the
+// default is the MaxHeaderBytes of the http.Server, which must not be less.
+func WithHeadBytes(limit func() int) Option { return func(s *Server) { s.headBytes = limit } }
+
+// DefaultHeadMemory is the memory for large request heads, in bytes.
+const DefaultHeadMemory = 16 << 20
+
+// New returns a server that drains s. It sets the ConnState, the BaseContext and the
+// ConnContext of s, and wraps its handler.
+func New(s *http.Server, opts ...Option) *Server {
+	d := &Server{Server: s, conns: map[*conn]struct{}{}, headBytes: func() int { return cmp.Or(s.MaxHeaderBytes, http.DefaultMaxHeaderBytes) }}
+	for _, opt := range opts {
+		opt(d)
+	}
+	if d.heads == nil {
+		d.heads = headlimit.NewBudget(DefaultHeadMemory)
+	}
 	d.requests, d.cancel = context.WithCancel(context.Background())
 	s.BaseContext = func(net.Listener) context.Context { return d.requests }
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	handler := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		out := &responseWriter{ResponseWriter: w, server: d}
+		if refusal := refusalOf(r); refusal != nil {
+			writeRefusal(out, refusal)
+			return
+		}
 		handler.ServeHTTP(out, r)
 		out.announceClose() // for an answer without a body
 	})
@@ -154,6 +184,10 @@
 	switch state {
 	case http.StateNew:
 		s.serving.Add(1)
+	case http.StateActive:
+		if c, ok := c.(*conn); ok {
+			c.setActive()
+		}
 	case http.StateIdle:
 		if c, ok := c.(*conn); ok {
 			c.setIdle()
@@ -212,7 +246,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: accepted, server: l.server, idleFrom: time.Now().Add(newConnWait)}
+	c := &conn{Conn: accepted, server: l.server, idleFrom: time.Now().Add(newConnWait), head: headlimit.NewMeter(l.server.heads, l.server.headBytes)}
 	l.server.mu.Lock()
 	defer l.server.mu.Unlock()
 	l.server.conns[c] = struct{}{}
@@ -234,11 +268,25 @@
 	idleFrom time.Time // a connection without a request does not count as idle before
 	deadline time.Time // for reads, as set by http.Server
 	closing  bool      // as idle
+	head     *headlimit.Meter
+	refusal  *headlimit.Refusal // of a head that was read together with the request before
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	n, err = c.receive(p, n, err)
+	if n == 0 {
+		return n, err
+	}
+	if refusal := c.measure(p[:n], len(p) == 1); refusal != nil {
+		return 0, c.refuse(refusal)
+	}
+	return n, err
+}
+
+// receive records the result of a read.
+func (c *conn) receive(p []byte, n int, err error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n == 0 && (c.closing || !c.received && errors.Is(err, os.ErrDeadlineExceeded)) {
@@ -280,6 +328,9 @@
 	defer c.mu.Unlock()
 	c.deadline = t
 	if c.armed {
+		if !c.received {
+			c.refusal = c.head.Pipelined()
+		}
 		if err := c.begin(); err != nil {
 			return err
 		}
@@ -296,6 +347,9 @@
 	c.server.mu.Lock()
 	delete(c.server.conns, c)
 	c.server.mu.Unlock()
+	c.mu.Lock()
+	c.head.Close()
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
@@ -323,6 +377,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.received, c.armed, c.idleFrom = false, false, time.Time{}
+	c.head.Next()
 }
 
 func (c *conn) closeIfIdle() {
--- /dev/null
+++ b/internal/drain/refuse.go
@@ -0,0 +1,85 @@
+package drain
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/walnutramp/walnutramp/internal/headlimit"
+)
+
+const (
+	// lingerTime and lingerBytes bound how long, and how much, is read behind a refusal: a
+	// connection that is closed with unread data is reset, which may overtake the answer.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 256 << 10
+)
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// refusalOf returns why the head of a request must be refused after it has been parsed; nil if
+// it need not be.
+func refusalOf(r *http.Request) *headlimit.Refusal {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusal
+}
+
+// writeRefusal answers a request whose head is refused.
+func writeRefusal(w http.ResponseWriter, refusal *headlimit.Refusal) {
+	w.Header().Set("Connection", "close")
+	if refusal.RetryAfter > 0 {
+		w.Header().Set("Retry-After", formatSeconds(refusal.RetryAfter))
+	}
+	http.Error(w, refusal.Why, refusal.Status)
+}
+
+// setActive is called when a head has been parsed.
+func (c *conn) setActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.Parsed()
+}
+
+// measure counts what has arrived against the limits of heads.
+func (c *conn) measure(p []byte, background bool) *headlimit.Refusal {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.Read(p, background)
+}
+
+// refuse answers a head that is not read further. The error that it returns is one that
+// http.Server does not answer.
+func (c *conn) refuse(refusal *headlimit.Refusal) error {
+	err := errors.Join(
+		c.Conn.SetDeadline(time.Now().Add(lingerTime)),
+		c.writeRefusal(refusal),
+		c.CloseWrite(),
+	)
+	if err == nil {
+		_, err = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Err: errors.Join(refusal, err)}
+}
+
+func (c *conn) writeRefusal(refusal *headlimit.Refusal) error {
+	var retryAfter string
+	if refusal.RetryAfter > 0 {
+		retryAfter = "Retry-After: " + formatSeconds(refusal.RetryAfter) + "\r\n"
+	}
+	_, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s",
+		refusal.Status, http.StatusText(refusal.Status), len(refusal.Why), retryAfter, refusal.Why)
+	return err
+}
+
+// formatSeconds returns the value of a Retry-After header.
+func formatSeconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -1,7 +1,9 @@
 package serve
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"path/filepath"
@@ -278,12 +280,18 @@
 	if err != nil {
 		return err
 	}
-	p.entry.clientServer = newServer(g)
+	p.entry.clientServer = newServer(g, drain.WithHeads(p.heads), drain.WithHeadBytes(headBytes(g)))
+	p.entry.clientServer.MaxHeaderBytes = math.MaxInt32 // headBytes is the limit
 	serveInBackground(p.entry.clientServer, &timeoutListener{Listener: clients, limits: g.Limits})
-	p.entry.readyServer, err = listen(p.settings.ReadyListen, p.adapter.Ready(g.Ready))
+	p.entry.readyServer, err = p.listen(p.settings.ReadyListen, p.adapter.Ready(g.Ready))
 	return err
 }
 
+// headBytes returns a function that returns the maximum size of a client's request head.
+func headBytes(g *gateway.Gateway) func() int {
+	return func() int { return cmp.Or(g.Limits().HeaderBytes, maxHeaderBytes) }
+}
+
 // leaseCheck returns a function that reports whether new requests may be accepted.
 // It returns nil (no check) unless FailClosed is set. Then a node whose lease from the
 // control group has expired rejects new requests.
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -21,7 +21,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+MetricsPath, func(w http.ResponseWriter, _ *http.Request) { p.writeMetrics(w) })
-	server, err := listen(p.settings.MetricsAddr, mux)
+	server, err := p.listen(p.settings.MetricsAddr, mux)
 	p.metrics = server
 	return err
 }
@@ -32,6 +32,9 @@
 	fmt.Fprintf(w, "walnutramp_list_entries_passed_over_total %d\n", p.adapter.SkippedEntries())
 	fmt.Fprintf(w, "walnutramp_peer_sent_bytes_total %d\n", p.traffic.Sent.Load())
 	fmt.Fprintf(w, "walnutramp_peer_received_bytes_total %d\n", p.traffic.Received.Load())
+	fmt.Fprintf(w, "walnutramp_request_heads_held_bytes %d\n", p.heads.Used())
+	fmt.Fprintf(w, "walnutramp_request_heads_refused_total{why=\"memory\"} %d\n", p.heads.Refused())
+	fmt.Fprintf(w, "walnutramp_request_heads_refused_total{why=\"size\"} %d\n", p.heads.TooLarge())
 	if p.droppedLogLines != nil {
 		fmt.Fprintf(w, "walnutramp_log_lines_dropped_total %d\n", p.droppedLogLines())
 	}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -19,6 +19,7 @@
 	"github.com/walnutramp/walnutramp/gateway"
 	"github.com/walnutramp/walnutramp/internal/build"
 	"github.com/walnutramp/walnutramp/internal/drain"
+	"github.com/walnutramp/walnutramp/internal/headlimit"
 	"github.com/walnutramp/walnutramp/metering"
 	"github.com/walnutramp/walnutramp/peer"
 	"github.com/walnutramp/walnutramp/rollout"
@@ -43,6 +44,7 @@
 	Founder         bool                  // bootstraps the control group if its disk is empty
 	DataDir         string
 	MemoryMB        int
+	HeadMemoryMB    int           // for large request heads; 0 for a share of the memory limit
 	LinkMbps        float64       // capacity of the machine's link in Mbit/s; 0 if unknown
 	Grace           time.Duration // grace period from the stop request to the kill
 	OperatorTimeout time.Duration // timeout of operator calls
@@ -129,6 +131,7 @@
 	settings        Settings
 	adapter         Adapter
 	traffic         peer.Traffic
+	heads           *headlimit.Budget
 	peers           *peer.Client
 	client          *control.Client
 	entry           *entry
@@ -147,7 +150,7 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * heapShare))
 	}
-	p := &Process{settings: s, adapter: a, droppedLogLines: dropped}
+	p := &Process{settings: s, adapter: a, droppedLogLines: dropped, heads: headlimit.NewBudget(s.headMemory())}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(p)
