Bound the connections of clients at each address

Callers saw: an entry or a node whose clients only keep connections open has no descriptors left for targets, nor a member for other nodes: requests fail that could be served. Cause: nothing bounded the number of connections, so clients alone could take all descriptors, and some 13 KB of memory each. Why it works: each address may take a share of the descriptors, and of the memory at 24 KiB a connection; the shares leave an eighth and more to targets and other nodes. From seven eighths of its share on, each new connection closes the one that has waited longest for its client, so the crowd makes room for ordinary callers; a request in flight is never cut off. Beyond the share a client is answered 503, with when to come back, unread.

--- /dev/null
+++ b/cmd/walnutramp/limits.go
@@ -0,0 +1,18 @@
+package main
+
+import "strconv"
+
+// clientLimits are settings that bound what clients may take of a process.
+type clientLimits struct {
+	HeadMemoryMB   int `long:"head-memory" env:"WALNUTRAMP_HEAD_MEMORY_MB" description:"memory for large request heads, in MiB; 0 for an eighth of the memory limit, 16 at most"`
+	MaxConnections int `long:"max-connections" env:"WALNUTRAMP_MAX_CONNECTIONS" description:"open connections of clients; 0 for half of the descriptors, or of the memory limit at 24 KiB each if that is fewer"`
+}
+
+func (l *clientLimits) check() error {
+	for setting, value := range map[string]int{"--head-memory": l.HeadMemoryMB, "--max-connections": l.MaxConnections} {
+		if value < 0 {
+			return &settingError{setting, strconv.Itoa(value), "0 or more"}
+		}
+	}
+	return nil
+}
--- a/cmd/walnutramp/node.go
+++ b/cmd/walnutramp/node.go
@@ -41,6 +41,7 @@
 	ProbePeriod  time.Duration `long:"probe-period" env:"WALNUTRAMP_PROBE_PERIOD" default:"500ms" description:"interval between membership probes"`
 	StopDeadline time.Duration `long:"stop-deadline" env:"WALNUTRAMP_STOP_DEADLINE" default:"10m" description:"how long requests in flight may run after a graceful stop was requested"`
 	Check        bool          `long:"check" description:"validate the settings and the bundle, and exit"`
+	Limits       clientLimits  `group:"Limits of clients"`
 }
 
 // Execute implements flags.Commander.
@@ -75,6 +76,9 @@
 			return nil, &settingError{setting, value.String(), "a duration of 1ms or more"}
 		}
 	}
+	if err := c.Limits.check(); err != nil {
+		return nil, err
+	}
 	peers, err := parsePeers(c.Peers)
 	if err != nil {
 		return nil, err
@@ -96,6 +100,7 @@
 		node.WithLoadInterval(c.LoadInterval),
 		node.WithProbePeriod(c.ProbePeriod),
 		node.WithStopDeadline(c.StopDeadline),
+		node.WithClientLimits(c.Limits.HeadMemoryMB, c.Limits.MaxConnections),
 		node.WithSeed(uint64(time.Now().UnixNano())),
 	), nil
 }
--- a/cmd/walnutramp/serve.go
+++ b/cmd/walnutramp/serve.go
@@ -6,7 +6,6 @@
 	"net"
 	"os"
 	"os/signal"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -19,12 +18,12 @@
 
 type serveCommand struct {
 	*program
-	Config string `long:"config" env:"WALNUTRAMP_CONFIG" default:"/etc/walnutramp/local.toml" description:"settings file of the platform; reloaded on SIGHUP and when it changes"`
-	Policy string `long:"policy" env:"WALNUTRAMP_POLICY" default:"predicted" choice:"predicted" choice:"least-reported" choice:"round-robin" choice:"random" description:"load balancing policy; all but the default are for comparisons"`
-	Source string `long:"target-source" env:"WALNUTRAMP_TARGET_SOURCE" description:"local IP address of connections to targets; empty for the system's choice"`
-	HeadMB int    `long:"head-memory" env:"WALNUTRAMP_HEAD_MEMORY_MB" description:"memory for large request heads, in MiB; 0 for an eighth of the memory limit, 16 at most"`
-	NoLog  bool   `long:"no-log" env:"WALNUTRAMP_NO_LOG" description:"write no log lines, to measure the cost of logging"`
-	Check  bool   `long:"check" description:"validate the settings, and exit"`
+	Config string       `long:"config" env:"WALNUTRAMP_CONFIG" default:"/etc/walnutramp/local.toml" description:"settings file of the platform; reloaded on SIGHUP and when it changes"`
+	Policy string       `long:"policy" env:"WALNUTRAMP_POLICY" default:"predicted" choice:"predicted" choice:"least-reported" choice:"round-robin" choice:"random" description:"load balancing policy; all but the default are for comparisons"`
+	Source string       `long:"target-source" env:"WALNUTRAMP_TARGET_SOURCE" description:"local IP address of connections to targets; empty for the system's choice"`
+	NoLog  bool         `long:"no-log" env:"WALNUTRAMP_NO_LOG" description:"write no log lines, to measure the cost of logging"`
+	Check  bool         `long:"check" description:"validate the settings, and exit"`
+	Limits clientLimits `group:"Limits of clients"`
 }
 
 // settingsPollInterval is the interval between checks of the settings file's
@@ -43,10 +42,10 @@
 		return &settingError{"--target-source", c.Source, "an IP address"}
 	}
 	settings.TargetSource = c.Source
-	if c.HeadMB < 0 {
-		return &settingError{"--head-memory", strconv.Itoa(c.HeadMB), "0 or more"}
+	if err := c.Limits.check(); err != nil {
+		return err
 	}
-	settings.HeadMemoryMB = c.HeadMB
+	settings.HeadMemoryMB, settings.MaxConnections = c.Limits.HeadMemoryMB, c.Limits.MaxConnections
 	if c.Check {
 		return nil
 	}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -42,6 +42,9 @@
 	cancel     context.CancelFunc
 	heads      *headlimit.Budget
 	headBytes  func() int
+	maxConns   int // 0 for no limit
+	turnedAway atomic.Int64
+	evicted    atomic.Int64
 
 	mu       sync.Mutex
 	stopping bool
@@ -54,15 +57,15 @@
 type Option func(*Server)
 
 // WithHeads sets the budget of the memory of request heads, which servers may share; the
-// default is one of DefaultHeadMemory bytes.
+// default follows from the process's resources.
 func WithHeads(b *headlimit.Budget) Option { return func(s *Server) { s.heads = b } }
 
 // WithHeadBytes sets the function that returns the maximum size of a request's head; the
 // default is the MaxHeaderBytes of the http.Server, which must not be less.
 func WithHeadBytes(limit func() int) Option { return func(s *Server) { s.headBytes = limit } }
 
-// DefaultHeadMemory is the memory for large request heads, in bytes.
-const DefaultHeadMemory = 16 << 20
+// WithMaxConns bounds the open connections; the default is not to bound them.
+func WithMaxConns(n int) Option { return func(s *Server) { s.maxConns = n } }
 
 // New returns a server that drains s. It sets the ConnState, the BaseContext and the
 // ConnContext of s, and wraps its handler.
@@ -72,7 +75,7 @@
 		opt(d)
 	}
 	if d.heads == nil {
-		d.heads = headlimit.NewBudget(DefaultHeadMemory)
+		d.heads = headlimit.NewBudget(ProcessResources(0).HeadMemory())
 	}
 	d.requests, d.cancel = context.WithCancel(context.Background())
 	s.BaseContext = func(net.Listener) context.Context { return d.requests }
@@ -171,6 +174,20 @@
 	return len(conns)
 }
 
+// ConnCounts are counts of a server's connections.
+type ConnCounts struct {
+	Open       int
+	TurnedAway int64 // clients for which there was no connection
+	Evicted    int64 // connections closed to keep some free
+}
+
+// ConnCounts returns the counts of the server's connections.
+func (s *Server) ConnCounts() ConnCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ConnCounts{Open: len(s.conns), TurnedAway: s.turnedAway.Load(), Evicted: s.evicted.Load()}
+}
+
 // AwaitHandlers waits, for at most limit, until the handlers of a closed server have ended.
 func (s *Server) AwaitHandlers(limit time.Duration) {
 	for began := time.Now(); s.serving.Load() > 0 && time.Since(began) < limit; {
@@ -242,15 +259,16 @@
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.server.admit(accepted); c != nil {
+			return c, nil
+		}
+		turnAway(accepted)
 	}
-	c := &conn{Conn: accepted, server: l.server, idleFrom: time.Now().Add(newConnWait), head: headlimit.NewMeter(l.server.heads, l.server.headBytes)}
-	l.server.mu.Lock()
-	defer l.server.mu.Unlock()
-	l.server.conns[c] = struct{}{}
-	return c, nil
 }
 
 // expired is a deadline that has passed.
@@ -270,6 +288,10 @@
 	closing  bool      // as idle
 	head     *headlimit.Meter
 	refusal  *headlimit.Refusal // of a head that was read together with the request before
+
+	state      connState
+	stateSince time.Time
+	evicted    bool // is being closed for want of room
 }
 
 // Read implements net.Conn.
@@ -301,9 +323,12 @@
 	return n, err
 }
 
-// begin records that a request is being read. The caller holds the mutex.
+// begin records that some of a request has been read. The caller holds the mutex.
 func (c *conn) begin() error {
-	c.received = true
+	if !c.received {
+		c.received = true
+		c.stateSince = time.Now()
+	}
 	if !c.closing {
 		return nil
 	}
@@ -377,6 +402,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.received, c.armed, c.idleFrom = false, false, time.Time{}
+	c.setState(connIdle)
 	c.head.Next()
 }
 
--- /dev/null
+++ b/internal/drain/limits.go
@@ -0,0 +1,49 @@
+package drain
+
+import (
+	"runtime/debug"
+	"syscall"
+)
+
+const (
+	// maxHeadMemory bounds the memory of large request heads, in bytes, and headShare does so
+	// as a fraction of the process's memory.
+	maxHeadMemory = 16 << 20
+	headShare     = 1.0 / 8
+	// connMemory is the memory, in bytes, that a connection takes beside large heads and the
+	// bodies of its requests.
+	connMemory = 24 << 10
+	// assumedMemory is the memory assumed for a process without a limit, in bytes.
+	assumedMemory = 256 << 20
+	// assumedDescriptors are assumed where the limit can't be read.
+	assumedDescriptors = 1024
+)
+
+// Resources are the limits of a process, from which those of its clients follow.
+type Resources struct {
+	Memory      int64 // in bytes
+	Descriptors int
+}
+
+// ProcessResources returns the memory limit of the Go runtime and the limit of descriptors of
+// this process, or a lower one if maxDescriptors is set.
+func ProcessResources(maxDescriptors int) Resources {
+	r := Resources{Memory: min(debug.SetMemoryLimit(-1), assumedMemory), Descriptors: assumedDescriptors}
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err == nil {
+		r.Descriptors = int(min(limit.Cur, 1<<30))
+	}
+	if maxDescriptors > 0 {
+		r.Descriptors = min(r.Descriptors, maxDescriptors)
+	}
+	return r
+}
+
+// HeadMemory returns the default memory for large request heads, in bytes.
+func (r Resources) HeadMemory() int64 { return int64(min(maxHeadMemory, headShare*float64(r.Memory))) }
+
+// MaxConns returns how many connections a server may have that may use a share of the
+// resources.
+func (r Resources) MaxConns(share float64) int {
+	return max(1, int(share*min(float64(r.Descriptors), float64(r.Memory)/connMemory)))
+}
--- a/internal/drain/refuse.go
+++ b/internal/drain/refuse.go
@@ -48,6 +48,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.head.Parsed()
+	c.setState(connActive)
 }
 
 // measure counts what has arrived against the limits of heads.
@@ -60,9 +61,12 @@
 // refuse answers a head that is not read further. The error that it returns is one that
 // http.Server does not answer.
 func (c *conn) refuse(refusal *headlimit.Refusal) error {
+	c.mu.Lock()
+	c.setState(connRefused)
+	c.mu.Unlock()
 	err := errors.Join(
 		c.Conn.SetDeadline(time.Now().Add(lingerTime)),
-		c.writeRefusal(refusal),
+		writeRawRefusal(c.Conn, refusal),
 		c.CloseWrite(),
 	)
 	if err == nil {
@@ -71,12 +75,13 @@
 	return &net.OpError{Op: "read", Net: "tcp", Err: errors.Join(refusal, err)}
 }
 
-func (c *conn) writeRefusal(refusal *headlimit.Refusal) error {
+// writeRawRefusal writes the answer to a request that http.Server has not read.
+func writeRawRefusal(w io.Writer, refusal *headlimit.Refusal) error {
 	var retryAfter string
 	if refusal.RetryAfter > 0 {
 		retryAfter = "Retry-After: " + formatSeconds(refusal.RetryAfter) + "\r\n"
 	}
-	_, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s",
+	_, err := fmt.Fprintf(w, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s",
 		refusal.Status, http.StatusText(refusal.Status), len(refusal.Why), retryAfter, refusal.Why)
 	return err
 }
--- a/node/node.go
+++ b/node/node.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -20,6 +21,7 @@
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/generation"
 	"github.com/walnutramp/walnutramp/internal/drain"
+	"github.com/walnutramp/walnutramp/internal/headlimit"
 	"github.com/walnutramp/walnutramp/internal/part"
 	"github.com/walnutramp/walnutramp/internal/pause"
 	"github.com/walnutramp/walnutramp/member"
@@ -50,6 +52,8 @@
 	ProbePeriod       time.Duration
 	StopDeadline      time.Duration // bounds the whole of Stop
 	HeaderTimeout     time.Duration // timeout for reading request headers
+	HeadMemoryMB      int           // for large request heads; 0 for the default
+	MaxConnections    int           // of callers; 0 for the default
 	Seed              uint64
 	GenerationOptions []generation.Option
 	RouteOptions      []route.Option
@@ -101,6 +105,12 @@
 // WithStopDeadline sets how long Stop may take until the remaining requests are aborted.
 func WithStopDeadline(d time.Duration) Option { return func(c *Config) { c.StopDeadline = d } }
 
+// WithClientLimits sets the memory for large request heads, in MiB, and the number of open
+// connections of callers; 0 leaves the default of either.
+func WithClientLimits(headMemoryMB, maxConnections int) Option {
+	return func(c *Config) { c.HeadMemoryMB, c.MaxConnections = headMemoryMB, maxConnections }
+}
+
 // WithControl sets the control group's initial members and the operators whose signed
 // bundles it accepts.
 func WithControl(founders []walnutramp.NodeName, operators bundle.Operators) Option {
@@ -278,7 +288,19 @@
 	mux.HandleFunc("GET /readyz", n.serveReady)
 	mux.HandleFunc("GET /metrics", n.metrics.serve)
 	mux.HandleFunc("GET /report", n.metrics.serveReport)
-	n.http = drain.New(&http.Server{Handler: mux, ReadHeaderTimeout: n.cfg.HeaderTimeout, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10})
+	n.http = drain.New(&http.Server{Handler: mux, ReadHeaderTimeout: n.cfg.HeaderTimeout, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10}, n.clientLimits()...)
+}
+
+// callerShare is the share of the process's resources that connections of callers may take;
+// the rest is for targets and other nodes.
+const callerShare = 1.0 / 2
+
+func (n *Node) clientLimits() []drain.Option {
+	r := drain.ProcessResources(0)
+	return []drain.Option{
+		drain.WithHeads(headlimit.NewBudget(cmp.Or(int64(n.cfg.HeadMemoryMB)<<20, r.HeadMemory()))),
+		drain.WithMaxConns(cmp.Or(n.cfg.MaxConnections, r.MaxConns(callerShare))),
+	}
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/walnutramp/walnutramp/internal/build"
+	"github.com/walnutramp/walnutramp/internal/drain"
 	"github.com/walnutramp/walnutramp/loadshare"
 	"github.com/walnutramp/walnutramp/rollout"
 )
@@ -21,7 +22,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+MetricsPath, func(w http.ResponseWriter, _ *http.Request) { p.writeMetrics(w) })
-	server, err := p.listen(p.settings.MetricsAddr, mux)
+	server, err := p.listen(p.settings.MetricsAddr, metricsShare, mux)
 	p.metrics = server
 	return err
 }
@@ -35,6 +36,7 @@
 	fmt.Fprintf(w, "walnutramp_request_heads_held_bytes %d\n", p.heads.Used())
 	fmt.Fprintf(w, "walnutramp_request_heads_refused_total{why=\"memory\"} %d\n", p.heads.Refused())
 	fmt.Fprintf(w, "walnutramp_request_heads_refused_total{why=\"size\"} %d\n", p.heads.TooLarge())
+	p.writeConnections(w)
 	if p.droppedLogLines != nil {
 		fmt.Fprintf(w, "walnutramp_log_lines_dropped_total %d\n", p.droppedLogLines())
 	}
@@ -59,6 +61,26 @@
 	}
 }
 
+// writeConnections writes the counts of connections at each of the process's addresses.
+func (p *Process) writeConnections(w io.Writer) {
+	servers := map[string]*drain.Server{"metrics": p.metrics}
+	if p.entry != nil {
+		servers["clients"], servers["ready"] = p.entry.clientServer, p.entry.readyServer
+	}
+	if p.replica != nil {
+		servers["operators"] = p.replica.operator
+	}
+	for address, server := range servers {
+		if server == nil {
+			continue
+		}
+		counts := server.ConnCounts()
+		fmt.Fprintf(w, "walnutramp_connections{address=%q} %d\n", address, counts.Open)
+		fmt.Fprintf(w, "walnutramp_connections_turned_away_total{address=%q} %d\n", address, counts.TurnedAway)
+		fmt.Fprintf(w, "walnutramp_connections_evicted_total{address=%q} %d\n", address, counts.Evicted)
+	}
+}
+
 // writeVersions writes the revision of the newest roll-out records that an entry has
 // received, and its request counts per version in the active roll-outs.
 func writeVersions(w io.Writer, a *rollout.Agent) {
--- a/serve/replica.go
+++ b/serve/replica.go
@@ -58,7 +58,7 @@
 	go peerServer.Serve(l)
 	p.client.Start()
 	p.replica = &replica{server: peerServer}
-	p.replica.operator, err = p.listen(s.OperatorAddr, p.adapter.Operator(&documentClient{client: p.client, timeout: s.OperatorTimeout}))
+	p.replica.operator, err = p.listen(s.OperatorAddr, operatorShare, p.adapter.Operator(&documentClient{client: p.client, timeout: s.OperatorTimeout}))
 	return err
 }
 
@@ -126,7 +126,7 @@
 		return err
 	}
 	p.replica = &replica{member: member, server: server, duties: duties, usage: usage, fleet: fleet}
-	p.replica.operator, err = p.listen(s.OperatorAddr, p.adapter.Operator(&documentClient{client: p.client, member: member, timeout: s.OperatorTimeout}))
+	p.replica.operator, err = p.listen(s.OperatorAddr, operatorShare, p.adapter.Operator(&documentClient{client: p.client, member: member, timeout: s.OperatorTimeout}))
 	return err
 }
 
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -45,6 +45,8 @@
 	DataDir         string
 	MemoryMB        int
 	HeadMemoryMB    int           // for large request heads; 0 for a share of the memory limit
+	MaxDescriptors  int           // of the process; 0 for the limit of the system
+	MaxConnections  int           // of clients; 0 for a share of the descriptors and memory
 	LinkMbps        float64       // capacity of the machine's link in Mbit/s; 0 if unknown
 	Grace           time.Duration // grace period from the stop request to the kill
 	OperatorTimeout time.Duration // timeout of operator calls
@@ -132,6 +134,7 @@
 	adapter         Adapter
 	traffic         peer.Traffic
 	heads           *headlimit.Budget
+	resources       drain.Resources
 	peers           *peer.Client
 	client          *control.Client
 	entry           *entry
@@ -150,7 +153,8 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * heapShare))
 	}
-	p := &Process{settings: s, adapter: a, droppedLogLines: dropped, heads: headlimit.NewBudget(s.headMemory())}
+	p := &Process{settings: s, adapter: a, droppedLogLines: dropped}
+	p.setResources()
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(p)
--- a/serve/server.go
+++ b/serve/server.go
@@ -1,12 +1,13 @@
 package serve
 
 import (
+	"cmp"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"github.com/walnutramp/walnutramp/internal/drain"
+	"github.com/walnutramp/walnutramp/internal/headlimit"
 	"k8s.io/klog/v2"
 )
 
@@ -17,29 +18,41 @@
 	idleTimeout   = 2 * time.Minute
 	// maxHeaderBytes bounds the head of a request where the configuration does not.
 	maxHeaderBytes = 64 << 10
-	// headShare bounds the memory of large request heads as a fraction of the process's.
-	headShare = 1.0 / 8
 )
 
-// headMemory returns the memory for large request heads, in bytes.
-func (s *Settings) headMemory() int64 {
-	if s.HeadMemoryMB > 0 {
-		return int64(s.HeadMemoryMB) << 20
-	}
-	return int64(min(drain.DefaultHeadMemory, headShare*float64(debug.SetMemoryLimit(-1))))
+// Shares of the process's resources that the connections to each address may take; the rest is
+// for targets and other nodes.
+const (
+	clientShare   = 1.0 / 2
+	operatorShare = 1.0 / 4
+	readyShare    = 1.0 / 16
+	metricsShare  = 1.0 / 16
+)
+
+// setResources sets the limits of what clients may take.
+func (p *Process) setResources() {
+	p.resources = drain.ProcessResources(p.settings.MaxDescriptors)
+	p.heads = headlimit.NewBudget(cmp.Or(int64(p.settings.HeadMemoryMB)<<20, p.resources.HeadMemory()))
+	klog.InfoS("Limits of clients", "memory", p.resources.Memory, "descriptors", p.resources.Descriptors, "connections", p.maxClientConns())
+}
+
+// maxClientConns returns how many connections clients may have open.
+func (p *Process) maxClientConns() int {
+	return cmp.Or(p.settings.MaxConnections, p.resources.MaxConns(clientShare))
 }
 
 func newServer(h http.Handler, opts ...drain.Option) *drain.Server {
 	return drain.New(&http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}, opts...)
 }
 
-// listen starts an HTTP server on address.
-func (p *Process) listen(address string, h http.Handler) (*drain.Server, error) {
+// listen starts an HTTP server on address, whose connections may take a share of the process's
+// resources.
+func (p *Process) listen(address string, share float64, h http.Handler) (*drain.Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	server := newServer(h, drain.WithHeads(p.heads))
+	server := newServer(h, drain.WithHeads(p.heads), drain.WithMaxConns(p.resources.MaxConns(share)))
 	serveInBackground(server, l)
 	return server, nil
 }
