Bound the wait for the body of a request

Callers saw: beside clients that send the head of a request but not its body, ordinary callers got no answer, and an entry was not ready for the load balancer. Cause: a body was awaited without an end, past the deadline of its request, and by net/http even behind an answer that needs none of it. Each such request counted as being handled, so its connection and its memory were never given back. Why it works: a request whose body has not come waits for its client, so its connection is among those that give way to new ones, the one without progress for longest first. A body is awaited until the deadline of its request, which then is answered 408, as not run; on other addresses, and where a handler leaves it unread, for a minute (--body-timeout).

--- a/cmd/walnutramp/limits.go
+++ b/cmd/walnutramp/limits.go
@@ -1,11 +1,15 @@
 package main
 
-import "strconv"
+import (
+	"strconv"
+	"time"
+)
 
 // clientLimits are settings that bound what clients may take of a process.
 type clientLimits struct {
-	HeadMemoryMB   int `long:"head-memory" env:"WALNUTRAMP_HEAD_MEMORY_MB" description:"memory for large request heads, in MiB; 0 for an eighth of the memory limit, 16 at most"`
-	MaxConnections int `long:"max-connections" env:"WALNUTRAMP_MAX_CONNECTIONS" description:"open connections of clients; 0 for half of the descriptors, or of the memory limit at 24 KiB each if that is fewer"`
+	HeadMemoryMB   int           `long:"head-memory" env:"WALNUTRAMP_HEAD_MEMORY_MB" description:"memory for large request heads, in MiB; 0 for an eighth of the memory limit, 16 at most"`
+	MaxConnections int           `long:"max-connections" env:"WALNUTRAMP_MAX_CONNECTIONS" description:"open connections of clients; 0 for half of the descriptors, or of the memory limit at 24 KiB each if that is fewer"`
+	BodyTimeout    time.Duration `long:"body-timeout" env:"WALNUTRAMP_BODY_TIMEOUT" default:"1m" description:"how long the body of a request may take to arrive, if its deadline is not earlier"`
 }
 
 func (l *clientLimits) check() error {
@@ -14,5 +18,8 @@
 			return &settingError{setting, strconv.Itoa(value), "0 or more"}
 		}
 	}
+	if l.BodyTimeout < time.Second {
+		return &settingError{"--body-timeout", l.BodyTimeout.String(), "a duration of 1s or more"}
+	}
 	return nil
 }
--- a/cmd/walnutramp/serve.go
+++ b/cmd/walnutramp/serve.go
@@ -45,7 +45,7 @@
 	if err := c.Limits.check(); err != nil {
 		return err
 	}
-	settings.HeadMemoryMB, settings.MaxConnections = c.Limits.HeadMemoryMB, c.Limits.MaxConnections
+	settings.HeadMemoryMB, settings.MaxConnections, settings.BodyTimeout = c.Limits.HeadMemoryMB, c.Limits.MaxConnections, c.Limits.BodyTimeout
 	if c.Check {
 		return nil
 	}
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -4,8 +4,11 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/internal/uptime"
+	"k8s.io/klog/v2"
 )
 
 const (
@@ -89,7 +92,12 @@
 	if r.ContentLength > limit {
 		return bodyTooLarge(limit)
 	}
+	late := c.limitBodyTime(w)
 	err := c.buffer.read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	if late() {
+		w.Header().Set("Connection", "close")
+		return walnutramp.NewError(walnutramp.CodeBodyTimeout, walnutramp.NotRun, "the request body did not arrive before the deadline")
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
@@ -103,6 +111,18 @@
 	return walnutramp.NewError(walnutramp.CodeBadRequest, walnutramp.NotRun, "the request body could not be read to its end")
 }
 
+// limitBodyTime makes the reading of the body fail at the deadline. The function that it
+// returns ends the limit, and reports whether the deadline has passed before the body's end.
+func (c *call) limitBodyTime(w http.ResponseWriter) (late func() bool) {
+	control := http.NewResponseController(w)
+	timer := time.AfterFunc(uptime.Until(c.deadline), func() {
+		if err := control.SetReadDeadline(time.Unix(1, 0)); err != nil { // an expired one
+			klog.InfoS("Body can't be limited", "request", c.id, "err", err)
+		}
+	})
+	return func() bool { return !timer.Stop() }
+}
+
 func bodyTooLarge(limit int64) *walnutramp.Error {
 	return walnutramp.NewError(walnutramp.CodeBodyTooLarge, walnutramp.NotRun, "the request body is larger than %d bytes", limit)
 }
--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net"
@@ -114,3 +115,21 @@
 		})
 	}
 }
+
+// A request whose body does not come by its deadline must be answered as not run.
+func TestBodyThatDoesNotComeIsNotAwaitedBeyondTheDeadline(t *testing.T) {
+	f := newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, _ *http.Request, c net.Conn) { reply(c, "", 200, "") })
+	s := newTestSite(t, []*fakeTarget{f})
+	c, err := net.Dial("tcp", s.server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /once/a HTTP/1.1\r\nHost: a.example\r\nX-Id: attempt-1\r\nX-Deadline: 200\r\nContent-Length: 10\r\n\r\nx")
+	require.NoError(t, err)
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestTimeout, resp.StatusCode)
+	require.True(t, resp.Close)
+	require.Empty(t, f.seen())
+	require.Zero(t, s.gateway.buffered.Load())
+}
--- a/internal/drain/admit.go
+++ b/internal/drain/admit.go
@@ -27,6 +27,7 @@
 const (
 	connRefused connState = iota // for its client to read the answer
 	connNew                      // for the end of its first head
+	connBody                     // for the end of a request's body
 	connIdle                     // for the end of a further head
 	connActive                   // for an answer
 )
--- a/internal/drain/admit_test.go
+++ b/internal/drain/admit_test.go
@@ -22,6 +22,9 @@
 func newConnSite(t *testing.T) *connSite {
 	s := &connSite{headSite: &headSite{t: t}, release: make(chan struct{})}
 	s.server = New(&http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
 		s.handled.Add(1)
 		if r.URL.Path == "/slow" {
 			<-s.release
@@ -35,14 +38,23 @@
 	return s
 }
 
-// connect opens a connection that sends data, and waits until the server tracks it.
+// connect opens a connection that sends data, and waits until the server has read some of it.
 func (s *connSite) connect(data string) (net.Conn, *bufio.Reader) {
 	s.t.Helper()
 	c, answers := s.send(data)
-	require.Eventually(s.t, func() bool { return s.serverConn(c) != nil }, 5*time.Second, time.Millisecond)
+	require.Eventually(s.t, func() bool {
+		accepted := s.serverConn(c)
+		return accepted != nil && (data == "" || accepted.hasReceived())
+	}, 5*time.Second, time.Millisecond)
 	return c, answers
 }
 
+func (c *conn) hasReceived() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received
+}
+
 // serverConn returns the server's side of a connection; nil if it is closed.
 func (s *connSite) serverConn(client net.Conn) *conn {
 	s.server.mu.Lock()
--- /dev/null
+++ b/internal/drain/body_test.go
@@ -0,0 +1,89 @@
+package drain
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A body that does not come must not hold its request for ever, whether or not the handler
+// reads it.
+func TestBodyThatDoesNotComeEndsItsRequest(t *testing.T) {
+	for name, handler := range map[string]http.HandlerFunc{
+		"read": func(w http.ResponseWriter, r *http.Request) {
+			if _, err := io.ReadAll(r.Body); err != nil {
+				w.WriteHeader(http.StatusRequestTimeout)
+			}
+		},
+		"left unread": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusRequestTimeout) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := &headSite{t: t, server: New(&http.Server{Handler: handler}, WithBodyTimeout(50*time.Millisecond))}
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			go s.server.Serve(l)
+			t.Cleanup(func() { s.server.Close() })
+			s.address = l.Addr().String()
+			c, answers := s.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nx")
+			c.SetReadDeadline(time.Now().Add(5 * time.Second))
+			resp := s.requireAnswer(answers, http.StatusRequestTimeout)
+			require.True(t, resp.Close)
+		})
+	}
+}
+
+// A body that has come leaves no limit behind for its request, nor for the next one.
+func TestBodyTimeoutEndsWithTheBody(t *testing.T) {
+	const timeout = 50 * time.Millisecond
+	s := &headSite{t: t, server: New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			w.WriteHeader(http.StatusRequestTimeout)
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusInternalServerError)
+		case <-time.After(3 * timeout):
+		}
+	})}, WithBodyTimeout(timeout))}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go s.server.Serve(l)
+	t.Cleanup(func() { s.server.Close() })
+	s.address = l.Addr().String()
+	const request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx"
+	c, answers := s.send(request)
+	s.requireAnswer(answers, http.StatusOK)
+	_, err = io.WriteString(c, request)
+	require.NoError(t, err)
+	s.requireAnswer(answers, http.StatusOK)
+}
+
+// Requests whose bodies have not come give way to further connections.
+func TestRequestsWithoutBodiesGiveWay(t *testing.T) {
+	s := newConnSite(t)
+	for range testConns - 1 {
+		s.connect("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\n")
+	}
+	require.Eventually(t, func() bool { return s.handled.Load() == 0 && s.inState(connBody) == testConns-1 }, 5*time.Second, time.Millisecond)
+	c, answers := s.connect("")
+	s.requireServed(c, answers)
+	require.EqualValues(t, 1, s.server.ConnCounts().Evicted)
+}
+
+// inState counts the connections in a state.
+func (s *connSite) inState(state connState) (n int) {
+	s.server.mu.Lock()
+	defer s.server.mu.Unlock()
+	for c := range s.server.conns {
+		if w, _ := c.waiting(); w.state == state {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -36,15 +36,16 @@
 // Server is an http.Server with a shutdown of its own.
 type Server struct {
 	*http.Server
-	closeConns atomic.Bool  // after each answer
-	serving    atomic.Int64 // connections whose goroutine has not ended
-	requests   context.Context
-	cancel     context.CancelFunc
-	heads      *headlimit.Budget
-	headBytes  func() int
-	maxConns   int // 0 for no limit
-	turnedAway atomic.Int64
-	evicted    atomic.Int64
+	closeConns  atomic.Bool  // after each answer
+	serving     atomic.Int64 // connections whose goroutine has not ended
+	requests    context.Context
+	cancel      context.CancelFunc
+	heads       *headlimit.Budget
+	headBytes   func() int
+	maxConns    int           // 0 for no limit
+	bodyTimeout time.Duration // 0 for no limit
+	turnedAway  atomic.Int64
+	evicted     atomic.Int64
 
 	mu       sync.Mutex
 	stopping bool
@@ -67,6 +68,10 @@
 // WithMaxConns bounds the open connections; the default is not to bound them.
 func WithMaxConns(n int) Option { return func(s *Server) { s.maxConns = n } }
 
+// WithBodyTimeout bounds how long the body of a request may take to arrive; the default is not
+// to bound it.
+func WithBodyTimeout(d time.Duration) Option { return func(s *Server) { s.bodyTimeout = d } }
+
 // New returns a server that drains s. It sets the ConnState, the BaseContext and the
 // ConnContext of s, and wraps its handler.
 func New(s *http.Server, opts ...Option) *Server {
@@ -87,6 +92,7 @@
 			writeRefusal(out, refusal)
 			return
 		}
+		trackBody(r)
 		handler.ServeHTTP(out, r)
 		out.announceClose() // for an answer without a body
 	})
@@ -292,6 +298,7 @@
 	state      connState
 	stateSince time.Time
 	evicted    bool // is being closed for want of room
+	bodyTimer  *time.Timer
 }
 
 // Read implements net.Conn.
@@ -374,6 +381,7 @@
 	c.server.mu.Unlock()
 	c.mu.Lock()
 	c.head.Close()
+	c.stopBodyTimer()
 	c.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -403,6 +411,7 @@
 	defer c.mu.Unlock()
 	c.received, c.armed, c.idleFrom = false, false, time.Time{}
 	c.setState(connIdle)
+	c.stopBodyTimer()
 	c.head.Next()
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -54,6 +54,7 @@
 	HeaderTimeout     time.Duration // timeout for reading request headers
 	HeadMemoryMB      int           // for large request heads; 0 for the default
 	MaxConnections    int           // of callers; 0 for the default
+	BodyTimeout       time.Duration // for reading a request body; 0 for that of the caller API alone
 	Seed              uint64
 	GenerationOptions []generation.Option
 	RouteOptions      []route.Option
@@ -106,9 +107,11 @@
 func WithStopDeadline(d time.Duration) Option { return func(c *Config) { c.StopDeadline = d } }
 
 // WithClientLimits sets the memory for large request heads, in MiB, and the number of open
-// connections of callers; 0 leaves the default of either.
-func WithClientLimits(headMemoryMB, maxConnections int) Option {
-	return func(c *Config) { c.HeadMemoryMB, c.MaxConnections = headMemoryMB, maxConnections }
+// connections of callers, and how long a request body may take; 0 leaves the default of each.
+func WithClientLimits(headMemoryMB, maxConnections int, bodyTimeout time.Duration) Option {
+	return func(c *Config) {
+		c.HeadMemoryMB, c.MaxConnections, c.BodyTimeout = headMemoryMB, maxConnections, bodyTimeout
+	}
 }
 
 // WithControl sets the control group's initial members and the operators whose signed
@@ -300,6 +303,7 @@
 	return []drain.Option{
 		drain.WithHeads(headlimit.NewBudget(cmp.Or(int64(n.cfg.HeadMemoryMB)<<20, r.HeadMemory()))),
 		drain.WithMaxConns(cmp.Or(n.cfg.MaxConnections, r.MaxConns(callerShare))),
+		drain.WithBodyTimeout(n.cfg.BodyTimeout),
 	}
 }
 
--- a/serve/bounded_test.go
+++ b/serve/bounded_test.go
@@ -19,7 +19,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	server := newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") }))
+	server := (&Process{}).newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") }), 0)
 	go server.Serve(&timeoutListener{Listener: l, limits: func() gateway.Limits { return *limits.Load() }})
 	t.Cleanup(func() { server.Close() })
 	return l.Addr().String()
--- a/serve/cutoff_test.go
+++ b/serve/cutoff_test.go
@@ -50,7 +50,7 @@
 func newTestEntry(g *gateway.Gateway, h http.Handler) *entry {
 	pool := targetconn.NewPool()
 	return &entry{
-		gateway: g, pool: pool, clientServer: newServer(h), readyServer: newServer(http.NotFoundHandler()),
+		gateway: g, pool: pool, clientServer: (&Process{}).newServer(h, 0), readyServer: (&Process{}).newServer(http.NotFoundHandler(), 0),
 		quarantine: quarantine.NewCrashDetector(quarantine.New(), pool.Dial),
 	}
 }
@@ -132,14 +132,14 @@
 // An operator's call in flight at the end of a stop must not end without an answer.
 func TestStoppingReplicaAnswersCallsInFlight(t *testing.T) {
 	begun := make(chan struct{})
-	r := &replica{server: peer.NewServer(peer.Identity{}, &peer.Traffic{}), operator: newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	r := &replica{server: peer.NewServer(peer.Identity{}, &peer.Traffic{}), operator: (&Process{}).newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		close(begun)
 		select { // as a document that no majority stores
 		case <-r.Context().Done():
 		case <-time.After(2 * replicaStopTimeout):
 		}
 		w.WriteHeader(http.StatusServiceUnavailable)
-	}))}
+	}), 0)}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	serveInBackground(r.operator, l)
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -280,7 +280,7 @@
 	if err != nil {
 		return err
 	}
-	p.entry.clientServer = newServer(g, drain.WithHeads(p.heads), drain.WithHeadBytes(headBytes(g)), drain.WithMaxConns(p.maxClientConns()))
+	p.entry.clientServer = p.newServer(g, p.maxClientConns(), drain.WithHeadBytes(headBytes(g)))
 	p.entry.clientServer.MaxHeaderBytes = math.MaxInt32 // headBytes is the limit
 	serveInBackground(p.entry.clientServer, &timeoutListener{Listener: clients, limits: g.Limits})
 	p.entry.readyServer, err = p.listen(p.settings.ReadyListen, readyShare, p.adapter.Ready(g.Ready))
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -47,6 +47,7 @@
 	HeadMemoryMB    int           // for large request heads; 0 for a share of the memory limit
 	MaxDescriptors  int           // of the process; 0 for the limit of the system
 	MaxConnections  int           // of clients; 0 for a share of the descriptors and memory
+	BodyTimeout     time.Duration // for reading a request body; 0 for no limit but the request deadline
 	LinkMbps        float64       // capacity of the machine's link in Mbit/s; 0 if unknown
 	Grace           time.Duration // grace period from the stop request to the kill
 	OperatorTimeout time.Duration // timeout of operator calls
--- a/serve/server.go
+++ b/serve/server.go
@@ -41,8 +41,11 @@
 	return cmp.Or(p.settings.MaxConnections, p.resources.MaxConns(clientShare))
 }
 
-func newServer(h http.Handler, opts ...drain.Option) *drain.Server {
-	return drain.New(&http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}, opts...)
+// newServer returns a server of at most maxConns connections.
+func (p *Process) newServer(h http.Handler, maxConns int, opts ...drain.Option) *drain.Server {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	opts = append(opts, drain.WithHeads(p.heads), drain.WithMaxConns(maxConns), drain.WithBodyTimeout(p.settings.BodyTimeout))
+	return drain.New(s, opts...)
 }
 
 // listen starts an HTTP server on address, whose connections may take a share of the process's
@@ -52,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := newServer(h, drain.WithHeads(p.heads), drain.WithMaxConns(p.resources.MaxConns(share)))
+	server := p.newServer(h, p.resources.MaxConns(share))
 	serveInBackground(server, l)
 	return server, nil
 }
--- a/serve/unread_test.go
+++ b/serve/unread_test.go
@@ -32,8 +32,8 @@
 	e := &entry{
 		gateway:      gateway.New(targets, pool, balance.NewBudgets(balance.BudgetConfig{}), func() {}),
 		pool:         pool,
-		clientServer: newServer(http.HandlerFunc(handler)),
-		readyServer:  newServer(http.NotFoundHandler()),
+		clientServer: (&Process{}).newServer(http.HandlerFunc(handler), 0),
+		readyServer:  (&Process{}).newServer(http.NotFoundHandler(), 0),
 		quarantine:   quarantine.NewCrashDetector(quarantine.New(), pool.Dial),
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
