Serve heads of short lines up to the configured size

Callers saw: a request whose head is within max_header_bytes got 431 if its lines have no white space behind the colon. Cause: the head's size was counted with a space for each line, whether or not it was sent. Evidence: TestLargestHeadOfShortLinesIsServed, 431 before, 200 now. Why it works: what a client may leave out does not count, so the size counted is never above the size sent.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -186,7 +186,8 @@
 	}
 }
 
-// checkHeader enforces the configured limit on the size of a request's head.
+// checkHeader enforces the configured limit on the size of a request's head. White space that
+// a client may leave out does not count.
 func checkHeader(r *http.Request, limits Limits) *walnutramp.Error {
 	if limits.HeaderBytes <= 0 {
 		return nil
@@ -194,7 +195,7 @@
 	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
 		for _, v := range values {
-			size += len(name) + len(v) + len(": \r\n")
+			size += len(name) + len(v) + len(":\r\n")
 		}
 	}
 	if size > limits.HeaderBytes {
--- /dev/null
+++ b/gateway/head_test.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A head of short lines that is as large as the configuration allows must be served.
+func TestLargestHeadOfShortLinesIsServed(t *testing.T) {
+	const limit = 16 << 10
+	f := newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) { reply(c, r.Header.Get("X-Id"), 200, "ok") })
+	s := newTestSite(t, []*fakeTarget{f})
+	table := testTable()
+	table.Limits.HeaderBytes = limit
+	s.gateway.SetTable(table)
+	head := "GET /once/a HTTP/1.1\r\nHost: a.example\r\nX-Id: attempt-1\r\nX-Deadline: 2000\r\n"
+	var lines strings.Builder
+	for i := 0; len(head)+lines.Len()+len("aaaa:\r\n\r\n") <= limit; i++ {
+		fmt.Fprintf(&lines, "a%03x:\r\n", i)
+	}
+	c, err := net.Dial("tcp", s.server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, head+lines.String()+"\r\n")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.GreaterOrEqual(t, len(f.seen()[0].Header), limit/len("aaaa:\r\n")-len(head))
+}
