Keep no names of connection options that name no header

Callers saw: nothing yet; a request of legal size with thousands of options in its Connection header made an entry build a map of all of them. Cause: each option was entered in a map, though only those that name a header of the request matter. The lines and bytes of a head are counted, its options are not. Evidence: TestConnectionOptionsTakeNoMoreThanTheHeadersThatTheyName, 4,000 names before, the two that are headers now. Why it works: the map is no larger than the head's own, which is counted.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -258,15 +258,20 @@
 	return forwarded
 }
 
-// hopByHopNamed returns the headers that the Connection header lists as hop-by-hop.
+// hopByHopNamed returns the headers of a request that its Connection header lists as
+// hop-by-hop. Names of others take no memory, however many there are.
 func hopByHopNamed(h http.Header) map[string]bool {
 	var named map[string]bool
 	for _, line := range h["Connection"] {
-		for name := range strings.SplitSeq(line, ",") {
+		for option := range strings.SplitSeq(line, ",") {
+			name := http.CanonicalHeaderKey(strings.TrimSpace(option))
+			if _, ok := h[name]; !ok {
+				continue
+			}
 			if named == nil {
 				named = map[string]bool{}
 			}
-			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+			named[name] = true
 		}
 	}
 	return named
--- a/gateway/head_test.go
+++ b/gateway/head_test.go
@@ -35,3 +35,13 @@
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 	require.GreaterOrEqual(t, len(f.seen()[0].Header), limit/len("aaaa:\r\n")-len(head))
 }
+
+// Options of the Connection header that name no header of the request must take no memory.
+func TestConnectionOptionsTakeNoMoreThanTheHeadersThatTheyName(t *testing.T) {
+	var options []string
+	for i := range 4000 {
+		options = append(options, fmt.Sprintf("a%x", i))
+	}
+	h := http.Header{"Connection": {strings.Join(options, ",") + ",keep-alive", "x-b"}, "X-B": {"1"}, "A1": {"2"}, "X-C": {"3"}}
+	require.Equal(t, map[string]bool{"X-B": true, "A1": true}, hopByHopNamed(h))
+}
