Drop the trailer of a request once its body is read

Callers saw: nothing yet; each request with a trailer kept up to 4 KiB of parsed lines for as long as it ran. Cause: net/http parses the lines of a trailer into a map behind the body, where no limit of heads counts them, and the request keeps it though trailers are not forwarded. Evidence: TestTrailerOfARequestIsNotKept, the map before, none now. Why it works: the map is garbage as soon as the body is read, before a target is chosen.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -94,6 +94,7 @@
 	}
 	late := c.limitBodyTime(w)
 	err := c.buffer.read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	r.Trailer = nil // it is not forwarded
 	if late() {
 		w.Header().Set("Connection", "close")
 		return walnutramp.NewError(walnutramp.CodeBodyTimeout, walnutramp.NotRun, "the request body did not arrive before the deadline")
--- a/gateway/head_test.go
+++ b/gateway/head_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -45,3 +46,31 @@
 	h := http.Header{"Connection": {strings.Join(options, ",") + ",keep-alive", "x-b"}, "X-B": {"1"}, "A1": {"2"}, "X-C": {"3"}}
 	require.Equal(t, map[string]bool{"X-B": true, "A1": true}, hopByHopNamed(h))
 }
+
+// The trailer of a request must not be kept while the request runs: it is not forwarded.
+func TestTrailerOfARequestIsNotKept(t *testing.T) {
+	begun, end := make(chan struct{}), make(chan struct{})
+	f := newFakeTarget(t, "i-1", "lookup", "north", func(_ *fakeTarget, r *http.Request, c net.Conn) {
+		close(begun)
+		<-end
+		reply(c, r.Header.Get("X-Id"), 200, "ok")
+	})
+	s := newTestSite(t, []*fakeTarget{f})
+	var served *http.Request
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		served = r
+		s.gateway.ServeHTTP(w, r)
+	}))
+	defer front.Close()
+	c, err := net.Dial("tcp", front.Listener.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "POST /once/a HTTP/1.1\r\nHost: a.example\r\nX-Id: attempt-1\r\nX-Deadline: 2000\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nA: b\r\nC: d\r\n\r\n")
+	require.NoError(t, err)
+	<-begun
+	require.Empty(t, served.Trailer)
+	close(end)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+}
