Bound the memory of bodies of operators and of callers of a node

Callers saw: a member of the control group, or a node of the own dialect, whose clients send large bodies without finishing them ran out of memory. The addresses of a platform entry have had such a bound for long. Cause: the size of one body is bounded, the sum over connections was not.

--- a/caller/request.go
+++ b/caller/request.go
@@ -16,6 +16,7 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/generation"
+	"github.com/walnutramp/walnutramp/internal/reqlimit"
 	"github.com/walnutramp/walnutramp/target"
 )
 
@@ -116,7 +117,10 @@
 		control.SetReadDeadline(time.Time{})
 	}
 	var tooLarge *http.MaxBytesError
+	var refusal *reqlimit.Refusal
 	switch {
+	case errors.As(err, &refusal):
+		return nil, walnutramp.NewError(walnutramp.CodeOverloaded, walnutramp.NotRun, "%s", refusal.Why).WithRetryAfter(refusal.RetryAfter)
 	case errors.As(err, &tooLarge):
 		return nil, walnutramp.NewError(walnutramp.CodeBodyTooLarge, walnutramp.NotRun, "the body is larger than %d bytes", h.cfg.MaxBody)
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
--- a/cmd/walnutramp/node.go
+++ b/cmd/walnutramp/node.go
@@ -100,7 +100,7 @@
 		node.WithLoadInterval(c.LoadInterval),
 		node.WithProbePeriod(c.ProbePeriod),
 		node.WithStopDeadline(c.StopDeadline),
-		node.WithClientLimits(c.Limits.HeadMemoryMB, c.Limits.MaxConnections, c.Limits.BodyTimeout),
+		node.WithClientLimits(node.ClientLimits(c.Limits)),
 		node.WithSeed(uint64(time.Now().UnixNano())),
 	), nil
 }
--- a/cmd/walnutramp/serve.go
+++ b/cmd/walnutramp/serve.go
@@ -45,7 +45,7 @@
 	if err := c.Limits.check(); err != nil {
 		return err
 	}
-	settings.HeadMemoryMB, settings.MaxConnections, settings.BodyTimeout = c.Limits.HeadMemoryMB, c.Limits.MaxConnections, c.Limits.BodyTimeout
+	c.Limits.apply(&settings)
 	if c.Check {
 		return nil
 	}
--- a/internal/drain/admit.go
+++ b/internal/drain/admit.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/walnutramp/walnutramp/internal/headlimit"
+	"github.com/walnutramp/walnutramp/internal/reqlimit"
 )
 
 const (
@@ -19,7 +19,7 @@
 )
 
 // errTooManyConns answers a client for which there is no connection.
-var errTooManyConns = &headlimit.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryWhenFull, Why: "too many connections"}
+var errTooManyConns = &reqlimit.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryWhenFull, Why: "too many connections"}
 
 // connState says what a connection waits for. A lower one is closed first for want of room.
 type connState int
@@ -46,7 +46,7 @@
 		}
 	}
 	now := time.Now()
-	c := &conn{Conn: accepted, server: s, state: connNew, stateSince: now, idleFrom: now.Add(newConnWait), head: headlimit.NewMeter(s.heads, s.headBytes)}
+	c := &conn{Conn: accepted, server: s, state: connNew, stateSince: now, idleFrom: now.Add(newConnWait), head: reqlimit.NewHeadMeter(s.heads, s.headBytes)}
 	s.conns[c] = struct{}{}
 	return c
 }
--- a/internal/drain/body.go
+++ b/internal/drain/body.go
@@ -4,10 +4,12 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/walnutramp/walnutramp/internal/reqlimit"
 )
 
-// bodyReader records whether the connection still waits for the body of a request: one that
-// does may be closed for want of room.
+// bodyReader counts the body of a request against its server's budget, and records whether the
+// connection still waits for it: one that does may be closed for want of room.
 type bodyReader struct {
 	io.ReadCloser
 	conn *conn
@@ -20,18 +22,19 @@
 		return
 	}
 	c.setBodyState(connBody)
-	c.limitBody()
+	c.beginBody()
 	r.Body = &bodyReader{r.Body, c}
 }
 
-// limitBody ends the wait for a body after a time, also if http.Server reads what its handler
-// has left.
-func (c *conn) limitBody() {
+// beginBody limits a body: its memory, and how long it is awaited, also if http.Server reads what
+// its handler has left.
+func (c *conn) beginBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.body = reqlimit.NewBodyMeter(c.server.bodies)
 	if c.server.bodyTimeout <= 0 {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.bodyTimer = time.AfterFunc(c.server.bodyTimeout, c.expireBody)
 }
 
@@ -45,17 +48,28 @@
 	}
 }
 
-// stopBodyTimer ends the limit of a request's body. The caller holds the mutex.
-func (c *conn) stopBodyTimer() {
+// measureBody counts what has arrived of a body.
+func (c *conn) measureBody(n int) *reqlimit.Refusal {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.body.Read(n)
+}
+
+// endBody ends the limits of a request's body. The caller holds the mutex.
+func (c *conn) endBody() {
+	c.body.Close()
 	if c.bodyTimer != nil {
 		c.bodyTimer.Stop()
 		c.bodyTimer = nil
 	}
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. The error is a *reqlimit.Refusal if the body finds no memory.
 func (b *bodyReader) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if refusal := b.conn.measureBody(n); refusal != nil {
+		return 0, refusal
+	}
 	switch {
 	case err != nil:
 		b.conn.setBodyState(connActive)
--- a/internal/drain/body_test.go
+++ b/internal/drain/body_test.go
@@ -1,13 +1,17 @@
 package drain
 
 import (
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/internal/reqlimit"
 )
 
 // A body that does not come must not hold its request for ever, whether or not the handler
@@ -87,3 +91,35 @@
 	}
 	return n
 }
+
+// Bodies that a handler keeps must not take more memory than the budget, and give it back at the
+// end of their requests.
+func TestBodiesBeyondTheBudgetAreRefused(t *testing.T) {
+	const size = 1000
+	budget := reqlimit.NewBudget(3 * size)
+	release := make(chan struct{})
+	s := &headSite{t: t, server: New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(r.Body)
+		var refusal *reqlimit.Refusal
+		if errors.As(err, &refusal) {
+			w.WriteHeader(refusal.Status)
+			return
+		}
+		<-release
+	})}, WithBodies(budget))}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go s.server.Serve(l)
+	t.Cleanup(func() { s.server.Close() })
+	s.address = l.Addr().String()
+	request := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+	_, first := s.send(request)
+	require.Eventually(t, func() bool { return budget.Used() == 2*size }, 5*time.Second, time.Millisecond)
+	_, second := s.send(request)
+	s.requireAnswer(second, http.StatusServiceUnavailable)
+	close(release)
+	s.requireAnswer(first, http.StatusOK)
+	require.Eventually(t, func() bool { return budget.Used() == 0 }, 5*time.Second, time.Millisecond)
+	_, third := s.send(request)
+	s.requireAnswer(third, http.StatusOK)
+}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -21,7 +21,7 @@
 	"syscall"
 	"time"
 
-	"github.com/walnutramp/walnutramp/internal/headlimit"
+	"github.com/walnutramp/walnutramp/internal/reqlimit"
 )
 
 const (
@@ -40,10 +40,11 @@
 	serving     atomic.Int64 // connections whose goroutine has not ended
 	requests    context.Context
 	cancel      context.CancelFunc
-	heads       *headlimit.Budget
+	heads       *reqlimit.Budget
 	headBytes   func() int
-	maxConns    int           // 0 for no limit
-	bodyTimeout time.Duration // 0 for no limit
+	bodies      *reqlimit.Budget // nil for no limit
+	maxConns    int              // 0 for no limit
+	bodyTimeout time.Duration    // 0 for no limit
 	turnedAway  atomic.Int64
 	evicted     atomic.Int64
 
@@ -59,7 +60,7 @@
 
 // WithHeads sets the budget of the memory of request heads, which servers may share; the
 // default follows from the process's resources.
-func WithHeads(b *headlimit.Budget) Option { return func(s *Server) { s.heads = b } }
+func WithHeads(b *reqlimit.Budget) Option { return func(s *Server) { s.heads = b } }
 
 // WithHeadBytes sets the function that returns the maximum size of a request's head; the
 // default is the MaxHeaderBytes of the http.Server, which must not be less.
@@ -68,6 +69,10 @@
 // WithMaxConns bounds the open connections; the default is not to bound them.
 func WithMaxConns(n int) Option { return func(s *Server) { s.maxConns = n } }
 
+// WithBodies sets the budget of the memory of request bodies, for handlers that keep them and do
+// not bound it themselves; the default is not to bound it.
+func WithBodies(b *reqlimit.Budget) Option { return func(s *Server) { s.bodies = b } }
+
 // WithBodyTimeout bounds how long the body of a request may take to arrive; the default is not
 // to bound it.
 func WithBodyTimeout(d time.Duration) Option { return func(s *Server) { s.bodyTimeout = d } }
@@ -80,7 +85,7 @@
 		opt(d)
 	}
 	if d.heads == nil {
-		d.heads = headlimit.NewBudget(ProcessResources(0).HeadMemory())
+		d.heads = reqlimit.NewBudget(ProcessResources(0).HeadMemory())
 	}
 	d.requests, d.cancel = context.WithCancel(context.Background())
 	s.BaseContext = func(net.Listener) context.Context { return d.requests }
@@ -292,12 +297,13 @@
 	idleFrom time.Time // a connection without a request does not count as idle before
 	deadline time.Time // for reads, as set by http.Server
 	closing  bool      // as idle
-	head     *headlimit.Meter
-	refusal  *headlimit.Refusal // of a head that was read together with the request before
+	head     *reqlimit.HeadMeter
+	refusal  *reqlimit.Refusal // of a head that was read together with the request before
 
 	state      connState
 	stateSince time.Time
 	evicted    bool // is being closed for want of room
+	body       reqlimit.BodyMeter
 	bodyTimer  *time.Timer
 }
 
@@ -381,7 +387,7 @@
 	c.server.mu.Unlock()
 	c.mu.Lock()
 	c.head.Close()
-	c.stopBodyTimer()
+	c.endBody()
 	c.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -411,7 +417,7 @@
 	defer c.mu.Unlock()
 	c.received, c.armed, c.idleFrom = false, false, time.Time{}
 	c.setState(connIdle)
-	c.stopBodyTimer()
+	c.endBody()
 	c.head.Next()
 }
 
--- a/internal/drain/heads_test.go
+++ b/internal/drain/heads_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"github.com/walnutramp/walnutramp/internal/headlimit"
+	"github.com/walnutramp/walnutramp/internal/reqlimit"
 )
 
 const (
@@ -36,13 +36,13 @@
 type headSite struct {
 	t       *testing.T
 	server  *Server
-	budget  *headlimit.Budget
+	budget  *reqlimit.Budget
 	address string
 	handled atomic.Int32
 }
 
 func newHeadSite(t *testing.T, handler http.HandlerFunc) *headSite {
-	s := &headSite{t: t, budget: headlimit.NewBudget(1)}
+	s := &headSite{t: t, budget: reqlimit.NewBudget(1)}
 	s.server = New(&http.Server{MaxHeaderBytes: headLimit, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.handled.Add(1)
 		handler(w, r)
--- a/internal/drain/limits.go
+++ b/internal/drain/limits.go
@@ -10,6 +10,8 @@
 	// as a fraction of the process's memory.
 	maxHeadMemory = 16 << 20
 	headShare     = 1.0 / 8
+	// bodyShare bounds the memory of request bodies as a fraction of the process's memory.
+	bodyShare = 1.0 / 8
 	// connMemory is the memory, in bytes, that a connection takes beside large heads and the
 	// bodies of its requests.
 	connMemory = 24 << 10
@@ -42,6 +44,9 @@
 // HeadMemory returns the default memory for large request heads, in bytes.
 func (r Resources) HeadMemory() int64 { return int64(min(maxHeadMemory, headShare*float64(r.Memory))) }
 
+// BodyMemory returns the default memory for request bodies, in bytes.
+func (r Resources) BodyMemory() int64 { return int64(bodyShare * float64(r.Memory)) }
+
 // MaxConns returns how many connections a server may have that may use a share of the
 // resources.
 func (r Resources) MaxConns(share float64) int {
--- a/internal/drain/refuse.go
+++ b/internal/drain/refuse.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"github.com/walnutramp/walnutramp/internal/headlimit"
+	"github.com/walnutramp/walnutramp/internal/reqlimit"
 )
 
 const (
@@ -24,7 +24,7 @@
 
 // refusalOf returns why the head of a request must be refused after it has been parsed; nil if
 // it need not be.
-func refusalOf(r *http.Request) *headlimit.Refusal {
+func refusalOf(r *http.Request) *reqlimit.Refusal {
 	c, ok := r.Context().Value(connKey{}).(*conn)
 	if !ok {
 		return nil
@@ -35,7 +35,7 @@
 }
 
 // writeRefusal answers a request whose head is refused.
-func writeRefusal(w http.ResponseWriter, refusal *headlimit.Refusal) {
+func writeRefusal(w http.ResponseWriter, refusal *reqlimit.Refusal) {
 	w.Header().Set("Connection", "close")
 	if refusal.RetryAfter > 0 {
 		w.Header().Set("Retry-After", formatSeconds(refusal.RetryAfter))
@@ -52,7 +52,7 @@
 }
 
 // measure counts what has arrived against the limits of heads.
-func (c *conn) measure(p []byte, background bool) *headlimit.Refusal {
+func (c *conn) measure(p []byte, background bool) *reqlimit.Refusal {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.head.Read(p, background)
@@ -60,7 +60,7 @@
 
 // refuse answers a head that is not read further. The error that it returns is one that
 // http.Server does not answer.
-func (c *conn) refuse(refusal *headlimit.Refusal) error {
+func (c *conn) refuse(refusal *reqlimit.Refusal) error {
 	c.mu.Lock()
 	c.setState(connRefused)
 	c.mu.Unlock()
@@ -76,7 +76,7 @@
 }
 
 // writeRawRefusal writes the answer to a request that http.Server has not read.
-func writeRawRefusal(w io.Writer, refusal *headlimit.Refusal) error {
+func writeRawRefusal(w io.Writer, refusal *reqlimit.Refusal) error {
 	var retryAfter string
 	if refusal.RetryAfter > 0 {
 		retryAfter = "Retry-After: " + formatSeconds(refusal.RetryAfter) + "\r\n"
--- a/internal/headlimit/meter.go
+++ b/internal/reqlimit/head.go
@@ -1,4 +1,4 @@
-package headlimit
+package reqlimit
 
 import (
 	"bytes"
@@ -12,7 +12,8 @@
 	// until their request has ended: once parsed, and in the requests to targets.
 	lineCost = 320
 	byteCost = 2
-	// freeCost is the part of a head's memory, in bytes, that is not taken from the budget.
+	// freeCost is the part of a head's memory, in bytes, that is not taken from the budget: a
+	// common head takes nothing, so that uncommon ones can't crowd it out.
 	freeCost = 16 << 10
 	// readSize is the size of the buffer, in bytes, through which net/http reads.
 	readSize = 4 << 10
@@ -30,9 +31,9 @@
 // Error implements error.
 func (r *Refusal) Error() string { return r.Why }
 
-// Meter measures the heads that arrive on one connection, and takes their memory from a budget
+// HeadMeter measures the heads that arrive on one connection, and takes their memory from a budget
 // until the next one. Its methods must not be called concurrently.
-type Meter struct {
+type HeadMeter struct {
 	budget   *Budget
 	maxBytes func() int
 
@@ -55,15 +56,15 @@
 
 type tally struct{ bytes, lines int }
 
-// NewMeter returns the meter of a new connection. maxBytes returns the limit of the size of a
+// NewHeadMeter returns the meter of a new connection. maxBytes returns the limit of the size of a
 // head; what is read behind a head together with it does not count as exceeding it.
-func NewMeter(b *Budget, maxBytes func() int) *Meter {
-	return &Meter{budget: b, maxBytes: maxBytes, lineEmpty: true}
+func NewHeadMeter(b *Budget, maxBytes func() int) *HeadMeter {
+	return &HeadMeter{budget: b, maxBytes: maxBytes, lineEmpty: true}
 }
 
 // Read counts what a read has returned. Background says that it was the single byte that
 // net/http reads while a request is handled.
-func (m *Meter) Read(p []byte, background bool) *Refusal {
+func (m *HeadMeter) Read(p []byte, background bool) *Refusal {
 	if !background {
 		m.last = tally{}
 	}
@@ -78,7 +79,7 @@
 }
 
 // count counts bytes of a head, up to its end.
-func (m *Meter) count(p []byte) *Refusal {
+func (m *HeadMeter) count(p []byte) *Refusal {
 	for len(p) > 0 && m.phase == inHead {
 		line, rest, found := bytes.Cut(p, []byte{'\n'})
 		m.bytes += len(p) - len(rest)
@@ -94,7 +95,7 @@
 }
 
 // endLine counts a line. An empty one ends the head unless it is the first.
-func (m *Meter) endLine() {
+func (m *HeadMeter) endLine() {
 	if m.lineEmpty && m.lines > 0 {
 		m.phase = behindHead
 	}
@@ -102,7 +103,7 @@
 	m.lineEmpty = true
 }
 
-func (m *Meter) check() *Refusal {
+func (m *HeadMeter) check() *Refusal {
 	if limit := m.maxBytes(); m.bytes > limit+readSize {
 		m.budget.tooLarge.Add(1)
 		return &Refusal{Status: http.StatusRequestHeaderFieldsTooLarge, Why: fmt.Sprintf("the request head is larger than %d bytes", limit)}
@@ -119,14 +120,14 @@
 }
 
 // Parsed says that the head has been read whole.
-func (m *Meter) Parsed() {
+func (m *HeadMeter) Parsed() {
 	if m.phase == inHead {
 		m.phase = behindHead
 	}
 }
 
 // Next gives back the memory of the request before, and expects a further head.
-func (m *Meter) Next() {
+func (m *HeadMeter) Next() {
 	if m.phase == closed {
 		return
 	}
@@ -135,7 +136,7 @@
 }
 
 // Pipelined says that the head, or its first part, was read together with the request before.
-func (m *Meter) Pipelined() *Refusal {
+func (m *HeadMeter) Pipelined() *Refusal {
 	if m.phase == closed {
 		return nil
 	}
@@ -144,12 +145,12 @@
 }
 
 // Close gives everything back.
-func (m *Meter) Close() {
+func (m *HeadMeter) Close() {
 	m.giveBack()
 	m.phase = closed
 }
 
-func (m *Meter) giveBack() {
+func (m *HeadMeter) giveBack() {
 	m.budget.giveBack(m.taken)
 	m.taken = 0
 }
--- a/internal/headlimit/meter_test.go
+++ b/internal/reqlimit/head_test.go
@@ -1,4 +1,4 @@
-package headlimit
+package reqlimit
 
 import (
 	"net/http"
@@ -21,7 +21,7 @@
 }
 
 // send passes bytes to a meter in reads of a size.
-func send(m *Meter, data string, size int) *Refusal {
+func send(m *HeadMeter, data string, size int) *Refusal {
 	for len(data) > 0 {
 		n := min(size, len(data))
 		if refusal := m.Read([]byte(data[:n]), false); refusal != nil {
@@ -32,7 +32,7 @@
 	return nil
 }
 
-func newTestMeter(b *Budget) *Meter { return NewMeter(b, func() int { return testLimit }) }
+func newTestMeter(b *Budget) *HeadMeter { return NewHeadMeter(b, func() int { return testLimit }) }
 
 func TestCommonHeadTakesNothing(t *testing.T) {
 	b := NewBudget(1)
@@ -41,7 +41,7 @@
 }
 
 func TestMemoryIsGivenBack(t *testing.T) {
-	for name, end := range map[string]func(*Meter){"next head": (*Meter).Next, "close": (*Meter).Close} {
+	for name, end := range map[string]func(*HeadMeter){"next head": (*HeadMeter).Next, "close": (*HeadMeter).Close} {
 		t.Run(name, func(t *testing.T) {
 			b := NewBudget(1 << 20)
 			m := newTestMeter(b)
--- a/node/node.go
+++ b/node/node.go
@@ -21,9 +21,9 @@
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/generation"
 	"github.com/walnutramp/walnutramp/internal/drain"
-	"github.com/walnutramp/walnutramp/internal/headlimit"
 	"github.com/walnutramp/walnutramp/internal/part"
 	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/internal/reqlimit"
 	"github.com/walnutramp/walnutramp/member"
 	"github.com/walnutramp/walnutramp/operator"
 	"github.com/walnutramp/walnutramp/peer"
@@ -52,9 +52,7 @@
 	ProbePeriod       time.Duration
 	StopDeadline      time.Duration // bounds the whole of Stop
 	HeaderTimeout     time.Duration // timeout for reading request headers
-	HeadMemoryMB      int           // for large request heads; 0 for the default
-	MaxConnections    int           // of callers; 0 for the default
-	BodyTimeout       time.Duration // for reading a request body; 0 for that of the caller API alone
+	ClientLimits      ClientLimits
 	Seed              uint64
 	GenerationOptions []generation.Option
 	RouteOptions      []route.Option
@@ -106,14 +104,17 @@
 // WithStopDeadline sets how long Stop may take until the remaining requests are aborted.
 func WithStopDeadline(d time.Duration) Option { return func(c *Config) { c.StopDeadline = d } }
 
-// WithClientLimits sets the memory for large request heads, in MiB, and the number of open
-// connections of callers, and how long a request body may take; 0 leaves the default of each.
-func WithClientLimits(headMemoryMB, maxConnections int, bodyTimeout time.Duration) Option {
-	return func(c *Config) {
-		c.HeadMemoryMB, c.MaxConnections, c.BodyTimeout = headMemoryMB, maxConnections, bodyTimeout
-	}
+// ClientLimits bound what callers may take of a node; 0 leaves the default of each.
+type ClientLimits struct {
+	HeadMemoryMB   int           // for large request heads
+	BodyMemoryMB   int           // for request bodies
+	MaxConnections int           // open at a time
+	BodyTimeout    time.Duration // for reading a request body
 }
 
+// WithClientLimits sets the limits of callers.
+func WithClientLimits(l ClientLimits) Option { return func(c *Config) { c.ClientLimits = l } }
+
 // WithControl sets the control group's initial members and the operators whose signed
 // bundles it accepts.
 func WithControl(founders []walnutramp.NodeName, operators bundle.Operators) Option {
@@ -299,11 +300,12 @@
 const callerShare = 1.0 / 2
 
 func (n *Node) clientLimits() []drain.Option {
-	r := drain.ProcessResources(0)
+	l, r := n.cfg.ClientLimits, drain.ProcessResources(0)
 	return []drain.Option{
-		drain.WithHeads(headlimit.NewBudget(cmp.Or(int64(n.cfg.HeadMemoryMB)<<20, r.HeadMemory()))),
-		drain.WithMaxConns(cmp.Or(n.cfg.MaxConnections, r.MaxConns(callerShare))),
-		drain.WithBodyTimeout(n.cfg.BodyTimeout),
+		drain.WithHeads(reqlimit.NewBudget(cmp.Or(int64(l.HeadMemoryMB)<<20, r.HeadMemory()))),
+		drain.WithMaxConns(cmp.Or(l.MaxConnections, r.MaxConns(callerShare))),
+		drain.WithBodies(reqlimit.NewBudget(cmp.Or(int64(l.BodyMemoryMB)<<20, r.BodyMemory()))),
+		drain.WithBodyTimeout(l.BodyTimeout),
 	}
 }
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -7,9 +7,11 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/control"
+	"github.com/walnutramp/walnutramp/internal/reqlimit"
 )
 
 // Service is the RPC service name for node status.
@@ -81,7 +83,13 @@
 func (h *Handler) submit(w http.ResponseWriter, r *http.Request) {
 	var s Submission
 	body := http.MaxBytesReader(w, r.Body, maxSubmissionBytes)
-	if err := json.NewDecoder(body).Decode(&s); err != nil {
+	err := json.NewDecoder(body).Decode(&s)
+	var refusal *reqlimit.Refusal
+	if errors.As(err, &refusal) {
+		writeAnswer(w, Answer{Code: walnutramp.CodeOverloaded, Outcome: walnutramp.NotRun, Message: refusal.Why})
+		return
+	}
+	if err != nil {
 		writeAnswer(w, Answer{Code: walnutramp.CodeBadJSON, Outcome: walnutramp.NotRun, Message: err.Error()})
 		return
 	}
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -36,6 +36,8 @@
 	fmt.Fprintf(w, "walnutramp_request_heads_held_bytes %d\n", p.heads.Used())
 	fmt.Fprintf(w, "walnutramp_request_heads_refused_total{why=\"memory\"} %d\n", p.heads.Refused())
 	fmt.Fprintf(w, "walnutramp_request_heads_refused_total{why=\"size\"} %d\n", p.heads.TooLarge())
+	fmt.Fprintf(w, "walnutramp_request_bodies_held_bytes %d\n", p.bodies.Used())
+	fmt.Fprintf(w, "walnutramp_request_bodies_refused_total %d\n", p.bodies.Refused())
 	p.writeConnections(w)
 	if p.droppedLogLines != nil {
 		fmt.Fprintf(w, "walnutramp_log_lines_dropped_total %d\n", p.droppedLogLines())
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -19,7 +19,7 @@
 	"github.com/walnutramp/walnutramp/gateway"
 	"github.com/walnutramp/walnutramp/internal/build"
 	"github.com/walnutramp/walnutramp/internal/drain"
-	"github.com/walnutramp/walnutramp/internal/headlimit"
+	"github.com/walnutramp/walnutramp/internal/reqlimit"
 	"github.com/walnutramp/walnutramp/metering"
 	"github.com/walnutramp/walnutramp/peer"
 	"github.com/walnutramp/walnutramp/rollout"
@@ -45,6 +45,7 @@
 	DataDir         string
 	MemoryMB        int
 	HeadMemoryMB    int           // for large request heads; 0 for a share of the memory limit
+	BodyMemoryMB    int           // for request bodies of operators; 0 for a share of the memory limit
 	MaxDescriptors  int           // of the process; 0 for the limit of the system
 	MaxConnections  int           // of clients; 0 for a share of the descriptors and memory
 	BodyTimeout     time.Duration // for reading a request body; 0 for no limit but the request deadline
@@ -134,7 +135,8 @@
 	settings        Settings
 	adapter         Adapter
 	traffic         peer.Traffic
-	heads           *headlimit.Budget
+	heads           *reqlimit.Budget
+	bodies          *reqlimit.Budget
 	resources       drain.Resources
 	peers           *peer.Client
 	client          *control.Client
--- a/serve/server.go
+++ b/serve/server.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp/internal/drain"
-	"github.com/walnutramp/walnutramp/internal/headlimit"
+	"github.com/walnutramp/walnutramp/internal/reqlimit"
 	"k8s.io/klog/v2"
 )
 
@@ -32,7 +32,8 @@
 // setResources sets the limits of what clients may take.
 func (p *Process) setResources() {
 	p.resources = drain.ProcessResources(p.settings.MaxDescriptors)
-	p.heads = headlimit.NewBudget(cmp.Or(int64(p.settings.HeadMemoryMB)<<20, p.resources.HeadMemory()))
+	p.heads = reqlimit.NewBudget(cmp.Or(int64(p.settings.HeadMemoryMB)<<20, p.resources.HeadMemory()))
+	p.bodies = reqlimit.NewBudget(cmp.Or(int64(p.settings.BodyMemoryMB)<<20, p.resources.BodyMemory()))
 	klog.InfoS("Limits of clients", "memory", p.resources.Memory, "descriptors", p.resources.Descriptors, "connections", p.maxClientConns())
 }
 
@@ -55,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	server := p.newServer(h, p.resources.MaxConns(share))
+	server := p.newServer(h, p.resources.MaxConns(share), drain.WithBodies(p.bodies))
 	serveInBackground(server, l)
 	return server, nil
 }
