Let connections with unread answers make room for others

Callers saw: nothing yet, by reading; clients that don't read a long answer could hold all connections of an address, as requests in flight. Cause: a write to a client has no end of its own where the answer is not buffered, and a connection with a request in flight never gave way. Evidence: TestUnreadAnswersGiveWay; without the state a further client finds no connection.

--- a/internal/drain/admit.go
+++ b/internal/drain/admit.go
@@ -28,6 +28,7 @@
 	connRefused connState = iota // for its client to read the answer
 	connNew                      // for the end of its first head
 	connBody                     // for the end of a request's body
+	connStalled                  // for its client to read an answer
 	connIdle                     // for the end of a further head
 	connActive                   // for an answer
 )
@@ -90,7 +91,15 @@
 func (c *conn) waiting() (w waiting, closing bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return waiting{c, c.state, c.stateSince}, c.evicted
+	return c.waitingLocked(), c.evicted
+}
+
+// waitingLocked returns the connection's state. The caller holds the mutex.
+func (c *conn) waitingLocked() waiting {
+	if c.state == connActive && !c.writing.IsZero() && time.Since(c.writing) > c.server.stalledAfter {
+		return waiting{c, connStalled, c.writing}
+	}
+	return waiting{c, c.state, c.stateSince}
 }
 
 // evict closes a connection unless it has stopped waiting. If nothing of a request has been
@@ -98,7 +107,7 @@
 func (c *conn) evict(w waiting) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != w.state || !c.stateSince.Equal(w.since) {
+	if c.waitingLocked() != w {
 		return false
 	}
 	c.evicted = true
--- a/internal/drain/admit_test.go
+++ b/internal/drain/admit_test.go
@@ -154,3 +154,29 @@
 		s.server.Close()
 	}
 }
+
+// Requests whose clients do not read their answers give way to further connections.
+func TestUnreadAnswersGiveWay(t *testing.T) {
+	s := newConnSite(t)
+	s.server.stalledAfter = 20 * time.Millisecond
+	s.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/endless" {
+			return
+		}
+		for {
+			if _, err := w.Write(make([]byte, 64<<10)); err != nil {
+				return
+			}
+		}
+	})
+	for range testConns - 1 {
+		c, _ := s.connect("")
+		require.NoError(t, c.(*net.TCPConn).SetReadBuffer(4<<10))
+		_, err := io.WriteString(c, "GET /endless HTTP/1.1\r\nHost: a\r\n\r\n")
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return s.inState(connStalled) == testConns-1 }, 10*time.Second, 10*time.Millisecond)
+	c, answers := s.connect("")
+	s.requireServed(c, answers)
+	require.EqualValues(t, 1, s.server.ConnCounts().Evicted)
+}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -36,17 +36,18 @@
 // Server is an http.Server with a shutdown of its own.
 type Server struct {
 	*http.Server
-	closeConns  atomic.Bool  // after each answer
-	serving     atomic.Int64 // connections whose goroutine has not ended
-	requests    context.Context
-	cancel      context.CancelFunc
-	heads       *reqlimit.Budget
-	headBytes   func() int
-	bodies      *reqlimit.Budget // nil for no limit
-	maxConns    int              // 0 for no limit
-	bodyTimeout time.Duration    // 0 for no limit
-	turnedAway  atomic.Int64
-	evicted     atomic.Int64
+	closeConns   atomic.Bool  // after each answer
+	serving      atomic.Int64 // connections whose goroutine has not ended
+	requests     context.Context
+	cancel       context.CancelFunc
+	heads        *reqlimit.Budget
+	headBytes    func() int
+	bodies       *reqlimit.Budget // nil for no limit
+	maxConns     int              // 0 for no limit
+	stalledAfter time.Duration    // see the constant
+	bodyTimeout  time.Duration    // 0 for no limit
+	turnedAway   atomic.Int64
+	evicted      atomic.Int64
 
 	mu       sync.Mutex
 	stopping bool
@@ -80,7 +81,7 @@
 // New returns a server that drains s. It sets the ConnState, the BaseContext and the
 // ConnContext of s, and wraps its handler.
 func New(s *http.Server, opts ...Option) *Server {
-	d := &Server{Server: s, conns: map[*conn]struct{}{}, headBytes: func() int { return cmp.Or(s.MaxHeaderBytes, http.DefaultMaxHeaderBytes) }}
+	d := &Server{Server: s, conns: map[*conn]struct{}{}, stalledAfter: stalledAfter, headBytes: func() int { return cmp.Or(s.MaxHeaderBytes, http.DefaultMaxHeaderBytes) }}
 	for _, opt := range opts {
 		opt(d)
 	}
@@ -302,7 +303,8 @@
 
 	state      connState
 	stateSince time.Time
-	evicted    bool // is being closed for want of room
+	evicted    bool      // is being closed for want of room
+	writing    time.Time // since when a write has lasted; zero for none
 	body       reqlimit.BodyMeter
 	bodyTimer  *time.Timer
 }
