Count the heads of other nodes' requests against the memory for heads

Callers saw: nothing yet, by reading; a node that sends the requests of several others that have lost their path took the memory of all their large heads. Evidence: TestHeadsOfOtherNodesStayWithinTheirMemory; without the count, a request was sent through a node whose memory for heads was used up. Why it works: the egress takes the memory of a head from the budget of its own clients, and refuses the request as not sent. The ingress tries the next node, and does not avoid this one for requests with common heads.

--- a/egress/message.go
+++ b/egress/message.go
@@ -122,7 +122,8 @@
 	// Cooldown and Draining are what the target asks for, which the ingress honors, too.
 	Cooldown time.Duration `msgpack:"o"`
 	Draining bool          `msgpack:"g"`
-	// OfTargets says that no target takes the request, which says nothing about the node.
+	// OfTargets says that no target takes the request, or that its head is too large now, which
+	// says nothing about the node.
 	OfTargets bool `msgpack:"n"`
 	// Final says that no other node or target will do better: the caller gets Error.
 	Final bool `msgpack:"f"`
--- a/gateway/egress.go
+++ b/gateway/egress.go
@@ -56,6 +56,13 @@
 	if e := g.refusesRelayed(r.Service); e != nil {
 		return notSentEnd(e)
 	}
+	giveBack, refusal := g.cfg.Heads.TakeHeader(r.Header)
+	if refusal != nil {
+		end := notSentEnd(walnutramp.NewError(walnutramp.CodeOverloaded, walnutramp.NotRun, "%s", refusal.Why).WithRetryAfter(refusal.RetryAfter))
+		end.OfTargets = true // others with common heads are still sent through this node
+		return end
+	}
+	defer giveBack()
 	c := g.relayedCall(r, body)
 	defer func() {
 		if p := recover(); p != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/egress"
 	"github.com/walnutramp/walnutramp/inflight"
+	"github.com/walnutramp/walnutramp/internal/reqlimit"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"github.com/walnutramp/walnutramp/metering"
 	"github.com/walnutramp/walnutramp/origins"
@@ -55,13 +57,14 @@
 // Config sets how a Gateway works.
 type Config struct {
 	Names       Names
-	MaxBuffered int64         // maximum bytes of buffered request bodies; a single one may exceed it
-	Buffers     BufferLimits  // for answers whose clients read slowly
-	Stall       time.Duration // timeout between the events of a stream, where its route sets no maximum gap
-	FirstEvent  time.Duration // timeout for the first event of a run that can be retried, on top of the predicted prefill time; see firstEventTimeout
-	StartWait   time.Duration // how long a request waits for the first table and target list
-	Lease       func() bool   // whether new work may be accepted; nil for always
-	Copies      bool          // request KV-cache copies of runs
+	MaxBuffered int64            // maximum bytes of buffered request bodies; a single one may exceed it
+	Heads       *reqlimit.Budget // memory of large request heads from other nodes
+	Buffers     BufferLimits     // for answers whose clients read slowly
+	Stall       time.Duration    // timeout between the events of a stream, where its route sets no maximum gap
+	FirstEvent  time.Duration    // timeout for the first event of a run that can be retried, on top of the predicted prefill time; see firstEventTimeout
+	StartWait   time.Duration    // how long a request waits for the first table and target list
+	Lease       func() bool      // whether new work may be accepted; nil for always
+	Copies      bool             // request KV-cache copies of runs
 
 	// Rollouts selects which versions of targets requests go to; nil for any.
 	Rollouts *rollout.Agent
@@ -138,6 +141,10 @@
 // WithBufferLimits bounds the buffers of answers whose clients read slowly.
 func WithBufferLimits(l BufferLimits) Option { return func(c *Config) { c.Buffers = l } }
 
+// WithHeads sets the budget of the memory of large request heads from other nodes, which may be
+// that of clients' heads; the default is one without a limit.
+func WithHeads(b *reqlimit.Budget) Option { return func(c *Config) { c.Heads = b } }
+
 // WithFind sets the function that asks other nodes about runs of a prompt and copies of a
 // stream.
 func WithFind(find func(ctx context.Context, key string, stream balance.StreamID, retried bool)) Option {
@@ -153,7 +160,7 @@
 func defaultConfig() Config {
 	return Config{
 		MaxBuffered: bodyMemoryOf(processMemory()), Stall: 450 * time.Millisecond, FirstEvent: 5 * time.Second,
-		StartWait: time.Second, Copies: true, Buffers: BufferLimitsOf(processMemory()),
+		Heads: reqlimit.NewBudget(math.MaxInt64), StartWait: time.Second, Copies: true, Buffers: BufferLimitsOf(processMemory()),
 	}
 }
 
--- a/gateway/head_test.go
+++ b/gateway/head_test.go
@@ -8,9 +8,12 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/internal/reqlimit"
 )
 
 // A head of short lines that is as large as the configuration allows must be served.
@@ -74,3 +77,37 @@
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, resp.StatusCode)
 }
+
+// The heads of other nodes' requests must not take more memory than the budget. A request that
+// finds none at one node is sent through another, if there is one.
+func TestHeadsOfOtherNodesStayWithinTheirMemory(t *testing.T) {
+	large := http.Header{}
+	for i := range 1000 {
+		large.Set(fmt.Sprintf("A%x", i), "")
+	}
+	for others, status := range map[int]int{1: http.StatusServiceUnavailable, 2: http.StatusOK} {
+		t.Run(fmt.Sprint(others, " other nodes"), func(t *testing.T) {
+			s := newRelaySite(t, others, []*fakeTarget{newFakeTarget(t, "i-1", "lookup", "north", answerWithID)})
+			heads := reqlimit.NewBudget(1)
+			s.others[0].gateway.cfg.Heads = heads
+			giveBack, refusal := heads.TakeHeader(large)
+			require.Nil(t, refusal)
+			s.ingress.cut(syscall.ECONNREFUSED)
+			s.ingress.lostPath(t, "lookup")
+			request := func() int {
+				r := s.ingress.request(t, "POST", "/once/", "")
+				for name := range large {
+					r.Header.Set(name, "")
+				}
+				resp, _, err := do(t, r)
+				require.NoError(t, err)
+				return resp.StatusCode
+			}
+			require.Equal(t, status, request())
+			require.Zero(t, s.others[0].relayed())
+			giveBack()
+			require.Equal(t, http.StatusOK, request())
+			require.Eventually(t, func() bool { return heads.Used() == 0 }, time.Second, time.Millisecond)
+		})
+	}
+}
--- a/internal/reqlimit/head.go
+++ b/internal/reqlimit/head.go
@@ -108,17 +108,40 @@
 		m.budget.tooLarge.Add(1)
 		return &Refusal{Status: http.StatusRequestHeaderFieldsTooLarge, Why: fmt.Sprintf("the request head is larger than %d bytes", limit)}
 	}
-	more := int64(lineCost*m.lines+byteCost*m.bytes) - freeCost - m.taken
+	more := headCost(m.lines, m.bytes) - m.taken
 	if more <= 0 {
 		return nil
 	}
 	if !m.budget.take(more, m.taken) {
-		return &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfter, Why: "the memory for large request heads is used up"}
+		return headMemoryRefusal()
 	}
 	m.taken += more
 	return nil
 }
 
+// headCost returns the memory that is taken for a head; 0 or less for a common one.
+func headCost(lines, bytes int) int64 { return int64(lineCost*lines+byteCost*bytes) - freeCost }
+
+func headMemoryRefusal() *Refusal {
+	return &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfter, Why: "the memory for large request heads is used up"}
+}
+
+// TakeHeader takes the memory of a head that another node has read, until giveBack is called.
+func (b *Budget) TakeHeader(h http.Header) (giveBack func(), refusal *Refusal) {
+	var lines, bytes int
+	for name, values := range h {
+		for _, v := range values {
+			lines++
+			bytes += len(name) + len(v)
+		}
+	}
+	taken := max(0, headCost(lines, bytes))
+	if taken > 0 && !b.take(taken, 0) {
+		return nil, headMemoryRefusal()
+	}
+	return func() { b.giveBack(taken) }, nil
+}
+
 // Parsed says that the head has been read whole.
 func (m *HeadMeter) Parsed() {
 	if m.phase == inHead {
--- a/internal/reqlimit/head_test.go
+++ b/internal/reqlimit/head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -135,3 +136,21 @@
 	m.Next()
 	require.NotNil(t, m.Pipelined())
 }
+
+func TestHeaderOfAnotherNodeIsCounted(t *testing.T) {
+	h := http.Header{}
+	for i := range 1000 {
+		h.Set("A"+strconv.Itoa(i), "")
+	}
+	b := NewBudget(1)
+	giveBack, refusal := b.TakeHeader(h)
+	require.Nil(t, refusal)
+	require.Greater(t, b.Used(), int64(1000*lineCost-freeCost))
+	_, refusal = b.TakeHeader(h)
+	require.NotNil(t, refusal)
+	giveCommonBack, refusal := b.TakeHeader(http.Header{"Host": {"a"}})
+	require.Nil(t, refusal)
+	giveCommonBack()
+	giveBack()
+	require.Zero(t, b.Used())
+}
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -123,7 +123,7 @@
 		return err
 	}
 	p.client = control.NewDocumentClient(p.peers, s.Seeds, apply)
-	options := []gateway.Option{gateway.WithNames(names), gateway.WithLease(p.leaseCheck()), gateway.WithFind(priorRunFinder(sharer)), gateway.WithBorrow(sharer.Borrow),
+	options := []gateway.Option{gateway.WithNames(names), gateway.WithHeads(p.heads), gateway.WithLease(p.leaseCheck()), gateway.WithFind(priorRunFinder(sharer)), gateway.WithBorrow(sharer.Borrow),
 		gateway.WithQuarantine(crashDetector), gateway.WithLimits(limiter), gateway.WithInFlight(slots), gateway.WithOrigins(streamOrigins),
 		gateway.WithEgress(egress.NewSender(egress.NewClient(self, dialer().DialContext, &p.traffic), sharer))}
 	var agent *rollout.Agent
