Limits of clients, read as a newcomer: names, comments, one set-up for tests

Found on the way and mended: a body that came whole just as its deadline passed kept its reserved memory; a body cut off by the body timeout was answered 400 in place of 408; a request whose handler reads its body by length, not to its end, counted as waiting for it; a negative limit of the configuration refused all heads (as 0, it sets none).

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/walnutramp/walnutramp"
@@ -95,12 +96,12 @@
 	late := c.limitBodyTime(w)
 	err := c.buffer.read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	r.Trailer = nil // it is not forwarded
-	if late() {
-		w.Header().Set("Connection", "close")
-		return walnutramp.NewError(walnutramp.CodeBodyTimeout, walnutramp.NotRun, "the request body did not arrive before the deadline")
-	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case late(), errors.Is(err, os.ErrDeadlineExceeded):
+		c.buffer.release()
+		w.Header().Set("Connection", "close")
+		return walnutramp.NewError(walnutramp.CodeBodyTimeout, walnutramp.NotRun, "the request body did not arrive in time")
 	case err == nil:
 		c.body = c.buffer.bytes
 		return nil
--- a/internal/drain/admit.go
+++ b/internal/drain/admit.go
@@ -121,7 +121,6 @@
 // setState records what the connection waits for. The caller holds the mutex.
 func (c *conn) setState(state connState) {
 	c.state, c.stateSince = state, time.Now()
-	c.evicted = c.evicted && state != connActive
 }
 
 // turnAway answers a client for which there is no connection. Its request is not read.
--- a/internal/drain/admit_test.go
+++ b/internal/drain/admit_test.go
@@ -30,11 +30,7 @@
 			<-s.release
 		}
 	})}, WithMaxConns(testConns))
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	go s.server.Serve(l)
-	t.Cleanup(func() { s.server.Close() })
-	s.address = l.Addr().String()
+	s.start()
 	return s
 }
 
--- a/internal/drain/body.go
+++ b/internal/drain/body.go
@@ -13,6 +13,7 @@
 type bodyReader struct {
 	io.ReadCloser
 	conn *conn
+	left int64 // of the body; negative if its length is not known
 }
 
 // trackBody makes a request's connection wait for its body, if it has one.
@@ -23,7 +24,7 @@
 	}
 	c.setBodyState(connBody)
 	c.beginBody()
-	r.Body = &bodyReader{r.Body, c}
+	r.Body = &bodyReader{r.Body, c, r.ContentLength}
 }
 
 // beginBody limits a body: its memory, and how long it is awaited, also if http.Server reads what
@@ -55,7 +56,7 @@
 	return c.body.Read(n)
 }
 
-// endBody ends the limits of a request's body. The caller holds the mutex.
+// endBody ends the limits of a body. The caller holds the mutex.
 func (c *conn) endBody() {
 	c.body.Close()
 	if c.bodyTimer != nil {
@@ -70,8 +71,9 @@
 	if refusal := b.conn.measureBody(n); refusal != nil {
 		return 0, refusal
 	}
+	b.left -= int64(n)
 	switch {
-	case err != nil:
+	case err != nil || b.left == 0:
 		b.conn.setBodyState(connActive)
 	case n > 0:
 		b.conn.setBodyState(connBody)
--- a/internal/drain/body_test.go
+++ b/internal/drain/body_test.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -28,11 +27,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := &headSite{t: t, server: New(&http.Server{Handler: handler}, WithBodyTimeout(50*time.Millisecond))}
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			go s.server.Serve(l)
-			t.Cleanup(func() { s.server.Close() })
-			s.address = l.Addr().String()
+			s.start()
 			c, answers := s.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nx")
 			c.SetReadDeadline(time.Now().Add(5 * time.Second))
 			resp := s.requireAnswer(answers, http.StatusRequestTimeout)
@@ -55,15 +50,11 @@
 		case <-time.After(3 * timeout):
 		}
 	})}, WithBodyTimeout(timeout))}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	go s.server.Serve(l)
-	t.Cleanup(func() { s.server.Close() })
-	s.address = l.Addr().String()
+	s.start()
 	const request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx"
 	c, answers := s.send(request)
 	s.requireAnswer(answers, http.StatusOK)
-	_, err = io.WriteString(c, request)
+	_, err := io.WriteString(c, request)
 	require.NoError(t, err)
 	s.requireAnswer(answers, http.StatusOK)
 }
@@ -107,11 +98,7 @@
 		}
 		<-release
 	})}, WithBodies(budget))}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	go s.server.Serve(l)
-	t.Cleanup(func() { s.server.Close() })
-	s.address = l.Addr().String()
+	s.start()
 	request := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
 	_, first := s.send(request)
 	require.Eventually(t, func() bool { return budget.Used() == 2*size }, 5*time.Second, time.Millisecond)
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -1,5 +1,5 @@
 // Package drain provides an HTTP/1.1 server whose graceful shutdown answers each request that
-// it has read.
+// it has read, and that bounds the memory and the connections that its clients take.
 //
 // The shutdown of http.Server drops requests that it reads after it has begun, such as the
 // first one of a connection that was accepted before, and closes a connection as idle while it
@@ -33,7 +33,7 @@
 	handlerPollInterval = 2 * time.Millisecond
 )
 
-// Server is an http.Server with a shutdown of its own.
+// Server is an http.Server with a shutdown and limits of its own.
 type Server struct {
 	*http.Server
 	closeConns   atomic.Bool  // after each answer
@@ -41,12 +41,12 @@
 	requests     context.Context
 	cancel       context.CancelFunc
 	heads        *reqlimit.Budget
-	headBytes    func() int
+	headBytes    func() int       // limit of one head
 	bodies       *reqlimit.Budget // nil for no limit
 	maxConns     int              // 0 for no limit
 	stalledAfter time.Duration    // see the constant
 	bodyTimeout  time.Duration    // 0 for no limit
-	turnedAway   atomic.Int64
+	turnedAway   atomic.Int64     // see ConnCounts
 	evicted      atomic.Int64
 
 	mu       sync.Mutex
@@ -81,7 +81,8 @@
 // New returns a server that drains s. It sets the ConnState, the BaseContext and the
 // ConnContext of s, and wraps its handler.
 func New(s *http.Server, opts ...Option) *Server {
-	d := &Server{Server: s, conns: map[*conn]struct{}{}, stalledAfter: stalledAfter, headBytes: func() int { return cmp.Or(s.MaxHeaderBytes, http.DefaultMaxHeaderBytes) }}
+	d := &Server{Server: s, conns: map[*conn]struct{}{}, stalledAfter: stalledAfter}
+	d.headBytes = func() int { return cmp.Or(s.MaxHeaderBytes, http.DefaultMaxHeaderBytes) }
 	for _, opt := range opts {
 		opt(d)
 	}
@@ -316,7 +317,7 @@
 	if n == 0 {
 		return n, err
 	}
-	if refusal := c.measure(p[:n], len(p) == 1); refusal != nil {
+	if refusal := c.measureHead(p[:n], len(p) == 1); refusal != nil {
 		return 0, c.refuse(refusal)
 	}
 	return n, err
--- a/internal/drain/heads_test.go
+++ b/internal/drain/heads_test.go
@@ -47,12 +47,17 @@
 		s.handled.Add(1)
 		handler(w, r)
 	})}, WithHeads(s.budget))
+	s.start()
+	return s
+}
+
+// start serves on loopback until the test ends.
+func (s *headSite) start() {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
+	require.NoError(s.t, err)
 	go s.server.Serve(l)
-	t.Cleanup(func() { s.server.Close() })
+	s.t.Cleanup(func() { s.server.Close() })
 	s.address = l.Addr().String()
-	return s
 }
 
 // send sends data on a new connection.
--- a/internal/drain/refuse.go
+++ b/internal/drain/refuse.go
@@ -49,10 +49,11 @@
 	defer c.mu.Unlock()
 	c.head.Parsed()
 	c.setState(connActive)
+	c.evicted = false // its request has crossed the close
 }
 
-// measure counts what has arrived against the limits of heads.
-func (c *conn) measure(p []byte, background bool) *reqlimit.Refusal {
+// measureHead counts what has arrived against the limits of heads.
+func (c *conn) measureHead(p []byte, background bool) *reqlimit.Refusal {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.head.Read(p, background)
--- a/internal/reqlimit/head.go
+++ b/internal/reqlimit/head.go
@@ -17,11 +17,12 @@
 	freeCost = 16 << 10
 	// readSize is the size of the buffer, in bytes, through which net/http reads.
 	readSize = 4 << 10
-	// retryAfter is when a client may come back whose head found no memory.
+	// retryAfter is when a client may come back whose request found no memory.
 	retryAfter = 250 * time.Millisecond
 )
 
-// Refusal is the error of a head that must not be read further. Its request has not run.
+// Refusal is the error of a head or a body that must not be read further. Its request has not
+// run.
 type Refusal struct {
 	Status     int           // of the answer
 	RetryAfter time.Duration // 0 if to come back is of no use
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"cmp"
 	"context"
 	"math"
 	"math/rand/v2"
@@ -289,7 +288,12 @@
 
 // headBytes returns a function that returns the maximum size of a client's request head.
 func headBytes(g *gateway.Gateway) func() int {
-	return func() int { return cmp.Or(g.Limits().HeaderBytes, maxHeaderBytes) }
+	return func() int {
+		if limit := g.Limits().HeaderBytes; limit > 0 {
+			return limit
+		}
+		return maxHeaderBytes
+	}
 }
 
 // leaseCheck returns a function that reports whether new requests may be accepted.
