One struct of the limits of clients, one format of Retry-After, one lock a read

The limits of clients stood three times with the same four fields (flags, serve, node), and their defaults were applied in two of the places: drain.ClientLimits serves all. Retry-After was formatted in the gateway and again in drain: retryafter.Format. A read took the mutex of its connection twice. Behaviour is as before.

--- a/cmd/walnutramp/limits.go
+++ b/cmd/walnutramp/limits.go
@@ -3,11 +3,9 @@
 import (
 	"strconv"
 	"time"
-
-	"github.com/walnutramp/walnutramp/serve"
 )
 
-// clientLimits are settings that bound what clients may take of a process.
+// clientLimits are the flags of a drain.ClientLimits.
 type clientLimits struct {
 	HeadMemoryMB   int           `long:"head-memory" env:"WALNUTRAMP_HEAD_MEMORY_MB" description:"memory for large request heads, in MiB; 0 for an eighth of the memory limit, 16 at most"`
 	BodyMemoryMB   int           `long:"body-memory" env:"WALNUTRAMP_BODY_MEMORY_MB" description:"memory for request bodies at addresses other than that of a platform entry's clients, in MiB; 0 for an eighth of the memory limit"`
@@ -26,8 +24,3 @@
 	}
 	return nil
 }
-
-func (l *clientLimits) apply(s *serve.Settings) {
-	s.HeadMemoryMB, s.BodyMemoryMB = l.HeadMemoryMB, l.BodyMemoryMB
-	s.MaxConnections, s.BodyTimeout = l.MaxConnections, l.BodyTimeout
-}
--- a/cmd/walnutramp/node.go
+++ b/cmd/walnutramp/node.go
@@ -15,6 +15,7 @@
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/consensus"
+	"github.com/walnutramp/walnutramp/internal/drain"
 	"github.com/walnutramp/walnutramp/keys"
 	"github.com/walnutramp/walnutramp/member"
 	"github.com/walnutramp/walnutramp/node"
@@ -100,7 +101,7 @@
 		node.WithLoadInterval(c.LoadInterval),
 		node.WithProbePeriod(c.ProbePeriod),
 		node.WithStopDeadline(c.StopDeadline),
-		node.WithClientLimits(node.ClientLimits(c.Limits)),
+		node.WithClientLimits(drain.ClientLimits(c.Limits)),
 		node.WithSeed(uint64(time.Now().UnixNano())),
 	), nil
 }
--- a/cmd/walnutramp/serve.go
+++ b/cmd/walnutramp/serve.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp/balance"
+	"github.com/walnutramp/walnutramp/internal/drain"
 	"github.com/walnutramp/walnutramp/logsink"
 	"github.com/walnutramp/walnutramp/platform"
 	"github.com/walnutramp/walnutramp/serve"
@@ -45,7 +46,7 @@
 	if err := c.Limits.check(); err != nil {
 		return err
 	}
-	c.Limits.apply(&settings)
+	settings.ClientLimits = drain.ClientLimits(c.Limits)
 	if c.Check {
 		return nil
 	}
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -10,6 +10,7 @@
 
 	"github.com/walnutramp/walnutramp"
 	"github.com/walnutramp/walnutramp/internal/pause"
+	"github.com/walnutramp/walnutramp/internal/retryafter"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"k8s.io/klog/v2"
 )
@@ -65,7 +66,7 @@
 		h.Set("Connection", "close")
 	}
 	if e.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(e.RetryAfter.Seconds(), 'f', 3, 64))
+		h.Set(retryafter.Header, retryafter.Format(e.RetryAfter))
 	}
 	w.WriteHeader(info.Status)
 	w.Write(body)
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -87,7 +87,7 @@
 		opt(d)
 	}
 	if d.heads == nil {
-		d.heads = reqlimit.NewBudget(ProcessResources(0).HeadMemory())
+		d.heads = ProcessResources(0).Heads(ClientLimits{})
 	}
 	d.requests, d.cancel = context.WithCancel(context.Background())
 	s.BaseContext = func(net.Listener) context.Context { return d.requests }
@@ -313,18 +313,15 @@
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	n, err = c.receive(p, n, err)
-	if n == 0 {
-		return n, err
-	}
-	if refusal := c.measureHead(p[:n], len(p) == 1); refusal != nil {
+	n, refusal, err := c.receive(p, n, err)
+	if refusal != nil {
 		return 0, c.refuse(refusal)
 	}
 	return n, err
 }
 
-// receive records the result of a read.
-func (c *conn) receive(p []byte, n int, err error) (int, error) {
+// receive records the result of a read, and counts what has arrived against the limits of heads.
+func (c *conn) receive(p []byte, n int, err error) (int, *reqlimit.Refusal, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n == 0 && (c.closing || !c.received && errors.Is(err, os.ErrDeadlineExceeded)) {
@@ -332,11 +329,12 @@
 	}
 	switch {
 	case n > 0:
-		return n, c.begin()
+		background := len(p) == 1
+		return n, c.head.Read(p[:n], background), c.begin()
 	case c.closing:
-		return 0, io.EOF // which http.Server does not answer
+		return 0, nil, io.EOF // which http.Server does not answer
 	}
-	return n, err
+	return n, nil, err
 }
 
 // begin records that some of a request has been read. The caller holds the mutex.
--- a/internal/drain/limits.go
+++ b/internal/drain/limits.go
@@ -1,8 +1,12 @@
 package drain
 
 import (
+	"cmp"
 	"runtime/debug"
 	"syscall"
+	"time"
+
+	"github.com/walnutramp/walnutramp/internal/reqlimit"
 )
 
 const (
@@ -41,11 +45,25 @@
 	return r
 }
 
-// HeadMemory returns the default memory for large request heads, in bytes.
-func (r Resources) HeadMemory() int64 { return int64(min(maxHeadMemory, headShare*float64(r.Memory))) }
+// ClientLimits are settings that bound what clients may take of a process; 0 leaves the default
+// of each.
+type ClientLimits struct {
+	HeadMemoryMB   int           // for large request heads
+	BodyMemoryMB   int           // for request bodies that are not bounded otherwise
+	MaxConnections int           // open at a time
+	BodyTimeout    time.Duration // for reading a request body; not bounded by default
+}
 
-// BodyMemory returns the default memory for request bodies, in bytes.
-func (r Resources) BodyMemory() int64 { return int64(bodyShare * float64(r.Memory)) }
+// Heads returns the budget of the memory of large request heads.
+func (r Resources) Heads(l ClientLimits) *reqlimit.Budget {
+	memory := int64(min(maxHeadMemory, headShare*float64(r.Memory)))
+	return reqlimit.NewBudget(cmp.Or(int64(l.HeadMemoryMB)<<20, memory))
+}
+
+// Bodies returns the budget of the memory of request bodies.
+func (r Resources) Bodies(l ClientLimits) *reqlimit.Budget {
+	return reqlimit.NewBudget(cmp.Or(int64(l.BodyMemoryMB)<<20, int64(bodyShare*float64(r.Memory))))
+}
 
 // MaxConns returns how many connections a server may have that may use a share of the
 // resources.
--- a/internal/drain/refuse.go
+++ b/internal/drain/refuse.go
@@ -6,10 +6,10 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/walnutramp/walnutramp/internal/reqlimit"
+	"github.com/walnutramp/walnutramp/internal/retryafter"
 )
 
 const (
@@ -38,7 +38,7 @@
 func writeRefusal(w http.ResponseWriter, refusal *reqlimit.Refusal) {
 	w.Header().Set("Connection", "close")
 	if refusal.RetryAfter > 0 {
-		w.Header().Set("Retry-After", formatSeconds(refusal.RetryAfter))
+		w.Header().Set(retryafter.Header, retryafter.Format(refusal.RetryAfter))
 	}
 	http.Error(w, refusal.Why, refusal.Status)
 }
@@ -52,13 +52,6 @@
 	c.evicted = false // its request has crossed the close
 }
 
-// measureHead counts what has arrived against the limits of heads.
-func (c *conn) measureHead(p []byte, background bool) *reqlimit.Refusal {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.head.Read(p, background)
-}
-
 // refuse answers a head that is not read further. The error that it returns is one that
 // http.Server does not answer.
 func (c *conn) refuse(refusal *reqlimit.Refusal) error {
@@ -80,12 +73,9 @@
 func writeRawRefusal(w io.Writer, refusal *reqlimit.Refusal) error {
 	var retryAfter string
 	if refusal.RetryAfter > 0 {
-		retryAfter = "Retry-After: " + formatSeconds(refusal.RetryAfter) + "\r\n"
+		retryAfter = retryafter.Header + ": " + retryafter.Format(refusal.RetryAfter) + "\r\n"
 	}
 	_, err := fmt.Fprintf(w, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s",
 		refusal.Status, http.StatusText(refusal.Status), len(refusal.Why), retryAfter, refusal.Why)
 	return err
 }
-
-// formatSeconds returns the value of a Retry-After header.
-func formatSeconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
--- a/internal/retryafter/retryafter.go
+++ b/internal/retryafter/retryafter.go
@@ -1,4 +1,4 @@
-// Package retryafter parses the Retry-After header of HTTP responses.
+// Package retryafter parses and formats the Retry-After header of HTTP responses.
 package retryafter
 
 import (
@@ -15,6 +15,9 @@
 // long has already been taken out of service.
 const Longest = 24 * time.Hour
 
+// Format returns the header's value for a delay, in seconds to three decimals.
+func Format(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
+
 // Of returns the delay that a response with status 503 requests, in seconds with an
 // optional fraction. It returns 0 for other statuses and for invalid values,
 // HTTP dates included.
--- a/node/node.go
+++ b/node/node.go
@@ -23,7 +23,6 @@
 	"github.com/walnutramp/walnutramp/internal/drain"
 	"github.com/walnutramp/walnutramp/internal/part"
 	"github.com/walnutramp/walnutramp/internal/pause"
-	"github.com/walnutramp/walnutramp/internal/reqlimit"
 	"github.com/walnutramp/walnutramp/member"
 	"github.com/walnutramp/walnutramp/operator"
 	"github.com/walnutramp/walnutramp/peer"
@@ -50,9 +49,9 @@
 	Dial              DialFunc
 	LoadInterval      time.Duration
 	ProbePeriod       time.Duration
-	StopDeadline      time.Duration // bounds the whole of Stop
-	HeaderTimeout     time.Duration // timeout for reading request headers
-	ClientLimits      ClientLimits
+	StopDeadline      time.Duration      // bounds the whole of Stop
+	HeaderTimeout     time.Duration      // timeout for reading request headers
+	ClientLimits      drain.ClientLimits // of callers
 	Seed              uint64
 	GenerationOptions []generation.Option
 	RouteOptions      []route.Option
@@ -104,16 +103,8 @@
 // WithStopDeadline sets how long Stop may take until the remaining requests are aborted.
 func WithStopDeadline(d time.Duration) Option { return func(c *Config) { c.StopDeadline = d } }
 
-// ClientLimits bound what callers may take of a node; 0 leaves the default of each.
-type ClientLimits struct {
-	HeadMemoryMB   int           // for large request heads
-	BodyMemoryMB   int           // for request bodies
-	MaxConnections int           // open at a time
-	BodyTimeout    time.Duration // for reading a request body
-}
-
 // WithClientLimits sets the limits of callers.
-func WithClientLimits(l ClientLimits) Option { return func(c *Config) { c.ClientLimits = l } }
+func WithClientLimits(l drain.ClientLimits) Option { return func(c *Config) { c.ClientLimits = l } }
 
 // WithControl sets the control group's initial members and the operators whose signed
 // bundles it accepts.
@@ -302,9 +293,9 @@
 func (n *Node) clientLimits() []drain.Option {
 	l, r := n.cfg.ClientLimits, drain.ProcessResources(0)
 	return []drain.Option{
-		drain.WithHeads(reqlimit.NewBudget(cmp.Or(int64(l.HeadMemoryMB)<<20, r.HeadMemory()))),
+		drain.WithHeads(r.Heads(l)),
 		drain.WithMaxConns(cmp.Or(l.MaxConnections, r.MaxConns(callerShare))),
-		drain.WithBodies(reqlimit.NewBudget(cmp.Or(int64(l.BodyMemoryMB)<<20, r.BodyMemory()))),
+		drain.WithBodies(r.Bodies(l)),
 		drain.WithBodyTimeout(l.BodyTimeout),
 	}
 }
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -44,11 +44,8 @@
 	Founder         bool                  // bootstraps the control group if its disk is empty
 	DataDir         string
 	MemoryMB        int
-	HeadMemoryMB    int           // for large request heads; 0 for a share of the memory limit
-	BodyMemoryMB    int           // for request bodies of operators; 0 for a share of the memory limit
-	MaxDescriptors  int           // of the process; 0 for the limit of the system
-	MaxConnections  int           // of clients; 0 for a share of the descriptors and memory
-	BodyTimeout     time.Duration // for reading a request body; 0 for no limit but the request deadline
+	MaxDescriptors  int // of the process; 0 for the limit of the system
+	ClientLimits    drain.ClientLimits
 	LinkMbps        float64       // capacity of the machine's link in Mbit/s; 0 if unknown
 	Grace           time.Duration // grace period from the stop request to the kill
 	OperatorTimeout time.Duration // timeout of operator calls
--- a/serve/server.go
+++ b/serve/server.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp/internal/drain"
-	"github.com/walnutramp/walnutramp/internal/reqlimit"
 	"k8s.io/klog/v2"
 )
 
@@ -32,20 +31,20 @@
 // setResources sets the limits of what clients may take.
 func (p *Process) setResources() {
 	p.resources = drain.ProcessResources(p.settings.MaxDescriptors)
-	p.heads = reqlimit.NewBudget(cmp.Or(int64(p.settings.HeadMemoryMB)<<20, p.resources.HeadMemory()))
-	p.bodies = reqlimit.NewBudget(cmp.Or(int64(p.settings.BodyMemoryMB)<<20, p.resources.BodyMemory()))
+	p.heads = p.resources.Heads(p.settings.ClientLimits)
+	p.bodies = p.resources.Bodies(p.settings.ClientLimits)
 	klog.InfoS("Limits of clients", "memory", p.resources.Memory, "descriptors", p.resources.Descriptors, "connections", p.maxClientConns())
 }
 
 // maxClientConns returns how many connections clients may have open.
 func (p *Process) maxClientConns() int {
-	return cmp.Or(p.settings.MaxConnections, p.resources.MaxConns(clientShare))
+	return cmp.Or(p.settings.ClientLimits.MaxConnections, p.resources.MaxConns(clientShare))
 }
 
 // newServer returns a server of at most maxConns connections.
 func (p *Process) newServer(h http.Handler, maxConns int, opts ...drain.Option) *drain.Server {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	opts = append(opts, drain.WithHeads(p.heads), drain.WithMaxConns(maxConns), drain.WithBodyTimeout(p.settings.BodyTimeout))
+	opts = append(opts, drain.WithHeads(p.heads), drain.WithMaxConns(maxConns), drain.WithBodyTimeout(p.settings.ClientLimits.BodyTimeout))
 	return drain.New(s, opts...)
 }
 
