Count buffered request bodies of the gateway by the budget that others use

The gateway had a counter and a rule of its own for the memory of bodies, of which one that is alone always finds room; reqlimit.Budget is the same. Bounds and behaviour are as before; the tests set the bound at its new place and assert the same.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/internal/reqlimit"
 	"github.com/walnutramp/walnutramp/internal/uptime"
 	"k8s.io/klog/v2"
 )
@@ -31,8 +32,8 @@
 
 // bodyBuffer reads a body into memory that it reserves before.
 type bodyBuffer struct {
-	gateway *Gateway
-	bytes   []byte
+	budget *reqlimit.Budget
+	bytes  []byte
 }
 
 // read reads a body to its end; length is -1 if it is not known. After an error, nothing is
@@ -62,10 +63,7 @@
 	if length >= 0 {
 		size = max(min(size, int(length)+1), cap(b.bytes)+1)
 	}
-	g := b.gateway
-	added := int64(size - cap(b.bytes))
-	if total := g.buffered.Add(added); total > g.cfg.MaxBuffered && total > int64(size) {
-		g.buffered.Add(-added)
+	if held := cap(b.bytes); !b.budget.Take(int64(size-held), int64(held)) {
 		return false
 	}
 	grown := make([]byte, len(b.bytes), size)
@@ -76,7 +74,7 @@
 
 // release gives back what is reserved.
 func (b *bodyBuffer) release() {
-	b.gateway.buffered.Add(-int64(cap(b.bytes)))
+	b.budget.GiveBack(int64(cap(b.bytes)))
 	b.bytes = nil
 }
 
--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/internal/reqlimit"
 )
 
 // Bodies that arrive at the same time must not take more memory than the bound, and those that
@@ -30,7 +31,7 @@
 				reply(c, r.Header.Get("X-Id"), 200, "ok")
 			})
 			s := newTestSite(t, []*fakeTarget{f})
-			s.gateway.cfg.MaxBuffered = limit
+			s.gateway.bodies = reqlimit.NewBudget(limit)
 			var served, refused atomic.Int64
 			var load sync.WaitGroup
 			for i := range bodies {
@@ -54,7 +55,7 @@
 			}
 			most := int64(0)
 			for refused.Load()+int64(len(f.seen())) < bodies {
-				most = max(most, s.gateway.buffered.Load())
+				most = max(most, s.gateway.bodies.Used())
 				time.Sleep(100 * time.Microsecond)
 			}
 			close(end)
@@ -62,7 +63,7 @@
 			require.LessOrEqual(t, most, int64(limit))
 			require.Positive(t, refused.Load())
 			require.GreaterOrEqual(t, served.Load(), int64(limit/size/3), "buffers double")
-			require.Eventually(t, func() bool { return s.gateway.buffered.Load() == 0 }, time.Second, time.Millisecond)
+			require.Eventually(t, func() bool { return s.gateway.bodies.Used() == 0 }, time.Second, time.Millisecond)
 		})
 	}
 }
@@ -75,7 +76,7 @@
 		reply(c, r.Header.Get("X-Id"), 200, "ok")
 	})
 	s := newTestSite(t, []*fakeTarget{f})
-	s.gateway.cfg.MaxBuffered = 1 << 20
+	s.gateway.bodies = reqlimit.NewBudget(1 << 20)
 	table := testTable()
 	table.Limits.BodyBytes = 4 << 20
 	s.gateway.SetTable(table)
@@ -111,7 +112,7 @@
 			resp, _, err := do(t, s.request(t, "POST", "/draft/", strings.Repeat("x", 1<<20), headers...))
 			require.NoError(t, err)
 			require.GreaterOrEqual(t, resp.StatusCode, 400)
-			require.Eventually(t, func() bool { return s.gateway.buffered.Load() == 0 }, time.Second, time.Millisecond)
+			require.Eventually(t, func() bool { return s.gateway.bodies.Used() == 0 }, time.Second, time.Millisecond)
 		})
 	}
 }
@@ -131,5 +132,5 @@
 	require.Equal(t, http.StatusRequestTimeout, resp.StatusCode)
 	require.True(t, resp.Close)
 	require.Empty(t, f.seen())
-	require.Zero(t, s.gateway.buffered.Load())
+	require.Zero(t, s.gateway.bodies.Used())
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -105,7 +105,7 @@
 		id: r.Header.Get(g.cfg.Names.Identity), route: route, service: route.Service(), account: account,
 		method: r.Method, uri: r.RequestURI, host: r.Host, arrived: arrived, idleSince: arrived, tried: map[*balance.Target]bool{},
 		rejected: map[*balance.Target]bool{}, failedHalls: map[string]int{},
-		priority: route.Priority, version: table.Version, buffer: bodyBuffer{gateway: g},
+		priority: route.Priority, version: table.Version, buffer: bodyBuffer{budget: g.bodies},
 	}
 	if account.HasPriority {
 		c.priority = account.Priority
--- a/gateway/egress.go
+++ b/gateway/egress.go
@@ -40,7 +40,7 @@
 		return walnutramp.NewError(walnutramp.CodeNotInForce, walnutramp.NotRun, "no configuration or target list")
 	case g.stopping.Load() != phaseServing:
 		return walnutramp.NewError(walnutramp.CodeStopping, walnutramp.NotRun, "this node is stopping")
-	case g.relayed.count() >= maxRelayed || g.buffered.Load() > g.cfg.MaxBuffered:
+	case g.relayed.count() >= maxRelayed || g.bodies.Exceeded():
 		return walnutramp.NewError(walnutramp.CodeOverloaded, walnutramp.NotRun, "too many requests of other nodes")
 	case g.paths.State(service).Lost:
 		return walnutramp.NewError(walnutramp.CodeNoPath, walnutramp.NotRun, "no path to the targets")
@@ -86,8 +86,8 @@
 	defer g.relayed.add(c, cancel)()
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	g.buffered.Add(int64(len(body)))
-	defer g.buffered.Add(-int64(len(body)))
+	g.bodies.Add(int64(len(body)))
+	defer g.bodies.GiveBack(int64(len(body)))
 	defer g.returnGrants(c)
 	klog.InfoS("Sending another node's request", "request", c.id, "service", c.service, "route", c.route.Name, "retry", r.Retry, "last", c.lastID)
 	if c.route.Kind == Stream {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -174,7 +174,7 @@
 	table        atomic.Pointer[Table]
 	stopping     atomic.Int32
 	stopDeadline atomic.Pointer[time.Time]
-	buffered     atomic.Int64
+	bodies       *reqlimit.Budget // of buffered request bodies
 	buffers      *bufferAccounting
 	strip        map[string]bool
 	started      chan struct{} // closed once a table and a target list are loaded
@@ -221,12 +221,13 @@
 	}
 	g := &Gateway{cfg: cfg, targets: targets, pool: pool, refresh: refresh, budgets: budgets, counters: newCounters(),
 		started: make(chan struct{}), pending: pendingRuns{runs: map[*pendingRun]struct{}{}}}
+	g.bodies = reqlimit.NewBudget(cfg.MaxBuffered)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.requests, g.end = context.WithCancel(context.Background())
 	cfg.Limits.OnLimited(targets.SetLimited)
 	g.buffers = newBufferAccounting(cfg.Buffers, g.counters)
 	g.counters.set.NewGauge(`walnutramp_gateway_held_bytes{cause="slow-clients"}`, func() float64 { return float64(g.buffers.bytes()) })
-	g.counters.set.NewGauge(`walnutramp_gateway_held_bytes{cause="request-bodies"}`, func() float64 { return float64(g.buffered.Load()) })
+	g.counters.set.NewGauge(`walnutramp_gateway_held_bytes{cause="request-bodies"}`, func() float64 { return float64(g.bodies.Used()) })
 	targets.OnUnresponsive(g.pending.cancelUnresponsive)
 	g.paths = reach.New(&targetDialer{targets, pool}, reach.WithOnLost(g.pathLost), reach.WithOnRecovered(g.pathRecovered))
 	cfg.Quarantine.OnQuarantined(g.pending.cancelQuarantined)
--- a/internal/reqlimit/body.go
+++ b/internal/reqlimit/body.go
@@ -21,7 +21,7 @@
 		return nil
 	}
 	more := bodyCost * int64(n)
-	if !m.budget.take(more, m.taken) {
+	if !m.budget.Take(more, m.taken) {
 		return &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfter, Why: "the memory for request bodies is used up"}
 	}
 	m.taken += more
@@ -31,7 +31,7 @@
 // Close gives everything back; nothing is taken after it.
 func (m *BodyMeter) Close() {
 	if m.budget != nil {
-		m.budget.giveBack(m.taken)
+		m.budget.GiveBack(m.taken)
 	}
 	m.budget, m.taken = nil, 0
 }
--- a/internal/reqlimit/budget.go
+++ b/internal/reqlimit/budget.go
@@ -3,7 +3,7 @@
 //
 // net/http parses a head whole before a handler sees it, and a line of a few bytes takes many
 // times its size: its entries in the header maps, its strings and its slice. So heads are
-// measured by their lines as they arrive, before they are parsed.
+// counted by their lines as they arrive, before they are parsed.
 package reqlimit
 
 import "sync/atomic"
@@ -29,8 +29,9 @@
 // TooLarge returns how many heads were refused for their size.
 func (b *Budget) TooLarge() int64 { return b.tooLarge.Load() }
 
-// take takes more bytes for a request that has some. One that is alone always finds room.
-func (b *Budget) take(more, held int64) bool {
+// Take takes more bytes for a request that holds some, and reports whether there is room. A
+// request that is alone always finds some.
+func (b *Budget) Take(more, held int64) bool {
 	if total := b.used.Add(more); total > b.limit && total > held+more {
 		b.used.Add(-more)
 		b.refused.Add(1)
@@ -39,4 +40,11 @@
 	return true
 }
 
-func (b *Budget) giveBack(bytes int64) { b.used.Add(-bytes) }
+// Add takes bytes for a request that another node has admitted, also beyond the limit.
+func (b *Budget) Add(bytes int64) { b.used.Add(bytes) }
+
+// GiveBack gives back what was taken.
+func (b *Budget) GiveBack(bytes int64) { b.used.Add(-bytes) }
+
+// Exceeded reports whether more is taken than the limit.
+func (b *Budget) Exceeded() bool { return b.used.Load() > b.limit }
--- a/internal/reqlimit/head.go
+++ b/internal/reqlimit/head.go
@@ -113,7 +113,7 @@
 	if more <= 0 {
 		return nil
 	}
-	if !m.budget.take(more, m.taken) {
+	if !m.budget.Take(more, m.taken) {
 		return headMemoryRefusal()
 	}
 	m.taken += more
@@ -137,10 +137,10 @@
 		}
 	}
 	taken := max(0, headCost(lines, bytes))
-	if taken > 0 && !b.take(taken, 0) {
+	if taken > 0 && !b.Take(taken, 0) {
 		return nil, headMemoryRefusal()
 	}
-	return func() { b.giveBack(taken) }, nil
+	return func() { b.GiveBack(taken) }, nil
 }
 
 // Parsed says that the head has been read whole.
@@ -175,6 +175,6 @@
 }
 
 func (m *HeadMeter) giveBack() {
-	m.budget.giveBack(m.taken)
+	m.budget.GiveBack(m.taken)
 	m.taken = 0
 }
