--- a/internal/drain/admit.go
+++ b/internal/drain/admit.go
@@ -21,7 +21,7 @@
 // errTooManyConns answers a client for which there is no connection.
 var errTooManyConns = &reqlimit.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryWhenFull, Why: "too many connections"}
 
-// connState says what a connection waits for. A lower one is closed first for want of room.
+// connState says what a connection waits for. One in a lower state is closed first when connections run short.
 type connState int
 
 const (
@@ -33,8 +33,8 @@
 	connActive                   // for an answer
 )
 
-// admit tracks a new connection, and closes others if few are left. It returns nil if there is
-// no room.
+// admit tracks a new connection, and closes others if few are left. It returns nil if none
+// is left.
 func (s *Server) admit(accepted net.Conn) *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -87,7 +87,7 @@
 	return cmp.Or(cmp.Compare(w.state, o.state), w.since.Compare(o.since))
 }
 
-// waiting returns the connection's state, and whether it is being closed for want of room.
+// waiting returns the connection's state, and whether it is being closed to free it.
 func (c *conn) waiting() (w waiting, closing bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/drain/admit_test.go
+++ b/internal/drain/admit_test.go
@@ -123,7 +123,7 @@
 	for _, answers := range slow {
 		s.requireAnswer(answers, http.StatusOK)
 	}
-	require.Eventually(t, func() bool { // the first makes room for the next
+	require.Eventually(t, func() bool { // the first frees one for the next
 		c, answers := dial(t, s.address)
 		_, err := io.WriteString(c, commonHead)
 		require.NoError(t, err)
@@ -151,7 +151,7 @@
 	}
 }
 
-// Requests whose clients do not read their answers give way to further connections.
+// Connections whose clients do not read their answers are closed for further ones.
 func TestUnreadAnswersGiveWay(t *testing.T) {
 	s := newConnSite(t)
 	s.server.stalledAfter = 20 * time.Millisecond
--- a/internal/drain/body.go
+++ b/internal/drain/body.go
@@ -9,7 +9,7 @@
 )
 
 // bodyReader counts the body of a request against its server's budget, and records whether the
-// connection still waits for it: one that does may be closed for want of room.
+// connection still waits for it: one that does may be closed to free it.
 type bodyReader struct {
 	io.ReadCloser
 	conn *conn
--- a/internal/drain/body_test.go
+++ b/internal/drain/body_test.go
@@ -59,7 +59,7 @@
 	s.requireAnswer(answers, http.StatusOK)
 }
 
-// Requests whose bodies have not come give way to further connections.
+// Connections of requests whose bodies have not come are closed for further ones.
 func TestRequestsWithoutBodiesGiveWay(t *testing.T) {
 	s := newConnSite(t)
 	for range testConns - 1 {
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -304,7 +304,7 @@
 
 	state      connState
 	stateSince time.Time
-	evicted    bool      // is being closed for want of room
+	evicted    bool      // is being closed to free it
 	writing    time.Time // since when a write has lasted; zero for none
 	body       reqlimit.BodyMeter
 	bodyTimer  *time.Timer
--- a/internal/drain/heads_test.go
+++ b/internal/drain/heads_test.go
@@ -121,7 +121,7 @@
 	require.Zero(t, s.handled.Load())
 }
 
-// A head that net/http has read together with the request before is measured like others.
+// A head that net/http has read together with the request before is counted like others.
 func TestPipelinedHeadThatFindsNoMemoryIsRefused(t *testing.T) {
 	s := newHeadSite(t, answerOK)
 	s.fill()
--- a/internal/drain/write.go
+++ b/internal/drain/write.go
@@ -3,7 +3,7 @@
 import "time"
 
 // stalledAfter is how long a client may leave an answer unread before its connection may be
-// closed for want of room.
+// closed to free it.
 const stalledAfter = 5 * time.Second
 
 // Write implements net.Conn.
--- a/internal/reqlimit/budget.go
+++ b/internal/reqlimit/budget.go
@@ -29,8 +29,8 @@
 // TooLarge returns how many heads were refused for their size.
 func (b *Budget) TooLarge() int64 { return b.tooLarge.Load() }
 
-// Take takes more bytes for a request that holds some, and reports whether there is room. A
-// request that is alone always finds some.
+// Take takes more bytes for a request that holds some, and reports whether the limit
+// allows it. A request that is alone is always allowed more.
 func (b *Budget) Take(more, held int64) bool {
 	if total := b.used.Add(more); total > b.limit && total > held+more {
 		b.used.Add(-more)
--- a/internal/reqlimit/head.go
+++ b/internal/reqlimit/head.go
@@ -13,7 +13,7 @@
 	lineCost = 320
 	byteCost = 2
 	// freeCost is the part of a head's memory, in bytes, that is not taken from the budget: a
-	// common head takes nothing, so that uncommon ones can't crowd it out.
+	// common head takes nothing, so that large ones can't starve it.
 	freeCost = 16 << 10
 	// readSize is the size of the buffer, in bytes, through which net/http reads.
 	readSize = 4 << 10
--- a/internal/reqlimit/head_test.go
+++ b/internal/reqlimit/head_test.go
@@ -81,7 +81,7 @@
 	require.Zero(t, b.Used(), "a closed meter takes nothing")
 }
 
-// The largest head within the limit is read on a machine with little memory.
+// The largest head within the limit is read by a process with little memory.
 func TestHeadThatIsAloneFindsRoom(t *testing.T) {
 	b := NewBudget(1)
 	require.Nil(t, send(newTestMeter(b), headOf((testLimit-100)/len(shortLine)), readSize))
