Refuse answers whose status is none of a final response

Callers saw: a target answered with status 000, and the body of that answer, which was a whole answer of its own, came as the answer to the request. The same with 099, +20, 101 and with an interim response that announces a body.

Cause: targetconn skipped whatever was below 200 as interim and read the next response behind it, so the body of a malformed answer became the answer.

Why it works: internal/respcheck says which statuses are interim (100 to 199 but 101, without a body) and which are final (200 to 599); all else is malformed, for targetconn at StageGarbled: the outcome is unknown, the target has failed, and only routes that allow it are retried. A transport wrapped around net/http's does the same for the own dialect, lists and duties, and egress's client for heads of other nodes. net/http removes the coding of interim responses, so in the own dialect one that announces chunks is not noticed.

--- a/egress/client.go
+++ b/egress/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/internal/respcheck"
 	"github.com/walnutramp/walnutramp/peer"
 )
 
@@ -131,8 +132,7 @@
 				return nil, nil, err
 			}
 		case frameHead:
-			a := &Answer{body: body}
-			return a, nil, readMessage(body, size, &a.Head)
+			return readAnswer(body, size, sent)
 		case frameEnd:
 			end := &End{}
 			return nil, end, readMessage(body, size, end)
@@ -142,6 +142,20 @@
 	}
 }
 
+// readAnswer reads a head. If it is malformed, which an egress of another build may not notice,
+// sent is set to the target that it names.
+func readAnswer(body io.ReadCloser, size int, sent *Sent) (*Answer, *End, error) {
+	a := &Answer{body: body}
+	if err := readMessage(body, size, &a.Head); err != nil {
+		return nil, nil, err
+	}
+	if err := respcheck.Final(a.Status); err != nil {
+		*sent = Sent{Target: a.Target, DataHall: a.DataHall}
+		return nil, nil, err
+	}
+	return a, nil, nil
+}
+
 // Answer is the answer of a target that comes through an egress.
 type Answer struct {
 	Head
--- a/target/broken_test.go
+++ b/target/broken_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/walnutramp/walnutramp/bundle"
 	"github.com/walnutramp/walnutramp/internal/memnet"
+	"github.com/walnutramp/walnutramp/internal/rawserver"
 )
 
 // callService sends an upload to a service whose connection is c.
@@ -31,3 +32,39 @@
 	require.NoError(t, err)
 	require.Equal(t, "sound", string(answer.Body))
 }
+
+// requireNoAnswer checks that malformed answers count as none, for each kind of call.
+func requireNoAnswer(t *testing.T, answers map[string]string) {
+	for name, text := range answers {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var d net.Dialer
+			p := NewPool(d.DialContext)
+			t.Cleanup(p.Close)
+			to := bundle.Target{Name: "t-1", Address: rawserver.New(t, text)}
+			for _, once := range []bool{true, false} {
+				_, err := p.Service(to, once).Do(t.Context(), Call{Method: http.MethodPost, Path: "/", Header: http.Header{}, Body: []byte("q")})
+				require.Error(t, err)
+				var notSent *NotSentError
+				require.NotErrorAs(t, err, &notSent, "the service may have executed it")
+			}
+			engine, orders := p.Engine(to), p.Orders(to)
+			_, err := engine.Load(t.Context())
+			require.Error(t, err)
+			_, err = engine.Export(t.Context(), "s-1")
+			require.Error(t, err)
+			require.Error(t, engine.Cancel(t.Context(), "s-1"))
+			_, err = engine.Start(t.Context(), Attempt{StreamID: "s-1"})
+			require.Error(t, err)
+			_, err = engine.Attach(t.Context(), "s-1", 0)
+			require.Error(t, err)
+			_, err = orders.Placed(t.Context())
+			require.Error(t, err)
+			require.Error(t, orders.Order(t.Context(), Order{}))
+		})
+	}
+}
+
+func TestAnswersWithAMalformedStatusAreNone(t *testing.T) {
+	requireNoAnswer(t, rawserver.MalformedStatuses)
+}
--- a/target/pool.go
+++ b/target/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/walnutramp/walnutramp/bundle"
+	"github.com/walnutramp/walnutramp/internal/respcheck"
 	"github.com/walnutramp/walnutramp/internal/wholeconn"
 )
 
@@ -50,10 +51,11 @@
 		DisableCompression:  true,
 	}
 	perCall := &http.Transport{DialContext: bounded, DisableKeepAlives: true, DisableCompression: true}
+	checked := respcheck.NewTransport(shared)
 	cooldowns := &cooldownTable{until: map[string]time.Time{}}
 	return &Pool{
 		shared: shared, perCall: perCall, cooldowns: cooldowns,
-		client: NewClient(cooldownTransport{shared, cooldowns}, shared), engines: map[string]Engine{},
+		client: NewClient(cooldownTransport{checked, cooldowns}, checked), engines: map[string]Engine{},
 	}
 }
 
@@ -80,9 +82,9 @@
 // must not be sent twice.
 func (p *Pool) Service(t bundle.Target, once bool) *Service {
 	if once {
-		return NewService(cooldownTransport{p.perCall, p.cooldowns}, t.Address)
+		return NewService(cooldownTransport{respcheck.NewTransport(p.perCall), p.cooldowns}, t.Address)
 	}
-	return NewService(cooldownTransport{p.shared, p.cooldowns}, t.Address)
+	return NewService(cooldownTransport{respcheck.NewTransport(p.shared), p.cooldowns}, t.Address)
 }
 
 // Close closes idle connections.
--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/walnutramp/walnutramp/internal/respcheck"
 )
 
 // Limits of an exchange.
@@ -18,8 +19,6 @@
 	maxStaleBody      = 64 << 10 // bytes of the body of such a response
 	maxInlineRequest  = 16 << 10 // requests up to this size in bytes are written synchronously
 	earlyResponseWait = 50 * time.Millisecond
-	minStatus         = 200
-	maxStatus         = 599
 )
 
 // ErrNoConnection is the cause of a Failure of a Request with Reuse set.
@@ -154,11 +153,14 @@
 		if err != nil {
 			return nil, &Failure{readErrorStage(err), err}
 		}
-		if resp.StatusCode < minStatus {
+		if respcheck.IsInterim(resp.StatusCode) {
+			if err := respcheck.Interim(resp); err != nil {
+				return nil, &Failure{StageGarbled, err}
+			}
 			continue
 		}
-		if resp.StatusCode > maxStatus {
-			return nil, &Failure{StageGarbled, errors.Newf("invalid status %d", resp.StatusCode)}
+		if err := respcheck.Final(resp.StatusCode); err != nil {
+			return nil, &Failure{StageGarbled, err}
 		}
 		if resp.Header.Get(p.cfg.IdentityHeader) == r.Identity {
 			c.limited.allow(unlimited)
