Refuse answers in which the name of a field is no token

Callers saw: answers with a blank in the name of a field. With 'Content-Length : 18' the body was whatever came until the end of the connection, with 'Transfer-Encoding : chunked' it held the chunk sizes; with other names the answer came without the line.

Cause: net/textproto accepts blanks in names, and gives the name as it came. net/http then does not know the field that frames the body, and our own server drops the line as it writes the head. All other bytes that are no token are refused there already.

A tab, a control byte, an empty name, a control byte or a bare CR in a value were refused before: their tests are kept.

Why it works: respcheck.Names checks the names of final and interim heads and of trailers where targetconn, the wrapped transports and egress's client read them.

--- a/egress/client.go
+++ b/egress/client.go
@@ -149,7 +149,7 @@
 	if err := readMessage(body, size, &a.Head); err != nil {
 		return nil, nil, err
 	}
-	if err := respcheck.Final(a.Status); err != nil {
+	if err := respcheck.Final(a.Status, a.Header); err != nil {
 		*sent = Sent{Target: a.Target, DataHall: a.DataHall}
 		return nil, nil, err
 	}
--- a/gateway/malformed_head_test.go
+++ b/gateway/malformed_head_test.go
@@ -37,6 +37,21 @@
 	"000 after an interim answer": "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 000 X\r\n" + embedded,
 }
 
+// malformedNames are answers in which the name of a field is no token.
+var malformedNames = map[string]string{
+	"blank":                  "HTTP/1.1 200 X\r\nX Trouble: 1\r\n" + embedded,
+	"blank before the colon": "HTTP/1.1 200 X\r\nX-Trouble : 1\r\n" + embedded,
+	"blank after a length":   "HTTP/1.1 200 X\r\nX-Id: {ID}\r\nContent-Length : 7\r\n\r\nforeign and more",
+	"blank after a coding":   "HTTP/1.1 200 X\r\nX-Id: {ID}\r\nTransfer-Encoding : chunked\r\n\r\n7\r\nforeign\r\n0\r\n\r\n",
+	"in an interim response": "HTTP/1.1 103 X\r\nX Trouble: 1\r\n\r\n" + wholeAnswer,
+	"in a trailer":           "HTTP/1.1 200 X\r\nX-Id: {ID}\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nforeign\r\n0\r\nX Trouble: 1\r\n\r\n",
+	"tab":                    "HTTP/1.1 200 X\r\nX\tTrouble: 1\r\n" + embedded,
+	"control byte":           "HTTP/1.1 200 X\r\nX\x01Trouble: 1\r\n" + embedded,
+	"empty":                  "HTTP/1.1 200 X\r\n: 1\r\n" + embedded,
+	"control byte in value":  "HTTP/1.1 200 X\r\nX-Trouble: \x01\r\n" + embedded,
+	"bare CR in value":       "HTTP/1.1 200 X\r\nX-Trouble: a\rb\r\n" + embedded,
+}
+
 // sayRaw answers with a text, in which {ID} stands for the request's identity, and closes.
 func sayRaw(text string) func(*fakeTarget, *http.Request, net.Conn) {
 	return func(_ *fakeTarget, r *http.Request, c net.Conn) {
@@ -91,6 +106,22 @@
 	requireAllRefused(t, malformedStatuses)
 }
 
+func TestAnswersWithMalformedNamesAreRefused(t *testing.T) { requireAllRefused(t, malformedNames) }
+
+// Names of any token characters, and folded values, are sound.
+func TestUnusualHeadsArrive(t *testing.T) {
+	text := "HTTP/1.1 200 X\r\nX-Id: {ID}\r\n!#$%&'*+-.^_`|~0z: odd\r\nX-Folded: a\r\n b\r\nContent-Length: 5\r\n\r\nsound"
+	for service, path := range pathsOfServices {
+		s := newTestSite(t, []*fakeTarget{newFakeTarget(t, "i-1", service, "north", sayRaw(text))})
+		resp, body, err := do(t, s.request(t, "POST", path, "prompt"))
+		require.NoError(t, err)
+		require.Equal(t, 200, resp.StatusCode)
+		require.Equal(t, "sound", body)
+		require.Equal(t, "odd", resp.Header.Get("!#$%&'*+-.^_`|~0z"))
+		require.Equal(t, "a b", resp.Header.Get("X-Folded"))
+	}
+}
+
 // lenientEgress is a node of a build that passes malformed heads on.
 type lenientEgress struct {
 	status int
@@ -130,6 +161,18 @@
 	return n
 }
 
+func TestMalformedNamesOfAnOlderEgressAreRefused(t *testing.T) {
+	for _, name := range []string{"X Trouble", "X-Trouble ", "X\tTrouble", "X\x01Trouble", ""} {
+		for _, path := range pathsOfServices {
+			t.Run(fmt.Sprintf("%q%s", name, path), func(t *testing.T) {
+				t.Parallel()
+				n := newSiteOfLenientEgress(t, lenientEgress{status: 200, header: http.Header{"X-Id": {"attempt-1"}, name: {"1"}}})
+				n.requireRefused(t, path)
+			})
+		}
+	}
+}
+
 func TestMalformedStatusOfAnOlderEgressIsRefused(t *testing.T) {
 	for _, status := range []int{0, 20, 99, 101, 103, 600, 1000} {
 		for _, path := range pathsOfServices {
--- a/internal/respcheck/respcheck.go
+++ b/internal/respcheck/respcheck.go
@@ -2,9 +2,11 @@
 package respcheck
 
 import (
+	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // Range of the statuses of final responses.
@@ -28,7 +30,7 @@
 	if len(resp.TransferEncoding) > 0 || announcesBody(resp.Header) {
 		return errInterimBody
 	}
-	return nil
+	return Names(resp.Header)
 }
 
 // announcesBody reports whether a header gives the length of a body.
@@ -38,9 +40,33 @@
 }
 
 // Final returns why a final response is malformed; nil if it is not.
-func Final(status int) error {
+func Final(status int, header http.Header) error {
 	if status < minFinal || status > maxFinal {
 		return errors.Newf("status %03d is none of a final response", status)
 	}
+	return Names(header)
+}
+
+// Names returns an error if the name of a field in a header or trailer is no token; nil if all
+// are. net/http accepts blanks, and does not take a name with one for the field that frames the
+// body.
+func Names(fields http.Header) error {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Newf("invalid field name %q", name)
+		}
+	}
 	return nil
 }
+
+// AtEnd returns the error of a read of a response's body: err, unless that is io.EOF and the
+// trailer is malformed.
+func AtEnd(err error, resp *http.Response) error {
+	if err != io.EOF {
+		return err
+	}
+	if malformed := Names(resp.Trailer); malformed != nil {
+		return malformed
+	}
+	return io.EOF
+}
--- a/targetconn/exchange.go
+++ b/targetconn/exchange.go
@@ -159,7 +159,7 @@
 			}
 			continue
 		}
-		if err := respcheck.Final(resp.StatusCode); err != nil {
+		if err := respcheck.Final(resp.StatusCode, resp.Header); err != nil {
 			return nil, &Failure{StageGarbled, err}
 		}
 		if resp.Header.Get(p.cfg.IdentityHeader) == r.Identity {
@@ -225,7 +225,7 @@
 
 	pool     *Pool
 	conn     *conn
-	body     io.ReadCloser
+	response *http.Response
 	stop     func() bool
 	reusable bool
 	complete bool // the body was read to EOF
@@ -239,7 +239,7 @@
 	}
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framed: framed,
-		pool: p, conn: c, body: resp.Body, reusable: framed && !resp.Close && !noReuse,
+		pool: p, conn: c, response: resp, reusable: framed && !resp.Close && !noReuse,
 	}
 }
 
@@ -257,7 +257,8 @@
 
 // Read implements io.Reader; it returns io.EOF only at the end of a complete body.
 func (a *Answer) Read(p []byte) (int, error) {
-	n, err := a.body.Read(p)
+	n, err := a.response.Body.Read(p)
+	err = respcheck.AtEnd(err, a.response)
 	if err == io.EOF {
 		a.complete = true
 	}
