A stream begun after a loss of records stands for no stream from before

Cause: a client without an attempt goes on if all known streams of its content have one version. After the loss of all nodes only streams begun since are known, at the new version; what was known was taken for all there was. A lone entry that restarts does the same.

Why it works: nodes now say whether they have lost a record within the time in which a stream may still be taken up (a start, a record dropped for room). Four nodes of the key's order get each record; if one of them has lost none, beside one for each node that has left, all is known. Otherwise such a client is refused, unless no other version can have begun its stream or a disk has the record.

Tests changed: TestFind says for each case whether records were lost, with eight more; the test sites of gateway say that no stream began before them, as their entries have just started; one method of the fakes has a new signature.

--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -199,6 +199,7 @@
 	opts = append([]Option{WithNames(testNames)}, opts...)
 	budgets := balance.NewBudgets(balance.BudgetConfig{Ratio: 1, Slack: 200, Window: 10 * time.Second})
 	g := New(tracker, pool, budgets, func() {}, opts...)
+	g.cfg.Origins.NothingBefore()
 	tracker.Update(listed(targets))
 	g.SetTable(testTable())
 	s := &testSite{gateway: g, tracker: tracker, server: httptest.NewServer(g)}
--- a/gateway/relay_site_test.go
+++ b/gateway/relay_site_test.go
@@ -113,6 +113,7 @@
 	budgets := balance.NewBudgets(balance.BudgetConfig{Ratio: 1, Slack: 200, Window: 10 * time.Second})
 	g := New(tracker, pool, budgets, func() {}, append([]Option{WithNames(testNames), WithStall(300 * time.Millisecond)}, opts...)...)
 	t.Cleanup(g.Close)
+	g.cfg.Origins.NothingBefore()
 	tracker.Update(listed(targets))
 	g.SetTable(testTable())
 	n.testSite = &testSite{gateway: g, tracker: tracker, server: httptest.NewServer(g)}
--- a/gateway/taken_up_test.go
+++ b/gateway/taken_up_test.go
@@ -240,12 +240,30 @@
 	require.Equal(t, wholeDraft(5), text)
 }
 
+// A node that has restarted knows the streams begun since, but not those of before: a client that
+// names no attempt may have one of these.
+func TestRestartedNodeDoesNotTakeOneStreamForAnother(t *testing.T) {
+	s := newTakenUpSite(t)
+	s.gateway.cfg.Origins = origins.New(s.tracker)
+	s.begin(t, "X-Deadline", "60000")
+	status, code, _, _ := s.takeUp(t, "prompt")
+	require.Equal(t, 503, status)
+	require.Equal(t, walnutramp.CodeVersionUnknown, code)
+	status, _, text, _ := s.takeUp(t, "prompt", "X-Resumes", "attempt-1")
+	require.Equal(t, 200, status)
+	require.Equal(t, wholeDraft(5), text)
+	defer uptime.Pretend(21 * time.Second)()
+	status, _, text, _ = s.takeUp(t, "prompt", "X-Deadline", "9000")
+	require.Equal(t, 200, status, "what began before can't be taken up any more")
+	require.Equal(t, wholeDraft(5), text)
+}
+
 // silentNetwork reaches no other node, though there are some.
 type silentNetwork struct{}
 
 func (silentNetwork) Store(context.Context, origins.Record, bool) bool { return false }
-func (silentNetwork) Find(context.Context, origins.Question) ([]origins.Answer, int) {
-	return nil, 7
+func (silentNetwork) Find(context.Context, origins.Question, bool) origins.Poll {
+	return origins.Poll{Asked: 7}
 }
 
 // A node without peers does not know what they know; its client may go to another.
@@ -267,8 +285,8 @@
 	n.stored <- r
 	return true
 }
-func (recordingNetwork) Find(context.Context, origins.Question) ([]origins.Answer, int) {
-	return nil, 0
+func (recordingNetwork) Find(context.Context, origins.Question, bool) origins.Poll {
+	return origins.Poll{}
 }
 
 // A node may end as soon as its client has the first event, so the record must be sent before.
--- a/loadshare/loadshare.go
+++ b/loadshare/loadshare.go
@@ -67,7 +67,10 @@
 
 	origins       OriginHandler // nil if unused
 	originReplies pendingReplies[nodeReply]
-	originsSentAt map[string]time.Time // when each node was last sent all that it is to keep
+	originsSentAt map[string]time.Time         // when each node was last sent all that it is to keep
+	leftAt        []time.Time                  // when peers were dropped, within origins.MaxTTL
+	transfers     map[string]*receivedTransfer // of origins, by sender
+	transferID    atomic.Uint64
 
 	hallsQueriedAt time.Time // used only by maintainSubscriptions
 
@@ -96,7 +99,7 @@
 		relay: newRelay(), feeds: map[feedKey]*feed{}, failedRelays: map[string]time.Time{}, pendingLookups: map[uint64]chan *traceUpdate{},
 		saveSignal: make(chan struct{}, 1), started: uptime.Now(),
 		borrows: borrowState{pending: map[uint64]*pendingBorrow{}, refusedAt: map[string]time.Time{}},
-		peers:   map[string]*net.UDPAddr{}, absentSince: map[string]time.Time{}, originsSentAt: map[string]time.Time{}, senders: map[string]*sender{},
+		peers:   map[string]*net.UDPAddr{}, absentSince: map[string]time.Time{}, originsSentAt: map[string]time.Time{}, transfers: map[string]*receivedTransfer{}, senders: map[string]*sender{},
 	}
 	// Sequence numbers start at the current time so that they grow across restarts, unless the
 	// clock is set back; see sender.outdated.
@@ -148,6 +151,8 @@
 		s.peersChanged()
 		if first {
 			s.requestCrashes()
+		}
+		if uptime.Since(s.started) < originRequestSpan {
 			s.requestOrigins()
 		}
 	}
@@ -179,6 +184,8 @@
 			delete(s.peers, a)
 			delete(s.senders, a)
 			delete(s.originsSentAt, a)
+			delete(s.transfers, a)
+			s.leftAt = append(s.leftAt, uptime.Now())
 			dropped = true
 		}
 	}
--- a/loadshare/message.go
+++ b/loadshare/message.go
@@ -70,12 +70,13 @@
 	Brittle    []brittleNotice `msgpack:"jb,omitempty"`
 	// OriginStore gives the receiver a record of a stream's origin to keep, OriginQuestion
 	// asks for one, OriginReply answers both. WantOrigins asks for all records that the
-	// sender is to keep, which Origins brings.
+	// sender is to keep, which Origins brings, and OriginTransfer says whether that is all.
 	OriginStore    *originStore    `msgpack:"os,omitempty"`
 	OriginQuestion *originQuestion `msgpack:"oq,omitempty"`
 	OriginReply    *originReply    `msgpack:"or,omitempty"`
 	WantOrigins    bool            `msgpack:"ow,omitempty"`
 	Origins        []originRecord  `msgpack:"ol,omitempty"`
+	OriginTransfer *originTransfer `msgpack:"ot,omitempty"`
 }
 
 // isReport reports whether a message carries its sender's runs. Only reports have a
--- a/loadshare/origins.go
+++ b/loadshare/origins.go
@@ -20,6 +20,8 @@
 	HandleFind(q origins.Question) origins.Answer
 	// Records returns the records that keep selects.
 	Records(keep func(origins.Key) bool) []origins.Record
+	KeptSince() time.Time
+	Inherit(since time.Time)
 }
 
 // WithOrigins sets the handler of messages about origins. Without one they are ignored.
@@ -33,13 +35,10 @@
 	// nodes may have changed since.
 	originLookups = 7
 	// agreeingAnswers is how many nodes must know the same origin of a stream whose client
-	// names no attempt: one may have lost the record of another stream of the same key.
+	// names no attempt: one may have missed the record of another stream of the same key.
 	agreeingAnswers = 2
 	// maxOrigins bounds the records in a datagram, of about 60 bytes each.
 	maxOrigins = 100
-	// originTransferInterval is the minimum time between two transfers of all records to a
-	// node that asks for them.
-	originTransferInterval = 500 * time.Millisecond
 )
 
 // originTimeouts are the waits for answers, after each of which those that are missing are
@@ -56,10 +55,11 @@
 	Service  string `msgpack:"s"`
 	Software string `msgpack:"v"`
 	TTLMS    int64  `msgpack:"t"`
+	Restored bool   `msgpack:"r,omitempty"`
 }
 
 func encodeOrigin(r origins.Record) originRecord {
-	return originRecord{Key: r.Key[:], Attempt: uint64(r.Attempt), Service: r.Service, Software: r.Software, TTLMS: r.TTL.Milliseconds()}
+	return originRecord{Key: r.Key[:], Attempt: uint64(r.Attempt), Service: r.Service, Software: r.Software, TTLMS: r.TTL.Milliseconds(), Restored: r.Restored}
 }
 
 // record returns the decoded record; false for one without a valid key.
@@ -69,7 +69,7 @@
 	}
 	return origins.Record{
 		Key: origins.Key(o.Key), Attempt: origins.Attempt(o.Attempt), Origin: origins.Origin{Service: o.Service, Software: o.Software},
-		TTL: min(milliseconds(o.TTLMS), origins.MaxTTL),
+		TTL: min(milliseconds(o.TTLMS), origins.MaxTTL), Restored: o.Restored,
 	}, true
 }
 
@@ -97,16 +97,18 @@
 	Software  string   `msgpack:"v,omitempty"`
 	Versions  []string `msgpack:"n,omitempty"`
 	CoveredMS int64    `msgpack:"a,omitempty"`
+	Restored  bool     `msgpack:"r,omitempty"`
+	Kept      bool     `msgpack:"k,omitempty"`
 }
 
 func encodeOriginAnswer(id uint64, a origins.Answer) *originReply {
 	return &originReply{ID: id, Known: a.Known, Conflict: a.Conflict, Service: a.Origin.Service, Software: a.Origin.Software,
-		Versions: a.View.Versions, CoveredMS: a.View.Covered.Milliseconds()}
+		Versions: a.View.Versions, CoveredMS: a.View.Covered.Milliseconds(), Restored: a.Restored, Kept: a.Kept}
 }
 
 func (r *originReply) answer() origins.Answer {
 	return origins.Answer{Known: r.Known, Conflict: r.Conflict, Origin: origins.Origin{Service: r.Service, Software: r.Software},
-		View: origins.View{Versions: r.Versions, Covered: milliseconds(r.CoveredMS)}}
+		View: origins.View{Versions: r.Versions, Covered: milliseconds(r.CoveredMS)}, Restored: r.Restored, Kept: r.Kept}
 }
 
 // nodeReply is a node's reply.
@@ -120,10 +122,33 @@
 // data hall in turn, then the next ones. On a site of several regions it also returns the
 // best node of each other region.
 func (l *layout) originHolders(k origins.Key, n int) []string {
+	holders := l.originRanking(k, n, l.own)
+	for _, region := range l.otherRegions() {
+		holders = append(holders, rendezvous.First(l.traceStores[region], string(k[:])))
+	}
+	return holders
+}
+
+// originKeepers returns the nodes, this one included, that hold the records of all streams of a
+// key, whichever node began them.
+func (l *layout) originKeepers(k origins.Key) []string {
+	if l.region == "" {
+		return l.originRanking(k, originReplicas, "")
+	}
+	keepers := []string{rendezvous.First(l.traceStores[l.region], string(k[:]))}
+	for _, region := range l.otherRegions() {
+		keepers = append(keepers, rendezvous.First(l.traceStores[region], string(k[:])))
+	}
+	return keepers
+}
+
+// originRanking returns up to n nodes of this region in the order of originHolders, without the
+// excluded one.
+func (l *layout) originRanking(k origins.Key, n int, exclude string) []string {
 	key := string(k[:])
 	var holders []string
 	add := func(node string) {
-		if len(holders) < n && node != "" && node != l.own && !slices.Contains(holders, node) {
+		if len(holders) < n && node != "" && node != exclude && !slices.Contains(holders, node) {
 			holders = append(holders, node)
 		}
 	}
@@ -142,9 +167,6 @@
 			}
 		}
 	}
-	for _, region := range l.otherRegions() {
-		holders = append(holders, rendezvous.First(l.traceStores[region], key))
-	}
 	return holders
 }
 
@@ -179,16 +201,13 @@
 }
 
 // Find implements origins.Network.
-func (s originNetwork) Find(ctx context.Context, q origins.Question) (answers []origins.Answer, asked int) {
+func (s originNetwork) Find(ctx context.Context, q origins.Question, kept bool) origins.Poll {
 	l := s.currentLayout()
-	nodes := l.originHolders(q.Key, originLookups)
+	nodes, keepers := l.originHolders(q.Key, originLookups), l.originKeepers(q.Key)
+	poll := originPoll{Poll: origins.Poll{Asked: len(nodes), Keeper: slices.Contains(keepers, l.own), Left: s.leftWithin(q.Window)}, keepers: keepers, named: q.Attempt != 0, kept: kept}
 	id, replies := s.originReplies.start(len(nodes) * len(originTimeouts))
 	defer s.originReplies.end(id)
 	m := message{OriginQuestion: &originQuestion{ID: id, Key: q.Key[:], Attempt: uint64(q.Attempt), Service: q.Service, WindowMS: q.Window.Milliseconds()}}
-	enough := 1
-	if q.Attempt == 0 {
-		enough = agreeingAnswers
-	}
 	missing := nodes
 	for _, timeout := range originTimeouts {
 		if l.region != "" {
@@ -196,20 +215,59 @@
 		}
 		s.sendTo(s.addressesOf(missing), m)
 		var settled bool
-		missing, settled = collectOrigins(ctx, replies, missing, timeout, enough, &answers)
+		missing, settled = collectOrigins(ctx, replies, missing, timeout, &poll)
 		if settled || len(missing) == 0 || ctx.Err() != nil {
 			break
 		}
 	}
-	return answers, len(nodes)
+	return poll.Poll
 }
 
-// collectOrigins collects the replies of some nodes until all have replied, enough know the
-// origin, records disagree or the time is over. It returns the nodes that have not replied.
-func collectOrigins(ctx context.Context, replies <-chan nodeReply, nodes []string, d time.Duration, enough int, answers *[]origins.Answer) (missing []string, settled bool) {
+// leftWithin returns how many peers were dropped within a window.
+func (s *Sharer) leftWithin(window time.Duration) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leftAt = slices.DeleteFunc(s.leftAt, func(at time.Time) bool { return uptime.Since(at) >= origins.MaxTTL })
+	left := 0
+	for _, at := range s.leftAt {
+		if uptime.Since(at) < window {
+			left++
+		}
+	}
+	return left
+}
+
+// originPoll is a poll under way.
+type originPoll struct {
+	origins.Poll
+	keepers []string
+	named   bool // the question names an attempt
+	kept    bool // this node has lost no record
+	known   int  // number of nodes that know the origin
+}
+
+// add adds a reply, and reports whether no other is needed.
+func (p *originPoll) add(r nodeReply) (settled bool) {
+	a := r.answer()
+	a.Keeper = slices.Contains(p.keepers, r.node)
+	p.Answers = append(p.Answers, a)
+	if a.Known {
+		p.known++
+	}
+	switch {
+	case a.Conflict:
+		return true
+	case p.named:
+		return p.known > 0
+	}
+	return p.known >= agreeingAnswers && p.Complete(p.kept)
+}
+
+// collectOrigins collects the replies of some nodes until all have replied, no other is needed or
+// the time is over. It returns the nodes that have not replied.
+func collectOrigins(ctx context.Context, replies <-chan nodeReply, nodes []string, d time.Duration, poll *originPoll) (missing []string, settled bool) {
 	deadline := uptime.Now().Add(d)
 	missing = slices.Clone(nodes)
-	known := 0
 	for len(missing) > 0 {
 		reply, ok := await(ctx, replies, uptime.Until(deadline))
 		if !ok {
@@ -219,11 +277,7 @@
 			continue // a duplicate
 		}
 		missing = without(missing, reply.node)
-		*answers = append(*answers, reply.answer())
-		if reply.Known {
-			known++
-		}
-		if known >= enough || reply.Conflict {
+		if poll.add(reply) {
 			return missing, true
 		}
 	}
@@ -254,6 +308,9 @@
 	if m.WantOrigins {
 		s.transferOrigins(from)
 	}
+	if m.OriginTransfer != nil {
+		s.receiveTransferPart(from, m.OriginTransfer)
+	}
 }
 
 func (s *Sharer) putOrigin(o *originRecord) {
@@ -262,41 +319,3 @@
 		s.requestSave()
 	}
 }
-
-// transferOrigins sends a node that has started the records that it is to keep. On large
-// sites nothing is sent: few nodes are lost of those that keep a record, and many ask.
-func (s *Sharer) transferOrigins(to string) {
-	l := s.currentLayout()
-	s.mu.Lock()
-	due := uptime.Since(s.originsSentAt[to]) >= originTransferInterval
-	if due {
-		s.originsSentAt[to] = uptime.Now()
-	}
-	s.mu.Unlock()
-	if l.relayed || !due {
-		return
-	}
-	records := s.origins.Records(func(k origins.Key) bool { return slices.Contains(l.originHolders(k, originReplicas), to) })
-	for len(records) > 0 {
-		var part []origins.Record
-		part, records = splitAt(records, maxOrigins)
-		m := message{Origins: make([]originRecord, len(part))}
-		for i, r := range part {
-			m.Origins[i] = encodeOrigin(r)
-		}
-		s.sendTo(s.addressesOf([]string{to}), m)
-	}
-}
-
-// requestOrigins asks all peers for the records that this node is to keep, once it has
-// started and knows them.
-func (s *Sharer) requestOrigins() {
-	if s.origins == nil {
-		return
-	}
-	peers := s.Peers()
-	if usesRelays(len(peers)+1, s.location.dataHall) {
-		return
-	}
-	s.sendTo(s.addressesOf(peers), message{WantOrigins: true})
-}
--- a/loadshare/origins_test.go
+++ b/loadshare/origins_test.go
@@ -31,6 +31,8 @@
 	alive      []bool
 	cutOff     []bool // from all other nodes
 	loss       float64
+	contents   int // that clients send in turn; 0 for one of each stream's own
+	disks      bool
 
 	mu       sync.Mutex // guards what streams record
 	versions []string   // with targets
@@ -57,7 +59,12 @@
 )
 
 func newOriginSite(t *testing.T, nodes, halls int, seed uint64) *originSite {
-	s := &originSite{siteOf: &siteOf{t: t, network: newDatagramNet()}, halls: halls, dir: t.TempDir(), rng: rand.New(rand.NewPCG(seed, 3)), versions: []string{"v1"}}
+	return newOriginSiteWithDisks(t, nodes, halls, seed, true)
+}
+
+// newOriginSiteWithDisks is newOriginSite with or without the nodes' disks.
+func newOriginSiteWithDisks(t *testing.T, nodes, halls int, seed uint64, disks bool) *originSite {
+	s := &originSite{siteOf: &siteOf{t: t, network: newDatagramNet()}, halls: halls, dir: t.TempDir(), rng: rand.New(rand.NewPCG(seed, 3)), versions: []string{"v1"}, disks: disks}
 	s.network.drop = func(from, to string) bool {
 		return s.cutOff[nodeIndex(from)] || s.cutOff[nodeIndex(to)] || s.loss > 0 && rand.Float64() < s.loss
 	}
@@ -87,7 +94,7 @@
 // startNode starts a node without any memory but its disk's.
 func (s *originSite) startNode(i int) {
 	opts := []Option{}
-	if hasDisk(i) {
+	if s.disks && hasDisk(i) {
 		opts = append(opts, WithStateFile(filepath.Join(s.dir, strconv.Itoa(i))))
 	}
 	var tracker registryVersions
@@ -106,7 +113,7 @@
 func (s *originSite) setPeersOf(i int) {
 	var peers []Peer
 	for j := range s.nodes {
-		peers = append(peers, Peer{Address: addressOf(j), DataHall: s.hall(j), Disk: hasDisk(j)})
+		peers = append(peers, Peer{Address: addressOf(j), DataHall: s.hall(j), Disk: s.disks && hasDisk(j)})
 	}
 	s.nodes[i].SetPeers(peers)
 }
@@ -196,7 +203,11 @@
 	}
 	version := versions[s.rng.IntN(len(versions))]
 	deadline := time.Now().Add(streamTime)
-	record := origins.Record{Key: origins.KeyOf("a", uint64(number)), Attempt: origins.AttemptOf("a", strconv.Itoa(number)),
+	content := number
+	if s.contents > 0 {
+		content = number % s.contents
+	}
+	record := origins.Record{Key: origins.KeyOf("a", uint64(content)), Attempt: origins.AttemptOf("a", strconv.Itoa(number)),
 		Origin: origins.Origin{Service: "s", Software: version}, TTL: originWindow}
 	life := time.Second + time.Duration(s.rng.Int64N(int64(streamTime-time.Second)))
 	on := s.nodes[node]
@@ -284,6 +295,9 @@
 			s.crash(s.some(0.5))
 		}
 	}, 0.75},
+	"nodes restart one after the other": {func(s *originSite, second int) {
+		s.crash([]int{second % len(s.nodes)})
+	}, 0.95},
 	"a data hall is killed": {func(s *originSite, second int) {
 		if second == 8 || second == 14 {
 			hall := second % s.halls
@@ -391,6 +405,62 @@
 	})
 }
 
+// Clients send the same contents again and again, and half of them name no attempt. After a loss of
+// all nodes, a stream begun since must not stand for one whose record was lost.
+func TestOriginsOfRepeatedContentsAreNeverConfused(t *testing.T) {
+	for _, nodes := range []int{1, 2, 5, 12} {
+		t.Run(strconv.Itoa(nodes), func(t *testing.T) {
+			t.Parallel()
+			var total resumeCounts
+			for seed := range uint64(numberFrom(originSeedsVariable, 4)) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newOriginSiteWithDisks(t, nodes, min(nodes, 3), seed, false)
+					s.contents = 20
+					time.Sleep(originWindow + time.Second)
+					all := s.rng.Perm(nodes)
+					s.play(25*time.Millisecond, 24*time.Second, func(second int) {
+						switch second {
+						case 2:
+							s.setVersions("v1", "v2")
+						case 6:
+							s.setVersions("v2")
+						case 15:
+							s.setVersions("v2", "v3")
+						}
+						if second%4 == 2 {
+							s.crash(all)
+						}
+					})
+					total.wentOn, total.rejected, total.mixed = total.wentOn+s.resumed.wentOn, total.rejected+s.resumed.rejected, total.mixed+s.resumed.mixed
+				})
+			}
+			t.Logf("%+v", total)
+			require.Positive(t, total.wentOn+total.rejected)
+			require.Zero(t, total.mixed)
+		})
+	}
+}
+
+// Once all that began before a loss has ended, clients that name no attempt must be served again.
+func TestRepeatedContentsGoOnAfterALoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newOriginSiteWithDisks(t, 12, 3, 1, false)
+		s.contents = 20
+		time.Sleep(originWindow + time.Second)
+		s.setVersions("v1", "v2")
+		time.Sleep(maxListLag)
+		s.crash(s.rng.Perm(len(s.nodes)))
+		time.Sleep(restartAfter + originWindow + time.Second)
+		for i := range s.registries {
+			s.registries[i].Put(origins.Record{Key: origins.KeyOf("a", 1), Attempt: 1, Origin: origins.Origin{Service: "s", Software: "v2"}, TTL: originWindow})
+		}
+		origin, _, known := s.registries[3].Find(t.Context(), origins.Question{Key: origins.KeyOf("a", 1), Service: "s", Window: originWindow})
+		require.True(t, known)
+		require.Equal(t, "v2", origin.Software)
+		s.close()
+	})
+}
+
 // Nodes with the same list must agree on who keeps a record, in several data halls.
 func TestOriginHolders(t *testing.T) {
 	locations := map[string]location{}
--- a/loadshare/state.go
+++ b/loadshare/state.go
@@ -145,6 +145,7 @@
 	for i := range m.Records {
 		if r, ok := m.Records[i].record(); ok {
 			r.TTL -= age
+			r.Restored = true
 			s.origins.Put(r)
 		}
 	}
--- a/origins/origins.go
+++ b/origins/origins.go
@@ -65,6 +65,9 @@
 	Attempt Attempt
 	Origin
 	TTL time.Duration // how long a client may still come back
+	// Restored says that the record was read from a disk, so that it is older than the latest
+	// loss of records.
+	Restored bool
 }
 
 // View is what a node has seen of the software versions of a service's targets.
@@ -90,8 +93,8 @@
 }
 
 // Question asks for the origin of a stream. Without an Attempt, of a client that names none,
-// all streams of the key must have the same. If nobody knows it, the views of a service are
-// used; Service is empty if several could have begun the stream.
+// all streams of the key must be known and have the same. If nobody knows it, the views of a
+// service are used; Service is empty if several could have begun the stream.
 type Question struct {
 	Key     Key
 	Attempt Attempt
@@ -104,22 +107,51 @@
 	Known    bool
 	Conflict bool // records disagree, so that the origin is unknown
 	Origin   Origin
+	Restored bool // a record of the key is
 	View     View
+	// Kept says that the node has lost no record of the question's window, and Keeper that it
+	// is a keeper of the key.
+	Kept, Keeper bool
 }
 
-// Network carries messages between nodes. They may be lost, late or duplicated.
+// Poll is what other nodes answer to a Question.
+type Poll struct {
+	Answers []Answer
+	Asked   int  // number of nodes
+	Keeper  bool // this node is a keeper of the key, too
+	Left    int  // number of nodes that have left within the question's window
+}
+
+// Complete reports whether all streams of the key are known: a keeper has lost no record, and
+// was a keeper when they began. kept says that this node has lost none.
+func (p *Poll) Complete(kept bool) bool {
+	keepers := 0
+	if p.Keeper && kept {
+		keepers++
+	}
+	for _, a := range p.Answers {
+		if a.Keeper && a.Kept {
+			keepers++
+		}
+	}
+	return keepers > p.Left
+}
+
+// Network carries messages between nodes. They may be lost, late or duplicated. The keepers of a
+// key are the nodes that get each of its records, whichever node begins the stream.
 type Network interface {
 	// Store sends a record to the nodes that keep it. With confirm it waits until one of
 	// them has it; false if none confirmed in time.
 	Store(ctx context.Context, r Record, confirm bool) bool
 	// Find asks the nodes that keep a record, and others that did if the list of nodes
-	// has changed. It returns once one knows it, all have answered or none answers any
-	// more; asked is the number of nodes asked.
-	Find(ctx context.Context, q Question) (answers []Answer, asked int)
+	// has changed. It returns once one knows it and, without an Attempt, the poll is complete,
+	// once all have answered or when none answers any more. kept says that this node has lost
+	// no record of the question's window.
+	Find(ctx context.Context, q Question, kept bool) Poll
 }
 
 // noNetwork is the Network of a node without peers.
 type noNetwork struct{}
 
-func (noNetwork) Store(context.Context, Record, bool) bool       { return true }
-func (noNetwork) Find(context.Context, Question) ([]Answer, int) { return nil, 0 }
+func (noNetwork) Store(context.Context, Record, bool) bool  { return true }
+func (noNetwork) Find(context.Context, Question, bool) Poll { return Poll{Keeper: true} }
--- a/origins/origins_test.go
+++ b/origins/origins_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/internal/uptime"
 )
 
 // fixedVersions are the versions of every service.
@@ -29,7 +30,9 @@
 	return n.confirmed
 }
 
-func (n *fixedNetwork) Find(context.Context, Question) ([]Answer, int) { return n.answers, n.asked }
+func (n *fixedNetwork) Find(context.Context, Question, bool) Poll {
+	return Poll{Answers: n.answers, Asked: n.asked, Keeper: true}
+}
 
 const (
 	window = 50 * time.Second
@@ -57,10 +60,19 @@
 		answers []Answer
 		asked   int
 		attempt Attempt
+		lost    bool // this node has just lost its records
 		want    Origin
 		source  Source
 	}{
 		"own record":                           {own: []Record{record(first, v1)}, attempt: first, want: v1, source: FromOwnRecord},
+		"own records, others may be lost":      {own: []Record{record(first, v1)}, view: seen(long, "v1", "v2"), lost: true, source: LostRecords},
+		"own records, nothing lost":            {own: []Record{record(first, v1)}, view: seen(long, "v1", "v2"), want: v1, source: FromOwnRecord},
+		"own records, lost, named":             {own: []Record{record(first, v1)}, lost: true, attempt: first, want: v1, source: FromOwnRecord},
+		"own records, lost, one version":       {own: []Record{record(first, v1)}, view: seen(long, "v1"), lost: true, want: v1, source: FromOwnRecord},
+		"own records, lost, short history":     {own: []Record{record(first, v1)}, view: seen(short, "v1"), lost: true, source: LostRecords},
+		"records of a disk, others lost":       {own: []Record{{Key: key, Attempt: first, Origin: v1, TTL: time.Minute, Restored: true}}, lost: true, want: v1, source: FromOwnRecord},
+		"a peer's, others may be lost":         {answers: []Answer{known(v1), {Known: true, Origin: v1, Keeper: true}, {Kept: true}}, asked: 3, lost: true, source: LostRecords},
+		"a peer's, a keeper has lost none":     {answers: []Answer{known(v1), {Kept: true, Keeper: true}}, asked: 2, lost: true, want: v1, source: FromPeerRecord},
 		"own record of another attempt":        {own: []Record{record(second, v1)}, view: seen(short, "v1"), attempt: first, source: ShortHistory},
 		"own records that agree, none named":   {own: []Record{record(first, v1), record(second, v1)}, want: v1, source: FromOwnRecord},
 		"own records that differ, none named":  {own: []Record{record(first, v1), record(second, v2)}, source: ConflictingRecords},
@@ -84,6 +96,9 @@
 		t.Run(name, func(t *testing.T) {
 			r := New(fixedVersions(c.view))
 			r.SetNetwork(&fixedNetwork{answers: c.answers, asked: c.asked})
+			if !c.lost {
+				r.Inherit(uptime.Now().Add(-2 * window))
+			}
 			for _, rec := range c.own {
 				r.Put(rec)
 			}
@@ -123,6 +138,30 @@
 	})
 }
 
+// A keeper that has left may have been the only one that had lost nothing.
+func TestPollIsCompleteWithMoreKeepersThanLeft(t *testing.T) {
+	keeper := Answer{Kept: true, Keeper: true}
+	p := Poll{Answers: []Answer{keeper, keeper, {Kept: true}, {Keeper: true}}, Left: 2}
+	require.False(t, p.Complete(true))
+	p.Left = 1
+	require.True(t, p.Complete(false))
+	p.Left, p.Keeper = 2, true
+	require.True(t, p.Complete(true))
+	require.False(t, p.Complete(false))
+}
+
+// A record that is dropped for room is lost like any other.
+func TestDroppedRecordsAreLost(t *testing.T) {
+	r := New(fixedVersions{})
+	r.Inherit(uptime.Now().Add(-2 * window))
+	for i := range uint64(maxRecords) {
+		r.Put(Record{Key: KeyOf("a", i), Attempt: first, Origin: v1, TTL: time.Minute})
+	}
+	require.True(t, r.kept(window))
+	r.Put(Record{Key: KeyOf("b", 1), Attempt: first, Origin: v1, TTL: time.Minute})
+	require.False(t, r.kept(window))
+}
+
 // At its bound a node must drop the oldest records, and grow no further.
 func TestRecordsAreBounded(t *testing.T) {
 	r := New(fixedVersions{})
--- a/origins/registry.go
+++ b/origins/registry.go
@@ -27,8 +27,9 @@
 
 	mu      sync.Mutex
 	streams map[Key][]stream
-	queue   []queued // in the order of Put
-	dropped uint64   // records dropped before their expiry
+	queue   []queued  // in the order of Put
+	dropped uint64    // records dropped before their expiry
+	since   time.Time // since when no record was lost
 }
 
 // stream is the record of one stream of a key.
@@ -37,6 +38,7 @@
 	origin   Origin
 	expires  time.Time
 	conflict bool // records disagree
+	restored bool // see Record
 }
 
 // queued is when a record may be dropped.
@@ -48,7 +50,7 @@
 
 // New returns an empty registry of a node without peers.
 func New(v Versions) *Registry {
-	return &Registry{versions: v, network: noNetwork{}, streams: map[Key][]stream{}}
+	return &Registry{versions: v, network: noNetwork{}, streams: map[Key][]stream{}, since: uptime.Now()}
 }
 
 // SetNetwork sets what reaches the other nodes. It must be called before the registry is used.
@@ -67,10 +69,11 @@
 	streams := r.streams[rec.Key]
 	i := slices.IndexFunc(streams, func(s stream) bool { return s.attempt == rec.Attempt })
 	if i < 0 {
-		r.streams[rec.Key] = append(streams, stream{attempt: rec.Attempt, origin: rec.Origin, expires: expires})
+		r.streams[rec.Key] = append(streams, stream{attempt: rec.Attempt, origin: rec.Origin, expires: expires, restored: rec.Restored})
 	} else {
 		s := &streams[i]
 		s.conflict = s.conflict || s.origin != rec.Origin
+		s.restored = s.restored || rec.Restored
 		if !expires.After(s.expires) {
 			return
 		}
@@ -79,9 +82,32 @@
 	r.queue = append(r.queue, queued{rec.Key, rec.Attempt, expires})
 	if len(r.queue) > maxRecords && r.dropOldest() {
 		r.dropped++
+		r.since = now
 	}
 }
 
+// KeptSince returns since when this node has lost no record.
+func (r *Registry) KeptSince() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.since
+}
+
+// Inherit records that this node was given all records that it has lost since a time.
+func (r *Registry) Inherit(since time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if since.Before(r.since) {
+		r.since = since
+	}
+}
+
+// NothingBefore records that no stream began before this registry was created.
+func (r *Registry) NothingBefore() { r.Inherit(time.Time{}) }
+
+// kept reports whether this node has lost no record within a window.
+func (r *Registry) kept(window time.Duration) bool { return uptime.Since(r.KeptSince()) >= window }
+
 // expire drops the records that have expired, oldest first. The caller holds the mutex.
 func (r *Registry) expire(now time.Time) {
 	for len(r.queue) > 0 && !now.Before(r.queue[0].expires) {
@@ -117,7 +143,7 @@
 		}
 		for _, s := range streams {
 			if left := s.expires.Sub(now); left > 0 && !s.conflict {
-				selected = append(selected, Record{Key: k, Attempt: s.attempt, Origin: s.origin, TTL: left})
+				selected = append(selected, Record{Key: k, Attempt: s.attempt, Origin: s.origin, TTL: left, Restored: s.restored})
 			}
 		}
 	}
@@ -136,10 +162,14 @@
 
 // HandleFind answers another node's question.
 func (r *Registry) HandleFind(q Question) Answer {
-	if a, ok := r.lookUp(q); ok {
-		return a
+	a, ok := r.lookUp(q)
+	if q.Attempt == 0 {
+		a.Kept = r.kept(q.Window)
+	}
+	if !ok || q.Attempt == 0 {
+		a.View = r.view(q)
 	}
-	return Answer{View: r.view(q)}
+	return a
 }
 
 // lookUp answers a question from this node's records; false if it has none.
@@ -152,7 +182,7 @@
 			continue
 		}
 		conflict := s.conflict || ok && a.Origin != s.origin
-		a = Answer{Conflict: a.Conflict || conflict, Origin: s.origin}
+		a = Answer{Conflict: a.Conflict || conflict, Origin: s.origin, Restored: a.Restored || s.restored}
 		ok = true
 	}
 	a.Known = ok && !a.Conflict
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -10,7 +10,8 @@
 
 // Holder tracks a node's share of the quota. Its methods are safe for concurrent use.
 type Holder struct {
-	span time.Duration
+	span    time.Duration
+	onFirst func()
 
 	mu          sync.Mutex
 	epoch       uint64    // 0 before the first assignment
@@ -20,9 +21,22 @@
 	members     uint64    // identifies the list of nodes in the latest assignment
 }
 
+// Option configures a Holder.
+type Option func(*Holder)
+
+// WithOnFirst sets a callback that is called if this process is the first one of its node; see
+// Assignment.First.
+func WithOnFirst(onFirst func()) Option { return func(h *Holder) { h.onFirst = onFirst } }
+
 // NewHolder returns a Holder for a quota per span, with no share until the first
 // assignment.
-func NewHolder(span time.Duration) *Holder { return &Holder{span: span} }
+func NewHolder(span time.Duration, opts ...Option) *Holder {
+	h := &Holder{span: span, onFirst: func() {}}
+	for _, opt := range opts {
+		opt(h)
+	}
+	return h
+}
 
 // Apply applies the assignment in an answer to a request sent at requestedAt. It
 // ignores answers without an assignment, later than AnswerTimeout, or to a request
@@ -38,6 +52,7 @@
 	switch {
 	case h.epoch == 0 && a.First:
 		h.join(a, time.Time{})
+		h.onFirst()
 	case h.epoch != a.Epoch || issuedAt.Sub(h.requestedAt) > MaxAbsence:
 		h.join(a, now)
 	case issuedAt.Before(h.requestedAt):
--- a/serve/entry.go
+++ b/serve/entry.go
@@ -96,13 +96,13 @@
 	targets := p.newTracker()
 	pool := p.newTargetPool(targets, names.Identity)
 	budgetConfig := balance.BudgetConfig{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}
-	quotaHolder := quota.NewHolder(quotaSpan(&budgetConfig))
+	streamOrigins := origins.New(targets)
+	quotaHolder := quota.NewHolder(quotaSpan(&budgetConfig), quota.WithOnFirst(streamOrigins.NothingBefore))
 	ownership := quota.NewOwnership(quotaHolder, s.PeerListen, ratelimit.Span)
 	limiter := ratelimit.New(ratelimit.WithOwnership(ownership))
 	slots := inflight.New(inflight.WithOwnership(ownership))
 	budgetConfig.Share = quotaHolder.Share
 	budgets := balance.NewBudgets(budgetConfig)
-	streamOrigins := origins.New(targets)
 	crashDetector := quarantine.NewCrashDetector(quarantine.New(), pool.Dial)
 	sharer, err := p.newSharer(targets, budgets, loadshare.WithQuarantine(crashDetector.Ledger), loadshare.WithLimits(limiter), loadshare.WithLeases(slots), loadshare.WithOrigins(streamOrigins))
 	if err != nil {
