Bound the heads of answers in the own dialect, lists and duties

Callers saw (in a system like ours): a faulty server sent a head without end, and the machine that had called it kept it all and ran out of memory. Here each such call kept up to 10 MB, the default of net/http, and an engine or service that many callers use is called many times at once.

Cause: only targetconn bounds heads; the transports of net/http had no bound of ours. Since they check interim responses, net/http counted the bytes of each one anew, so these had no bound but the call's time.

Why it works: respcheck.NewTransport, which wraps all these transports, bounds a head at 64 KiB, as targetconn does, and interim responses at four. target.Pool wraps its transports once.

--- a/internal/respcheck/transport.go
+++ b/internal/respcheck/transport.go
@@ -5,20 +5,42 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxHead bounds the head of a response, in bytes.
+	maxHead = 64 << 10
+	// maxInterim bounds the interim responses to a request.
+	maxInterim = 4
 )
 
-// transport is an http.RoundTripper that returns no malformed response.
-type transport struct {
-	next http.RoundTripper
+// Transport is an http.RoundTripper that returns no malformed response.
+type Transport struct {
+	next *http.Transport
 }
 
 // NewTransport returns a transport that sends with next, and fails if the response is malformed.
-// The request may have been executed then. A malformed trailer fails the read that meets it.
-func NewTransport(next http.RoundTripper) http.RoundTripper { return transport{next} }
+// The request may have been executed then. A malformed trailer fails the read that meets it. The
+// transport bounds the heads that next reads, unless that has a bound.
+func NewTransport(next *http.Transport) *Transport {
+	if next.MaxResponseHeaderBytes == 0 {
+		next.MaxResponseHeaderBytes = maxHead
+	}
+	return &Transport{next: next}
+}
 
 // RoundTrip implements http.RoundTripper.
-func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{Got1xxResponse: checkInterim})
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	interim := 0
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
+		if interim++; interim > maxInterim {
+			return errors.Newf("more than %d interim responses", maxInterim)
+		}
+		// net/http has removed the coding.
+		return Interim(&http.Response{Header: http.Header(header)})
+	}})
 	resp, err := t.next.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		return nil, err
@@ -33,12 +55,8 @@
 	return resp, nil
 }
 
-// CloseIdleConnections implements what http.Client.CloseIdleConnections calls.
-func (t transport) CloseIdleConnections() {
-	if next, ok := t.next.(interface{ CloseIdleConnections() }); ok {
-		next.CloseIdleConnections()
-	}
-}
+// CloseIdleConnections closes the connections that are not in use.
+func (t *Transport) CloseIdleConnections() { t.next.CloseIdleConnections() }
 
 // chunkedBody is a body that a trailer may follow.
 type chunkedBody struct {
@@ -51,8 +69,3 @@
 	n, err := b.ReadCloser.Read(p)
 	return n, AtEnd(err, b.response)
 }
-
-// checkInterim returns why an interim response is malformed. net/http has removed its coding.
-func checkInterim(_ int, header textproto.MIMEHeader) error {
-	return Interim(&http.Response{Header: http.Header(header)})
-}
--- a/target/endless_test.go
+++ b/target/endless_test.go
@@ -1,16 +1,21 @@
 package target
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/walnutramp/walnutramp/bundle"
 )
 
 // inFlight is the most that connections on the loopback hold, in bytes.
@@ -38,3 +43,46 @@
 	require.Error(t, err)
 	require.Less(t, written.Load(), int64(maxControlAnswer+inFlight))
 }
+
+// mostHead is the most that a head may have, in bytes.
+const mostHead = 64 << 10
+
+// endlessHeads are what a head without an end consists of.
+var endlessHeads = map[string]string{
+	"lines":             "X-Long: x\r\n",
+	"a line":            "x",
+	"interim responses": "\r\nHTTP/1.1 103 X\r\n",
+}
+
+// A head without an end must not be kept whole, for a service and for a control call.
+func TestEndlessHeadIsNotReadWhole(t *testing.T) {
+	for name, part := range endlessHeads {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var written atomic.Int64
+			p := NewPool(func(context.Context, string, string) (net.Conn, error) {
+				client, server := net.Pipe()
+				go func() {
+					defer server.Close()
+					if _, err := http.ReadRequest(bufio.NewReader(server)); err != nil {
+						return
+					}
+					_, err := io.WriteString(server, "HTTP/1.1 103 X\r\n")
+					for text := []byte(strings.Repeat(part, 4096/len(part))); err == nil && written.Load() < 16*mostHead; {
+						var n int
+						n, err = server.Write(text)
+						written.Add(int64(n))
+					}
+				}()
+				return client, nil
+			})
+			t.Cleanup(p.Close)
+			to := bundle.Target{Name: "t-1", Address: "127.0.0.1:1"}
+			_, err := p.Service(to, true).Do(t.Context(), Call{Method: http.MethodGet, Path: "/", Header: http.Header{}})
+			require.Error(t, err)
+			_, err = p.Engine(to).Load(t.Context())
+			require.Error(t, err)
+			require.Less(t, written.Load(), int64(2*2*mostHead))
+		})
+	}
+}
--- a/target/pool.go
+++ b/target/pool.go
@@ -24,8 +24,9 @@
 
 // Pool provides the clients of targets.
 type Pool struct {
-	shared    *http.Transport // for engines and calls that may be retried
-	perCall   *http.Transport // opens a connection for each call
+	shared    *respcheck.Transport // for engines and calls that may be retried
+	perCall   *respcheck.Transport // opens a connection for each call
+	dial      DialFunc
 	client    *Client
 	cooldowns *cooldownTable
 
@@ -44,18 +45,17 @@
 		}
 		return wholeconn.New(c), nil
 	}
-	shared := &http.Transport{
+	shared := respcheck.NewTransport(&http.Transport{
 		DialContext:         bounded,
 		MaxIdleConnsPerHost: idlePerTarget,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-	}
-	perCall := &http.Transport{DialContext: bounded, DisableKeepAlives: true, DisableCompression: true}
-	checked := respcheck.NewTransport(shared)
+	})
+	perCall := respcheck.NewTransport(&http.Transport{DialContext: bounded, DisableKeepAlives: true, DisableCompression: true})
 	cooldowns := &cooldownTable{until: map[string]time.Time{}}
 	return &Pool{
-		shared: shared, perCall: perCall, cooldowns: cooldowns,
-		client: NewClient(cooldownTransport{checked, cooldowns}, checked), engines: map[string]Engine{},
+		shared: shared, perCall: perCall, dial: bounded, cooldowns: cooldowns,
+		client: NewClient(cooldownTransport{shared, cooldowns}, shared), engines: map[string]Engine{},
 	}
 }
 
@@ -82,9 +82,9 @@
 // must not be sent twice.
 func (p *Pool) Service(t bundle.Target, once bool) *Service {
 	if once {
-		return NewService(cooldownTransport{respcheck.NewTransport(p.perCall), p.cooldowns}, t.Address)
+		return NewService(cooldownTransport{p.perCall, p.cooldowns}, t.Address)
 	}
-	return NewService(cooldownTransport{respcheck.NewTransport(p.shared), p.cooldowns}, t.Address)
+	return NewService(cooldownTransport{p.shared, p.cooldowns}, t.Address)
 }
 
 // Close closes idle connections.
--- a/target/watch.go
+++ b/target/watch.go
@@ -135,7 +135,7 @@
 func (p *LoadPoller) pollService(ctx context.Context, t bundle.Target) {
 	dialCtx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	c, err := p.pool.shared.DialContext(dialCtx, "tcp", t.Address)
+	c, err := p.pool.dial(dialCtx, "tcp", t.Address)
 	if err == nil {
 		c.Close()
 	}
