Own dialect: bound an event whose data lines never end

Callers saw (in a system like ours): a faulty server sent a body without end, and the machine that had called it kept it all and ran out of memory.

Cause: the reader of events in the own dialect bounded a line (4 MiB) and not an event, whose data lines it keeps until a blank line comes.

Evidence: TestEndlessEventIsNotReadWhole read 64 MiB to its end before, and stops after 4 MiB now.

Why it works: the data lines of one event count towards maxEvent, which was meant to bound it.

--- a/target/endless_test.go
+++ b/target/endless_test.go
@@ -44,6 +44,28 @@
 	require.Less(t, written.Load(), int64(maxControlAnswer+inFlight))
 }
 
+// An event whose lines never end must not be kept whole.
+func TestEndlessEventIsNotReadWhole(t *testing.T) {
+	line := []byte("data: " + strings.Repeat("x", 1000) + "\n")
+	read := 0
+	r := NewEventReader(readerFunc(func(p []byte) (int, error) {
+		if read > 16*maxEvent {
+			return 0, io.EOF
+		}
+		n := copy(p, line[read%len(line):])
+		read += n
+		return n, nil
+	}))
+	_, err := r.Next()
+	require.ErrorIs(t, err, bufio.ErrTooLong)
+	require.Less(t, read, 2*maxEvent)
+}
+
+// readerFunc adapts a function to an io.Reader.
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
 // mostHead is the most that a head may have, in bytes.
 const mostHead = 64 << 10
 
--- a/target/sse.go
+++ b/target/sse.go
@@ -28,10 +28,12 @@
 	return &EventReader{lines: lines}
 }
 
-// Next returns the next event with data, or io.EOF. A truncated event is discarded.
+// Next returns the next event with data, io.EOF, or bufio.ErrTooLong for one above maxEvent. A
+// truncated event is discarded.
 func (r *EventReader) Next() (Event, error) {
 	var e Event
 	var data []string
+	size := 0 // of data
 	for r.lines.Scan() {
 		line := r.lines.Text()
 		if line == "" {
@@ -49,6 +51,9 @@
 		case "event":
 			e.Name = value
 		case "data":
+			if size += len(line) + 1; size > maxEvent {
+				return Event{}, bufio.ErrTooLong
+			}
 			data = append(data, value)
 		}
 	}
