--- a/gateway/endless_plain_test.go
+++ b/gateway/endless_plain_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -160,3 +161,19 @@
 	require.Less(t, time.Since(began), 3*time.Second)
 	require.Equal(t, wholeDraft(1), body)
 }
+
+// The answer to an order must not be read without end, in whatever way it is framed.
+func TestEndlessAnswerToAnOrderIsNotReadWhole(t *testing.T) {
+	for name, framing := range framings {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFakeTarget(t, "i-1", "draft", "north", endlessBody(200, framing, maxBufferedBody, strings.Repeat("x", 4096), 0))
+			s := newTestSite(t, []*fakeTarget{f})
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			body, err := s.gateway.callTarget(ctx, s.target("i-1"), purposeCopy, TargetCall{Method: "POST", URI: copyPath})
+			require.NoError(t, err)
+			require.LessOrEqual(t, len(body), maxCopyAnswer)
+		})
+	}
+}
