A stopping node refuses plain requests that it can't end in time

Callers saw (in a system like ours): in a planned stop of one entry, in calm, requests that came late in the grace were accepted, and cut at its end, also those that may not be repeated. Here they got 502, outcome unknown.

Cause: completesInTime judged streams only. A plain request was accepted until all new requests are refused, at three quarters of the time, however long it takes.

Why it works: each node estimates from what it has served how long the plain requests of a route take, by mean and mean deviation as TCP does, and refuses at once, as not run and with when to come back, what would end after the stop. A request whose own deadline is before that is accepted; on a route without an observation the phases of the stop decide, as before. Requests much longer than those of their route are still cut, with 502.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -189,6 +189,7 @@
 	demands      demandCounters
 	pending      pendingRuns
 	serviceTimes serviceTimes
+	plainTimes   plainTimes
 
 	budgets *balance.Budgets
 
@@ -251,6 +252,7 @@
 	t.setRanks()
 	t.activeSince = uptime.Now()
 	g.targets.SetEngines(t.engines())
+	g.plainTimes.keepOnly(t)
 	g.table.Store(t)
 	g.Started()
 }
@@ -307,13 +309,13 @@
 // The phases of a graceful shutdown.
 const (
 	phaseServing int32 = iota
-	phaseLeaving       // not ready; requests are served, except streams predicted to outlast the stop
+	phaseLeaving       // not ready; requests are served, except those predicted to outlast the stop
 	phaseClosing       // connections are closed after their answer
 	phaseClosed        // new requests are rejected
 )
 
 // BeginShutdown begins a graceful shutdown: the node is no longer ready, and rejects, as
-// not run, new streams that are predicted to end after the given time.
+// not run, new requests that are predicted to end after the given time.
 func (g *Gateway) BeginShutdown(by time.Time) {
 	g.stopDeadline.Store(&by)
 	g.stopping.Store(phaseLeaving)
@@ -326,7 +328,7 @@
 	g.paths.Close()
 }
 
-// Parameters for predicting when a stream ends.
+// Parameters for predicting when a stream ends; see plainTimes for other requests.
 const (
 	// queueAllowance is the expected wait for a slot at an engine.
 	queueAllowance = 500 * time.Millisecond
@@ -345,10 +347,14 @@
 // completesInTime reports whether a call is predicted to end before the node stops.
 func (g *Gateway) completesInTime(c *call) bool {
 	by := g.stopDeadline.Load()
-	if by == nil || c.route.Kind != Stream {
+	if by == nil {
 		return true
 	}
-	return uptime.Now().Add(queueAllowance + g.predictStreamTime(c)).Before(*by)
+	if c.route.Kind == Stream {
+		return uptime.Now().Add(queueAllowance + g.predictStreamTime(c)).Before(*by)
+	}
+	took, known := g.plainTimes.upper(c.route.Name)
+	return !known || c.deadline.Before(*by) || uptime.Now().Add(took).Before(*by)
 }
 
 // predictStreamTime predicts how long a stream takes once it has a slot.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -31,6 +31,7 @@
 func (g *Gateway) servePlain(ctx context.Context, w http.ResponseWriter, c *call) {
 	ctx, cancel := context.WithTimeout(ctx, uptime.Until(c.deadline)-deadlineMargin)
 	defer cancel()
+	began := uptime.Now()
 	var last *response
 	for {
 		a, retry := g.attemptAnywhere(ctx, c)
@@ -45,6 +46,9 @@
 		klog.InfoS("Request served", "request", c.id, "content", c.fingerprint, "route", c.route.Name, "version", c.version, "target", last.target,
 			"status", last.status, "sent", c.dispatched, "asked", c.attempts, "ms", uptime.Since(c.arrived).Milliseconds())
 		g.writeResponse(ctx, w, c, last)
+		if last.status < http.StatusInternalServerError {
+			g.plainTimes.observe(c.route.Name, uptime.Since(began))
+		}
 		return
 	}
 	if contextReason(ctx) == endClientLeft {
--- a/gateway/stopping_test.go
+++ b/gateway/stopping_test.go
@@ -109,3 +109,65 @@
 	require.Less(t, time.Since(began), answerTime)
 	require.Contains(t, s.ingress.metrics(), `walnutramp_gateway_relayed_total{role="ingress",result="failed"} 1`)
 }
+
+// A stopping node must not accept a plain request that can't end before the stop: another node
+// can serve it.
+func TestStoppingNodeRejectsPlainRequestsThatOutlastTheStop(t *testing.T) {
+	const took, grace = 400 * time.Millisecond, time.Second
+	slow := newFakeTarget(t, "i-1", "lookup", "north", func(f *fakeTarget, r *http.Request, c net.Conn) {
+		if r.URL.Path == "/once/x" {
+			time.Sleep(took)
+		}
+		answerWithID(f, r, c)
+	})
+	s := newTestSite(t, []*fakeTarget{slow})
+	for range 2 {
+		for _, path := range []string{"/once/x", "/safe/x"} {
+			status, _ := s.post(t, path)
+			require.Equal(t, http.StatusOK, status)
+		}
+	}
+	s.gateway.BeginShutdown(time.Now().Add(grace))
+	status, _ := s.post(t, "/once/x")
+	require.Equal(t, http.StatusOK, status, "it can end in time")
+	time.Sleep(300 * time.Millisecond)
+	before := len(slow.seen())
+	resp, body, err := do(t, s.request(t, "POST", "/once/x", ""))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Contains(t, body, `"not-run"`)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.Len(t, slow.seen(), before)
+	status, _ = s.post(t, "/safe/x")
+	require.Equal(t, http.StatusOK, status, "requests of this route are short")
+	resp, _, err = do(t, s.request(t, "POST", "/once/x", "", "X-Deadline", "100"))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode, "it ends in time, whatever its target does")
+	status, _ = s.post(t, "/safe/deeper/x")
+	require.Equal(t, http.StatusOK, status, "how long requests of this route take is not known")
+}
+
+func TestPlainTimesFollowTheirObservations(t *testing.T) {
+	var p plainTimes
+	_, known := p.upper("a")
+	require.False(t, known)
+	for range 100 {
+		p.observe("a", 2*time.Second)
+	}
+	upper, known := p.upper("a")
+	require.True(t, known)
+	require.Equal(t, 2*time.Second, upper)
+	for range 100 {
+		p.observe("a", 10*time.Millisecond)
+	}
+	upper, _ = p.upper("a")
+	require.Less(t, upper, 50*time.Millisecond)
+	for n := range 100 {
+		p.observe("a", time.Duration(n%2)*time.Second)
+	}
+	upper, _ = p.upper("a")
+	require.Greater(t, upper, time.Second)
+	p.keepOnly(&Table{})
+	_, known = p.upper("a")
+	require.False(t, known)
+}
--- a/gateway/table.go
+++ b/gateway/table.go
@@ -157,6 +157,17 @@
 	}
 }
 
+// routeNames returns the set of the routes' names.
+func (t *Table) routeNames() map[string]bool {
+	names := map[string]bool{}
+	for _, routes := range t.hosts {
+		for _, r := range routes {
+			names[r.Name] = true
+		}
+	}
+	return names
+}
+
 // Route returns the route for a host and path, or nil.
 func (t *Table) Route(host, path string) *Route {
 	if name, _, ok := strings.Cut(host, ":"); ok {
