Refuse an encoded answer on a streaming route, too

Callers saw: nothing yet; found while looking for the same cause elsewhere. A target's answer with a Content-Encoding is not the body that was asked for. On a plain route it is refused; on a streaming one the client got it as its answer, also one that called itself an event stream.

Cause: an answer that isEventStream does not accept is forwarded as it is, and only plain attempts looked at the encoding.

Evidence: TestEncodedAnswersAreRefused, 2 of 8 cases failing before, both on the streaming route.

Why it works: forwardNonStream refuses such an answer as attemptPlain does; the run counts as failed, and is replaced where the route allows.

--- a/gateway/malformed_head_test.go
+++ b/gateway/malformed_head_test.go
@@ -184,3 +184,11 @@
 		}
 	}
 }
+
+// An encoded body is not the one that the client asked for, on any route.
+func TestEncodedAnswersAreRefused(t *testing.T) {
+	requireAllRefused(t, map[string]string{
+		"text":         "HTTP/1.1 200 X\r\nX-Id: {ID}\r\nContent-Encoding: gzip\r\nContent-Type: text/plain\r\nContent-Length: 7\r\n\r\nforeign",
+		"event stream": "HTTP/1.1 200 X\r\nX-Id: {ID}\r\nContent-Encoding: gzip\r\nContent-Type: text/event-stream\r\nContent-Length: 7\r\n\r\nforeign",
+	})
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -345,6 +345,11 @@
 	if r.started {
 		return runFailed
 	}
+	if a.Header.Get("Content-Encoding") != "" {
+		g.recordLostAnswer(c, t)
+		t.RecordFailure()
+		return runFailed
+	}
 	resp, err := readResponse(a.Status, a.Header, a.Length, a)
 	if !timeout.Stop() {
 		r.silent = true
