A broken answer on a streaming route counts against its target

Callers saw: nothing of it; a target that answers a streaming route with a plain answer that breaks off went on getting requests, as after a sound answer.

Cause: forwardNonStream recorded the loss of the connection for the quarantine, and neither a failure of the target nor a lost answer for the roll-out.

Evidence: TestBrokenAnswerIsAFailureOfItsTarget, 'cut off' on the streaming route failing before; plain routes, encoded answers and malformed heads are recorded there, too.

Why it works: both routes call recordBrokenAnswer. An answer that ends with its request says nothing about the target.

--- a/gateway/malformed_head_test.go
+++ b/gateway/malformed_head_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/walnutramp/walnutramp"
+	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/egress"
 	"github.com/walnutramp/walnutramp/peer"
 )
@@ -192,3 +193,22 @@
 		"event stream": "HTTP/1.1 200 X\r\nX-Id: {ID}\r\nContent-Encoding: gzip\r\nContent-Type: text/event-stream\r\nContent-Length: 7\r\n\r\nforeign",
 	})
 }
+
+// A target whose answer is broken has failed, on a streaming route as on others.
+func TestBrokenAnswerIsAFailureOfItsTarget(t *testing.T) {
+	for name, text := range map[string]string{
+		"cut off":        "HTTP/1.1 200 X\r\nX-Id: {ID}\r\nContent-Type: text/plain\r\nContent-Length: 70\r\n\r\nforeign",
+		"encoded":        "HTTP/1.1 200 X\r\nX-Id: {ID}\r\nContent-Encoding: gzip\r\nContent-Length: 7\r\n\r\nforeign",
+		"malformed head": malformedNames["blank"],
+	} {
+		for service, path := range pathsOfServices {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				s := newTestSite(t, []*fakeTarget{newFakeTarget(t, "i-1", service, "north", sayRaw(text))})
+				failed := s.tracker.Pick(balance.Choice{Service: service})
+				s.requireRefused(t, path)
+				require.True(t, failed.Lost())
+			})
+		}
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,7 +10,6 @@
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/egress"
 	"github.com/walnutramp/walnutramp/internal/uptime"
-	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
 	"k8s.io/klog/v2"
@@ -359,7 +358,9 @@
 		return runFailed
 	}
 	if err != nil {
-		g.recordConnectionLoss(c, t, quarantine.Begun)
+		if ctx.Err() == nil { // otherwise the request has ended
+			g.recordBrokenAnswer(ctx, c, t, a.Status, err)
+		}
 		return runFailed
 	}
 	g.cfg.Quarantine.RecordSuccess(c.fingerprint)
