Reset the connection of an HTTP/1.0 client whose answer is truncated

Callers saw: nothing yet; found while looking at where else the end of a connection ends a body. An answer that breaks off after its head has gone out is broken off to the client as well, by closing its connection. To an HTTP/1.0 client, which gets no chunks, that looks like the end of a whole answer.

Cause: net/http closes the connection of a handler that aborts in good order, and tells a truncated answer from a whole one by its framing only.

Evidence: gateway's and serve's TestTruncatedAnswerIsNotCompleteForAnOlderClient, for a plain answer and a stream, through all wrappers of the connection: complete before, reset now.

Why it works: for a request of HTTP/1.0 the gateway takes the connection over, and closes it without lingering, which resets it. Clients of HTTP/1.1 see chunks or a length as before.

--- a/gateway/broken_answers_test.go
+++ b/gateway/broken_answers_test.go
@@ -206,3 +206,29 @@
 		}
 	}
 }
+
+// A truncated answer must not look complete to a client for which only the end of the connection
+// ends an answer.
+func TestTruncatedAnswerIsNotCompleteForAnOlderClient(t *testing.T) {
+	for service, script := range map[string]func(*fakeTarget, *http.Request, net.Conn){
+		"lookup": func(_ *fakeTarget, r *http.Request, c net.Conn) {
+			fmt.Fprintf(c, "HTTP/1.1 200 X\r\nX-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("X-Id"))
+			chunk(c, strings.Repeat("x", 2*maxBufferedBody))
+			time.Sleep(50 * time.Millisecond)
+			c.Close()
+		},
+		"draft": draft(func(_ *fakeTarget, c net.Conn, n int) bool { return n < 3 }),
+	} {
+		t.Run(service, func(t *testing.T) {
+			t.Parallel()
+			s := newTestSite(t, []*fakeTarget{newFakeTarget(t, "i-1", service, "north", script)})
+			c := s.dialRaw(t)
+			_, err := fmt.Fprint(c, strings.Replace(rawRequest(pathsOfServices[service], "attempt-1"), "HTTP/1.1", "HTTP/1.0", 1))
+			require.NoError(t, err)
+			resp, err := http.ReadResponse(c.answers, nil)
+			require.NoError(t, err)
+			_, err = io.ReadAll(resp.Body)
+			require.Error(t, err)
+		})
+	}
+}
--- a/gateway/cutoff.go
+++ b/gateway/cutoff.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"strings"
@@ -41,17 +42,39 @@
 // answerPanic answers a request whose handler has panicked with p, or closes its connection if
 // an answer has begun. The call is nil if it was not opened.
 func (g *Gateway) answerPanic(p any, w *answerWriter, r *http.Request, c *call) {
-	if p == http.ErrAbortHandler {
-		panic(p)
+	if p != http.ErrAbortHandler {
+		g.recordPanic(r.Header.Get(g.cfg.Names.Identity), p)
 	}
-	g.recordPanic(r.Header.Get(g.cfg.Names.Identity), p)
-	if w.begun {
+	if p == http.ErrAbortHandler || w.begun {
+		if !r.ProtoAtLeast(1, 1) {
+			resetConnection(w)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	clear(w.Header())
 	g.writeError(w, c.panicError())
 }
 
+// resetConnection resets the connection of an answer. If the answer has no length, closing the
+// connection would complete it for an HTTP/1.0 client.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		klog.ErrorS(err, "Failed to reset the connection of a truncated answer")
+		return
+	}
+	defer conn.Close()
+	inner := conn
+	for wrapped, ok := inner.(interface{ NetConn() net.Conn }); ok; wrapped, ok = inner.(interface{ NetConn() net.Conn }) {
+		inner = wrapped.NetConn()
+	}
+	if tcp, ok := inner.(*net.TCPConn); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			klog.ErrorS(err, "Failed to reset the connection of a truncated answer")
+		}
+	}
+}
+
 // panicError returns the error of a call whose handler has panicked.
 func (c *call) panicError() *walnutramp.Error {
 	outcome := walnutramp.NotRun
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -310,6 +310,9 @@
 	bodyTimer  *time.Timer
 }
 
+// NetConn returns the wrapped connection.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/serve/bounded.go
+++ b/serve/bounded.go
@@ -55,6 +55,9 @@
 	}
 }
 
+// NetConn returns the wrapped connection.
+func (c *timeoutConn) NetConn() net.Conn { return c.Conn }
+
 // SyscallConn implements syscall.Conn.
 func (c *timeoutConn) SyscallConn() (syscall.RawConn, error) {
 	s, ok := c.Conn.(syscall.Conn)
--- a/serve/cutoff_test.go
+++ b/serve/cutoff_test.go
@@ -1,12 +1,15 @@
 package serve
 
 import (
+	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -15,6 +18,7 @@
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/discovery"
 	"github.com/walnutramp/walnutramp/gateway"
+	"github.com/walnutramp/walnutramp/internal/rawserver"
 	"github.com/walnutramp/walnutramp/peer"
 	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/targetconn"
@@ -160,3 +164,33 @@
 	}
 	return v
 }
+
+// The connection of an HTTP/1.0 client with a truncated answer must be reset, through all that
+// wraps it.
+func TestTruncatedAnswerIsNotCompleteForAnOlderClient(t *testing.T) {
+	const size = 128 << 10
+	address := rawserver.New(t, fmt.Sprintf("HTTP/1.1 200 X\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", size, strings.Repeat("x", size)))
+	tracker := balance.NewTracker()
+	tracker.Update([]discovery.Target{{ID: "i-1", Service: "lookup", Address: address, Slots: 100}})
+	table := &gateway.Table{Version: 1, Open: true, Services: map[string]gateway.Service{"lookup": {Name: "lookup"}}}
+	table.SetRoutes([]*gateway.Route{{Name: "once", Host: "a.example", Prefix: "/", Kind: gateway.Unsafe, Timeout: 10 * time.Second, MaxAttempts: 1,
+		Split: []gateway.WeightedService{{Service: "lookup", Weight: 1}}}})
+	g := gateway.New(tracker, targetconn.NewPool(targetconn.WithIdentityHeader("X-Id")), balance.NewBudgets(balance.BudgetConfig{Ratio: 1, Slack: 200, Window: time.Second}), func() {},
+		gateway.WithNames(gateway.Names{Identity: "X-Id", Deadline: "X-Deadline", Expect: "X-Expect", Priority: "X-Priority"}))
+	g.SetTable(table)
+	e := newTestEntry(g, g)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	serveInBackground(e.clientServer, &timeoutListener{Listener: l, limits: g.Limits})
+	t.Cleanup(func() { e.clientServer.Close() })
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = fmt.Fprint(c, "POST / HTTP/1.0\r\nHost: a.example\r\nX-Id: a\r\nContent-Length: 1\r\n\r\nx")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	_, err = io.ReadAll(resp.Body)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
