--- a/gateway/cutoff.go
+++ b/gateway/cutoff.go
@@ -64,14 +64,23 @@
 		return
 	}
 	defer conn.Close()
-	inner := conn
-	for wrapped, ok := inner.(interface{ NetConn() net.Conn }); ok; wrapped, ok = inner.(interface{ NetConn() net.Conn }) {
-		inner = wrapped.NetConn()
+	tcp, ok := innermost(conn).(*net.TCPConn)
+	if !ok {
+		return
+	}
+	if err := tcp.SetLinger(0); err != nil {
+		klog.ErrorS(err, "Failed to reset the connection of a truncated answer")
 	}
-	if tcp, ok := inner.(*net.TCPConn); ok {
-		if err := tcp.SetLinger(0); err != nil {
-			klog.ErrorS(err, "Failed to reset the connection of a truncated answer")
+}
+
+// innermost returns the connection inside all wrappers that name theirs.
+func innermost(c net.Conn) net.Conn {
+	for {
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return c
 		}
+		c = wrapper.NetConn()
 	}
 }
 
