--- a/target/endless_test.go
+++ b/target/endless_test.go
@@ -108,3 +108,26 @@
 		})
 	}
 }
+
+func TestEndlessAnswerOfAServiceIsNotReadWhole(t *testing.T) {
+	var written atomic.Int64
+	filler := bytes.Repeat([]byte(" "), 64<<10)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for written.Load() < 16*MaxServiceAnswer {
+			n, err := w.Write(filler)
+			written.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	var d net.Dialer
+	p := NewPool(d.DialContext)
+	defer p.Close()
+	_, err := p.Service(bundle.Target{Name: "t-1", Address: server.Listener.Addr().String()}, true).Do(ctx, Call{Method: http.MethodGet, Path: "/", Header: http.Header{}})
+	require.Error(t, err)
+	require.Less(t, written.Load(), int64(MaxServiceAnswer+inFlight))
+}
