--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -143,7 +143,13 @@
 	resp, err := limit.readResponse(answer.Status, answer.Header, answer.Length, answer)
 	if err != nil {
 		g.abandonLease(c)
-		g.recordBrokenAnswer(ctx, c, t, answer.Status, err)
+		g.counters.brokenAnswers.Inc()
+		klog.InfoS("Answer broke off", "request", c.id, "target", t.ID, "status", answer.Status, "err", err)
+		if ctx.Err() == nil {
+			g.recordLostAnswer(c, t)
+			g.recordConnectionLoss(c, t, quarantine.Begun)
+		}
+		t.RecordFailure()
 		return nil, true
 	}
 	resp.target = t.ID
@@ -165,17 +171,6 @@
 	return resp, false
 }
 
-// recordBrokenAnswer records an answer that broke off before any of it was forwarded.
-func (g *Gateway) recordBrokenAnswer(ctx context.Context, c *call, t *balance.Target, status int, err error) {
-	g.counters.brokenAnswers.Inc()
-	klog.InfoS("Answer broke off", "request", c.id, "target", t.ID, "status", status, "err", err)
-	if ctx.Err() == nil {
-		g.recordLostAnswer(c, t)
-		g.recordConnectionLoss(c, t, quarantine.Begun)
-	}
-	t.RecordFailure()
-}
-
 // attemptLimit cancels an attempt that takes too long.
 type attemptLimit struct {
 	deadline    *time.Timer   // nil if the request can be retried
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,6 +10,7 @@
 	"github.com/walnutramp/walnutramp/balance"
 	"github.com/walnutramp/walnutramp/egress"
 	"github.com/walnutramp/walnutramp/internal/uptime"
+	"github.com/walnutramp/walnutramp/quarantine"
 	"github.com/walnutramp/walnutramp/rollout"
 	"github.com/walnutramp/walnutramp/targetconn"
 	"k8s.io/klog/v2"
@@ -345,7 +346,6 @@
 		return runFailed
 	}
 	if a.Header.Get("Content-Encoding") != "" {
-		g.recordLostAnswer(c, t)
 		t.RecordFailure()
 		return runFailed
 	}
@@ -359,7 +359,10 @@
 	}
 	if err != nil {
 		if ctx.Err() == nil { // otherwise the request has ended
-			g.recordBrokenAnswer(ctx, c, t, a.Status, err)
+			g.counters.brokenAnswers.Inc()
+			klog.InfoS("Answer broke off", "request", c.id, "target", t.ID, "status", a.Status, "err", err)
+			g.recordConnectionLoss(c, t, quarantine.Begun)
+			t.RecordFailure()
 		}
 		return runFailed
 	}
