Take-ups wait for no answer that changes nothing

Cause: a client that names no attempt waited for a keeper that has lost no record, up to 140 ms, also where a record read from a disk, or the only version there was, decides without one.

The registry now says itself when the answers suffice, by the rule by which it decides; the network only collects them. What is accepted and refused is as before.

--- a/gateway/taken_up_test.go
+++ b/gateway/taken_up_test.go
@@ -262,7 +262,7 @@
 type silentNetwork struct{}
 
 func (silentNetwork) Store(context.Context, origins.Record, bool) bool { return false }
-func (silentNetwork) Find(context.Context, origins.Question, bool) origins.Poll {
+func (silentNetwork) Find(context.Context, origins.Question, func(*origins.Poll) bool) origins.Poll {
 	return origins.Poll{Asked: 7}
 }
 
@@ -285,7 +285,7 @@
 	n.stored <- r
 	return true
 }
-func (recordingNetwork) Find(context.Context, origins.Question, bool) origins.Poll {
+func (recordingNetwork) Find(context.Context, origins.Question, func(*origins.Poll) bool) origins.Poll {
 	return origins.Poll{}
 }
 
--- a/loadshare/origins.go
+++ b/loadshare/origins.go
@@ -34,9 +34,6 @@
 	// originLookups is how many nodes are asked: more than keep a record, as the list of
 	// nodes may have changed since.
 	originLookups = 7
-	// agreeingAnswers is how many nodes must know the same origin of a stream whose client
-	// names no attempt: one may have missed the record of another stream of the same key.
-	agreeingAnswers = 2
 	// maxOrigins bounds the records in a datagram, of about 60 bytes each.
 	maxOrigins = 100
 )
@@ -201,10 +198,10 @@
 }
 
 // Find implements origins.Network.
-func (s originNetwork) Find(ctx context.Context, q origins.Question, kept bool) origins.Poll {
+func (s originNetwork) Find(ctx context.Context, q origins.Question, enough func(*origins.Poll) bool) origins.Poll {
 	l := s.currentLayout()
 	nodes, keepers := l.originHolders(q.Key, originLookups), l.originKeepers(q.Key)
-	poll := originPoll{Poll: origins.Poll{Asked: len(nodes), Keeper: slices.Contains(keepers, l.own), Left: s.leftWithin(q.Window)}, keepers: keepers, named: q.Attempt != 0, kept: kept}
+	poll := originPoll{Poll: origins.Poll{Asked: len(nodes), Keeper: slices.Contains(keepers, l.own), Left: s.leftWithin(q.Window)}, keepers: keepers, enough: enough}
 	id, replies := s.originReplies.start(len(nodes) * len(originTimeouts))
 	defer s.originReplies.end(id)
 	m := message{OriginQuestion: &originQuestion{ID: id, Key: q.Key[:], Attempt: uint64(q.Attempt), Service: q.Service, WindowMS: q.Window.Milliseconds()}}
@@ -241,9 +238,7 @@
 type originPoll struct {
 	origins.Poll
 	keepers []string
-	named   bool // the question names an attempt
-	kept    bool // this node has lost no record
-	known   int  // number of nodes that know the origin
+	enough  func(*origins.Poll) bool
 }
 
 // add adds a reply, and reports whether no other is needed.
@@ -251,16 +246,7 @@
 	a := r.answer()
 	a.Keeper = slices.Contains(p.keepers, r.node)
 	p.Answers = append(p.Answers, a)
-	if a.Known {
-		p.known++
-	}
-	switch {
-	case a.Conflict:
-		return true
-	case p.named:
-		return p.known > 0
-	}
-	return p.known >= agreeingAnswers && p.Complete(p.kept)
+	return p.enough(&p.Poll)
 }
 
 // collectOrigins collects the replies of some nodes until all have replied, no other is needed or
--- a/origins/origins.go
+++ b/origins/origins.go
@@ -144,14 +144,13 @@
 	// them has it; false if none confirmed in time.
 	Store(ctx context.Context, r Record, confirm bool) bool
 	// Find asks the nodes that keep a record, and others that did if the list of nodes
-	// has changed. It returns once one knows it and, without an Attempt, the poll is complete,
-	// once all have answered or when none answers any more. kept says that this node has lost
-	// no record of the question's window.
-	Find(ctx context.Context, q Question, kept bool) Poll
+	// has changed. It returns once enough reports that no further answer is needed, once all
+	// have answered or when none answers any more.
+	Find(ctx context.Context, q Question, enough func(*Poll) bool) Poll
 }
 
 // noNetwork is the Network of a node without peers.
 type noNetwork struct{}
 
-func (noNetwork) Store(context.Context, Record, bool) bool  { return true }
-func (noNetwork) Find(context.Context, Question, bool) Poll { return Poll{Keeper: true} }
+func (noNetwork) Store(context.Context, Record, bool) bool              { return true }
+func (noNetwork) Find(context.Context, Question, func(*Poll) bool) Poll { return Poll{Keeper: true} }
--- a/origins/origins_test.go
+++ b/origins/origins_test.go
@@ -30,7 +30,7 @@
 	return n.confirmed
 }
 
-func (n *fixedNetwork) Find(context.Context, Question, bool) Poll {
+func (n *fixedNetwork) Find(context.Context, Question, func(*Poll) bool) Poll {
 	return Poll{Answers: n.answers, Asked: n.asked, Keeper: true}
 }
 
